--- /dev/null
+++ b/crates/daemon/src/api/system.rs
@@ -0,0 +1,88 @@
+//! Health, metrics, the state dump, and what goes around every call.
+
+use axum::Json;
+use axum::extract::Request;
+use axum::extract::State;
+use axum::http::HeaderMap;
+use axum::http::HeaderValue;
+use axum::http::StatusCode;
+use axum::middleware::Next;
+use axum::response::IntoResponse;
+use axum::response::Response;
+use stoatwell_model::Code;
+use stoatwell_model::Failure;
+use stoatwell_platform::Platform;
+
+use crate::api::Shared;
+use crate::api::auth;
+use crate::api::reply;
+use crate::api::reply::Refusal;
+use crate::core::GetDump;
+
+const REQUEST_ID_HEADER: &str = "x-request-id";
+const REQUEST_ID_BYTES_MAX: usize = 64;
+
+pub(crate) async fn livez() -> &'static str {
+    "alive\n"
+}
+
+pub(crate) async fn readyz<P: Platform>(
+    State(shared): State<Shared<P>>,
+) -> Result<&'static str, Refusal> {
+    if shared.status.borrow().ready {
+        return Ok("ready\n");
+    }
+    Err(Failure::new(Code::NotReady).into())
+}
+
+pub(crate) async fn metrics<P: Platform>(State(shared): State<Shared<P>>) -> String {
+    shared.metrics.render()
+}
+
+pub(crate) async fn state<P: Platform>(
+    State(shared): State<Shared<P>>,
+    headers: HeaderMap,
+) -> Result<Response, Refusal> {
+    auth::operator(&shared, &headers)?;
+    match shared.core.ask(GetDump).await {
+        Ok(dump) => Ok(Json(*dump).into_response()),
+        Err(_ended) => Err(reply::ended()),
+    }
+}
+
+pub(crate) async fn no_such_path() -> Refusal {
+    Refusal(Failure::new(Code::NoSuchPath))
+}
+
+/// Gives every call a request id, its own or a new one, and counts it.
+pub(crate) async fn around<P: Platform>(
+    State(shared): State<Shared<P>>,
+    request: Request,
+    next: Next,
+) -> Response {
+    let id = request_id(request.headers());
+    let method = request.method().clone();
+    let path = request.uri().path().to_owned();
+    let mut response = next.run(request).await;
+    let status = response.status();
+    shared.metrics.count_http(status.as_u16());
+    if status == StatusCode::INTERNAL_SERVER_ERROR {
+        tracing::error!(request = %id, %method, path, status = status.as_u16(), "call answered");
+    } else {
+        tracing::debug!(request = %id, %method, path, status = status.as_u16(), "call answered");
+    }
+    if let Ok(value) = HeaderValue::from_str(&id) {
+        response.headers_mut().insert(REQUEST_ID_HEADER, value);
+    }
+    response
+}
+
+fn request_id(headers: &HeaderMap) -> String {
+    let given = headers
+        .get(REQUEST_ID_HEADER)
+        .and_then(|value| value.to_str().ok());
+    match given {
+        Some(id) if !id.is_empty() && id.len() <= REQUEST_ID_BYTES_MAX => id.to_owned(),
+        _ => format!("{:016x}", rand::random::<u64>()),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/adopt.rs
@@ -0,0 +1,301 @@
+//! Finding out what became of tasks: doubts, inquiries and lost workers.
+//!
+//! An attempt is in doubt when its start may have been sent and nothing was
+//! heard of it. Whoever holds its worker can tell: the worker named it, or a
+//! newer token than the one of its intent is in force, under which it can
+//! never start any more.
+
+use std::collections::BTreeMap;
+
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::DaemonId;
+use stoatwell_model::JobId;
+use stoatwell_model::UnixMs;
+use stoatwell_model::WorkerId;
+use stoatwell_model::worker::StopMode;
+use stoatwell_model::worker::Token;
+use stoatwell_platform::CallError;
+
+use crate::Engine;
+use crate::message::PeerCall;
+use crate::message::PeerReply;
+use crate::message::Seen;
+use crate::message::TaskReply;
+use crate::ops::PeerOp;
+
+/// Between questions about attempts of which nothing was heard.
+const DOUBT_MS: u64 = 1_000;
+/// Between questions about tasks that run on workers of other daemons.
+const CHECK_MS: u64 = 10_000;
+/// Added to the time after which a worker that is gone has surely stopped everything.
+const GONE_MARGIN_MS: u64 = 5_000;
+
+impl Engine {
+    pub(crate) fn resolve_doubts(&mut self) {
+        let now_ms = self.now_ms;
+        let mut due = Vec::new();
+        for (id, job) in &self.jobs {
+            if job.accepted && !job.leaving && job.inquire_ms <= now_ms {
+                due.push(*id);
+            }
+        }
+        let mut questions = Vec::new();
+        for id in due {
+            let Some(job) = self.jobs.get(&id) else {
+                continue;
+            };
+            if job.machine.record.class == Class::Request {
+                self.seal_request(id);
+                continue;
+            }
+            self.look_for(id);
+            self.question(id, &mut questions);
+        }
+        if questions.is_empty() {
+            return;
+        }
+        for peer in self.zone_peers() {
+            let coordinator = self.me.daemon.clone();
+            let call = PeerCall::Inquire {
+                coordinator,
+                attempts: questions.clone(),
+            };
+            self.call_peer(PeerOp::Inquire, &peer, call);
+        }
+    }
+
+    /// Answers from what is known here, and collects what others must be asked.
+    fn question(&mut self, id: JobId, questions: &mut Vec<(AttemptId, WorkerId, Token)>) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.find_ms.is_some() || job.finding > 0 {
+            return;
+        }
+        let doubtful = job.machine.in_doubt();
+        job.inquire_ms = now_ms
+            + if doubtful.is_empty() {
+                CHECK_MS
+            } else {
+                DOUBT_MS
+            };
+        let mut attempts = doubtful;
+        attempts.extend(job.machine.active());
+        let mut tokens = BTreeMap::new();
+        for intent in &job.machine.record.intents {
+            tokens.insert(intent.task, intent.token);
+        }
+        for (attempt, worker) in attempts {
+            let token = tokens.get(&attempt.task).copied().unwrap_or(0);
+            if let Some(seen) = self.seen_here(attempt, &worker, token) {
+                self.on_seen(attempt, &worker, seen);
+            } else if self.is_gone(&worker) {
+                self.on_seen(attempt, &worker, Seen::Forgotten);
+            } else {
+                questions.push((attempt, worker, token));
+            }
+        }
+    }
+
+    /// What this daemon, as the holder of a worker, can tell of an attempt.
+    fn seen_here(&mut self, attempt: AttemptId, worker: &WorkerId, token: Token) -> Option<Seen> {
+        self.holdings.token(self.now_ms, worker)?;
+        let held = self.held.get_mut(worker)?;
+        if let Some(known) = held.tasks.get(&attempt) {
+            return Some(Seen::State(known.state.clone()));
+        }
+        if held.knows(attempt) {
+            return Some(Seen::Pending);
+        }
+        // A worker whose token is lower than the intent's was started anew and
+        // remembers nothing; that it does not name the attempt proves nothing.
+        if held.token < token {
+            return Some(Seen::Forgotten);
+        }
+        held.sealed.insert(attempt);
+        self.not_started(attempt);
+        Some(Seen::Absent)
+    }
+
+    pub(crate) fn on_inquiry(
+        &mut self,
+        coordinator: &DaemonId,
+        attempts: &[(AttemptId, WorkerId, Token)],
+    ) -> PeerReply {
+        let mut replies = Vec::new();
+        for (attempt, worker, token) in attempts {
+            let Some(seen) = self.seen_here(*attempt, worker, *token) else {
+                continue;
+            };
+            self.relabel(*attempt, worker, coordinator);
+            replies.push(TaskReply {
+                attempt: *attempt,
+                worker: worker.clone(),
+                seen,
+            });
+        }
+        PeerReply::Tasks(replies)
+    }
+
+    fn relabel(&mut self, attempt: AttemptId, worker: &WorkerId, coordinator: &DaemonId) {
+        if let Some(held) = self.held.get_mut(worker)
+            && let Some(known) = held.tasks.get_mut(&attempt)
+        {
+            known.coordinator = coordinator.clone();
+        }
+    }
+
+    pub(crate) fn on_task_replies(&mut self, replies: Vec<TaskReply>) {
+        for reply in replies {
+            self.on_seen(reply.attempt, &reply.worker, reply.seen);
+        }
+    }
+
+    /// Asks all daemons of the zone for the tasks of a job that was taken over.
+    fn look_for(&mut self, id: JobId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.find_ms.is_none_or(|at_ms| at_ms > now_ms) {
+            return;
+        }
+        job.find_ms = None;
+        let coordinator = self.me.daemon.clone();
+        let own = self.found_here(&coordinator, id);
+        let peers = self.zone_peers();
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.finding = peers.len() as u32 + 1;
+        }
+        for peer in &peers {
+            let call = PeerCall::Find {
+                coordinator: coordinator.clone(),
+                jobs: vec![id],
+            };
+            if !self.call_peer(PeerOp::Find(vec![id]), peer, call) {
+                self.found_one(id);
+            }
+        }
+        self.on_found(&[id], Ok(PeerReply::Tasks(own)));
+    }
+
+    /// Attempts of a job on the workers held here.
+    fn found_here(&mut self, coordinator: &DaemonId, id: JobId) -> Vec<TaskReply> {
+        let first = AttemptId {
+            job: id,
+            task: 0,
+            attempt: 0,
+        };
+        let last = AttemptId {
+            job: id,
+            task: u32::MAX,
+            attempt: u32::MAX,
+        };
+        let mut found = Vec::new();
+        for (worker, held) in &mut self.held {
+            for (attempt, known) in held.tasks.range_mut(first..=last) {
+                known.coordinator = coordinator.clone();
+                let seen = Seen::State(known.state.clone());
+                found.push(TaskReply {
+                    attempt: *attempt,
+                    worker: worker.clone(),
+                    seen,
+                });
+            }
+        }
+        found
+    }
+
+    pub(crate) fn on_find(&mut self, coordinator: &DaemonId, jobs: &[JobId]) -> PeerReply {
+        let mut replies = Vec::new();
+        for id in jobs {
+            replies.extend(self.found_here(coordinator, *id));
+        }
+        PeerReply::Tasks(replies)
+    }
+
+    pub(crate) fn on_found(&mut self, jobs: &[JobId], reply: Result<PeerReply, CallError>) {
+        if let Ok(PeerReply::Tasks(replies)) = reply {
+            self.on_task_replies(replies);
+        }
+        for id in jobs {
+            self.found_one(*id);
+        }
+    }
+
+    /// One more daemon has answered; after the last one the rest is queued.
+    fn found_one(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.finding == 0 {
+            return;
+        }
+        job.finding -= 1;
+        if job.finding > 0 {
+            return;
+        }
+        let waiting = job.machine.waiting();
+        if !waiting.is_empty() {
+            self.enqueue(id, waiting);
+        }
+    }
+
+    /// Remembers since when workers are not on the platform's list any more.
+    pub(crate) fn note_gone(&mut self, listed: &[(WorkerId, String)]) {
+        let now_ms = self.now_ms;
+        for (worker, _) in listed {
+            self.gone.remove(worker);
+        }
+        let mut missing = Vec::new();
+        for (worker, _) in self.holdings.all() {
+            if !listed.iter().any(|(other, _)| other == worker) {
+                missing.push(worker.clone());
+            }
+        }
+        for job in self.jobs.values() {
+            for (_, worker) in job
+                .machine
+                .in_doubt()
+                .into_iter()
+                .chain(job.machine.active())
+            {
+                if !listed.iter().any(|(other, _)| *other == worker) {
+                    missing.push(worker);
+                }
+            }
+        }
+        for worker in missing {
+            self.gone.entry(worker).or_insert(now_ms);
+        }
+    }
+
+    /// Whether a worker is off the platform's list for so long that its lease
+    /// has lapsed and it has stopped, by contract, what must stop then.
+    pub(crate) fn is_gone(&self, worker: &WorkerId) -> bool {
+        let leases = &self.settings.leases;
+        let wait_ms: UnixMs = leases.ttl_ms + leases.orphan_ms + GONE_MARGIN_MS;
+        self.gone
+            .get(worker)
+            .is_some_and(|since_ms| self.now_ms >= since_ms + wait_ms)
+    }
+
+    pub(crate) fn on_remote_stop(
+        &mut self,
+        attempts: &[(AttemptId, WorkerId)],
+        mode: StopMode,
+    ) -> PeerReply {
+        for (attempt, worker) in attempts {
+            self.stop_here(worker, *attempt, mode);
+        }
+        PeerReply::Noted
+    }
+
+    pub(crate) fn on_acknowledge(&mut self, attempts: &[(AttemptId, WorkerId)]) -> PeerReply {
+        let attempts = attempts.iter().cloned().collect();
+        self.acknowledge(&attempts);
+        PeerReply::Noted
+    }
+}
--- /dev/null
+++ b/crates/engine/src/catalogue.rs
@@ -0,0 +1,260 @@
+//! Following the catalogue, changing it, and putting it in force here.
+
+use stoatwell_catalogue::Edit;
+use stoatwell_catalogue::EditRequest;
+use stoatwell_catalogue::edit::EditKind;
+use stoatwell_catalogue::edit::EditStep;
+use stoatwell_catalogue::target_key;
+use stoatwell_model::Class;
+use stoatwell_model::OwnerName;
+use stoatwell_model::Resources;
+use stoatwell_model::Target;
+use stoatwell_model::TargetState;
+use stoatwell_model::Urgency;
+use stoatwell_model::WorkerId;
+use stoatwell_model::target::TargetChange;
+use stoatwell_model::worker::StopMode;
+use stoatwell_platform::CallError;
+use stoatwell_platform::StoreCall;
+use stoatwell_platform::StoreReply;
+
+use crate::Engine;
+use crate::message::Answer;
+use crate::message::Effect;
+use crate::message::PeerCall;
+use crate::message::Ticket;
+use crate::ops::PeerOp;
+use crate::ops::StoreOp;
+
+/// Before another try at writing that a target is empty.
+const EMPTIED_RETRY_MS: u64 = 2_000;
+
+impl Engine {
+    pub(crate) fn poll_catalogue(&mut self) {
+        if let Some(call) = self.follow.due(self.now_ms) {
+            self.call_store(StoreOp::Follow, call);
+        }
+    }
+
+    pub(crate) fn on_follow(&mut self, reply: Result<StoreReply, CallError>) {
+        let rows = match reply {
+            Ok(StoreReply::Rows { rows }) => Some(rows),
+            Ok(_) | Err(_) => None,
+        };
+        let before = self.catalogue.revision();
+        if let Some(call) = self.follow.on_rows(self.now_ms, &mut self.catalogue, rows) {
+            self.call_store(StoreOp::Follow, call);
+        }
+        if self.catalogue.revision() > before {
+            self.tell_zone_of_change();
+        }
+    }
+
+    pub(crate) fn on_edit(
+        &mut self,
+        ticket: Ticket,
+        key: String,
+        edit: EditKind,
+        expected: Option<u64>,
+        by: String,
+    ) {
+        let write_id = self.next_write_id();
+        let request = EditRequest {
+            key,
+            edit,
+            expected,
+            by,
+            at_ms: self.now_ms,
+            write_id,
+        };
+        let (edit, call) = Edit::start(request);
+        self.call_store(StoreOp::Edit(Some(ticket), Box::new(edit)), call);
+    }
+
+    pub(crate) fn on_edit_reply(
+        &mut self,
+        ticket: Option<Ticket>,
+        mut edit: Box<Edit>,
+        reply: Result<StoreReply, CallError>,
+    ) {
+        let result = match edit.on_reply(reply) {
+            EditStep::Call(call) => {
+                self.call_store(StoreOp::Edit(ticket, edit), call);
+                return;
+            }
+            EditStep::Done(result) => result,
+        };
+        if let Ok(change) = &result {
+            // Accepted means in force here at once where nothing lies between;
+            // otherwise the missing changes are fetched without delay.
+            if !self.catalogue.apply(change.clone()) {
+                self.follow.hurry();
+            }
+            self.tell_zone_of_change();
+        }
+        if let Some(ticket) = ticket {
+            self.effects.push(Effect::Answer {
+                ticket,
+                answer: Answer::Edited(result),
+            });
+        }
+    }
+
+    /// Lets peers fetch a change at once instead of at their next poll.
+    pub(crate) fn tell_zone_of_change(&mut self) {
+        let revision = self.catalogue.revision();
+        let mut behind = Vec::new();
+        for member in self.members.live(self.now_ms) {
+            if member.revision < revision {
+                behind.push(member.identity.daemon.clone());
+            }
+        }
+        for daemon in behind {
+            self.call_peer(PeerOp::Notice, &daemon, PeerCall::Changed { revision });
+        }
+    }
+
+    /// Puts a new revision in force: targets, quotas and weights.
+    pub(crate) fn apply_catalogue(&mut self) {
+        if self.applied_revision == self.catalogue.revision() {
+            return;
+        }
+        self.applied_revision = self.catalogue.revision();
+        let workers: Vec<WorkerId> = self.held.keys().cloned().collect();
+        for worker in &workers {
+            self.apply_target(worker);
+        }
+        self.apply_owners();
+        self.schedule_due = true;
+    }
+
+    pub(crate) fn apply_target(&mut self, worker: &WorkerId) {
+        let target = self.catalogue.target(worker).cloned();
+        self.scheduler.set_target(worker, target.as_ref());
+        let serving = target
+            .as_ref()
+            .filter(|target| target.state == TargetState::Serving);
+        self.minions
+            .set_serves(worker, serving.map(|target| &target.owner));
+        if let Some(target) = &target
+            && target.state != TargetState::Serving
+        {
+            self.clear_target(worker);
+        }
+    }
+
+    /// Each owner gets the part of its quota here that its workers here are of
+    /// all its workers, so that the parts never add up to more than the whole.
+    pub(crate) fn apply_owners(&mut self) {
+        let owners: Vec<_> = self.catalogue.owners().cloned().collect();
+        for owner in owners {
+            let serving = |target: &&Target| target.serves(&owner.owner);
+            let all = self.catalogue.targets().filter(serving).count() as u64;
+            let here = self
+                .held
+                .keys()
+                .filter_map(|worker| self.catalogue.target(worker));
+            let here = here.filter(serving).count() as u64;
+            let quota = owner.quota.share(here, all.max(1));
+            self.scheduler
+                .set_owner(&owner.owner, Some(quota), owner.weights);
+        }
+    }
+
+    /// Stops what must not stay on a target that is drained: services are
+    /// replaced elsewhere and patient batch work gives way with its progress
+    /// saved. Urgent work, gangs and what may run only once come to their end.
+    fn clear_target(&mut self, worker: &WorkerId) {
+        let Some(slot) = self.scheduler.cell.slot_of(worker) else {
+            return;
+        };
+        let mut moved = Vec::new();
+        for attempt in &slot.tasks {
+            let Some(running) = self.scheduler.cell.running(*attempt) else {
+                continue;
+            };
+            let patient = running.gives_way() && running.urgency == Urgency::Patient;
+            if running.class == Class::Service || patient {
+                moved.push(*attempt);
+            }
+        }
+        for attempt in moved {
+            self.stop_here(worker, attempt, StopMode::Checkpoint);
+        }
+    }
+
+    /// Hands over targets that were drained for another owner and are empty now.
+    pub(crate) fn empty_targets(&mut self) {
+        let now_ms = self.now_ms;
+        self.retargeting
+            .retain(|_, at_ms| now_ms < *at_ms + EMPTIED_RETRY_MS);
+        let mut emptied = Vec::new();
+        for (worker, held) in &self.held {
+            let Some(versioned) = self.catalogue.get(&target_key(worker)) else {
+                continue;
+            };
+            let Some(target) = self.catalogue.target(worker) else {
+                continue;
+            };
+            let leaves = target.state == TargetState::Draining && target.next_owner.is_some();
+            let empty = held.is_empty() && self.minions.in_use_on(worker) == 0;
+            if leaves && empty && !self.retargeting.contains_key(worker) {
+                emptied.push((worker.clone(), versioned.revision));
+            }
+        }
+        for (worker, revision) in emptied {
+            self.retargeting.insert(worker.clone(), now_ms);
+            let write_id = self.next_write_id();
+            let request = EditRequest {
+                key: target_key(&worker),
+                edit: EditKind::Target(worker, TargetChange::Emptied),
+                expected: Some(revision),
+                by: self.me.daemon.to_string(),
+                at_ms: now_ms,
+                write_id,
+            };
+            let (edit, call) = Edit::start(request);
+            self.call_store(StoreOp::Edit(None, Box::new(edit)), call);
+        }
+    }
+
+    pub(crate) fn on_store_question(&mut self, ticket: Ticket, call: StoreCall) {
+        self.call_store(StoreOp::Question(ticket), call);
+    }
+
+    /// Whether some target that serves this owner, in any zone, could hold this much.
+    pub(crate) fn could_hold_anywhere(&self, owner: &OwnerName, need: &Resources) -> Option<bool> {
+        if self.scheduler.cell.could_hold(owner, need) {
+            return Some(true);
+        }
+        let serving = self
+            .catalogue
+            .targets()
+            .filter(|target| target.serves(owner))
+            .count();
+        let mut known = self.workers_serving(owner);
+        let near = self.members.live(self.now_ms).map(|member| &member.summary);
+        let far = self.zones.values().map(|zone| &zone.news.summary);
+        for summary in near.chain(far) {
+            for found in summary.owners.iter().filter(|found| found.owner == *owner) {
+                if found.largest.holds(need) {
+                    return Some(true);
+                }
+                known += 1;
+            }
+        }
+        // Nobody has told of workers for this owner yet, though there are some.
+        if known == 0 && serving > 0 {
+            return None;
+        }
+        Some(false)
+    }
+
+    fn workers_serving(&self, owner: &OwnerName) -> usize {
+        let here = self
+            .held
+            .keys()
+            .filter_map(|worker| self.catalogue.target(worker));
+        here.filter(|target| target.serves(owner)).count()
+    }
+}
--- /dev/null
+++ b/crates/engine/src/jobs.rs
@@ -0,0 +1,591 @@
+//! Accepted work: carrying out what each job's machine asks for.
+
+use std::collections::BTreeMap;
+
+use stoatwell_ledger::CommitResult;
+use stoatwell_ledger::JobEffect;
+use stoatwell_ledger::JobMachine;
+use stoatwell_ledger::rows;
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::Code;
+use stoatwell_model::Execution;
+use stoatwell_model::Failure;
+use stoatwell_model::JobId;
+use stoatwell_model::JobRecord;
+use stoatwell_model::UnixMs;
+use stoatwell_model::WorkerId;
+use stoatwell_model::job::JobView;
+use stoatwell_model::worker::StartTask;
+use stoatwell_model::worker::StopMode;
+use stoatwell_model::worker::TaskState;
+use stoatwell_placement::Decision;
+use stoatwell_placement::Placed;
+use stoatwell_placement::WaitingJob;
+use stoatwell_platform::CallError;
+use stoatwell_platform::StoreCall;
+use stoatwell_platform::StoreReply;
+
+use crate::Engine;
+use crate::RECENT_MAX;
+use crate::TASKS_PER_PASS;
+use crate::message::Answer;
+use crate::message::Caller;
+use crate::message::Effect;
+use crate::message::PeerCall;
+use crate::message::Seen;
+use crate::message::Ticket;
+use crate::ops::Lookup;
+use crate::ops::PeerOp;
+use crate::ops::StoreOp;
+
+/// Before a refused start is placed again.
+const REFUSED_PAUSE_MS: u64 = 100;
+
+/// One job that runs here.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) machine: JobMachine,
+    /// What to run; kept here also where the record names an object.
+    pub(crate) body: String,
+    /// Whether its record is durable.
+    pub(crate) accepted: bool,
+    /// Callers that wait for the acceptance, each with how long it then waits on.
+    pub(crate) accepting: Vec<(Ticket, u64)>,
+    /// When those callers are told that nothing is known.
+    pub(crate) accept_until_ms: UnixMs,
+    /// Callers that wait for the outcome, each until a time.
+    pub(crate) waiters: Vec<(Ticket, UnixMs)>,
+    /// Workers are not asked about its tasks before this time.
+    pub(crate) inquire_ms: UnixMs,
+    /// When a job that was taken over looks for its running tasks.
+    pub(crate) find_ms: Option<UnixMs>,
+    /// Daemons that have yet to say which of its tasks they have.
+    pub(crate) finding: u32,
+    /// The request that it is, where its class is that.
+    pub(crate) request: Option<u64>,
+    /// Whether it is being handed over to another daemon.
+    pub(crate) leaving: bool,
+}
+
+impl Job {
+    pub(crate) fn new(machine: JobMachine, body: String) -> Self {
+        Self {
+            machine,
+            body,
+            accepted: false,
+            accepting: Vec::new(),
+            accept_until_ms: 0,
+            waiters: Vec::new(),
+            inquire_ms: 0,
+            find_ms: None,
+            finding: 0,
+            request: None,
+            leaving: false,
+        }
+    }
+}
+
+impl Engine {
+    /// Carries out what a machine asked for.
+    pub(crate) fn run(&mut self, id: JobId, effects: Vec<JobEffect>) {
+        for effect in effects {
+            match effect {
+                JobEffect::Enqueue(attempts) => self.enqueue(id, attempts),
+                JobEffect::Start(attempts) => self.start(id, &attempts),
+                JobEffect::Stop(attempts) => self.stop(id, &attempts),
+                JobEffect::Withdraw => {
+                    self.scheduler.withdraw(id);
+                    self.drop_waiting_request(id);
+                }
+                JobEffect::Write => self.write_job(id),
+                JobEffect::Finished => self.finish(id),
+            }
+        }
+    }
+
+    /// Feeds one event to a job's machine and carries out the rest.
+    pub(crate) fn drive(
+        &mut self,
+        id: JobId,
+        step: impl FnOnce(&mut JobMachine, UnixMs) -> Vec<JobEffect>,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let effects = step(&mut job.machine, now_ms);
+        self.run(id, effects);
+    }
+
+    pub(crate) fn enqueue(&mut self, id: JobId, attempts: Vec<AttemptId>) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.leaving || !job.accepted {
+            return;
+        }
+        if job.machine.record.class == Class::Request {
+            self.requeue_request(id);
+            return;
+        }
+        let waiting = waiting_job(&job.machine.record, attempts);
+        self.scheduler.enqueue(waiting);
+        self.schedule_due = true;
+    }
+
+    /// Places what waits and starts it.
+    pub(crate) fn schedule(&mut self) {
+        for decision in self.scheduler.schedule(self.now_ms, TASKS_PER_PASS) {
+            match decision {
+                Decision::Start { job, tasks } => self.on_placed(job, tasks),
+                Decision::Expired { job, tasks } => {
+                    self.drive(job, |machine, now_ms| machine.expire(now_ms, &tasks));
+                }
+            }
+        }
+    }
+
+    fn on_placed(&mut self, id: JobId, tasks: Vec<Placed>) {
+        let mut placed = Vec::new();
+        let mut unplaced = Vec::new();
+        let mut evicted = 0;
+        for task in &tasks {
+            for victim in &task.evict {
+                self.stop_here(&task.worker, *victim, StopMode::Checkpoint);
+                evicted += 1;
+            }
+            match self.holdings.token(self.now_ms, &task.worker) {
+                Some(token) => placed.push((task.attempt, task.worker.clone(), token)),
+                None => unplaced.push(task.attempt),
+            }
+        }
+        // A lease that ran out just now; the task waits for another worker.
+        for attempt in unplaced {
+            self.scheduler.not_started(self.now_ms, attempt);
+            self.enqueue(id, vec![attempt]);
+        }
+        if let Some(job) = self.jobs.get_mut(&id)
+            && let Some(first) = tasks.first()
+        {
+            let count = tasks.len();
+            let room = if evicted > 0 {
+                format!("after {evicted} patient tasks gave way")
+            } else {
+                "which kept the least unused room".to_owned()
+            };
+            job.machine.note(format!(
+                "{count} tasks placed, the first on {} {room}",
+                first.worker
+            ));
+        }
+        self.drive(id, |machine, now_ms| machine.on_placed(now_ms, &placed));
+    }
+
+    fn start(&mut self, id: JobId, attempts: &[AttemptId]) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.machine.record.class == Class::Request {
+            self.ask_recorded(id);
+            return;
+        }
+        let record = &job.machine.record;
+        let orphan_ms = match record.execution {
+            Execution::Exclusive => Some(self.settings.leases.orphan_ms),
+            Execution::AtMostOnce | Execution::Idempotent => None,
+        };
+        let mut starts = Vec::new();
+        for attempt in attempts {
+            let Some(worker) = job.machine.worker_of(*attempt) else {
+                continue;
+            };
+            let local = self
+                .scheduler
+                .cell
+                .running(*attempt)
+                .map(|running| running.demand);
+            let demand = local
+                .or_else(|| self.remote.demand_of(*attempt))
+                .unwrap_or(record.demand);
+            let start = StartTask {
+                attempt: *attempt,
+                demand,
+                coordinator: self.me.daemon.clone(),
+                entry: record.entry.to_string(),
+                payload: job.body.clone(),
+                orphan_ms,
+            };
+            starts.push((worker, start));
+        }
+        let mut absent = Vec::new();
+        for (worker, start) in starts {
+            let attempt = start.attempt;
+            if self.remote.is_reserved(attempt) {
+                self.remote.start(worker, start);
+            } else if !self.start_here(&worker, start) {
+                absent.push((attempt, worker));
+            }
+        }
+        self.send_remote_starts();
+        // The worker was lost before the start was sent, so it did not start.
+        for (attempt, worker) in absent {
+            self.not_started(attempt);
+            self.on_seen(attempt, &worker, Seen::Absent);
+        }
+    }
+
+    fn stop(&mut self, id: JobId, attempts: &[AttemptId]) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let mut stops = Vec::new();
+        for attempt in attempts {
+            stops.extend(
+                job.machine
+                    .worker_of(*attempt)
+                    .map(|worker| (*attempt, worker)),
+            );
+        }
+        let mut elsewhere = Vec::new();
+        for (attempt, worker) in stops {
+            if !self.stop_here(&worker, attempt, StopMode::Stop) {
+                elsewhere.push((attempt, worker));
+            }
+        }
+        if elsewhere.is_empty() {
+            return;
+        }
+        // Only the holder of each worker acts on it.
+        for peer in self.zone_peers() {
+            let call = PeerCall::Stop {
+                attempts: elsewhere.clone(),
+                mode: StopMode::Stop,
+            };
+            self.call_peer(PeerOp::Notice, &peer, call);
+        }
+    }
+
+    /// What the holder of a worker saw of a task.
+    pub(crate) fn tell(
+        &mut self,
+        attempt: AttemptId,
+        worker: &WorkerId,
+        coordinator: &stoatwell_model::DaemonId,
+        seen: Seen,
+    ) {
+        if *coordinator == self.me.daemon {
+            self.on_seen(attempt, worker, seen);
+            return;
+        }
+        self.remote.report(coordinator, attempt, worker, seen);
+    }
+
+    /// Takes what was seen of a task of a job that runs here; says whether it does.
+    pub(crate) fn on_seen(&mut self, attempt: AttemptId, worker: &WorkerId, seen: Seen) -> bool {
+        let one = BTreeMap::from([(attempt, worker.clone())]);
+        let Some(job) = self.jobs.get(&attempt.job) else {
+            return self.on_seen_of_finished(attempt, worker, &seen, &one);
+        };
+        let ended = matches!(&seen, Seen::State(state) if !state.is_running());
+        let current = job.machine.is_current(attempt);
+        let forgettable = !job.machine.record.execution.needs_intent();
+        if !current {
+            // An earlier try of a task that runs again.
+            match &seen {
+                Seen::State(TaskState::Running) => {
+                    self.stop_here(worker, attempt, StopMode::Stop);
+                }
+                Seen::State(_) => self.acknowledge(&one),
+                Seen::Absent | Seen::Pending | Seen::Forgotten => {}
+            }
+            return true;
+        }
+        if job.finding > 0 || job.find_ms.is_some() {
+            self.drive(attempt.job, |machine, now_ms| match &seen {
+                Seen::State(state) => machine.on_found(now_ms, attempt, worker, state),
+                Seen::Absent | Seen::Pending | Seen::Forgotten => Vec::new(),
+            });
+        } else {
+            if matches!(seen, Seen::Absent) {
+                self.scheduler
+                    .queue
+                    .put_off(attempt.job, self.now_ms + REFUSED_PAUSE_MS);
+            }
+            self.drive(attempt.job, |machine, now_ms| match &seen {
+                Seen::State(state) => machine.on_report(now_ms, attempt, state),
+                Seen::Absent => machine.on_absent(now_ms, attempt),
+                Seen::Forgotten => machine.on_lost(now_ms, attempt),
+                Seen::Pending => Vec::new(),
+            });
+        }
+        if ended && forgettable {
+            self.acknowledge(&one);
+        }
+        true
+    }
+
+    /// A task of a job that is not run here: finished work is forgotten, a
+    /// task that still runs for it is stopped.
+    fn on_seen_of_finished(
+        &mut self,
+        attempt: AttemptId,
+        worker: &WorkerId,
+        seen: &Seen,
+        one: &BTreeMap<AttemptId, WorkerId>,
+    ) -> bool {
+        if !self.recent.contains_key(&attempt.job) {
+            return false;
+        }
+        match seen {
+            Seen::State(TaskState::Running) => {
+                self.stop_here(worker, attempt, StopMode::Stop);
+            }
+            Seen::State(_) => self.acknowledge(one),
+            Seen::Absent | Seen::Pending | Seen::Forgotten => {}
+        }
+        true
+    }
+
+    pub(crate) fn write_job(&mut self, id: JobId) {
+        let write_id = self.next_write_id();
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.machine.is_writing() {
+            return;
+        }
+        let version = job.machine.version;
+        let record = job.machine.begin_write(write_id);
+        let mut write = rows::write(record, version);
+        if !job.accepted {
+            write.give_up_ms = Some(job.accept_until_ms);
+        }
+        self.sweep.writes.insert(write_id, id);
+        self.committer.submit(write_id, write);
+    }
+
+    pub(crate) fn commit(&mut self) {
+        let given_up = self.committer.give_up(self.now_ms);
+        self.on_commit_results(given_up);
+        if let Some(transaction) = self.committer.due(self.now_ms) {
+            self.call_store(StoreOp::Commit, StoreCall::Transact(transaction));
+        }
+    }
+
+    pub(crate) fn on_commit_reply(&mut self, reply: &Result<StoreReply, CallError>) {
+        let results = self.committer.on_reply(self.now_ms, reply);
+        self.on_commit_results(results);
+    }
+
+    fn on_commit_results(&mut self, results: Vec<(u64, CommitResult)>) {
+        for (write_id, result) in results {
+            let Some(id) = self.sweep.writes.remove(&write_id) else {
+                continue;
+            };
+            match result {
+                CommitResult::Written { version } => self.on_written(id, version),
+                CommitResult::Conflict { row } => self.on_conflict(id, &row.value),
+                CommitResult::NotWritten => self.on_not_written(id),
+            }
+        }
+    }
+
+    fn on_written(&mut self, id: JobId, version: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let first = !job.accepted;
+        job.accepted = true;
+        if job.leaving {
+            self.left(id);
+            return;
+        }
+        let taken_over = job.find_ms.is_some();
+        self.drive(id, |machine, now_ms| machine.on_written(now_ms, version));
+        if first {
+            self.on_accepted(id, taken_over);
+        }
+    }
+
+    fn on_accepted(&mut self, id: JobId, taken_over: bool) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let accepting = std::mem::take(&mut job.accepting);
+        let waiting = job.machine.waiting();
+        let is_request = job.machine.record.class == Class::Request;
+        for (ticket, wait_ms) in accepting {
+            self.wait_for(id, ticket, wait_ms);
+        }
+        // What was taken over looks for its running tasks first.
+        if !taken_over && !is_request && !waiting.is_empty() {
+            self.enqueue(id, waiting);
+        }
+    }
+
+    /// Somebody else wrote the record: another daemon accepted the same key
+    /// first, or took the job over because this one seemed dead.
+    fn on_conflict(&mut self, id: JobId, row: &str) {
+        let Some(mut job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.scheduler.withdraw(id);
+        self.drop_request_of(&job);
+        let record: Option<JobRecord> = serde_json::from_str(row).ok();
+        let same = record
+            .as_ref()
+            .is_some_and(|found| found.content_hash == job.machine.record.content_hash);
+        for (ticket, wait_ms) in std::mem::take(&mut job.accepting) {
+            match &record {
+                Some(_) if !same => self.answer_job(ticket, Err(Failure::new(Code::KeyReused))),
+                Some(found) => self.answer_from_record(ticket, found.clone(), wait_ms),
+                None => self.answer_job(ticket, Err(Failure::new(Code::Internal))),
+            }
+        }
+        for (ticket, until_ms) in job.waiters {
+            let wait_ms = until_ms.saturating_sub(self.now_ms);
+            self.look_up(Lookup::Status {
+                ticket,
+                caller: Caller::Operator,
+                job: id,
+                wait_ms,
+            });
+        }
+    }
+
+    fn on_not_written(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.accepted {
+            self.drive(id, |machine, _| machine.on_not_written());
+            return;
+        }
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.drop_request_of(&job);
+        for (ticket, _) in job.accepting {
+            self.answer_job(
+                ticket,
+                Err(Failure::new(Code::StoreUnavailable).retry_after(1_000)),
+            );
+        }
+    }
+
+    /// The outcome is durable.
+    fn finish(&mut self, id: JobId) {
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        self.scheduler.withdraw(id);
+        self.remote.forget(id);
+        let view = job.machine.view(Vec::new());
+        for (ticket, _) in &job.waiters {
+            self.answer_job(*ticket, Ok(view.clone()));
+        }
+        let attempts = job.machine.attempts_with_workers();
+        self.remember(view);
+        self.acknowledge(&attempts);
+        self.acknowledge_elsewhere(attempts);
+    }
+
+    fn acknowledge_elsewhere(&mut self, mut attempts: BTreeMap<AttemptId, WorkerId>) {
+        attempts.retain(|_, worker| !self.held.contains_key(worker));
+        if attempts.is_empty() {
+            return;
+        }
+        let attempts: Vec<(AttemptId, WorkerId)> = attempts.into_iter().collect();
+        for peer in self.zone_peers() {
+            let call = PeerCall::Acknowledge {
+                attempts: attempts.clone(),
+            };
+            self.call_peer(PeerOp::Notice, &peer, call);
+        }
+    }
+
+    pub(crate) fn remember(&mut self, view: JobView) {
+        let id = view.job;
+        if self.recent.insert(id, view).is_none() {
+            self.recent_order.push_back(id);
+        }
+        if self.recent_order.len() > RECENT_MAX
+            && let Some(oldest) = self.recent_order.pop_front()
+        {
+            self.recent.remove(&oldest);
+        }
+    }
+
+    /// Lets a caller wait for the outcome, or answers at once.
+    pub(crate) fn wait_for(&mut self, id: JobId, ticket: Ticket, wait_ms: u64) {
+        let until_ms = self.now_ms + wait_ms.min(self.settings.http.wait_max_ms);
+        if wait_ms > 0
+            && let Some(job) = self.jobs.get_mut(&id)
+        {
+            job.waiters.push((ticket, until_ms));
+            return;
+        }
+        let view = self.view(id);
+        let view = view.or_else(|| self.recent.get(&id).cloned());
+        self.answer_job(ticket, view.ok_or_else(|| Failure::new(Code::NoSuchJob)));
+    }
+
+    pub(crate) fn expire_waiters(&mut self) {
+        let now_ms = self.now_ms;
+        let mut due = Vec::new();
+        let mut unknown = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if !job.accepted
+                && job.accept_until_ms + self.settings.platform.store_timeout_ms <= now_ms
+            {
+                unknown.extend(std::mem::take(&mut job.accepting));
+            }
+            let (over, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut job.waiters)
+                .into_iter()
+                .partition(|(_, until_ms)| *until_ms <= now_ms);
+            job.waiters = waiting;
+            due.extend(over.into_iter().map(|(ticket, _)| (ticket, *id)));
+        }
+        for (ticket, _) in unknown {
+            self.answer_job(
+                ticket,
+                Err(Failure::new(Code::AcceptanceUnknown).retry_after(1_000)),
+            );
+        }
+        for (ticket, id) in due {
+            let view = self.view(id).ok_or_else(|| Failure::new(Code::NoSuchJob));
+            self.answer_job(ticket, view);
+        }
+    }
+
+    /// How a job that runs here is.
+    pub(crate) fn view(&mut self, id: JobId) -> Option<JobView> {
+        let waits = self.scheduler.why(self.now_ms, id);
+        let job = self.jobs.get(&id)?;
+        Some(job.machine.view(waits))
+    }
+
+    pub(crate) fn answer_job(&mut self, ticket: Ticket, result: Result<JobView, Failure>) {
+        self.effects.push(Effect::Answer {
+            ticket,
+            answer: Answer::Job(result),
+        });
+    }
+}
+
+pub(crate) fn waiting_job(record: &JobRecord, attempts: Vec<AttemptId>) -> WaitingJob {
+    WaitingJob {
+        job: record.job,
+        owner: record.owner.clone(),
+        entry: record.entry.clone(),
+        class: record.class,
+        execution: record.execution,
+        urgency: record.urgency,
+        demand: record.demand,
+        accepted_ms: record.accepted_ms,
+        deadline_ms: record.deadline_ms,
+        tasks: attempts.into(),
+        not_before_ms: 0,
+    }
+}
--- /dev/null
+++ b/crates/engine/src/peers.rs
@@ -0,0 +1,554 @@
+//! Signs of life, news of other zones, and questions of other daemons.
+//!
+//! Inside a zone everybody hears everybody. One relay a zone exchanges a short
+//! summary with the relays of the other zones and passes on to its own zone
+//! only what changed, so that little crosses the slow and paid links.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use stoatwell_catalogue::News;
+use stoatwell_membership::assign;
+use stoatwell_membership::members::RELAY_KEY;
+use stoatwell_model::DaemonId;
+use stoatwell_model::Resources;
+use stoatwell_model::UnixMs;
+use stoatwell_model::ZoneName;
+use stoatwell_model::peer::Heartbeat;
+use stoatwell_model::peer::OwnerSummary;
+use stoatwell_model::peer::Summary;
+use stoatwell_platform::CallError;
+use stoatwell_platform::InstanceKind;
+use stoatwell_platform::InstanceState;
+use stoatwell_platform::StoreCall;
+use stoatwell_platform::StoreReply;
+
+use crate::Engine;
+use crate::message::Answer;
+use crate::message::Effect;
+use crate::message::OpId;
+use crate::message::PeerCall;
+use crate::message::PeerReply;
+use crate::message::Ticket;
+use crate::message::ZoneNews;
+use crate::ops::PeerOp;
+use crate::ops::StoreOp;
+
+/// Unchanged news are passed on this often.
+const NEWS_REPEAT_MS: u64 = 5_000;
+/// News older than this many silences count as no news.
+const NEWS_OLD_FACTOR: u64 = 4;
+/// A change of free room below this part is not news, in thousandths.
+const NEWS_CHANGE_PERMILLE: u64 = 125;
+
+/// What is known of another zone.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneState {
+    pub(crate) news: ZoneNews,
+    pub(crate) heard_ms: UnixMs,
+    changes: u64,
+    told: HashMap<DaemonId, (u64, UnixMs)>,
+}
+
+impl Engine {
+    pub(crate) fn beat(&mut self) {
+        let now_ms = self.now_ms;
+        if now_ms >= self.next_heartbeat_ms {
+            self.next_heartbeat_ms = now_ms + self.settings.membership.heartbeat_ms;
+            self.beat_zone();
+        }
+        if now_ms >= self.next_relay_ms {
+            self.next_relay_ms = now_ms + self.settings.membership.relay_ms;
+            if self.members.is_relay(now_ms) {
+                self.beat_relays();
+            }
+        }
+    }
+
+    fn beat_zone(&mut self) {
+        let beat = self.heartbeat();
+        let mut near = Vec::new();
+        for member in self.members.all() {
+            if member.identity.zone == self.me.zone {
+                near.push(member.identity.daemon.clone());
+            }
+        }
+        let relay = self.members.is_relay(self.now_ms);
+        for daemon in near {
+            let news = if relay {
+                self.news_for(&daemon)
+            } else {
+                Vec::new()
+            };
+            self.call_peer(
+                PeerOp::Heartbeat,
+                &daemon,
+                PeerCall::Heartbeat {
+                    beat: beat.clone(),
+                    news,
+                },
+            );
+        }
+    }
+
+    fn beat_relays(&mut self) {
+        let relays = self.far_relays();
+        if relays.is_empty() {
+            return;
+        }
+        let mut beat = self.heartbeat();
+        // Far zones get the sum of the zone; the single daemon's part is near news.
+        beat.summary = Summary::default();
+        let news = vec![self.own_zone_news()];
+        for daemon in relays {
+            let call = PeerCall::Heartbeat {
+                beat: beat.clone(),
+                news: news.clone(),
+            };
+            self.call_peer(PeerOp::Heartbeat, &daemon, call);
+        }
+    }
+
+    /// One daemon of every other zone: the relay by that zone's own last word,
+    /// or, where nothing was heard of it, its listed daemons in turn.
+    fn far_relays(&self) -> Vec<DaemonId> {
+        let fresh_ms = self.settings.membership.silent_after_ms;
+        let turn = (self.now_ms / self.settings.membership.relay_ms.max(1)) as usize;
+        let mut relays = Vec::new();
+        for (zone, listed) in self.members.other_zones() {
+            let heard = self
+                .zones
+                .get(zone)
+                .filter(|state| self.now_ms < state.heard_ms + fresh_ms);
+            let said = heard.into_iter().flat_map(|state| &state.news.daemons);
+            let relay = assign::winner(RELAY_KEY, said.map(|found| &found.daemon));
+            relays.extend(
+                relay
+                    .or_else(|| listed.get(turn % listed.len()).copied())
+                    .cloned(),
+            );
+        }
+        relays
+    }
+
+    pub(crate) fn heartbeat(&mut self) -> Heartbeat {
+        Heartbeat {
+            from: self.me.clone(),
+            revision: self.catalogue.revision(),
+            stopping: self.stopping,
+            summary: self.summary(),
+        }
+    }
+
+    pub(crate) fn summary(&mut self) -> Summary {
+        Summary {
+            workers: self.held.len() as u32,
+            queued: self.scheduler.queue.tasks().min(u64::from(u32::MAX)) as u32,
+            running: self.scheduler.cell.running_len() as u32,
+            owners: self.scheduler.owner_summaries(),
+            groups: self.minions.summary(self.now_ms),
+        }
+    }
+
+    fn own_zone_news(&mut self) -> ZoneNews {
+        let mut summary = self.summary();
+        let mut daemons = vec![self.me.clone()];
+        let mut revision = self.catalogue.revision();
+        for member in self.members.live_in(self.now_ms, &self.me.zone) {
+            daemons.push(member.identity.clone());
+            revision = revision.max(member.revision);
+            add_summary(&mut summary, &member.summary);
+        }
+        ZoneNews {
+            zone: self.me.zone.clone(),
+            age_ms: 0,
+            daemons,
+            revision,
+            summary,
+        }
+    }
+
+    /// News of other zones that this daemon has not been told.
+    fn news_for(&mut self, daemon: &DaemonId) -> Vec<ZoneNews> {
+        let now_ms = self.now_ms;
+        let mut news = Vec::new();
+        for state in self.zones.values_mut() {
+            let (told_changes, told_ms) = state.told.get(daemon).copied().unwrap_or_default();
+            let due = told_changes != state.changes || now_ms >= told_ms + NEWS_REPEAT_MS;
+            if !due {
+                continue;
+            }
+            state.told.insert(daemon.clone(), (state.changes, now_ms));
+            let age_ms = now_ms.saturating_sub(state.heard_ms);
+            news.push(ZoneNews {
+                age_ms,
+                ..state.news.clone()
+            });
+        }
+        news
+    }
+
+    fn on_news(&mut self, news: Vec<ZoneNews>) {
+        for item in news {
+            if item.zone == self.me.zone {
+                continue;
+            }
+            let heard_ms = self.now_ms.saturating_sub(item.age_ms);
+            let Some(state) = self.zones.get_mut(&item.zone) else {
+                let told = HashMap::new();
+                let state = ZoneState {
+                    news: item.clone(),
+                    heard_ms,
+                    changes: 1,
+                    told,
+                };
+                self.zones.insert(item.zone, state);
+                continue;
+            };
+            if heard_ms < state.heard_ms {
+                continue;
+            }
+            if is_news(&state.news, &item) {
+                state.changes += 1;
+            }
+            state.heard_ms = heard_ms;
+            state.news = item;
+        }
+    }
+
+    fn on_heartbeat(&mut self, beat: &Heartbeat, news: Vec<ZoneNews>) {
+        self.members.on_heartbeat(self.now_ms, beat);
+        let newest = news.iter().map(|item| item.revision).max().unwrap_or(0);
+        if beat.revision > self.catalogue.revision() || newest > self.catalogue.revision() {
+            self.fetch_catalogue_from(&beat.from.daemon);
+        }
+        self.on_news(news);
+    }
+
+    fn fetch_catalogue_from(&mut self, daemon: &DaemonId) {
+        let fetching = self
+            .ops
+            .peer
+            .values()
+            .any(|op| matches!(op, PeerOp::Catalogue));
+        if !fetching {
+            let revision = self.catalogue.revision();
+            self.call_peer(
+                PeerOp::Catalogue,
+                daemon,
+                PeerCall::CatalogueSince { revision },
+            );
+        }
+    }
+
+    pub(crate) fn on_peer_call(&mut self, ticket: Ticket, call: PeerCall) {
+        let reply = match call {
+            PeerCall::Heartbeat { beat, news } => {
+                let far = beat.from.zone != self.me.zone;
+                self.on_heartbeat(&beat, news);
+                let beat = self.heartbeat();
+                let news = if far {
+                    vec![self.own_zone_news()]
+                } else {
+                    Vec::new()
+                };
+                PeerReply::Heartbeat { beat, news }
+            }
+            PeerCall::CatalogueSince { revision } => {
+                PeerReply::News(self.catalogue.since(revision))
+            }
+            PeerCall::Changed { revision } => {
+                if revision > self.catalogue.revision() {
+                    self.follow.hurry();
+                    self.poll_catalogue();
+                }
+                PeerReply::Noted
+            }
+            PeerCall::Submit(submit) => return self.on_forwarded(ticket, submit),
+            PeerCall::Status { job, wait_ms } => return self.on_peer_status(ticket, job, wait_ms),
+            PeerCall::Cancel { job } => return self.on_peer_cancel(ticket, job),
+            PeerCall::Reserve { meta, attempts } => self.on_reserve(&meta, &attempts),
+            PeerCall::Unreserve { attempts } => self.on_unreserve(&attempts),
+            PeerCall::Start { tasks } => self.on_remote_start(tasks),
+            PeerCall::Stop { attempts, mode } => self.on_remote_stop(&attempts, mode),
+            PeerCall::Inquire {
+                coordinator,
+                attempts,
+            } => self.on_inquiry(&coordinator, &attempts),
+            PeerCall::Find { coordinator, jobs } => self.on_find(&coordinator, &jobs),
+            PeerCall::Report { from, reports } => self.on_reports(&from, reports),
+            PeerCall::Acknowledge { attempts } => self.on_acknowledge(&attempts),
+            PeerCall::Adopt { jobs } => {
+                self.sweep.claim(jobs);
+                self.sweep_tick();
+                PeerReply::Noted
+            }
+        };
+        self.effects.push(Effect::Answer {
+            ticket,
+            answer: Answer::Peer(reply),
+        });
+    }
+
+    pub(crate) fn on_peer_done(&mut self, op: OpId, reply: Result<PeerReply, CallError>) {
+        let Some(purpose) = self.ops.peer.remove(&op) else {
+            return;
+        };
+        match (purpose, reply) {
+            (PeerOp::Heartbeat, Ok(PeerReply::Heartbeat { beat, news })) => {
+                self.on_heartbeat(&beat, news);
+            }
+            (PeerOp::Catalogue, Ok(PeerReply::News(news))) => self.on_catalogue_news(news),
+            (PeerOp::Pass(ticket), reply) => self.pass_on(ticket, reply),
+            (
+                PeerOp::Forward {
+                    ticket,
+                    caller,
+                    key,
+                    submission,
+                    wait_ms,
+                },
+                reply,
+            ) => {
+                self.on_forward_done(ticket, &caller, key, submission, wait_ms, reply);
+            }
+            (
+                PeerOp::Reserve {
+                    job,
+                    attempts,
+                    holder,
+                },
+                reply,
+            ) => {
+                self.on_reserved(job, attempts, &holder, reply);
+            }
+            (PeerOp::Inquire, Ok(PeerReply::Tasks(replies))) => self.on_task_replies(replies),
+            (PeerOp::Find(jobs), reply) => self.on_found(&jobs, reply),
+            (PeerOp::Report { to }, Ok(PeerReply::Acknowledged { attempts, unknown })) => {
+                self.on_report_done(&to, &attempts, &unknown);
+            }
+            (
+                PeerOp::Heartbeat
+                | PeerOp::Catalogue
+                | PeerOp::Inquire
+                | PeerOp::Report { .. }
+                | PeerOp::Notice,
+                _,
+            ) => {}
+        }
+    }
+
+    fn on_catalogue_news(&mut self, news: News) {
+        if self.catalogue.take(news) {
+            self.tell_zone_of_change();
+        }
+    }
+
+    pub(crate) fn read_list(&mut self) {
+        if self.listing || self.now_ms < self.next_list_ms {
+            return;
+        }
+        self.listing = true;
+        self.next_list_ms = self.now_ms + self.settings.platform.instances_interval_ms;
+        self.call_store(StoreOp::List, StoreCall::Instances);
+    }
+
+    pub(crate) fn on_list(&mut self, reply: Result<StoreReply, CallError>) {
+        self.listing = false;
+        let Ok(StoreReply::Instances { instances }) = reply else {
+            return;
+        };
+        self.listed_ms = self.now_ms;
+        let mut daemons = Vec::new();
+        let mut workers = Vec::new();
+        for instance in instances {
+            match instance.kind {
+                InstanceKind::Entry if instance.state == InstanceState::Live => {
+                    daemons.push(stoatwell_model::peer::Identity {
+                        daemon: DaemonId::new(&instance.name),
+                        zone: instance.zone,
+                        region: instance.region,
+                        peer_address: instance.address,
+                        incarnation: 0,
+                    });
+                }
+                InstanceKind::Worker if instance.zone == self.me.zone => {
+                    workers.push((
+                        stoatwell_model::WorkerId::new(&instance.name),
+                        instance.address,
+                    ));
+                }
+                InstanceKind::Entry | InstanceKind::Worker => {}
+            }
+        }
+        self.members.on_list(self.now_ms, &daemons);
+        self.note_gone(&workers);
+        self.holdings.on_list(workers);
+    }
+
+    /// Where a daemon's peers reach it.
+    pub(crate) fn address_of(&self, daemon: &DaemonId) -> Option<String> {
+        if let Some(member) = self.members.get(daemon) {
+            return Some(member.identity.peer_address.clone());
+        }
+        for state in self.zones.values() {
+            if let Some(found) = state
+                .news
+                .daemons
+                .iter()
+                .find(|found| found.daemon == *daemon)
+            {
+                return Some(found.peer_address.clone());
+            }
+        }
+        None
+    }
+
+    /// Other daemons of this zone that were heard of late.
+    pub(crate) fn zone_peers(&self) -> Vec<DaemonId> {
+        let live = self.members.live_in(self.now_ms, &self.me.zone);
+        live.map(|member| member.identity.daemon.clone()).collect()
+    }
+
+    /// Whether a daemon is alive, as far as can be told from here.
+    pub(crate) fn is_live(&self, daemon: &DaemonId) -> bool {
+        if self.members.is_live(self.now_ms, daemon) {
+            return true;
+        }
+        let fresh_ms = self.settings.membership.silent_after_ms * NEWS_OLD_FACTOR;
+        self.zones.values().any(|state| {
+            let fresh = self.now_ms < state.heard_ms + fresh_ms;
+            fresh
+                && state
+                    .news
+                    .daemons
+                    .iter()
+                    .any(|found| found.daemon == *daemon)
+        })
+    }
+
+    /// A daemon elsewhere that has this much free for an owner, nearest first.
+    pub(crate) fn find_room(
+        &self,
+        owner: &stoatwell_model::OwnerName,
+        need: &Resources,
+    ) -> Option<DaemonId> {
+        let offers = |summary: &Summary| {
+            summary
+                .owners
+                .iter()
+                .any(|found| found.owner == *owner && found.largest_free.holds(need))
+        };
+        let near = self.members.live_in(self.now_ms, &self.me.zone);
+        let near = near.filter(|member| !member.stopping && offers(&member.summary));
+        // The least loaded of those that can; a summary is seconds old at most.
+        let chosen = near.min_by_key(|member| (member.summary.queued, member.summary.running));
+        if let Some(member) = chosen {
+            return Some(member.identity.daemon.clone());
+        }
+        self.find_far(&offers)
+    }
+
+    /// A daemon elsewhere whose minions of this group have a free slot.
+    pub(crate) fn find_minions(&self, group: &str) -> Option<DaemonId> {
+        let free = |summary: &Summary| {
+            let found = summary.groups.iter().find(|found| found.group == group);
+            found.map_or(0, |found| found.free_slots)
+        };
+        let near = self.members.live_in(self.now_ms, &self.me.zone);
+        let near = near.filter(|member| !member.stopping && free(&member.summary) > 0);
+        if let Some(member) = near.max_by_key(|member| free(&member.summary)) {
+            return Some(member.identity.daemon.clone());
+        }
+        self.find_far(&|summary: &Summary| free(summary) > 0)
+    }
+
+    /// A daemon of another zone, the same region before others.
+    fn find_far(&self, offers: &dyn Fn(&Summary) -> bool) -> Option<DaemonId> {
+        let fresh_ms = self.settings.membership.silent_after_ms * NEWS_OLD_FACTOR;
+        let mut zones: Vec<&ZoneState> = Vec::new();
+        for state in self.zones.values() {
+            if self.now_ms < state.heard_ms + fresh_ms && offers(&state.news.summary) {
+                zones.push(state);
+            }
+        }
+        zones.sort_by_key(|state| {
+            let far = state
+                .news
+                .daemons
+                .first()
+                .is_none_or(|daemon| daemon.region != self.me.region);
+            (far, state.news.summary.queued, state.news.zone.clone())
+        });
+        let state = zones.first()?;
+        let daemons = state.news.daemons.iter().map(|found| &found.daemon);
+        assign::winner(self.me.daemon.as_str(), daemons).cloned()
+    }
+
+    pub(crate) fn zones_heard(&self) -> BTreeMap<ZoneName, u64> {
+        let age = |state: &ZoneState| self.now_ms.saturating_sub(state.heard_ms);
+        self.zones
+            .iter()
+            .map(|(zone, state)| (zone.clone(), age(state)))
+            .collect()
+    }
+}
+
+fn add_summary(sum: &mut Summary, part: &Summary) {
+    sum.workers += part.workers;
+    sum.queued = sum.queued.saturating_add(part.queued);
+    sum.running += part.running;
+    for owner in &part.owners {
+        match sum
+            .owners
+            .iter_mut()
+            .find(|found| found.owner == owner.owner)
+        {
+            Some(found) => add_owner(found, owner),
+            None => sum.owners.push(owner.clone()),
+        }
+    }
+    for group in &part.groups {
+        match sum
+            .groups
+            .iter_mut()
+            .find(|found| found.group == group.group)
+        {
+            Some(found) => {
+                found.free_slots += group.free_slots;
+                found.slots += group.slots;
+            }
+            None => sum.groups.push(group.clone()),
+        }
+    }
+}
+
+fn add_owner(sum: &mut OwnerSummary, part: &OwnerSummary) {
+    sum.free = sum.free.plus(&part.free);
+    sum.used = sum.used.plus(&part.used);
+    sum.largest_free = sum.largest_free.max(&part.largest_free);
+    sum.largest = sum.largest.max(&part.largest);
+}
+
+/// Whether the difference is worth telling.
+fn is_news(old: &ZoneNews, new: &ZoneNews) -> bool {
+    if old.daemons != new.daemons || old.revision != new.revision {
+        return true;
+    }
+    if old.summary.owners.len() != new.summary.owners.len() {
+        return true;
+    }
+    let moved = |before: u64, after: u64| {
+        before.abs_diff(after) * 1_000 > before.max(after) * NEWS_CHANGE_PERMILLE
+    };
+    let mut pairs = old.summary.owners.iter().zip(&new.summary.owners);
+    let owners = pairs.any(|(before, after)| {
+        moved(before.free.cpu_millis, after.free.cpu_millis)
+            || moved(before.free.memory_bytes, after.free.memory_bytes)
+            || moved(before.free.accelerators, after.free.accelerators)
+    });
+    let mut pairs = old.summary.groups.iter().zip(&new.summary.groups);
+    owners
+        || pairs
+            .any(|(before, after)| moved(u64::from(before.free_slots), u64::from(after.free_slots)))
+}
--- /dev/null
+++ b/crates/engine/src/requests.rs
@@ -0,0 +1,558 @@
+//! Requests: answered in line by a minion on a worker that is held here.
+//!
+//! A request that may run only once is recorded with its minion before it is
+//! sent. Without an answer nobody knows whether it ran; the caller is told so
+//! at once, and the minion is asked until it tells or is gone for good.
+
+use stoatwell_ledger::JobMachine;
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::Code;
+use stoatwell_model::Execution;
+use stoatwell_model::Failure;
+use stoatwell_model::JobId;
+use stoatwell_model::MinionId;
+use stoatwell_model::Outcome;
+use stoatwell_model::UnixMs;
+use stoatwell_model::job::JobView;
+use stoatwell_platform::CallError;
+use stoatwell_platform::MinionCall;
+use stoatwell_platform::MinionReply;
+use stoatwell_routing::Picked;
+use stoatwell_routing::minions::Ending;
+
+use crate::Engine;
+use crate::jobs::Job;
+use crate::message::Caller;
+use crate::message::OpId;
+use crate::message::Ticket;
+use crate::ops::MinionOp;
+use crate::submit::Admitted;
+
+/// Tries of one request, retries of what was surely not begun included.
+const TRIES_MAX: u32 = 5;
+/// When to come back after no minion had a slot.
+const RETRY_AFTER_MS: u64 = 500;
+/// Before a minion is asked again what became of a request.
+const SEAL_AGAIN_MS: u64 = 1_000;
+
+/// One request in work.
+#[derive(Debug)]
+pub(crate) struct Request {
+    /// Who waits; for recorded requests the job's waiters do.
+    ticket: Option<Ticket>,
+    record: stoatwell_model::JobRecord,
+    body: String,
+    group: String,
+    deadline_ms: UnixMs,
+    tries: u32,
+    picked: Option<Picked>,
+    asked: bool,
+}
+
+impl Request {
+    fn is_recorded(&self) -> bool {
+        self.record.execution == Execution::AtMostOnce
+    }
+
+    fn attempt(&self) -> AttemptId {
+        AttemptId {
+            job: self.record.job,
+            task: 0,
+            attempt: self.tries.max(1),
+        }
+    }
+}
+
+impl Engine {
+    pub(crate) fn take_request(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        admitted: Admitted,
+        wait_ms: u64,
+        may_forward: bool,
+    ) {
+        if self.requests.len() as u64 >= self.settings.queue.requests {
+            let failure = Failure::new(Code::Overloaded).retry_after(RETRY_AFTER_MS);
+            return self.answer_job(ticket, Err(failure));
+        }
+        let once = admitted.entry.execution == Execution::AtMostOnce;
+        if once && self.committer.refuses() {
+            let failure = Failure::new(Code::StoreUnavailable).retry_after(RETRY_AFTER_MS);
+            return self.answer_job(ticket, Err(failure));
+        }
+        let group = admitted.entry.minions.clone().unwrap_or_default();
+        let picked = self
+            .minions
+            .pick(self.now_ms, &group, &admitted.entry.owner);
+        if picked.is_none() {
+            if may_forward && self.forward_request(ticket, caller, &admitted, wait_ms) {
+                return;
+            }
+            if !self.has_minions(&group) {
+                let failure = Failure::new(Code::NoMinion).retry_after(RETRY_AFTER_MS);
+                return self.answer_job(ticket, Err(failure));
+            }
+        }
+        self.budget.on_first_try();
+        let number = self.add_request(ticket, admitted, group, once);
+        match picked {
+            Some(picked) => self.route(number, picked),
+            None => self.let_wait(number),
+        }
+    }
+
+    fn add_request(
+        &mut self,
+        ticket: Ticket,
+        admitted: Admitted,
+        group: String,
+        once: bool,
+    ) -> u64 {
+        let mut record = self.record_of(&admitted);
+        if record.deadline_ms == 0 {
+            record.deadline_ms = self.now_ms + self.settings.routing.request_timeout_ms;
+        }
+        let deadline_ms = record.deadline_ms;
+        let body = admitted.submission.body;
+        // A recorded request keeps its body nowhere: it is never sent again by
+        // another daemon.
+        record.body = String::new();
+        record.body_object = None;
+        let number = self.next_request;
+        self.next_request += 1;
+        if once {
+            let mut job = Job::new(JobMachine::new(record.clone(), 0, 1), String::new());
+            job.accepting
+                .push((ticket, deadline_ms.saturating_sub(self.now_ms)));
+            job.accept_until_ms = deadline_ms;
+            job.request = Some(number);
+            self.jobs.insert(record.job, job);
+        }
+        let request = Request {
+            ticket: (!once).then_some(ticket),
+            record,
+            body,
+            group,
+            deadline_ms,
+            tries: 0,
+            picked: None,
+            asked: false,
+        };
+        self.requests.insert(number, request);
+        number
+    }
+
+    fn has_minions(&self, group: &str) -> bool {
+        self.minions
+            .all()
+            .any(|(_, minion)| minion.group == group && minion.serves.is_some())
+    }
+
+    fn let_wait(&mut self, number: u64) {
+        if let Some(request) = self.requests.get(&number) {
+            self.waiting
+                .push(&request.group, request.deadline_ms, number);
+        }
+    }
+
+    /// A slot was taken for this request.
+    fn route(&mut self, number: u64, picked: Picked) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            self.minions
+                .release(self.now_ms, &picked.minion, Ending::Answered);
+            return;
+        };
+        let worker = picked.worker.clone();
+        let minion = format!("{}/{}", picked.address, picked.minion);
+        request.picked = Some(picked);
+        request.tries += 1;
+        if !request.is_recorded() {
+            self.ask(number);
+            return;
+        }
+        let id = request.record.job;
+        let token = self.held.get(&worker).map_or(0, |held| held.token);
+        self.drive(id, |machine, _| machine.on_routed(&worker, token, &minion));
+    }
+
+    /// The intent of a recorded request is durable.
+    pub(crate) fn ask_recorded(&mut self, id: JobId) {
+        let number = self.jobs.get(&id).and_then(|job| job.request);
+        let Some(number) = number else {
+            return;
+        };
+        let late = self
+            .requests
+            .get(&number)
+            .is_none_or(|request| request.deadline_ms <= self.now_ms);
+        if late {
+            // The record took longer than the request had time; it was not sent.
+            self.give_slot_back(number, Ending::Answered);
+            self.requests.remove(&number);
+            self.finish_request(
+                id,
+                not_run(Code::DeadlinePassed, "it waited for its record"),
+            );
+            return;
+        }
+        self.ask(number);
+    }
+
+    fn ask(&mut self, number: u64) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some(picked) = request.picked.clone() else {
+            return;
+        };
+        request.asked = true;
+        let call = MinionCall::Ask {
+            attempt: request.attempt(),
+            deadline_ms: request.deadline_ms.saturating_sub(self.now_ms).max(1),
+            body: request.body.clone(),
+        };
+        let purpose = MinionOp::Ask {
+            request: number,
+            minion: picked.minion.clone(),
+        };
+        self.call_minion(purpose, picked.minion, picked.address, call);
+    }
+
+    pub(crate) fn on_minion_done(&mut self, op: OpId, reply: Result<MinionReply, CallError>) {
+        match self.ops.minion.remove(&op) {
+            Some(MinionOp::Ask { request, minion }) => self.on_asked(request, &minion, reply),
+            Some(MinionOp::Seal(job)) => self.on_sealed(job, reply),
+            None => {}
+        }
+    }
+
+    fn on_asked(&mut self, number: u64, minion: &MinionId, reply: Result<MinionReply, CallError>) {
+        let ending = match &reply {
+            Ok(MinionReply::Busy) => Ending::Busy,
+            Ok(_) => Ending::Answered,
+            Err(_) => Ending::Failed,
+        };
+        self.minions.release(self.now_ms, minion, ending);
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        request.picked = None;
+        request.asked = false;
+        let recorded = request.is_recorded();
+        match reply {
+            Ok(MinionReply::Answer { body }) => {
+                self.end_request(number, Outcome::Done { answer: body });
+            }
+            Ok(MinionReply::Busy | MinionReply::NeverStarted) => self.on_not_begun(number),
+            Err(error) if error.is_without_effect() => self.on_not_begun(number),
+            Ok(MinionReply::Failed { reason }) => {
+                if recorded || !self.try_again(number) {
+                    let outcome = Outcome::Failed {
+                        code: Code::MinionFailed,
+                        detail: reason,
+                    };
+                    self.end_request(number, outcome);
+                }
+            }
+            Ok(MinionReply::Running) | Err(_) if recorded => self.on_unknown(number),
+            Ok(MinionReply::Running) | Err(_) => {
+                if !self.try_again(number) {
+                    let detail =
+                        "the minion did not answer; the work may be repeated safely".to_owned();
+                    self.end_request(
+                        number,
+                        Outcome::Unknown {
+                            code: Code::OutcomeUnknown,
+                            detail,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    /// The minion surely did not begin; another may.
+    fn on_not_begun(&mut self, number: u64) {
+        let Some(request) = self.requests.get(&number) else {
+            return;
+        };
+        let id = request.record.job;
+        if request.tries >= TRIES_MAX || request.deadline_ms <= self.now_ms {
+            let code = if request.deadline_ms <= self.now_ms {
+                Code::DeadlinePassed
+            } else {
+                Code::NoMinion
+            };
+            self.end_request(number, not_run(code, "no minion began it"));
+            return;
+        }
+        if request.is_recorded() {
+            let attempt = request.attempt();
+            self.drive(id, |machine, now_ms| machine.on_absent(now_ms, attempt));
+            return;
+        }
+        self.let_wait(number);
+    }
+
+    /// Another try of work that may be repeated, if the budget and the time allow it.
+    fn try_again(&mut self, number: u64) -> bool {
+        let Some(request) = self.requests.get(&number) else {
+            return false;
+        };
+        let in_time = request.tries < TRIES_MAX && request.deadline_ms > self.now_ms;
+        if !in_time || !self.budget.take() {
+            return false;
+        }
+        self.let_wait(number);
+        true
+    }
+
+    /// A recorded request went without an answer: it is not sent again, the
+    /// callers learn at once that nothing is known, and the minion is asked.
+    fn on_unknown(&mut self, number: u64) {
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        let id = request.record.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.request = None;
+        job.inquire_ms = self.now_ms;
+        job.machine
+            .note("the minion did not answer in time and is being asked".to_owned());
+        let view = JobView {
+            state: stoatwell_model::JobState::Unknown,
+            outcome: Some(Outcome::Unknown {
+                code: Code::OutcomeUnknown,
+                detail: "the minion did not answer in time".to_owned(),
+            }),
+            ..job.machine.view(Vec::new())
+        };
+        self.answer_waiters(id, &view);
+    }
+
+    fn answer_waiters(&mut self, id: JobId, view: &JobView) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        let mut tickets: Vec<Ticket> = Vec::new();
+        tickets.extend(
+            std::mem::take(&mut job.waiters)
+                .into_iter()
+                .map(|(ticket, _)| ticket),
+        );
+        tickets.extend(
+            std::mem::take(&mut job.accepting)
+                .into_iter()
+                .map(|(ticket, _)| ticket),
+        );
+        for ticket in tickets {
+            self.answer_job(ticket, Ok(view.clone()));
+        }
+    }
+
+    /// The request has its outcome.
+    fn end_request(&mut self, number: u64, outcome: Outcome) {
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        let id = request.record.job;
+        if request.is_recorded() {
+            self.finish_request(id, outcome);
+            return;
+        }
+        let mut record = request.record;
+        record.finished_ms = self.now_ms;
+        record.outcome = Some(outcome);
+        let view = crate::submit::view_of_record(record, Vec::new());
+        if let Some(ticket) = request.ticket {
+            self.answer_job(ticket, Ok(view));
+        }
+    }
+
+    /// Fixes the outcome of a recorded request. The callers have it at once;
+    /// should this daemon die before it is written, the minion still knows.
+    fn finish_request(&mut self, id: JobId, outcome: Outcome) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.request = None;
+        if !job.accepted {
+            // Nothing was recorded, so nothing has to be kept.
+            let mut record = job.machine.record.clone();
+            record.outcome = Some(outcome);
+            let view = crate::submit::view_of_record(record, Vec::new());
+            self.answer_waiters(id, &view);
+            if !self
+                .jobs
+                .get(&id)
+                .is_some_and(|job| job.machine.is_writing())
+            {
+                self.jobs.remove(&id);
+            }
+            return;
+        }
+        self.drive(id, |machine, now_ms| machine.finish(now_ms, outcome));
+        if let Some(view) = self.view(id) {
+            self.answer_waiters(id, &view);
+        }
+    }
+
+    /// A recorded request whose minion did not begin goes to another one.
+    pub(crate) fn requeue_request(&mut self, id: JobId) {
+        if let Some(number) = self.jobs.get(&id).and_then(|job| job.request) {
+            self.let_wait(number);
+            return;
+        }
+        // It was taken over from another daemon, and its caller with it: the
+        // body is not here and nobody waits for the answer.
+        self.finish_request(
+            id,
+            not_run(Code::NoMinion, "the daemon that had it was replaced"),
+        );
+    }
+
+    pub(crate) fn serve_waiting_requests(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for group in self.waiting.groups() {
+            while let Some(number) = self.waiting.pop(&group) {
+                let Some(request) = self.requests.get(&number) else {
+                    continue;
+                };
+                let owner = request.record.owner.clone();
+                let deadline_ms = request.deadline_ms;
+                if let Some(picked) = self.minions.pick(self.now_ms, &group, &owner) {
+                    self.route(number, picked);
+                } else {
+                    self.waiting.push(&group, deadline_ms, number);
+                    break;
+                }
+            }
+        }
+    }
+
+    pub(crate) fn expire_requests(&mut self) {
+        for number in self.waiting.expired(self.now_ms) {
+            self.end_request(
+                number,
+                not_run(Code::DeadlinePassed, "no slot became free in time"),
+            );
+        }
+    }
+
+    pub(crate) fn drop_waiting_request(&mut self, id: JobId) {
+        let number = self.jobs.get(&id).and_then(|job| job.request);
+        if let Some(number) = number
+            && self
+                .requests
+                .get(&number)
+                .is_some_and(|request| !request.asked)
+        {
+            self.give_slot_back(number, Ending::Answered);
+            self.requests.remove(&number);
+        }
+    }
+
+    pub(crate) fn drop_request_of(&mut self, job: &Job) {
+        if let Some(number) = job.request {
+            self.give_slot_back(number, Ending::Answered);
+            self.requests.remove(&number);
+        }
+    }
+
+    fn give_slot_back(&mut self, number: u64, ending: Ending) {
+        let Some(request) = self.requests.get_mut(&number) else {
+            return;
+        };
+        if let Some(picked) = request.picked.take()
+            && !request.asked
+        {
+            self.minions.release(self.now_ms, &picked.minion, ending);
+        }
+    }
+
+    /// Asks the minion of a recorded request what became of it.
+    pub(crate) fn seal_request(&mut self, id: JobId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.request.is_some() || now_ms < job.inquire_ms || job.machine.record.outcome.is_some()
+        {
+            return;
+        }
+        job.inquire_ms = now_ms + SEAL_AGAIN_MS;
+        let Some(intent) = job.machine.record.intents.first().cloned() else {
+            return;
+        };
+        let attempt = AttemptId {
+            job: id,
+            task: intent.task,
+            attempt: intent.attempt,
+        };
+        let place = intent
+            .minion
+            .as_deref()
+            .and_then(|minion| minion.split_once('/'));
+        let Some((address, minion)) = place else {
+            return;
+        };
+        if self.is_gone(&intent.worker) {
+            let detail = format!("worker {} of its minion is gone", intent.worker);
+            let outcome = Outcome::Unknown {
+                code: Code::OutcomeUnknown,
+                detail,
+            };
+            return self.finish_request(id, outcome);
+        }
+        let call = MinionCall::Seal { attempt };
+        self.call_minion(
+            MinionOp::Seal(id),
+            MinionId::new(minion),
+            address.to_owned(),
+            call,
+        );
+    }
+
+    fn on_sealed(&mut self, id: JobId, reply: Result<MinionReply, CallError>) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.machine.record.class != Class::Request || job.machine.record.outcome.is_some() {
+            return;
+        }
+        match reply {
+            Ok(MinionReply::Answer { body }) => {
+                self.finish_request(id, Outcome::Done { answer: body });
+            }
+            Ok(MinionReply::NeverStarted) => {
+                self.finish_request(
+                    id,
+                    not_run(Code::NoMinion, "the minion never got it and refuses it now"),
+                );
+            }
+            Ok(MinionReply::Failed { reason }) => {
+                self.finish_request(
+                    id,
+                    Outcome::Failed {
+                        code: Code::MinionFailed,
+                        detail: reason,
+                    },
+                );
+            }
+            Ok(MinionReply::Running | MinionReply::Busy) | Err(_) => {}
+        }
+    }
+}
+
+fn not_run(code: Code, detail: &str) -> Outcome {
+    Outcome::NotRun {
+        code,
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/engine/src/submit.rs
@@ -0,0 +1,666 @@
+//! The door: what is accepted, what is refused, and joining duplicates.
+
+use stoatwell_ledger::JobMachine;
+use stoatwell_model::Class;
+use stoatwell_model::Code;
+use stoatwell_model::Failure;
+use stoatwell_model::JobId;
+use stoatwell_model::JobRecord;
+use stoatwell_model::OwnerName;
+use stoatwell_model::WorkEntry;
+use stoatwell_model::code::Problem;
+use stoatwell_model::job::JobView;
+use stoatwell_model::job::Submission;
+use stoatwell_platform::CallError;
+use stoatwell_platform::StoreCall;
+use stoatwell_platform::StoreReply;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::Engine;
+use crate::jobs::Job;
+use crate::message::Answer;
+use crate::message::Caller;
+use crate::message::Effect;
+use crate::message::PeerCall;
+use crate::message::PeerReply;
+use crate::message::SubmitCall;
+use crate::message::Ticket;
+use crate::ops::Lookup;
+use crate::ops::PeerOp;
+use crate::ops::StoreOp;
+
+/// When to come back after most refusals that pass by themselves.
+const RETRY_AFTER_MS: u64 = 1_000;
+const KEY_BYTES_MAX: usize = 128;
+const PERMILLE: u64 = 1_000;
+
+/// Work that passed the door.
+pub(crate) struct Admitted {
+    pub(crate) entry: WorkEntry,
+    pub(crate) key: String,
+    pub(crate) submission: Submission,
+    pub(crate) content_hash: u64,
+    pub(crate) job: JobId,
+}
+
+impl Engine {
+    pub(crate) fn on_submit(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        key: String,
+        submission: Submission,
+        wait_ms: u64,
+    ) {
+        if self.stopping && self.hand_on(ticket, caller, &key, &submission, wait_ms) {
+            return;
+        }
+        match self.admit(caller, &key, &submission) {
+            Ok(entry) if stays_with_old_system(&entry, &key) => {
+                // It may have been accepted while the share was larger; told
+                // "not run" then, a caller would run it a second time elsewhere.
+                let lookup = Lookup::Resubmission {
+                    ticket,
+                    key,
+                    submission,
+                    wait_ms,
+                };
+                self.look_up(lookup);
+            }
+            Ok(entry) => self.take(ticket, caller, entry, key, submission, wait_ms, true),
+            Err(failure) => self.answer_job(ticket, Err(failure)),
+        }
+    }
+
+    /// Callers still come for a while after a stop began, because their
+    /// balancer has not noticed; another daemon takes what they bring.
+    fn hand_on(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        key: &str,
+        submission: &Submission,
+        wait_ms: u64,
+    ) -> bool {
+        let Some(entry) = self.catalogue.work(&submission.entry).cloned() else {
+            return false;
+        };
+        if !may_see(caller, &entry.owner) {
+            return false;
+        }
+        let live = self.members.live(self.now_ms);
+        let ready = live.filter(|member| !member.stopping);
+        // One of the own zone before others.
+        let near = ready.max_by_key(|member| member.identity.zone == self.me.zone);
+        let Some(daemon) = near.map(|member| member.identity.daemon.clone()) else {
+            return false;
+        };
+        let job = JobId::of_key(&entry.owner, key);
+        let content_hash = content_hash(submission);
+        let admitted = Admitted {
+            entry,
+            key: key.to_owned(),
+            submission: submission.clone(),
+            content_hash,
+            job,
+        };
+        self.forward(ticket, caller, &admitted, wait_ms, &daemon)
+    }
+
+    /// Work that another daemon could not run and handed on.
+    pub(crate) fn on_forwarded(&mut self, ticket: Ticket, call: SubmitCall) {
+        let caller = Caller::Owner(call.owner);
+        match self.admit(&caller, &call.key, &call.submission) {
+            Ok(entry) => {
+                self.take(
+                    ticket,
+                    &caller,
+                    entry,
+                    call.key,
+                    call.submission,
+                    call.wait_ms,
+                    false,
+                );
+            }
+            Err(failure) => self.answer_job(ticket, Err(failure)),
+        }
+    }
+
+    /// All checks that need no more than the catalogue.
+    fn admit(
+        &self,
+        caller: &Caller,
+        key: &str,
+        submission: &Submission,
+    ) -> Result<WorkEntry, Failure> {
+        if self.stopping {
+            return Err(Failure::new(Code::Stopping).retry_after(0));
+        }
+        if !self.is_ready() {
+            return Err(Failure::new(Code::NotReady).retry_after(RETRY_AFTER_MS));
+        }
+        let printable = key.bytes().all(|byte| byte.is_ascii_graphic());
+        if key.is_empty() || key.len() > KEY_BYTES_MAX || !printable {
+            return Err(Failure::new(Code::BadIdempotencyKey));
+        }
+        let entry = self.catalogue.work(&submission.entry);
+        let entry =
+            entry.ok_or_else(|| Failure::with_detail(Code::NoSuchEntry, &submission.entry))?;
+        if let Caller::Owner(owner) = caller
+            && *owner != entry.owner
+        {
+            return Err(Failure::with_detail(Code::Forbidden, &submission.entry));
+        }
+        let problems = problems(entry, submission);
+        if !problems.is_empty() {
+            return Err(Failure::new(Code::InvalidDocument).with_problems(problems));
+        }
+        if submission.body.len() as u64 > entry.limits.body_bytes {
+            return Err(Failure::new(Code::BodyTooLarge));
+        }
+        Ok(entry.clone())
+    }
+
+    fn take(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        entry: WorkEntry,
+        key: String,
+        submission: Submission,
+        wait_ms: u64,
+        may_forward: bool,
+    ) {
+        let job = JobId::of_key(&entry.owner, &key);
+        let content_hash = content_hash(&submission);
+        if self.join(ticket, job, content_hash, wait_ms) {
+            return;
+        }
+        let admitted = Admitted {
+            entry,
+            key,
+            submission,
+            content_hash,
+            job,
+        };
+        if admitted.entry.class == Class::Request {
+            self.take_request(ticket, caller, admitted, wait_ms, may_forward);
+            return;
+        }
+        if let Err(failure) = self.has_room_for(&admitted) {
+            self.answer_job(ticket, Err(failure));
+            return;
+        }
+        let demand = admitted.submission.demand.unwrap_or(admitted.entry.task);
+        let here = self
+            .scheduler
+            .cell
+            .could_hold(&admitted.entry.owner, &demand);
+        if may_forward && !here {
+            let target = self.find_room(&admitted.entry.owner, &demand);
+            if let Some(daemon) = target
+                && self.forward(ticket, caller, &admitted, wait_ms, &daemon)
+            {
+                return;
+            }
+        }
+        self.accept(ticket, admitted, wait_ms);
+    }
+
+    /// Joins the first submission of the same key, if it is known here.
+    fn join(&mut self, ticket: Ticket, id: JobId, content_hash: u64, wait_ms: u64) -> bool {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return false;
+        };
+        if job.machine.record.content_hash != content_hash {
+            self.answer_job(ticket, Err(Failure::new(Code::KeyReused)));
+            return true;
+        }
+        if job.accepted {
+            self.wait_for(id, ticket, wait_ms);
+        } else {
+            job.accepting.push((ticket, wait_ms));
+        }
+        true
+    }
+
+    fn has_room_for(&self, admitted: &Admitted) -> Result<(), Failure> {
+        let entry = &admitted.entry;
+        if self.committer.refuses() {
+            return Err(Failure::new(Code::StoreUnavailable).retry_after(RETRY_AFTER_MS));
+        }
+        if self.jobs.len() as u64 >= self.settings.queue.jobs {
+            return Err(Failure::new(Code::Overloaded).retry_after(RETRY_AFTER_MS));
+        }
+        let waiting = self.scheduler.queue.jobs_of(&entry.name, entry.urgency);
+        if waiting as u64 >= u64::from(entry.limits.queued_jobs) {
+            return Err(Failure::new(Code::QueueFull).retry_after(RETRY_AFTER_MS));
+        }
+        if let Some(until_ms) = self.scheduler.health.held_until(self.now_ms, &entry.name) {
+            let wait_ms = until_ms - self.now_ms;
+            return Err(Failure::new(Code::EntryHeldBack).retry_after(wait_ms));
+        }
+        let demand = admitted.submission.demand.unwrap_or(entry.task);
+        match self.could_hold_anywhere(&entry.owner, &demand) {
+            Some(true) => {}
+            Some(false) => return Err(self.never_fits(&entry.owner, &demand)),
+            None => return Err(Failure::new(Code::NotReady).retry_after(RETRY_AFTER_MS)),
+        }
+        let all = demand.times(u64::from(admitted.submission.tasks));
+        let quota = self.catalogue.owner(&entry.owner).map(|owner| owner.quota);
+        let together = if entry.class == Class::Gang {
+            all
+        } else {
+            demand
+        };
+        if quota.is_some_and(|quota| !quota.holds(&together)) {
+            return Err(Failure::with_detail(Code::OverQuota, &entry.owner));
+        }
+        Ok(())
+    }
+
+    fn never_fits(&self, owner: &OwnerName, demand: &stoatwell_model::Resources) -> Failure {
+        let largest = self.scheduler.cell.largest(owner);
+        let detail = match largest.lacking(demand) {
+            Some(lacking) => format!("no target of {owner} has enough {lacking}"),
+            None => format!("no single target of {owner} has all of it"),
+        };
+        Failure::with_detail(Code::NeverFits, detail)
+    }
+
+    fn forward(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        admitted: &Admitted,
+        wait_ms: u64,
+        daemon: &stoatwell_model::DaemonId,
+    ) -> bool {
+        let call = SubmitCall {
+            owner: admitted.entry.owner.clone(),
+            key: admitted.key.clone(),
+            submission: admitted.submission.clone(),
+            wait_ms,
+        };
+        let purpose = PeerOp::Forward {
+            ticket,
+            caller: caller.clone(),
+            key: admitted.key.clone(),
+            submission: admitted.submission.clone(),
+            wait_ms,
+        };
+        self.call_peer(purpose, daemon, PeerCall::Submit(call))
+    }
+
+    pub(crate) fn forward_request(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        admitted: &Admitted,
+        wait_ms: u64,
+    ) -> bool {
+        let group = admitted.entry.minions.clone().unwrap_or_default();
+        let Some(daemon) = self.find_minions(&group) else {
+            return false;
+        };
+        self.forward(ticket, caller, admitted, wait_ms, &daemon)
+    }
+
+    pub(crate) fn on_forward_done(
+        &mut self,
+        ticket: Ticket,
+        caller: &Caller,
+        key: String,
+        submission: Submission,
+        wait_ms: u64,
+        reply: Result<PeerReply, CallError>,
+    ) {
+        match reply {
+            Ok(PeerReply::Job(result)) => self.answer_job(ticket, result),
+            // It never arrived, so it can be run here.
+            Err(error) if error.is_without_effect() => {
+                match self.admit(caller, &key, &submission) {
+                    Ok(entry) => self.take(ticket, caller, entry, key, submission, wait_ms, false),
+                    Err(failure) => self.answer_job(ticket, Err(failure)),
+                }
+            }
+            Ok(_) | Err(_) => {
+                let failure = Failure::new(Code::AcceptanceUnknown).retry_after(RETRY_AFTER_MS);
+                self.answer_job(ticket, Err(failure));
+            }
+        }
+    }
+
+    /// Records the work; the caller is answered once that is durable.
+    fn accept(&mut self, ticket: Ticket, admitted: Admitted, wait_ms: u64) {
+        let record = self.record_of(&admitted);
+        let id = record.job;
+        let attempts_max = admitted.entry.limits.attempts;
+        let body = admitted.submission.body;
+        let object = record.body_object.clone();
+        let mut job = Job::new(JobMachine::new(record, 0, attempts_max), body.clone());
+        job.accepting.push((ticket, wait_ms));
+        job.accept_until_ms = self.now_ms + self.settings.ledger.accept_timeout_ms;
+        self.jobs.insert(id, job);
+        match object {
+            Some(key) => self.call_store(StoreOp::KeepBody(id), StoreCall::PutObject { key, body }),
+            None => self.write_job(id),
+        }
+    }
+
+    pub(crate) fn on_body_kept(&mut self, id: JobId, reply: &Result<StoreReply, CallError>) {
+        if reply.is_ok() {
+            self.write_job(id);
+            return;
+        }
+        // No record names the object, so nothing was accepted.
+        let Some(job) = self.jobs.remove(&id) else {
+            return;
+        };
+        for (ticket, _) in job.accepting {
+            let failure = Failure::new(Code::StoreUnavailable).retry_after(RETRY_AFTER_MS);
+            self.answer_job(ticket, Err(failure));
+        }
+    }
+
+    pub(crate) fn record_of(&self, admitted: &Admitted) -> JobRecord {
+        let entry = &admitted.entry;
+        let submission = &admitted.submission;
+        let relative_ms = submission.deadline_ms.unwrap_or(entry.limits.deadline_ms);
+        let deadline_ms = if relative_ms == 0 {
+            0
+        } else {
+            self.now_ms + relative_ms
+        };
+        let large = submission.body.len() as u64 > self.settings.ledger.inline_body_bytes;
+        JobRecord {
+            job: admitted.job,
+            owner: entry.owner.clone(),
+            key: admitted.key.clone(),
+            content_hash: admitted.content_hash,
+            entry: entry.name.clone(),
+            class: entry.class,
+            execution: entry.execution,
+            urgency: entry.urgency,
+            tasks: submission.tasks,
+            demand: submission.demand.unwrap_or(entry.task),
+            body: if large {
+                String::new()
+            } else {
+                submission.body.clone()
+            },
+            body_object: large.then(|| format!("body/{}", admitted.job)),
+            accepted_ms: self.now_ms,
+            deadline_ms,
+            zone: self.me.zone.clone(),
+            coordinator: self.me.daemon.clone(),
+            epoch: 1,
+            intents: Vec::new(),
+            cancelled: false,
+            outcome: None,
+            finished_ms: 0,
+            write_id: 0,
+        }
+    }
+
+    pub(crate) fn on_status(&mut self, ticket: Ticket, caller: &Caller, job: JobId, wait_ms: u64) {
+        let owner = self.owner_of(job);
+        match owner {
+            Some(owner) if !may_see(caller, &owner) => {
+                self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
+            }
+            Some(_) => self.wait_for(job, ticket, wait_ms),
+            None => {
+                let caller = caller.clone();
+                self.look_up(Lookup::Status {
+                    ticket,
+                    caller,
+                    job,
+                    wait_ms,
+                });
+            }
+        }
+    }
+
+    pub(crate) fn on_peer_status(&mut self, ticket: Ticket, job: JobId, wait_ms: u64) {
+        if self.owner_of(job).is_some() {
+            self.wait_for(job, ticket, wait_ms);
+            return;
+        }
+        self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
+    }
+
+    pub(crate) fn on_cancel(&mut self, ticket: Ticket, caller: &Caller, job: JobId) {
+        match self.owner_of(job) {
+            Some(owner) if !may_see(caller, &owner) => {
+                self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
+            }
+            Some(_) => self.cancel_here(ticket, job),
+            None => {
+                let caller = caller.clone();
+                self.look_up(Lookup::Cancel {
+                    ticket,
+                    caller,
+                    job,
+                });
+            }
+        }
+    }
+
+    pub(crate) fn on_peer_cancel(&mut self, ticket: Ticket, job: JobId) {
+        if self.owner_of(job).is_some() {
+            self.cancel_here(ticket, job);
+            return;
+        }
+        self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
+    }
+
+    fn cancel_here(&mut self, ticket: Ticket, job: JobId) {
+        self.drive(job, JobMachine::cancel);
+        self.wait_for(job, ticket, 0);
+    }
+
+    fn owner_of(&self, job: JobId) -> Option<OwnerName> {
+        if let Some(found) = self.jobs.get(&job) {
+            return Some(found.machine.record.owner.clone());
+        }
+        self.recent.get(&job).map(|view| view.owner.clone())
+    }
+
+    pub(crate) fn look_up(&mut self, lookup: Lookup) {
+        let job = match &lookup {
+            Lookup::Status { job, .. } | Lookup::Cancel { job, .. } => *job,
+            Lookup::Resubmission {
+                key, submission, ..
+            } => {
+                let owner = self
+                    .catalogue
+                    .work(&submission.entry)
+                    .map(|entry| entry.owner.clone());
+                JobId::of_key(&owner.unwrap_or_else(|| OwnerName::new("")), key)
+            }
+        };
+        let call = StoreCall::Read {
+            keys: vec![stoatwell_ledger::rows::job(job)],
+        };
+        self.call_store(StoreOp::Lookup(lookup), call);
+    }
+
+    pub(crate) fn on_looked_up(&mut self, lookup: Lookup, reply: Result<StoreReply, CallError>) {
+        let record: Result<Option<JobRecord>, CallError> = match reply {
+            Ok(StoreReply::Rows { rows }) => Ok(rows
+                .first()
+                .and_then(|row| serde_json::from_str(&row.value).ok())),
+            Ok(_) => Ok(None),
+            Err(error) => Err(error),
+        };
+        match (lookup, record) {
+            (
+                Lookup::Status {
+                    ticket,
+                    caller,
+                    wait_ms,
+                    ..
+                },
+                Ok(Some(found)),
+            ) if may_see(&caller, &found.owner) => {
+                self.answer_from_record(ticket, found, wait_ms);
+            }
+            (
+                Lookup::Cancel {
+                    ticket,
+                    caller,
+                    job,
+                },
+                Ok(Some(found)),
+            ) if may_see(&caller, &found.owner) => {
+                self.cancel_elsewhere(ticket, job, found);
+            }
+            (
+                Lookup::Resubmission {
+                    ticket,
+                    submission,
+                    wait_ms,
+                    ..
+                },
+                Ok(Some(found)),
+            ) => {
+                if found.content_hash == content_hash(&submission) {
+                    self.answer_from_record(ticket, found, wait_ms);
+                } else {
+                    self.answer_job(ticket, Err(Failure::new(Code::KeyReused)));
+                }
+            }
+            (Lookup::Resubmission { ticket, .. }, Ok(None)) => {
+                self.answer_job(ticket, Err(Failure::new(Code::StaysWithOldSystem)));
+            }
+            (Lookup::Status { ticket, .. } | Lookup::Cancel { ticket, .. }, Ok(_)) => {
+                self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
+            }
+            (
+                Lookup::Status { ticket, .. }
+                | Lookup::Cancel { ticket, .. }
+                | Lookup::Resubmission { ticket, .. },
+                Err(error),
+            ) => {
+                let failure = Failure::with_detail(Code::StoreUnavailable, error);
+                self.answer_job(ticket, Err(failure.retry_after(RETRY_AFTER_MS)));
+            }
+        }
+    }
+
+    fn cancel_elsewhere(&mut self, ticket: Ticket, job: JobId, record: JobRecord) {
+        if record.outcome.is_some() {
+            self.answer_job(ticket, Ok(view_of_record(record, Vec::new())));
+            return;
+        }
+        let coordinator = record.coordinator.clone();
+        let live = self.is_live(&coordinator) && coordinator != self.me.daemon;
+        if !live || !self.call_peer(PeerOp::Pass(ticket), &coordinator, PeerCall::Cancel { job }) {
+            let failure = Failure::with_detail(Code::PeerUnavailable, coordinator);
+            self.answer_job(ticket, Err(failure.retry_after(RETRY_AFTER_MS)));
+        }
+    }
+
+    /// Answers from a record that another daemon may be working on.
+    pub(crate) fn answer_from_record(&mut self, ticket: Ticket, record: JobRecord, wait_ms: u64) {
+        if record.outcome.is_some() {
+            let view = view_of_record(record, Vec::new());
+            self.remember(view.clone());
+            self.answer_job(ticket, Ok(view));
+            return;
+        }
+        let coordinator = record.coordinator.clone();
+        let job = record.job;
+        let live = self.is_live(&coordinator) && coordinator != self.me.daemon;
+        if live
+            && self.call_peer(
+                PeerOp::Pass(ticket),
+                &coordinator,
+                PeerCall::Status { job, wait_ms },
+            )
+        {
+            return;
+        }
+        let note = format!("daemon {coordinator} that ran it is not heard; another takes it over");
+        self.answer_job(ticket, Ok(view_of_record(record, vec![note])));
+    }
+
+    pub(crate) fn pass_on(&mut self, ticket: Ticket, reply: Result<PeerReply, CallError>) {
+        let result = match reply {
+            Ok(PeerReply::Job(result)) => result,
+            Ok(_) => Err(Failure::new(Code::Internal)),
+            Err(error) => {
+                let failure = Failure::with_detail(Code::PeerUnavailable, error);
+                Err(failure.retry_after(RETRY_AFTER_MS))
+            }
+        };
+        self.answer_job(ticket, result);
+    }
+
+    pub(crate) fn on_store_answer(&mut self, ticket: Ticket, reply: Result<StoreReply, CallError>) {
+        self.effects.push(Effect::Answer {
+            ticket,
+            answer: Answer::Store(reply),
+        });
+    }
+}
+
+/// The share is a property of the key, so every daemon decides alike.
+fn stays_with_old_system(entry: &WorkEntry, key: &str) -> bool {
+    xxh3_64(key.as_bytes()) % PERMILLE >= u64::from(entry.traffic_permille)
+}
+
+fn may_see(caller: &Caller, owner: &OwnerName) -> bool {
+    match caller {
+        Caller::Operator => true,
+        Caller::Owner(name) => name == owner,
+    }
+}
+
+/// How a job is by its record alone.
+pub(crate) fn view_of_record(record: JobRecord, reasons: Vec<String>) -> JobView {
+    JobMachine::new(record, 0, 1).view(reasons)
+}
+
+fn content_hash(submission: &Submission) -> u64 {
+    let text = serde_json::to_string(submission).unwrap_or_default();
+    xxh3_64(text.as_bytes())
+}
+
+fn problems(entry: &WorkEntry, submission: &Submission) -> Vec<Problem> {
+    let mut problems = Vec::new();
+    let mut tell = |path: &str, value: String, expected: String, hint: &str| {
+        problems.push(Problem {
+            path: path.to_owned(),
+            value,
+            expected,
+            hint: hint.to_owned(),
+        });
+    };
+    let tasks_max = if entry.class == Class::Request {
+        1
+    } else {
+        entry.limits.tasks_per_job
+    };
+    if submission.tasks == 0 || submission.tasks > tasks_max {
+        let expected = format!("a whole number from 1 to {tasks_max}");
+        tell(
+            "$.tasks",
+            submission.tasks.to_string(),
+            expected,
+            "limits.tasks_per_job of the entry bounds it",
+        );
+    }
+    if let Some(demand) = &submission.demand
+        && demand.cpu_millis == 0
+    {
+        tell(
+            "$.demand.cpu_millis",
+            "0".to_owned(),
+            "1 or more".to_owned(),
+            "every task needs some processor",
+        );
+    }
+    problems
+}
--- /dev/null
+++ b/crates/model/src/code.rs
@@ -0,0 +1,222 @@
+//! Numbered result codes; `docs/codes.md` tables them with cause and cure.
+//!
+//! The thousands tell the kind: 1 bad input, 2 identity and names, 3
+//! catalogue, 4 not run, 5 ran and failed, 6 unknown, 7 for now, 8 settings,
+//! 9 ours.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+macro_rules! codes {
+    ($($(#[doc = $text:literal])+ $name:ident = $number:literal, $status:literal, $hint:literal;)+) => {
+        /// A numbered result.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, displaydoc::Display)]
+        #[serde(into = "u16", try_from = "u16")]
+        pub enum Code {
+            $($(#[doc = $text])+ $name,)+
+        }
+
+        impl Code {
+            /// Every code, in the order of their numbers.
+            pub const ALL: &[Self] = &[$(Self::$name),+];
+
+            /// The number that programs compare.
+            pub fn number(self) -> u16 {
+                match self { $(Self::$name => $number),+ }
+            }
+
+            /// The HTTP status that carries it.
+            pub fn http_status(self) -> u16 {
+                match self { $(Self::$name => $status),+ }
+            }
+
+            /// What to do about it.
+            pub fn hint(self) -> &'static str {
+                match self { $(Self::$name => $hint),+ }
+            }
+        }
+    };
+}
+
+codes! {
+    /// the body is not valid JSON
+    BrokenJson = 1001, 400, "check quotes, commas and brackets at the position given";
+    /// the document has mistakes
+    InvalidDocument = 1002, 400, "mend each field listed; docs/catalogue.md describes them";
+    /// the body is too large
+    BodyTooLarge = 1003, 413, "keep the body within limits.body_bytes of the entry and the daemon's http.body_bytes_max";
+    /// the idempotency key is missing or malformed
+    BadIdempotencyKey = 1004, 400, "send Idempotency-Key with 1 to 128 printable characters without spaces";
+    /// the idempotency key was used with other content
+    KeyReused = 1005, 409, "use a new key for new work; repeat the old content to join the old job";
+    /// a path or query parameter is malformed
+    BadParameter = 1006, 400, "compare the call with docs/api.md";
+    /// the token is missing or unknown
+    Unauthenticated = 2001, 401, "send Authorization: Bearer with a token whose hash is in the catalogue or the settings";
+    /// this token may not do that
+    Forbidden = 2002, 403, "owners see and cancel their own work; only operators change the catalogue";
+    /// no such entry
+    NoSuchEntry = 2003, 404, "list entries with `stoatwell entry list`";
+    /// no such job
+    NoSuchJob = 2004, 404, "check the id; records of finished jobs are removed after the retention time";
+    /// no such target
+    NoSuchTarget = 2005, 404, "list targets with `stoatwell target list`";
+    /// no such path
+    NoSuchPath = 2006, 404, "compare the call with docs/api.md";
+    /// the entry was changed by somebody else
+    RevisionConflict = 3001, 409, "read the current version, decide again, and send its ETag as If-Match";
+    /// the target cannot make that change now
+    BadTransition = 3002, 409, "look at the target's state with `stoatwell target list`";
+    /// no target can hold one task
+    NeverFits = 4001, 422, "lower the task's demand or start a larger target for this owner";
+    /// too much work of this entry waits already
+    QueueFull = 4002, 429, "come back after the time given, or raise limits.queued_jobs";
+    /// the deadline passed before it could start
+    DeadlinePassed = 4003, 504, "it did not run; submit earlier or with a later deadline";
+    /// cancelled before it started
+    CancelledBeforeStart = 4004, 409, "it did not run; submit under a new key to run it";
+    /// no minion can take the request now
+    NoMinion = 4005, 503, "it did not run; come back after the time given";
+    /// this share of the traffic stays with the old system
+    StaysWithOldSystem = 4006, 421, "it did not run; send it to the old system, or raise traffic_permille";
+    /// the demand is over the owner's quota
+    OverQuota = 4007, 422, "ask for less, or have an operator raise the owner's quota";
+    /// the entry is held back because it fails everywhere
+    EntryHeldBack = 4008, 503, "mend the work itself; the entry is tried again after the time given";
+    /// a task failed
+    TaskFailed = 5001, 500, "read the reason; the work itself failed";
+    /// cancelled after it had started
+    CancelledAfterStart = 5002, 409, "part of it may have taken effect";
+    /// the minion answered with an error
+    MinionFailed = 5003, 502, "read the reason; the back end itself failed";
+    /// the task used more than it may and was stopped
+    StoppedOverLimit = 5004, 500, "declare what the task really needs";
+    /// nothing can tell whether it ran
+    OutcomeUnknown = 6001, 504, "ask again with the same key; it is being resolved and will not run a second time";
+    /// the acceptance could not be confirmed in time
+    AcceptanceUnknown = 6002, 504, "send the same request with the same key; it joins if it was accepted";
+    /// the platform's store cannot be reached
+    StoreUnavailable = 7001, 503, "it did not run; come back after the time given";
+    /// this daemon is stopping
+    Stopping = 7002, 503, "it did not run; go to another entry instance";
+    /// the daemon that runs the job cannot be reached
+    PeerUnavailable = 7003, 503, "ask again; another daemon takes the job over";
+    /// this daemon is at a limit
+    Overloaded = 7004, 429, "it did not run; come back after the time given";
+    /// this daemon is not ready yet
+    NotReady = 7005, 503, "it did not run; go to another entry instance or come back";
+    /// the settings have mistakes
+    InvalidSettings = 8001, 500, "mend each field listed; `stoatwelld settings` prints them all with their defaults";
+    /// the settings cannot be read
+    UnreadableSettings = 8002, 500, "check the path and its permissions";
+    /// an error of the program itself
+    Internal = 9001, 500, "please report it with the request id and the log around it";
+}
+
+impl From<Code> for u16 {
+    fn from(code: Code) -> Self {
+        code.number()
+    }
+}
+
+/// no result code has the number {0}
+#[derive(Debug, displaydoc::Display)]
+pub struct UnknownCode(u16);
+
+impl std::error::Error for UnknownCode {}
+
+impl TryFrom<u16> for Code {
+    type Error = UnknownCode;
+
+    fn try_from(number: u16) -> Result<Self, UnknownCode> {
+        for code in Self::ALL {
+            if code.number() == number {
+                return Ok(*code);
+            }
+        }
+        Err(UnknownCode(number))
+    }
+}
+
+/// A refusal or failure, as callers get it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// The numbered code.
+    pub code: Code,
+    /// What happened, for people.
+    pub message: String,
+    /// What to do about it.
+    pub hint: String,
+    /// When to come back, where that helps.
+    pub retry_after_ms: Option<u64>,
+    /// Single mistakes, where there are several.
+    pub problems: Vec<Problem>,
+}
+
+/// One mistake in a document.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Problem {
+    /// JSON path of the field.
+    pub path: String,
+    /// The value found, shortened.
+    pub value: String,
+    /// What was expected.
+    pub expected: String,
+    /// What to do about it.
+    pub hint: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            path,
+            value,
+            expected,
+            hint,
+        } = self;
+        write!(f, "{path}: {value}: expected {expected} ({hint})")
+    }
+}
+
+impl Failure {
+    /// A failure that says no more than its code.
+    pub fn new(code: Code) -> Self {
+        Self {
+            code,
+            message: code.to_string(),
+            hint: code.hint().to_owned(),
+            retry_after_ms: None,
+            problems: Vec::new(),
+        }
+    }
+
+    /// A failure that says more.
+    pub fn with_detail(code: Code, detail: impl fmt::Display) -> Self {
+        Self {
+            message: format!("{code}: {detail}"),
+            ..Self::new(code)
+        }
+    }
+
+    /// The same, telling when to come back.
+    pub fn retry_after(mut self, retry_after_ms: u64) -> Self {
+        self.retry_after_ms = Some(retry_after_ms);
+        self
+    }
+
+    /// The same, listing single mistakes.
+    pub fn with_problems(mut self, problems: Vec<Problem>) -> Self {
+        self.problems = problems;
+        self
+    }
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.code.number(), self.message)
+    }
+}
+
+impl std::error::Error for Failure {}
--- /dev/null
+++ b/crates/model/src/id.rs
@@ -0,0 +1,201 @@
+//! Names and numbers that identify things.
+//!
+//! Names are short strings that people choose; they are cheap to clone. A
+//! [`JobId`] is derived from the owner and the caller's idempotency key, so
+//! any daemon finds the record of a key without an index of its own.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+use sha2::Digest;
+use sha2::Sha256;
+
+/// Longest accepted name, in bytes.
+pub const NAME_MAX_BYTES: usize = 64;
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Wraps a name that has been checked elsewhere or is ours.
+            pub fn new(name: impl AsRef<str>) -> Self {
+                Self(Arc::from(name.as_ref()))
+            }
+
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(name: &str) -> Self {
+                Self::new(name)
+            }
+        }
+    };
+}
+
+name!(
+    /// A machine that runs tasks.
+    WorkerId
+);
+name!(
+    /// One daemon on one entry instance.
+    DaemonId
+);
+name!(
+    /// A back end that answers requests.
+    MinionId
+);
+name!(
+    /// A catalogue entry.
+    EntryName
+);
+name!(
+    /// A customer of the cell.
+    OwnerName
+);
+name!(
+    /// An availability zone.
+    ZoneName
+);
+name!(
+    /// A region: one or more availability zones.
+    RegionName
+);
+
+/// Whether a name is 1 to 64 bytes of `a-z`, `0-9`, `-`, `_` and `.`.
+pub fn is_valid_name(name: &str) -> bool {
+    let allowed =
+        |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || b"-_.".contains(&byte);
+    (1..=NAME_MAX_BYTES).contains(&name.len()) && name.bytes().all(allowed)
+}
+
+/// One accepted piece of work, the same for every submission of its key.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct JobId(pub u128);
+
+impl JobId {
+    /// The id that this owner's idempotency key always gets.
+    pub fn of_key(owner: &OwnerName, key: &str) -> Self {
+        let mut hasher = Sha256::new();
+        hasher.update(owner.as_str().as_bytes());
+        hasher.update([0]);
+        hasher.update(key.as_bytes());
+        let digest = hasher.finalize();
+        let mut bytes = [0; 16];
+        bytes.copy_from_slice(&digest[..16]);
+        Self(u128::from_be_bytes(bytes))
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0 >> 96)
+    }
+}
+
+/// a job id is 32 hexadecimal digits
+#[derive(Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct JobIdError;
+
+impl std::error::Error for JobIdError {}
+
+impl FromStr for JobId {
+    type Err = JobIdError;
+
+    fn from_str(text: &str) -> Result<Self, JobIdError> {
+        if text.len() != 32 {
+            return Err(JobIdError);
+        }
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_error| JobIdError)
+    }
+}
+
+// Text in JSON, 16 bytes on the wire between daemons.
+impl Serialize for JobId {
+    fn serialize<S: serde::Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            return serializer.collect_str(self);
+        }
+        self.0.serialize(serializer)
+    }
+}
+
+impl<'de> Deserialize<'de> for JobId {
+    fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            return text.parse().map_err(serde::de::Error::custom);
+        }
+        u128::deserialize(deserializer).map(Self)
+    }
+}
+
+/// One try to run one task of a job; a worker starts each id at most once.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct AttemptId {
+    /// The job.
+    pub job: JobId,
+    /// Which of the job's tasks, from 0.
+    pub task: u32,
+    /// Which try, from 1.
+    pub attempt: u32,
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.task, self.attempt)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}.{}.{}", self.job, self.task, self.attempt)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = JobIdError;
+
+    fn from_str(text: &str) -> Result<Self, JobIdError> {
+        let mut parts = text.splitn(3, '.');
+        let mut next = || parts.next().ok_or(JobIdError);
+        let job = next()?.parse()?;
+        let task = next()?.parse().map_err(|_error| JobIdError)?;
+        let attempt = next()?.parse().map_err(|_error| JobIdError)?;
+        Ok(Self { job, task, attempt })
+    }
+}
--- /dev/null
+++ b/crates/peer/src/client.rs
@@ -0,0 +1,155 @@
+//! The calling side, with one connection to each daemon.
+//!
+//! A connection can go silent for good while new ones work. Every call has a
+//! deadline; after one that passed, the connection is used for no new call and
+//! the next call dials anew. Calls under way on it may still get their answer.
+
+use std::collections::HashMap;
+use std::io;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use stoatwell_engine::PeerCall;
+use stoatwell_engine::PeerReply;
+use tarpc::client::Config;
+use tarpc::client::RpcError;
+use tarpc::context;
+use tarpc::serde_transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::codec;
+use crate::handshake;
+use crate::service::PeerServiceClient;
+use crate::traffic::Traffic;
+
+const DIAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// After a failed dial the next one waits this long.
+const DIAL_PAUSE: Duration = Duration::from_millis(200);
+
+/// A call that brought no answer.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum PeerError {
+    /// no connection was made, so nothing was sent: {0}
+    NotSent(String),
+    /// no answer came, so it may have taken effect: {0}
+    NoAnswer(String),
+}
+
+impl std::error::Error for PeerError {}
+
+/// Connections to other daemons.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    key: Arc<str>,
+    traffic: Traffic,
+    slots: Arc<Mutex<HashMap<String, Arc<Slot>>>>,
+}
+
+#[derive(Debug, Default)]
+struct Slot {
+    state: tokio::sync::Mutex<Connection>,
+}
+
+#[derive(Debug, Default)]
+struct Connection {
+    client: Option<PeerServiceClient>,
+    generation: u64,
+    failed: Option<Instant>,
+}
+
+impl Peers {
+    /// No connections yet.
+    pub fn new(key: &str, traffic: Traffic) -> Self {
+        Self {
+            key: Arc::from(key),
+            traffic,
+            slots: Arc::default(),
+        }
+    }
+
+    /// Calls the daemon at this IP and port.
+    pub async fn call(
+        &self,
+        address: &str,
+        call: PeerCall,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let slot = self.slot(address);
+        let connected = timeout(limit, self.connect(address, &slot)).await;
+        let (client, generation) = match connected {
+            Ok(Ok(connected)) => connected,
+            Ok(Err(error)) => return Err(PeerError::NotSent(error.to_string())),
+            Err(elapsed) => return Err(PeerError::NotSent(elapsed.to_string())),
+        };
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        match client.call(context, call).await {
+            Ok(reply) => Ok(reply),
+            Err(error) => {
+                let mut connection = slot.state.lock().await;
+                if connection.generation == generation {
+                    connection.client = None;
+                }
+                Err(classify(&error))
+            }
+        }
+    }
+
+    fn slot(&self, address: &str) -> Arc<Slot> {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(slots.entry(address.to_owned()).or_default())
+    }
+
+    async fn connect(&self, address: &str, slot: &Slot) -> io::Result<(PeerServiceClient, u64)> {
+        let mut connection = slot.state.lock().await;
+        if let Some(client) = &connection.client {
+            return Ok((client.clone(), connection.generation));
+        }
+        if connection
+            .failed
+            .is_some_and(|at| at.elapsed() < DIAL_PAUSE)
+        {
+            return Err(io::Error::new(
+                io::ErrorKind::NotConnected,
+                "the last dial failed just now",
+            ));
+        }
+        match self.dial(address).await {
+            Ok(client) => {
+                connection.generation += 1;
+                connection.failed = None;
+                connection.client = Some(client.clone());
+                Ok((client, connection.generation))
+            }
+            Err(error) => {
+                connection.failed = Some(Instant::now());
+                Err(error)
+            }
+        }
+    }
+
+    async fn dial(&self, address: &str) -> io::Result<PeerServiceClient> {
+        let dialled = timeout(DIAL_TIMEOUT, async {
+            let stream = TcpStream::connect(address).await?;
+            stream.set_nodelay(true)?;
+            let mut stream = self.traffic.count(stream);
+            handshake::call(&mut stream, &self.key).await?;
+            io::Result::Ok(stream)
+        });
+        let stream = dialled
+            .await
+            .map_err(|elapsed| io::Error::new(io::ErrorKind::TimedOut, elapsed))??;
+        let framed = codec().new_framed(stream);
+        let transport = serde_transport::new(framed, Bincode::default());
+        Ok(PeerServiceClient::new(Config::default(), transport).spawn())
+    }
+}
+
+fn classify(error: &RpcError) -> PeerError {
+    PeerError::NoAnswer(error.to_string())
+}
--- /dev/null
+++ b/crates/placement/src/cell.rs
@@ -0,0 +1,718 @@
+//! The workers of one holder, what runs on them, and what is free.
+//!
+//! Every change of a worker goes through [`Cell::refresh`], which keeps three
+//! trees for each owner's workers: what is free, what is free when room kept
+//! for a waiting gang is used too, and what would be free if work that may
+//! give way did. Room is counted by the larger of what was set aside and what
+//! was seen in use, so a worker is never promised more than it holds.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::EntryName;
+use stoatwell_model::Execution;
+use stoatwell_model::OwnerName;
+use stoatwell_model::Resources;
+use stoatwell_model::UnixMs;
+use stoatwell_model::Urgency;
+use stoatwell_model::WorkerId;
+
+use crate::tree::FitTree;
+
+/// Workers compared before the best of them is taken.
+const CANDIDATES: usize = 6;
+/// Workers compared when work is spread.
+const SPREAD_CANDIDATES: usize = 16;
+/// Added to the rest that a worker would keep, where its accelerators would lie idle.
+const IDLE_ACCELERATOR_COST: f64 = 4.0;
+
+/// The workers of one holder.
+#[derive(Debug, Default)]
+pub struct Cell {
+    slots: Vec<Slot>,
+    by_id: HashMap<WorkerId, usize>,
+    pools: BTreeMap<OwnerName, Pool>,
+    running: HashMap<AttemptId, Running>,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub struct Slot {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its rack.
+    pub rack: String,
+    /// What it holds in all.
+    pub capacity: Resources,
+    /// What something else uses.
+    pub foreign: Resources,
+    /// What is set aside for tasks.
+    pub reserved: Resources,
+    /// Whom it serves.
+    pub owner: Option<OwnerName>,
+    /// What runs on it.
+    pub tasks: Vec<AttemptId>,
+    claimed: Resources,
+    reclaimable: Resources,
+    /// Whether new work may start, as the catalogue says.
+    serving: bool,
+    quarantined: bool,
+    tasks_max: Option<u32>,
+    position: usize,
+}
+
+/// The workers that serve one owner.
+#[derive(Debug, Default)]
+struct Pool {
+    members: Vec<usize>,
+    stale: bool,
+    free: FitTree,
+    beneath: FitTree,
+    reclaim: FitTree,
+    growth: u64,
+    capacity: Resources,
+    used: Resources,
+    claimed: Resources,
+    quota: Option<Resources>,
+}
+
+/// Which of the trees a search uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum View {
+    /// Only what is free.
+    Free,
+    /// Also what is kept for a waiting gang.
+    Beneath,
+}
+
+/// A task that runs, or is about to.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Whose it is.
+    pub owner: OwnerName,
+    /// Its entry.
+    pub entry: EntryName,
+    /// Its class.
+    pub class: Class,
+    /// Its promise.
+    pub execution: Execution,
+    /// Its urgency.
+    pub urgency: Urgency,
+    /// What it was declared to need.
+    pub declared: Resources,
+    /// What is set aside for it.
+    pub demand: Resources,
+    /// The most it was seen to use.
+    pub used: Resources,
+    /// When it was started.
+    pub started_ms: UnixMs,
+    /// Whether it uses room that is kept for a waiting gang.
+    pub beneath: bool,
+}
+
+impl Running {
+    /// Whether it may be stopped to make room for urgent work.
+    pub fn gives_way(&self) -> bool {
+        self.class == Class::Batch
+            && self.execution != Execution::AtMostOnce
+            && self.urgency != Urgency::Urgent
+    }
+
+    fn held(&self) -> Resources {
+        self.demand.max(&self.used)
+    }
+}
+
+impl Cell {
+    /// Adds a worker or takes over its new capacity.
+    pub fn put_worker(
+        &mut self,
+        worker: &WorkerId,
+        rack: &str,
+        capacity: Resources,
+        foreign: Resources,
+    ) {
+        if let Some(index) = self.by_id.get(worker).copied() {
+            let slot = &mut self.slots[index];
+            let resized = slot.capacity != capacity;
+            slot.capacity = capacity;
+            slot.foreign = foreign;
+            if resized {
+                self.mark_stale(index);
+            }
+            self.refresh(index);
+            return;
+        }
+        let index = self.slots.len();
+        self.slots.push(Slot {
+            worker: worker.clone(),
+            rack: rack.to_owned(),
+            capacity,
+            foreign,
+            reserved: Resources::ZERO,
+            owner: None,
+            tasks: Vec::new(),
+            claimed: Resources::ZERO,
+            reclaimable: Resources::ZERO,
+            serving: false,
+            quarantined: false,
+            tasks_max: None,
+            position: 0,
+        });
+        self.by_id.insert(worker.clone(), index);
+    }
+
+    /// Takes a worker out with all that runs on it.
+    pub fn remove_worker(&mut self, worker: &WorkerId) -> Vec<AttemptId> {
+        let Some(index) = self.by_id.get(worker).copied() else {
+            return Vec::new();
+        };
+        let tasks = self.slots[index].tasks.clone();
+        for attempt in &tasks {
+            self.remove(*attempt);
+        }
+        self.set_target(worker, None, false);
+        self.by_id.remove(worker);
+        let last = self.slots.len() - 1;
+        self.slots.swap_remove(index);
+        if index != last {
+            let moved = self.slots[index].worker.clone();
+            self.by_id.insert(moved, index);
+            if let Some(owner) = self.slots[index].owner.clone()
+                && let Some(pool) = self.pools.get_mut(&owner)
+            {
+                pool.members[self.slots[index].position] = index;
+            }
+        }
+        tasks
+    }
+
+    /// Says whom a worker serves and whether new work may start there.
+    pub fn set_target(&mut self, worker: &WorkerId, owner: Option<&OwnerName>, serving: bool) {
+        let Some(index) = self.by_id.get(worker).copied() else {
+            return;
+        };
+        if self.slots[index].owner.as_ref() != owner {
+            self.leave_pool(index);
+            self.slots[index].owner = owner.cloned();
+            if let Some(owner) = owner {
+                let pool = self.pools.entry(owner.clone()).or_default();
+                pool.members.push(index);
+                pool.stale = true;
+            }
+        }
+        self.slots[index].serving = serving;
+        self.refresh(index);
+    }
+
+    /// Says whether a worker is left alone and how many tasks it may run.
+    pub fn set_health(&mut self, worker: &WorkerId, quarantined: bool, tasks_max: Option<u32>) {
+        let Some(index) = self.by_id.get(worker).copied() else {
+            return;
+        };
+        let slot = &mut self.slots[index];
+        if slot.quarantined == quarantined && slot.tasks_max == tasks_max {
+            return;
+        }
+        slot.quarantined = quarantined;
+        slot.tasks_max = tasks_max;
+        self.refresh(index);
+    }
+
+    /// The most that an owner's running work may hold here; `None` is no limit.
+    pub fn set_quota(&mut self, owner: &OwnerName, quota: Option<Resources>) {
+        let pool = self.pools.entry(owner.clone()).or_default();
+        if pool.quota != quota {
+            pool.quota = quota;
+            pool.growth += 1;
+        }
+    }
+
+    /// Sets room aside for a task.
+    pub fn add(&mut self, attempt: AttemptId, running: Running) {
+        let Some(index) = self.by_id.get(&running.worker).copied() else {
+            return;
+        };
+        self.slots[index].tasks.push(attempt);
+        self.account(index, &running, true);
+        self.running.insert(attempt, running);
+        self.refresh(index);
+    }
+
+    /// Gives a task's room back.
+    pub fn remove(&mut self, attempt: AttemptId) -> Option<Running> {
+        let running = self.running.remove(&attempt)?;
+        let index = self.by_id.get(&running.worker).copied()?;
+        self.slots[index].tasks.retain(|other| *other != attempt);
+        self.account(index, &running, false);
+        self.refresh(index);
+        Some(running)
+    }
+
+    /// Takes what a task was seen to use.
+    pub fn observe(&mut self, attempt: AttemptId, used: &Resources) {
+        let Some(mut running) = self.running.remove(&attempt) else {
+            return;
+        };
+        let Some(index) = self.by_id.get(&running.worker).copied() else {
+            return;
+        };
+        self.account(index, &running, false);
+        running.used = running.used.max(used);
+        self.account(index, &running, true);
+        self.running.insert(attempt, running);
+        self.refresh(index);
+    }
+
+    /// Keeps room on a worker for a waiting gang.
+    pub fn claim(&mut self, index: usize, need: &Resources) {
+        self.slots[index].claimed = self.slots[index].claimed.plus(need);
+        if let Some(pool) = self.pool_of(index) {
+            pool.claimed = pool.claimed.plus(need);
+        }
+        self.refresh(index);
+    }
+
+    /// Gives kept room back.
+    pub fn unclaim(&mut self, index: usize, need: &Resources) {
+        self.slots[index].claimed = self.slots[index].claimed.minus(need);
+        if let Some(pool) = self.pool_of(index) {
+            pool.claimed = pool.claimed.minus(need);
+        }
+        self.refresh(index);
+    }
+
+    /// The worker that keeps the least rest, of the first few that have room.
+    pub fn find_packed(
+        &mut self,
+        owner: &OwnerName,
+        need: &Resources,
+        view: View,
+    ) -> Option<usize> {
+        self.settle(owner);
+        let pool = self.pools.get(owner)?;
+        let tree = match view {
+            View::Free => &pool.free,
+            View::Beneath if pool.claimed.is_zero() => return None,
+            View::Beneath => &pool.beneath,
+        };
+        let mut best = None;
+        let mut from = 0;
+        for _ in 0..CANDIDATES {
+            let Some(position) = tree.first_from(from, need) else {
+                break;
+            };
+            from = position + 1;
+            let index = pool.members[position];
+            let cost = self.slots[index].rest_after(&tree.get(position), need);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
+            }
+        }
+        best.map(|(_, index)| index)
+    }
+
+    /// The worker whose rack and self run the fewest of the same job's tasks.
+    pub fn find_spread(
+        &mut self,
+        owner: &OwnerName,
+        need: &Resources,
+        attempt: AttemptId,
+    ) -> Option<usize> {
+        self.settle(owner);
+        let pool = self.pools.get(owner)?;
+        let seed = mix(attempt);
+        let mut best: Option<(usize, usize, usize)> = None;
+        let mut from = seed as usize % pool.members.len().max(1);
+        let mut wrapped = false;
+        for _ in 0..SPREAD_CANDIDATES {
+            let found = pool.free.first_from(from, need);
+            let Some(position) = found else {
+                if wrapped {
+                    break;
+                }
+                wrapped = true;
+                from = 0;
+                continue;
+            };
+            from = position + 1;
+            let index = pool.members[position];
+            let (on_worker, on_rack) = self.siblings(pool, index, attempt);
+            if best.is_none_or(|(rack, worker, _)| (on_rack, on_worker) < (rack, worker)) {
+                best = Some((on_rack, on_worker, index));
+            }
+            if on_rack == 0 {
+                break;
+            }
+        }
+        best.map(|(_, _, index)| index)
+    }
+
+    /// The worker on which the least work is lost when tasks give way, and those tasks.
+    pub fn find_reclaim(
+        &mut self,
+        owner: &OwnerName,
+        need: &Resources,
+        now_ms: UnixMs,
+        seed: AttemptId,
+    ) -> Option<(usize, Vec<AttemptId>)> {
+        self.settle(owner);
+        let pool = self.pools.get(owner)?;
+        let mut best: Option<(f64, usize, Vec<AttemptId>)> = None;
+        let mut from = mix(seed) as usize % pool.members.len().max(1);
+        let mut wrapped = false;
+        for _ in 0..CANDIDATES {
+            let Some(position) = pool.reclaim.first_from(from, need) else {
+                if wrapped {
+                    break;
+                }
+                wrapped = true;
+                from = 0;
+                continue;
+            };
+            from = position + 1;
+            let index = pool.members[position];
+            let Some((lost, victims)) = self.victims(index, need, now_ms) else {
+                continue;
+            };
+            if best.as_ref().is_none_or(|(least, _, _)| lost < *least) {
+                best = Some((lost, index, victims));
+            }
+        }
+        best.map(|(_, index, victims)| (index, victims))
+    }
+
+    /// The tasks on one worker that lose the least when they make this much room.
+    pub fn victims(
+        &self,
+        index: usize,
+        need: &Resources,
+        now_ms: UnixMs,
+    ) -> Option<(f64, Vec<AttemptId>)> {
+        let slot = &self.slots[index];
+        let mut free = slot.free_beneath();
+        let mut candidates = Vec::new();
+        for attempt in &slot.tasks {
+            let Some(running) = self.running.get(attempt) else {
+                continue;
+            };
+            if running.gives_way() {
+                let ran_ms = now_ms.saturating_sub(running.started_ms);
+                let lost = ran_ms as f64 * running.held().dominant_share(&slot.capacity);
+                candidates.push((running.urgency, lost, *attempt));
+            }
+        }
+        candidates.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)));
+        let mut victims = Vec::new();
+        let mut total = 0.0;
+        for (_, lost, attempt) in candidates {
+            if free.holds(need) {
+                break;
+            }
+            let held = self
+                .running
+                .get(&attempt)
+                .map(Running::held)
+                .unwrap_or_default();
+            free = free.plus(&held);
+            total += lost;
+            victims.push(attempt);
+        }
+        free.holds(need).then_some((total, victims))
+    }
+
+    /// Workers on which more is in use than they hold, most patient tasks first.
+    pub fn overfull(&self, index: usize) -> bool {
+        let slot = &self.slots[index];
+        !slot.capacity.holds(&slot.reserved.plus(&slot.foreign))
+    }
+
+    /// A worker by its place.
+    pub fn slot(&self, index: usize) -> &Slot {
+        &self.slots[index]
+    }
+
+    /// A worker by its name.
+    pub fn slot_of(&self, worker: &WorkerId) -> Option<&Slot> {
+        self.by_id.get(worker).map(|index| &self.slots[*index])
+    }
+
+    /// The place of a worker.
+    pub fn index_of(&self, worker: &WorkerId) -> Option<usize> {
+        self.by_id.get(worker).copied()
+    }
+
+    /// All workers.
+    pub fn slots(&self) -> &[Slot] {
+        &self.slots
+    }
+
+    /// A task that runs.
+    pub fn running(&self, attempt: AttemptId) -> Option<&Running> {
+        self.running.get(&attempt)
+    }
+
+    /// Every task that runs.
+    pub fn all_running(&self) -> impl Iterator<Item = (&AttemptId, &Running)> {
+        self.running.iter()
+    }
+
+    /// How many tasks run.
+    pub fn running_len(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Rises whenever more room appears for an owner.
+    pub fn growth(&self, owner: &OwnerName) -> u64 {
+        self.pools.get(owner).map_or(0, |pool| pool.growth)
+    }
+
+    /// What an owner's workers hold in all, and what its work holds of it.
+    pub fn usage(&self, owner: &OwnerName) -> (Resources, Resources) {
+        self.pools
+            .get(owner)
+            .map_or((Resources::ZERO, Resources::ZERO), |pool| {
+                (pool.capacity, pool.used)
+            })
+    }
+
+    /// What an owner may hold here.
+    pub fn quota(&self, owner: &OwnerName) -> Option<Resources> {
+        self.pools.get(owner)?.quota
+    }
+
+    /// The most that is free on one worker, each resource perhaps on another.
+    pub fn largest_free(&mut self, owner: &OwnerName) -> Resources {
+        self.settle(owner);
+        self.pools
+            .get(owner)
+            .map_or(Resources::ZERO, |pool| pool.free.largest())
+    }
+
+    /// Owners that have workers here.
+    pub fn owners(&self) -> impl Iterator<Item = &OwnerName> {
+        self.pools
+            .iter()
+            .filter(|(_, pool)| !pool.members.is_empty())
+            .map(|(owner, _)| owner)
+    }
+
+    /// Whether one empty worker of this owner would hold this much.
+    pub fn could_hold(&self, owner: &OwnerName, need: &Resources) -> bool {
+        let Some(pool) = self.pools.get(owner) else {
+            return false;
+        };
+        pool.members.iter().any(|index| {
+            let slot = &self.slots[*index];
+            slot.serving && slot.capacity.holds(need)
+        })
+    }
+
+    /// The most that one empty worker of this owner holds, resource by resource.
+    pub fn largest(&self, owner: &OwnerName) -> Resources {
+        let mut largest = Resources::ZERO;
+        for index in self
+            .pools
+            .get(owner)
+            .into_iter()
+            .flat_map(|pool| &pool.members)
+        {
+            let slot = &self.slots[*index];
+            if slot.serving {
+                largest = largest.max(&slot.capacity);
+            }
+        }
+        largest
+    }
+
+    fn siblings(&self, pool: &Pool, index: usize, attempt: AttemptId) -> (usize, usize) {
+        let same_job = |slot: &Slot| {
+            slot.tasks
+                .iter()
+                .filter(|other| other.job == attempt.job)
+                .count()
+        };
+        let rack = &self.slots[index].rack;
+        let mut on_rack = 0;
+        for member in &pool.members {
+            let slot = &self.slots[*member];
+            if slot.rack == *rack {
+                on_rack += same_job(slot);
+            }
+        }
+        (same_job(&self.slots[index]), on_rack)
+    }
+
+    fn account(&mut self, index: usize, running: &Running, added: bool) {
+        let held = running.held();
+        let step = |sum: &Resources| {
+            if added {
+                sum.plus(&held)
+            } else {
+                sum.minus(&held)
+            }
+        };
+        let slot = &mut self.slots[index];
+        slot.reserved = step(&slot.reserved);
+        if running.gives_way() {
+            slot.reclaimable = step(&slot.reclaimable);
+        }
+        if let Some(pool) = self.pools.get_mut(&running.owner) {
+            pool.used = step(&pool.used);
+            if !added {
+                pool.growth += 1;
+            }
+        }
+    }
+
+    fn pool_of(&mut self, index: usize) -> Option<&mut Pool> {
+        let owner = self.slots[index].owner.as_ref()?;
+        self.pools.get_mut(owner)
+    }
+
+    fn leave_pool(&mut self, index: usize) {
+        let position = self.slots[index].position;
+        let Some(pool) = self.pool_of(index) else {
+            return;
+        };
+        if pool.members.get(position) == Some(&index) {
+            pool.members.remove(position);
+        } else {
+            pool.members.retain(|member| *member != index);
+        }
+        pool.stale = true;
+        let members = pool.members.clone();
+        for (position, member) in members.into_iter().enumerate() {
+            self.slots[member].position = position;
+        }
+    }
+
+    fn mark_stale(&mut self, index: usize) {
+        if let Some(pool) = self.pool_of(index) {
+            pool.stale = true;
+        }
+    }
+
+    /// Rebuilds an owner's trees after workers came or went. Workers without
+    /// accelerators stand first, so that plain work does not fill the others.
+    fn settle(&mut self, owner: &OwnerName) {
+        let Some(pool) = self.pools.get_mut(owner) else {
+            return;
+        };
+        if !pool.stale {
+            return;
+        }
+        pool.stale = false;
+        pool.members.sort_by_key(|index| {
+            let slot = &self.slots[*index];
+            (slot.capacity.accelerators, slot.worker.clone())
+        });
+        let mut capacity = Resources::ZERO;
+        for (position, index) in pool.members.iter().enumerate() {
+            self.slots[*index].position = position;
+            capacity = capacity.plus(&self.slots[*index].capacity);
+        }
+        let slots = &self.slots;
+        let tree = |room: fn(&Slot) -> Resources| {
+            let rooms: Vec<Resources> = pool
+                .members
+                .iter()
+                .map(|index| room(&slots[*index]))
+                .collect();
+            FitTree::new(&rooms)
+        };
+        pool.free = tree(Slot::free);
+        pool.beneath = tree(Slot::free_beneath);
+        pool.reclaim = tree(Slot::free_reclaimed);
+        pool.capacity = capacity;
+        pool.growth += 1;
+    }
+
+    fn refresh(&mut self, index: usize) {
+        let slot = &self.slots[index];
+        let (free, beneath, reclaim) = (slot.free(), slot.free_beneath(), slot.free_reclaimed());
+        let position = slot.position;
+        let Some(pool) = self.pool_of(index) else {
+            return;
+        };
+        if pool.stale {
+            return;
+        }
+        let before = pool.free.get(position);
+        if !before.holds(&free) {
+            pool.growth += 1;
+        }
+        pool.free.set(position, free);
+        pool.beneath.set(position, beneath);
+        pool.reclaim.set(position, reclaim);
+    }
+}
+
+impl Slot {
+    /// What new work can have.
+    pub fn free(&self) -> Resources {
+        self.free_beneath().minus(&self.claimed)
+    }
+
+    /// What new work can have, room kept for a waiting gang included.
+    pub fn free_beneath(&self) -> Resources {
+        if !self.is_open() {
+            return Resources::ZERO;
+        }
+        self.capacity.minus(&self.foreign).minus(&self.reserved)
+    }
+
+    /// Whether new work may start now.
+    pub fn is_open(&self) -> bool {
+        let under_limit = self
+            .tasks_max
+            .is_none_or(|limit| (self.tasks.len() as u32) < limit);
+        self.serving && !self.quarantined && under_limit
+    }
+
+    /// Whether it is left alone because it fails.
+    pub fn is_quarantined(&self) -> bool {
+        self.quarantined
+    }
+
+    fn free_reclaimed(&self) -> Resources {
+        if !self.serving || self.quarantined {
+            return Resources::ZERO;
+        }
+        self.capacity
+            .minus(&self.foreign)
+            .minus(&self.reserved)
+            .plus(&self.reclaimable)
+    }
+
+    fn rest_after(&self, free: &Resources, need: &Resources) -> f64 {
+        let rest = free.minus(need);
+        let part = |rest: u64, all: u64| {
+            if all == 0 {
+                0.0
+            } else {
+                rest as f64 / all as f64
+            }
+        };
+        let sum = part(rest.cpu_millis, self.capacity.cpu_millis)
+            + part(rest.memory_bytes, self.capacity.memory_bytes);
+        let idles = need.accelerators == 0 && rest.accelerators > 0;
+        if idles {
+            sum + IDLE_ACCELERATOR_COST
+        } else {
+            sum
+        }
+    }
+}
+
+/// Scatters attempts evenly over workers, the same way every time.
+fn mix(attempt: AttemptId) -> u64 {
+    let folded =
+        (attempt.job.0 >> 64) as u64 ^ attempt.job.0 as u64 ^ (u64::from(attempt.task) << 32);
+    let spread = (folded ^ u64::from(attempt.attempt)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
+    spread ^ (spread >> 29)
+}
--- /dev/null
+++ b/crates/placement/src/scheduler.rs
@@ -0,0 +1,796 @@
+//! Which waiting work starts where, now.
+//!
+//! A pass goes over the entries in the order of urgency, of how much their
+//! owners already hold, and of deadlines and age. A shape that does not fit is
+//! skipped until more room appears, so it never blocks others; a job that
+//! waited too long gets room kept for it, so nothing waits for ever.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+
+use serde::Serialize;
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::EntryName;
+use stoatwell_model::JobId;
+use stoatwell_model::OwnerName;
+use stoatwell_model::Resources;
+use stoatwell_model::Target;
+use stoatwell_model::TargetState;
+use stoatwell_model::UnixMs;
+use stoatwell_model::Urgency;
+use stoatwell_model::WorkerId;
+use stoatwell_model::entry::Weights;
+use stoatwell_model::peer::OwnerSummary;
+use stoatwell_model::worker::WorkerState;
+
+use crate::cell::Cell;
+use crate::cell::Running;
+use crate::cell::View;
+use crate::health::Health;
+use crate::health::PROVED_AFTER_MS;
+use crate::health::Verdict;
+use crate::learned::Learned;
+use crate::queue::Queue;
+use crate::queue::WaitingJob;
+use crate::reservation::Reservation;
+
+/// Jobs of one entry that a pass tries before it gives the entry up.
+const LOOK_AHEAD_JOBS: usize = 8;
+/// Tasks of one job that start before the next entry gets its turn.
+const TURN_TASKS: usize = 32;
+/// Evictions in one pass, so that a burst of urgent work does not clear the cell.
+const EVICTIONS_PER_PASS: usize = 256;
+/// Headroom that the strongest wish for short waits keeps free, in thousandths.
+const HEADROOM_PERMILLE_MAX: u64 = 120;
+const PERMILLE: u64 = 1_000;
+
+/// What can be tuned.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// After this long a job counts as one step more urgent, though it evicts nothing.
+    pub aging_ms: u64,
+    /// After this long a job that does not fit gets room kept for it.
+    pub reserve_after_ms: u64,
+    /// How long that room is kept.
+    pub reserve_ms: u64,
+    /// Whether learned demands are used.
+    pub learn: bool,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            aging_ms: 600_000,
+            reserve_after_ms: 30_000,
+            reserve_ms: 60_000,
+            learn: true,
+        }
+    }
+}
+
+/// A task that got a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Where it is to start.
+    pub worker: WorkerId,
+    /// What is set aside for it.
+    pub demand: Resources,
+    /// Attempts that must be stopped first.
+    pub evict: Vec<AttemptId>,
+}
+
+/// What a pass decided.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Start these tasks of one job; for a gang these are all of them.
+    Start {
+        /// The job.
+        job: JobId,
+        /// Its tasks.
+        tasks: Vec<Placed>,
+    },
+    /// The deadline passed before these could start.
+    Expired {
+        /// The job.
+        job: JobId,
+        /// Attempts that will not start.
+        tasks: Vec<AttemptId>,
+    },
+}
+
+/// Counters of what was decided, for metrics and measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counters {
+    /// Tasks that got a worker.
+    pub placed: u64,
+    /// Searches that found none.
+    pub refused: u64,
+    /// Tasks stopped for urgent work.
+    pub evicted: u64,
+    /// Jobs whose deadline passed in the queue.
+    pub expired: u64,
+    /// Jobs that got room kept for them.
+    pub reservations: u64,
+    /// Workers quarantined.
+    pub quarantines: u64,
+    /// Entries held back.
+    pub held_back: u64,
+}
+
+/// Waiting and running work over the workers of one holder.
+#[derive(Debug, Default)]
+pub struct Scheduler {
+    /// The workers.
+    pub cell: Cell,
+    /// What waits.
+    pub queue: Queue,
+    /// What entries really use.
+    pub learned: Learned,
+    /// Who fails whom.
+    pub health: Health,
+    /// What was decided so far.
+    pub counters: Counters,
+    policy: Policy,
+    weights: HashMap<OwnerName, Weights>,
+    reservations: BTreeMap<OwnerName, Reservation>,
+    unproved: Vec<(UnixMs, AttemptId)>,
+    quarantined: Vec<(UnixMs, WorkerId)>,
+}
+
+impl Scheduler {
+    /// An empty cell under this policy.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            ..Self::default()
+        }
+    }
+
+    /// Takes over a worker as it describes itself.
+    pub fn put_worker(&mut self, now_ms: UnixMs, state: &WorkerState, target: Option<&Target>) {
+        self.cell
+            .put_worker(&state.worker, &state.rack, state.capacity, state.foreign);
+        self.set_target(&state.worker, target);
+        self.check_health(now_ms, &state.worker);
+    }
+
+    /// Gives a worker up; what ran there is no longer counted here.
+    pub fn remove_worker(&mut self, worker: &WorkerId) -> Vec<AttemptId> {
+        self.drop_claims_on(worker);
+        self.cell.remove_worker(worker)
+    }
+
+    /// Says whom a worker serves.
+    pub fn set_target(&mut self, worker: &WorkerId, target: Option<&Target>) {
+        let serving = target.is_some_and(|target| target.state == TargetState::Serving);
+        if !serving {
+            self.drop_claims_on(worker);
+        }
+        self.cell
+            .set_target(worker, target.map(|target| &target.owner), serving);
+    }
+
+    /// Takes an owner's share of its quota and what it values.
+    pub fn set_owner(&mut self, owner: &OwnerName, quota: Option<Resources>, weights: Weights) {
+        self.cell.set_quota(owner, quota);
+        self.weights.insert(owner.clone(), weights);
+    }
+
+    /// Adds work that waits.
+    pub fn enqueue(&mut self, job: WaitingJob) {
+        self.queue.push(job);
+    }
+
+    /// Takes a job's waiting tasks out, for a cancellation or a hand-over.
+    pub fn withdraw(&mut self, job: JobId) -> Vec<AttemptId> {
+        self.drop_reservation_of(job);
+        self.queue
+            .remove(job)
+            .map_or_else(Vec::new, |waiting| waiting.tasks.into())
+    }
+
+    /// Takes over a task that runs already, as its worker reports.
+    pub fn adopt(&mut self, attempt: AttemptId, running: Running) {
+        if self.cell.running(attempt).is_none() {
+            self.unproved
+                .push((running.started_ms + PROVED_AFTER_MS, attempt));
+            self.cell.add(attempt, running);
+        }
+    }
+
+    /// A start did not happen; its room is free again.
+    pub fn not_started(&mut self, now_ms: UnixMs, attempt: AttemptId) {
+        if let Some(running) = self.cell.remove(attempt) {
+            self.check_health(now_ms, &running.worker);
+        }
+    }
+
+    /// A task ended by itself or was stopped.
+    pub fn ended(&mut self, now_ms: UnixMs, attempt: AttemptId, end: End) -> Verdict {
+        let Some(running) = self.cell.remove(attempt) else {
+            return Verdict::Open;
+        };
+        let mut verdict = Verdict::Open;
+        match end {
+            End::Succeeded => {
+                self.health.succeeded(&running.worker, &running.entry);
+                self.learned
+                    .record(&running.entry, &running.declared, &running.used);
+                let ran_ms = now_ms.saturating_sub(running.started_ms);
+                self.learned.record_run(&running.entry, ran_ms);
+            }
+            End::Failed => {
+                verdict = self.health.failed(now_ms, &running.worker, &running.entry);
+                match verdict {
+                    Verdict::WorkerQuarantined => self.counters.quarantines += 1,
+                    Verdict::EntryHeldBack => self.counters.held_back += 1,
+                    Verdict::Open => {}
+                }
+            }
+            End::Stopped => {}
+        }
+        self.check_health(now_ms, &running.worker);
+        verdict
+    }
+
+    /// Takes what a running task was seen to use; gives tasks that must be
+    /// stopped because the worker holds less than it is asked for.
+    pub fn observe(
+        &mut self,
+        now_ms: UnixMs,
+        attempt: AttemptId,
+        used: &Resources,
+    ) -> Vec<AttemptId> {
+        self.cell.observe(attempt, used);
+        let Some(running) = self.cell.running(attempt) else {
+            return Vec::new();
+        };
+        let Some(index) = self.cell.index_of(&running.worker) else {
+            return Vec::new();
+        };
+        if !self.cell.overfull(index) {
+            return Vec::new();
+        }
+        let victims = self.cell.victims(index, &Resources::ZERO, now_ms);
+        victims.map_or_else(Vec::new, |(_, victims)| victims)
+    }
+
+    /// Goes over what waits and places up to `tasks_max` tasks.
+    pub fn schedule(&mut self, now_ms: UnixMs, tasks_max: usize) -> Vec<Decision> {
+        let mut decisions = Vec::new();
+        self.expire(now_ms, &mut decisions);
+        self.prove(now_ms);
+        self.advance_reservations(now_ms, &mut decisions);
+        let mut left = tasks_max;
+        let mut evictions_left = EVICTIONS_PER_PASS;
+        while left > 0 {
+            let mut progress = false;
+            for (entry, urgency) in self.order(now_ms) {
+                let placed = self.serve_line(
+                    now_ms,
+                    &entry,
+                    urgency,
+                    left,
+                    &mut evictions_left,
+                    &mut decisions,
+                );
+                left = left.saturating_sub(placed);
+                progress |= placed > 0;
+                if left == 0 {
+                    break;
+                }
+            }
+            if !progress {
+                break;
+            }
+        }
+        decisions
+    }
+
+    /// Tries one task that another daemon cannot place on its own workers.
+    pub fn place_one(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        attempt: AttemptId,
+    ) -> Option<Placed> {
+        let mut evictions_left = 0;
+        let placed = self.place(now_ms, job, attempt, &mut evictions_left)?;
+        self.commit(now_ms, job, &placed);
+        Some(placed)
+    }
+
+    /// Why a job waits, for people.
+    pub fn why(&mut self, now_ms: UnixMs, job: JobId) -> Vec<String> {
+        let Some(waiting) = self.queue.get(job).cloned() else {
+            return Vec::new();
+        };
+        let mut reasons = Vec::new();
+        let ahead = self.queue.ahead_of(job);
+        if ahead > 0 {
+            reasons.push(format!(
+                "{ahead} jobs of entry {} stand before it",
+                waiting.entry
+            ));
+        }
+        if let Some(until_ms) = self.health.held_until(now_ms, &waiting.entry) {
+            let left_ms = until_ms - now_ms;
+            reasons.push(format!(
+                "entry {} fails everywhere and is held back for {left_ms} ms",
+                waiting.entry
+            ));
+        }
+        let need = self.demand(&waiting);
+        if !self.within_quota(&waiting, &need) {
+            reasons.push(format!("owner {} holds all its quota here", waiting.owner));
+        }
+        let free = self.cell.largest_free(&waiting.owner);
+        if let Some(lacking) = free.lacking(&need) {
+            reasons.push(format!(
+                "no worker of {} has enough free {lacking} now",
+                waiting.owner
+            ));
+        } else if self
+            .cell
+            .find_packed(&waiting.owner, &need, View::Free)
+            .is_none()
+        {
+            reasons.push("no single worker has all of it free now".to_owned());
+        }
+        if let Some(reservation) = self.reservations.get(&waiting.owner)
+            && reservation.job == job
+        {
+            let (have, all) = (reservation.claims.len(), reservation.tasks);
+            reasons.push(format!("room is kept for {have} of its {all} tasks"));
+        }
+        if reasons.is_empty() {
+            reasons.push("it is next".to_owned());
+        }
+        reasons
+    }
+
+    /// What one owner can get here, in short.
+    pub fn owner_summaries(&mut self) -> Vec<OwnerSummary> {
+        let owners: Vec<OwnerName> = self.cell.owners().cloned().collect();
+        let mut summaries = Vec::new();
+        for owner in owners {
+            let largest_free = self.cell.largest_free(&owner);
+            let (capacity, used) = self.cell.usage(&owner);
+            let largest = self.cell.largest(&owner);
+            let free = capacity.minus(&used);
+            summaries.push(OwnerSummary {
+                owner,
+                free,
+                largest_free,
+                largest,
+                used,
+            });
+        }
+        summaries
+    }
+
+    /// The class for which room is kept, by owner.
+    pub fn reservations(&self) -> impl Iterator<Item = (&OwnerName, &Reservation)> {
+        self.reservations.iter()
+    }
+
+    /// What to set aside for one task of a job.
+    pub fn demand(&self, job: &WaitingJob) -> Resources {
+        if self.policy.learn {
+            self.learned.demand(&job.entry, &job.demand)
+        } else {
+            job.demand
+        }
+    }
+
+    fn expire(&mut self, now_ms: UnixMs, decisions: &mut Vec<Decision>) {
+        for job in self.queue.expired(now_ms) {
+            let tasks = self.withdraw(job);
+            self.counters.expired += 1;
+            decisions.push(Decision::Expired { job, tasks });
+        }
+    }
+
+    /// Entries in the order in which they are served.
+    fn order(&self, now_ms: UnixMs) -> Vec<(EntryName, Urgency)> {
+        let mut keyed = Vec::new();
+        for line in self.queue.lines() {
+            if line.blocked_at == Some(self.cell.growth(&line.owner))
+                && line.urgency != Urgency::Urgent
+            {
+                continue;
+            }
+            let waited_ms = now_ms.saturating_sub(line.front_accepted_ms());
+            let rank =
+                (line.urgency as u64).saturating_sub(waited_ms / self.policy.aging_ms.max(1));
+            let (capacity, used) = self.cell.usage(&line.owner);
+            let waiting = f64::from(
+                self.weights
+                    .get(&line.owner)
+                    .map_or(1, |weights| weights.waiting)
+                    .max(1),
+            );
+            let share = used.dominant_share(&capacity) / waiting;
+            let key = (
+                rank,
+                share,
+                line.front_deadline_ms(),
+                line.front_accepted_ms(),
+            );
+            keyed.push((key, (line.entry.clone(), line.urgency)));
+        }
+        keyed.sort_by(|(a, _), (b, _)| {
+            a.0.cmp(&b.0)
+                .then(a.1.total_cmp(&b.1))
+                .then(a.2.cmp(&b.2))
+                .then(a.3.cmp(&b.3))
+        });
+        keyed.into_iter().map(|(_, line)| line).collect()
+    }
+
+    /// Gives one entry its turn; says how many tasks were placed.
+    fn serve_line(
+        &mut self,
+        now_ms: UnixMs,
+        entry: &EntryName,
+        urgency: Urgency,
+        left: usize,
+        evictions_left: &mut usize,
+        decisions: &mut Vec<Decision>,
+    ) -> usize {
+        if self.health.held_until(now_ms, entry).is_some() {
+            return 0;
+        }
+        let Some(line) = self.queue.line_mut(entry, urgency) else {
+            return 0;
+        };
+        let front: Vec<JobId> = line.front(LOOK_AHEAD_JOBS).collect();
+        let owner = line.owner.clone();
+        for job in front {
+            let Some(waiting) = self.queue.get(job).cloned() else {
+                continue;
+            };
+            if waiting.not_before_ms > now_ms {
+                continue;
+            }
+            let placed = self.start_job(now_ms, &waiting, left, evictions_left, decisions);
+            if placed > 0 {
+                return placed;
+            }
+            self.reserve_if_due(now_ms, &waiting);
+        }
+        let growth = self.cell.growth(&owner);
+        if let Some(line) = self.queue.line_mut(entry, urgency) {
+            line.blocked_at = Some(growth);
+        }
+        0
+    }
+
+    fn start_job(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        left: usize,
+        evictions_left: &mut usize,
+        decisions: &mut Vec<Decision>,
+    ) -> usize {
+        let is_gang = job.class == Class::Gang;
+        let wanted = if is_gang {
+            job.tasks.len()
+        } else {
+            job.tasks.len().min(TURN_TASKS).min(left)
+        };
+        let mut tasks: Vec<Placed> = Vec::new();
+        for attempt in job.tasks.iter().take(wanted) {
+            let Some(placed) = self.place(now_ms, job, *attempt, evictions_left) else {
+                break;
+            };
+            self.commit(now_ms, job, &placed);
+            tasks.push(placed);
+        }
+        if is_gang && tasks.len() < wanted {
+            for placed in &tasks {
+                self.cell.remove(placed.attempt);
+            }
+            self.counters.placed -= tasks.len() as u64;
+            return 0;
+        }
+        if tasks.is_empty() {
+            return 0;
+        }
+        self.drop_reservation_of(job.job);
+        self.queue.take(job.job, tasks.len());
+        let placed = tasks.len();
+        decisions.push(Decision::Start {
+            job: job.job,
+            tasks,
+        });
+        placed
+    }
+
+    /// Finds a worker for one task without changing anything.
+    fn place(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        attempt: AttemptId,
+        evictions_left: &mut usize,
+    ) -> Option<Placed> {
+        let demand = self.demand(job);
+        if !self.within_quota(job, &demand) {
+            self.counters.refused += 1;
+            return None;
+        }
+        let found = match job.class {
+            Class::Service => self.cell.find_spread(&job.owner, &demand, attempt),
+            Class::Batch | Class::Gang | Class::Request => {
+                self.cell.find_packed(&job.owner, &demand, View::Free)
+            }
+        };
+        let beneath =
+            || job.class == Class::Batch && job.execution == stoatwell_model::Execution::Idempotent;
+        let found = match found {
+            None if beneath() => self.cell.find_packed(&job.owner, &demand, View::Beneath),
+            found => found,
+        };
+        let (index, evict) = match found {
+            Some(index) => (index, Vec::new()),
+            None if job.urgency == Urgency::Urgent && *evictions_left > 0 => {
+                let (index, victims) = self
+                    .cell
+                    .find_reclaim(&job.owner, &demand, now_ms, attempt)?;
+                *evictions_left = evictions_left.saturating_sub(victims.len());
+                (index, victims)
+            }
+            None => {
+                self.counters.refused += 1;
+                return None;
+            }
+        };
+        let worker = self.cell.slot(index).worker.clone();
+        // A worker back from quarantine is tried only with work that may be repeated.
+        if job.execution.needs_intent() && self.health.on_probation(&worker) {
+            self.counters.refused += 1;
+            return None;
+        }
+        Some(Placed {
+            attempt,
+            worker,
+            demand,
+            evict,
+        })
+    }
+
+    /// Sets room aside for a task that got a worker.
+    fn commit(&mut self, now_ms: UnixMs, job: &WaitingJob, placed: &Placed) {
+        for victim in &placed.evict {
+            self.cell.remove(*victim);
+            self.counters.evicted += 1;
+        }
+        let running = Running {
+            worker: placed.worker.clone(),
+            owner: job.owner.clone(),
+            entry: job.entry.clone(),
+            class: job.class,
+            execution: job.execution,
+            urgency: job.urgency,
+            declared: job.demand,
+            demand: placed.demand,
+            used: Resources::ZERO,
+            started_ms: now_ms,
+            beneath: false,
+        };
+        self.cell.add(placed.attempt, running);
+        self.counters.placed += 1;
+        self.unproved
+            .push((now_ms + PROVED_AFTER_MS, placed.attempt));
+        self.check_health(now_ms, &placed.worker);
+    }
+
+    fn within_quota(&self, job: &WaitingJob, demand: &Resources) -> bool {
+        let (capacity, used) = self.cell.usage(&job.owner);
+        let after = used.plus(demand);
+        if self
+            .cell
+            .quota(&job.owner)
+            .is_some_and(|quota| !quota.holds(&after))
+        {
+            return false;
+        }
+        if job.urgency != Urgency::Patient {
+            return true;
+        }
+        // Patient work leaves room for what an owner that values short waits sends next.
+        let weights = self.weights.get(&job.owner).copied().unwrap_or_default();
+        let all = u64::from(weights.waiting + weights.packing).max(1);
+        let favour = (u64::from(weights.waiting) * 2).saturating_sub(all);
+        let headroom = HEADROOM_PERMILLE_MAX * favour / all;
+        capacity.share(PERMILLE - headroom, PERMILLE).holds(&after)
+    }
+
+    fn reserve_if_due(&mut self, now_ms: UnixMs, job: &WaitingJob) {
+        let waited_ms = now_ms.saturating_sub(job.accepted_ms);
+        if waited_ms < self.policy.reserve_after_ms || self.reservations.contains_key(&job.owner) {
+            return;
+        }
+        let need = self.demand(job);
+        if !self.cell.could_hold(&job.owner, &need) {
+            return;
+        }
+        let tasks = if job.class == Class::Gang {
+            job.tasks.len()
+        } else {
+            1
+        };
+        let until_ms = now_ms + self.policy.reserve_ms;
+        let reservation = Reservation {
+            job: job.job,
+            until_ms,
+            tasks,
+            need,
+            claims: Vec::new(),
+        };
+        self.reservations.insert(job.owner.clone(), reservation);
+        self.counters.reservations += 1;
+    }
+
+    /// Lets each reservation keep what has become free, and starts those that have all.
+    fn advance_reservations(&mut self, now_ms: UnixMs, decisions: &mut Vec<Decision>) {
+        let owners: Vec<OwnerName> = self.reservations.keys().cloned().collect();
+        for owner in owners {
+            let Some(mut reservation) = self.reservations.remove(&owner) else {
+                continue;
+            };
+            let Some(job) = self.queue.get(reservation.job).cloned() else {
+                self.release_claims(&reservation);
+                continue;
+            };
+            while !reservation.is_complete() {
+                let Some(index) = self.cell.find_packed(&owner, &reservation.need, View::Free)
+                else {
+                    break;
+                };
+                self.cell.claim(index, &reservation.need);
+                reservation
+                    .claims
+                    .push(self.cell.slot(index).worker.clone());
+            }
+            if reservation.is_complete() {
+                self.release_claims(&reservation);
+                self.start_reserved(now_ms, &job, &reservation, decisions);
+                continue;
+            }
+            if now_ms >= reservation.until_ms {
+                self.release_claims(&reservation);
+                self.queue
+                    .put_off(reservation.job, now_ms + self.policy.reserve_ms);
+                continue;
+            }
+            self.reservations.insert(owner, reservation);
+        }
+    }
+
+    fn start_reserved(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        reservation: &Reservation,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let mut tasks = Vec::new();
+        for (attempt, worker) in job.tasks.iter().zip(&reservation.claims) {
+            let Some(index) = self.cell.index_of(worker) else {
+                break;
+            };
+            // Work that used the kept room gives way now.
+            let Some((_, evict)) = self.cell.victims(index, &reservation.need, now_ms) else {
+                break;
+            };
+            let worker = worker.clone();
+            let placed = Placed {
+                attempt: *attempt,
+                worker,
+                demand: reservation.need,
+                evict,
+            };
+            self.commit(now_ms, job, &placed);
+            tasks.push(placed);
+        }
+        if tasks.len() < reservation.tasks {
+            for placed in &tasks {
+                self.cell.remove(placed.attempt);
+            }
+            return;
+        }
+        self.queue.take(job.job, tasks.len());
+        decisions.push(Decision::Start {
+            job: job.job,
+            tasks,
+        });
+    }
+
+    fn release_claims(&mut self, reservation: &Reservation) {
+        for worker in &reservation.claims {
+            if let Some(index) = self.cell.index_of(worker) {
+                self.cell.unclaim(index, &reservation.need);
+            }
+        }
+    }
+
+    fn drop_reservation_of(&mut self, job: JobId) {
+        let owner = self
+            .reservations
+            .iter()
+            .find(|(_, reservation)| reservation.job == job);
+        let Some(owner) = owner.map(|(owner, _)| owner.clone()) else {
+            return;
+        };
+        if let Some(reservation) = self.reservations.remove(&owner) {
+            self.release_claims(&reservation);
+        }
+    }
+
+    fn drop_claims_on(&mut self, worker: &WorkerId) {
+        let Some(index) = self.cell.index_of(worker) else {
+            return;
+        };
+        for reservation in self.reservations.values_mut() {
+            let before = reservation.claims.len();
+            reservation.claims.retain(|claimed| claimed != worker);
+            for _ in reservation.claims.len()..before {
+                self.cell.unclaim(index, &reservation.need);
+            }
+        }
+    }
+
+    /// Tasks that have run long enough prove their workers; quarantines end.
+    fn prove(&mut self, now_ms: UnixMs) {
+        let mut due = Vec::new();
+        self.unproved.retain(|(at_ms, attempt)| {
+            if *at_ms <= now_ms {
+                due.push(*attempt);
+            }
+            *at_ms > now_ms
+        });
+        for attempt in due {
+            let Some(running) = self.cell.running(attempt).cloned() else {
+                continue;
+            };
+            self.health.succeeded(&running.worker, &running.entry);
+            self.check_health(now_ms, &running.worker);
+        }
+        let mut over = Vec::new();
+        self.quarantined.retain(|(until_ms, worker)| {
+            if *until_ms <= now_ms {
+                over.push(worker.clone());
+            }
+            *until_ms > now_ms
+        });
+        for worker in over {
+            self.check_health(now_ms, &worker);
+        }
+    }
+
+    fn check_health(&mut self, now_ms: UnixMs, worker: &WorkerId) {
+        let until_ms = self.health.quarantined_until(now_ms, worker);
+        if let Some(until_ms) = until_ms {
+            self.quarantined.push((until_ms, worker.clone()));
+        }
+        self.cell
+            .set_health(worker, until_ms.is_some(), self.health.tasks_max(worker));
+    }
+}
+
+/// How a task ended, as far as blame goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// By itself, well.
+    Succeeded,
+    /// By itself, badly.
+    Failed,
+    /// It was told to.
+    Stopped,
+}
