--- a/crates/bench/src/balancer.rs
+++ b/crates/bench/src/balancer.rs
@@ -51,15 +51,9 @@
         loop {
             let mut ready = Vec::new();
             for address in &self.addresses {
-                let probe = self
-                    .http
-                    .get(format!("http://{address}/readyz"))
-                    .timeout(PROBE_TIMEOUT);
-                if probe
-                    .send()
-                    .await
-                    .is_ok_and(|response| response.status().is_success())
-                {
+                let probe =
+                    self.http.get(format!("http://{address}/readyz")).timeout(PROBE_TIMEOUT);
+                if probe.send().await.is_ok_and(|response| response.status().is_success()) {
                     ready.push(address.clone());
                 }
             }
@@ -77,13 +71,7 @@
                 continue;
             };
             let url = format!("http://{address}/v1/jobs?wait_ms={wait_ms}");
-            let sent = self
-                .http
-                .post(url)
-                .header("idempotency-key", key)
-                .json(body)
-                .send()
-                .await;
+            let sent = self.http.post(url).header("idempotency-key", key).json(body).send().await;
             match sent {
                 Ok(response) => {
                     return match response.json().await {
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -66,20 +66,13 @@
         }
         Called::Nowhere => "nowhere".to_owned(),
     };
-    Ended {
-        what,
-        took_ms: started.elapsed().as_millis() as u64,
-    }
+    Ended { what, took_ms: started.elapsed().as_millis() as u64 }
 }
 
 /// "done" only if the answer is to this very request.
 fn describe(view: &Value, key: &str) -> String {
     if let Some(answer) = view["outcome"]["done"]["answer"].as_str() {
-        return if answer.contains(key) {
-            "done".to_owned()
-        } else {
-            "crossed".to_owned()
-        };
+        return if answer.contains(key) { "done".to_owned() } else { "crossed".to_owned() };
     }
     if let Some(state) = view["state"].as_str() {
         return state.to_owned();
@@ -99,20 +92,13 @@
         println!("  {what}: {count}");
     }
     let at = |percentile| times.value_at_percentile(percentile);
-    println!(
-        "  milliseconds: p50 {}, p99 {}, max {}",
-        at(50.0),
-        at(99.0),
-        times.max()
-    );
+    println!("  milliseconds: p50 {}, p99 {}, max {}", at(50.0), at(99.0), times.max());
     let bad: u64 = ["cut", "crossed", "unknown", "nowhere", "failed"]
         .iter()
         .filter_map(|what| counts.get(what))
         .sum();
     if bad > 0 || !counts.contains_key("done") {
-        return Err(format!(
-            "{bad} requests were cut, crossed, lost or left unknown"
-        ));
+        return Err(format!("{bad} requests were cut, crossed, lost or left unknown"));
     }
     Ok(())
 }
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -32,35 +32,19 @@
 }
 
 fn command() -> Command {
-    let address = || {
-        Arg::new("address")
-            .long("address")
-            .value_name("IP:PORT,...")
-            .required(true)
-    };
+    let address = || Arg::new("address").long("address").value_name("IP:PORT,...").required(true);
     let number = |name: &'static str, default: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_parser(value_parser!(u64))
-            .default_value(default)
+        Arg::new(name).long(name).value_parser(value_parser!(u64)).default_value(default)
     };
     Command::new("stoatwell-bench")
         .about("Measurements and experiments")
         .subcommand_required(true)
-        .subcommand(
-            Command::new("workloads")
-                .about("Submit one of each workload")
-                .arg(address()),
-        )
+        .subcommand(Command::new("workloads").about("Submit one of each workload").arg(address()))
         .subcommand(
             Command::new("load")
                 .about("Send requests through a balancer and count what became of them")
                 .arg(address())
-                .arg(
-                    Arg::new("entry")
-                        .long("entry")
-                        .default_value("booking-confirmation"),
-                )
+                .arg(Arg::new("entry").long("entry").default_value("booking-confirmation"))
                 .arg(number("requests", "600"))
                 .arg(number("concurrency", "16"))
                 .arg(number("work-ms", "20")),
--- a/crates/bench/src/workloads.rs
+++ b/crates/bench/src/workloads.rs
@@ -20,44 +20,17 @@
     let task = |run_ms: u64, answer: &str| json!({ "run_ms": run_ms, "answer": answer });
     let request = |work_ms: u64| json!({ "work_ms": work_ms, "hearing": "GJ-2026-1187" });
     vec![
-        Workload {
-            entry: "sign-interpretation-packet",
-            tasks: 4,
-            body: task(800, "packet part"),
-        },
-        Workload {
-            entry: "cause-list-bundle",
-            tasks: 12,
-            body: task(200, "bundle part"),
-        },
-        Workload {
-            entry: "booking-confirmation",
-            tasks: 1,
-            body: request(30),
-        },
-        Workload {
-            entry: "menu-costing",
-            tasks: 20,
-            body: task(300, "costed"),
-        },
-        Workload {
-            entry: "driver-route-batch",
-            tasks: 1,
-            body: task(250, "routes"),
-        },
-        Workload {
-            entry: "headcount-confirmation",
-            tasks: 1,
-            body: request(15),
-        },
+        Workload { entry: "sign-interpretation-packet", tasks: 4, body: task(800, "packet part") },
+        Workload { entry: "cause-list-bundle", tasks: 12, body: task(200, "bundle part") },
+        Workload { entry: "booking-confirmation", tasks: 1, body: request(30) },
+        Workload { entry: "menu-costing", tasks: 20, body: task(300, "costed") },
+        Workload { entry: "driver-route-batch", tasks: 1, body: task(250, "routes") },
+        Workload { entry: "headcount-confirmation", tasks: 1, body: request(15) },
     ]
 }
 
 pub(crate) async fn run(matches: &ArgMatches) -> Result<(), String> {
-    let addresses = matches
-        .get_one::<String>("address")
-        .cloned()
-        .unwrap_or_default();
+    let addresses = matches.get_one::<String>("address").cloned().unwrap_or_default();
     let balancer = Balancer::new(&addresses)?;
     println!(
         "{:<28} {:<8} {:<10} {:>9}  {:<34} OUTCOME",
@@ -97,12 +70,8 @@
 }
 
 fn print_row(entry: &str, view: &Value) {
-    let workers: Vec<&str> = view["workers"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .filter_map(Value::as_str)
-        .collect();
+    let workers: Vec<&str> =
+        view["workers"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
     let outcome = match &view["outcome"] {
         Value::Null => view.to_string(),
         outcome => outcome.to_string(),
--- a/crates/catalogue/src/document.rs
+++ b/crates/catalogue/src/document.rs
@@ -25,31 +25,17 @@
 const DEADLINE_MS_MAX: u64 = 30 * 24 * 60 * 60 * 1_000;
 
 const fn required(path: &'static str, kind: Kind, doc: &'static str) -> Field {
-    Field {
-        path,
-        kind,
-        default: None,
-        doc,
-    }
+    Field { path, kind, default: None, doc }
 }
 
 const fn field(path: &'static str, kind: Kind, default: &'static str, doc: &'static str) -> Field {
-    Field {
-        path,
-        kind,
-        default: Some(default),
-        doc,
-    }
+    Field { path, kind, default: Some(default), doc }
 }
 
 /// The fields of a work entry.
 pub const WORK_FIELDS: &[Field] = &[
     required("kind", Kind::Choice(&["work"]), "what the entry describes"),
-    required(
-        "name",
-        Kind::Name,
-        "the entry's name, which submissions give",
-    ),
+    required("name", Kind::Name, "the entry's name, which submissions give"),
     required("owner", Kind::Name, "whose work it is"),
     required(
         "class",
@@ -85,24 +71,14 @@
         "0",
         "accelerators that one task needs",
     ),
-    field(
-        "limits.tasks_per_job",
-        Kind::Number(1, 100_000),
-        "1000",
-        "tasks of one job",
-    ),
+    field("limits.tasks_per_job", Kind::Number(1, 100_000), "1000", "tasks of one job"),
     field(
         "limits.queued_jobs",
         Kind::Number(1, 10_000_000),
         "10000",
         "jobs that wait at one daemon",
     ),
-    field(
-        "limits.running_tasks",
-        Kind::Number(1, 1_000_000),
-        "50000",
-        "tasks that run at once",
-    ),
+    field("limits.running_tasks", Kind::Number(1, 1_000_000), "50000", "tasks that run at once"),
     field(
         "limits.deadline_ms",
         Kind::Number(0, DEADLINE_MS_MAX),
@@ -121,12 +97,7 @@
         "262144",
         "bytes of a submission's body",
     ),
-    field(
-        "minions",
-        Kind::Name,
-        "null",
-        "group of minions that answer; requests only",
-    ),
+    field("minions", Kind::Name, "null", "group of minions that answer; requests only"),
     field(
         "traffic_permille",
         Kind::Number(0, 1_000),
@@ -155,24 +126,9 @@
         "0",
         "accelerators for all its running work",
     ),
-    field(
-        "token_sha256",
-        Kind::Hash,
-        "null",
-        "SHA-256 of the bearer token of its callers",
-    ),
-    field(
-        "weights.waiting",
-        Kind::Number(0, 100),
-        "1",
-        "what starting soon is worth to it",
-    ),
-    field(
-        "weights.packing",
-        Kind::Number(0, 100),
-        "1",
-        "what full instances are worth to it",
-    ),
+    field("token_sha256", Kind::Hash, "null", "SHA-256 of the bearer token of its callers"),
+    field("weights.waiting", Kind::Number(0, 100), "1", "what starting soon is worth to it"),
+    field("weights.packing", Kind::Number(0, 100), "1", "what full instances are worth to it"),
     field(
         "weights.control",
         Kind::Number(0, 100),
@@ -226,11 +182,7 @@
     }
     let work: WorkEntry = serde_json::from_value(checked).map_err(unreadable)?;
     let problems = disagreements(&work);
-    if problems.is_empty() {
-        Ok(Item::Work(work))
-    } else {
-        Err(problems)
-    }
+    if problems.is_empty() { Ok(Item::Work(work)) } else { Err(problems) }
 }
 
 fn unreadable(error: serde_json::Error) -> Vec<Problem> {
@@ -263,20 +215,10 @@
         );
     }
     if !is_request && work.minions.is_some() {
-        tell(
-            "$.minions",
-            "(given)".to_owned(),
-            "null",
-            "only requests go to minions",
-        );
+        tell("$.minions", "(given)".to_owned(), "null", "only requests go to minions");
     }
     if !is_request && work.task.cpu_millis == 0 {
-        tell(
-            "$.task.cpu_millis",
-            "0".to_owned(),
-            "1 or more",
-            "every task needs some processor",
-        );
+        tell("$.task.cpu_millis", "0".to_owned(), "1 or more", "every task needs some processor");
     }
     if is_request && work.execution == Execution::Exclusive {
         tell(
--- a/crates/catalogue/src/edit.rs
+++ b/crates/catalogue/src/edit.rs
@@ -84,14 +84,7 @@
     /// Starts a change; the call is its first.
     pub fn start(request: EditRequest) -> (Self, StoreCall) {
         let call = read(&request.key);
-        (
-            Self {
-                request,
-                tries: 0,
-                phase: Phase::Reading,
-            },
-            call,
-        )
+        (Self { request, tries: 0, phase: Phase::Reading }, call)
     }
 
     /// Takes the answer to the last call.
@@ -107,9 +100,7 @@
                 Err(CallError::NoAnswer(_)),
             ) => self.confirm(change),
             (Phase::Confirming(change), Ok(StoreReply::Rows { rows })) => {
-                let written = rows
-                    .first()
-                    .and_then(|row| serde_json::from_str(&row.value).ok());
+                let written = rows.first().and_then(|row| serde_json::from_str(&row.value).ok());
                 match written {
                     Some(found) if change == found => EditStep::Done(Ok(change)),
                     _ => self.again(),
@@ -129,20 +120,14 @@
 
     fn decide(&mut self, rows: &[Row]) -> EditStep {
         let [head, item] = rows else {
-            return EditStep::Done(Err(Failure::with_detail(
-                Code::Internal,
-                "two rows expected",
-            )));
+            return EditStep::Done(Err(Failure::with_detail(Code::Internal, "two rows expected")));
         };
         let current: Option<Versioned> = serde_json::from_str(&item.value).ok();
         let found = current.as_ref().map_or(0, |versioned| versioned.revision);
         if let Some(expected) = self.request.expected
             && expected != found
         {
-            let detail = format!(
-                "{} is at revision {found}, not {expected}",
-                self.request.key
-            );
+            let detail = format!("{} is at revision {found}, not {expected}", self.request.key);
             return EditStep::Done(Err(Failure::with_detail(Code::RevisionConflict, detail)));
         }
         let item = match self.next_item(current.as_ref()) {
@@ -201,44 +186,27 @@
         if self.tries >= TRIES_MAX {
             return EditStep::Done(Err(Failure::new(Code::AcceptanceUnknown)));
         }
-        let call = StoreCall::Read {
-            keys: vec![rows::change(change.revision)],
-        };
+        let call = StoreCall::Read { keys: vec![rows::change(change.revision)] };
         self.phase = Phase::Confirming(change);
         EditStep::Call(call)
     }
 }
 
 fn read(key: &str) -> StoreCall {
-    StoreCall::Read {
-        keys: vec![rows::HEAD.to_owned(), rows::item(key)],
-    }
+    StoreCall::Read { keys: vec![rows::HEAD.to_owned(), rows::item(key)] }
 }
 
 fn transaction(change: &Change, head_version: u64) -> Transaction {
-    let head = rows::Head {
-        revision: change.revision,
-    };
+    let head = rows::Head { revision: change.revision };
     let mut transaction = Transaction {
-        checks: vec![Check {
-            key: rows::HEAD.to_owned(),
-            version: head_version,
-        }],
-        puts: vec![
-            put(rows::HEAD.to_owned(), &head),
-            put(rows::change(change.revision), change),
-        ],
+        checks: vec![Check { key: rows::HEAD.to_owned(), version: head_version }],
+        puts: vec![put(rows::HEAD.to_owned(), &head), put(rows::change(change.revision), change)],
         deletes: Vec::new(),
     };
     match &change.item {
         Some(item) => {
-            let versioned = Versioned {
-                revision: change.revision,
-                item: item.clone(),
-            };
-            transaction
-                .puts
-                .push(put(rows::item(&change.key), &versioned));
+            let versioned = Versioned { revision: change.revision, item: item.clone() };
+            transaction.puts.push(put(rows::item(&change.key), &versioned));
         }
         None => transaction.deletes.push(rows::item(&change.key)),
     }
@@ -246,10 +214,7 @@
 }
 
 fn put(key: String, value: &impl serde::Serialize) -> Put {
-    Put {
-        key,
-        value: serde_json::to_string(value).unwrap_or_default(),
-    }
+    Put { key, value: serde_json::to_string(value).unwrap_or_default() }
 }
 
 fn unavailable(error: CallError) -> Failure {
--- a/crates/catalogue/src/follow.rs
+++ b/crates/catalogue/src/follow.rs
@@ -39,13 +39,7 @@
 impl Follow {
     /// Starts with the first poll due at once.
     pub fn new(poll_ms: u64) -> Self {
-        Self {
-            poll_ms,
-            next_ms: 0,
-            phase: Phase::Idle,
-            confirmed_ms: 0,
-            head: 0,
-        }
+        Self { poll_ms, next_ms: 0, phase: Phase::Idle, confirmed_ms: 0, head: 0 }
     }
 
     /// When the catalogue in force was last seen to be the newest; 0 is never.
@@ -65,9 +59,7 @@
         }
         self.next_ms = now_ms + self.poll_ms;
         self.phase = Phase::Head;
-        Some(StoreCall::Read {
-            keys: vec![rows::HEAD.to_owned()],
-        })
+        Some(StoreCall::Read { keys: vec![rows::HEAD.to_owned()] })
     }
 
     /// Takes the rows of the last call; `None` where it failed. Gives the next call.
@@ -107,10 +99,7 @@
             return None;
         }
         if have == 0 || self.head - have > BEHIND_MAX {
-            self.phase = Phase::Items(Snapshot {
-                revision: self.head,
-                ..Snapshot::default()
-            });
+            self.phase = Phase::Items(Snapshot { revision: self.head, ..Snapshot::default() });
             return Some(scan(rows::ITEMS, String::new()));
         }
         self.phase = Phase::Changes;
@@ -150,9 +139,5 @@
 }
 
 fn scan(prefix: &str, after: String) -> StoreCall {
-    StoreCall::Scan {
-        prefix: prefix.to_owned(),
-        after,
-        limit: SCAN_ROWS,
-    }
+    StoreCall::Scan { prefix: prefix.to_owned(), after, limit: SCAN_ROWS }
 }
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -108,10 +108,7 @@
         self.revision = change.revision;
         match &change.item {
             Some(item) => {
-                let versioned = Versioned {
-                    revision: change.revision,
-                    item: item.clone(),
-                };
+                let versioned = Versioned { revision: change.revision, item: item.clone() };
                 self.items.insert(change.key.clone(), versioned);
             }
             None => {
@@ -157,10 +154,7 @@
         if revision >= self.revision {
             return News::Changes(Vec::new());
         }
-        let kept = self
-            .log
-            .front()
-            .is_some_and(|oldest| oldest.revision <= revision + 1);
+        let kept = self.log.front().is_some_and(|oldest| oldest.revision <= revision + 1);
         if !kept {
             return News::Snapshot(self.snapshot());
         }
@@ -170,10 +164,7 @@
 
     /// The whole catalogue.
     pub fn snapshot(&self) -> Snapshot {
-        Snapshot {
-            revision: self.revision,
-            items: self.items.clone(),
-        }
+        Snapshot { revision: self.revision, items: self.items.clone() }
     }
 
     /// The latest changes of one item, oldest first.
@@ -217,22 +208,18 @@
 
     /// All customers.
     pub fn owners(&self) -> impl Iterator<Item = &OwnerEntry> {
-        self.items
-            .values()
-            .filter_map(|versioned| match &versioned.item {
-                Item::Owner(owner) => Some(owner),
-                Item::Work(_) | Item::Target(_) => None,
-            })
+        self.items.values().filter_map(|versioned| match &versioned.item {
+            Item::Owner(owner) => Some(owner),
+            Item::Work(_) | Item::Target(_) => None,
+        })
     }
 
     /// All targets.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
-        self.items
-            .values()
-            .filter_map(|versioned| match &versioned.item {
-                Item::Target(target) => Some(target),
-                Item::Work(_) | Item::Owner(_) => None,
-            })
+        self.items.values().filter_map(|versioned| match &versioned.item {
+            Item::Target(target) => Some(target),
+            Item::Work(_) | Item::Owner(_) => None,
+        })
     }
 }
 
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -56,12 +56,7 @@
 }
 
 fn entry() -> Command {
-    let name = || {
-        Arg::new("name")
-            .required(true)
-            .value_name("NAME")
-            .help("Name of the entry")
-    };
+    let name = || Arg::new("name").required(true).value_name("NAME").help("Name of the entry");
     let kind = || {
         Arg::new("kind")
             .long("kind")
@@ -77,12 +72,7 @@
         .about("Read and change the catalogue")
         .subcommand_required(true)
         .subcommand(Command::new("list").about("List all entries"))
-        .subcommand(
-            Command::new("get")
-                .about("Show one entry")
-                .arg(name())
-                .arg(kind()),
-        )
+        .subcommand(Command::new("get").about("Show one entry").arg(name()).arg(kind()))
         .subcommand(
             Command::new("apply")
                 .about("Write the entries of a document")
@@ -105,13 +95,8 @@
 }
 
 fn target() -> Command {
-    let workers = || {
-        Arg::new("worker")
-            .required(true)
-            .num_args(1..)
-            .value_name("WORKER")
-            .help("Workers")
-    };
+    let workers =
+        || Arg::new("worker").required(true).num_args(1..).value_name("WORKER").help("Workers");
     let owner = Arg::new("owner")
         .long("owner")
         .required(true)
@@ -135,28 +120,18 @@
                 .arg(revision()),
         )
         .subcommand(
-            Command::new("retire")
-                .about("Drain targets for good")
-                .arg(workers())
-                .arg(revision()),
+            Command::new("retire").about("Drain targets for good").arg(workers()).arg(revision()),
         )
 }
 
 fn job() -> Command {
     let number = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .value_name("N")
-            .value_parser(value_parser!(u64))
-            .help(help)
+        Arg::new(name).long(name).value_name("N").value_parser(value_parser!(u64)).help(help)
     };
     let submit = Command::new("submit")
         .about("Submit work")
         .arg(
-            Arg::new("entry")
-                .required(true)
-                .value_name("ENTRY")
-                .help("The catalogue entry to run"),
+            Arg::new("entry").required(true).value_name("ENTRY").help("The catalogue entry to run"),
         )
         .arg(
             Arg::new("key")
@@ -164,12 +139,7 @@
                 .value_name("KEY")
                 .help("Idempotency key; a random one where absent"),
         )
-        .arg(
-            Arg::new("body")
-                .long("body")
-                .value_name("TEXT")
-                .help("What to run or ask"),
-        )
+        .arg(Arg::new("body").long("body").value_name("TEXT").help("What to run or ask"))
         .arg(
             Arg::new("body-file")
                 .long("body-file")
@@ -178,35 +148,17 @@
                 .help("File with the body"),
         )
         .arg(number("tasks", "How many tasks"))
-        .arg(number(
-            "deadline-ms",
-            "Milliseconds until the answer is of no use",
-        ))
-        .arg(number(
-            "cpu-millis",
-            "Thousandths of a core that one task needs",
-        ))
-        .arg(number(
-            "memory-bytes",
-            "Bytes of memory that one task needs",
-        ))
+        .arg(number("deadline-ms", "Milliseconds until the answer is of no use"))
+        .arg(number("cpu-millis", "Thousandths of a core that one task needs"))
+        .arg(number("memory-bytes", "Bytes of memory that one task needs"))
         .arg(number("accelerators", "Accelerators that one task needs"))
-        .arg(
-            Arg::new("wait")
-                .long("wait")
-                .num_args(0)
-                .help("Wait for the outcome"),
-        )
+        .arg(Arg::new("wait").long("wait").num_args(0).help("Wait for the outcome"))
         .arg(number("timeout-ms", "Longest wait in milliseconds").default_value("60000"));
     Command::new("job")
         .about("Submit work and follow it")
         .subcommand_required(true)
         .subcommand(submit)
-        .subcommand(
-            Command::new("status")
-                .about("Show how a job is")
-                .arg(job_id()),
-        )
+        .subcommand(Command::new("status").about("Show how a job is").arg(job_id()))
         .subcommand(
             Command::new("wait")
                 .about("Wait for a job's outcome")
@@ -228,30 +180,18 @@
 }
 
 fn dump() -> Command {
-    let all = Arg::new("all")
-        .long("all")
-        .num_args(0)
-        .help("Every daemon given by --address");
-    Command::new("dump")
-        .about("Show the state of daemons")
-        .arg(all)
+    let all = Arg::new("all").long("all").num_args(0).help("Every daemon given by --address");
+    Command::new("dump").about("Show the state of daemons").arg(all)
 }
 
 fn completions() -> Command {
-    let shell = Arg::new("shell")
-        .required(true)
-        .value_parser(value_parser!(Shell))
-        .help("The shell");
-    Command::new("completions")
-        .about("Print completions for a shell")
-        .arg(shell)
+    let shell =
+        Arg::new("shell").required(true).value_parser(value_parser!(Shell)).help("The shell");
+    Command::new("completions").about("Print completions for a shell").arg(shell)
 }
 
 fn job_id() -> Arg {
-    Arg::new("job")
-        .required(true)
-        .value_name("JOB")
-        .help("The job's id")
+    Arg::new("job").required(true).value_name("JOB").help("The job's id")
 }
 
 fn revision() -> Arg {
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -39,13 +39,7 @@
     }
 
     pub(crate) fn new(method: Method, path: impl Into<String>) -> Self {
-        Self {
-            method,
-            path: path.into(),
-            headers: Vec::new(),
-            body: None,
-            wait_ms: 0,
-        }
+        Self { method, path: path.into(), headers: Vec::new(), body: None, wait_ms: 0 }
     }
 }
 
@@ -64,10 +58,7 @@
             .map_err(|error| CliError::Local(error.to_string()))?;
         Ok(Self {
             http,
-            addresses: addresses
-                .split(',')
-                .map(|address| address.trim().to_owned())
-                .collect(),
+            addresses: addresses.split(',').map(|address| address.trim().to_owned()).collect(),
             token: given("token", "STOATWELL_TOKEN"),
         })
     }
@@ -110,9 +101,7 @@
             request = request.header(*name, value);
         }
         if let Some(body) = &call.body {
-            request = request
-                .header("content-type", "application/json")
-                .body(body.clone());
+            request = request.header("content-type", "application/json").body(body.clone());
         }
         request
     }
@@ -121,10 +110,7 @@
 /// A job's view is an answer whatever its status; other errors are refusals.
 async fn read(response: reqwest::Response) -> Result<Value, CliError> {
     let status = response.status();
-    let text = response
-        .text()
-        .await
-        .map_err(|error| CliError::Unreachable(error.to_string()))?;
+    let text = response.text().await.map_err(|error| CliError::Unreachable(error.to_string()))?;
     let value: Value = serde_json::from_str(&text).unwrap_or(Value::String(text));
     let is_job = value.get("job").is_some() && value.get("state").is_some();
     if status.is_success() || is_job {
--- a/crates/cli/src/dump.rs
+++ b/crates/cli/src/dump.rs
@@ -39,10 +39,7 @@
             shown.push(String::new());
         }
         for line in all["missing"].as_array().into_iter().flatten() {
-            shown.push(format!(
-                "not reached: {}",
-                line.as_str().unwrap_or_default()
-            ));
+            shown.push(format!("not reached: {}", line.as_str().unwrap_or_default()));
         }
         shown
     });
@@ -60,19 +57,11 @@
         text(dump, "catalogue.age_ms"),
     )];
     let workers = items(dump, "workers");
-    let held = workers
-        .iter()
-        .filter(|worker| !worker["lease_left_ms"].is_null());
-    lines.push(format!(
-        "  workers: {} held of {} in the zone",
-        held.count(),
-        workers.len()
-    ));
+    let held = workers.iter().filter(|worker| !worker["lease_left_ms"].is_null());
+    lines.push(format!("  workers: {} held of {} in the zone", held.count(), workers.len()));
     for queue in items(dump, "queues") {
-        let reasons: Vec<String> = items(&queue, "reasons")
-            .iter()
-            .map(ToString::to_string)
-            .collect();
+        let reasons: Vec<String> =
+            items(&queue, "reasons").iter().map(ToString::to_string).collect();
         lines.push(format!(
             "  queue {}: {} jobs, the first waits {} ms: {}",
             text(&queue, "entry"),
@@ -84,10 +73,7 @@
     lines.push(format!("  jobs: {}", dump["jobs"]["by_state"]));
     for group in items(dump, "minions") {
         let (free, slots) = (text(&group, "free_slots"), text(&group, "slots"));
-        lines.push(format!(
-            "  minions {}: {free} of {slots} slots free",
-            text(&group, "group")
-        ));
+        lines.push(format!("  minions {}: {free} of {slots} slots free", text(&group, "group")));
     }
     for peer in items(dump, "peers") {
         let heard = text(&peer, "heard_ms_ago");
--- a/crates/cli/src/entry.rs
+++ b/crates/cli/src/entry.rs
@@ -34,15 +34,7 @@
     let listed = client.call(&Call::get("/v1/entries")).await?;
     output.show(
         &listed,
-        &[
-            "KIND",
-            "NAME",
-            "OWNER",
-            "CLASS",
-            "EXECUTION",
-            "URGENCY",
-            "REVISION",
-        ],
+        &["KIND", "NAME", "OWNER", "CLASS", "EXECUTION", "URGENCY", "REVISION"],
         |listed| {
             let entries = listed["entries"].as_array().cloned().unwrap_or_default();
             entries.iter().map(row).collect()
@@ -84,9 +76,7 @@
 }
 
 async fn apply(client: &Client, output: Output, matches: &ArgMatches) -> Result<(), CliError> {
-    let file = matches
-        .get_one::<String>("file")
-        .map_or("-", String::as_str);
+    let file = matches.get_one::<String>("file").map_or("-", String::as_str);
     let document = read(file)?;
     let document: Value = serde_json::from_str(&document)
         .map_err(|error| CliError::Local(format!("{file}: {error}")))?;
@@ -106,10 +96,7 @@
         call.headers = condition(matches);
         let change = client.call(&call).await?;
         output.lines(&change, |change| {
-            vec![format!(
-                "{kind} {name} accepted at revision {}",
-                text(change, "revision")
-            )]
+            vec![format!("{kind} {name} accepted at revision {}", text(change, "revision"))]
         });
     }
     Ok(())
@@ -119,37 +106,26 @@
     let mut call = Call::new(Method::DELETE, path(matches));
     call.headers = condition(matches);
     let change = client.call(&call).await?;
-    output.lines(&change, |change| {
-        vec![format!("removed at revision {}", text(change, "revision"))]
-    });
+    output
+        .lines(&change, |change| vec![format!("removed at revision {}", text(change, "revision"))]);
     Ok(())
 }
 
 async fn history(client: &Client, output: Output, matches: &ArgMatches) -> Result<(), CliError> {
-    let changes = client
-        .call(&Call::get(format!("{}/history", path(matches))))
-        .await?;
-    output.show(
-        &changes,
-        &["REVISION", "BY", "AT_MS", "CHANGE"],
-        |changes| {
-            let mut rows = Vec::new();
-            for change in changes.as_array().into_iter().flatten() {
-                let what = if change["item"].is_null() {
-                    "removed"
-                } else {
-                    "written"
-                };
-                rows.push(vec![
-                    text(change, "revision"),
-                    text(change, "by"),
-                    text(change, "at_ms"),
-                    what.to_owned(),
-                ]);
-            }
-            rows
-        },
-    );
+    let changes = client.call(&Call::get(format!("{}/history", path(matches)))).await?;
+    output.show(&changes, &["REVISION", "BY", "AT_MS", "CHANGE"], |changes| {
+        let mut rows = Vec::new();
+        for change in changes.as_array().into_iter().flatten() {
+            let what = if change["item"].is_null() { "removed" } else { "written" };
+            rows.push(vec![
+                text(change, "revision"),
+                text(change, "by"),
+                text(change, "at_ms"),
+                what.to_owned(),
+            ]);
+        }
+        rows
+    });
     Ok(())
 }
 
@@ -163,9 +139,7 @@
 }
 
 fn path(matches: &ArgMatches) -> String {
-    let kind = matches
-        .get_one::<String>("kind")
-        .map_or("work", String::as_str);
+    let kind = matches.get_one::<String>("kind").map_or("work", String::as_str);
     let name = matches.get_one::<String>("name").map_or("", String::as_str);
     format!("/v1/entries/{kind}/{name}")
 }
@@ -177,8 +151,6 @@
             .map_err(|error| CliError::Local(format!("{file}: {error}")));
     }
     let mut text = String::new();
-    io::stdin()
-        .read_to_string(&mut text)
-        .map_err(|error| CliError::Local(error.to_string()))?;
+    io::stdin().read_to_string(&mut text).map_err(|error| CliError::Local(error.to_string()))?;
     Ok(text)
 }
--- a/crates/cli/src/job.rs
+++ b/crates/cli/src/job.rs
@@ -37,16 +37,13 @@
             finish(output, &view, true)
         }
         Some(("cancel", sub)) => {
-            let view = client
-                .call(&Call::new(Method::DELETE, format!("/v1/jobs/{}", id(sub))))
-                .await?;
+            let view =
+                client.call(&Call::new(Method::DELETE, format!("/v1/jobs/{}", id(sub)))).await?;
             show(output, &view);
             Ok(ExitCode::SUCCESS)
         }
         Some(("status", sub)) => {
-            let view = client
-                .call(&Call::get(format!("/v1/jobs/{}", id(sub))))
-                .await?;
+            let view = client.call(&Call::get(format!("/v1/jobs/{}", id(sub)))).await?;
             finish(output, &view, false)
         }
         Some(("list", sub)) => list(client, output, sub).await,
@@ -60,9 +57,7 @@
     output: Output,
     matches: &ArgMatches,
 ) -> Result<ExitCode, CliError> {
-    let view = client
-        .call(&Call::get(format!("/v1/jobs/{}", id(matches))))
-        .await?;
+    let view = client.call(&Call::get(format!("/v1/jobs/{}", id(matches)))).await?;
     output.lines(&view, |view| {
         let mut lines = vec![format!(
             "job {} of entry {} is {} at daemon {} in zone {}",
@@ -111,10 +106,7 @@
     let number = |name: &str| matches.get_one::<u64>(name).copied();
     let body = match matches.get_one::<String>("body-file") {
         Some(file) => read(file)?,
-        None => matches
-            .get_one::<String>("body")
-            .cloned()
-            .unwrap_or_default(),
+        None => matches.get_one::<String>("body").cloned().unwrap_or_default(),
     };
     let mut submission = json!({ "entry": matches.get_one::<String>("entry"), "body": body });
     if let Some(tasks) = number("tasks") {
@@ -155,10 +147,7 @@
         }
         if let Some(progress) = &progress {
             let (done, tasks) = (text(&view, "done"), text(&view, "tasks"));
-            progress.set_message(format!(
-                "{} {done} of {tasks} tasks done",
-                text(&view, "state")
-            ));
+            progress.set_message(format!("{} {done} of {tasks} tasks done", text(&view, "state")));
         }
     }
 }
@@ -172,34 +161,17 @@
     }
     let listed = client.call(&Call::get(path)).await?;
     output.show(&listed, HEADER, |listed| {
-        listed["jobs"]
-            .as_array()
-            .into_iter()
-            .flatten()
-            .map(row)
-            .collect()
+        listed["jobs"].as_array().into_iter().flatten().map(row).collect()
     });
     Ok(ExitCode::SUCCESS)
 }
 
-const HEADER: &[&str] = &[
-    "JOB",
-    "ENTRY",
-    "STATE",
-    "DONE",
-    "WORKERS",
-    "ZONE",
-    "WAITED_MS",
-    "OUTCOME",
-];
+const HEADER: &[&str] =
+    &["JOB", "ENTRY", "STATE", "DONE", "WORKERS", "ZONE", "WAITED_MS", "OUTCOME"];
 
 fn row(view: &Value) -> Vec<String> {
-    let workers: Vec<&str> = view["workers"]
-        .as_array()
-        .into_iter()
-        .flatten()
-        .filter_map(Value::as_str)
-        .collect();
+    let workers: Vec<&str> =
+        view["workers"].as_array().into_iter().flatten().filter_map(Value::as_str).collect();
     let (code, detail) = outcome(view);
     vec![
         text(view, "job"),
@@ -234,11 +206,7 @@
         return (String::new(), String::new());
     };
     let answer = text(outcome, "answer");
-    let detail = if answer.is_empty() {
-        text(outcome, "detail")
-    } else {
-        answer
-    };
+    let detail = if answer.is_empty() { text(outcome, "detail") } else { answer };
     let mut shown: String = detail.chars().take(SHOWN_CHARS).collect();
     if shown.len() < detail.len() {
         shown.push('…');
@@ -251,15 +219,9 @@
 }
 
 fn id(matches: &ArgMatches) -> String {
-    matches
-        .get_one::<String>("job")
-        .cloned()
-        .unwrap_or_default()
+    matches.get_one::<String>("job").cloned().unwrap_or_default()
 }
 
 fn limit_ms(matches: &ArgMatches) -> u64 {
-    matches
-        .get_one::<u64>("timeout-ms")
-        .copied()
-        .unwrap_or(60_000)
+    matches.get_one::<u64>("timeout-ms").copied().unwrap_or(60_000)
 }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -19,11 +19,7 @@
 
 impl Output {
     pub(crate) fn new(matches: &ArgMatches) -> Self {
-        Self {
-            json: matches
-                .get_one::<String>("output")
-                .is_some_and(|format| format == "json"),
-        }
+        Self { json: matches.get_one::<String>("output").is_some_and(|format| format == "json") }
     }
 
     /// Writes a value as it came, or as the table that `rows` makes of it.
--- a/crates/cli/src/target.rs
+++ b/crates/cli/src/target.rs
@@ -29,14 +29,7 @@
     let listed = client.call(&Call::get("/v1/targets")).await?;
     output.show(
         &listed,
-        &[
-            "WORKER",
-            "OWNER",
-            "STATE",
-            "NEXT OWNER",
-            "EPOCH",
-            "REVISION",
-        ],
+        &["WORKER", "OWNER", "STATE", "NEXT OWNER", "EPOCH", "REVISION"],
         |listed| {
             let mut rows = Vec::new();
             for target in listed["targets"].as_array().into_iter().flatten() {
@@ -70,10 +63,7 @@
         let change = client.call(&call).await?;
         output.lines(&change, |change| {
             let state = text(change, "item.target.state");
-            vec![format!(
-                "{worker} is {state} from revision {} on",
-                text(change, "revision")
-            )]
+            vec![format!("{worker} is {state} from revision {} on", text(change, "revision"))]
         });
     }
     Ok(())
--- a/crates/daemon/src/api/auth.rs
+++ b/crates/daemon/src/api/auth.rs
@@ -20,9 +20,7 @@
     if shared.settings.security.open_access {
         return Ok(Caller::Operator);
     }
-    let token = headers
-        .get(header::AUTHORIZATION)
-        .and_then(|value| value.to_str().ok());
+    let token = headers.get(header::AUTHORIZATION).and_then(|value| value.to_str().ok());
     let token = token.and_then(|value| value.strip_prefix("Bearer "));
     let token = token.ok_or_else(|| Failure::new(Code::Unauthenticated))?;
     let hash = hex(&Sha256::digest(token.as_bytes()));
@@ -32,11 +30,7 @@
         }
     }
     for owner in shared.catalogue().owners() {
-        if owner
-            .token_sha256
-            .as_ref()
-            .is_some_and(|known| equal(known, &hash))
-        {
+        if owner.token_sha256.as_ref().is_some_and(|known| equal(known, &hash)) {
             return Ok(Caller::Owner(owner.owner.clone()));
         }
     }
@@ -64,11 +58,7 @@
 
 /// The time it takes does not tell how much of a guess was right.
 fn equal(known: &str, hash: &str) -> bool {
-    known
-        .to_ascii_lowercase()
-        .as_bytes()
-        .ct_eq(hash.as_bytes())
-        .into()
+    known.to_ascii_lowercase().as_bytes().ct_eq(hash.as_bytes()).into()
 }
 
 fn hex(bytes: &[u8]) -> String {
--- a/crates/daemon/src/api/entries.rs
+++ b/crates/daemon/src/api/entries.rs
@@ -53,11 +53,7 @@
             entries.push(versioned.clone());
         }
     }
-    Ok(Json(Listed {
-        revision: catalogue.revision(),
-        entries,
-    })
-    .into_response())
+    Ok(Json(Listed { revision: catalogue.revision(), entries }).into_response())
 }
 
 pub(crate) async fn get<P: Platform>(
@@ -68,9 +64,8 @@
     let caller = auth::caller(&shared, &headers)?;
     let key = key(&kind, &name)?;
     let catalogue = shared.catalogue();
-    let versioned = catalogue
-        .get(&key)
-        .ok_or_else(|| Failure::with_detail(Code::NoSuchEntry, &key))?;
+    let versioned =
+        catalogue.get(&key).ok_or_else(|| Failure::with_detail(Code::NoSuchEntry, &key))?;
     let owner = match &versioned.item {
         Item::Work(work) => work.owner.as_str(),
         Item::Owner(owner) => owner.owner.as_str(),
@@ -97,7 +92,7 @@
     let mut items = document::parse(text)?;
     let (Some(item), true) = (items.pop(), items.is_empty()) else {
         return Err(
-            Failure::with_detail(Code::InvalidDocument, "one entry is expected here").into(),
+            Failure::with_detail(Code::InvalidDocument, "one entry is expected here").into()
         );
     };
     if key_of(&item) != key {
@@ -140,13 +135,7 @@
     expected: Option<u64>,
 ) -> Result<Response, Refusal> {
     let by = auth::name(caller);
-    let event = move |ticket| Event::Edit {
-        ticket,
-        key,
-        edit,
-        expected,
-        by,
-    };
+    let event = move |ticket| Event::Edit { ticket, key, edit, expected, by };
     match ask(&shared.core, event).await {
         Some(Answer::Edited(Ok(change))) => {
             tracing::info!(revision = change.revision, item = %change.key, by = %change.by, "catalogue changed");
@@ -171,17 +160,12 @@
         return Ok(None);
     }
     let revision = tag.trim_matches('"').parse();
-    revision
-        .map(Some)
-        .map_err(|error| Failure::with_detail(Code::BadParameter, error))
+    revision.map(Some).map_err(|error| Failure::with_detail(Code::BadParameter, error))
 }
 
 fn key(kind: &str, name: &str) -> Result<String, Failure> {
     if !matches!(kind, "work" | "owner") {
-        return Err(Failure::with_detail(
-            Code::BadParameter,
-            "the kind is work or owner",
-        ));
+        return Err(Failure::with_detail(Code::BadParameter, "the kind is work or owner"));
     }
     Ok(format!("{kind}/{name}"))
 }
--- a/crates/daemon/src/api/jobs.rs
+++ b/crates/daemon/src/api/jobs.rs
@@ -41,12 +41,7 @@
 const DEADLINE_MS_MAX: u64 = 30 * 24 * 60 * 60 * 1_000;
 
 const SUBMISSION_FIELDS: &[Field] = &[
-    Field {
-        path: "entry",
-        kind: Kind::Name,
-        default: None,
-        doc: "the catalogue entry to run",
-    },
+    Field { path: "entry", kind: Kind::Name, default: None, doc: "the catalogue entry to run" },
     Field {
         path: "tasks",
         kind: Kind::Number(1, 100_000),
@@ -124,19 +119,10 @@
     let wait_ms = parameters(query)?.wait_ms;
     let body = body?;
     let submission = parse(&body)?;
-    let key = headers
-        .get(KEY_HEADER)
-        .and_then(|value| value.to_str().ok());
-    let key = key
-        .ok_or_else(|| Failure::new(Code::BadIdempotencyKey))?
-        .to_owned();
-    let answer = ask(&shared.core, move |ticket| Event::Submit {
-        ticket,
-        caller,
-        key,
-        submission,
-        wait_ms,
-    });
+    let key = headers.get(KEY_HEADER).and_then(|value| value.to_str().ok());
+    let key = key.ok_or_else(|| Failure::new(Code::BadIdempotencyKey))?.to_owned();
+    let answer =
+        ask(&shared.core, move |ticket| Event::Submit { ticket, caller, key, submission, wait_ms });
     answer_job(answer.await)
 }
 
@@ -149,12 +135,7 @@
     let caller = auth::caller(&shared, &headers)?;
     let wait_ms = parameters(query)?.wait_ms;
     let job = job_id(&job)?;
-    let answer = ask(&shared.core, move |ticket| Event::Status {
-        ticket,
-        caller,
-        job,
-        wait_ms,
-    });
+    let answer = ask(&shared.core, move |ticket| Event::Status { ticket, caller, job, wait_ms });
     answer_job(answer.await)
 }
 
@@ -165,11 +146,7 @@
 ) -> Result<Response, Refusal> {
     let caller = auth::caller(&shared, &headers)?;
     let job = job_id(&job)?;
-    let answer = ask(&shared.core, move |ticket| Event::Cancel {
-        ticket,
-        caller,
-        job,
-    });
+    let answer = ask(&shared.core, move |ticket| Event::Cancel { ticket, caller, job });
     answer_job(answer.await)
 }
 
@@ -182,16 +159,8 @@
     let caller = auth::caller(&shared, &headers)?;
     let page = parameters(query)?;
     let limit = page.limit.unwrap_or(LIST_ROWS).clamp(1, LIST_ROWS_MAX);
-    let after = if page.after.is_empty() {
-        String::new()
-    } else {
-        format!("job/{}", page.after)
-    };
-    let call = StoreCall::Scan {
-        prefix: "job/".to_owned(),
-        after,
-        limit,
-    };
+    let after = if page.after.is_empty() { String::new() } else { format!("job/{}", page.after) };
+    let call = StoreCall::Scan { prefix: "job/".to_owned(), after, limit };
     let rows = match ask(&shared.core, move |ticket| Event::Store { ticket, call }).await {
         Some(Answer::Store(Ok(StoreReply::Rows { rows }))) => rows,
         Some(Answer::Store(Err(error))) => {
@@ -202,9 +171,7 @@
         _ => return Err(reply::ended()),
     };
     let full = rows.len() as u32 == limit;
-    let last = rows
-        .last()
-        .map(|row| row.key.trim_start_matches("job/").to_owned());
+    let last = rows.last().map(|row| row.key.trim_start_matches("job/").to_owned());
     let mut jobs = Vec::new();
     for row in rows {
         let Ok(record) = serde_json::from_str::<JobRecord>(&row.value) else {
@@ -214,19 +181,12 @@
             Caller::Operator => true,
             Caller::Owner(owner) => *owner == record.owner,
         };
-        let wanted = page
-            .entry
-            .as_ref()
-            .is_none_or(|entry| entry == record.entry.as_str());
+        let wanted = page.entry.as_ref().is_none_or(|entry| entry == record.entry.as_str());
         if visible && wanted {
             jobs.push(JobMachine::new(record, 0, 1).view(Vec::new()));
         }
     }
-    let next = if full {
-        last.unwrap_or_default()
-    } else {
-        String::new()
-    };
+    let next = if full { last.unwrap_or_default() } else { String::new() };
     Ok(Json(Listed { jobs, next }).into_response())
 }
 
@@ -246,16 +206,13 @@
 }
 
 fn job_id(text: &str) -> Result<JobId, Failure> {
-    text.parse()
-        .map_err(|error| Failure::with_detail(Code::BadParameter, error))
+    text.parse().map_err(|error| Failure::with_detail(Code::BadParameter, error))
 }
 
 fn parse(body: &[u8]) -> Result<Submission, Failure> {
     let mut document: Value = serde_json::from_slice(body)
         .map_err(|error| Failure::with_detail(Code::BrokenJson, error))?;
-    let demand = document
-        .as_object_mut()
-        .and_then(|object| object.remove("demand"));
+    let demand = document.as_object_mut().and_then(|object| object.remove("demand"));
     let mut problems = Vec::new();
     let checked = stoatwell_schema::check(SUBMISSION_FIELDS, &document);
     let mut checked = checked.unwrap_or_else(|found| {
--- a/crates/daemon/src/api/mod.rs
+++ b/crates/daemon/src/api/mod.rs
@@ -52,12 +52,7 @@
         settings: Settings,
         metrics: Metrics,
     ) -> Self {
-        Self {
-            core,
-            status,
-            settings: Arc::new(settings),
-            metrics,
-        }
+        Self { core, status, settings: Arc::new(settings), metrics }
     }
 
     fn catalogue(&self) -> Arc<Catalogue> {
@@ -74,30 +69,19 @@
         .route("/metrics", get(system::metrics::<P>))
         .route("/v1/state", get(system::state::<P>))
         .route("/v1/jobs", post(jobs::submit::<P>).get(jobs::list::<P>))
-        .route(
-            "/v1/jobs/{job}",
-            get(jobs::status::<P>).delete(jobs::cancel::<P>),
-        )
+        .route("/v1/jobs/{job}", get(jobs::status::<P>).delete(jobs::cancel::<P>))
         .route("/v1/entries", get(entries::list::<P>))
         .route(
             "/v1/entries/{kind}/{name}",
-            get(entries::get::<P>)
-                .put(entries::put::<P>)
-                .delete(entries::delete::<P>),
-        )
-        .route(
-            "/v1/entries/{kind}/{name}/history",
-            get(entries::history::<P>),
+            get(entries::get::<P>).put(entries::put::<P>).delete(entries::delete::<P>),
         )
+        .route("/v1/entries/{kind}/{name}/history", get(entries::history::<P>))
         .route("/v1/targets", get(targets::list::<P>))
         .route("/v1/targets/{worker}/start", post(targets::start::<P>))
         .route("/v1/targets/{worker}/drain", post(targets::drain::<P>))
         .route("/v1/targets/{worker}/retire", post(targets::retire::<P>))
         .fallback(system::no_such_path)
         .layer(DefaultBodyLimit::max(body_bytes_max))
-        .layer(middleware::from_fn_with_state(
-            shared.clone(),
-            system::around::<P>,
-        ))
+        .layer(middleware::from_fn_with_state(shared.clone(), system::around::<P>))
         .with_state(shared)
 }
--- a/crates/daemon/src/api/reply.rs
+++ b/crates/daemon/src/api/reply.rs
@@ -39,9 +39,7 @@
         if let Some(retry_after_ms) = retry_after_ms {
             // The header counts whole seconds; the body has the milliseconds.
             let seconds = retry_after_ms.div_ceil(1_000);
-            response
-                .headers_mut()
-                .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+            response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
         response
     }
--- a/crates/daemon/src/api/system.rs
+++ b/crates/daemon/src/api/system.rs
@@ -78,9 +78,7 @@
 }
 
 fn request_id(headers: &HeaderMap) -> String {
-    let given = headers
-        .get(REQUEST_ID_HEADER)
-        .and_then(|value| value.to_str().ok());
+    let given = headers.get(REQUEST_ID_HEADER).and_then(|value| value.to_str().ok());
     match given {
         Some(id) if !id.is_empty() && id.len() <= REQUEST_ID_BYTES_MAX => id.to_owned(),
         _ => format!("{:016x}", rand::random::<u64>()),
--- a/crates/daemon/src/api/targets.rs
+++ b/crates/daemon/src/api/targets.rs
@@ -54,11 +54,7 @@
             targets.push(versioned.clone());
         }
     }
-    Ok(Json(Listed {
-        revision: catalogue.revision(),
-        targets,
-    })
-    .into_response())
+    Ok(Json(Listed { revision: catalogue.revision(), targets }).into_response())
 }
 
 pub(crate) async fn start<P: Platform>(
@@ -72,16 +68,10 @@
         .map_err(|error| Failure::with_detail(Code::BrokenJson, error))?;
     if shared.catalogue().owner(&start.owner).is_none() {
         return Err(
-            Failure::with_detail(Code::NoSuchEntry, format!("owner {}", start.owner)).into(),
+            Failure::with_detail(Code::NoSuchEntry, format!("owner {}", start.owner)).into()
         );
     }
-    step(
-        &shared,
-        &worker,
-        &headers,
-        TargetChange::Start { owner: start.owner },
-    )
-    .await
+    step(&shared, &worker, &headers, TargetChange::Start { owner: start.owner }).await
 }
 
 pub(crate) async fn drain<P: Platform>(
@@ -113,12 +103,5 @@
     let worker = WorkerId::new(worker);
     let expected = expected(headers)?;
     let key = target_key(&worker);
-    change(
-        shared,
-        &caller,
-        key,
-        EditKind::Target(worker, target_change),
-        expected,
-    )
-    .await
+    change(shared, &caller, key, EditKind::Target(worker, target_change), expected).await
 }
--- a/crates/daemon/src/clock.rs
+++ b/crates/daemon/src/clock.rs
@@ -17,13 +17,8 @@
 impl Clock {
     /// A clock that starts now.
     pub fn start() -> Self {
-        let since_epoch = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        Self {
-            started_unix_ms: since_epoch.as_millis() as u64,
-            started: Instant::now(),
-        }
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Self { started_unix_ms: since_epoch.as_millis() as u64, started: Instant::now() }
     }
 
     /// Milliseconds since the Unix epoch.
--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -137,34 +137,19 @@
                     notify(&itself, Event::StoreDone { op, reply }).await;
                 });
             }
-            Effect::Worker {
-                op,
-                worker,
-                address,
-                call,
-            } => {
+            Effect::Worker { op, worker, address, call } => {
                 tokio::spawn(async move {
                     let reply = platform.worker(&address, &worker, call).await;
                     notify(&itself, Event::WorkerDone { op, reply }).await;
                 });
             }
-            Effect::Minion {
-                op,
-                minion,
-                address,
-                call,
-            } => {
+            Effect::Minion { op, minion, address, call } => {
                 tokio::spawn(async move {
                     let reply = platform.minion(&address, &minion, call).await;
                     notify(&itself, Event::MinionDone { op, reply }).await;
                 });
             }
-            Effect::Peer {
-                op,
-                address,
-                call,
-                timeout_ms,
-            } => {
+            Effect::Peer { op, address, call, timeout_ms } => {
                 let peers = self.peers.clone();
                 tokio::spawn(async move {
                     let limit = Duration::from_millis(timeout_ms);
@@ -257,10 +242,7 @@
     event: impl FnOnce(Ticket) -> Event + Send + 'static,
 ) -> Option<Answer> {
     let (sender, receiver) = oneshot::channel();
-    let question = Question {
-        event: Box::new(event),
-        answer: sender,
-    };
+    let question = Question { event: Box::new(event), answer: sender };
     if core.tell(question).await.is_err() {
         return None;
     }
--- a/crates/daemon/src/logs.rs
+++ b/crates/daemon/src/logs.rs
@@ -7,9 +7,7 @@
 /// Writes log lines to standard error from now on.
 pub fn init(settings: &Settings) {
     let filter = EnvFilter::new(&settings.log.level);
-    let builder = tracing_subscriber::fmt()
-        .with_env_filter(filter)
-        .with_writer(std::io::stderr);
+    let builder = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr);
     let result = match settings.log.format {
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
         LogFormat::Text => builder.try_init(),
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -32,16 +32,10 @@
 }
 
 fn command() -> Command {
-    let settings = || {
-        Arg::new("settings")
-            .long("settings")
-            .value_name("FILE")
-            .help("JSON settings")
-    };
-    let page = Arg::new("page")
-        .long("page")
-        .num_args(0)
-        .help("Print the table of all fields instead");
+    let settings =
+        || Arg::new("settings").long("settings").value_name("FILE").help("JSON settings");
+    let page =
+        Arg::new("page").long("page").num_args(0).help("Print the table of all fields instead");
     Command::new("stoatwelld")
         .about("The daemon that runs on every entry instance")
         .version(clap::crate_version!())
@@ -51,11 +45,7 @@
                 .about("Check settings and tell every mistake")
                 .arg(settings().required(true)),
         )
-        .subcommand(
-            Command::new("settings")
-                .about("Print the full default settings")
-                .arg(page),
-        )
+        .subcommand(Command::new("settings").about("Print the full default settings").arg(page))
 }
 
 fn check(matches: &ArgMatches) -> ExitCode {
@@ -129,10 +119,7 @@
 
 fn load(matches: &ArgMatches) -> Result<Settings, Failure> {
     let Some(path) = matches.get_one::<String>("settings") else {
-        return Err(Failure::with_detail(
-            Code::UnreadableSettings,
-            "give --settings FILE",
-        ));
+        return Err(Failure::with_detail(Code::UnreadableSettings, "give --settings FILE"));
     };
     let text = fs::read_to_string(path).map_err(|error| {
         Failure::with_detail(Code::UnreadableSettings, format!("{path}: {error}"))
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -16,87 +16,39 @@
 /// Name and meaning of every gauge.
 pub const GAUGES: &[(&str, &str)] = &[
     ("stoatwell_ready", "1 while callers are served"),
-    (
-        "stoatwell_catalogue_revision",
-        "revision of the catalogue in force",
-    ),
+    ("stoatwell_catalogue_revision", "revision of the catalogue in force"),
     (
         "stoatwell_catalogue_age_ms",
         "milliseconds since the catalogue was last seen to be the newest",
     ),
     ("stoatwell_workers_held", "workers held by this daemon"),
-    (
-        "stoatwell_workers_quarantined",
-        "held workers that are left alone because they fail",
-    ),
+    ("stoatwell_workers_quarantined", "held workers that are left alone because they fail"),
     ("stoatwell_tasks_running", "tasks on held workers"),
     ("stoatwell_jobs_open", "jobs that this daemon runs"),
     ("stoatwell_jobs_queued", "jobs that wait for room"),
     ("stoatwell_requests", "requests in work or waiting"),
-    (
-        "stoatwell_requests_waiting",
-        "requests that wait for a slot",
-    ),
+    ("stoatwell_requests_waiting", "requests that wait for a slot"),
     ("stoatwell_retries_left", "retries left in the budget"),
-    (
-        "stoatwell_store_backlog",
-        "writes to the platform's table that are not finished",
-    ),
-    (
-        "stoatwell_store_refusing",
-        "1 while work that needs the store is refused",
-    ),
+    ("stoatwell_store_backlog", "writes to the platform's table that are not finished"),
+    ("stoatwell_store_refusing", "1 while work that needs the store is refused"),
     ("stoatwell_peers_heard", "other daemons heard of late"),
 ];
 
 /// Name and meaning of every counter.
 pub const COUNTERS: &[(&str, &str)] = &[
     ("stoatwell_tasks_placed_total", "tasks that got a worker"),
-    (
-        "stoatwell_placements_refused_total",
-        "searches for a worker that found none",
-    ),
-    (
-        "stoatwell_tasks_evicted_total",
-        "tasks stopped for urgent work",
-    ),
-    (
-        "stoatwell_jobs_expired_total",
-        "jobs whose deadline passed in the queue",
-    ),
+    ("stoatwell_placements_refused_total", "searches for a worker that found none"),
+    ("stoatwell_tasks_evicted_total", "tasks stopped for urgent work"),
+    ("stoatwell_jobs_expired_total", "jobs whose deadline passed in the queue"),
     ("stoatwell_quarantines_total", "workers quarantined"),
-    (
-        "stoatwell_entries_held_back_total",
-        "entries held back because they fail everywhere",
-    ),
-    (
-        "stoatwell_store_transactions_total",
-        "transactions sent to the platform's table",
-    ),
-    (
-        "stoatwell_store_conflicts_total",
-        "writes that met a conflict",
-    ),
-    (
-        "stoatwell_store_unanswered_total",
-        "transactions without an answer",
-    ),
-    (
-        "stoatwell_store_recovered_total",
-        "writes whose answer was lost and that had taken effect",
-    ),
-    (
-        "stoatwell_peer_sent_bytes_total",
-        "bytes sent to other daemons",
-    ),
-    (
-        "stoatwell_peer_received_bytes_total",
-        "bytes received from other daemons",
-    ),
-    (
-        "stoatwell_http_requests_total",
-        "answers of the HTTP interface by status",
-    ),
+    ("stoatwell_entries_held_back_total", "entries held back because they fail everywhere"),
+    ("stoatwell_store_transactions_total", "transactions sent to the platform's table"),
+    ("stoatwell_store_conflicts_total", "writes that met a conflict"),
+    ("stoatwell_store_unanswered_total", "transactions without an answer"),
+    ("stoatwell_store_recovered_total", "writes whose answer was lost and that had taken effect"),
+    ("stoatwell_peer_sent_bytes_total", "bytes sent to other daemons"),
+    ("stoatwell_peer_received_bytes_total", "bytes received from other daemons"),
+    ("stoatwell_http_requests_total", "answers of the HTTP interface by status"),
 ];
 
 /// A daemon counts as heard of late within this time.
@@ -125,9 +77,7 @@
                 describe_counter!(*name, *meaning);
             }
         });
-        Self {
-            recorder: Arc::new(recorder),
-        }
+        Self { recorder: Arc::new(recorder) }
     }
 }
 
@@ -154,16 +104,11 @@
 }
 
 fn set_gauges(dump: &Dump) {
-    let held = dump
-        .workers
-        .iter()
-        .filter(|worker| worker.lease_left_ms.is_some());
+    let held = dump.workers.iter().filter(|worker| worker.lease_left_ms.is_some());
     let quarantined = dump.workers.iter().filter(|worker| worker.quarantined);
     let tasks: usize = dump.workers.iter().map(|worker| worker.tasks).sum();
-    let heard = dump
-        .peers
-        .iter()
-        .filter(|peer| peer.heard_ms_ago.is_some_and(|ago_ms| ago_ms < HEARD_MS));
+    let heard =
+        dump.peers.iter().filter(|peer| peer.heard_ms_ago.is_some_and(|ago_ms| ago_ms < HEARD_MS));
     let queued: usize = dump.queues.iter().map(|queue| queue.jobs).sum();
     let open: usize = dump.jobs.by_state.values().sum();
     gauge!("stoatwell_ready").set(f64::from(u8::from(dump.ready)));
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -130,9 +130,7 @@
             return;
         }
         let mut status = self.status.clone();
-        let over = timeout(grace, status.wait_for(|status| status.stopped))
-            .await
-            .is_err();
+        let over = timeout(grace, status.wait_for(|status| status.stopped)).await.is_err();
         if over {
             tracing::warn!(daemon = %self.settings.daemon.name, "grace time over, work was left to others");
         }
@@ -170,12 +168,7 @@
     metrics: &Metrics,
     closed: oneshot::Receiver<()>,
 ) -> JoinHandle<()> {
-    let state = api::Shared::new(
-        core.clone(),
-        status.clone(),
-        settings.clone(),
-        metrics.clone(),
-    );
+    let state = api::Shared::new(core.clone(), status.clone(), settings.clone(), metrics.clone());
     let router = api::router(state);
     tokio::spawn(async move {
         let serving = axum::serve(listener, router).with_graceful_shutdown(async move {
--- a/crates/engine/src/adopt.rs
+++ b/crates/engine/src/adopt.rs
@@ -13,6 +13,7 @@
 use stoatwell_model::JobId;
 use stoatwell_model::UnixMs;
 use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
 use stoatwell_model::worker::StopMode;
 use stoatwell_model::worker::Token;
 use stoatwell_platform::CallError;
@@ -55,13 +56,10 @@
         if questions.is_empty() {
             return;
         }
-        for peer in self.zone_peers() {
+        let of = |(_, worker, _): &(AttemptId, WorkerId, Token)| worker.clone();
+        for (peer, attempts) in self.by_daemon(&questions, of) {
             let coordinator = self.me.daemon.clone();
-            let call = PeerCall::Inquire {
-                coordinator,
-                attempts: questions.clone(),
-            };
-            self.call_peer(PeerOp::Inquire, &peer, call);
+            self.call_peer(PeerOp::Inquire, &peer, PeerCall::Inquire { coordinator, attempts });
         }
     }
 
@@ -75,12 +73,7 @@
             return;
         }
         let doubtful = job.machine.in_doubt();
-        job.inquire_ms = now_ms
-            + if doubtful.is_empty() {
-                CHECK_MS
-            } else {
-                DOUBT_MS
-            };
+        job.inquire_ms = now_ms + if doubtful.is_empty() { CHECK_MS } else { DOUBT_MS };
         let mut attempts = doubtful;
         attempts.extend(job.machine.active());
         let mut tokens = BTreeMap::new();
@@ -114,7 +107,8 @@
         if held.token < token {
             return Some(Seen::Forgotten);
         }
-        held.sealed.insert(attempt);
+        // Without its room and its promise it cannot be started any more.
+        self.remote.withdraw_promise(attempt);
         self.not_started(attempt);
         Some(Seen::Absent)
     }
@@ -130,11 +124,7 @@
                 continue;
             };
             self.relabel(*attempt, worker, coordinator);
-            replies.push(TaskReply {
-                attempt: *attempt,
-                worker: worker.clone(),
-                seen,
-            });
+            replies.push(TaskReply { attempt: *attempt, worker: worker.clone(), seen });
         }
         PeerReply::Tasks(replies)
     }
@@ -170,10 +160,7 @@
             job.finding = peers.len() as u32 + 1;
         }
         for peer in &peers {
-            let call = PeerCall::Find {
-                coordinator: coordinator.clone(),
-                jobs: vec![id],
-            };
+            let call = PeerCall::Find { coordinator: coordinator.clone(), jobs: vec![id] };
             if !self.call_peer(PeerOp::Find(vec![id]), peer, call) {
                 self.found_one(id);
             }
@@ -183,26 +170,14 @@
 
     /// Attempts of a job on the workers held here.
     fn found_here(&mut self, coordinator: &DaemonId, id: JobId) -> Vec<TaskReply> {
-        let first = AttemptId {
-            job: id,
-            task: 0,
-            attempt: 0,
-        };
-        let last = AttemptId {
-            job: id,
-            task: u32::MAX,
-            attempt: u32::MAX,
-        };
+        let first = AttemptId { job: id, task: 0, attempt: 0 };
+        let last = AttemptId { job: id, task: u32::MAX, attempt: u32::MAX };
         let mut found = Vec::new();
         for (worker, held) in &mut self.held {
             for (attempt, known) in held.tasks.range_mut(first..=last) {
                 known.coordinator = coordinator.clone();
                 let seen = Seen::State(known.state.clone());
-                found.push(TaskReply {
-                    attempt: *attempt,
-                    worker: worker.clone(),
-                    seen,
-                });
+                found.push(TaskReply { attempt: *attempt, worker: worker.clone(), seen });
             }
         }
         found
@@ -243,26 +218,40 @@
         }
     }
 
+    /// Things about workers, for each daemon that may hold some of those workers.
+    pub(crate) fn by_daemon<T: Clone>(
+        &self,
+        things: &[T],
+        worker_of: impl Fn(&T) -> WorkerId,
+    ) -> BTreeMap<DaemonId, Vec<T>> {
+        let mut by_zone: BTreeMap<ZoneName, Vec<T>> = BTreeMap::new();
+        for thing in things {
+            let zone = self.worker_zones.get(&worker_of(thing)).unwrap_or(&self.me.zone);
+            by_zone.entry(zone.clone()).or_default().push(thing.clone());
+        }
+        let mut by_daemon: BTreeMap<DaemonId, Vec<T>> = BTreeMap::new();
+        for (zone, things) in by_zone {
+            for daemon in self.daemons_of(&zone) {
+                by_daemon.entry(daemon).or_default().extend(things.iter().cloned());
+            }
+        }
+        by_daemon
+    }
+
     /// Remembers since when workers are not on the platform's list any more.
-    pub(crate) fn note_gone(&mut self, listed: &[(WorkerId, String)]) {
+    pub(crate) fn note_gone(&mut self) {
         let now_ms = self.now_ms;
-        for (worker, _) in listed {
-            self.gone.remove(worker);
-        }
+        let listed = &self.worker_zones;
+        self.gone.retain(|worker, _| !listed.contains_key(worker));
         let mut missing = Vec::new();
         for (worker, _) in self.holdings.all() {
-            if !listed.iter().any(|(other, _)| other == worker) {
+            if !listed.contains_key(worker) {
                 missing.push(worker.clone());
             }
         }
         for job in self.jobs.values() {
-            for (_, worker) in job
-                .machine
-                .in_doubt()
-                .into_iter()
-                .chain(job.machine.active())
-            {
-                if !listed.iter().any(|(other, _)| *other == worker) {
+            for (_, worker) in job.machine.in_doubt().into_iter().chain(job.machine.active()) {
+                if !listed.contains_key(&worker) {
                     missing.push(worker);
                 }
             }
@@ -277,9 +266,7 @@
     pub(crate) fn is_gone(&self, worker: &WorkerId) -> bool {
         let leases = &self.settings.leases;
         let wait_ms: UnixMs = leases.ttl_ms + leases.orphan_ms + GONE_MARGIN_MS;
-        self.gone
-            .get(worker)
-            .is_some_and(|since_ms| self.now_ms >= since_ms + wait_ms)
+        self.gone.get(worker).is_some_and(|since_ms| self.now_ms >= since_ms + wait_ms)
     }
 
     pub(crate) fn on_remote_stop(
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -59,14 +59,7 @@
         by: String,
     ) {
         let write_id = self.next_write_id();
-        let request = EditRequest {
-            key,
-            edit,
-            expected,
-            by,
-            at_ms: self.now_ms,
-            write_id,
-        };
+        let request = EditRequest { key, edit, expected, by, at_ms: self.now_ms, write_id };
         let (edit, call) = Edit::start(request);
         self.call_store(StoreOp::Edit(Some(ticket), Box::new(edit)), call);
     }
@@ -93,10 +86,7 @@
             self.tell_zone_of_change();
         }
         if let Some(ticket) = ticket {
-            self.effects.push(Effect::Answer {
-                ticket,
-                answer: Answer::Edited(result),
-            });
+            self.effects.push(Effect::Answer { ticket, answer: Answer::Edited(result) });
         }
     }
 
@@ -131,11 +121,8 @@
     pub(crate) fn apply_target(&mut self, worker: &WorkerId) {
         let target = self.catalogue.target(worker).cloned();
         self.scheduler.set_target(worker, target.as_ref());
-        let serving = target
-            .as_ref()
-            .filter(|target| target.state == TargetState::Serving);
-        self.minions
-            .set_serves(worker, serving.map(|target| &target.owner));
+        let serving = target.as_ref().filter(|target| target.state == TargetState::Serving);
+        self.minions.set_serves(worker, serving.map(|target| &target.owner));
         if let Some(target) = &target
             && target.state != TargetState::Serving
         {
@@ -150,14 +137,10 @@
         for owner in owners {
             let serving = |target: &&Target| target.serves(&owner.owner);
             let all = self.catalogue.targets().filter(serving).count() as u64;
-            let here = self
-                .held
-                .keys()
-                .filter_map(|worker| self.catalogue.target(worker));
+            let here = self.held.keys().filter_map(|worker| self.catalogue.target(worker));
             let here = here.filter(serving).count() as u64;
             let quota = owner.quota.share(here, all.max(1));
-            self.scheduler
-                .set_owner(&owner.owner, Some(quota), owner.weights);
+            self.scheduler.set_owner(&owner.owner, Some(quota), owner.weights);
         }
     }
 
@@ -186,8 +169,7 @@
     /// Hands over targets that were drained for another owner and are empty now.
     pub(crate) fn empty_targets(&mut self) {
         let now_ms = self.now_ms;
-        self.retargeting
-            .retain(|_, at_ms| now_ms < *at_ms + EMPTIED_RETRY_MS);
+        self.retargeting.retain(|_, at_ms| now_ms < *at_ms + EMPTIED_RETRY_MS);
         let mut emptied = Vec::new();
         for (worker, held) in &self.held {
             let Some(versioned) = self.catalogue.get(&target_key(worker)) else {
@@ -227,11 +209,7 @@
         if self.scheduler.cell.could_hold(owner, need) {
             return Some(true);
         }
-        let serving = self
-            .catalogue
-            .targets()
-            .filter(|target| target.serves(owner))
-            .count();
+        let serving = self.catalogue.targets().filter(|target| target.serves(owner)).count();
         let mut known = self.workers_serving(owner);
         let near = self.members.live(self.now_ms).map(|member| &member.summary);
         let far = self.zones.values().map(|zone| &zone.news.summary);
@@ -251,10 +229,7 @@
     }
 
     fn workers_serving(&self, owner: &OwnerName) -> usize {
-        let here = self
-            .held
-            .keys()
-            .filter_map(|worker| self.catalogue.target(worker));
+        let here = self.held.keys().filter_map(|worker| self.catalogue.target(worker));
         here.filter(|target| target.serves(owner)).count()
     }
 }
--- a/crates/engine/src/dump.rs
+++ b/crates/engine/src/dump.rs
@@ -119,8 +119,8 @@
     pub entry: String,
     /// Where it stands.
     pub state: JobState,
-    /// Tasks.
-    pub tasks: u32,
+    /// Tasks by phase.
+    pub tasks: BTreeMap<&'static str, usize>,
 }
 
 /// Requests in line.
@@ -232,19 +232,11 @@
         for line in self.scheduler.queue.lines() {
             let waited_ms = self.now_ms.saturating_sub(line.front_accepted_ms());
             let jobs = self.scheduler.queue.jobs_of(&line.entry, line.urgency);
-            fronts.push((
-                line.entry.clone(),
-                line.urgency,
-                jobs,
-                waited_ms,
-                line.front(1).next(),
-            ));
+            fronts.push((line.entry.clone(), line.urgency, jobs, waited_ms, line.front(1).next()));
         }
         let mut queues = Vec::new();
         for (entry, urgency, jobs, front_waited_ms, front) in fronts {
-            let reasons = front
-                .map(|job| self.scheduler.why(self.now_ms, job))
-                .unwrap_or_default();
+            let reasons = front.map(|job| self.scheduler.why(self.now_ms, job)).unwrap_or_default();
             queues.push(QueueDump {
                 entry: entry.to_string(),
                 urgency,
@@ -267,7 +259,7 @@
                     job: id.to_string(),
                     entry: job.machine.record.entry.to_string(),
                     state,
-                    tasks: job.machine.record.tasks,
+                    tasks: job.machine.phases(),
                 });
             }
         }
--- a/crates/engine/src/held.rs
+++ b/crates/engine/src/held.rs
@@ -1,7 +1,6 @@
 //! What the holder of one worker keeps of it.
 
 use std::collections::BTreeMap;
-use std::collections::HashSet;
 
 use stoatwell_model::AttemptId;
 use stoatwell_model::DaemonId;
@@ -26,9 +25,6 @@
     pub(crate) stops: Vec<(AttemptId, StopMode)>,
     /// Attempts that the worker may forget.
     pub(crate) acks: Vec<AttemptId>,
-    /// Attempts that were told to be absent. A start that a paused coordinator
-    /// sends later would run what was told to run never, so it is refused.
-    pub(crate) sealed: HashSet<AttemptId>,
     /// Whether a start or a stop is on its way.
     pub(crate) calling: bool,
     /// No start or stop before this time.
@@ -55,7 +51,6 @@
             sent: BTreeMap::new(),
             stops: Vec::new(),
             acks: Vec::new(),
-            sealed: HashSet::new(),
             calling: false,
             not_before_ms: 0,
         }
--- a/crates/engine/src/holders.rs
+++ b/crates/engine/src/holders.rs
@@ -59,9 +59,7 @@
         let held = &self.held;
         let minions = &self.minions;
         let busy = |worker: &WorkerId| {
-            let working = held
-                .get(worker)
-                .is_some_and(|held| held.calling || held.has_work());
+            let working = held.get(worker).is_some_and(|held| held.calling || held.has_work());
             working || minions.busy_on(worker) > 0
         };
         for action in self.holdings.due(self.now_ms, &holders, only, busy) {
@@ -73,23 +71,12 @@
         let ttl_ms = self.holdings.ttl_ms();
         match action {
             HoldAction::Acquire { worker, token } => {
-                let call = WorkerCall::Acquire {
-                    holder: self.me.daemon.clone(),
-                    token,
-                    ttl_ms,
-                };
+                let call = WorkerCall::Acquire { holder: self.me.daemon.clone(), token, ttl_ms };
                 self.call_worker(WorkerOp::Lease(worker.clone(), Vec::new()), &worker, call);
             }
-            HoldAction::Renew {
-                worker,
-                token,
-                since,
-            } => {
-                let acknowledged = self
-                    .held
-                    .get(&worker)
-                    .map(|held| held.acks.clone())
-                    .unwrap_or_default();
+            HoldAction::Renew { worker, token, since } => {
+                let acknowledged =
+                    self.held.get(&worker).map(|held| held.acks.clone()).unwrap_or_default();
                 let call = WorkerCall::Renew {
                     token,
                     ttl_ms,
@@ -131,15 +118,7 @@
             (HoldEvent::Gained, Some(WorkerReply::Granted { state, .. })) => {
                 self.gain_worker(&state);
             }
-            (
-                HoldEvent::Renewed,
-                Some(WorkerReply::Renewed {
-                    changes,
-                    minions,
-                    foreign,
-                    ..
-                }),
-            ) => {
+            (HoldEvent::Renewed, Some(WorkerReply::Renewed { changes, minions, foreign, .. })) => {
                 self.minions.update(&minions);
                 self.note_foreign(worker, foreign);
                 if let Some(held) = self.held.get_mut(worker) {
@@ -165,8 +144,7 @@
         self.drop_worker(worker);
         self.held.insert(worker.clone(), Held::new(state.token));
         let target = self.catalogue.target(worker).cloned();
-        self.scheduler
-            .put_worker(self.now_ms, state, target.as_ref());
+        self.scheduler.put_worker(self.now_ms, state, target.as_ref());
         self.minions.put(worker, &state.minions);
         for report in &state.tasks {
             self.on_report(worker, report);
@@ -197,9 +175,7 @@
         };
         if slot.foreign != foreign {
             let (rack, capacity) = (slot.rack.clone(), slot.capacity);
-            self.scheduler
-                .cell
-                .put_worker(worker, &rack, capacity, foreign);
+            self.scheduler.cell.put_worker(worker, &rack, capacity, foreign);
         }
     }
 
@@ -223,34 +199,29 @@
         if report.state.is_running() {
             self.count_running(worker, report);
         } else {
-            self.count_ended(attempt, &report.state);
+            self.count_ended(worker, attempt, &report.state);
         }
-        self.tell(
-            attempt,
-            worker,
-            &coordinator,
-            Seen::State(report.state.clone()),
-        );
+        self.tell(attempt, worker, &coordinator, Seen::State(report.state.clone()));
     }
 
     fn count_running(&mut self, worker: &WorkerId, report: &TaskReport) {
         let running = self.running_of(worker, report);
+        // Room promised for the same attempt on another worker is not needed.
+        self.remote.withdraw_promise(report.attempt);
         self.scheduler.adopt(report.attempt, running);
-        let victims = self
-            .scheduler
-            .observe(self.now_ms, report.attempt, &report.usage);
+        let victims = self.scheduler.observe(self.now_ms, report.attempt, &report.usage);
         for victim in victims {
             self.stop_here(worker, victim, StopMode::Checkpoint);
         }
     }
 
-    fn count_ended(&mut self, attempt: AttemptId, state: &TaskState) {
+    fn count_ended(&mut self, worker: &WorkerId, attempt: AttemptId, state: &TaskState) {
         let end = match state {
             TaskState::Done { .. } => End::Succeeded,
             TaskState::Failed { .. } => End::Failed,
             TaskState::Stopped { .. } | TaskState::Running => End::Stopped,
         };
-        self.scheduler.ended(self.now_ms, attempt, end);
+        self.scheduler.ended(self.now_ms, worker, attempt, end);
         self.schedule_due = true;
     }
 
@@ -277,14 +248,19 @@
         }
     }
 
-    /// Queues a start on a worker that is held here.
+    /// Queues a start on a worker that is held here. Only what has room set
+    /// aside starts: room that was given to urgent work meanwhile, or to nobody
+    /// because the attempt was told as never to start, would be used twice.
     pub(crate) fn start_here(&mut self, worker: &WorkerId, start: StartTask) -> bool {
+        let running = self.scheduler.cell.running(start.attempt);
+        if running.is_none_or(|running| running.worker != *worker) {
+            return false;
+        }
         let Some(held) = self.held.get_mut(worker) else {
             return false;
         };
-        if held.sealed.contains(&start.attempt) {
-            return false;
-        }
+        // Room that was promised for this attempt is in use from now on.
+        self.remote.withdraw_promise(start.attempt);
         if !held.knows(start.attempt) {
             held.starts.push(start);
         }
@@ -302,11 +278,7 @@
             return false;
         };
         // Not sent yet, so it is simply left out.
-        if let Some(index) = held
-            .starts
-            .iter()
-            .position(|start| start.attempt == attempt)
-        {
+        if let Some(index) = held.starts.iter().position(|start| start.attempt == attempt) {
             let start = held.starts.remove(index);
             self.not_started(attempt);
             self.tell(attempt, worker, &start.coordinator, Seen::Absent);
@@ -347,16 +319,11 @@
         held.calling = true;
         if !held.stops.is_empty() {
             let mode = held.stops[0].1;
-            let (now, later): (Vec<_>, Vec<_>) = std::mem::take(&mut held.stops)
-                .into_iter()
-                .partition(|(_, other)| *other == mode);
+            let (now, later): (Vec<_>, Vec<_>) =
+                std::mem::take(&mut held.stops).into_iter().partition(|(_, other)| *other == mode);
             held.stops = later;
             let attempts: Vec<AttemptId> = now.into_iter().map(|(attempt, _)| attempt).collect();
-            let call = WorkerCall::Stop {
-                token,
-                attempts: attempts.clone(),
-                mode,
-            };
+            let call = WorkerCall::Stop { token, attempts: attempts.clone(), mode };
             self.call_worker(WorkerOp::Stop(worker.clone(), attempts), worker, call);
             return;
         }
@@ -367,10 +334,7 @@
             held.sent.insert(start.attempt, start.clone());
         }
         tasks.extend(fresh);
-        let call = WorkerCall::Start {
-            token,
-            tasks: tasks.clone(),
-        };
+        let call = WorkerCall::Start { token, tasks: tasks.clone() };
         self.call_worker(WorkerOp::Start(worker.clone(), tasks), worker, call);
     }
 
@@ -418,15 +382,9 @@
                     coordinator: start.coordinator.clone(),
                     told_until_ms: 0,
                 });
-                self.tell(
-                    attempt,
-                    worker,
-                    &start.coordinator,
-                    Seen::State(TaskState::Running),
-                );
+                self.tell(attempt, worker, &start.coordinator, Seen::State(TaskState::Running));
             }
             StartReply::Refused { .. } => {
-                held.sealed.insert(attempt);
                 held.not_before_ms = self.now_ms + RETRY_MS;
                 self.not_started(attempt);
                 self.tell(attempt, worker, &start.coordinator, Seen::Absent);
@@ -453,11 +411,8 @@
             }
             Ok(_) | Err(_) => {
                 held.not_before_ms = self.now_ms + RETRY_MS;
-                held.stops.extend(
-                    attempts
-                        .into_iter()
-                        .map(|attempt| (attempt, StopMode::Checkpoint)),
-                );
+                held.stops
+                    .extend(attempts.into_iter().map(|attempt| (attempt, StopMode::Checkpoint)));
             }
         }
     }
@@ -466,10 +421,7 @@
     pub(crate) fn acknowledge(&mut self, attempts: &BTreeMap<AttemptId, WorkerId>) {
         for (attempt, worker) in attempts {
             if let Some(held) = self.held.get_mut(worker)
-                && held
-                    .tasks
-                    .get(attempt)
-                    .is_some_and(|known| !known.state.is_running())
+                && held.tasks.get(attempt).is_some_and(|known| !known.state.is_running())
                 && !held.acks.contains(attempt)
             {
                 held.acks.push(*attempt);
--- a/crates/engine/src/jobs.rs
+++ b/crates/engine/src/jobs.rs
@@ -174,10 +174,7 @@
             } else {
                 "which kept the least unused room".to_owned()
             };
-            job.machine.note(format!(
-                "{count} tasks placed, the first on {} {room}",
-                first.worker
-            ));
+            job.machine.note(format!("{count} tasks placed, the first on {} {room}", first.worker));
         }
         self.drive(id, |machine, now_ms| machine.on_placed(now_ms, &placed));
     }
@@ -200,14 +197,8 @@
             let Some(worker) = job.machine.worker_of(*attempt) else {
                 continue;
             };
-            let local = self
-                .scheduler
-                .cell
-                .running(*attempt)
-                .map(|running| running.demand);
-            let demand = local
-                .or_else(|| self.remote.demand_of(*attempt))
-                .unwrap_or(record.demand);
+            let local = self.scheduler.cell.running(*attempt).map(|running| running.demand);
+            let demand = local.or_else(|| self.remote.demand_of(*attempt)).unwrap_or(record.demand);
             let start = StartTask {
                 attempt: *attempt,
                 demand,
@@ -241,11 +232,7 @@
         };
         let mut stops = Vec::new();
         for attempt in attempts {
-            stops.extend(
-                job.machine
-                    .worker_of(*attempt)
-                    .map(|worker| (*attempt, worker)),
-            );
+            stops.extend(job.machine.worker_of(*attempt).map(|worker| (*attempt, worker)));
         }
         let mut elsewhere = Vec::new();
         for (attempt, worker) in stops {
@@ -257,11 +244,9 @@
             return;
         }
         // Only the holder of each worker acts on it.
-        for peer in self.zone_peers() {
-            let call = PeerCall::Stop {
-                attempts: elsewhere.clone(),
-                mode: StopMode::Stop,
-            };
+        let of = |(_, worker): &(AttemptId, WorkerId)| worker.clone();
+        for (peer, attempts) in self.by_daemon(&elsewhere, of) {
+            let call = PeerCall::Stop { attempts, mode: StopMode::Stop };
             self.call_peer(PeerOp::Notice, &peer, call);
         }
     }
@@ -288,7 +273,10 @@
             return self.on_seen_of_finished(attempt, worker, &seen, &one);
         };
         let ended = matches!(&seen, Seen::State(state) if !state.is_running());
-        let current = job.machine.is_current(attempt);
+        // Room may have been asked of two holders for one attempt, one after the
+        // other; what the first one says of it must not count for the second.
+        let elsewhere = job.machine.worker_of(attempt).is_some_and(|other| other != *worker);
+        let current = job.machine.is_current(attempt) && !elsewhere;
         let forgettable = !job.machine.record.execution.needs_intent();
         if !current {
             // An earlier try of a task that runs again.
@@ -308,9 +296,7 @@
             });
         } else {
             if matches!(seen, Seen::Absent) {
-                self.scheduler
-                    .queue
-                    .put_off(attempt.job, self.now_ms + REFUSED_PAUSE_MS);
+                self.scheduler.queue.put_off(attempt.job, self.now_ms + REFUSED_PAUSE_MS);
             }
             self.drive(attempt.job, |machine, now_ms| match &seen {
                 Seen::State(state) => machine.on_report(now_ms, attempt, state),
@@ -356,8 +342,9 @@
             return;
         }
         let version = job.machine.version;
+        let former_zone = job.machine.former_zone().cloned();
         let record = job.machine.begin_write(write_id);
-        let mut write = rows::write(record, version);
+        let mut write = rows::write(record, version, former_zone.as_ref());
         if !job.accepted {
             write.give_up_ms = Some(job.accept_until_ms);
         }
@@ -431,6 +418,7 @@
             return;
         };
         self.scheduler.withdraw(id);
+        self.remote.forget(id);
         self.drop_request_of(&job);
         let record: Option<JobRecord> = serde_json::from_str(row).ok();
         let same = record
@@ -445,15 +433,15 @@
         }
         for (ticket, until_ms) in job.waiters {
             let wait_ms = until_ms.saturating_sub(self.now_ms);
-            self.look_up(Lookup::Status {
-                ticket,
-                caller: Caller::Operator,
-                job: id,
-                wait_ms,
-            });
+            self.look_up(Lookup::Status { ticket, caller: Caller::Operator, job: id, wait_ms });
         }
     }
 
+    /// Another daemon runs the job by now; this one had not noticed.
+    pub(crate) fn lose_job(&mut self, id: JobId, row: &str) {
+        self.on_conflict(id, row);
+    }
+
     fn on_not_written(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
@@ -467,10 +455,7 @@
         };
         self.drop_request_of(&job);
         for (ticket, _) in job.accepting {
-            self.answer_job(
-                ticket,
-                Err(Failure::new(Code::StoreUnavailable).retry_after(1_000)),
-            );
+            self.answer_job(ticket, Err(Failure::new(Code::StoreUnavailable).retry_after(1_000)));
         }
     }
 
@@ -497,11 +482,9 @@
             return;
         }
         let attempts: Vec<(AttemptId, WorkerId)> = attempts.into_iter().collect();
-        for peer in self.zone_peers() {
-            let call = PeerCall::Acknowledge {
-                attempts: attempts.clone(),
-            };
-            self.call_peer(PeerOp::Notice, &peer, call);
+        let of = |(_, worker): &(AttemptId, WorkerId)| worker.clone();
+        for (peer, attempts) in self.by_daemon(&attempts, of) {
+            self.call_peer(PeerOp::Notice, &peer, PeerCall::Acknowledge { attempts });
         }
     }
 
@@ -548,10 +531,7 @@
             due.extend(over.into_iter().map(|(ticket, _)| (ticket, *id)));
         }
         for (ticket, _) in unknown {
-            self.answer_job(
-                ticket,
-                Err(Failure::new(Code::AcceptanceUnknown).retry_after(1_000)),
-            );
+            self.answer_job(ticket, Err(Failure::new(Code::AcceptanceUnknown).retry_after(1_000)));
         }
         for (ticket, id) in due {
             let view = self.view(id).ok_or_else(|| Failure::new(Code::NoSuchJob));
@@ -567,10 +547,7 @@
     }
 
     pub(crate) fn answer_job(&mut self, ticket: Ticket, result: Result<JobView, Failure>) {
-        self.effects.push(Effect::Answer {
-            ticket,
-            answer: Answer::Job(result),
-        });
+        self.effects.push(Effect::Answer { ticket, answer: Answer::Job(result) });
     }
 }
 
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -98,6 +98,7 @@
     next_list_ms: UnixMs,
     listing: bool,
     listed_ms: UnixMs,
+    worker_zones: HashMap<WorkerId, ZoneName>,
     gone: BTreeMap<WorkerId, UnixMs>,
 
     holdings: Holdings,
@@ -125,10 +126,7 @@
 impl Engine {
     /// A daemon that has just started.
     pub fn new(me: Identity, settings: Settings, now_ms: UnixMs) -> Self {
-        let policy = Policy {
-            reserve_ms: settings.queue.gang_reserve_ms,
-            ..Policy::default()
-        };
+        let policy = Policy { reserve_ms: settings.queue.gang_reserve_ms, ..Policy::default() };
         let leases = &settings.leases;
         let holdings = Holdings::new(
             me.daemon.clone(),
@@ -155,6 +153,7 @@
             next_list_ms: 0,
             listing: false,
             listed_ms: 0,
+            worker_zones: HashMap::new(),
             gone: BTreeMap::new(),
             holdings,
             held: BTreeMap::new(),
@@ -187,33 +186,16 @@
         self.check_leases();
         match event {
             Event::Tick => self.on_tick(),
-            Event::Submit {
-                ticket,
-                caller,
-                key,
-                submission,
-                wait_ms,
-            } => {
+            Event::Submit { ticket, caller, key, submission, wait_ms } => {
                 self.on_submit(ticket, &caller, key, submission, wait_ms);
             }
-            Event::Status {
-                ticket,
-                caller,
-                job,
-                wait_ms,
-            } => self.on_status(ticket, &caller, job, wait_ms),
-            Event::Cancel {
-                ticket,
-                caller,
-                job,
-            } => self.on_cancel(ticket, &caller, job),
-            Event::Edit {
-                ticket,
-                key,
-                edit,
-                expected,
-                by,
-            } => self.on_edit(ticket, key, edit, expected, by),
+            Event::Status { ticket, caller, job, wait_ms } => {
+                self.on_status(ticket, &caller, job, wait_ms);
+            }
+            Event::Cancel { ticket, caller, job } => self.on_cancel(ticket, &caller, job),
+            Event::Edit { ticket, key, edit, expected, by } => {
+                self.on_edit(ticket, key, edit, expected, by);
+            }
             Event::Store { ticket, call } => self.on_store_question(ticket, call),
             Event::Peer { ticket, call } => self.on_peer_call(ticket, call),
             Event::StoreDone { op, reply } => self.on_store_done(op, reply),
--- a/crates/engine/src/ops.rs
+++ b/crates/engine/src/ops.rs
@@ -66,25 +66,11 @@
 #[derive(Debug)]
 pub(crate) enum Lookup {
     /// Somebody asks how it is.
-    Status {
-        ticket: Ticket,
-        caller: Caller,
-        job: JobId,
-        wait_ms: u64,
-    },
+    Status { ticket: Ticket, caller: Caller, job: JobId, wait_ms: u64 },
     /// Somebody wants it cancelled.
-    Cancel {
-        ticket: Ticket,
-        caller: Caller,
-        job: JobId,
-    },
+    Cancel { ticket: Ticket, caller: Caller, job: JobId },
     /// It may have been accepted before its share of traffic went back to the old system.
-    Resubmission {
-        ticket: Ticket,
-        key: String,
-        submission: Submission,
-        wait_ms: u64,
-    },
+    Resubmission { ticket: Ticket, key: String, submission: Submission, wait_ms: u64 },
 }
 
 /// What a call to a worker is for.
@@ -117,19 +103,9 @@
     /// A job's answer is passed on to somebody who waits.
     Pass(Ticket),
     /// Work was handed on; it is run here if the other did not get it.
-    Forward {
-        ticket: Ticket,
-        caller: Caller,
-        key: String,
-        submission: Submission,
-        wait_ms: u64,
-    },
+    Forward { ticket: Ticket, caller: Caller, key: String, submission: Submission, wait_ms: u64 },
     /// Room on another's workers.
-    Reserve {
-        job: JobId,
-        attempts: Vec<AttemptId>,
-        holder: DaemonId,
-    },
+    Reserve { job: JobId, attempts: Vec<AttemptId>, holder: DaemonId },
     /// What became of attempts.
     Inquire,
     /// Which attempts of these jobs are at that daemon.
@@ -159,12 +135,7 @@
         let address = holding.address.clone();
         let op = self.next_op();
         self.ops.worker.insert(op, purpose);
-        self.effects.push(Effect::Worker {
-            op,
-            worker: worker.clone(),
-            address,
-            call,
-        });
+        self.effects.push(Effect::Worker { op, worker: worker.clone(), address, call });
     }
 
     pub(crate) fn call_minion(
@@ -176,12 +147,7 @@
     ) {
         let op = self.next_op();
         self.ops.minion.insert(op, purpose);
-        self.effects.push(Effect::Minion {
-            op,
-            minion,
-            address,
-            call,
-        });
+        self.effects.push(Effect::Minion { op, minion, address, call });
     }
 
     /// Calls a daemon; says whether its address is known.
@@ -197,12 +163,7 @@
         let timeout_ms = self.settings.membership.peer_timeout_ms + waits_ms;
         let op = self.next_op();
         self.ops.peer.insert(op, purpose);
-        self.effects.push(Effect::Peer {
-            op,
-            address,
-            call,
-            timeout_ms,
-        });
+        self.effects.push(Effect::Peer { op, address, call, timeout_ms });
         true
     }
 }
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -13,6 +13,7 @@
 use stoatwell_model::DaemonId;
 use stoatwell_model::Resources;
 use stoatwell_model::UnixMs;
+use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_model::peer::Heartbeat;
 use stoatwell_model::peer::OwnerSummary;
@@ -75,18 +76,11 @@
         }
         let relay = self.members.is_relay(self.now_ms);
         for daemon in near {
-            let news = if relay {
-                self.news_for(&daemon)
-            } else {
-                Vec::new()
-            };
+            let news = if relay { self.news_for(&daemon) } else { Vec::new() };
             self.call_peer(
                 PeerOp::Heartbeat,
                 &daemon,
-                PeerCall::Heartbeat {
-                    beat: beat.clone(),
-                    news,
-                },
+                PeerCall::Heartbeat { beat: beat.clone(), news },
             );
         }
     }
@@ -101,10 +95,7 @@
         beat.summary = Summary::default();
         let news = vec![self.own_zone_news()];
         for daemon in relays {
-            let call = PeerCall::Heartbeat {
-                beat: beat.clone(),
-                news: news.clone(),
-            };
+            let call = PeerCall::Heartbeat { beat: beat.clone(), news: news.clone() };
             self.call_peer(PeerOp::Heartbeat, &daemon, call);
         }
     }
@@ -116,17 +107,11 @@
         let turn = (self.now_ms / self.settings.membership.relay_ms.max(1)) as usize;
         let mut relays = Vec::new();
         for (zone, listed) in self.members.other_zones() {
-            let heard = self
-                .zones
-                .get(zone)
-                .filter(|state| self.now_ms < state.heard_ms + fresh_ms);
+            let heard =
+                self.zones.get(zone).filter(|state| self.now_ms < state.heard_ms + fresh_ms);
             let said = heard.into_iter().flat_map(|state| &state.news.daemons);
             let relay = assign::winner(RELAY_KEY, said.map(|found| &found.daemon));
-            relays.extend(
-                relay
-                    .or_else(|| listed.get(turn % listed.len()).copied())
-                    .cloned(),
-            );
+            relays.extend(relay.or_else(|| listed.get(turn % listed.len()).copied()).cloned());
         }
         relays
     }
@@ -159,13 +144,7 @@
             revision = revision.max(member.revision);
             add_summary(&mut summary, &member.summary);
         }
-        ZoneNews {
-            zone: self.me.zone.clone(),
-            age_ms: 0,
-            daemons,
-            revision,
-            summary,
-        }
+        ZoneNews { zone: self.me.zone.clone(), age_ms: 0, daemons, revision, summary }
     }
 
     /// News of other zones that this daemon has not been told.
@@ -180,10 +159,7 @@
             }
             state.told.insert(daemon.clone(), (state.changes, now_ms));
             let age_ms = now_ms.saturating_sub(state.heard_ms);
-            news.push(ZoneNews {
-                age_ms,
-                ..state.news.clone()
-            });
+            news.push(ZoneNews { age_ms, ..state.news.clone() });
         }
         news
     }
@@ -196,12 +172,7 @@
             let heard_ms = self.now_ms.saturating_sub(item.age_ms);
             let Some(state) = self.zones.get_mut(&item.zone) else {
                 let told = HashMap::new();
-                let state = ZoneState {
-                    news: item.clone(),
-                    heard_ms,
-                    changes: 1,
-                    told,
-                };
+                let state = ZoneState { news: item.clone(), heard_ms, changes: 1, told };
                 self.zones.insert(item.zone, state);
                 continue;
             };
@@ -226,18 +197,10 @@
     }
 
     fn fetch_catalogue_from(&mut self, daemon: &DaemonId) {
-        let fetching = self
-            .ops
-            .peer
-            .values()
-            .any(|op| matches!(op, PeerOp::Catalogue));
+        let fetching = self.ops.peer.values().any(|op| matches!(op, PeerOp::Catalogue));
         if !fetching {
             let revision = self.catalogue.revision();
-            self.call_peer(
-                PeerOp::Catalogue,
-                daemon,
-                PeerCall::CatalogueSince { revision },
-            );
+            self.call_peer(PeerOp::Catalogue, daemon, PeerCall::CatalogueSince { revision });
         }
     }
 
@@ -247,11 +210,7 @@
                 let far = beat.from.zone != self.me.zone;
                 self.on_heartbeat(&beat, news);
                 let beat = self.heartbeat();
-                let news = if far {
-                    vec![self.own_zone_news()]
-                } else {
-                    Vec::new()
-                };
+                let news = if far { vec![self.own_zone_news()] } else { Vec::new() };
                 PeerReply::Heartbeat { beat, news }
             }
             PeerCall::CatalogueSince { revision } => {
@@ -271,10 +230,7 @@
             PeerCall::Unreserve { attempts } => self.on_unreserve(&attempts),
             PeerCall::Start { tasks } => self.on_remote_start(tasks),
             PeerCall::Stop { attempts, mode } => self.on_remote_stop(&attempts, mode),
-            PeerCall::Inquire {
-                coordinator,
-                attempts,
-            } => self.on_inquiry(&coordinator, &attempts),
+            PeerCall::Inquire { coordinator, attempts } => self.on_inquiry(&coordinator, &attempts),
             PeerCall::Find { coordinator, jobs } => self.on_find(&coordinator, &jobs),
             PeerCall::Report { from, reports } => self.on_reports(&from, reports),
             PeerCall::Acknowledge { attempts } => self.on_acknowledge(&attempts),
@@ -284,10 +240,7 @@
                 PeerReply::Noted
             }
         };
-        self.effects.push(Effect::Answer {
-            ticket,
-            answer: Answer::Peer(reply),
-        });
+        self.effects.push(Effect::Answer { ticket, answer: Answer::Peer(reply) });
     }
 
     pub(crate) fn on_peer_done(&mut self, op: OpId, reply: Result<PeerReply, CallError>) {
@@ -300,26 +253,10 @@
             }
             (PeerOp::Catalogue, Ok(PeerReply::News(news))) => self.on_catalogue_news(news),
             (PeerOp::Pass(ticket), reply) => self.pass_on(ticket, reply),
-            (
-                PeerOp::Forward {
-                    ticket,
-                    caller,
-                    key,
-                    submission,
-                    wait_ms,
-                },
-                reply,
-            ) => {
+            (PeerOp::Forward { ticket, caller, key, submission, wait_ms }, reply) => {
                 self.on_forward_done(ticket, &caller, key, submission, wait_ms, reply);
             }
-            (
-                PeerOp::Reserve {
-                    job,
-                    attempts,
-                    holder,
-                },
-                reply,
-            ) => {
+            (PeerOp::Reserve { job, attempts, holder }, reply) => {
                 self.on_reserved(job, attempts, &holder, reply);
             }
             (PeerOp::Inquire, Ok(PeerReply::Tasks(replies))) => self.on_task_replies(replies),
@@ -361,6 +298,7 @@
         self.listed_ms = self.now_ms;
         let mut daemons = Vec::new();
         let mut workers = Vec::new();
+        let mut zones = HashMap::new();
         for instance in instances {
             match instance.kind {
                 InstanceKind::Entry if instance.state == InstanceState::Live => {
@@ -372,17 +310,19 @@
                         incarnation: 0,
                     });
                 }
-                InstanceKind::Worker if instance.zone == self.me.zone => {
-                    workers.push((
-                        stoatwell_model::WorkerId::new(&instance.name),
-                        instance.address,
-                    ));
+                InstanceKind::Worker => {
+                    let worker = WorkerId::new(&instance.name);
+                    if instance.zone == self.me.zone {
+                        workers.push((worker.clone(), instance.address));
+                    }
+                    zones.insert(worker, instance.zone);
                 }
-                InstanceKind::Entry | InstanceKind::Worker => {}
+                InstanceKind::Entry => {}
             }
         }
         self.members.on_list(self.now_ms, &daemons);
-        self.note_gone(&workers);
+        self.worker_zones = zones;
+        self.note_gone();
         self.holdings.on_list(workers);
     }
 
@@ -392,12 +332,7 @@
             return Some(member.identity.peer_address.clone());
         }
         for state in self.zones.values() {
-            if let Some(found) = state
-                .news
-                .daemons
-                .iter()
-                .find(|found| found.daemon == *daemon)
-            {
+            if let Some(found) = state.news.daemons.iter().find(|found| found.daemon == *daemon) {
                 return Some(found.peer_address.clone());
             }
         }
@@ -410,6 +345,15 @@
         live.map(|member| member.identity.daemon.clone()).collect()
     }
 
+    /// Other daemons of a zone that are alive, as far as can be told from here.
+    pub(crate) fn daemons_of(&self, zone: &ZoneName) -> Vec<DaemonId> {
+        if *zone == self.me.zone {
+            return self.zone_peers();
+        }
+        let told = self.zones.get(zone).into_iter().flat_map(|state| &state.news.daemons);
+        told.map(|found| found.daemon.clone()).collect()
+    }
+
     /// Whether a daemon is alive, as far as can be told from here.
     pub(crate) fn is_live(&self, daemon: &DaemonId) -> bool {
         if self.members.is_live(self.now_ms, daemon) {
@@ -418,12 +362,7 @@
         let fresh_ms = self.settings.membership.silent_after_ms * NEWS_OLD_FACTOR;
         self.zones.values().any(|state| {
             let fresh = self.now_ms < state.heard_ms + fresh_ms;
-            fresh
-                && state
-                    .news
-                    .daemons
-                    .iter()
-                    .any(|found| found.daemon == *daemon)
+            fresh && state.news.daemons.iter().any(|found| found.daemon == *daemon)
         })
     }
 
@@ -473,11 +412,8 @@
             }
         }
         zones.sort_by_key(|state| {
-            let far = state
-                .news
-                .daemons
-                .first()
-                .is_none_or(|daemon| daemon.region != self.me.region);
+            let far =
+                state.news.daemons.first().is_none_or(|daemon| daemon.region != self.me.region);
             (far, state.news.summary.queued, state.news.zone.clone())
         });
         let state = zones.first()?;
@@ -487,10 +423,7 @@
 
     pub(crate) fn zones_heard(&self) -> BTreeMap<ZoneName, u64> {
         let age = |state: &ZoneState| self.now_ms.saturating_sub(state.heard_ms);
-        self.zones
-            .iter()
-            .map(|(zone, state)| (zone.clone(), age(state)))
-            .collect()
+        self.zones.iter().map(|(zone, state)| (zone.clone(), age(state))).collect()
     }
 }
 
@@ -499,21 +432,13 @@
     sum.queued = sum.queued.saturating_add(part.queued);
     sum.running += part.running;
     for owner in &part.owners {
-        match sum
-            .owners
-            .iter_mut()
-            .find(|found| found.owner == owner.owner)
-        {
+        match sum.owners.iter_mut().find(|found| found.owner == owner.owner) {
             Some(found) => add_owner(found, owner),
             None => sum.owners.push(owner.clone()),
         }
     }
     for group in &part.groups {
-        match sum
-            .groups
-            .iter_mut()
-            .find(|found| found.group == group.group)
-        {
+        match sum.groups.iter_mut().find(|found| found.group == group.group) {
             Some(found) => {
                 found.free_slots += group.free_slots;
                 found.slots += group.slots;
--- a/crates/engine/src/remote.rs
+++ b/crates/engine/src/remote.rs
@@ -18,6 +18,7 @@
 use stoatwell_model::worker::Token;
 use stoatwell_placement::WaitingJob;
 use stoatwell_platform::CallError;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Engine;
 use crate::message::JobMeta;
@@ -31,6 +32,8 @@
 const RESERVED_MS: u64 = 10_000;
 /// Reports without an acknowledgement are repeated after this time.
 const REPORT_AGAIN_MS: u64 = 5_000;
+/// Between two looks for room that nobody is going to use.
+const RECLAIM_MS: u64 = 2_000;
 /// Tasks in one question for room.
 const TASKS_PER_QUESTION: usize = 64;
 /// Jobs for which room is asked elsewhere in one tick.
@@ -53,6 +56,8 @@
     asking: BTreeMap<JobId, UnixMs>,
     /// Gangs that collect room here and elsewhere.
     gangs: BTreeMap<JobId, Gang>,
+    /// When room is looked through next.
+    reclaim_ms: UnixMs,
 }
 
 /// A report and when it is due again.
@@ -81,15 +86,8 @@
         worker: &WorkerId,
         seen: Seen,
     ) {
-        let report = Report {
-            worker: worker.clone(),
-            seen,
-            due_ms: 0,
-        };
-        self.outbox
-            .entry(to.clone())
-            .or_default()
-            .insert(attempt, report);
+        let report = Report { worker: worker.clone(), seen, due_ms: 0 };
+        self.outbox.entry(to.clone()).or_default().insert(attempt, report);
     }
 
     pub(crate) fn is_reserved(&self, attempt: AttemptId) -> bool {
@@ -97,24 +95,35 @@
     }
 
     pub(crate) fn demand_of(&self, attempt: AttemptId) -> Option<Resources> {
-        self.reserved
-            .get(&attempt)
-            .map(|(_, reservation)| reservation.demand)
+        self.reserved.get(&attempt).map(|(_, reservation)| reservation.demand)
     }
 
     /// Queues a start on room that another daemon set aside.
     pub(crate) fn start(&mut self, worker: WorkerId, start: StartTask) {
         if let Some((holder, reservation)) = self.reserved.remove(&start.attempt) {
-            self.starts
-                .entry(holder)
-                .or_default()
-                .push((worker, reservation.token, start));
+            self.starts.entry(holder).or_default().push((worker, reservation.token, start));
         }
     }
 
+    /// Room set aside here is not to be used any more.
+    pub(crate) fn withdraw_promise(&mut self, attempt: AttemptId) {
+        self.promised.remove(&attempt);
+    }
+
     pub(crate) fn forget(&mut self, job: JobId) {
         self.asking.remove(&job);
         self.gangs.remove(&job);
+        self.reserved.retain(|attempt, _| attempt.job != job);
+    }
+
+    /// Whether room here is kept for an attempt of another daemon's job, or of
+    /// a gang that still gathers room.
+    fn keeps(&self, attempt: AttemptId) -> bool {
+        let gathers = self
+            .gangs
+            .get(&attempt.job)
+            .is_some_and(|gang| gang.placed.iter().any(|(placed, _, _)| *placed == attempt));
+        gathers || self.promised.contains_key(&attempt)
     }
 
     pub(crate) fn unreported(&self) -> usize {
@@ -127,6 +136,7 @@
     pub(crate) fn reach_out(&mut self) {
         let now_ms = self.now_ms;
         self.take_back_promises();
+        self.reclaim_room();
         self.remote.asking.retain(|_, until_ms| *until_ms > now_ms);
         if self.stopping || self.scheduler.queue.is_empty() {
             return;
@@ -151,13 +161,18 @@
     }
 
     fn ask_for_room(&mut self, waiting: &WaitingJob) -> bool {
-        self.remote
-            .asking
-            .insert(waiting.job, self.now_ms + ASK_AGAIN_MS);
+        // Two gangs that each hold half of what both need would meet again and
+        // again if they asked in step, so the pause differs each time.
+        let seed = (waiting.job.0 as u64 ^ self.now_ms).to_le_bytes();
+        let again_ms = self.now_ms + ASK_AGAIN_MS + xxh3_64(&seed) % ASK_AGAIN_MS;
+        self.remote.asking.insert(waiting.job, again_ms);
+        let demand = self.scheduler.demand(waiting);
         if waiting.class == Class::Gang {
-            return self.gather_gang(waiting);
+            // Where it would fit in whole, room is kept for it here instead.
+            let cell = &self.scheduler.cell;
+            let fits_here = cell.could_hold_all(&waiting.owner, &demand, waiting.tasks.len());
+            return !fits_here && self.gather_gang(waiting);
         }
-        let demand = self.scheduler.demand(waiting);
         let offers = |owners: &[stoatwell_model::peer::OwnerSummary]| {
             owners
                 .iter()
@@ -188,15 +203,9 @@
             demand: record.demand,
             accepted_ms: record.accepted_ms,
         };
-        let call = PeerCall::Reserve {
-            meta,
-            attempts: attempts.clone(),
-        };
-        let purpose = PeerOp::Reserve {
-            job: id,
-            attempts: attempts.clone(),
-            holder: holder.clone(),
-        };
+        let call = PeerCall::Reserve { meta, attempts: attempts.clone() };
+        let purpose =
+            PeerOp::Reserve { job: id, attempts: attempts.clone(), holder: holder.clone() };
         if self.call_peer(purpose, holder, call) {
             return true;
         }
@@ -225,14 +234,7 @@
                 break;
             }
         }
-        self.remote.gangs.insert(
-            waiting.job,
-            Gang {
-                attempts,
-                placed,
-                peers,
-            },
-        );
+        self.remote.gangs.insert(waiting.job, Gang { attempts, placed, peers });
         self.advance_gang(waiting.job);
         true
     }
@@ -298,16 +300,9 @@
                 self.scheduler.not_started(self.now_ms, *attempt);
                 break;
             };
-            self.remote
-                .promised
-                .insert(*attempt, self.now_ms + RESERVED_MS);
+            self.remote.promised.insert(*attempt, self.now_ms + RESERVED_MS);
             let (worker, demand) = (placed.worker, placed.demand);
-            reservations.push(Reservation {
-                attempt: *attempt,
-                worker,
-                token,
-                demand,
-            });
+            reservations.push(Reservation { attempt: *attempt, worker, token, demand });
         }
         PeerReply::Reserved { reservations }
     }
@@ -321,6 +316,28 @@
         PeerReply::Noted
     }
 
+    /// Gives back room that nobody is going to use. A job may be lost to another
+    /// daemon between getting room and starting; its room would be lost with it,
+    /// and one would notice only that the cell seems full.
+    pub(crate) fn reclaim_room(&mut self) {
+        if self.now_ms < self.remote.reclaim_ms {
+            return;
+        }
+        self.remote.reclaim_ms = self.now_ms + RECLAIM_MS;
+        let mut unused = Vec::new();
+        for (attempt, running) in self.scheduler.cell.all_running() {
+            let known = self.held.get(&running.worker).is_some_and(|held| held.knows(*attempt));
+            let job = self.jobs.get(&attempt.job);
+            let wanted = job.is_some_and(|job| job.machine.is_about_to_start(*attempt));
+            if !known && !wanted && !self.remote.keeps(*attempt) {
+                unused.push(*attempt);
+            }
+        }
+        for attempt in unused {
+            self.not_started(attempt);
+        }
+    }
+
     fn take_back_promises(&mut self) {
         let now_ms = self.now_ms;
         let mut over = Vec::new();
@@ -351,9 +368,7 @@
         for reservation in reservations {
             let attempt = reservation.attempt;
             placed.push((attempt, reservation.worker.clone(), reservation.token));
-            self.remote
-                .reserved
-                .insert(attempt, (holder.clone(), reservation));
+            self.remote.reserved.insert(attempt, (holder.clone(), reservation));
         }
         if let Some(gang) = self.remote.gangs.get_mut(&id) {
             gang.placed.extend(placed);
@@ -364,10 +379,8 @@
             return;
         }
         let got: Vec<AttemptId> = placed.iter().map(|(attempt, _, _)| *attempt).collect();
-        let rest: Vec<AttemptId> = attempts
-            .into_iter()
-            .filter(|attempt| !got.contains(attempt))
-            .collect();
+        let rest: Vec<AttemptId> =
+            attempts.into_iter().filter(|attempt| !got.contains(attempt)).collect();
         if !rest.is_empty() {
             self.enqueue(id, rest);
         }
@@ -376,9 +389,8 @@
         }
         if let Some(job) = self.jobs.get_mut(&id) {
             let count = placed.len();
-            job.machine.note(format!(
-                "{count} tasks placed on workers of {holder}, which had room"
-            ));
+            job.machine
+                .note(format!("{count} tasks placed on workers of {holder}, which had room"));
         }
         self.drive(id, |machine, now_ms| machine.on_placed(now_ms, &placed));
     }
@@ -397,19 +409,13 @@
             let attempt = start.attempt;
             let coordinator = start.coordinator.clone();
             let promised = self.remote.promised.remove(&attempt).is_some();
-            let current = self
-                .held
-                .get(&worker)
-                .is_some_and(|held| held.token == token);
+            let current = self.held.get(&worker).is_some_and(|held| held.token == token);
             // Room that went back may be somebody else's now, and under another
             // token the intent names a lease that is over.
             if promised && current && self.start_here(&worker, start) {
                 continue;
             }
             if current {
-                if let Some(held) = self.held.get_mut(&worker) {
-                    held.sealed.insert(attempt);
-                }
                 self.tell(attempt, &worker, &coordinator, Seen::Absent);
             }
             if promised {
@@ -440,19 +446,14 @@
             if !self.is_live(&to) {
                 continue;
             }
-            let call = PeerCall::Report {
-                from: self.me.daemon.clone(),
-                reports,
-            };
+            let call = PeerCall::Report { from: self.me.daemon.clone(), reports };
             self.call_peer(PeerOp::Report { to: to.clone() }, &to, call);
         }
         let held = &self.held;
         // What the worker itself still names is told again to whoever asks.
         self.remote.outbox.retain(|to, reports| {
             reports.retain(|attempt, report| {
-                let known = held
-                    .get(&report.worker)
-                    .and_then(|held| held.tasks.get(attempt));
+                let known = held.get(&report.worker).and_then(|held| held.tasks.get(attempt));
                 let moved = known.is_some_and(|known| known.coordinator != *to);
                 !moved && held.contains_key(&report.worker)
             });
@@ -475,9 +476,7 @@
             }
             attempts.push(attempt);
             if ended && self.may_forget(attempt) {
-                let call = PeerCall::Acknowledge {
-                    attempts: vec![(attempt, worker)],
-                };
+                let call = PeerCall::Acknowledge { attempts: vec![(attempt, worker)] };
                 self.call_peer(PeerOp::Notice, from, call);
             }
         }
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -56,11 +56,7 @@
     }
 
     fn attempt(&self) -> AttemptId {
-        AttemptId {
-            job: self.record.job,
-            task: 0,
-            attempt: self.tries.max(1),
-        }
+        AttemptId { job: self.record.job, task: 0, attempt: self.tries.max(1) }
     }
 }
 
@@ -83,9 +79,7 @@
             return self.answer_job(ticket, Err(failure));
         }
         let group = admitted.entry.minions.clone().unwrap_or_default();
-        let picked = self
-            .minions
-            .pick(self.now_ms, &group, &admitted.entry.owner);
+        let picked = self.minions.pick(self.now_ms, &group, &admitted.entry.owner);
         if picked.is_none() {
             if may_forward && self.forward_request(ticket, caller, &admitted, wait_ms) {
                 return;
@@ -124,8 +118,7 @@
         self.next_request += 1;
         if once {
             let mut job = Job::new(JobMachine::new(record.clone(), 0, 1), String::new());
-            job.accepting
-                .push((ticket, deadline_ms.saturating_sub(self.now_ms)));
+            job.accepting.push((ticket, deadline_ms.saturating_sub(self.now_ms)));
             job.accept_until_ms = deadline_ms;
             job.request = Some(number);
             self.jobs.insert(record.job, job);
@@ -145,23 +138,19 @@
     }
 
     fn has_minions(&self, group: &str) -> bool {
-        self.minions
-            .all()
-            .any(|(_, minion)| minion.group == group && minion.serves.is_some())
+        self.minions.all().any(|(_, minion)| minion.group == group && minion.serves.is_some())
     }
 
     fn let_wait(&mut self, number: u64) {
         if let Some(request) = self.requests.get(&number) {
-            self.waiting
-                .push(&request.group, request.deadline_ms, number);
+            self.waiting.push(&request.group, request.deadline_ms, number);
         }
     }
 
     /// A slot was taken for this request.
     fn route(&mut self, number: u64, picked: Picked) {
         let Some(request) = self.requests.get_mut(&number) else {
-            self.minions
-                .release(self.now_ms, &picked.minion, Ending::Answered);
+            self.minions.release(self.now_ms, &picked.minion, Ending::Answered);
             return;
         };
         let worker = picked.worker.clone();
@@ -183,18 +172,13 @@
         let Some(number) = number else {
             return;
         };
-        let late = self
-            .requests
-            .get(&number)
-            .is_none_or(|request| request.deadline_ms <= self.now_ms);
+        let late =
+            self.requests.get(&number).is_none_or(|request| request.deadline_ms <= self.now_ms);
         if late {
             // The record took longer than the request had time; it was not sent.
             self.give_slot_back(number, Ending::Answered);
             self.requests.remove(&number);
-            self.finish_request(
-                id,
-                not_run(Code::DeadlinePassed, "it waited for its record"),
-            );
+            self.finish_request(id, not_run(Code::DeadlinePassed, "it waited for its record"));
             return;
         }
         self.ask(number);
@@ -213,10 +197,7 @@
             deadline_ms: request.deadline_ms.saturating_sub(self.now_ms).max(1),
             body: request.body.clone(),
         };
-        let purpose = MinionOp::Ask {
-            request: number,
-            minion: picked.minion.clone(),
-        };
+        let purpose = MinionOp::Ask { request: number, minion: picked.minion.clone() };
         self.call_minion(purpose, picked.minion, picked.address, call);
     }
 
@@ -249,10 +230,7 @@
             Err(error) if error.is_without_effect() => self.on_not_begun(number),
             Ok(MinionReply::Failed { reason }) => {
                 if recorded || !self.try_again(number) {
-                    let outcome = Outcome::Failed {
-                        code: Code::MinionFailed,
-                        detail: reason,
-                    };
+                    let outcome = Outcome::Failed { code: Code::MinionFailed, detail: reason };
                     self.end_request(number, outcome);
                 }
             }
@@ -263,10 +241,7 @@
                         "the minion did not answer; the work may be repeated safely".to_owned();
                     self.end_request(
                         number,
-                        Outcome::Unknown {
-                            code: Code::OutcomeUnknown,
-                            detail,
-                        },
+                        Outcome::Unknown { code: Code::OutcomeUnknown, detail },
                     );
                 }
             }
@@ -321,8 +296,7 @@
         };
         job.request = None;
         job.inquire_ms = self.now_ms;
-        job.machine
-            .note("the minion did not answer in time and is being asked".to_owned());
+        job.machine.note("the minion did not answer in time and is being asked".to_owned());
         let view = JobView {
             state: stoatwell_model::JobState::Unknown,
             outcome: Some(Outcome::Unknown {
@@ -339,16 +313,8 @@
             return;
         };
         let mut tickets: Vec<Ticket> = Vec::new();
-        tickets.extend(
-            std::mem::take(&mut job.waiters)
-                .into_iter()
-                .map(|(ticket, _)| ticket),
-        );
-        tickets.extend(
-            std::mem::take(&mut job.accepting)
-                .into_iter()
-                .map(|(ticket, _)| ticket),
-        );
+        tickets.extend(std::mem::take(&mut job.waiters).into_iter().map(|(ticket, _)| ticket));
+        tickets.extend(std::mem::take(&mut job.accepting).into_iter().map(|(ticket, _)| ticket));
         for ticket in tickets {
             self.answer_job(ticket, Ok(view.clone()));
         }
@@ -386,17 +352,15 @@
             record.outcome = Some(outcome);
             let view = crate::submit::view_of_record(record, Vec::new());
             self.answer_waiters(id, &view);
-            if !self
-                .jobs
-                .get(&id)
-                .is_some_and(|job| job.machine.is_writing())
-            {
+            if !self.jobs.get(&id).is_some_and(|job| job.machine.is_writing()) {
                 self.jobs.remove(&id);
             }
             return;
         }
+        let told = outcome.clone();
         self.drive(id, |machine, now_ms| machine.finish(now_ms, outcome));
         if let Some(view) = self.view(id) {
+            let view = JobView { state: told.state(), outcome: Some(told), ..view };
             self.answer_waiters(id, &view);
         }
     }
@@ -409,10 +373,7 @@
         }
         // It was taken over from another daemon, and its caller with it: the
         // body is not here and nobody waits for the answer.
-        self.finish_request(
-            id,
-            not_run(Code::NoMinion, "the daemon that had it was replaced"),
-        );
+        self.finish_request(id, not_run(Code::NoMinion, "the daemon that had it was replaced"));
     }
 
     pub(crate) fn serve_waiting_requests(&mut self) {
@@ -438,20 +399,14 @@
 
     pub(crate) fn expire_requests(&mut self) {
         for number in self.waiting.expired(self.now_ms) {
-            self.end_request(
-                number,
-                not_run(Code::DeadlinePassed, "no slot became free in time"),
-            );
+            self.end_request(number, not_run(Code::DeadlinePassed, "no slot became free in time"));
         }
     }
 
     pub(crate) fn drop_waiting_request(&mut self, id: JobId) {
         let number = self.jobs.get(&id).and_then(|job| job.request);
         if let Some(number) = number
-            && self
-                .requests
-                .get(&number)
-                .is_some_and(|request| !request.asked)
+            && self.requests.get(&number).is_some_and(|request| !request.asked)
         {
             self.give_slot_back(number, Ending::Answered);
             self.requests.remove(&number);
@@ -490,33 +445,18 @@
         let Some(intent) = job.machine.record.intents.first().cloned() else {
             return;
         };
-        let attempt = AttemptId {
-            job: id,
-            task: intent.task,
-            attempt: intent.attempt,
-        };
-        let place = intent
-            .minion
-            .as_deref()
-            .and_then(|minion| minion.split_once('/'));
+        let attempt = AttemptId { job: id, task: intent.task, attempt: intent.attempt };
+        let place = intent.minion.as_deref().and_then(|minion| minion.split_once('/'));
         let Some((address, minion)) = place else {
             return;
         };
         if self.is_gone(&intent.worker) {
             let detail = format!("worker {} of its minion is gone", intent.worker);
-            let outcome = Outcome::Unknown {
-                code: Code::OutcomeUnknown,
-                detail,
-            };
+            let outcome = Outcome::Unknown { code: Code::OutcomeUnknown, detail };
             return self.finish_request(id, outcome);
         }
         let call = MinionCall::Seal { attempt };
-        self.call_minion(
-            MinionOp::Seal(id),
-            MinionId::new(minion),
-            address.to_owned(),
-            call,
-        );
+        self.call_minion(MinionOp::Seal(id), MinionId::new(minion), address.to_owned(), call);
     }
 
     fn on_sealed(&mut self, id: JobId, reply: Result<MinionReply, CallError>) {
@@ -539,10 +479,7 @@
             Ok(MinionReply::Failed { reason }) => {
                 self.finish_request(
                     id,
-                    Outcome::Failed {
-                        code: Code::MinionFailed,
-                        detail: reason,
-                    },
+                    Outcome::Failed { code: Code::MinionFailed, detail: reason },
                 );
             }
             Ok(MinionReply::Running | MinionReply::Busy) | Err(_) => {}
@@ -551,8 +488,5 @@
 }
 
 fn not_run(code: Code, detail: &str) -> Outcome {
-    Outcome::NotRun {
-        code,
-        detail: detail.to_owned(),
-    }
+    Outcome::NotRun { code, detail: detail.to_owned() }
 }
--- a/crates/engine/src/stop.rs
+++ b/crates/engine/src/stop.rs
@@ -28,10 +28,7 @@
         let handed_on = |op: &PeerOp| matches!(op, PeerOp::Forward { .. } | PeerOp::Pass(_));
         let requests_done = self.requests.is_empty() && !self.ops.peer.values().any(handed_on);
         let successor = !self.zone_peers().is_empty();
-        let jobs_done = self
-            .jobs
-            .values()
-            .all(|job| !successor && !job.machine.is_writing());
+        let jobs_done = self.jobs.values().all(|job| !successor && !job.machine.is_writing());
         let idle = self.committer.backlog() == 0 && self.ops.minion.is_empty();
         let released =
             self.holdings.held() == 0 || !successor && self.held.values().all(|held| !held.calling);
@@ -61,7 +58,7 @@
             };
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.leaving = true;
-                job.machine.hand_to(successor);
+                job.machine.hand_to(successor, &self.me.zone);
             }
             self.write_job(id);
         }
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -31,6 +31,8 @@
 
 /// When to come back after most refusals that pass by themselves.
 const RETRY_AFTER_MS: u64 = 1_000;
+/// Longest wait for a cancellation's outcome to become durable.
+const CANCEL_WAIT_MS: u64 = 3_000;
 const KEY_BYTES_MAX: usize = 128;
 const PERMILLE: u64 = 1_000;
 
@@ -59,12 +61,7 @@
             Ok(entry) if stays_with_old_system(&entry, &key) => {
                 // It may have been accepted while the share was larger; told
                 // "not run" then, a caller would run it a second time elsewhere.
-                let lookup = Lookup::Resubmission {
-                    ticket,
-                    key,
-                    submission,
-                    wait_ms,
-                };
+                let lookup = Lookup::Resubmission { ticket, key, submission, wait_ms };
                 self.look_up(lookup);
             }
             Ok(entry) => self.take(ticket, caller, entry, key, submission, wait_ms, true),
@@ -112,15 +109,7 @@
         let caller = Caller::Owner(call.owner);
         match self.admit(&caller, &call.key, &call.submission) {
             Ok(entry) => {
-                self.take(
-                    ticket,
-                    &caller,
-                    entry,
-                    call.key,
-                    call.submission,
-                    call.wait_ms,
-                    false,
-                );
+                self.take(ticket, &caller, entry, call.key, call.submission, call.wait_ms, false);
             }
             Err(failure) => self.answer_job(ticket, Err(failure)),
         }
@@ -176,13 +165,7 @@
         if self.join(ticket, job, content_hash, wait_ms) {
             return;
         }
-        let admitted = Admitted {
-            entry,
-            key,
-            submission,
-            content_hash,
-            job,
-        };
+        let admitted = Admitted { entry, key, submission, content_hash, job };
         if admitted.entry.class == Class::Request {
             self.take_request(ticket, caller, admitted, wait_ms, may_forward);
             return;
@@ -192,10 +175,7 @@
             return;
         }
         let demand = admitted.submission.demand.unwrap_or(admitted.entry.task);
-        let here = self
-            .scheduler
-            .cell
-            .could_hold(&admitted.entry.owner, &demand);
+        let here = self.scheduler.cell.could_hold(&admitted.entry.owner, &demand);
         if may_forward && !here {
             let target = self.find_room(&admitted.entry.owner, &demand);
             if let Some(daemon) = target
@@ -248,11 +228,7 @@
         }
         let all = demand.times(u64::from(admitted.submission.tasks));
         let quota = self.catalogue.owner(&entry.owner).map(|owner| owner.quota);
-        let together = if entry.class == Class::Gang {
-            all
-        } else {
-            demand
-        };
+        let together = if entry.class == Class::Gang { all } else { demand };
         if quota.is_some_and(|quota| !quota.holds(&together)) {
             return Err(Failure::with_detail(Code::OverQuota, &entry.owner));
         }
@@ -367,11 +343,7 @@
         let entry = &admitted.entry;
         let submission = &admitted.submission;
         let relative_ms = submission.deadline_ms.unwrap_or(entry.limits.deadline_ms);
-        let deadline_ms = if relative_ms == 0 {
-            0
-        } else {
-            self.now_ms + relative_ms
-        };
+        let deadline_ms = if relative_ms == 0 { 0 } else { self.now_ms + relative_ms };
         let large = submission.body.len() as u64 > self.settings.ledger.inline_body_bytes;
         JobRecord {
             job: admitted.job,
@@ -384,11 +356,7 @@
             urgency: entry.urgency,
             tasks: submission.tasks,
             demand: submission.demand.unwrap_or(entry.task),
-            body: if large {
-                String::new()
-            } else {
-                submission.body.clone()
-            },
+            body: if large { String::new() } else { submission.body.clone() },
             body_object: large.then(|| format!("body/{}", admitted.job)),
             accepted_ms: self.now_ms,
             deadline_ms,
@@ -396,6 +364,7 @@
             coordinator: self.me.daemon.clone(),
             epoch: 1,
             intents: Vec::new(),
+            started: false,
             cancelled: false,
             outcome: None,
             finished_ms: 0,
@@ -412,12 +381,7 @@
             Some(_) => self.wait_for(job, ticket, wait_ms),
             None => {
                 let caller = caller.clone();
-                self.look_up(Lookup::Status {
-                    ticket,
-                    caller,
-                    job,
-                    wait_ms,
-                });
+                self.look_up(Lookup::Status { ticket, caller, job, wait_ms });
             }
         }
     }
@@ -438,11 +402,7 @@
             Some(_) => self.cancel_here(ticket, job),
             None => {
                 let caller = caller.clone();
-                self.look_up(Lookup::Cancel {
-                    ticket,
-                    caller,
-                    job,
-                });
+                self.look_up(Lookup::Cancel { ticket, caller, job });
             }
         }
     }
@@ -457,7 +417,8 @@
 
     fn cancel_here(&mut self, ticket: Ticket, job: JobId) {
         self.drive(job, JobMachine::cancel);
-        self.wait_for(job, ticket, 0);
+        // The answer may be "not run", which has to be durable before it is told.
+        self.wait_for(job, ticket, CANCEL_WAIT_MS);
     }
 
     fn owner_of(&self, job: JobId) -> Option<OwnerName> {
@@ -470,61 +431,35 @@
     pub(crate) fn look_up(&mut self, lookup: Lookup) {
         let job = match &lookup {
             Lookup::Status { job, .. } | Lookup::Cancel { job, .. } => *job,
-            Lookup::Resubmission {
-                key, submission, ..
-            } => {
-                let owner = self
-                    .catalogue
-                    .work(&submission.entry)
-                    .map(|entry| entry.owner.clone());
+            Lookup::Resubmission { key, submission, .. } => {
+                let owner = self.catalogue.work(&submission.entry).map(|entry| entry.owner.clone());
                 JobId::of_key(&owner.unwrap_or_else(|| OwnerName::new("")), key)
             }
         };
-        let call = StoreCall::Read {
-            keys: vec![stoatwell_ledger::rows::job(job)],
-        };
+        let call = StoreCall::Read { keys: vec![stoatwell_ledger::rows::job(job)] };
         self.call_store(StoreOp::Lookup(lookup), call);
     }
 
     pub(crate) fn on_looked_up(&mut self, lookup: Lookup, reply: Result<StoreReply, CallError>) {
         let record: Result<Option<JobRecord>, CallError> = match reply {
-            Ok(StoreReply::Rows { rows }) => Ok(rows
-                .first()
-                .and_then(|row| serde_json::from_str(&row.value).ok())),
+            Ok(StoreReply::Rows { rows }) => {
+                Ok(rows.first().and_then(|row| serde_json::from_str(&row.value).ok()))
+            }
             Ok(_) => Ok(None),
             Err(error) => Err(error),
         };
         match (lookup, record) {
-            (
-                Lookup::Status {
-                    ticket,
-                    caller,
-                    wait_ms,
-                    ..
-                },
-                Ok(Some(found)),
-            ) if may_see(&caller, &found.owner) => {
+            (Lookup::Status { ticket, caller, wait_ms, .. }, Ok(Some(found)))
+                if may_see(&caller, &found.owner) =>
+            {
                 self.answer_from_record(ticket, found, wait_ms);
             }
-            (
-                Lookup::Cancel {
-                    ticket,
-                    caller,
-                    job,
-                },
-                Ok(Some(found)),
-            ) if may_see(&caller, &found.owner) => {
+            (Lookup::Cancel { ticket, caller, job }, Ok(Some(found)))
+                if may_see(&caller, &found.owner) =>
+            {
                 self.cancel_elsewhere(ticket, job, found);
             }
-            (
-                Lookup::Resubmission {
-                    ticket,
-                    submission,
-                    wait_ms,
-                    ..
-                },
-                Ok(Some(found)),
-            ) => {
+            (Lookup::Resubmission { ticket, submission, wait_ms, .. }, Ok(Some(found))) => {
                 if found.content_hash == content_hash(&submission) {
                     self.answer_from_record(ticket, found, wait_ms);
                 } else {
@@ -574,11 +509,7 @@
         let job = record.job;
         let live = self.is_live(&coordinator) && coordinator != self.me.daemon;
         if live
-            && self.call_peer(
-                PeerOp::Pass(ticket),
-                &coordinator,
-                PeerCall::Status { job, wait_ms },
-            )
+            && self.call_peer(PeerOp::Pass(ticket), &coordinator, PeerCall::Status { job, wait_ms })
         {
             return;
         }
@@ -599,10 +530,7 @@
     }
 
     pub(crate) fn on_store_answer(&mut self, ticket: Ticket, reply: Result<StoreReply, CallError>) {
-        self.effects.push(Effect::Answer {
-            ticket,
-            answer: Answer::Store(reply),
-        });
+        self.effects.push(Effect::Answer { ticket, answer: Answer::Store(reply) });
     }
 }
 
@@ -631,18 +559,9 @@
 fn problems(entry: &WorkEntry, submission: &Submission) -> Vec<Problem> {
     let mut problems = Vec::new();
     let mut tell = |path: &str, value: String, expected: String, hint: &str| {
-        problems.push(Problem {
-            path: path.to_owned(),
-            value,
-            expected,
-            hint: hint.to_owned(),
-        });
-    };
-    let tasks_max = if entry.class == Class::Request {
-        1
-    } else {
-        entry.limits.tasks_per_job
+        problems.push(Problem { path: path.to_owned(), value, expected, hint: hint.to_owned() });
     };
+    let tasks_max = if entry.class == Class::Request { 1 } else { entry.limits.tasks_per_job };
     if submission.tasks == 0 || submission.tasks > tasks_max {
         let expected = format!("a whole number from 1 to {tasks_max}");
         tell(
--- a/crates/engine/src/sweep.rs
+++ b/crates/engine/src/sweep.rs
@@ -83,11 +83,7 @@
             let (prefix, after) = (rows::DONE.to_owned(), String::new());
             self.call_store(
                 StoreOp::SweepDone,
-                StoreCall::Scan {
-                    prefix,
-                    after,
-                    limit: REMOVE_MAX,
-                },
+                StoreCall::Scan { prefix, after, limit: REMOVE_MAX },
             );
         }
     }
@@ -101,14 +97,7 @@
         self.sweep.zone = Some(zone);
         self.sweep.looking = true;
         let after = self.sweep.cursor.clone();
-        self.call_store(
-            StoreOp::SweepOpen,
-            StoreCall::Scan {
-                prefix,
-                after,
-                limit: OPEN_ROWS,
-            },
-        );
+        self.call_store(StoreOp::SweepOpen, StoreCall::Scan { prefix, after, limit: OPEN_ROWS });
     }
 
     /// Mostly the own zone; the relay also looks after zones that are dead.
@@ -149,13 +138,11 @@
             let mine = open.coordinator == self.me.daemon;
             let known = self.jobs.contains_key(&open.job);
             // A row in my name of a job that I do not know is from before my start.
-            let deserted = if mine {
-                !known
-            } else {
-                !self.is_live(&open.coordinator)
-            };
+            let deserted = if mine { !known } else { !self.is_live(&open.coordinator) };
             let chosen = assign::winner(&open.job.to_string(), &holders) == Some(&self.me.daemon);
-            if deserted && !known && (mine || chosen) {
+            // One that I run by a row in another's name was taken over from me.
+            let taken = known && !mine;
+            if taken || (deserted && !known && (mine || chosen)) {
                 self.sweep.claims.insert(open.job);
             }
         }
@@ -191,22 +178,26 @@
             return;
         };
         let id = record.job;
-        if record.outcome.is_some() || self.jobs.contains_key(&id) {
+        if let Some(job) = self.jobs.get(&id) {
+            if job.accepted && job.machine.record.epoch < record.epoch {
+                self.lose_job(id, &row.value);
+            }
+            return;
+        }
+        if record.outcome.is_some() {
             return;
         }
         let others = record.coordinator != self.me.daemon;
         if others && self.is_live(&record.coordinator) && !self.is_stopping(&record.coordinator) {
             return;
         }
-        let attempts_max = self
-            .catalogue
-            .work(&record.entry)
-            .map_or(1, |entry| entry.limits.attempts);
+        let attempts_max =
+            self.catalogue.work(&record.entry).map_or(1, |entry| entry.limits.attempts);
         let body = record.body.clone();
         let object = record.body_object.clone();
         let mut machine = JobMachine::new(record, row.version, attempts_max);
         let former = machine.record.coordinator.clone();
-        machine.hand_to(&self.me.daemon);
+        machine.hand_to(&self.me.daemon, &self.me.zone);
         machine.note(format!("taken over from daemon {former}"));
         let mut job = Job::new(machine, body);
         // The new holders of the dead daemon's workers need this long to know
@@ -223,9 +214,7 @@
     }
 
     fn is_stopping(&self, daemon: &stoatwell_model::DaemonId) -> bool {
-        self.members
-            .get(daemon)
-            .is_some_and(|member| member.stopping)
+        self.members.get(daemon).is_some_and(|member| member.stopping)
     }
 
     pub(crate) fn on_body_loaded(&mut self, id: JobId, reply: Result<StoreReply, CallError>) {
@@ -281,16 +270,8 @@
     }
 
     fn end_orphans(&mut self, job: JobId) {
-        let first = AttemptId {
-            job,
-            task: 0,
-            attempt: 0,
-        };
-        let last = AttemptId {
-            job,
-            task: u32::MAX,
-            attempt: u32::MAX,
-        };
+        let first = AttemptId { job, task: 0, attempt: 0 };
+        let last = AttemptId { job, task: u32::MAX, attempt: u32::MAX };
         let mut ended: BTreeMap<AttemptId, WorkerId> = BTreeMap::new();
         let mut running = Vec::new();
         for (worker, held) in &self.held {
@@ -313,10 +294,8 @@
         let Ok(StoreReply::Rows { rows: found }) = reply else {
             return;
         };
-        let kept_from = rows::done_from(
-            self.now_ms
-                .saturating_sub(self.settings.ledger.retention_ms),
-        );
+        let kept_from =
+            rows::done_from(self.now_ms.saturating_sub(self.settings.ledger.retention_ms));
         let mut deletes = Vec::new();
         for row in &found {
             // The hour in the key is when it finished; the whole hour must be over.
@@ -336,13 +315,8 @@
         // More may be waiting, so the next look comes at once.
         self.sweep.next_done_ms = self.now_ms;
         let write_id = self.next_write_id();
-        let write = Write {
-            checks: Vec::new(),
-            puts: Vec::new(),
-            deletes,
-            write_id,
-            give_up_ms: None,
-        };
+        let write =
+            Write { checks: Vec::new(), puts: Vec::new(), deletes, write_id, give_up_ms: None };
         self.committer.submit(write_id, write);
     }
 
--- /dev/null
+++ b/crates/engine/tests/world/checker.rs
@@ -0,0 +1,188 @@
+//! The promises that must hold at every moment, checked from outside.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use stoatwell_engine::Answer;
+use stoatwell_model::AttemptId;
+use stoatwell_model::Code;
+use stoatwell_model::JobId;
+use stoatwell_model::Outcome;
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+use stoatwell_model::worker::TaskReport;
+use stoatwell_standin::worker::Worker;
+
+/// What was seen, and what must never be.
+#[derive(Default)]
+pub struct Checker {
+    /// Entries of work that runs at most once.
+    starts: BTreeMap<(JobId, u32), u32>,
+    requests: BTreeMap<JobId, u32>,
+    not_run: HashSet<JobId>,
+    /// Expected markers of answers by ticket.
+    markers: HashMap<u64, String>,
+    /// Workers on which nothing may start any more, from a time on.
+    closed: HashMap<WorkerId, u64>,
+    pub capacity: Option<Resources>,
+    pub starts_seen: u64,
+    pub requests_seen: u64,
+    pub unknown_seen: u64,
+}
+
+impl Checker {
+    /// The answer to this ticket must be to this marker.
+    pub fn expect_marker(&mut self, ticket: u64, marker: &str) {
+        self.markers.insert(ticket, marker.to_owned());
+    }
+
+    /// Nothing may start on this worker after this time.
+    pub fn close(&mut self, worker: &WorkerId, from_ms: u64) {
+        self.closed.insert(worker.clone(), from_ms);
+    }
+
+    pub fn reopen(&mut self, worker: &WorkerId) {
+        self.closed.remove(worker);
+    }
+
+    pub fn on_start(
+        &mut self,
+        now_ms: u64,
+        worker: &WorkerId,
+        report: &TaskReport,
+        workers: &BTreeMap<WorkerId, Worker>,
+        dead: &HashSet<WorkerId>,
+    ) {
+        self.starts_seen += 1;
+        let attempt = report.attempt;
+        let key = (attempt.job, attempt.task);
+        let starts = self.starts.entry(key).or_default();
+        *starts += 1;
+        if report.entry == "route" {
+            assert_eq!(*starts, 1, "a task that runs at most once was started twice: {attempt:?}");
+        }
+        if matches!(report.entry.as_str(), "route" | "packet" | "solo") {
+            let places = running_places(attempt, workers, dead);
+            assert!(
+                places.len() <= 1,
+                "an exclusive task runs in two places: {attempt:?} on {places:?}"
+            );
+        }
+        assert!(
+            !self.not_run.contains(&attempt.job),
+            "a job told as not run was started: {attempt:?}"
+        );
+        if let Some(from_ms) = self.closed.get(worker) {
+            assert!(now_ms < *from_ms, "work started on {worker}, which was leaving");
+        }
+        if let (Some(capacity), Some(found)) = (self.capacity, workers.get(worker)) {
+            check_room(worker, found, &capacity);
+        }
+    }
+
+    pub fn on_request(&mut self, attempt: AttemptId, busy: u32, slots: u32) {
+        self.requests_seen += 1;
+        assert!(busy <= slots, "a minion got more requests than it has slots");
+        *self.requests.entry(attempt.job).or_default() += 1;
+        assert!(
+            !self.not_run.contains(&attempt.job),
+            "a request told as not run was begun: {attempt:?}"
+        );
+    }
+
+    /// Bookings run at most once, whatever happened to their callers.
+    pub fn check_once(&self, bookings: &HashSet<JobId>) {
+        for (job, count) in &self.requests {
+            if bookings.contains(job) {
+                assert!(*count <= 1, "a booking ran {count} times: {job:?}");
+            }
+        }
+    }
+
+    pub fn on_answer(&mut self, ticket: u64, answer: &Answer) {
+        match answer {
+            Answer::Job(Ok(view)) => match &view.outcome {
+                Some(Outcome::NotRun { .. }) => self.on_not_run(view.job),
+                Some(Outcome::Unknown { .. }) => self.unknown_seen += 1,
+                Some(Outcome::Done { answer }) => {
+                    if let Some(marker) = self.markers.get(&ticket) {
+                        assert!(answer.contains(marker.as_str()), "a caller got another's answer");
+                    }
+                }
+                Some(Outcome::Failed { .. }) | None => {}
+            },
+            Answer::Job(Err(failure)) if failure.code == Code::AcceptanceUnknown => {
+                self.unknown_seen += 1;
+            }
+            _ => {}
+        }
+    }
+
+    /// A durable outcome says that a job did not run.
+    pub fn on_not_run(&mut self, job: JobId) {
+        self.not_run.insert(job);
+        let tasks = self.starts.range((job, 0)..=(job, u32::MAX)).next();
+        assert!(tasks.is_none(), "a job that was started is told as not run: {job:?}");
+        assert!(
+            !self.requests.contains_key(&job),
+            "a request that was begun is told as not run: {job:?}"
+        );
+    }
+
+    /// Ends what is due on every worker and looks at the whole cell.
+    pub fn look(
+        &mut self,
+        now_ms: u64,
+        workers: &mut BTreeMap<WorkerId, Worker>,
+        dead: &HashSet<WorkerId>,
+    ) {
+        for (id, worker) in workers.iter_mut() {
+            if dead.contains(id) {
+                continue;
+            }
+            worker.advance(now_ms);
+            if let Some(capacity) = self.capacity {
+                check_room(id, worker, &capacity);
+            }
+        }
+    }
+
+    pub fn starts_of(&self, job: JobId) -> u32 {
+        self.starts.range((job, 0)..=(job, u32::MAX)).map(|(_, count)| count).sum()
+    }
+
+    pub fn requests_of(&self, job: JobId) -> u32 {
+        self.requests.get(&job).copied().unwrap_or(0)
+    }
+}
+
+fn running_places(
+    attempt: AttemptId,
+    workers: &BTreeMap<WorkerId, Worker>,
+    dead: &HashSet<WorkerId>,
+) -> Vec<WorkerId> {
+    let mut places = Vec::new();
+    for (id, worker) in workers {
+        if dead.contains(id) {
+            continue;
+        }
+        let here = worker
+            .running()
+            .filter(|other| other.attempt.job == attempt.job && other.attempt.task == attempt.task);
+        places.extend(here.map(|_| id.clone()));
+    }
+    places
+}
+
+fn check_room(id: &WorkerId, worker: &Worker, capacity: &Resources) {
+    let mut sum = Resources::ZERO;
+    for report in worker.running() {
+        sum = sum.plus(&report.demand);
+    }
+    let tasks: Vec<_> = worker
+        .running()
+        .map(|report| (&report.entry, report.attempt, &report.coordinator))
+        .collect();
+    assert!(capacity.holds(&sum), "{id} was given {sum:?} of {capacity:?}: {tasks:?}");
+}
--- /dev/null
+++ b/crates/engine/tests/world/mod.rs
@@ -0,0 +1,747 @@
+//! Engines with fakes at their edges, in virtual time.
+//!
+//! Every call takes a random short time there and back and may be cut, lost or
+//! left unanswered; daemons crash, pause and come back. One seed gives one
+//! schedule. The fakes of table, workers and minions are the stand-in's.
+#![allow(dead_code, reason = "each test binary uses a part of it")]
+#![allow(missing_docs, reason = "test code")]
+
+pub mod checker;
+pub mod layout;
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use stoatwell_catalogue::edit::EditKind;
+use stoatwell_engine::Answer;
+use stoatwell_engine::Caller;
+use stoatwell_engine::Effect;
+use stoatwell_engine::Engine;
+use stoatwell_engine::Event;
+use stoatwell_engine::OpId;
+use stoatwell_engine::PeerCall;
+use stoatwell_engine::PeerReply;
+use stoatwell_model::DaemonId;
+use stoatwell_model::EntryName;
+use stoatwell_model::MinionId;
+use stoatwell_model::WorkerId;
+use stoatwell_model::job::JobView;
+use stoatwell_model::job::Submission;
+use stoatwell_model::peer::Identity;
+use stoatwell_model::worker::MinionState;
+use stoatwell_platform::CallError;
+use stoatwell_platform::Instance;
+use stoatwell_platform::MinionCall;
+use stoatwell_platform::MinionReply;
+use stoatwell_platform::StoreCall;
+use stoatwell_platform::StoreReply;
+use stoatwell_platform::WorkerCall;
+use stoatwell_platform::WorkerReply;
+use stoatwell_settings::Settings;
+use stoatwell_standin::minion::Admission;
+use stoatwell_standin::minion::Minion;
+use stoatwell_standin::minion::Progress;
+use stoatwell_standin::store::Store;
+use stoatwell_standin::worker::Worker;
+
+use checker::Checker;
+use layout::Layout;
+
+pub const TICK_MS: u64 = 100;
+const CALL_TIMEOUT_MS: u64 = 500;
+const DELAY_MS_MAX: u64 = 8;
+/// The platform replaces a daemon that stopped after this time.
+const RESPAWN_MS: u64 = 2_000;
+const START_MS: u64 = 1_000_000;
+
+pub struct World {
+    pub now_ms: u64,
+    pub rng: Pcg64Mcg,
+    pub store: Store,
+    pub workers: BTreeMap<WorkerId, Worker>,
+    pub minions: BTreeMap<MinionId, Minion>,
+    pub checker: Checker,
+    pub nodes: Vec<Node>,
+    pub answers: HashMap<u64, (u64, Answer)>,
+    pub store_down: bool,
+    /// Chance in a thousand that a write takes effect and its answer is lost.
+    pub lost_permille: u32,
+    /// Chance in a thousand that a message between daemons, or to a worker or minion, is lost.
+    pub drop_permille: u32,
+    pub store_cut: HashSet<usize>,
+    pub peer_cut: HashSet<(usize, usize)>,
+    pub worker_cut: HashSet<(usize, WorkerId)>,
+    pub dead_workers: HashSet<WorkerId>,
+    /// The worker whose calls are printed; the environment's TRACE names it.
+    traced: Option<String>,
+    instances: Vec<Instance>,
+    minions_of: BTreeMap<WorkerId, Vec<MinionId>>,
+    zone_of: HashMap<WorkerId, String>,
+    queue: BTreeMap<(u64, u64), Delivery>,
+    next_seq: u64,
+    next_ticket: u64,
+    parked: Vec<Parked>,
+    waiting: HashSet<(usize, u64, OpId, Kind)>,
+    peer_tickets: HashMap<(usize, u64, u64), (usize, u64, OpId)>,
+}
+
+pub struct Node {
+    pub engine: Option<Engine>,
+    pub identity: Identity,
+    pub settings: Settings,
+    pub paused_until_ms: u64,
+    pub stopped: bool,
+    incarnation: u64,
+    last_revision: u64,
+}
+
+struct Parked {
+    node: usize,
+    incarnation: u64,
+    op: OpId,
+    worker: WorkerId,
+    call: WorkerCall,
+    arrived_ms: u64,
+    until_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Kind {
+    Store,
+    Worker,
+    Minion,
+    Peer,
+}
+
+enum Delivery {
+    Tick(usize),
+    Event(usize, u64, Event),
+    Timeout(usize, u64, OpId, Kind),
+    Store(usize, u64, OpId, StoreCall),
+    Worker(usize, u64, OpId, WorkerId, WorkerCall),
+    Minion(usize, u64, OpId, MinionId, MinionCall),
+    MinionDone(usize, u64, OpId, MinionId, stoatwell_model::AttemptId, String),
+    Peer(usize, u64, OpId, usize, Box<PeerCall>),
+    Restart(usize),
+}
+
+impl World {
+    pub fn new(seed: u64, layout: &Layout) -> Self {
+        let mut world = Self {
+            now_ms: START_MS,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            store: Store::default(),
+            workers: BTreeMap::new(),
+            minions: BTreeMap::new(),
+            checker: Checker::default(),
+            nodes: Vec::new(),
+            answers: HashMap::new(),
+            store_down: false,
+            lost_permille: 0,
+            drop_permille: 0,
+            store_cut: HashSet::new(),
+            peer_cut: HashSet::new(),
+            worker_cut: HashSet::new(),
+            dead_workers: HashSet::new(),
+            traced: std::env::var("TRACE").ok(),
+            instances: layout.instances(),
+            minions_of: BTreeMap::new(),
+            zone_of: HashMap::new(),
+            queue: BTreeMap::new(),
+            next_seq: 0,
+            next_ticket: 0,
+            parked: Vec::new(),
+            waiting: HashSet::new(),
+            peer_tickets: HashMap::new(),
+        };
+        layout.fill(&mut world);
+        for index in 0..layout.daemons.len() {
+            let identity = layout.identity(index, 1);
+            let settings = layout.settings(index);
+            world.nodes.push(Node {
+                engine: None,
+                identity,
+                settings,
+                paused_until_ms: 0,
+                stopped: false,
+                incarnation: 0,
+                last_revision: 0,
+            });
+            world.start(index);
+        }
+        world
+    }
+
+    pub(crate) fn add_worker(
+        &mut self,
+        id: &WorkerId,
+        zone: &str,
+        worker: Worker,
+        minion: Option<MinionState>,
+    ) {
+        self.workers.insert(id.clone(), worker);
+        self.zone_of.insert(id.clone(), zone.to_owned());
+        if let Some(state) = minion {
+            self.minions_of.entry(id.clone()).or_default().push(state.minion.clone());
+            self.minions.insert(state.minion.clone(), Minion::new(state));
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        node.incarnation += 1;
+        node.identity.incarnation = self.now_ms;
+        node.stopped = false;
+        node.last_revision = 0;
+        node.engine = Some(Engine::new(node.identity.clone(), node.settings.clone(), self.now_ms));
+        self.push(self.now_ms, Delivery::Tick(index));
+    }
+
+    // ---- what a test does to the world
+
+    pub fn run_ms(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while let Some(((at_ms, _), _)) = self.queue.first_key_value() {
+            if *at_ms > end_ms {
+                break;
+            }
+            self.step();
+        }
+        self.now_ms = end_ms;
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        self.nodes[index].engine = None;
+        self.nodes[index].incarnation += 1;
+        self.peer_tickets.retain(|(node, _, _), _| *node != index);
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        if self.nodes[index].engine.is_none() {
+            self.start(index);
+        }
+    }
+
+    pub fn restart_after(&mut self, index: usize, ms: u64) {
+        self.push(self.now_ms + ms, Delivery::Restart(index));
+    }
+
+    pub fn pause(&mut self, index: usize, ms: u64) {
+        self.nodes[index].paused_until_ms = self.now_ms + ms;
+    }
+
+    pub fn stop(&mut self, index: usize) {
+        self.inject(index, Event::Stop);
+    }
+
+    pub fn cut_peers(&mut self, a: usize, b: usize) {
+        self.peer_cut.insert((a, b));
+        self.peer_cut.insert((b, a));
+    }
+
+    pub fn heal(&mut self) {
+        self.store_down = false;
+        self.lost_permille = 0;
+        self.drop_permille = 0;
+        self.store_cut.clear();
+        self.peer_cut.clear();
+        self.worker_cut.clear();
+    }
+
+    /// The instance fails: what ran there is gone, and the platform's list says so later.
+    pub fn kill_worker(&mut self, worker: &WorkerId) {
+        self.dead_workers.insert(worker.clone());
+        self.instances.retain(|instance| instance.name != worker.as_str());
+    }
+
+    pub fn submit(&mut self, index: usize, entry: &str, key: &str, tasks: u32, body: &str) -> u64 {
+        let submission = Submission {
+            entry: EntryName::new(entry),
+            tasks,
+            demand: None,
+            deadline_ms: None,
+            body: body.to_owned(),
+        };
+        let key = key.to_owned();
+        self.ask(index, move |ticket| Event::Submit {
+            ticket,
+            caller: Caller::Operator,
+            key,
+            submission,
+            wait_ms: 0,
+        })
+    }
+
+    pub fn cancel(&mut self, index: usize, job: stoatwell_model::JobId) -> u64 {
+        self.ask(index, move |ticket| Event::Cancel { ticket, caller: Caller::Operator, job })
+    }
+
+    pub fn status(&mut self, index: usize, job: stoatwell_model::JobId) -> u64 {
+        self.ask(index, move |ticket| Event::Status {
+            ticket,
+            caller: Caller::Operator,
+            job,
+            wait_ms: 0,
+        })
+    }
+
+    pub fn edit(&mut self, index: usize, key: &str, edit: EditKind, expected: Option<u64>) -> u64 {
+        let key = key.to_owned();
+        self.ask(index, move |ticket| Event::Edit {
+            ticket,
+            key,
+            edit,
+            expected,
+            by: "test".to_owned(),
+        })
+    }
+
+    pub fn ask(&mut self, index: usize, event: impl FnOnce(u64) -> Event) -> u64 {
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        self.inject(index, event(ticket));
+        ticket
+    }
+
+    pub fn answer(&self, ticket: u64) -> Option<&Answer> {
+        self.answers.get(&ticket).map(|(_, answer)| answer)
+    }
+
+    pub fn job_answer(&self, ticket: u64) -> Option<Result<JobView, stoatwell_model::Failure>> {
+        match self.answer(ticket)? {
+            Answer::Job(result) => Some(result.clone()),
+            _ => None,
+        }
+    }
+
+    pub fn engine(&mut self, index: usize) -> &mut Engine {
+        self.nodes[index].engine.as_mut().expect("the daemon runs")
+    }
+
+    pub fn node_of_zone(&self, zone: &str) -> Vec<usize> {
+        let matching = |index: &usize| self.nodes[*index].identity.zone.as_str() == zone;
+        (0..self.nodes.len()).filter(matching).collect()
+    }
+
+    /// Reads a row of the table, as an observer outside.
+    pub fn row(&mut self, key: &str) -> String {
+        match self.store.call(StoreCall::Read { keys: vec![key.to_owned()] }) {
+            StoreReply::Rows { rows } => {
+                rows.into_iter().next().map(|row| row.value).unwrap_or_default()
+            }
+            _ => String::new(),
+        }
+    }
+
+    pub fn rows(&mut self, prefix: &str) -> Vec<(String, String)> {
+        let mut all = Vec::new();
+        let mut after = String::new();
+        loop {
+            let call =
+                StoreCall::Scan { prefix: prefix.to_owned(), after: after.clone(), limit: 1_000 };
+            let StoreReply::Rows { rows } = self.store.call(call) else {
+                return all;
+            };
+            let Some(last) = rows.last() else {
+                return all;
+            };
+            after.clone_from(&last.key);
+            all.extend(rows.into_iter().map(|row| (row.key, row.value)));
+        }
+    }
+
+    // ---- how it goes on by itself
+
+    fn step(&mut self) {
+        let Some(((at_ms, _), delivery)) = self.queue.pop_first() else {
+            return;
+        };
+        self.now_ms = self.now_ms.max(at_ms);
+        match delivery {
+            Delivery::Tick(node) => self.on_tick(node),
+            Delivery::Event(node, incarnation, event) => self.deliver(node, incarnation, event),
+            Delivery::Timeout(node, incarnation, op, kind) => {
+                self.time_out(node, incarnation, op, kind);
+            }
+            Delivery::Store(node, incarnation, op, call) => {
+                self.at_store(node, incarnation, op, call);
+            }
+            Delivery::Worker(node, incarnation, op, worker, call) => {
+                self.at_worker(node, incarnation, op, worker, call);
+            }
+            Delivery::Minion(node, incarnation, op, minion, call) => {
+                self.at_minion(node, incarnation, op, &minion, call);
+            }
+            Delivery::MinionDone(node, incarnation, op, minion, attempt, answer) => {
+                if let Some(found) = self.minions.get_mut(&minion) {
+                    found.finish(attempt, answer.clone());
+                }
+                let reply = Ok(MinionReply::Answer { body: answer });
+                self.reply(node, incarnation, op, Kind::Minion, Event::MinionDone { op, reply });
+            }
+            Delivery::Peer(node, incarnation, op, to, call) => {
+                self.at_peer(node, incarnation, op, to, *call);
+            }
+            Delivery::Restart(node) => self.restart(node),
+        }
+    }
+
+    fn push(&mut self, at_ms: u64, delivery: Delivery) {
+        self.next_seq += 1;
+        self.queue.insert((at_ms, self.next_seq), delivery);
+    }
+
+    fn inject(&mut self, index: usize, event: Event) {
+        let incarnation = self.nodes[index].incarnation;
+        self.deliver(index, incarnation, event);
+    }
+
+    fn on_tick(&mut self, index: usize) {
+        let incarnation = self.nodes[index].incarnation;
+        if self.nodes[index].engine.is_none() {
+            return;
+        }
+        let paused_until_ms = self.nodes[index].paused_until_ms;
+        let next_ms = (self.now_ms + TICK_MS).max(paused_until_ms);
+        self.push(next_ms, Delivery::Tick(index));
+        if index == 0 || self.nodes[0].engine.is_none() {
+            self.look_at_parked();
+            self.checker.look(self.now_ms, &mut self.workers, &self.dead_workers);
+        }
+        if paused_until_ms <= self.now_ms {
+            self.deliver(index, incarnation, Event::Tick);
+        }
+    }
+
+    fn deliver(&mut self, index: usize, incarnation: u64, event: Event) {
+        let node = &mut self.nodes[index];
+        if node.incarnation != incarnation || node.engine.is_none() {
+            return;
+        }
+        if node.paused_until_ms > self.now_ms {
+            let at_ms = node.paused_until_ms;
+            self.push(at_ms, Delivery::Event(index, incarnation, event));
+            return;
+        }
+        let Some(engine) = node.engine.as_mut() else {
+            return;
+        };
+        let effects = engine.handle(self.now_ms, event);
+        let revision = engine.catalogue().revision();
+        let stopped = engine.is_stopped();
+        assert!(
+            revision >= node.last_revision,
+            "the catalogue in force went back at daemon {index}"
+        );
+        node.last_revision = revision;
+        if stopped && !node.stopped {
+            node.stopped = true;
+        }
+        for effect in effects {
+            self.carry_out(index, incarnation, effect);
+        }
+        if self.nodes[index].stopped {
+            self.crash(index);
+            self.restart_after(index, RESPAWN_MS);
+        }
+    }
+
+    fn carry_out(&mut self, node: usize, incarnation: u64, effect: Effect) {
+        let delay_ms = self.delay();
+        let at_ms = self.now_ms + delay_ms;
+        match effect {
+            Effect::Store { op, call } => {
+                self.expect(node, incarnation, op, Kind::Store, CALL_TIMEOUT_MS);
+                if !self.store_cut.contains(&node) {
+                    self.push(at_ms, Delivery::Store(node, incarnation, op, call));
+                }
+            }
+            Effect::Worker { op, worker, call, .. } => {
+                let wait_ms =
+                    if let WorkerCall::Renew { wait_ms, .. } = &call { *wait_ms } else { 0 };
+                self.expect(node, incarnation, op, Kind::Worker, CALL_TIMEOUT_MS + wait_ms);
+                let reached = self.reaches_worker(node, &worker) && !self.dropped();
+                if reached {
+                    self.push(at_ms, Delivery::Worker(node, incarnation, op, worker, call));
+                }
+            }
+            Effect::Minion { op, minion, call, .. } => {
+                let limit_ms = match &call {
+                    MinionCall::Ask { deadline_ms, .. } => *deadline_ms,
+                    MinionCall::Seal { .. } => CALL_TIMEOUT_MS,
+                };
+                self.expect(node, incarnation, op, Kind::Minion, limit_ms);
+                if !self.dropped() {
+                    self.push(at_ms, Delivery::Minion(node, incarnation, op, minion, call));
+                }
+            }
+            Effect::Peer { op, address, call, timeout_ms } => {
+                let to = self.nodes.iter().position(|other| other.identity.peer_address == address);
+                self.expect(node, incarnation, op, Kind::Peer, timeout_ms);
+                let Some(to) = to else {
+                    return;
+                };
+                let refused = self.nodes[to].engine.is_none();
+                if refused {
+                    let reply = Err(CallError::NotSent("connection refused".to_owned()));
+                    self.reply(node, incarnation, op, Kind::Peer, Event::PeerDone { op, reply });
+                } else if !self.peer_cut.contains(&(node, to)) && !self.dropped() {
+                    self.push(at_ms, Delivery::Peer(node, incarnation, op, to, Box::new(call)));
+                }
+            }
+            Effect::Answer { ticket, answer } => self.on_answer(node, incarnation, ticket, answer),
+        }
+    }
+
+    fn on_answer(&mut self, node: usize, incarnation: u64, ticket: u64, answer: Answer) {
+        if let Some((caller, caller_incarnation, op)) =
+            self.peer_tickets.remove(&(node, incarnation, ticket))
+        {
+            let reply = match answer {
+                Answer::Peer(reply) => reply,
+                Answer::Job(result) => PeerReply::Job(result),
+                Answer::Edited(_) | Answer::Store(_) => PeerReply::Noted,
+            };
+            if self.peer_cut.contains(&(node, caller)) || self.dropped() {
+                return;
+            }
+            self.reply(
+                caller,
+                caller_incarnation,
+                op,
+                Kind::Peer,
+                Event::PeerDone { op, reply: Ok(reply) },
+            );
+            return;
+        }
+        self.checker.on_answer(ticket, &answer);
+        self.answers.insert(ticket, (self.now_ms, answer));
+    }
+
+    fn delay(&mut self) -> u64 {
+        self.rng.random_range(1..=DELAY_MS_MAX)
+    }
+
+    fn dropped(&mut self) -> bool {
+        self.drop_permille > 0 && self.rng.random_range(0..1_000) < self.drop_permille
+    }
+
+    fn reaches_worker(&self, node: usize, worker: &WorkerId) -> bool {
+        !self.dead_workers.contains(worker) && !self.worker_cut.contains(&(node, worker.clone()))
+    }
+
+    fn expect(&mut self, node: usize, incarnation: u64, op: OpId, kind: Kind, limit_ms: u64) {
+        self.waiting.insert((node, incarnation, op, kind));
+        self.push(self.now_ms + limit_ms, Delivery::Timeout(node, incarnation, op, kind));
+    }
+
+    fn reply(&mut self, node: usize, incarnation: u64, op: OpId, kind: Kind, event: Event) {
+        if !self.waiting.remove(&(node, incarnation, op, kind)) {
+            return;
+        }
+        let at_ms = self.now_ms + self.delay();
+        self.push(at_ms, Delivery::Event(node, incarnation, event));
+    }
+
+    fn time_out(&mut self, node: usize, incarnation: u64, op: OpId, kind: Kind) {
+        if !self.waiting.remove(&(node, incarnation, op, kind)) {
+            return;
+        }
+        let error = CallError::NoAnswer("timed out".to_owned());
+        let event = match kind {
+            Kind::Store => Event::StoreDone { op, reply: Err(error) },
+            Kind::Worker => Event::WorkerDone { op, reply: Err(error) },
+            Kind::Minion => Event::MinionDone { op, reply: Err(error) },
+            Kind::Peer => Event::PeerDone { op, reply: Err(error) },
+        };
+        self.deliver(node, incarnation, event);
+    }
+
+    fn at_store(&mut self, node: usize, incarnation: u64, op: OpId, call: StoreCall) {
+        if self.store_down {
+            let reply = Err(CallError::Refused("down".to_owned()));
+            self.reply(node, incarnation, op, Kind::Store, Event::StoreDone { op, reply });
+            return;
+        }
+        let reply = match call {
+            StoreCall::Instances => StoreReply::Instances { instances: self.instances.clone() },
+            call => {
+                let lost = call.is_write() && self.rng.random_range(0..1_000) < self.lost_permille;
+                let reply = self.store.call(call);
+                if lost {
+                    return;
+                }
+                reply
+            }
+        };
+        self.reply(node, incarnation, op, Kind::Store, Event::StoreDone { op, reply: Ok(reply) });
+    }
+
+    fn at_worker(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        op: OpId,
+        worker: WorkerId,
+        call: WorkerCall,
+    ) {
+        let Some(reply) = self.call_worker(&worker, self.now_ms, &call) else {
+            return;
+        };
+        if let WorkerCall::Renew { wait_ms, since, .. } = &call {
+            let quiet = matches!(reply, WorkerReply::Renewed { .. })
+                && self.workers.get(&worker).is_some_and(|found| !found.has_news(*since));
+            if quiet {
+                let (arrived_ms, until_ms) = (self.now_ms, self.now_ms + wait_ms);
+                self.parked.push(Parked {
+                    node,
+                    incarnation,
+                    op,
+                    worker,
+                    call,
+                    arrived_ms,
+                    until_ms,
+                });
+                return;
+            }
+        }
+        if self.dropped() || !self.reaches_worker(node, &worker) {
+            return;
+        }
+        self.reply(node, incarnation, op, Kind::Worker, Event::WorkerDone { op, reply: Ok(reply) });
+    }
+
+    fn call_worker(
+        &mut self,
+        worker: &WorkerId,
+        arrived_ms: u64,
+        call: &WorkerCall,
+    ) -> Option<WorkerReply> {
+        if self.dead_workers.contains(worker) {
+            return None;
+        }
+        let minions = self.minion_states(worker);
+        let found = self.workers.get_mut(worker)?;
+        let before: HashSet<_> = found.running().map(|report| report.attempt).collect();
+        let reply = found.call(self.now_ms, arrived_ms, call, &minions, false);
+        if self.traced.as_deref() == Some(worker.as_str()) {
+            eprintln!("{} {worker} got {call:?} says {reply:?}", self.now_ms);
+        }
+        let after: Vec<_> = found.running().cloned().collect();
+        for report in after {
+            if !before.contains(&report.attempt) {
+                self.checker.on_start(
+                    self.now_ms,
+                    worker,
+                    &report,
+                    &self.workers,
+                    &self.dead_workers,
+                );
+            }
+        }
+        Some(reply)
+    }
+
+    fn minion_states(&self, worker: &WorkerId) -> Vec<MinionState> {
+        let ids = self.minions_of.get(worker).into_iter().flatten();
+        ids.filter_map(|id| self.minions.get(id)).map(|minion| minion.state.clone()).collect()
+    }
+
+    fn look_at_parked(&mut self) {
+        let now_ms = self.now_ms;
+        for parked in std::mem::take(&mut self.parked) {
+            let WorkerCall::Renew { since, .. } = &parked.call else {
+                continue;
+            };
+            if let Some(worker) = self.workers.get_mut(&parked.worker) {
+                worker.advance(now_ms);
+                if now_ms < parked.until_ms && !worker.has_news(*since) {
+                    self.parked.push(parked);
+                    continue;
+                }
+            }
+            let Some(reply) = self.call_worker(&parked.worker, parked.arrived_ms, &parked.call)
+            else {
+                continue;
+            };
+            if self.dropped() || !self.reaches_worker(parked.node, &parked.worker) {
+                continue;
+            }
+            let event = Event::WorkerDone { op: parked.op, reply: Ok(reply) };
+            self.reply(parked.node, parked.incarnation, parked.op, Kind::Worker, event);
+        }
+    }
+
+    fn at_minion(
+        &mut self,
+        node: usize,
+        incarnation: u64,
+        op: OpId,
+        minion: &MinionId,
+        call: MinionCall,
+    ) {
+        let on_dead = self.minions_of.iter().any(|(worker, minions)| {
+            minions.contains(minion) && self.dead_workers.contains(worker)
+        });
+        let Some(found) = self.minions.get_mut(minion) else {
+            return;
+        };
+        if on_dead {
+            return;
+        }
+        let reply = match call {
+            MinionCall::Ask { attempt, body, .. } => match found.begin(attempt) {
+                Admission::Begun => {
+                    self.checker.on_request(attempt, found.state.busy, found.state.slots);
+                    let work_ms = self.rng.random_range(5..400);
+                    let answer = format!("answer to {body}");
+                    let done = Delivery::MinionDone(
+                        node,
+                        incarnation,
+                        op,
+                        minion.clone(),
+                        attempt,
+                        answer,
+                    );
+                    self.push(self.now_ms + work_ms, done);
+                    return;
+                }
+                Admission::Busy => MinionReply::Busy,
+                Admission::Sealed => MinionReply::NeverStarted,
+                Admission::Seen(progress) => told(progress),
+            },
+            MinionCall::Seal { attempt } => told(found.seal(attempt)),
+        };
+        if self.dropped() {
+            return;
+        }
+        self.reply(node, incarnation, op, Kind::Minion, Event::MinionDone { op, reply: Ok(reply) });
+    }
+
+    fn at_peer(&mut self, node: usize, incarnation: u64, op: OpId, to: usize, call: PeerCall) {
+        if self.nodes[to].engine.is_none() || self.peer_cut.contains(&(node, to)) {
+            return;
+        }
+        self.next_ticket += 1;
+        let ticket = self.next_ticket;
+        let to_incarnation = self.nodes[to].incarnation;
+        self.peer_tickets.insert((to, to_incarnation, ticket), (node, incarnation, op));
+        self.deliver(to, to_incarnation, Event::Peer { ticket, call });
+    }
+
+    pub fn daemon(&self, index: usize) -> &DaemonId {
+        &self.nodes[index].identity.daemon
+    }
+}
+
+fn told(progress: Progress) -> MinionReply {
+    match progress {
+        Progress::Running => MinionReply::Running,
+        Progress::Sealed => MinionReply::NeverStarted,
+        Progress::Answered(body) => MinionReply::Answer { body },
+    }
+}
--- a/crates/ledger/src/committer.rs
+++ b/crates/ledger/src/committer.rs
@@ -121,11 +121,7 @@
 
     /// Adds a write; its result comes under this ticket.
     pub fn submit(&mut self, ticket: u64, write: Write) {
-        self.waiting.push_back(Pending {
-            ticket,
-            write,
-            may_be_written: false,
-        });
+        self.waiting.push_back(Pending { ticket, write, may_be_written: false });
     }
 
     /// Whether new work that needs the store should be refused at once.
@@ -147,10 +143,7 @@
     pub fn give_up(&mut self, now_ms: UnixMs) -> Vec<(u64, CommitResult)> {
         let mut results = Vec::new();
         self.waiting.retain(|pending| {
-            let late = pending
-                .write
-                .give_up_ms
-                .is_some_and(|at_ms| at_ms <= now_ms);
+            let late = pending.write.give_up_ms.is_some_and(|at_ms| at_ms <= now_ms);
             if late && !pending.may_be_written {
                 results.push((pending.ticket, CommitResult::NotWritten));
                 return false;
@@ -203,10 +196,7 @@
                 self.recover();
                 self.stats.written += batch.len() as u64;
                 let result = CommitResult::Written { version: *version };
-                batch
-                    .into_iter()
-                    .map(|pending| (pending.ticket, result.clone()))
-                    .collect()
+                batch.into_iter().map(|pending| (pending.ticket, result.clone())).collect()
             }
             Ok(StoreReply::Conflict { rows }) => {
                 self.recover();
@@ -233,9 +223,7 @@
         let mut again = Vec::new();
         for pending in batch {
             let keys = &pending.write.checks;
-            let met = rows
-                .iter()
-                .find(|row| keys.iter().any(|check| check.key == row.key));
+            let met = rows.iter().find(|row| keys.iter().any(|check| check.key == row.key));
             let Some(row) = met else {
                 again.push(pending);
                 continue;
@@ -243,12 +231,7 @@
             if pending.may_be_written && write_id(row) == Some(pending.write.write_id) {
                 self.stats.recovered += 1;
                 self.stats.written += 1;
-                results.push((
-                    pending.ticket,
-                    CommitResult::Written {
-                        version: row.version,
-                    },
-                ));
+                results.push((pending.ticket, CommitResult::Written { version: row.version }));
                 continue;
             }
             self.stats.conflicts += 1;
