--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -85,7 +85,7 @@
     let mut times = Histogram::<u64>::new(3).map_err(|error| error.to_string())?;
     for one in ended {
         *counts.entry(&one.what).or_default() += 1;
-        times.saturating_record(one.took_ms);
+        times.record(one.took_ms).map_err(|error| error.to_string())?;
     }
     println!("requests {}", ended.len());
     for (what, count) in &counts {
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,10 +2,22 @@
 //!
 //! `workloads` submits one of each of both users' six workloads and checks the
 //! outcomes; `load` plays a balancer with callers behind it and tells whether
-//! any request was cut.
+//! any request was cut. `slopes` measures what control costs as the cell grows,
+//! `decisions` how long and how well work is placed, `overhead` what a request
+//! through a daemon costs against going to the minion. `check` holds all that is
+//! deterministic against the bounds in `bounds.json`.
 
 mod balancer;
+mod check;
+mod decisions;
+mod fit;
 mod load;
+mod overhead;
+mod plot;
+mod rest;
+mod slopes;
+mod spread;
+mod trace;
 mod workloads;
 
 use std::process::ExitCode;
@@ -20,6 +32,11 @@
     let result = match matches.subcommand() {
         Some(("workloads", sub)) => workloads::run(sub).await,
         Some(("load", sub)) => load::run(sub).await,
+        Some(("overhead", _)) => overhead::run().await,
+        Some(("slopes", sub)) => slopes::run(sub).await,
+        Some(("memory", sub)) => slopes::print_memory(*sub.get_one("workers").unwrap_or(&100)),
+        Some(("decisions", _)) => decisions::run(),
+        Some(("check", _)) => check::run(),
         _ => Ok(()),
     };
     match result {
@@ -39,6 +56,21 @@
     Command::new("stoatwell-bench")
         .about("Measurements and experiments")
         .subcommand_required(true)
+        .subcommand(
+            Command::new("slopes")
+                .about("Measure what control costs as the cell grows")
+                .arg(Arg::new("plot").long("plot").value_name("FILE").help("Also draw it as SVG")),
+        )
+        .subcommand(
+            Command::new("memory")
+                .hide(true)
+                .arg(Arg::new("workers").value_parser(value_parser!(u32)).required(true)),
+        )
+        .subcommand(Command::new("decisions").about("Measure how long and how well work is placed"))
+        .subcommand(
+            Command::new("overhead").about("Compare requests through a daemon with direct ones"),
+        )
+        .subcommand(Command::new("check").about("Hold deterministic figures against their bounds"))
         .subcommand(Command::new("workloads").about("Submit one of each workload").arg(address()))
         .subcommand(
             Command::new("load")
--- /dev/null
+++ b/crates/bench/src/rest.rs
@@ -0,0 +1,53 @@
+//! A whole cell at rest in virtual time: what its daemons say to each other, to
+//! workers and to the store while nothing happens.
+
+use stoatwell_world::World;
+use stoatwell_world::count::Counts;
+use stoatwell_world::layout::Layout;
+
+const SETTLE_MS: u64 = 20_000;
+const MEASURE_MS: u64 = 60_000;
+
+/// One daemon's mean a second.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Rates {
+    pub(crate) peer_messages: f64,
+    pub(crate) peer_sent_bytes: f64,
+    pub(crate) peer_received_bytes: f64,
+    pub(crate) far_sent_bytes: f64,
+    pub(crate) worker_calls: f64,
+    pub(crate) worker_bytes: f64,
+    pub(crate) store_reads: f64,
+    pub(crate) store_writes: f64,
+    pub(crate) store_bytes: f64,
+    /// The busiest daemon's bytes to and from others.
+    pub(crate) peak_peer_bytes: f64,
+}
+
+/// Lets a cell of the target's shape rest and counts.
+pub(crate) fn measure(daemons_per_zone: usize, workers_per_zone: u32) -> Rates {
+    let layout = Layout::wide(daemons_per_zone, workers_per_zone);
+    let mut world = World::new(7, &layout);
+    world.run_ms(SETTLE_MS);
+    let before: Vec<Counts> = world.nodes.iter().map(|node| node.counts).collect();
+    world.run_ms(MEASURE_MS);
+    let mut rates = Rates::default();
+    let seconds = MEASURE_MS as f64 / 1_000.0;
+    let share = 1.0 / seconds / world.nodes.len() as f64;
+    for (node, before) in world.nodes.iter().zip(&before) {
+        let counts = node.counts.since(before);
+        rates.peer_messages += counts.peer_messages as f64 * share;
+        rates.peer_sent_bytes += counts.peer_sent_bytes as f64 * share;
+        rates.peer_received_bytes += counts.peer_received_bytes as f64 * share;
+        rates.far_sent_bytes += counts.far_sent_bytes as f64 * share;
+        rates.worker_calls += counts.worker_calls as f64 * share;
+        rates.worker_bytes +=
+            (counts.worker_sent_bytes + counts.worker_received_bytes) as f64 * share;
+        rates.store_reads += counts.store_reads as f64 * share;
+        rates.store_writes += counts.store_writes as f64 * share;
+        rates.store_bytes += counts.store_bytes as f64 * share;
+        let both = (counts.peer_sent_bytes + counts.peer_received_bytes) as f64 / seconds;
+        rates.peak_peer_bytes = rates.peak_peer_bytes.max(both);
+    }
+    rates
+}
--- a/crates/engine/src/adopt.rs
+++ b/crates/engine/src/adopt.rs
@@ -237,8 +237,26 @@
         by_daemon
     }
 
+    /// Whether work may run on workers of other zones. The list of this zone
+    /// does not tell when such a worker is gone for good.
+    pub(crate) fn works_abroad(&self) -> bool {
+        let here = Some(&self.me.zone);
+        self.job_workers().iter().any(|worker| self.worker_zones.get(worker) != here)
+    }
+
+    /// Workers on which tasks of the jobs that run here may be.
+    fn job_workers(&self) -> Vec<WorkerId> {
+        let mut workers = Vec::new();
+        for job in self.jobs.values() {
+            let attempts = job.machine.in_doubt().into_iter().chain(job.machine.active());
+            workers.extend(attempts.map(|(_, worker)| worker));
+        }
+        workers
+    }
+
     /// Remembers since when workers are not on the platform's list any more.
-    pub(crate) fn note_gone(&mut self) {
+    /// Only the list of all zones tells so of workers elsewhere.
+    pub(crate) fn note_gone(&mut self, whole: bool) {
         let now_ms = self.now_ms;
         let listed = &self.worker_zones;
         self.gone.retain(|worker, _| !listed.contains_key(worker));
@@ -248,12 +266,9 @@
                 missing.push(worker.clone());
             }
         }
-        for job in self.jobs.values() {
-            for (_, worker) in job.machine.in_doubt().into_iter().chain(job.machine.active()) {
-                if !listed.contains_key(&worker) {
-                    missing.push(worker);
-                }
-            }
+        if whole {
+            let workers = self.job_workers();
+            missing.extend(workers.into_iter().filter(|worker| !listed.contains_key(worker)));
         }
         for worker in missing {
             self.gone.entry(worker).or_insert(now_ms);
--- a/crates/engine/src/holders.rs
+++ b/crates/engine/src/holders.rs
@@ -37,13 +37,20 @@
 
 /// Starts in one call to a worker.
 const STARTS_PER_CALL: usize = 64;
+/// A gap between events after which leases are looked at before anything else.
+const PAUSE_MS: u64 = 200;
 /// Before a start or stop without an answer is sent again.
 const RETRY_MS: u64 = 200;
 
 impl Engine {
     /// A daemon that was paused past its leases finds out here, before it acts
     /// on anything it believed.
-    pub(crate) fn check_leases(&mut self) {
+    pub(crate) fn check_leases(&mut self, tick: bool) {
+        // Between ticks only a pause makes leases lapse unseen.
+        if !tick && self.now_ms < self.leases_checked_ms + PAUSE_MS {
+            return;
+        }
+        self.leases_checked_ms = self.now_ms;
         for worker in self.holdings.lapsed(self.now_ms) {
             self.holdings.drop_lease(&worker);
             self.drop_worker(&worker);
@@ -101,8 +108,14 @@
                 self.on_lease_reply(&worker, &acknowledged, reply.ok());
                 self.renew(Some(&worker));
             }
-            Some(WorkerOp::Start(worker, tasks)) => self.on_start_reply(&worker, tasks, reply),
-            Some(WorkerOp::Stop(worker, attempts)) => self.on_stop_reply(&worker, attempts, reply),
+            Some(WorkerOp::Start(worker, tasks)) => {
+                self.calls_due = true;
+                self.on_start_reply(&worker, tasks, reply);
+            }
+            Some(WorkerOp::Stop(worker, attempts)) => {
+                self.calls_due = true;
+                self.on_stop_reply(&worker, attempts, reply);
+            }
             None => {}
         }
     }
@@ -255,6 +268,7 @@
         if running.is_none_or(|running| running.worker != *worker) {
             return false;
         }
+        self.calls_due = true;
         let Some(held) = self.held.get_mut(worker) else {
             return false;
         };
@@ -273,6 +287,7 @@
         attempt: AttemptId,
         mode: StopMode,
     ) -> bool {
+        self.calls_due = true;
         let Some(held) = self.held.get_mut(worker) else {
             return false;
         };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -50,6 +50,7 @@
 use crate::held::Held;
 use crate::jobs::Job;
 use crate::ops::Ops;
+use crate::peers::Telling;
 use crate::peers::ZoneState;
 use crate::remote::Remote;
 use crate::requests::Request;
@@ -93,6 +94,7 @@
 
     members: Members,
     zones: BTreeMap<ZoneName, ZoneState>,
+    telling: Telling,
     next_heartbeat_ms: UnixMs,
     next_relay_ms: UnixMs,
     next_list_ms: UnixMs,
@@ -105,6 +107,9 @@
     held: BTreeMap<WorkerId, Held>,
     remote: Remote,
 
+    leases_checked_ms: UnixMs,
+    calls_due: bool,
+
     scheduler: Scheduler,
     schedule_due: bool,
     jobs: BTreeMap<JobId, Job>,
@@ -148,6 +153,7 @@
             retargeting: BTreeMap::new(),
             members,
             zones: BTreeMap::new(),
+            telling: Telling::default(),
             next_heartbeat_ms: 0,
             next_relay_ms: 0,
             next_list_ms: 0,
@@ -159,6 +165,8 @@
             held: BTreeMap::new(),
             remote: Remote::default(),
             scheduler: Scheduler::new(policy),
+            leases_checked_ms: 0,
+            calls_due: false,
             schedule_due: false,
             jobs: BTreeMap::new(),
             recent: HashMap::new(),
@@ -183,7 +191,7 @@
     /// Takes one event; gives what has to be done because of it.
     pub fn handle(&mut self, now_ms: UnixMs, event: Event) -> Vec<Effect> {
         self.now_ms = self.now_ms.max(now_ms);
-        self.check_leases();
+        self.check_leases(matches!(event, Event::Tick));
         match event {
             Event::Tick => self.on_tick(),
             Event::Submit { ticket, caller, key, submission, wait_ms } => {
@@ -244,6 +252,7 @@
         self.reach_out();
         self.advance_stop();
         self.schedule_due = true;
+        self.calls_due = true;
     }
 
     /// What follows from every event: placing, sending, committing.
@@ -254,7 +263,10 @@
             self.schedule();
         }
         self.serve_waiting_requests();
-        self.call_workers();
+        if self.calls_due {
+            self.calls_due = false;
+            self.call_workers();
+        }
         self.commit();
     }
 
--- a/crates/engine/src/ops.rs
+++ b/crates/engine/src/ops.rs
@@ -42,8 +42,8 @@
     Edit(Option<Ticket>, Box<Edit>),
     /// Passing somebody's question on.
     Question(Ticket),
-    /// The instance list.
-    List,
+    /// The instance list: that of all zones or only of this one.
+    List { whole: bool },
     /// Keeping a large body before its job is recorded.
     KeepBody(JobId),
     /// Reading the large body of a job that was taken over.
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -36,12 +36,41 @@
 use crate::ops::StoreOp;
 
 /// Unchanged news are passed on this often.
-const NEWS_REPEAT_MS: u64 = 5_000;
+const NEWS_REPEAT_MS: u64 = 10_000;
+/// Exchanges that a relay waits for the other side's call before it calls itself.
+const RELAY_PATIENCE: u64 = 3;
+/// About what one line of the instance list takes.
+const INSTANCE_BYTES: u64 = 140;
+/// Reading the instance list costs no more than this; a longer list is read less often.
+const LIST_BYTES_PER_SECOND: u64 = 4_000;
 /// News older than this many silences count as no news.
 const NEWS_OLD_FACTOR: u64 = 4;
 /// A change of free room below this part is not news, in thousandths.
 const NEWS_CHANGE_PERMILLE: u64 = 125;
 
+/// What was told to whom, so that only what changed is told again.
+#[derive(Debug, Default)]
+pub(crate) struct Telling {
+    summary: Summary,
+    changes: u64,
+    peers: HashMap<DaemonId, (u64, UnixMs)>,
+    zone_news: Option<ZoneNews>,
+    zone_changes: u64,
+    zones: HashMap<ZoneName, (u64, UnixMs)>,
+}
+
+impl Telling {
+    /// The summary, if this daemon has not been told it or only long ago.
+    fn summary_for(&mut self, now_ms: UnixMs, daemon: &DaemonId) -> Option<Summary> {
+        let (told, told_ms) = self.peers.get(daemon).copied().unwrap_or_default();
+        if told == self.changes && told_ms > 0 && now_ms < told_ms + NEWS_REPEAT_MS {
+            return None;
+        }
+        self.peers.insert(daemon.clone(), (self.changes, now_ms));
+        Some(self.summary.clone())
+    }
+}
+
 /// What is known of another zone.
 #[derive(Clone, Debug)]
 pub(crate) struct ZoneState {
@@ -67,42 +96,61 @@
     }
 
     fn beat_zone(&mut self) {
-        let beat = self.heartbeat();
         let mut near = Vec::new();
         for member in self.members.all() {
             if member.identity.zone == self.me.zone {
                 near.push(member.identity.daemon.clone());
             }
         }
+        let summary = self.summary();
+        if is_summary_news(&self.telling.summary, &summary) {
+            self.telling.summary = summary;
+            self.telling.changes += 1;
+        }
         let relay = self.members.is_relay(self.now_ms);
         for daemon in near {
+            let summary = self.telling.summary_for(self.now_ms, &daemon);
+            let beat = Heartbeat { summary, ..self.heartbeat() };
             let news = if relay { self.news_for(&daemon) } else { Vec::new() };
-            self.call_peer(
-                PeerOp::Heartbeat,
-                &daemon,
-                PeerCall::Heartbeat { beat: beat.clone(), news },
-            );
+            self.call_peer(PeerOp::Heartbeat, &daemon, PeerCall::Heartbeat { beat, news });
         }
     }
 
     fn beat_relays(&mut self) {
-        let relays = self.far_relays();
-        if relays.is_empty() {
-            return;
-        }
-        let mut beat = self.heartbeat();
-        // Far zones get the sum of the zone; the single daemon's part is near news.
-        beat.summary = Summary::default();
-        let news = vec![self.own_zone_news()];
-        for daemon in relays {
-            let call = PeerCall::Heartbeat { beat: beat.clone(), news: news.clone() };
+        let quiet_ms = self.settings.membership.relay_ms * RELAY_PATIENCE;
+        for (zone, daemon) in self.far_relays() {
+            // The answer carries the other side's news, so one of the two calls.
+            // The other one does so too when it has not been called for a while.
+            let heard_ms = self.zones.get(&zone).map_or(0, |state| state.heard_ms);
+            let waits = self.me.zone > zone && self.now_ms < heard_ms + quiet_ms;
+            if waits {
+                continue;
+            }
+            let news = self.own_news_for(&zone);
+            let call = PeerCall::Heartbeat { beat: self.heartbeat(), news };
             self.call_peer(PeerOp::Heartbeat, &daemon, call);
         }
     }
 
+    /// The own zone's news for another zone, if they are due there.
+    fn own_news_for(&mut self, zone: &ZoneName) -> Vec<ZoneNews> {
+        let news = self.own_zone_news();
+        if self.telling.zone_news.as_ref().is_none_or(|told| is_news(told, &news)) {
+            self.telling.zone_news = Some(news.clone());
+            self.telling.zone_changes += 1;
+        }
+        let changes = self.telling.zone_changes;
+        let (told, told_ms) = self.telling.zones.get(zone).copied().unwrap_or_default();
+        if told == changes && self.now_ms < told_ms + NEWS_REPEAT_MS {
+            return Vec::new();
+        }
+        self.telling.zones.insert(zone.clone(), (changes, self.now_ms));
+        vec![news]
+    }
+
     /// One daemon of every other zone: the relay by that zone's own last word,
     /// or, where nothing was heard of it, its listed daemons in turn.
-    fn far_relays(&self) -> Vec<DaemonId> {
+    fn far_relays(&self) -> Vec<(ZoneName, DaemonId)> {
         let fresh_ms = self.settings.membership.silent_after_ms;
         let turn = (self.now_ms / self.settings.membership.relay_ms.max(1)) as usize;
         let mut relays = Vec::new();
@@ -111,17 +159,19 @@
                 self.zones.get(zone).filter(|state| self.now_ms < state.heard_ms + fresh_ms);
             let said = heard.into_iter().flat_map(|state| &state.news.daemons);
             let relay = assign::winner(RELAY_KEY, said.map(|found| &found.daemon));
-            relays.extend(relay.or_else(|| listed.get(turn % listed.len()).copied()).cloned());
+            let relay = relay.or_else(|| listed.get(turn % listed.len()).copied());
+            relays.extend(relay.map(|daemon| (zone.clone(), daemon.clone())));
         }
         relays
     }
 
-    pub(crate) fn heartbeat(&mut self) -> Heartbeat {
+    /// A sign of life that says nothing of room.
+    pub(crate) fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
             from: self.me.clone(),
             revision: self.catalogue.revision(),
             stopping: self.stopping,
-            summary: self.summary(),
+            summary: None,
         }
     }
 
@@ -194,6 +244,10 @@
             self.fetch_catalogue_from(&beat.from.daemon);
         }
         self.on_news(news);
+        // A far relay that has no news still speaks for its zone.
+        if let Some(state) = self.zones.get_mut(&beat.from.zone) {
+            state.heard_ms = self.now_ms;
+        }
     }
 
     fn fetch_catalogue_from(&mut self, daemon: &DaemonId) {
@@ -207,10 +261,11 @@
     pub(crate) fn on_peer_call(&mut self, ticket: Ticket, call: PeerCall) {
         let reply = match call {
             PeerCall::Heartbeat { beat, news } => {
-                let far = beat.from.zone != self.me.zone;
+                let zone = beat.from.zone.clone();
                 self.on_heartbeat(&beat, news);
                 let beat = self.heartbeat();
-                let news = if far { vec![self.own_zone_news()] } else { Vec::new() };
+                let far = zone != self.me.zone;
+                let news = if far { self.own_news_for(&zone) } else { Vec::new() };
                 PeerReply::Heartbeat { beat, news }
             }
             PeerCall::CatalogueSince { revision } => {
@@ -287,10 +342,14 @@
         }
         self.listing = true;
         self.next_list_ms = self.now_ms + self.settings.platform.instances_interval_ms;
-        self.call_store(StoreOp::List, StoreCall::Instances);
+        // Only this zone's workers, unless work was taken over from another zone:
+        // the whole list at the target is hundreds of kilobytes.
+        let abroad = self.works_abroad();
+        let zone = if abroad { None } else { Some(self.me.zone.clone()) };
+        self.call_store(StoreOp::List { whole: abroad }, StoreCall::Instances { zone });
     }
 
-    pub(crate) fn on_list(&mut self, reply: Result<StoreReply, CallError>) {
+    pub(crate) fn on_list(&mut self, whole: bool, reply: Result<StoreReply, CallError>) {
         self.listing = false;
         let Ok(StoreReply::Instances { instances }) = reply else {
             return;
@@ -321,8 +380,15 @@
             }
         }
         self.members.on_list(self.now_ms, &daemons);
+        let list_bytes = (daemons.len() + zones.len()) as u64 * INSTANCE_BYTES;
+        let paced_ms = list_bytes * 1_000 / LIST_BYTES_PER_SECOND;
+        self.next_list_ms = self.next_list_ms.max(self.now_ms + paced_ms);
+        if !whole {
+            let others = std::mem::take(&mut self.worker_zones);
+            zones.extend(others.into_iter().filter(|(_, zone)| *zone != self.me.zone));
+        }
         self.worker_zones = zones;
-        self.note_gone();
+        self.note_gone(whole);
         self.holdings.on_list(workers);
     }
 
@@ -460,31 +526,35 @@
 }
 
 fn add_owner(sum: &mut OwnerSummary, part: &OwnerSummary) {
-    sum.free = sum.free.plus(&part.free);
-    sum.used = sum.used.plus(&part.used);
     sum.largest_free = sum.largest_free.max(&part.largest_free);
     sum.largest = sum.largest.max(&part.largest);
 }
 
 /// Whether the difference is worth telling.
 fn is_news(old: &ZoneNews, new: &ZoneNews) -> bool {
-    if old.daemons != new.daemons || old.revision != new.revision {
-        return true;
-    }
-    if old.summary.owners.len() != new.summary.owners.len() {
+    old.daemons != new.daemons
+        || old.revision != new.revision
+        || is_summary_news(&old.summary, &new.summary)
+}
+
+fn is_summary_news(old: &Summary, new: &Summary) -> bool {
+    if old.owners.len() != new.owners.len() || old.groups.len() != new.groups.len() {
         return true;
     }
     let moved = |before: u64, after: u64| {
         before.abs_diff(after) * 1_000 > before.max(after) * NEWS_CHANGE_PERMILLE
     };
-    let mut pairs = old.summary.owners.iter().zip(&new.summary.owners);
-    let owners = pairs.any(|(before, after)| {
-        moved(before.free.cpu_millis, after.free.cpu_millis)
-            || moved(before.free.memory_bytes, after.free.memory_bytes)
-            || moved(before.free.accelerators, after.free.accelerators)
-    });
-    let mut pairs = old.summary.groups.iter().zip(&new.summary.groups);
-    owners
-        || pairs
-            .any(|(before, after)| moved(u64::from(before.free_slots), u64::from(after.free_slots)))
+    let mut owners = old.owners.iter().zip(&new.owners);
+    let mut groups = old.groups.iter().zip(&new.groups);
+    owners.any(|(before, after)| {
+        let (free, now_free) = (&before.largest_free, &after.largest_free);
+        before.owner != after.owner
+            || before.largest != after.largest
+            || moved(free.cpu_millis, now_free.cpu_millis)
+            || moved(free.memory_bytes, now_free.memory_bytes)
+            || moved(free.accelerators, now_free.accelerators)
+    }) || groups.any(|(before, after)| {
+        let none = (before.free_slots == 0) != (after.free_slots == 0);
+        none || moved(u64::from(before.free_slots), u64::from(after.free_slots))
+    })
 }
--- a/crates/engine/src/sweep.rs
+++ b/crates/engine/src/sweep.rs
@@ -355,7 +355,7 @@
             StoreOp::Follow => self.on_follow(reply),
             StoreOp::Edit(ticket, edit) => self.on_edit_reply(ticket, edit, reply),
             StoreOp::Question(ticket) => self.on_store_answer(ticket, reply),
-            StoreOp::List => self.on_list(reply),
+            StoreOp::List { whole } => self.on_list(whole, reply),
             StoreOp::KeepBody(job) => self.on_body_kept(job, &reply),
             StoreOp::LoadBody(job) => self.on_body_loaded(job, reply),
             StoreOp::Lookup(lookup) => self.on_looked_up(lookup, reply),
--- a/crates/engine/tests/seeds.rs
+++ b/crates/engine/tests/seeds.rs
@@ -3,8 +3,6 @@
 //! `SEED=n cargo test -p stoatwell-engine --test seeds replay -- --nocapture`
 //! runs one again; with `TRACE=zone-a-w1` it prints every call to that worker.
 
-mod world;
-
 use std::collections::HashSet;
 use std::panic;
 use std::sync::atomic::AtomicU64;
@@ -17,8 +15,8 @@
 use stoatwell_model::Outcome;
 use stoatwell_model::OwnerName;
 
-use crate::world::World;
-use crate::world::layout::Layout;
+use stoatwell_world::World;
+use stoatwell_world::layout::Layout;
 
 /// Schedules that every test run goes through.
 const SEEDS: u64 = 10_000;
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -86,7 +86,9 @@
         member.heard_ms = now_ms;
         member.stopping = beat.stopping;
         member.revision = beat.revision;
-        member.summary = beat.summary.clone();
+        if let Some(summary) = &beat.summary {
+            member.summary = summary.clone();
+        }
     }
 
     /// Whether a daemon was heard of late.
--- a/crates/model/src/peer.rs
+++ b/crates/model/src/peer.rs
@@ -33,8 +33,8 @@
     pub revision: u64,
     /// Whether it is about to stop and takes nothing new.
     pub stopping: bool,
-    /// What it can place.
-    pub summary: Summary,
+    /// What it can place; left out while nothing worth telling changed.
+    pub summary: Option<Summary>,
 }
 
 /// What a daemon's workers can take, in short.
@@ -57,14 +57,10 @@
 pub struct OwnerSummary {
     /// The owner.
     pub owner: OwnerName,
-    /// Free on all its workers together.
-    pub free: Resources,
     /// The most that is free on one worker, resource by resource.
     pub largest_free: Resources,
     /// The most that one empty worker holds, resource by resource.
     pub largest: Resources,
-    /// What the owner's running work holds.
-    pub used: Resources,
 }
 
 /// What one minion group can take.
--- a/crates/placement/src/learned.rs
+++ b/crates/placement/src/learned.rs
@@ -10,10 +10,13 @@
 
 use hdrhistogram::Histogram;
 use stoatwell_model::EntryName;
+use stoatwell_model::JobId;
 use stoatwell_model::Resources;
 
 /// Samples before anything learned is used.
 const SAMPLES_MIN: u64 = 20;
+/// Samples in a row that one job gives.
+const SAMPLES_PER_JOB: u32 = 2;
 /// Samples after which the older window is dropped.
 const WINDOW_SAMPLES: u64 = 400;
 /// The percentile that a demand covers.
@@ -34,6 +37,8 @@
 
 #[derive(Debug, Default)]
 struct EntryUse {
+    /// The job that gave the last samples, and how many of them.
+    last: Option<(JobId, u32)>,
     cpu: Quantity,
     memory: Quantity,
     run_ms: Windows,
@@ -54,11 +59,20 @@
 
 impl Learned {
     /// Takes the most that a finished or long-running task was seen to use.
-    pub fn record(&mut self, entry: &EntryName, declared: &Resources, used: &Resources) {
+    pub fn record(
+        &mut self,
+        entry: &EntryName,
+        job: JobId,
+        declared: &Resources,
+        used: &Resources,
+    ) {
         if used.is_zero() {
             return;
         }
         let found = self.entries.entry(entry.clone()).or_default();
+        if !found.is_fresh(job) {
+            return;
+        }
         found.cpu.record(declared.cpu_millis, used.cpu_millis);
         let unit = |bytes: u64| bytes.div_ceil(MEMORY_UNIT_BYTES);
         found.memory.record(unit(declared.memory_bytes), unit(used.memory_bytes));
@@ -102,6 +116,19 @@
     }
 }
 
+impl EntryUse {
+    /// The tasks of one job are alike. Were they all counted, a single job would
+    /// pass for the whole entry, and the next one would get too little.
+    fn is_fresh(&mut self, job: JobId) -> bool {
+        let seen = match self.last {
+            Some((last, seen)) if last == job => seen + 1,
+            _ => 1,
+        };
+        self.last = Some((job, seen));
+        seen <= SAMPLES_PER_JOB
+    }
+}
+
 impl Quantity {
     fn record(&mut self, declared: u64, used: u64) {
         self.amount.record(used);
@@ -121,7 +148,9 @@
 impl Windows {
     fn record(&mut self, value: u64) {
         let current = self.current.get_or_insert_with(new_histogram);
-        current.saturating_record(value.max(1));
+        // Recording grows the histogram; saturating would cut values off instead.
+        let recorded = current.record(value.max(1));
+        debug_assert!(recorded.is_ok(), "the histogram grows to any value");
         if current.len() >= WINDOW_SAMPLES {
             self.previous = self.current.take();
         }
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -216,7 +216,7 @@
         match end {
             End::Succeeded => {
                 self.health.succeeded(&running.worker, &running.entry);
-                self.learned.record(&running.entry, &running.declared, &running.used);
+                self.learned.record(&running.entry, attempt.job, &running.declared, &running.used);
                 let ran_ms = now_ms.saturating_sub(running.started_ms);
                 self.learned.record_run(&running.entry, ran_ms);
             }
@@ -346,10 +346,8 @@
         let mut summaries = Vec::new();
         for owner in owners {
             let largest_free = self.cell.largest_free(&owner);
-            let (capacity, used) = self.cell.usage(&owner);
             let largest = self.cell.largest(&owner);
-            let free = capacity.minus(&used);
-            summaries.push(OwnerSummary { owner, free, largest_free, largest, used });
+            summaries.push(OwnerSummary { owner, largest_free, largest });
         }
         summaries
     }
--- a/crates/platform/src/call.rs
+++ b/crates/platform/src/call.rs
@@ -73,8 +73,12 @@
         /// Its key.
         key: String,
     },
-    /// Reads the lagging list of instances.
-    Instances,
+    /// Reads the lagging list of instances: every entry instance, and the
+    /// workers of one zone or of all.
+    Instances {
+        /// The zone.
+        zone: Option<ZoneName>,
+    },
 }
 
 impl StoreCall {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -30,6 +30,7 @@
 use stoatwell_model::MinionId;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
 use stoatwell_model::worker::MinionState;
 use stoatwell_platform::Instance;
 use stoatwell_platform::InstanceKind;
@@ -262,10 +263,12 @@
         states
     }
 
-    fn instances(&self, now_ms: u64) -> Vec<Instance> {
+    fn instances(&self, now_ms: u64, zone: Option<&ZoneName>) -> Vec<Instance> {
         let mut latest = BTreeMap::new();
         for (visible_ms, instance) in &self.instances {
-            if *visible_ms <= now_ms {
+            let wanted = instance.kind == InstanceKind::Entry
+                || zone.is_none_or(|zone| instance.zone == *zone);
+            if *visible_ms <= now_ms && wanted {
                 latest.insert(instance.name.clone(), instance.clone());
             }
         }
@@ -334,8 +337,9 @@
     tokio::time::sleep(Duration::from_millis(delay_ms)).await;
     let now_ms = world.now_ms();
     let mut inner = world.lock();
-    if call == StoreCall::Instances {
-        return Json(StoreReply::Instances { instances: inner.instances(now_ms) }).into_response();
+    if let StoreCall::Instances { zone } = &call {
+        let instances = inner.instances(now_ms, zone.as_ref());
+        return Json(StoreReply::Instances { instances }).into_response();
     }
     let is_write = call.is_write();
     let reply = inner.store.call(call);
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -62,7 +62,7 @@
                 self.objects.remove(&key);
                 StoreReply::ObjectStored
             }
-            StoreCall::Instances => StoreReply::Instances { instances: Vec::new() },
+            StoreCall::Instances { .. } => StoreReply::Instances { instances: Vec::new() },
         }
     }
 
--- /dev/null
+++ b/crates/world/src/count.rs
@@ -0,0 +1,93 @@
+//! Bytes and calls of one daemon, with the real codecs.
+
+use bincode::Options;
+use serde::Serialize;
+use stoatwell_engine::Event;
+use stoatwell_platform::StoreCall;
+use stoatwell_platform::WorkerCall;
+
+/// What one daemon sent, received and asked so far. Bytes are those of the
+/// messages alone; what the transports add is measured on real connections.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub peer_messages: u64,
+    pub peer_sent_bytes: u64,
+    pub peer_received_bytes: u64,
+    /// Sent to other regions.
+    pub far_messages: u64,
+    pub far_sent_bytes: u64,
+    pub worker_calls: u64,
+    pub worker_sent_bytes: u64,
+    pub worker_received_bytes: u64,
+    pub store_reads: u64,
+    pub store_writes: u64,
+    pub store_bytes: u64,
+}
+
+impl Counts {
+    pub(crate) fn peer_sent(&mut self, message: &impl Serialize, far: bool) {
+        let bytes = wire_bytes(message);
+        self.peer_messages += 1;
+        self.peer_sent_bytes += bytes;
+        if far {
+            self.far_messages += 1;
+            self.far_sent_bytes += bytes;
+        }
+    }
+
+    pub(crate) fn peer_received(&mut self, message: &impl Serialize) {
+        self.peer_received_bytes += wire_bytes(message);
+    }
+
+    pub(crate) fn worker_call(&mut self, call: &WorkerCall) {
+        self.worker_calls += 1;
+        self.worker_sent_bytes += json_bytes(call);
+    }
+
+    pub(crate) fn store_call(&mut self, call: &StoreCall) {
+        if call.is_write() {
+            self.store_writes += 1;
+        } else {
+            self.store_reads += 1;
+        }
+        self.store_bytes += json_bytes(call);
+    }
+
+    pub(crate) fn answer(&mut self, event: &Event) {
+        match event {
+            Event::WorkerDone { reply: Ok(reply), .. } => {
+                self.worker_received_bytes += json_bytes(reply);
+            }
+            Event::StoreDone { reply: Ok(reply), .. } => self.store_bytes += json_bytes(reply),
+            _ => {}
+        }
+    }
+
+    /// What came after `earlier`.
+    pub fn since(&self, earlier: &Self) -> Self {
+        Self {
+            peer_messages: self.peer_messages - earlier.peer_messages,
+            peer_sent_bytes: self.peer_sent_bytes - earlier.peer_sent_bytes,
+            peer_received_bytes: self.peer_received_bytes - earlier.peer_received_bytes,
+            far_messages: self.far_messages - earlier.far_messages,
+            far_sent_bytes: self.far_sent_bytes - earlier.far_sent_bytes,
+            worker_calls: self.worker_calls - earlier.worker_calls,
+            worker_sent_bytes: self.worker_sent_bytes - earlier.worker_sent_bytes,
+            worker_received_bytes: self.worker_received_bytes - earlier.worker_received_bytes,
+            store_reads: self.store_reads - earlier.store_reads,
+            store_writes: self.store_writes - earlier.store_writes,
+            store_bytes: self.store_bytes - earlier.store_bytes,
+        }
+    }
+}
+
+/// Size of a message between daemons.
+pub fn wire_bytes(message: &impl Serialize) -> u64 {
+    // The options of the codec between daemons.
+    bincode::DefaultOptions::new().serialized_size(message).unwrap_or(0)
+}
+
+/// Size of a message to the platform or a worker.
+pub fn json_bytes(message: &impl Serialize) -> u64 {
+    serde_json::to_vec(message).map_or(0, |bytes| bytes.len() as u64)
+}
--- a/crates/engine/tests/world/layout.rs
+++ b/crates/world/src/layout.rs
@@ -22,22 +22,26 @@
 use stoatwell_settings::Settings;
 use stoatwell_standin::worker::Worker;
 
-use super::World;
+use crate::World;
 
 pub const GIB: u64 = 1 << 30;
 
 pub struct Layout {
-    pub daemons: Vec<(&'static str, &'static str)>,
+    /// Name, zone and region of each daemon, zone by zone.
+    pub daemons: Vec<(String, String, String)>,
     pub workers_per_zone: u32,
     pub capacity: Resources,
+    /// Whether times are short, for tests, or those of the default settings.
+    pub quick: bool,
 }
 
 impl Default for Layout {
     fn default() -> Self {
         Self {
-            daemons: vec![("d0", "zone-a"), ("d1", "zone-a"), ("d2", "zone-a"), ("d3", "zone-b")],
+            daemons: daemons(&[("zone-a", 3), ("zone-b", 1)], "region"),
             workers_per_zone: 4,
             capacity: Resources { cpu_millis: 8_000, memory_bytes: 32 * GIB, accelerators: 2 },
+            quick: true,
         }
     }
 }
@@ -63,9 +67,32 @@
     "minions": "sahay", "limits": { "deadline_ms": 2000 } }
 ] }"#;
 
+/// Daemons named d0, d1, ... in these zones of one region.
+pub fn daemons(zones: &[(&str, usize)], region: &str) -> Vec<(String, String, String)> {
+    let mut all = Vec::new();
+    for (zone, count) in zones {
+        for _ in 0..*count {
+            all.push((format!("d{}", all.len()), (*zone).to_owned(), region.to_owned()));
+        }
+    }
+    all
+}
+
 impl Layout {
-    pub fn zones(&self) -> Vec<&'static str> {
-        let mut zones: Vec<&str> = self.daemons.iter().map(|(_, zone)| *zone).collect();
+    /// A cell of the target's shape: nine zones in four regions.
+    pub fn wide(daemons_per_zone: usize, workers_per_zone: u32) -> Self {
+        let mut all = Vec::new();
+        for zone in 0..9 {
+            for _ in 0..daemons_per_zone {
+                let region = format!("region-{}", zone % 4);
+                all.push((format!("d{}", all.len()), format!("zone-{zone}"), region));
+            }
+        }
+        Self { daemons: all, workers_per_zone, quick: false, ..Self::default() }
+    }
+
+    pub fn zones(&self) -> Vec<String> {
+        let mut zones: Vec<String> = self.daemons.iter().map(|(_, zone, _)| zone.clone()).collect();
         zones.dedup();
         zones
     }
@@ -77,20 +104,24 @@
     }
 
     pub fn identity(&self, index: usize, incarnation: u64) -> Identity {
-        let (name, zone) = self.daemons[index];
+        let (name, zone, region) = &self.daemons[index];
         Identity {
             daemon: DaemonId::new(name),
             zone: ZoneName::new(zone),
-            region: RegionName::new("region"),
+            region: RegionName::new(region),
             peer_address: format!("peer-{index}"),
             incarnation,
         }
     }
 
     pub fn settings(&self, index: usize) -> Settings {
-        let (name, zone) = self.daemons[index];
+        let (name, zone, region) = &self.daemons[index];
         let mut settings = stoatwell_settings::example(name);
         settings.daemon.zone = ZoneName::new(zone);
+        settings.daemon.region = RegionName::new(region);
+        if !self.quick {
+            return settings;
+        }
         settings.leases.ttl_ms = 2_000;
         settings.leases.renew_wait_ms = 500;
         settings.leases.orphan_ms = 3_000;
@@ -108,15 +139,15 @@
 
     pub fn instances(&self) -> Vec<Instance> {
         let mut instances = Vec::new();
-        for (index, (name, zone)) in self.daemons.iter().enumerate() {
+        for (index, (name, zone, _)) in self.daemons.iter().enumerate() {
             instances.push(instance(name, InstanceKind::Entry, zone, &format!("peer-{index}")));
         }
         for zone in self.zones() {
-            for worker in self.worker_ids(zone) {
+            for worker in self.worker_ids(&zone) {
                 instances.push(instance(
                     worker.as_str(),
                     InstanceKind::Worker,
-                    zone,
+                    &zone,
                     worker.as_str(),
                 ));
             }
@@ -126,7 +157,7 @@
 
     pub fn fill(&self, world: &mut World) {
         for zone in self.zones() {
-            for id in self.worker_ids(zone) {
+            for id in self.worker_ids(&zone) {
                 let worker =
                     Worker::new(id.clone(), format!("{zone}-rack"), self.capacity, 1_000).lenient();
                 let minion = MinionState {
@@ -137,7 +168,7 @@
                     connections: 64,
                     busy: 0,
                 };
-                world.add_worker(&id, zone, worker, Some(minion));
+                world.add_worker(&id, &zone, worker, Some(minion));
                 let change = TargetChange::Start { owner: OwnerName::new("nyaysetu") };
                 apply(world, &format!("target/{id}"), EditKind::Target(id.clone(), change));
             }
--- a/crates/engine/tests/world/mod.rs
+++ b/crates/world/src/lib.rs
@@ -3,15 +3,18 @@
 //! Every call takes a random short time there and back and may be cut, lost or
 //! left unanswered; daemons crash, pause and come back. One seed gives one
 //! schedule. The fakes of table, workers and minions are the stand-in's.
-#![allow(dead_code, reason = "each test binary uses a part of it")]
-#![allow(missing_docs, reason = "test code")]
+#![allow(missing_docs, reason = "scaffolding of tests and measurements, not an interface")]
+#![allow(missing_debug_implementations, reason = "never shown")]
 
 pub mod checker;
+pub mod count;
 pub mod layout;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -29,12 +32,14 @@
 use stoatwell_model::EntryName;
 use stoatwell_model::MinionId;
 use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
 use stoatwell_model::job::JobView;
 use stoatwell_model::job::Submission;
 use stoatwell_model::peer::Identity;
 use stoatwell_model::worker::MinionState;
 use stoatwell_platform::CallError;
 use stoatwell_platform::Instance;
+use stoatwell_platform::InstanceKind;
 use stoatwell_platform::MinionCall;
 use stoatwell_platform::MinionReply;
 use stoatwell_platform::StoreCall;
@@ -48,8 +53,9 @@
 use stoatwell_standin::store::Store;
 use stoatwell_standin::worker::Worker;
 
-use checker::Checker;
-use layout::Layout;
+use crate::checker::Checker;
+use crate::count::Counts;
+use crate::layout::Layout;
 
 pub const TICK_MS: u64 = 100;
 const CALL_TIMEOUT_MS: u64 = 500;
@@ -95,6 +101,9 @@
     pub settings: Settings,
     pub paused_until_ms: u64,
     pub stopped: bool,
+    pub counts: Counts,
+    /// Real time spent in the engine, for measurements only.
+    pub busy: Duration,
     incarnation: u64,
     last_revision: u64,
 }
@@ -168,6 +177,8 @@
                 settings,
                 paused_until_ms: 0,
                 stopped: false,
+                counts: Counts::default(),
+                busy: Duration::ZERO,
                 incarnation: 0,
                 last_revision: 0,
             });
@@ -430,7 +441,9 @@
         let Some(engine) = node.engine.as_mut() else {
             return;
         };
+        let began = Instant::now();
         let effects = engine.handle(self.now_ms, event);
+        node.busy += began.elapsed();
         let revision = engine.catalogue().revision();
         let stopped = engine.is_stopped();
         assert!(
@@ -455,12 +468,14 @@
         let at_ms = self.now_ms + delay_ms;
         match effect {
             Effect::Store { op, call } => {
+                self.nodes[node].counts.store_call(&call);
                 self.expect(node, incarnation, op, Kind::Store, CALL_TIMEOUT_MS);
                 if !self.store_cut.contains(&node) {
                     self.push(at_ms, Delivery::Store(node, incarnation, op, call));
                 }
             }
             Effect::Worker { op, worker, call, .. } => {
+                self.nodes[node].counts.worker_call(&call);
                 let wait_ms =
                     if let WorkerCall::Renew { wait_ms, .. } = &call { *wait_ms } else { 0 };
                 self.expect(node, incarnation, op, Kind::Worker, CALL_TIMEOUT_MS + wait_ms);
@@ -485,6 +500,8 @@
                 let Some(to) = to else {
                     return;
                 };
+                let far = self.is_far(node, to);
+                self.nodes[node].counts.peer_sent(&call, far);
                 let refused = self.nodes[to].engine.is_none();
                 if refused {
                     let reply = Err(CallError::NotSent("connection refused".to_owned()));
@@ -509,19 +526,28 @@
             if self.peer_cut.contains(&(node, caller)) || self.dropped() {
                 return;
             }
-            self.reply(
-                caller,
-                caller_incarnation,
-                op,
-                Kind::Peer,
-                Event::PeerDone { op, reply: Ok(reply) },
-            );
+            let far = self.is_far(node, caller);
+            self.nodes[node].counts.peer_sent(&reply, far);
+            self.nodes[caller].counts.peer_received(&reply);
+            let event = Event::PeerDone { op, reply: Ok(reply) };
+            self.reply(caller, caller_incarnation, op, Kind::Peer, event);
             return;
         }
         self.checker.on_answer(ticket, &answer);
         self.answers.insert(ticket, (self.now_ms, answer));
     }
 
+    fn listed(&self, zone: Option<&ZoneName>) -> Vec<Instance> {
+        let wanted = |instance: &&Instance| {
+            instance.kind == InstanceKind::Entry || zone.is_none_or(|zone| instance.zone == *zone)
+        };
+        self.instances.iter().filter(wanted).cloned().collect()
+    }
+
+    fn is_far(&self, a: usize, b: usize) -> bool {
+        self.nodes[a].identity.region != self.nodes[b].identity.region
+    }
+
     fn delay(&mut self) -> u64 {
         self.rng.random_range(1..=DELAY_MS_MAX)
     }
@@ -540,6 +566,7 @@
     }
 
     fn reply(&mut self, node: usize, incarnation: u64, op: OpId, kind: Kind, event: Event) {
+        self.nodes[node].counts.answer(&event);
         if !self.waiting.remove(&(node, incarnation, op, kind)) {
             return;
         }
@@ -568,7 +595,9 @@
             return;
         }
         let reply = match call {
-            StoreCall::Instances => StoreReply::Instances { instances: self.instances.clone() },
+            StoreCall::Instances { zone } => {
+                StoreReply::Instances { instances: self.listed(zone.as_ref()) }
+            }
             call => {
                 let lost = call.is_write() && self.rng.random_range(0..1_000) < self.lost_permille;
                 let reply = self.store.call(call);
@@ -726,6 +755,7 @@
         if self.nodes[to].engine.is_none() || self.peer_cut.contains(&(node, to)) {
             return;
         }
+        self.nodes[to].counts.peer_received(&call);
         self.next_ticket += 1;
         let ticket = self.next_ticket;
         let to_incarnation = self.nodes[to].incarnation;
