--- a/crates/engine/src/dump.rs
+++ b/crates/engine/src/dump.rs
@@ -194,7 +194,7 @@
             peers: self.dump_peers(),
             zones_heard_ms: self.zones_heard(),
             store: StoreDump {
-                refusing: self.committer.refuses(),
+                refusing: self.refuses_records(),
                 backlog: self.committer.backlog(),
                 commits: self.committer.stats(),
                 listed_ms_ago: self.now_ms.saturating_sub(self.listed_ms),
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -74,6 +74,8 @@
 
 /// Finished jobs whose views are kept for callers that ask again.
 const RECENT_MAX: usize = 4_096;
+/// Failed calls to the store in a row after which nothing new is written to it.
+const STORE_FAILURES_MAX: u32 = 3;
 /// Tasks placed in one pass.
 const TASKS_PER_PASS: usize = 4_096;
 
@@ -116,6 +118,8 @@
     recent: HashMap<JobId, JobView>,
     recent_order: VecDeque<JobId>,
     committer: Committer,
+    /// Calls to the store in a row that brought nothing.
+    store_failures: u32,
     sweep: Sweep,
 
     minions: Minions,
@@ -175,6 +179,7 @@
                 settings.ledger.rows_per_commit,
                 settings.ledger.commits_per_second,
             ),
+            store_failures: 0,
             sweep: Sweep::default(),
             minions: Minions::new(routing.breaker_failures, routing.breaker_open_ms),
             budget: RetryBudget::new(routing.retry_permille),
@@ -270,6 +275,12 @@
         self.commit();
     }
 
+    /// Whether work that has to be recorded is refused at once: the store has not
+    /// answered for a while, so waiting for it would end in an unknown.
+    fn refuses_records(&self) -> bool {
+        self.committer.refuses() || self.store_failures >= STORE_FAILURES_MAX
+    }
+
     fn next_write_id(&mut self) -> u64 {
         self.write_ids = self.write_ids.wrapping_add(1);
         self.write_ids
--- a/crates/engine/src/remote.rs
+++ b/crates/engine/src/remote.rs
@@ -293,6 +293,11 @@
             not_before_ms: 0,
         };
         for attempt in attempts {
+            // A daemon that lost the job unawares asks for what runs here already;
+            // its room would be given away a second time.
+            if self.scheduler.cell.running(*attempt).is_some() {
+                break;
+            }
             let Some(placed) = self.scheduler.place_one(self.now_ms, &waiting, *attempt) else {
                 break;
             };
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -76,7 +76,7 @@
             return self.answer_job(ticket, Err(failure));
         }
         let once = admitted.entry.execution == Execution::AtMostOnce;
-        if once && self.committer.refuses() {
+        if once && self.refuses_records() {
             let failure = Failure::new(Code::StoreUnavailable).retry_after(RETRY_AFTER_MS);
             return self.answer_job(ticket, Err(failure));
         }
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -206,7 +206,7 @@
 
     fn has_room_for(&self, admitted: &Admitted) -> Result<(), Failure> {
         let entry = &admitted.entry;
-        if self.committer.refuses() {
+        if self.refuses_records() {
             return Err(Failure::new(Code::StoreUnavailable).retry_after(RETRY_AFTER_MS));
         }
         if self.jobs.len() as u64 >= self.settings.queue.jobs {
--- a/crates/engine/src/sweep.rs
+++ b/crates/engine/src/sweep.rs
@@ -141,6 +141,8 @@
         let last = found.last().map(|row| row.key.clone()).unwrap_or_default();
         self.sweep.cursor = if full { last } else { String::new() };
         let holders = self.members.holders(self.now_ms, self.stopping);
+        // Only the relay looks after another zone, so it takes all it finds there.
+        let abroad = self.sweep.zone.as_ref().is_some_and(|zone| *zone != self.me.zone);
         for row in found {
             let Ok(open) = serde_json::from_str::<rows::OpenRow>(&row.value) else {
                 continue;
@@ -149,7 +151,8 @@
             let known = self.jobs.contains_key(&open.job);
             // A row in my name of a job that I do not know is from before my start.
             let deserted = if mine { !known } else { !self.is_live(&open.coordinator) };
-            let chosen = assign::winner(&open.job.to_string(), &holders) == Some(&self.me.daemon);
+            let chosen =
+                abroad || assign::winner(&open.job.to_string(), &holders) == Some(&self.me.daemon);
             // One that I run by a row in another's name was taken over from me.
             let taken = known && !mine;
             if taken || (deserted && !known && (mine || chosen)) {
@@ -350,6 +353,7 @@
         let Some(purpose) = self.ops.store.remove(&op) else {
             return;
         };
+        self.store_failures = if reply.is_ok() { 0 } else { self.store_failures.saturating_add(1) };
         match purpose {
             StoreOp::Commit => self.on_commit_reply(&reply),
             StoreOp::Follow => self.on_follow(reply),
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine.rs
@@ -647,7 +647,8 @@
     /// The next start of this task is another attempt.
     fn advance(&mut self, attempt: AttemptId) {
         let index = attempt.task as usize;
-        self.tasks[index].attempt += 1;
+        let first = first_attempt(self.record.epoch);
+        self.tasks[index].attempt = first.max(self.tasks[index].attempt + 1);
         self.tasks[index].phase = Phase::Waiting;
     }
 
--- a/crates/placement/src/cell.rs
+++ b/crates/placement/src/cell.rs
@@ -499,6 +499,15 @@
         self.pools.iter().filter(|(_, pool)| !pool.members.is_empty()).map(|(owner, _)| owner)
     }
 
+    /// Brings what is known of every owner's workers up to date.
+    pub fn settle_all(&mut self) {
+        let stale = self.pools.iter().filter(|(_, pool)| pool.stale);
+        let owners: Vec<OwnerName> = stale.map(|(owner, _)| owner.clone()).collect();
+        for owner in owners {
+            self.settle(&owner);
+        }
+    }
+
     /// Whether one empty worker of this owner would hold this much.
     pub fn could_hold(&self, owner: &OwnerName, need: &Resources) -> bool {
         let Some(pool) = self.pools.get(owner) else {
@@ -602,7 +611,7 @@
 
     /// Rebuilds an owner's trees after workers came or went. Workers without
     /// accelerators stand first, so that plain work does not fill the others.
-    fn settle(&mut self, owner: &OwnerName) {
+    pub fn settle(&mut self, owner: &OwnerName) {
         let Some(pool) = self.pools.get_mut(owner) else {
             return;
         };
--- a/crates/placement/src/health.rs
+++ b/crates/placement/src/health.rs
@@ -20,6 +20,8 @@
 const FAILURES_TO_BLAME_WORKER: u32 = 12;
 /// Different workers on which an entry must fail in a row before it is held back.
 const WORKERS_TO_BLAME_ENTRY: usize = 3;
+/// Failures in a row, on workers that do well with others, that hold an entry back.
+const FAILURES_TO_BLAME_ENTRY: u32 = 8;
 /// Tasks at once on a worker that has not proved itself.
 pub const UNPROVEN_TASKS_MAX: u32 = 4;
 /// Running this long proves a worker as well as a success does.
@@ -50,6 +52,8 @@
 #[derive(Debug, Default)]
 struct EntryHealth {
     failed_workers: HashSet<WorkerId>,
+    /// Failures in a row on workers that do well with other entries.
+    failures_in_row: u32,
     held_until_ms: UnixMs,
     holds: u32,
 }
@@ -76,6 +80,7 @@
         found.quarantine_until_ms = 0;
         if let Some(found) = self.entries.get_mut(entry) {
             found.failed_workers.clear();
+            found.failures_in_row = 0;
             found.holds = 0;
         }
     }
@@ -92,13 +97,17 @@
             self.quarantine(now_ms, worker);
             return Verdict::WorkerQuarantined;
         }
+        let does_well = self.workers.get(worker).is_some_and(|found| found.proved);
         let found = self.entries.entry(entry.clone()).or_default();
         found.failed_workers.insert(worker.clone());
-        if found.failed_workers.len() >= WORKERS_TO_BLAME_ENTRY {
+        found.failures_in_row += u32::from(does_well);
+        let by_workers = found.failed_workers.len() >= WORKERS_TO_BLAME_ENTRY;
+        if by_workers || found.failures_in_row >= FAILURES_TO_BLAME_ENTRY {
             let backoff_ms = HOLD_BACK_MS << found.holds.min(8);
             found.held_until_ms = now_ms + backoff_ms.min(HOLD_BACK_MS_MAX);
             found.holds += 1;
             found.failed_workers.clear();
+            found.failures_in_row = 0;
             return Verdict::EntryHeldBack;
         }
         Verdict::Open
--- a/crates/placement/src/scheduler.rs
+++ b/crates/placement/src/scheduler.rs
@@ -259,6 +259,8 @@
     /// Goes over what waits and places up to `tasks_max` tasks.
     pub fn schedule(&mut self, now_ms: UnixMs, tasks_max: usize) -> Vec<Decision> {
         let mut decisions = Vec::new();
+        // Shares are taken of what the workers hold in all, which must be known.
+        self.cell.settle_all();
         self.expire(now_ms, &mut decisions);
         self.prove(now_ms);
         self.advance_reservations(now_ms, &mut decisions);
@@ -296,6 +298,7 @@
         attempt: AttemptId,
     ) -> Option<Placed> {
         let mut evictions_left = 0;
+        self.cell.settle_all();
         let placed = self.place(now_ms, job, attempt, &mut evictions_left)?;
         self.commit(now_ms, job, &placed);
         Some(placed)
