--- a/crates/engine/src/jobs.rs
+++ b/crates/engine/src/jobs.rs
@@ -2,10 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use stoatwell_ledger::CommitResult;
 use stoatwell_ledger::JobEffect;
 use stoatwell_ledger::JobMachine;
-use stoatwell_ledger::rows;
 use stoatwell_model::AttemptId;
 use stoatwell_model::Class;
 use stoatwell_model::Code;
@@ -18,29 +16,19 @@
 use stoatwell_model::job::JobView;
 use stoatwell_model::worker::StartTask;
 use stoatwell_model::worker::StopMode;
-use stoatwell_model::worker::TaskState;
 use stoatwell_placement::Decision;
 use stoatwell_placement::Placed;
 use stoatwell_placement::WaitingJob;
-use stoatwell_platform::CallError;
-use stoatwell_platform::StoreCall;
-use stoatwell_platform::StoreReply;
 
 use crate::Engine;
 use crate::RECENT_MAX;
 use crate::TASKS_PER_PASS;
 use crate::message::Answer;
-use crate::message::Caller;
 use crate::message::Effect;
 use crate::message::PeerCall;
 use crate::message::Seen;
 use crate::message::Ticket;
-use crate::ops::Lookup;
 use crate::ops::PeerOp;
-use crate::ops::StoreOp;
-
-/// Before a refused start is placed again.
-const REFUSED_PAUSE_MS: u64 = 100;
 
 /// One job that runs here.
 #[derive(Debug)]
@@ -129,7 +117,15 @@
             self.requeue_request(id);
             return;
         }
-        let waiting = waiting_job(&job.machine.record, attempts);
+        // Room may have been asked elsewhere for what was placed here meanwhile;
+        // queued once more it would start on a second worker.
+        let machine = &job.machine;
+        let attempts: Vec<AttemptId> =
+            attempts.into_iter().filter(|attempt| machine.is_waiting(*attempt)).collect();
+        if attempts.is_empty() {
+            return;
+        }
+        let waiting = waiting_job(&machine.record, attempts);
         self.scheduler.enqueue(waiting);
         self.schedule_due = true;
     }
@@ -251,220 +247,6 @@
         }
     }
 
-    /// What the holder of a worker saw of a task.
-    pub(crate) fn tell(
-        &mut self,
-        attempt: AttemptId,
-        worker: &WorkerId,
-        coordinator: &stoatwell_model::DaemonId,
-        seen: Seen,
-    ) {
-        if *coordinator == self.me.daemon {
-            self.on_seen(attempt, worker, seen);
-            return;
-        }
-        self.remote.report(coordinator, attempt, worker, seen);
-    }
-
-    /// Takes what was seen of a task of a job that runs here; says whether it does.
-    pub(crate) fn on_seen(&mut self, attempt: AttemptId, worker: &WorkerId, seen: Seen) -> bool {
-        let one = BTreeMap::from([(attempt, worker.clone())]);
-        let Some(job) = self.jobs.get(&attempt.job) else {
-            return self.on_seen_of_finished(attempt, worker, &seen);
-        };
-        let ended = matches!(&seen, Seen::State(state) if !state.is_running());
-        let repeatable = !job.machine.record.execution.needs_intent();
-        let looks = job.finding > 0 || job.find_ms.is_some();
-        if looks && let Seen::State(state) = &seen {
-            self.drive(attempt.job, |machine, now_ms| {
-                machine.on_found(now_ms, attempt, worker, state)
-            });
-        }
-        if !self.is_current(attempt, worker) {
-            self.end_earlier_try(attempt, worker, &seen);
-            return true;
-        }
-        if !looks {
-            self.drive_seen(attempt, &seen);
-        }
-        // The last try of each task is kept at its worker until the job's outcome
-        // is durable, so that a successor finds what was done.
-        let last = self.jobs.get(&attempt.job).is_some_and(|job| job.machine.is_current(attempt));
-        if ended && repeatable && !last {
-            self.acknowledge(&one);
-        }
-        true
-    }
-
-    /// Whether an attempt is its task's present one, on this worker. Room may
-    /// have been asked of two holders for one attempt, one after the other; what
-    /// the first one says of it must not count for the second.
-    fn is_current(&self, attempt: AttemptId, worker: &WorkerId) -> bool {
-        let Some(job) = self.jobs.get(&attempt.job) else {
-            return false;
-        };
-        let elsewhere = job.machine.worker_of(attempt).is_some_and(|other| other != *worker);
-        job.machine.is_current(attempt) && !elsewhere
-    }
-
-    fn end_earlier_try(&mut self, attempt: AttemptId, worker: &WorkerId, seen: &Seen) {
-        match seen {
-            Seen::State(TaskState::Running) => {
-                self.stop_here(worker, attempt, StopMode::Stop);
-            }
-            Seen::State(_) => self.acknowledge(&BTreeMap::from([(attempt, worker.clone())])),
-            Seen::Absent | Seen::Pending | Seen::Forgotten => {}
-        }
-    }
-
-    fn drive_seen(&mut self, attempt: AttemptId, seen: &Seen) {
-        if matches!(seen, Seen::Absent) {
-            self.scheduler.queue.put_off(attempt.job, self.now_ms + REFUSED_PAUSE_MS);
-        }
-        self.drive(attempt.job, |machine, now_ms| match seen {
-            Seen::State(state) => machine.on_report(now_ms, attempt, state),
-            Seen::Absent => machine.on_absent(now_ms, attempt),
-            Seen::Forgotten => machine.on_lost(now_ms, attempt),
-            Seen::Pending => Vec::new(),
-        });
-    }
-
-    /// A task of a job that is not run here: finished work is forgotten, a
-    /// task that still runs for it is stopped.
-    fn on_seen_of_finished(&mut self, attempt: AttemptId, worker: &WorkerId, seen: &Seen) -> bool {
-        if !self.recent.contains_key(&attempt.job) {
-            return false;
-        }
-        self.end_earlier_try(attempt, worker, seen);
-        true
-    }
-
-    pub(crate) fn write_job(&mut self, id: JobId) {
-        let write_id = self.next_write_id();
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.machine.is_writing() {
-            return;
-        }
-        let version = job.machine.version;
-        let former_zone = job.machine.former_zone().cloned();
-        let record = job.machine.begin_write(write_id);
-        let mut write = rows::write(record, version, former_zone.as_ref());
-        if !job.accepted {
-            write.give_up_ms = Some(job.accept_until_ms);
-        }
-        self.sweep.writes.insert(write_id, id);
-        self.committer.submit(write_id, write);
-    }
-
-    pub(crate) fn commit(&mut self) {
-        let given_up = self.committer.give_up(self.now_ms);
-        self.on_commit_results(given_up);
-        if let Some(transaction) = self.committer.due(self.now_ms) {
-            self.call_store(StoreOp::Commit, StoreCall::Transact(transaction));
-        }
-    }
-
-    pub(crate) fn on_commit_reply(&mut self, reply: &Result<StoreReply, CallError>) {
-        let results = self.committer.on_reply(self.now_ms, reply);
-        self.on_commit_results(results);
-    }
-
-    fn on_commit_results(&mut self, results: Vec<(u64, CommitResult)>) {
-        for (write_id, result) in results {
-            let Some(id) = self.sweep.writes.remove(&write_id) else {
-                continue;
-            };
-            match result {
-                CommitResult::Written { version } => self.on_written(id, version),
-                CommitResult::Conflict { row } => self.on_conflict(id, &row.value),
-                CommitResult::NotWritten => self.on_not_written(id),
-            }
-        }
-    }
-
-    fn on_written(&mut self, id: JobId, version: u64) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let first = !job.accepted;
-        job.accepted = true;
-        if job.leaving {
-            self.left(id);
-            return;
-        }
-        let taken_over = job.find_ms.is_some();
-        self.drive(id, |machine, now_ms| machine.on_written(now_ms, version));
-        if first {
-            self.on_accepted(id, taken_over);
-        }
-    }
-
-    fn on_accepted(&mut self, id: JobId, taken_over: bool) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        let accepting = std::mem::take(&mut job.accepting);
-        let waiting = job.machine.waiting();
-        let is_request = job.machine.record.class == Class::Request;
-        for (ticket, wait_ms) in accepting {
-            self.wait_for(id, ticket, wait_ms);
-        }
-        // What was taken over looks for its running tasks first.
-        if !taken_over && !is_request && !waiting.is_empty() {
-            self.enqueue(id, waiting);
-        }
-    }
-
-    /// Somebody else wrote the record: another daemon accepted the same key
-    /// first, or took the job over because this one seemed dead.
-    fn on_conflict(&mut self, id: JobId, row: &str) {
-        let Some(mut job) = self.jobs.remove(&id) else {
-            return;
-        };
-        self.scheduler.withdraw(id);
-        self.remote.forget(id);
-        self.drop_request_of(&job);
-        let record: Option<JobRecord> = serde_json::from_str(row).ok();
-        let same = record
-            .as_ref()
-            .is_some_and(|found| found.content_hash == job.machine.record.content_hash);
-        for (ticket, wait_ms) in std::mem::take(&mut job.accepting) {
-            match &record {
-                Some(_) if !same => self.answer_job(ticket, Err(Failure::new(Code::KeyReused))),
-                Some(found) => self.answer_from_record(ticket, found.clone(), wait_ms),
-                None => self.answer_job(ticket, Err(Failure::new(Code::Internal))),
-            }
-        }
-        for (ticket, until_ms) in job.waiters {
-            let wait_ms = until_ms.saturating_sub(self.now_ms);
-            self.look_up(Lookup::Status { ticket, caller: Caller::Operator, job: id, wait_ms });
-        }
-    }
-
-    /// Another daemon runs the job by now; this one had not noticed.
-    pub(crate) fn lose_job(&mut self, id: JobId, row: &str) {
-        self.on_conflict(id, row);
-    }
-
-    fn on_not_written(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.accepted {
-            self.drive(id, |machine, _| machine.on_not_written());
-            return;
-        }
-        let Some(job) = self.jobs.remove(&id) else {
-            return;
-        };
-        self.drop_request_of(&job);
-        for (ticket, _) in job.accepting {
-            self.answer_job(ticket, Err(Failure::new(Code::StoreUnavailable).retry_after(1_000)));
-        }
-    }
-
     /// The outcome is durable.
     fn finish(&mut self, id: JobId) {
         let Some(job) = self.jobs.remove(&id) else {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -11,18 +11,24 @@
 
 mod adopt;
 mod catalogue;
+mod commit;
 mod dump;
 mod held;
 mod holders;
 mod jobs;
+mod lookup;
 mod message;
+mod news;
 mod ops;
 mod peers;
 mod remote;
 mod requests;
+mod seal;
+mod seen;
 mod stop;
 mod submit;
 mod sweep;
+mod wide;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -4,19 +4,16 @@
 //! summary with the relays of the other zones and passes on to its own zone
 //! only what changed, so that little crosses the slow and paid links.
 
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use stoatwell_catalogue::News;
 use stoatwell_membership::assign;
-use stoatwell_membership::members::RELAY_KEY;
 use stoatwell_model::DaemonId;
 use stoatwell_model::Resources;
 use stoatwell_model::UnixMs;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_model::peer::Heartbeat;
-use stoatwell_model::peer::OwnerSummary;
 use stoatwell_model::peer::Summary;
 use stoatwell_platform::CallError;
 use stoatwell_platform::InstanceKind;
@@ -36,27 +33,25 @@
 use crate::ops::StoreOp;
 
 /// Unchanged news are passed on this often.
-const NEWS_REPEAT_MS: u64 = 10_000;
-/// Exchanges that a relay waits for the other side's call before it calls itself.
-const RELAY_PATIENCE: u64 = 3;
+pub(crate) const NEWS_REPEAT_MS: u64 = 10_000;
 /// About what one line of the instance list takes.
-const INSTANCE_BYTES: u64 = 140;
+pub(crate) const INSTANCE_BYTES: u64 = 140;
 /// Reading the instance list costs no more than this; a longer list is read less often.
-const LIST_BYTES_PER_SECOND: u64 = 4_000;
+pub(crate) const LIST_BYTES_PER_SECOND: u64 = 4_000;
 /// News older than this many silences count as no news.
-const NEWS_OLD_FACTOR: u64 = 4;
+pub(crate) const NEWS_OLD_FACTOR: u64 = 4;
 /// A change of free room below this part is not news, in thousandths.
-const NEWS_CHANGE_PERMILLE: u64 = 125;
+pub(crate) const NEWS_CHANGE_PERMILLE: u64 = 125;
 
 /// What was told to whom, so that only what changed is told again.
 #[derive(Debug, Default)]
 pub(crate) struct Telling {
-    summary: Summary,
-    changes: u64,
-    peers: HashMap<DaemonId, (u64, UnixMs)>,
-    zone_news: Option<ZoneNews>,
-    zone_changes: u64,
-    zones: HashMap<ZoneName, (u64, UnixMs)>,
+    pub(crate) summary: Summary,
+    pub(crate) changes: u64,
+    pub(crate) peers: HashMap<DaemonId, (u64, UnixMs)>,
+    pub(crate) zone_news: Option<ZoneNews>,
+    pub(crate) zone_changes: u64,
+    pub(crate) zones: HashMap<ZoneName, (u64, UnixMs)>,
 }
 
 impl Telling {
@@ -76,8 +71,8 @@
 pub(crate) struct ZoneState {
     pub(crate) news: ZoneNews,
     pub(crate) heard_ms: UnixMs,
-    changes: u64,
-    told: HashMap<DaemonId, (u64, UnixMs)>,
+    pub(crate) changes: u64,
+    pub(crate) told: HashMap<DaemonId, (u64, UnixMs)>,
 }
 
 impl Engine {
@@ -116,55 +111,6 @@
         }
     }
 
-    fn beat_relays(&mut self) {
-        let quiet_ms = self.settings.membership.relay_ms * RELAY_PATIENCE;
-        for (zone, daemon) in self.far_relays() {
-            // The answer carries the other side's news, so one of the two calls.
-            // The other one does so too when it has not been called for a while.
-            let heard_ms = self.zones.get(&zone).map_or(0, |state| state.heard_ms);
-            let waits = self.me.zone > zone && self.now_ms < heard_ms + quiet_ms;
-            if waits {
-                continue;
-            }
-            let news = self.own_news_for(&zone);
-            let call = PeerCall::Heartbeat { beat: self.heartbeat(), news };
-            self.call_peer(PeerOp::Heartbeat, &daemon, call);
-        }
-    }
-
-    /// The own zone's news for another zone, if they are due there.
-    fn own_news_for(&mut self, zone: &ZoneName) -> Vec<ZoneNews> {
-        let news = self.own_zone_news();
-        if self.telling.zone_news.as_ref().is_none_or(|told| is_news(told, &news)) {
-            self.telling.zone_news = Some(news.clone());
-            self.telling.zone_changes += 1;
-        }
-        let changes = self.telling.zone_changes;
-        let (told, told_ms) = self.telling.zones.get(zone).copied().unwrap_or_default();
-        if told == changes && self.now_ms < told_ms + NEWS_REPEAT_MS {
-            return Vec::new();
-        }
-        self.telling.zones.insert(zone.clone(), (changes, self.now_ms));
-        vec![news]
-    }
-
-    /// One daemon of every other zone: the relay by that zone's own last word,
-    /// or, where nothing was heard of it, its listed daemons in turn.
-    fn far_relays(&self) -> Vec<(ZoneName, DaemonId)> {
-        let fresh_ms = self.settings.membership.silent_after_ms;
-        let turn = (self.now_ms / self.settings.membership.relay_ms.max(1)) as usize;
-        let mut relays = Vec::new();
-        for (zone, listed) in self.members.other_zones() {
-            let heard =
-                self.zones.get(zone).filter(|state| self.now_ms < state.heard_ms + fresh_ms);
-            let said = heard.into_iter().flat_map(|state| &state.news.daemons);
-            let relay = assign::winner(RELAY_KEY, said.map(|found| &found.daemon));
-            let relay = relay.or_else(|| listed.get(turn % listed.len()).copied());
-            relays.extend(relay.map(|daemon| (zone.clone(), daemon.clone())));
-        }
-        relays
-    }
-
     /// A sign of life that says nothing of room.
     pub(crate) fn heartbeat(&self) -> Heartbeat {
         Heartbeat {
@@ -185,58 +131,6 @@
         }
     }
 
-    fn own_zone_news(&mut self) -> ZoneNews {
-        let mut summary = self.summary();
-        let mut daemons = vec![self.me.clone()];
-        let mut revision = self.catalogue.revision();
-        for member in self.members.live_in(self.now_ms, &self.me.zone) {
-            daemons.push(member.identity.clone());
-            revision = revision.max(member.revision);
-            add_summary(&mut summary, &member.summary);
-        }
-        ZoneNews { zone: self.me.zone.clone(), age_ms: 0, daemons, revision, summary }
-    }
-
-    /// News of other zones that this daemon has not been told.
-    fn news_for(&mut self, daemon: &DaemonId) -> Vec<ZoneNews> {
-        let now_ms = self.now_ms;
-        let mut news = Vec::new();
-        for state in self.zones.values_mut() {
-            let (told_changes, told_ms) = state.told.get(daemon).copied().unwrap_or_default();
-            let due = told_changes != state.changes || now_ms >= told_ms + NEWS_REPEAT_MS;
-            if !due {
-                continue;
-            }
-            state.told.insert(daemon.clone(), (state.changes, now_ms));
-            let age_ms = now_ms.saturating_sub(state.heard_ms);
-            news.push(ZoneNews { age_ms, ..state.news.clone() });
-        }
-        news
-    }
-
-    fn on_news(&mut self, news: Vec<ZoneNews>) {
-        for item in news {
-            if item.zone == self.me.zone {
-                continue;
-            }
-            let heard_ms = self.now_ms.saturating_sub(item.age_ms);
-            let Some(state) = self.zones.get_mut(&item.zone) else {
-                let told = HashMap::new();
-                let state = ZoneState { news: item.clone(), heard_ms, changes: 1, told };
-                self.zones.insert(item.zone, state);
-                continue;
-            };
-            if heard_ms < state.heard_ms {
-                continue;
-            }
-            if is_news(&state.news, &item) {
-                state.changes += 1;
-            }
-            state.heard_ms = heard_ms;
-            state.news = item;
-        }
-    }
-
     fn on_heartbeat(&mut self, beat: &Heartbeat, news: Vec<ZoneNews>) {
         self.members.on_heartbeat(self.now_ms, beat);
         let newest = news.iter().map(|item| item.revision).max().unwrap_or(0);
@@ -497,47 +391,9 @@
         let daemons = state.news.daemons.iter().map(|found| &found.daemon);
         assign::winner(self.me.daemon.as_str(), daemons).cloned()
     }
-
-    pub(crate) fn zones_heard(&self) -> BTreeMap<ZoneName, u64> {
-        let age = |state: &ZoneState| self.now_ms.saturating_sub(state.heard_ms);
-        self.zones.iter().map(|(zone, state)| (zone.clone(), age(state))).collect()
-    }
-}
-
-fn add_summary(sum: &mut Summary, part: &Summary) {
-    sum.workers += part.workers;
-    sum.queued = sum.queued.saturating_add(part.queued);
-    sum.running += part.running;
-    for owner in &part.owners {
-        match sum.owners.iter_mut().find(|found| found.owner == owner.owner) {
-            Some(found) => add_owner(found, owner),
-            None => sum.owners.push(owner.clone()),
-        }
-    }
-    for group in &part.groups {
-        match sum.groups.iter_mut().find(|found| found.group == group.group) {
-            Some(found) => {
-                found.free_slots += group.free_slots;
-                found.slots += group.slots;
-            }
-            None => sum.groups.push(group.clone()),
-        }
-    }
-}
-
-fn add_owner(sum: &mut OwnerSummary, part: &OwnerSummary) {
-    sum.largest_free = sum.largest_free.max(&part.largest_free);
-    sum.largest = sum.largest.max(&part.largest);
-}
-
-/// Whether the difference is worth telling.
-fn is_news(old: &ZoneNews, new: &ZoneNews) -> bool {
-    old.daemons != new.daemons
-        || old.revision != new.revision
-        || is_summary_news(&old.summary, &new.summary)
 }
 
-fn is_summary_news(old: &Summary, new: &Summary) -> bool {
+pub(crate) fn is_summary_news(old: &Summary, new: &Summary) -> bool {
     if old.owners.len() != new.owners.len() || old.groups.len() != new.groups.len() {
         return true;
     }
--- a/crates/engine/src/remote.rs
+++ b/crates/engine/src/remote.rs
@@ -45,19 +45,19 @@
 #[derive(Debug, Default)]
 pub(crate) struct Remote {
     /// Room that others set aside for tasks that run from here.
-    reserved: BTreeMap<AttemptId, (DaemonId, Reservation)>,
+    pub(crate) reserved: BTreeMap<AttemptId, (DaemonId, Reservation)>,
     /// Starts to send, by holder.
-    starts: BTreeMap<DaemonId, Vec<(WorkerId, Token, StartTask)>>,
+    pub(crate) starts: BTreeMap<DaemonId, Vec<(WorkerId, Token, StartTask)>>,
     /// Room set aside here for others, until a time.
-    promised: BTreeMap<AttemptId, UnixMs>,
+    pub(crate) promised: BTreeMap<AttemptId, UnixMs>,
     /// What the daemons that run tasks on workers held here have to hear.
     outbox: BTreeMap<DaemonId, BTreeMap<AttemptId, Report>>,
     /// Jobs for which room is being asked, or was of late.
-    asking: BTreeMap<JobId, UnixMs>,
+    pub(crate) asking: BTreeMap<JobId, UnixMs>,
     /// Gangs that collect room here and elsewhere.
-    gangs: BTreeMap<JobId, Gang>,
+    pub(crate) gangs: BTreeMap<JobId, Gang>,
     /// When room is looked through next.
-    reclaim_ms: UnixMs,
+    pub(crate) reclaim_ms: UnixMs,
 }
 
 /// A report and when it is due again.
@@ -70,11 +70,11 @@
 
 /// A gang that is wider than one holder.
 #[derive(Debug)]
-struct Gang {
-    attempts: Vec<AttemptId>,
-    placed: Vec<(AttemptId, WorkerId, Token)>,
+pub(crate) struct Gang {
+    pub(crate) attempts: Vec<AttemptId>,
+    pub(crate) placed: Vec<(AttemptId, WorkerId, Token)>,
     /// Daemons yet to be asked, in one order for all gangs.
-    peers: Vec<DaemonId>,
+    pub(crate) peers: Vec<DaemonId>,
 }
 
 impl Remote {
@@ -188,7 +188,12 @@
         self.reserve_at(waiting.job, &holder, attempts)
     }
 
-    fn reserve_at(&mut self, id: JobId, holder: &DaemonId, attempts: Vec<AttemptId>) -> bool {
+    pub(crate) fn reserve_at(
+        &mut self,
+        id: JobId,
+        holder: &DaemonId,
+        attempts: Vec<AttemptId>,
+    ) -> bool {
         let Some(job) = self.jobs.get(&id) else {
             return false;
         };
@@ -213,67 +218,6 @@
         false
     }
 
-    /// A gang that no single holder can take gathers room at all of them, in
-    /// one order and for a bounded time, and gives all back if any is missing.
-    fn gather_gang(&mut self, waiting: &WaitingJob) -> bool {
-        let mut peers = self.zone_peers();
-        peers.sort();
-        if peers.is_empty() {
-            return false;
-        }
-        let attempts = self.scheduler.withdraw(waiting.job);
-        let mut placed = Vec::new();
-        for attempt in &attempts {
-            let Some(found) = self.scheduler.place_one(self.now_ms, waiting, *attempt) else {
-                break;
-            };
-            if let Some(token) = self.holdings.token(self.now_ms, &found.worker) {
-                placed.push((*attempt, found.worker, token));
-            } else {
-                self.scheduler.not_started(self.now_ms, *attempt);
-                break;
-            }
-        }
-        self.remote.gangs.insert(waiting.job, Gang { attempts, placed, peers });
-        self.advance_gang(waiting.job);
-        true
-    }
-
-    fn advance_gang(&mut self, id: JobId) {
-        let Some(mut gang) = self.remote.gangs.remove(&id) else {
-            return;
-        };
-        if gang.placed.len() == gang.attempts.len() {
-            let placed = gang.placed;
-            self.drive(id, |machine, now_ms| machine.on_placed(now_ms, &placed));
-            return;
-        }
-        if gang.peers.is_empty() {
-            self.disband(id, gang);
-            return;
-        }
-        let holder = gang.peers.remove(0);
-        let missing: Vec<AttemptId> = gang.attempts[gang.placed.len()..].to_vec();
-        self.remote.gangs.insert(id, gang);
-        if !self.reserve_at(id, &holder, missing) {
-            self.remote.gangs.remove(&id);
-        }
-    }
-
-    fn disband(&mut self, id: JobId, gang: Gang) {
-        let mut elsewhere: BTreeMap<DaemonId, Vec<AttemptId>> = BTreeMap::new();
-        for (attempt, _, _) in &gang.placed {
-            match self.remote.reserved.remove(attempt) {
-                Some((holder, _)) => elsewhere.entry(holder).or_default().push(*attempt),
-                None => self.scheduler.not_started(self.now_ms, *attempt),
-            }
-        }
-        for (holder, attempts) in elsewhere {
-            self.call_peer(PeerOp::Notice, &holder, PeerCall::Unreserve { attempts });
-        }
-        self.enqueue(id, gang.attempts);
-    }
-
     pub(crate) fn on_reserve(&mut self, meta: &JobMeta, attempts: &[AttemptId]) -> PeerReply {
         let mut reservations = Vec::new();
         if self.stopping {
@@ -372,6 +316,10 @@
         let mut placed = Vec::new();
         for reservation in reservations {
             let attempt = reservation.attempt;
+            let job = self.jobs.get(&id);
+            if !job.is_some_and(|job| job.machine.is_waiting(attempt)) {
+                continue;
+            }
             placed.push((attempt, reservation.worker.clone(), reservation.token));
             self.remote.reserved.insert(attempt, (holder.clone(), reservation));
         }
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -6,7 +6,6 @@
 
 use stoatwell_ledger::JobMachine;
 use stoatwell_model::AttemptId;
-use stoatwell_model::Class;
 use stoatwell_model::Code;
 use stoatwell_model::Execution;
 use stoatwell_model::Failure;
@@ -33,23 +32,21 @@
 const TRIES_MAX: u32 = 5;
 /// When to come back after no minion had a slot.
 const RETRY_AFTER_MS: u64 = 500;
-/// Before a minion is asked again what became of a request.
-const SEAL_AGAIN_MS: u64 = 1_000;
 
 /// One request in work.
 #[derive(Debug)]
 pub(crate) struct Request {
     /// Who waits; for recorded requests the job's waiters do.
-    ticket: Option<Ticket>,
-    record: stoatwell_model::JobRecord,
-    body: String,
-    group: String,
-    deadline_ms: UnixMs,
-    tries: u32,
-    picked: Option<Picked>,
-    asked: bool,
+    pub(crate) ticket: Option<Ticket>,
+    pub(crate) record: stoatwell_model::JobRecord,
+    pub(crate) body: String,
+    pub(crate) group: String,
+    pub(crate) deadline_ms: UnixMs,
+    pub(crate) tries: u32,
+    pub(crate) picked: Option<Picked>,
+    pub(crate) asked: bool,
     /// Whether a try may have been begun; then "not run" would be no proof.
-    may_have_run: bool,
+    pub(crate) may_have_run: bool,
 }
 
 impl Request {
@@ -299,31 +296,7 @@
         true
     }
 
-    /// A recorded request went without an answer: it is not sent again, the
-    /// callers learn at once that nothing is known, and the minion is asked.
-    fn on_unknown(&mut self, number: u64) {
-        let Some(request) = self.requests.remove(&number) else {
-            return;
-        };
-        let id = request.record.job;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        job.request = None;
-        job.inquire_ms = self.now_ms;
-        job.machine.note("the minion did not answer in time and is being asked".to_owned());
-        let view = JobView {
-            state: stoatwell_model::JobState::Unknown,
-            outcome: Some(Outcome::Unknown {
-                code: Code::OutcomeUnknown,
-                detail: "the minion did not answer in time".to_owned(),
-            }),
-            ..job.machine.view(Vec::new())
-        };
-        self.answer_waiters(id, &view);
-    }
-
-    fn answer_waiters(&mut self, id: JobId, view: &JobView) {
+    pub(crate) fn answer_waiters(&mut self, id: JobId, view: &JobView) {
         let Some(job) = self.jobs.get_mut(&id) else {
             return;
         };
@@ -368,7 +341,7 @@
 
     /// Fixes the outcome of a recorded request. The callers have it at once;
     /// should this daemon die before it is written, the minion still knows.
-    fn finish_request(&mut self, id: JobId, outcome: Outcome) {
+    pub(crate) fn finish_request(&mut self, id: JobId, outcome: Outcome) {
         let now_ms = self.now_ms;
         let accept_ms = self.settings.ledger.accept_timeout_ms;
         let Some(job) = self.jobs.get_mut(&id) else {
@@ -456,63 +429,8 @@
             self.minions.release(self.now_ms, &picked.minion, ending);
         }
     }
-
-    /// Asks the minion of a recorded request what became of it.
-    pub(crate) fn seal_request(&mut self, id: JobId) {
-        let now_ms = self.now_ms;
-        let Some(job) = self.jobs.get_mut(&id) else {
-            return;
-        };
-        if job.request.is_some() || now_ms < job.inquire_ms || job.machine.record.outcome.is_some()
-        {
-            return;
-        }
-        job.inquire_ms = now_ms + SEAL_AGAIN_MS;
-        let Some(intent) = job.machine.record.intents.first().cloned() else {
-            return;
-        };
-        let attempt = AttemptId { job: id, task: intent.task, attempt: intent.attempt };
-        let place = intent.minion.as_deref().and_then(|minion| minion.split_once('/'));
-        let Some((address, minion)) = place else {
-            return;
-        };
-        if self.is_gone(&intent.worker) {
-            let detail = format!("worker {} of its minion is gone", intent.worker);
-            let outcome = Outcome::Unknown { code: Code::OutcomeUnknown, detail };
-            return self.finish_request(id, outcome);
-        }
-        let call = MinionCall::Seal { attempt };
-        self.call_minion(MinionOp::Seal(id), MinionId::new(minion), address.to_owned(), call);
-    }
-
-    fn on_sealed(&mut self, id: JobId, reply: Result<MinionReply, CallError>) {
-        let Some(job) = self.jobs.get(&id) else {
-            return;
-        };
-        if job.machine.record.class != Class::Request || job.machine.record.outcome.is_some() {
-            return;
-        }
-        match reply {
-            Ok(MinionReply::Answer { body }) => {
-                self.finish_request(id, Outcome::Done { answer: body });
-            }
-            Ok(MinionReply::NeverStarted) => {
-                self.finish_request(
-                    id,
-                    not_run(Code::NoMinion, "the minion never got it and refuses it now"),
-                );
-            }
-            Ok(MinionReply::Failed { reason }) => {
-                self.finish_request(
-                    id,
-                    Outcome::Failed { code: Code::MinionFailed, detail: reason },
-                );
-            }
-            Ok(MinionReply::Running | MinionReply::Busy) | Err(_) => {}
-        }
-    }
 }
 
-fn not_run(code: Code, detail: &str) -> Outcome {
+pub(crate) fn not_run(code: Code, detail: &str) -> Outcome {
     Outcome::NotRun { code, detail: detail.to_owned() }
 }
--- /dev/null
+++ b/crates/engine/src/seal.rs
@@ -0,0 +1,100 @@
+//! Recorded requests without an answer: the minion is asked what became of them.
+
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::Code;
+use stoatwell_model::JobId;
+use stoatwell_model::MinionId;
+use stoatwell_model::Outcome;
+use stoatwell_model::job::JobView;
+use stoatwell_platform::CallError;
+use stoatwell_platform::MinionCall;
+use stoatwell_platform::MinionReply;
+
+use crate::Engine;
+use crate::ops::MinionOp;
+use crate::requests::not_run;
+
+/// Before a minion is asked again what became of a request.
+const SEAL_AGAIN_MS: u64 = 1_000;
+
+impl Engine {
+    /// A recorded request went without an answer: it is not sent again, the
+    /// callers learn at once that nothing is known, and the minion is asked.
+    pub(crate) fn on_unknown(&mut self, number: u64) {
+        let Some(request) = self.requests.remove(&number) else {
+            return;
+        };
+        let id = request.record.job;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.request = None;
+        job.inquire_ms = self.now_ms;
+        job.machine.note("the minion did not answer in time and is being asked".to_owned());
+        let view = JobView {
+            state: stoatwell_model::JobState::Unknown,
+            outcome: Some(Outcome::Unknown {
+                code: Code::OutcomeUnknown,
+                detail: "the minion did not answer in time".to_owned(),
+            }),
+            ..job.machine.view(Vec::new())
+        };
+        self.answer_waiters(id, &view);
+    }
+
+    /// Asks the minion of a recorded request what became of it.
+    pub(crate) fn seal_request(&mut self, id: JobId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        if job.request.is_some() || now_ms < job.inquire_ms || job.machine.record.outcome.is_some()
+        {
+            return;
+        }
+        job.inquire_ms = now_ms + SEAL_AGAIN_MS;
+        let Some(intent) = job.machine.record.intents.first().cloned() else {
+            return;
+        };
+        let attempt = AttemptId { job: id, task: intent.task, attempt: intent.attempt };
+        let place = intent.minion.as_deref().and_then(|minion| minion.split_once('/'));
+        let Some((address, minion)) = place else {
+            return;
+        };
+        if self.is_gone(&intent.worker) {
+            let detail = format!("worker {} of its minion is gone", intent.worker);
+            let outcome = Outcome::Unknown { code: Code::OutcomeUnknown, detail };
+            return self.finish_request(id, outcome);
+        }
+        let call = MinionCall::Seal { attempt };
+        self.call_minion(MinionOp::Seal(id), MinionId::new(minion), address.to_owned(), call);
+    }
+
+    pub(crate) fn on_sealed(&mut self, id: JobId, reply: Result<MinionReply, CallError>) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.machine.record.class != Class::Request || job.machine.record.outcome.is_some() {
+            return;
+        }
+        match reply {
+            Ok(MinionReply::Answer { body }) => {
+                self.finish_request(id, Outcome::Done { answer: body });
+            }
+            Ok(MinionReply::NeverStarted) => {
+                self.finish_request(
+                    id,
+                    not_run(Code::NoMinion, "the minion never got it and refuses it now"),
+                );
+            }
+            Ok(MinionReply::Failed { reason }) => {
+                self.finish_request(
+                    id,
+                    Outcome::Failed { code: Code::MinionFailed, detail: reason },
+                );
+            }
+            Ok(MinionReply::Running | MinionReply::Busy) | Err(_) => {}
+        }
+    }
+}
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -18,9 +18,7 @@
 
 use crate::Engine;
 use crate::jobs::Job;
-use crate::message::Answer;
 use crate::message::Caller;
-use crate::message::Effect;
 use crate::message::PeerCall;
 use crate::message::PeerReply;
 use crate::message::SubmitCall;
@@ -30,9 +28,7 @@
 use crate::ops::StoreOp;
 
 /// When to come back after most refusals that pass by themselves.
-const RETRY_AFTER_MS: u64 = 1_000;
-/// Longest wait for a cancellation's outcome to become durable.
-const CANCEL_WAIT_MS: u64 = 3_000;
+pub(crate) const RETRY_AFTER_MS: u64 = 1_000;
 const KEY_BYTES_MAX: usize = 128;
 const PERMILLE: u64 = 1_000;
 
@@ -371,167 +367,6 @@
             write_id: 0,
         }
     }
-
-    pub(crate) fn on_status(&mut self, ticket: Ticket, caller: &Caller, job: JobId, wait_ms: u64) {
-        let owner = self.owner_of(job);
-        match owner {
-            Some(owner) if !may_see(caller, &owner) => {
-                self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
-            }
-            Some(_) => self.wait_for(job, ticket, wait_ms),
-            None => {
-                let caller = caller.clone();
-                self.look_up(Lookup::Status { ticket, caller, job, wait_ms });
-            }
-        }
-    }
-
-    pub(crate) fn on_peer_status(&mut self, ticket: Ticket, job: JobId, wait_ms: u64) {
-        if self.owner_of(job).is_some() {
-            self.wait_for(job, ticket, wait_ms);
-            return;
-        }
-        self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
-    }
-
-    pub(crate) fn on_cancel(&mut self, ticket: Ticket, caller: &Caller, job: JobId) {
-        match self.owner_of(job) {
-            Some(owner) if !may_see(caller, &owner) => {
-                self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
-            }
-            Some(_) => self.cancel_here(ticket, job),
-            None => {
-                let caller = caller.clone();
-                self.look_up(Lookup::Cancel { ticket, caller, job });
-            }
-        }
-    }
-
-    pub(crate) fn on_peer_cancel(&mut self, ticket: Ticket, job: JobId) {
-        if self.owner_of(job).is_some() {
-            self.cancel_here(ticket, job);
-            return;
-        }
-        self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
-    }
-
-    fn cancel_here(&mut self, ticket: Ticket, job: JobId) {
-        self.drive(job, JobMachine::cancel);
-        // The answer may be "not run", which has to be durable before it is told.
-        self.wait_for(job, ticket, CANCEL_WAIT_MS);
-    }
-
-    fn owner_of(&self, job: JobId) -> Option<OwnerName> {
-        if let Some(found) = self.jobs.get(&job) {
-            return Some(found.machine.record.owner.clone());
-        }
-        self.recent.get(&job).map(|view| view.owner.clone())
-    }
-
-    pub(crate) fn look_up(&mut self, lookup: Lookup) {
-        let job = match &lookup {
-            Lookup::Status { job, .. } | Lookup::Cancel { job, .. } => *job,
-            Lookup::Resubmission { key, submission, .. } => {
-                let owner = self.catalogue.work(&submission.entry).map(|entry| entry.owner.clone());
-                JobId::of_key(&owner.unwrap_or_else(|| OwnerName::new("")), key)
-            }
-        };
-        let call = StoreCall::Read { keys: vec![stoatwell_ledger::rows::job(job)] };
-        self.call_store(StoreOp::Lookup(lookup), call);
-    }
-
-    pub(crate) fn on_looked_up(&mut self, lookup: Lookup, reply: Result<StoreReply, CallError>) {
-        let record: Result<Option<JobRecord>, CallError> = match reply {
-            Ok(StoreReply::Rows { rows }) => {
-                Ok(rows.first().and_then(|row| serde_json::from_str(&row.value).ok()))
-            }
-            Ok(_) => Ok(None),
-            Err(error) => Err(error),
-        };
-        match (lookup, record) {
-            (Lookup::Status { ticket, caller, wait_ms, .. }, Ok(Some(found)))
-                if may_see(&caller, &found.owner) =>
-            {
-                self.answer_from_record(ticket, found, wait_ms);
-            }
-            (Lookup::Cancel { ticket, caller, job }, Ok(Some(found)))
-                if may_see(&caller, &found.owner) =>
-            {
-                self.cancel_elsewhere(ticket, job, found);
-            }
-            (Lookup::Resubmission { ticket, submission, wait_ms, .. }, Ok(Some(found))) => {
-                if found.content_hash == content_hash(&submission) {
-                    self.answer_from_record(ticket, found, wait_ms);
-                } else {
-                    self.answer_job(ticket, Err(Failure::new(Code::KeyReused)));
-                }
-            }
-            (Lookup::Resubmission { ticket, .. }, Ok(None)) => {
-                self.answer_job(ticket, Err(Failure::new(Code::StaysWithOldSystem)));
-            }
-            (Lookup::Status { ticket, .. } | Lookup::Cancel { ticket, .. }, Ok(_)) => {
-                self.answer_job(ticket, Err(Failure::new(Code::NoSuchJob)));
-            }
-            (
-                Lookup::Status { ticket, .. }
-                | Lookup::Cancel { ticket, .. }
-                | Lookup::Resubmission { ticket, .. },
-                Err(error),
-            ) => {
-                let failure = Failure::with_detail(Code::StoreUnavailable, error);
-                self.answer_job(ticket, Err(failure.retry_after(RETRY_AFTER_MS)));
-            }
-        }
-    }
-
-    fn cancel_elsewhere(&mut self, ticket: Ticket, job: JobId, record: JobRecord) {
-        if record.outcome.is_some() {
-            self.answer_job(ticket, Ok(view_of_record(record, Vec::new())));
-            return;
-        }
-        let coordinator = record.coordinator.clone();
-        let live = self.is_live(&coordinator) && coordinator != self.me.daemon;
-        if !live || !self.call_peer(PeerOp::Pass(ticket), &coordinator, PeerCall::Cancel { job }) {
-            let failure = Failure::with_detail(Code::PeerUnavailable, coordinator);
-            self.answer_job(ticket, Err(failure.retry_after(RETRY_AFTER_MS)));
-        }
-    }
-
-    /// Answers from a record that another daemon may be working on.
-    pub(crate) fn answer_from_record(&mut self, ticket: Ticket, record: JobRecord, wait_ms: u64) {
-        if record.outcome.is_some() {
-            let view = view_of_record(record, Vec::new());
-            self.remember(view.clone());
-            self.answer_job(ticket, Ok(view));
-            return;
-        }
-        let coordinator = record.coordinator.clone();
-        let job = record.job;
-        let asks = !self.is_silent(&coordinator) && coordinator != self.me.daemon;
-        if asks
-            && self.call_peer(PeerOp::Pass(ticket), &coordinator, PeerCall::Status { job, wait_ms })
-        {
-            return;
-        }
-        let note = format!("daemon {coordinator} that ran it is not heard; another takes it over");
-        self.answer_job(ticket, Ok(view_of_record(record, vec![note])));
-    }
-
-    pub(crate) fn pass_on(&mut self, ticket: Ticket, reply: Result<PeerReply, CallError>) {
-        let result = match reply {
-            Ok(PeerReply::Job(result)) => result,
-            Ok(_) => Err(Failure::new(Code::Internal)),
-            Err(error) => {
-                let failure = Failure::with_detail(Code::PeerUnavailable, error);
-                Err(failure.retry_after(RETRY_AFTER_MS))
-            }
-        };
-        self.answer_job(ticket, result);
-    }
-
-    pub(crate) fn on_store_answer(&mut self, ticket: Ticket, reply: Result<StoreReply, CallError>) {
-        self.effects.push(Effect::Answer { ticket, answer: Answer::Store(reply) });
-    }
 }
 
 /// The share is a property of the key, so every daemon decides alike.
@@ -539,7 +374,7 @@
     xxh3_64(key.as_bytes()) % PERMILLE >= u64::from(entry.traffic_permille)
 }
 
-fn may_see(caller: &Caller, owner: &OwnerName) -> bool {
+pub(crate) fn may_see(caller: &Caller, owner: &OwnerName) -> bool {
     match caller {
         Caller::Operator => true,
         Caller::Owner(name) => name == owner,
@@ -551,7 +386,7 @@
     JobMachine::new(record, 0, 1).view(reasons)
 }
 
-fn content_hash(submission: &Submission) -> u64 {
+pub(crate) fn content_hash(submission: &Submission) -> u64 {
     let text = serde_json::to_string(submission).unwrap_or_default();
     xxh3_64(text.as_bytes())
 }
--- a/crates/ledger/src/machine.rs
+++ b/crates/ledger/src/machine/mod.rs
@@ -6,6 +6,10 @@
 //! proved dead: by the worker saying that it ended, or that it never started
 //! and never will. "Not run" is only ever told with that proof.
 
+mod gang;
+mod outcome;
+mod phase;
+
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
 
@@ -25,10 +29,11 @@
 use stoatwell_model::worker::TaskState;
 use stoatwell_model::worker::Token;
 
+use crate::machine::phase::Phase;
+use crate::machine::phase::first_attempt;
+
 /// Lines kept of what happened to a job.
 const NOTES_MAX: usize = 12;
-/// Attempts under one epoch have these many low bits for themselves.
-const EPOCH_SHIFT: u32 = 12;
 /// Workers named to a caller.
 const WORKERS_SHOWN: usize = 8;
 
@@ -63,31 +68,6 @@
     worker: Option<WorkerId>,
 }
 
-/// How far a task is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// No start of this attempt was ever sent.
-    Waiting,
-    /// The intent is to be written.
-    Intended,
-    /// The intent is being written.
-    Recording,
-    /// A start was sent or may have been.
-    Starting,
-    /// The worker said that it runs.
-    Running,
-    /// Taken over from another daemon; the worker has to be asked.
-    InDoubt,
-    /// Ended well.
-    Done,
-    /// Ended for good without success.
-    Over(Code),
-    /// Will never start.
-    Dropped(Code),
-    /// The worker is gone for good; nothing can tell whether it ran.
-    Lost,
-}
-
 /// What has to be done next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum JobEffect {
@@ -187,6 +167,12 @@
         task.is_some_and(|task| task.attempt == attempt.attempt)
     }
 
+    /// Whether this attempt waits for a worker.
+    pub fn is_waiting(&self, attempt: AttemptId) -> bool {
+        let task = self.tasks.get(attempt.task as usize);
+        task.is_some_and(|task| task.attempt == attempt.attempt && task.phase == Phase::Waiting)
+    }
+
     /// Whether this attempt has its worker and its start is yet to be answered.
     pub fn is_about_to_start(&self, attempt: AttemptId) -> bool {
         let task = self.tasks.get(attempt.task as usize);
@@ -559,26 +545,6 @@
         }
     }
 
-    /// Fixes the outcome from outside, for a request that was answered.
-    pub fn finish(&mut self, now_ms: UnixMs, outcome: Outcome) -> Vec<JobEffect> {
-        if self.record.outcome.is_some() {
-            return Vec::new();
-        }
-        self.tasks[0].phase = match &outcome {
-            Outcome::Done { .. } => Phase::Done,
-            Outcome::Failed { code, .. } => Phase::Over(*code),
-            Outcome::NotRun { code, .. } => Phase::Dropped(*code),
-            Outcome::Unknown { .. } => Phase::Lost,
-        };
-        self.record.outcome = Some(outcome);
-        self.record.finished_ms = now_ms;
-        self.write()
-    }
-
-    fn outcome_if_written(&self) -> Option<&Outcome> {
-        self.record.outcome.as_ref().filter(|_| self.outcome_written)
-    }
-
     fn on_done(&mut self, now_ms: UnixMs, attempt: AttemptId, answer: &str) -> Vec<JobEffect> {
         let index = attempt.task as usize;
         if self.record.class == Class::Service && !self.record.cancelled {
@@ -626,134 +592,6 @@
         self.after_end(now_ms, attempt)
     }
 
-    /// The attempt has surely ended and the task may run again.
-    fn after_end(&mut self, now_ms: UnixMs, attempt: AttemptId) -> Vec<JobEffect> {
-        self.drop_intent(attempt);
-        if self.record.class != Class::Gang {
-            return self.requeue(now_ms, attempt);
-        }
-        self.advance(attempt);
-        self.restart_gang(now_ms)
-    }
-
-    fn requeue(&mut self, now_ms: UnixMs, attempt: AttemptId) -> Vec<JobEffect> {
-        self.advance(attempt);
-        if self.record.class == Class::Gang {
-            return self.restart_gang(now_ms);
-        }
-        vec![JobEffect::Enqueue(vec![self.attempt(attempt.task as usize)])]
-    }
-
-    /// The next start of this task is another attempt.
-    fn advance(&mut self, attempt: AttemptId) {
-        let index = attempt.task as usize;
-        let first = first_attempt(self.record.epoch);
-        self.tasks[index].attempt = first.max(self.tasks[index].attempt + 1);
-        self.tasks[index].phase = Phase::Waiting;
-    }
-
-    /// A gang without one of its tasks is of no use: the others stop, and all
-    /// start again together once the last of them has surely ended.
-    fn restart_gang(&mut self, now_ms: UnixMs) -> Vec<JobEffect> {
-        let first = !self.restarting;
-        self.restarting = true;
-        let others: Vec<AttemptId> =
-            self.active().into_iter().map(|(attempt, _)| attempt).collect();
-        if !others.is_empty() {
-            return if first { vec![JobEffect::Stop(others)] } else { Vec::new() };
-        }
-        if self.tasks.iter().any(|task| matches!(task.phase, Phase::InDoubt | Phase::Recording)) {
-            return Vec::new();
-        }
-        self.restarting = false;
-        let failed = self.tasks.iter().any(|task| matches!(task.phase, Phase::Over(_)));
-        for index in 0..self.tasks.len() {
-            match self.tasks[index].phase {
-                Phase::Waiting if failed => self.tasks[index].phase = Phase::Over(Code::TaskFailed),
-                Phase::Done if !failed => {
-                    self.drop_intent(self.attempt(index));
-                    self.advance(self.attempt(index));
-                }
-                _ => {}
-            }
-        }
-        if failed {
-            return self.settle(now_ms);
-        }
-        vec![JobEffect::Enqueue(self.waiting())]
-    }
-
-    /// A cancellation or a gang's restart may have come while the start was on its way.
-    fn after_cancel_stop(&self, attempt: AttemptId) -> Vec<JobEffect> {
-        if self.record.cancelled || self.restarting {
-            return vec![JobEffect::Stop(vec![attempt])];
-        }
-        Vec::new()
-    }
-
-    fn settle_or_write(&mut self, now_ms: UnixMs) -> Vec<JobEffect> {
-        let effects = self.settle(now_ms);
-        if effects.is_empty() { self.write() } else { effects }
-    }
-
-    /// Fixes the outcome once no task can change it any more.
-    fn settle(&mut self, now_ms: UnixMs) -> Vec<JobEffect> {
-        if self.record.outcome.is_some() || !self.tasks.iter().all(|task| task.phase.is_settled()) {
-            return Vec::new();
-        }
-        self.record.outcome = Some(self.outcome());
-        self.record.finished_ms = now_ms;
-        self.write()
-    }
-
-    /// The worst of what became of the tasks, worst first: unknown, failed, not run, done.
-    fn outcome(&self) -> Outcome {
-        let mut done = 0;
-        let mut over = None;
-        let mut dropped = None;
-        let mut lost = 0;
-        for task in &self.tasks {
-            match task.phase {
-                Phase::Done => done += 1,
-                Phase::Over(code) => over = over.or(Some(code)),
-                Phase::Dropped(code) => dropped = dropped.or(Some(code)),
-                _ => lost += 1,
-            }
-        }
-        let all = self.tasks.len();
-        if lost > 0 {
-            let detail = format!("{lost} of {all} tasks ran on a worker that is gone");
-            return Outcome::Unknown { code: Code::OutcomeUnknown, detail };
-        }
-        if let Some(code) = over {
-            let detail = self.notes.back().cloned().unwrap_or_default();
-            return Outcome::Failed { code, detail };
-        }
-        match dropped {
-            None => Outcome::Done { answer: format!("{done} tasks done") },
-            // Work that may be repeated is started without a record, so of what
-            // another daemon had before nobody knows whether it was started.
-            Some(_) if !self.record.started && done == 0 && self.had_unrecorded_starts() => {
-                let detail = "another daemon may have started some of it".to_owned();
-                Outcome::Unknown { code: Code::OutcomeUnknown, detail }
-            }
-            Some(code) if !self.record.started && done == 0 => {
-                Outcome::NotRun { code, detail: "no task was started".to_owned() }
-            }
-            Some(code) => {
-                let code = match code {
-                    Code::CancelledBeforeStart => Code::CancelledAfterStart,
-                    other => other,
-                };
-                Outcome::Failed { code, detail: format!("{done} of {all} tasks had run") }
-            }
-        }
-    }
-
-    fn had_unrecorded_starts(&self) -> bool {
-        self.record.epoch > 1 && !self.record.execution.needs_intent()
-    }
-
     fn write(&mut self) -> Vec<JobEffect> {
         if self.writing {
             self.dirty = true;
@@ -803,35 +641,3 @@
         (task.attempt == attempt.attempt).then_some(task)
     }
 }
-
-/// The first attempt under an epoch. Two daemons that ran a job one after the
-/// other must not give the same id to starts on different workers, for what
-/// one worker reports would be taken for the other's.
-fn first_attempt(epoch: u64) -> u32 {
-    ((epoch.saturating_sub(1) as u32) << EPOCH_SHIFT) + 1
-}
-
-impl Phase {
-    fn may_run(self) -> bool {
-        matches!(self, Self::Starting | Self::Running)
-    }
-
-    fn name(self) -> &'static str {
-        match self {
-            Self::Waiting => "waiting",
-            Self::Intended => "intent to be written",
-            Self::Recording => "intent being written",
-            Self::Starting => "starting",
-            Self::Running => "running",
-            Self::InDoubt => "in doubt",
-            Self::Done => "done",
-            Self::Over(_) => "failed",
-            Self::Dropped(_) => "never to start",
-            Self::Lost => "lost",
-        }
-    }
-
-    fn is_settled(self) -> bool {
-        matches!(self, Self::Done | Self::Over(_) | Self::Dropped(_) | Self::Lost)
-    }
-}
--- /dev/null
+++ b/crates/placement/src/scheduler/place.rs
@@ -0,0 +1,163 @@
+//! A worker for each task, and room set aside on it.
+
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_model::Execution;
+use stoatwell_model::Resources;
+use stoatwell_model::UnixMs;
+use stoatwell_model::Urgency;
+
+use crate::cell::Running;
+use crate::cell::View;
+use crate::health::PROVED_AFTER_MS;
+use crate::queue::WaitingJob;
+use crate::scheduler::Decision;
+use crate::scheduler::HEADROOM_PERMILLE_MAX;
+use crate::scheduler::PERMILLE;
+use crate::scheduler::Placed;
+use crate::scheduler::Scheduler;
+use crate::scheduler::TURN_TASKS;
+
+impl Scheduler {
+    pub(super) fn start_job(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        left: usize,
+        evictions_left: &mut usize,
+        decisions: &mut Vec<Decision>,
+    ) -> usize {
+        let is_gang = job.class == Class::Gang;
+        let wanted =
+            if is_gang { job.tasks.len() } else { job.tasks.len().min(TURN_TASKS).min(left) };
+        let mut tasks: Vec<Placed> = Vec::new();
+        let mut victims = Vec::new();
+        for attempt in job.tasks.iter().take(wanted) {
+            let Some(placed) = self.place(now_ms, job, *attempt, evictions_left) else {
+                break;
+            };
+            victims.extend(self.commit(now_ms, job, &placed));
+            tasks.push(placed);
+        }
+        if is_gang && tasks.len() < wanted {
+            self.roll_back(&tasks, victims);
+            return 0;
+        }
+        if tasks.is_empty() {
+            return 0;
+        }
+        self.drop_reservation_of(job.job);
+        self.queue.take(job.job, tasks.len());
+        let placed = tasks.len();
+        decisions.push(Decision::Start { job: job.job, tasks });
+        placed
+    }
+
+    /// Finds a worker for one task without changing anything.
+    pub(super) fn place(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        attempt: AttemptId,
+        evictions_left: &mut usize,
+    ) -> Option<Placed> {
+        let demand = self.demand(job);
+        if !self.within_quota(job, &demand) {
+            self.counters.refused += 1;
+            return None;
+        }
+        let found = match job.class {
+            Class::Service => self.cell.find_spread(&job.owner, &demand, attempt),
+            Class::Batch | Class::Gang | Class::Request => {
+                self.cell.find_packed(&job.owner, &demand, View::Free)
+            }
+        };
+        let beneath = || job.class == Class::Batch && job.execution == Execution::Idempotent;
+        let found = match found {
+            None if beneath() => self.cell.find_packed(&job.owner, &demand, View::Beneath),
+            found => found,
+        };
+        let (index, evict) = match found {
+            Some(index) => (index, Vec::new()),
+            None if job.urgency == Urgency::Urgent && *evictions_left > 0 => {
+                let (index, victims) =
+                    self.cell.find_reclaim(&job.owner, &demand, now_ms, attempt)?;
+                *evictions_left = evictions_left.saturating_sub(victims.len());
+                (index, victims)
+            }
+            None => {
+                self.counters.refused += 1;
+                return None;
+            }
+        };
+        let worker = self.cell.slot(index).worker.clone();
+        // A worker back from quarantine is tried only with work that may be repeated.
+        if job.execution.needs_intent() && self.health.probation_until(now_ms, &worker).is_some() {
+            self.counters.refused += 1;
+            return None;
+        }
+        Some(Placed { attempt, worker, demand, evict })
+    }
+
+    /// Sets room aside for a task that got a worker; gives what had to go for it.
+    pub(super) fn commit(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        placed: &Placed,
+    ) -> Vec<(AttemptId, Running)> {
+        let mut victims = Vec::new();
+        for victim in &placed.evict {
+            victims.extend(self.cell.remove(*victim).map(|running| (*victim, running)));
+            self.counters.evicted += 1;
+        }
+        let running = Running {
+            worker: placed.worker.clone(),
+            owner: job.owner.clone(),
+            entry: job.entry.clone(),
+            class: job.class,
+            execution: job.execution,
+            urgency: job.urgency,
+            declared: job.demand,
+            demand: placed.demand,
+            used: Resources::ZERO,
+            started_ms: now_ms,
+            beneath: false,
+        };
+        self.cell.add(placed.attempt, running);
+        self.counters.placed += 1;
+        self.unproved.push((now_ms + PROVED_AFTER_MS, placed.attempt));
+        self.check_health(now_ms, &placed.worker);
+        victims
+    }
+
+    /// Undoes a start that did not come together. What had to go for it was
+    /// never told to stop, so its room is in use still.
+    pub(super) fn roll_back(&mut self, tasks: &[Placed], victims: Vec<(AttemptId, Running)>) {
+        for placed in tasks {
+            self.cell.remove(placed.attempt);
+        }
+        self.counters.placed -= tasks.len() as u64;
+        self.counters.evicted -= victims.len() as u64;
+        for (attempt, running) in victims {
+            self.cell.add(attempt, running);
+        }
+    }
+
+    pub(super) fn within_quota(&self, job: &WaitingJob, demand: &Resources) -> bool {
+        let (capacity, used) = self.cell.usage(&job.owner);
+        let after = used.plus(demand);
+        if self.cell.quota(&job.owner).is_some_and(|quota| !quota.holds(&after)) {
+            return false;
+        }
+        if job.urgency != Urgency::Patient {
+            return true;
+        }
+        // Patient work leaves room for what an owner that values short waits sends next.
+        let weights = self.weights.get(&job.owner).copied().unwrap_or_default();
+        let all = u64::from(weights.waiting + weights.packing).max(1);
+        let favour = (u64::from(weights.waiting) * 2).saturating_sub(all);
+        let headroom = HEADROOM_PERMILLE_MAX * favour / all;
+        capacity.share(PERMILLE - headroom, PERMILLE).holds(&after)
+    }
+}
--- /dev/null
+++ b/crates/placement/src/scheduler/reserve.rs
@@ -0,0 +1,131 @@
+//! Room kept for one job of an owner at a time; see [`crate::reservation`].
+
+use stoatwell_model::Class;
+use stoatwell_model::JobId;
+use stoatwell_model::OwnerName;
+use stoatwell_model::UnixMs;
+use stoatwell_model::WorkerId;
+
+use crate::cell::View;
+use crate::queue::WaitingJob;
+use crate::reservation::Reservation;
+use crate::scheduler::Decision;
+use crate::scheduler::Placed;
+use crate::scheduler::Scheduler;
+
+impl Scheduler {
+    pub(super) fn reserve_if_due(&mut self, now_ms: UnixMs, job: &WaitingJob) {
+        let waited_ms = now_ms.saturating_sub(job.accepted_ms);
+        if waited_ms < self.policy.reserve_after_ms || self.reservations.contains_key(&job.owner) {
+            return;
+        }
+        let need = self.demand(job);
+        let tasks = if job.class == Class::Gang { job.tasks.len() } else { 1 };
+        // A gang that is wider than these workers gathers room at several
+        // holders; room kept here would only stand in another one's way.
+        if !self.cell.could_hold_all(&job.owner, &need, tasks) {
+            return;
+        }
+        let until_ms = now_ms + self.policy.reserve_ms;
+        let reservation = Reservation { job: job.job, until_ms, tasks, need, claims: Vec::new() };
+        self.reservations.insert(job.owner.clone(), reservation);
+        self.counters.reservations += 1;
+    }
+
+    /// Lets each reservation keep what has become free, and starts those that have all.
+    pub(super) fn advance_reservations(&mut self, now_ms: UnixMs, decisions: &mut Vec<Decision>) {
+        let owners: Vec<OwnerName> = self.reservations.keys().cloned().collect();
+        for owner in owners {
+            let Some(mut reservation) = self.reservations.remove(&owner) else {
+                continue;
+            };
+            let Some(job) = self.queue.get(reservation.job).cloned() else {
+                self.release_claims(&reservation);
+                continue;
+            };
+            while !reservation.is_complete() {
+                let Some(index) = self.cell.find_packed(&owner, &reservation.need, View::Free)
+                else {
+                    break;
+                };
+                self.cell.claim(index, &reservation.need);
+                reservation.claims.push(self.cell.slot(index).worker.clone());
+            }
+            if reservation.is_complete() {
+                self.release_claims(&reservation);
+                self.start_reserved(now_ms, &job, &reservation, decisions);
+                continue;
+            }
+            if now_ms >= reservation.until_ms {
+                self.release_claims(&reservation);
+                self.queue.put_off(reservation.job, now_ms + self.policy.reserve_ms);
+                continue;
+            }
+            self.reservations.insert(owner, reservation);
+        }
+    }
+
+    pub(super) fn start_reserved(
+        &mut self,
+        now_ms: UnixMs,
+        job: &WaitingJob,
+        reservation: &Reservation,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let mut tasks = Vec::new();
+        let mut victims = Vec::new();
+        for (attempt, worker) in job.tasks.iter().zip(&reservation.claims) {
+            let Some(index) = self.cell.index_of(worker) else {
+                break;
+            };
+            if !self.cell.slot(index).takes_work() {
+                break;
+            }
+            // Work that used the kept room gives way now.
+            let Some((_, evict)) = self.cell.victims(index, &reservation.need, now_ms) else {
+                break;
+            };
+            let worker = worker.clone();
+            let placed = Placed { attempt: *attempt, worker, demand: reservation.need, evict };
+            victims.extend(self.commit(now_ms, job, &placed));
+            tasks.push(placed);
+        }
+        if tasks.len() < reservation.tasks {
+            self.roll_back(&tasks, victims);
+            return;
+        }
+        self.queue.take(job.job, tasks.len());
+        decisions.push(Decision::Start { job: job.job, tasks });
+    }
+
+    pub(super) fn release_claims(&mut self, reservation: &Reservation) {
+        for worker in &reservation.claims {
+            if let Some(index) = self.cell.index_of(worker) {
+                self.cell.unclaim(index, &reservation.need);
+            }
+        }
+    }
+
+    pub(super) fn drop_reservation_of(&mut self, job: JobId) {
+        let owner = self.reservations.iter().find(|(_, reservation)| reservation.job == job);
+        let Some(owner) = owner.map(|(owner, _)| owner.clone()) else {
+            return;
+        };
+        if let Some(reservation) = self.reservations.remove(&owner) {
+            self.release_claims(&reservation);
+        }
+    }
+
+    pub(super) fn drop_claims_on(&mut self, worker: &WorkerId) {
+        let Some(index) = self.cell.index_of(worker) else {
+            return;
+        };
+        for reservation in self.reservations.values_mut() {
+            let before = reservation.claims.len();
+            reservation.claims.retain(|claimed| claimed != worker);
+            for _ in reservation.claims.len()..before {
+                self.cell.unclaim(index, &reservation.need);
+            }
+        }
+    }
+}
