--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -1,8 +1,12 @@
-//! A request through a daemon against one that goes to the minion itself.
+//! A request through a daemon against one that goes to the minion itself, in
+//! one run and on one connection each.
 
+use std::time::Duration;
 use std::time::Instant;
 
 use reqwest::Client;
+use reqwest::RequestBuilder;
+use serde_json::Value;
 use serde_json::json;
 use stoatwell_model::RegionName;
 use stoatwell_model::Resources;
@@ -10,40 +14,103 @@
 use stoatwell_standin::Config;
 use stoatwell_standin::Standin;
 use stoatwell_standin::config::WorkerGroup;
+use stoatwelld::Daemon;
 
-const REQUESTS: u32 = 400;
+use crate::decisions::at;
 
-/// Prints how long requests to a minion take without anything between.
+const REQUESTS: u32 = 500;
+const LOOKS: u32 = 200;
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Prints the times and their ratios.
 pub(crate) async fn run() -> Result<(), String> {
+    let standin = Standin::start(config()).await.map_err(|error| error.to_string())?;
+    let mut settings = stoatwell_settings::example("bench");
+    settings.platform.store_address = standin.address;
+    settings.platform.instances_interval_ms = 100;
+    settings.ledger.commits_per_second = 1_000;
+    let daemon = Daemon::start(settings).await.map_err(|error| error.to_string())?;
+    let http = Client::builder().no_proxy().build().map_err(|error| error.to_string())?;
+    let base = format!("http://{}", daemon.http_address);
+    prepare(&http, &base).await?;
+    let minion = format!("http://{}/minions/w1-minion/requests", standin.address);
+    let direct = measure(|number| {
+        http.post(&minion).header("x-attempt-id", format!("{number:032x}.0.1")).body("{}")
+    });
+    let direct = direct.await?;
+    let repeatable = measure(|number| submit(&http, &base, "lookup", number)).await?;
+    let recorded = measure(|number| submit(&http, &base, "booking", number)).await?;
+    println!("\n## A request through a daemon, one after the other\n");
+    println!("| way | p50 us | p99 us | p50 against direct |\n|---|---|---|---|");
+    for (way, times) in [
+        ("direct to the minion", &direct),
+        ("through a daemon, may be repeated", &repeatable),
+        ("through a daemon, recorded first (two writes)", &recorded),
+    ] {
+        let ratio = at(times, 0.5) as f64 / at(&direct, 0.5).max(1) as f64;
+        println!("| {way} | {} | {} | {ratio:.1} |", at(times, 0.5), at(times, 0.99));
+    }
+    Ok(())
+}
+
+fn config() -> Config {
     let group = WorkerGroup {
         prefix: "w".to_owned(),
         count: 1,
         per_rack: 8,
-        zone: ZoneName::new("zone"),
-        region: RegionName::new("region"),
+        zone: ZoneName::new("zone-a"),
+        region: RegionName::new("region-1"),
         capacity: Resources { cpu_millis: 16_000, memory_bytes: 1 << 36, accelerators: 0 },
         minion_group: Some("desk".to_owned()),
-        minion_slots: 64,
+        minion_slots: 8,
         minion_connections: 64,
     };
-    let standin = Standin::start(Config { workers: vec![group], ..Config::default() });
-    let standin = standin.await.map_err(|error| error.to_string())?;
-    let http = Client::builder().no_proxy().build().map_err(|error| error.to_string())?;
-    let url = format!("http://{}/minions/w1-minion/requests", standin.address);
+    Config { workers: vec![group], ..Config::default() }
+}
+
+/// Loads two entries and waits until a request is answered.
+async fn prepare(http: &Client, base: &str) -> Result<(), String> {
+    let owner = json!({ "kind": "owner", "owner": "bench", "quota": { "cpu_millis": 1_000_000, "memory_bytes": 1_u64 << 40 } });
+    send(http.put(format!("{base}/v1/entries/owner/bench")).json(&owner)).await?;
+    for (name, execution) in [("lookup", "idempotent"), ("booking", "at_most_once")] {
+        let entry = json!({ "kind": "work", "name": name, "owner": "bench", "class": "request",
+            "execution": execution, "minions": "desk" });
+        send(http.put(format!("{base}/v1/entries/work/{name}")).json(&entry)).await?;
+    }
+    send(http.post(format!("{base}/v1/targets/w1/start")).json(&json!({ "owner": "bench" })))
+        .await?;
+    for number in 0..LOOKS {
+        let view = send(submit(http, base, "lookup", 1_000_000 + number)).await?;
+        if view["state"] == "done" {
+            return Ok(());
+        }
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    Err("the daemon answers no request".to_owned())
+}
+
+fn submit(http: &Client, base: &str, entry: &str, number: u32) -> RequestBuilder {
+    let submission = json!({ "entry": entry, "body": "{}" });
+    http.post(format!("{base}/v1/jobs?wait_ms=5000"))
+        .header("idempotency-key", format!("{entry}-{number}"))
+        .json(&submission)
+}
+
+async fn measure(request: impl Fn(u32) -> RequestBuilder) -> Result<Vec<u64>, String> {
     let mut times_us = Vec::new();
     for number in 0..REQUESTS {
-        let attempt = format!("{number:032x}.0.1");
         let started = Instant::now();
-        let sent =
-            http.post(&url).header("x-attempt-id", attempt).body(json!({}).to_string()).send();
-        let response = sent.await.map_err(|error| error.to_string())?;
+        let response = request(number).send().await.map_err(|error| error.to_string())?;
+        if !response.status().is_success() {
+            return Err(format!("request {number}: {}", response.status()));
+        }
         response.text().await.map_err(|error| error.to_string())?;
         times_us.push(started.elapsed().as_micros() as u64);
     }
-    println!(
-        "direct to the minion: p50 {} µs, p99 {} µs",
-        crate::decisions::at(&times_us, 0.5),
-        crate::decisions::at(&times_us, 0.99)
-    );
-    Ok(())
+    Ok(times_us)
+}
+
+async fn send(request: RequestBuilder) -> Result<Value, String> {
+    let response = request.send().await.map_err(|error| error.to_string())?;
+    response.json().await.map_err(|error| error.to_string())
 }
