Limits on running tasks and the weight for control take effect

Cause: limits.running_tasks and weights.control were documented and did nothing.

Change: an entry's limit is split over its owner's serving targets, so the parts add up to it exactly and also a limit of one runs somewhere; shares are worked out once after many changes instead of at each worker. Requests of an owner that values control above waiting stay in their region. A daemon that asks for room asks another peer each time.

Ruled out: rounding each daemon's part down; a limit of one would be nobody's.

--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -214,6 +214,14 @@
         })
     }
 
+    /// All work entries.
+    pub fn works(&self) -> impl Iterator<Item = &WorkEntry> {
+        self.items.values().filter_map(|versioned| match &versioned.item {
+            Item::Work(work) => Some(work),
+            Item::Owner(_) | Item::Target(_) => None,
+        })
+    }
+
     /// All targets.
     pub fn targets(&self) -> impl Iterator<Item = &Target> {
         self.items.values().filter_map(|versioned| match &versioned.item {
--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -1,5 +1,7 @@
 //! Following the catalogue, changing it, and putting it in force here.
 
+use std::collections::HashMap;
+
 use stoatwell_catalogue::Edit;
 use stoatwell_catalogue::EditRequest;
 use stoatwell_catalogue::edit::EditKind;
@@ -8,7 +10,6 @@
 use stoatwell_model::Class;
 use stoatwell_model::OwnerName;
 use stoatwell_model::Resources;
-use stoatwell_model::Target;
 use stoatwell_model::TargetState;
 use stoatwell_model::Urgency;
 use stoatwell_model::WorkerId;
@@ -114,7 +115,7 @@
         for worker in &workers {
             self.apply_target(worker);
         }
-        self.apply_owners();
+        self.shares_due = true;
         self.schedule_due = true;
     }
 
@@ -131,17 +132,38 @@
     }
 
     /// Each owner gets the part of its quota here that its workers here are of
-    /// all its workers, so that the parts never add up to more than the whole.
-    pub(crate) fn apply_owners(&mut self) {
-        let owners: Vec<_> = self.catalogue.owners().cloned().collect();
-        for owner in owners {
-            let serving = |target: &&Target| target.serves(&owner.owner);
-            let all = self.catalogue.targets().filter(serving).count() as u64;
-            let here = self.held.keys().filter_map(|worker| self.catalogue.target(worker));
-            let here = here.filter(serving).count() as u64;
-            let quota = owner.quota.share(here, all.max(1));
+    /// all its workers, and its entries that part of their running tasks, so that
+    /// the parts never add up to more than the whole.
+    pub(crate) fn apply_shares(&mut self) {
+        if !self.shares_due {
+            return;
+        }
+        self.shares_due = false;
+        // Serving targets of each owner by rank, and the ranks that are held here.
+        let mut all: HashMap<&OwnerName, u64> = HashMap::new();
+        let mut here: HashMap<&OwnerName, Vec<u64>> = HashMap::new();
+        for target in self.catalogue.targets() {
+            if target.state != TargetState::Serving {
+                continue;
+            }
+            let rank = all.entry(&target.owner).or_default();
+            if self.held.contains_key(&target.worker) {
+                here.entry(&target.owner).or_default().push(*rank);
+            }
+            *rank += 1;
+        }
+        for owner in self.catalogue.owners() {
+            let part = here.get(&owner.owner).map_or(0, Vec::len) as u64;
+            let whole = all.get(&owner.owner).copied().unwrap_or(0).max(1);
+            let quota = owner.quota.share(part, whole);
             self.scheduler.set_owner(&owner.owner, Some(quota), owner.weights);
         }
+        for work in self.catalogue.works() {
+            let ranks = here.get(&work.owner).map_or(&[][..], Vec::as_slice);
+            let whole = all.get(&work.owner).copied().unwrap_or(0);
+            let tasks = ranks_share(work.limits.running_tasks, ranks, whole);
+            self.scheduler.set_running_max(&work.name, tasks);
+        }
     }
 
     /// Stops what must not stay on a target that is drained: services are
@@ -233,3 +255,14 @@
         here.filter(|target| target.serves(owner)).count()
     }
 }
+
+/// The part of a limit that these targets of an owner have. Each target has an
+/// even part and the first ones one more, so the parts add up to the limit and
+/// a small limit is not rounded away everywhere.
+fn ranks_share(limit: u32, ranks: &[u64], targets: u64) -> u32 {
+    let limit = u64::from(limit);
+    let whole = targets.max(1);
+    let (base, more) = (limit / whole, limit % whole);
+    let sum: u64 = ranks.iter().map(|rank| base + u64::from(*rank < more)).sum();
+    u32::try_from(sum).unwrap_or(u32::MAX)
+}
--- a/crates/engine/src/holders.rs
+++ b/crates/engine/src/holders.rs
@@ -163,7 +163,7 @@
             self.on_report(worker, report);
         }
         self.apply_target(worker);
-        self.apply_owners();
+        self.shares_due = true;
         self.schedule_due = true;
     }
 
@@ -179,7 +179,7 @@
         for start in held.starts {
             self.tell(start.attempt, worker, &start.coordinator, Seen::Absent);
         }
-        self.apply_owners();
+        self.shares_due = true;
     }
 
     fn note_foreign(&mut self, worker: &WorkerId, foreign: Resources) {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -98,6 +98,8 @@
     catalogue: Catalogue,
     follow: Follow,
     applied_revision: u64,
+    /// Whether shares of quotas have to be worked out anew.
+    shares_due: bool,
     retargeting: BTreeMap<WorkerId, UnixMs>,
 
     members: Members,
@@ -160,6 +162,7 @@
             catalogue: Catalogue::default(),
             follow: Follow::new(settings.catalogue.poll_ms),
             applied_revision: 0,
+            shares_due: false,
             retargeting: BTreeMap::new(),
             members,
             zones: BTreeMap::new(),
@@ -269,6 +272,7 @@
     /// What follows from every event: placing, sending, committing.
     fn pump(&mut self) {
         self.apply_catalogue();
+        self.apply_shares();
         if self.schedule_due {
             self.schedule_due = false;
             self.schedule();
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -9,6 +9,7 @@
 use stoatwell_catalogue::News;
 use stoatwell_membership::assign;
 use stoatwell_model::DaemonId;
+use stoatwell_model::OwnerName;
 use stoatwell_model::Resources;
 use stoatwell_model::UnixMs;
 use stoatwell_model::WorkerId;
@@ -338,11 +339,7 @@
     }
 
     /// A daemon elsewhere that has this much free for an owner, nearest first.
-    pub(crate) fn find_room(
-        &self,
-        owner: &stoatwell_model::OwnerName,
-        need: &Resources,
-    ) -> Option<DaemonId> {
+    pub(crate) fn find_room(&self, owner: &OwnerName, need: &Resources) -> Option<DaemonId> {
         let offers = |summary: &Summary| {
             summary
                 .owners
@@ -356,11 +353,13 @@
         if let Some(member) = chosen {
             return Some(member.identity.daemon.clone());
         }
-        self.find_far(&offers)
+        self.find_far(&offers, false)
     }
 
-    /// A daemon elsewhere whose minions of this group have a free slot.
-    pub(crate) fn find_minions(&self, group: &str) -> Option<DaemonId> {
+    /// A daemon elsewhere whose minions of this group have a free slot. For an
+    /// owner that values little control traffic above short waits it is one of
+    /// this region: what crosses regions is paid.
+    pub(crate) fn find_minions(&self, group: &str, owner: &OwnerName) -> Option<DaemonId> {
         let free = |summary: &Summary| {
             let found = summary.groups.iter().find(|found| found.group == group);
             found.map_or(0, |found| found.free_slots)
@@ -370,22 +369,28 @@
         if let Some(member) = near.max_by_key(|member| free(&member.summary)) {
             return Some(member.identity.daemon.clone());
         }
-        self.find_far(&|summary: &Summary| free(summary) > 0)
+        let weights = self.catalogue.owner(owner).map(|owner| owner.weights).unwrap_or_default();
+        let stays = weights.control > weights.waiting;
+        self.find_far(&|summary: &Summary| free(summary) > 0, stays)
+    }
+
+    /// Whether a zone is in another region.
+    fn is_abroad(&self, state: &ZoneState) -> bool {
+        state.news.daemons.first().is_none_or(|daemon| daemon.region != self.me.region)
     }
 
     /// A daemon of another zone, the same region before others.
-    fn find_far(&self, offers: &dyn Fn(&Summary) -> bool) -> Option<DaemonId> {
+    fn find_far(&self, offers: &dyn Fn(&Summary) -> bool, stays: bool) -> Option<DaemonId> {
         let fresh_ms = self.settings.membership.silent_after_ms * NEWS_OLD_FACTOR;
         let mut zones: Vec<&ZoneState> = Vec::new();
         for state in self.zones.values() {
-            if self.now_ms < state.heard_ms + fresh_ms && offers(&state.news.summary) {
+            let fresh = self.now_ms < state.heard_ms + fresh_ms;
+            if fresh && offers(&state.news.summary) && !(stays && self.is_abroad(state)) {
                 zones.push(state);
             }
         }
         zones.sort_by_key(|state| {
-            let far =
-                state.news.daemons.first().is_none_or(|daemon| daemon.region != self.me.region);
-            (far, state.news.summary.queued, state.news.zone.clone())
+            (self.is_abroad(state), state.news.summary.queued, state.news.zone.clone())
         });
         let state = zones.first()?;
         let daemons = state.news.daemons.iter().map(|found| &found.daemon);
--- a/crates/engine/src/remote.rs
+++ b/crates/engine/src/remote.rs
@@ -180,8 +180,10 @@
         };
         let near = self.members.live_in(self.now_ms, &self.me.zone);
         let near = near.filter(|member| !member.stopping && offers(&member.summary.owners));
-        let chosen = near.min_by_key(|member| (member.summary.queued, member.summary.running));
-        let Some(holder) = chosen.map(|member| member.identity.daemon.clone()) else {
+        let offering: Vec<&DaemonId> = near.map(|member| &member.identity.daemon).collect();
+        // Another one each time: one that has room may be at a limit it does not tell.
+        let turn = (self.now_ms / ASK_AGAIN_MS) as usize;
+        let Some(holder) = offering.get(turn % offering.len().max(1)).copied().cloned() else {
             return false;
         };
         let attempts = self.scheduler.queue.take(waiting.job, TASKS_PER_QUESTION);
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -272,7 +272,7 @@
         wait_ms: u64,
     ) -> bool {
         let group = admitted.entry.minions.clone().unwrap_or_default();
-        let Some(daemon) = self.find_minions(&group) else {
+        let Some(daemon) = self.find_minions(&group, &admitted.entry.owner) else {
             return false;
         };
         self.forward(ticket, caller, admitted, wait_ms, &daemon)
--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -457,3 +457,32 @@
     assert_eq!(world.rows("job/").len(), 0);
     assert_eq!(world.rows("done/").len(), 0);
 }
+
+/// Only one task of an entry may run in the whole cell, whichever daemon runs
+/// its job. Split by rounding down, nobody would be allowed any.
+#[test]
+fn limit_of_one_task_holds_over_all_daemons() {
+    let mut world = settled();
+    let Some(Item::Work(mut entry)) =
+        world.engine(0).catalogue().get("work/route").map(|found| found.item.clone())
+    else {
+        panic!("the entry is there");
+    };
+    entry.limits.running_tasks = 1;
+    world.edit(0, "work/route", EditKind::Put(Item::Work(entry)), None);
+    world.run_ms(2_000);
+    for node in 0..3 {
+        world.submit(node, "route", &format!("one-{node}"), 2, SHORT);
+    }
+    let mut done = 0;
+    for _ in 0..2_000 {
+        world.run_ms(50);
+        let running: usize = world.workers.values().map(|worker| worker.running().count()).sum();
+        assert!(running <= 1, "{running} tasks run at once");
+        done = (0..3).filter(|node| outcome(&mut world, &format!("one-{node}")).is_some()).count();
+        if done == 3 {
+            break;
+        }
+    }
+    assert_eq!(done, 3, "each comes to its turn");
+}
--- a/crates/placement/src/cell/mod.rs
+++ b/crates/placement/src/cell/mod.rs
@@ -33,6 +33,7 @@
     by_id: HashMap<WorkerId, usize>,
     pools: BTreeMap<OwnerName, Pool>,
     running: HashMap<AttemptId, Running>,
+    by_entry: HashMap<EntryName, u32>,
 }
 
 /// One worker.
@@ -243,6 +244,7 @@
         };
         self.slots[index].tasks.push(attempt);
         self.account(index, &running, true);
+        *self.by_entry.entry(running.entry.clone()).or_default() += 1;
         self.running.insert(attempt, running);
         self.refresh(index);
     }
@@ -250,6 +252,9 @@
     /// Gives a task's room back.
     pub fn remove(&mut self, attempt: AttemptId) -> Option<Running> {
         let running = self.running.remove(&attempt)?;
+        if let Some(count) = self.by_entry.get_mut(&running.entry) {
+            *count = count.saturating_sub(1);
+        }
         let index = self.by_id.get(&running.worker).copied()?;
         self.slots[index].tasks.retain(|other| *other != attempt);
         self.account(index, &running, false);
@@ -321,6 +326,11 @@
         self.running.get(&attempt)
     }
 
+    /// How many tasks of an entry run.
+    pub fn running_of(&self, entry: &EntryName) -> u32 {
+        self.by_entry.get(entry).copied().unwrap_or(0)
+    }
+
     /// Every task that runs.
     pub fn all_running(&self) -> impl Iterator<Item = (&AttemptId, &Running)> {
         self.running.iter()
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -136,6 +136,8 @@
     pub counters: Counters,
     policy: Policy,
     weights: HashMap<OwnerName, Weights>,
+    /// Tasks of an entry that may run here at once.
+    running_max: HashMap<EntryName, u32>,
     reservations: BTreeMap<OwnerName, Reservation>,
     unproved: Vec<(UnixMs, AttemptId)>,
     quarantined: Vec<(UnixMs, WorkerId)>,
@@ -175,6 +177,11 @@
         self.weights.insert(owner.clone(), weights);
     }
 
+    /// Takes an entry's share of the tasks that may run at once.
+    pub fn set_running_max(&mut self, entry: &EntryName, tasks: u32) {
+        self.running_max.insert(entry.clone(), tasks);
+    }
+
     /// Adds work that waits.
     pub fn enqueue(&mut self, job: WaitingJob) {
         self.queue.push(job);
@@ -328,6 +335,13 @@
         if !self.within_quota(&waiting, &need) {
             reasons.push(format!("owner {} holds all its quota here", waiting.owner));
         }
+        if self.is_at_limit(&waiting.entry) {
+            let running = self.cell.running_of(&waiting.entry);
+            reasons.push(format!(
+                "{running} tasks of entry {} run here, as many as may",
+                waiting.entry
+            ));
+        }
         let free = self.cell.largest_free(&waiting.owner);
         if let Some(lacking) = free.lacking(&need) {
             reasons.push(format!("no worker of {} has enough free {lacking} now", waiting.owner));
--- a/crates/placement/src/scheduler/place.rs
+++ b/crates/placement/src/scheduler/place.rs
@@ -2,6 +2,7 @@
 
 use stoatwell_model::AttemptId;
 use stoatwell_model::Class;
+use stoatwell_model::EntryName;
 use stoatwell_model::Execution;
 use stoatwell_model::Resources;
 use stoatwell_model::UnixMs;
@@ -19,6 +20,12 @@
 use crate::scheduler::TURN_TASKS;
 
 impl Scheduler {
+    /// Whether as many tasks of an entry run here as may.
+    pub(super) fn is_at_limit(&self, entry: &EntryName) -> bool {
+        let limit = self.running_max.get(entry);
+        limit.is_some_and(|limit| self.cell.running_of(entry) >= *limit)
+    }
+
     pub(super) fn start_job(
         &mut self,
         now_ms: UnixMs,
@@ -62,7 +69,7 @@
         evictions_left: &mut usize,
     ) -> Option<Placed> {
         let demand = self.demand(job);
-        if !self.within_quota(job, &demand) {
+        if self.is_at_limit(&job.entry) || !self.within_quota(job, &demand) {
             self.counters.refused += 1;
             return None;
         }
--- a/crates/placement/tests/policy.rs
+++ b/crates/placement/tests/policy.rs
@@ -298,6 +298,23 @@
     assert!(scheduler.why(0, JobId(1)).iter().any(|reason| reason.contains("quota")));
 }
 
+/// An entry's work floods the cell. Its limit keeps room for the others of the
+/// same owner.
+#[test]
+fn running_tasks_of_an_entry_are_bounded() {
+    let mut scheduler = proved(cell(4), 4);
+    scheduler.set_running_max(&EntryName::new("much"), 3);
+    scheduler.enqueue(waiting(1, "much", Class::Batch, Urgency::Normal, 20, 500));
+    scheduler.enqueue(waiting(2, "other", Class::Batch, Urgency::Normal, 5, 500));
+    let tasks = placed(scheduler.schedule(0, 100));
+    assert_eq!(tasks.iter().filter(|task| task.attempt.job == JobId(1)).count(), 3);
+    assert_eq!(tasks.iter().filter(|task| task.attempt.job == JobId(2)).count(), 5);
+    assert!(scheduler.why(0, JobId(1)).iter().any(|reason| reason.contains("as many as may")));
+    scheduler.ended(1_000, &tasks[0].worker, tasks[0].attempt, End::Succeeded);
+    let more = placed(scheduler.schedule(1_000, 100));
+    assert!(more.len() <= 1, "one went, one may come");
+}
+
 /// A rack goes down with its switch. A service with all replicas in one rack
 /// would be gone with it.
 #[test]
