Learned sizes with a margin that follows the scatter; baselines; wider schedules

Change: the margin is as large as the work scatters, at most 5%. The bench places the same arrivals by first fit, best fit and random of two. The seeded schedules let operators of both halves change targets' hands.

--- a/crates/bench/src/decisions.rs
+++ b/crates/bench/src/decisions.rs
@@ -4,6 +4,8 @@
 
 use hdrhistogram::Histogram;
 
+use crate::baseline;
+use crate::baseline::Way;
 use crate::trace;
 use crate::trace::Report;
 use crate::trace::Setting;
@@ -49,6 +51,18 @@
             at(&report.other_waits_ms, 0.99)
         );
     }
+    println!(
+        "\nSimple ways over the same arrivals, as declared, nothing gives way (deterministic)\n"
+    );
+    println!("| sizes | way | packing | workers crowded |\n|---|---|---|---|");
+    for honest in [true, false] {
+        for way in [Way::FirstFit, Way::BestFit, Way::RandomOfTwo] {
+            let setting = Setting { workers: 300, seconds: 60, honest, learn: false, seed: 1 };
+            let (packing, crowded) = baseline::run(setting, way);
+            let sizes = if honest { "honest" } else { "x0.3 to x3" };
+            println!("| {sizes} | {way:?} | {packing:.3} | {crowded:.4} |");
+        }
+    }
     Ok(())
 }
 
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -8,6 +8,7 @@
 //! deterministic against the bounds in `bounds.json`.
 
 mod balancer;
+mod baseline;
 mod check;
 mod decisions;
 mod fit;
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -30,7 +30,7 @@
 /// Between two passes.
 pub(crate) const STEP_MS: u64 = 50;
 /// More tasks than fit a worker of 16 cores at the mean true size.
-const TASKS_PER_WORKER: u64 = 20;
+pub(crate) const TASKS_PER_WORKER: u64 = 20;
 
 /// What a run showed.
 #[derive(Debug, Default)]
@@ -92,7 +92,10 @@
         let wanted = u64::from(setting.workers) * TASKS_PER_WORKER * 11 / 10;
         while scheduler.queue.tasks() + (running.len() as u64) < wanted {
             next_job += 1;
-            submit(&mut rng, &mut scheduler, now_ms, next_job, setting.honest, &mut truths);
+            let arrival = arrival(&mut rng, now_ms, next_job, setting.honest);
+            let urgency = arrival.waiting.urgency;
+            truths.insert(arrival.waiting.job, (arrival.truth, arrival.run_ms, urgency, now_ms));
+            scheduler.enqueue(arrival.waiting);
         }
         let started_us = clock();
         let decisions = scheduler.schedule(now_ms, 100_000);
@@ -197,9 +200,14 @@
     (used, over, crowded)
 }
 
-fn add_worker(scheduler: &mut Scheduler, number: u32) -> Resources {
+/// What a worker holds.
+pub(crate) fn capacity(number: u32) -> Resources {
     let accelerators = if number.is_multiple_of(3) { 6 } else { 0 };
-    let capacity = Resources { cpu_millis: 16_000, memory_bytes: 64 * GIB, accelerators };
+    Resources { cpu_millis: 16_000, memory_bytes: 64 * GIB, accelerators }
+}
+
+fn add_worker(scheduler: &mut Scheduler, number: u32) -> Resources {
+    let capacity = capacity(number);
     let worker = WorkerId::new(format!("w{number}"));
     let state = WorkerState {
         worker: worker.clone(),
@@ -222,14 +230,16 @@
     capacity
 }
 
-fn submit(
-    rng: &mut Pcg64Mcg,
-    scheduler: &mut Scheduler,
-    now_ms: u64,
-    number: u64,
-    honest: bool,
-    truths: &mut BTreeMap<JobId, (Resources, u64, Urgency, u64)>,
-) {
+/// One job as it arrives.
+pub(crate) struct Arrival {
+    pub(crate) waiting: WaitingJob,
+    /// What each of its tasks truly uses.
+    pub(crate) truth: Resources,
+    pub(crate) run_ms: u64,
+}
+
+/// Draws the next job.
+pub(crate) fn arrival(rng: &mut Pcg64Mcg, now_ms: u64, number: u64, honest: bool) -> Arrival {
     let entry = rng.random_range(0..ENTRIES);
     let urgency = match rng.random_range(0..100) {
         0..5 => Urgency::Urgent,
@@ -253,10 +263,9 @@
     let job = JobId(u128::from(number));
     let tasks = rng.random_range(1..20);
     let run_ms = rng.random_range(2_000..10_000);
-    truths.insert(job, (truth, run_ms, urgency, now_ms));
     let attempts: VecDeque<AttemptId> =
         (0..tasks).map(|task| AttemptId { job, task, attempt: 1 }).collect();
-    scheduler.enqueue(WaitingJob {
+    let waiting = WaitingJob {
         job,
         owner: OwnerName::new(OWNER),
         entry: EntryName::new(format!("entry-{entry}")),
@@ -268,5 +277,6 @@
         deadline_ms: 0,
         tasks: attempts,
         not_before_ms: 0,
-    });
+    };
+    Arrival { waiting, truth, run_ms }
 }
--- a/crates/engine/tests/seeds.rs
+++ b/crates/engine/tests/seeds.rs
@@ -10,10 +10,13 @@
 use std::thread;
 
 use rand::RngExt;
+use stoatwell_catalogue::edit::EditKind;
+use stoatwell_catalogue::target_key;
 use stoatwell_model::JobId;
 use stoatwell_model::JobRecord;
 use stoatwell_model::Outcome;
 use stoatwell_model::OwnerName;
+use stoatwell_model::target::TargetChange;
 
 use stoatwell_world::World;
 use stoatwell_world::layout::Layout;
@@ -116,6 +119,8 @@
     for index in 0..world.nodes.len() {
         world.restart(index);
     }
+    world.run_ms(2_000);
+    give_back(&mut world, &layout);
     world.run_ms(CALM_MS);
     world.checker.check_once(&bookings);
     let mut totals = Totals::default();
@@ -226,7 +231,7 @@
 
 fn break_something(world: &mut World, layout: &Layout) {
     let node = world.rng.random_range(0..world.nodes.len());
-    match world.rng.random_range(0..14) {
+    match world.rng.random_range(0..16) {
         0 | 1 => {
             world.crash(node);
             let away_ms = world.rng.random_range(100..6_000);
@@ -267,10 +272,43 @@
             let away_ms = world.rng.random_range(3_000..8_000);
             world.restart_after(node, away_ms);
         }
+        12 | 13 => change_target(world, layout, node),
         _ => world.heal(),
     }
 }
 
+/// Operators of both halves change their minds about targets, unconditionally
+/// or from what one of them saw a while ago.
+fn change_target(world: &mut World, layout: &Layout, node: usize) {
+    if world.nodes[node].engine.is_none() {
+        return;
+    }
+    let zone = world.nodes[node].identity.zone.clone();
+    let workers = layout.worker_ids(zone.as_str());
+    let worker = workers[world.rng.random_range(0..workers.len())].clone();
+    let owners = ["nyaysetu", "nyaysetu", "bluebonnet"];
+    let owner = OwnerName::new(owners[world.rng.random_range(0..owners.len())]);
+    let change = if world.rng.random_bool(0.3) {
+        TargetChange::Drain
+    } else {
+        TargetChange::Start { owner }
+    };
+    let stale = world.rng.random_range(1..30);
+    let expected = world.rng.random_bool(0.3).then_some(stale);
+    world.edit(node, &target_key(&worker), EditKind::Target(worker, change), expected);
+}
+
+/// Gives all targets back, so that everything accepted can come to its end.
+fn give_back(world: &mut World, layout: &Layout) {
+    for zone in layout.zones() {
+        for worker in layout.worker_ids(&zone) {
+            let change = TargetChange::Start { owner: OwnerName::new("nyaysetu") };
+            world.edit(0, &target_key(&worker), EditKind::Target(worker.clone(), change), None);
+            world.run_ms(300);
+        }
+    }
+}
+
 impl Totals {
     fn add(&mut self, other: &Self) {
         self.accepted += other.accepted;
--- a/crates/placement/src/learned.rs
+++ b/crates/placement/src/learned.rs
@@ -21,8 +21,9 @@
 const WINDOW_SAMPLES: u64 = 400;
 /// The percentile that a demand covers.
 const COVER_PERCENTILE: f64 = 99.0;
-/// What is set aside beyond it, in thousandths.
-const MARGIN_PERMILLE: u64 = 1_050;
+/// The most that is set aside beyond it, in thousandths; work that hardly
+/// scatters gets as little more as it scatters.
+const MARGIN_PERMILLE_MAX: f64 = 50.0;
 /// A learned demand never falls below this part of the declared one.
 const FLOOR_DIVISOR: u64 = 20;
 const PERMILLE: u64 = 1_000;
@@ -138,9 +139,11 @@
     fn demand(&self, declared: u64) -> Option<u64> {
         let by_amount = self.amount.at(COVER_PERCENTILE)?;
         let by_ratio = self.ratio.at(COVER_PERCENTILE)? * declared / PERMILLE;
-        let chosen =
-            if self.amount.scatter() <= self.ratio.scatter() { by_amount } else { by_ratio };
-        let covered = chosen * MARGIN_PERMILLE / PERMILLE;
+        let (amount, ratio) = (self.amount.scatter(), self.ratio.scatter());
+        let chosen = if amount <= ratio { by_amount } else { by_ratio };
+        let beyond = (amount.min(ratio) - 1.0) * PERMILLE as f64;
+        let margin_permille = beyond.clamp(0.0, MARGIN_PERMILLE_MAX).ceil() as u64;
+        let covered = chosen * (PERMILLE + margin_permille) / PERMILLE;
         Some(covered.max(declared / FLOOR_DIVISOR).max(1))
     }
 }
