--- a/crates/bench/src/decisions.rs
+++ b/crates/bench/src/decisions.rs
@@ -3,6 +3,12 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use stoatwell_model::AttemptId;
+use stoatwell_model::Class;
+use stoatwell_placement::Policy;
+use stoatwell_placement::Scheduler;
 
 use crate::baseline;
 use crate::baseline::Way;
@@ -32,6 +38,7 @@
             report.evicted
         );
     }
+    by_class();
     println!("\nPacking and waiting, 300 workers, by true use (deterministic)\n");
     println!(
         "| sizes | demand | packing | promised too much | workers crowded | urgent wait p99.9 ms | other wait p99 ms |"
@@ -66,6 +73,34 @@
     Ok(())
 }
 
+/// Time for each class in an empty cell of the target's size, jobs of four tasks.
+fn by_class() {
+    const WORKERS: u32 = 3_000;
+    const JOBS: u64 = 1_000;
+    println!(
+        "\nBy class, 3,000 workers, jobs of four tasks\n\n| class | mean µs a task |\n|---|---|"
+    );
+    for class in [Class::Service, Class::Gang, Class::Batch] {
+        let mut scheduler = Scheduler::new(Policy::default());
+        for number in 0..WORKERS {
+            trace::add_worker(&mut scheduler, number);
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(1);
+        for number in 0..JOBS {
+            let mut waiting = trace::arrival(&mut rng, 0, number, true).waiting;
+            waiting.class = class;
+            waiting.tasks =
+                (0..4).map(|task| AttemptId { job: waiting.job, task, attempt: 1 }).collect();
+            scheduler.enqueue(waiting);
+        }
+        let started = Instant::now();
+        scheduler.schedule(0, 100_000);
+        let took_us = started.elapsed().as_secs_f64() * 1e6;
+        let placed = scheduler.counters.placed.max(1);
+        println!("| {class} | {:.1} |", took_us / placed as f64);
+    }
+}
+
 /// A run with a real clock.
 fn timed(setting: Setting) -> Report {
     let started = Instant::now();
--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -17,6 +17,7 @@
 use stoatwelld::Daemon;
 
 use crate::decisions::at;
+use crate::slopes;
 
 const REQUESTS: u32 = 500;
 const LOOKS: u32 = 200;
@@ -33,6 +34,8 @@
     let http = Client::builder().no_proxy().build().map_err(|error| error.to_string())?;
     let base = format!("http://{}", daemon.http_address);
     prepare(&http, &base).await?;
+    let resident_mib = slopes::resident_kib()? / 1_024;
+    println!("\nResident at rest, one process with a daemon and the stand-in: {resident_mib} MiB");
     let minion = format!("http://{}/minions/w1-minion/requests", standin.address);
     let direct = measure(|number| {
         http.post(&minion).header("x-attempt-id", format!("{number:032x}.0.1")).body("{}")
--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -173,7 +173,8 @@
     world
 }
 
-fn resident_kib() -> Result<u64, String> {
+/// Resident size of this process.
+pub(crate) fn resident_kib() -> Result<u64, String> {
     let status = fs::read_to_string("/proc/self/status").map_err(|error| error.to_string())?;
     let line = status.lines().find(|line| line.starts_with("VmRSS:")).ok_or("no VmRSS")?;
     let number = line.split_whitespace().nth(1).ok_or("no number")?;
--- a/crates/bench/src/trace.rs
+++ b/crates/bench/src/trace.rs
@@ -206,7 +206,7 @@
     Resources { cpu_millis: 16_000, memory_bytes: 64 * GIB, accelerators }
 }
 
-fn add_worker(scheduler: &mut Scheduler, number: u32) -> Resources {
+pub(crate) fn add_worker(scheduler: &mut Scheduler, number: u32) -> Resources {
     let capacity = capacity(number);
     let worker = WorkerId::new(format!("w{number}"));
     let state = WorkerState {
--- a/crates/daemon/tests/cell/mod.rs
+++ b/crates/daemon/tests/cell/mod.rs
@@ -39,6 +39,15 @@
     }
 
     pub async fn start_with(zones: &[&str], change: impl Fn(&mut Settings)) -> Self {
+        Self::start_group(zones, "sahay", change).await
+    }
+
+    /// With minions of this group.
+    pub async fn start_group(
+        zones: &[&str],
+        minions: &str,
+        change: impl Fn(&mut Settings),
+    ) -> Self {
         let mut workers = Vec::new();
         let mut names: Vec<&str> = zones.to_vec();
         names.dedup();
@@ -50,7 +59,7 @@
                 zone: ZoneName::new(zone),
                 region: RegionName::new("region"),
                 capacity: Resources { cpu_millis: 16_000, memory_bytes: 64 * GIB, accelerators: 4 },
-                minion_group: Some("sahay".to_owned()),
+                minion_group: Some(minions.to_owned()),
                 minion_slots: 8,
                 minion_connections: 64,
             });
--- a/crates/daemon/tests/workloads.rs
+++ b/crates/daemon/tests/workloads.rs
@@ -26,16 +26,20 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bluebonnet_workloads_run() {
-    let cell = Cell::start(&["zone-a", "zone-b"]).await;
+    let cell = Cell::start_group(&["zone-a", "zone-b"], "order-desk", |_| {}).await;
     cell.load("bluebonnet", "bluebonnet").await;
     let body = json!({ "run_ms": 50, "answer": "costed" }).to_string();
     let costing = json!({ "entry": "menu-costing", "tasks": 7, "body": body });
     assert_eq!(cell.finish(0, "costing-1", &costing).await["state"], "done");
     let routes = json!({ "entry": "driver-route-batch", "body": body });
     assert_eq!(cell.finish(1, "routes-1", &routes).await["outcome"]["done"]["answer"], "costed");
-    // This owner's minions are not in the test's cell, and that is told.
-    let headcount = json!({ "entry": "headcount-confirmation", "body": "{}" });
-    let (status, refusal) = cell.submit(0, "headcount-1", &headcount, 0).await;
+    let headcount = json!({ "entry": "headcount-confirmation", "body": "{\"floor\": 12}" });
+    let view = cell.finish(0, "headcount-1", &headcount).await;
+    assert_eq!(view["outcome"]["done"]["answer"], "answer to {\"floor\": 12}", "{view}");
+    // The other half's minions are not in this cell, and that is told.
+    cell.load("nyaysetu", "bluebonnet").await;
+    let booking = json!({ "entry": "booking-confirmation", "body": "{}" });
+    let (status, refusal) = cell.submit(0, "booking-1", &booking, 0).await;
     assert_eq!((status, refusal["code"].as_u64()), (503, Some(4005)));
 }
 
