--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -138,6 +138,7 @@
                 });
             }
             Effect::Worker { op, worker, address, call } => {
+                tracing::trace!(%worker, %address, "worker called");
                 tokio::spawn(async move {
                     let reply = platform.worker(&address, &worker, call).await;
                     notify(&itself, Event::WorkerDone { op, reply }).await;
