Field tables share their constructors

Cause: settings and catalogue each had the same two constructors of a field.

Change: Field::required and Field::optional in the schema crate; nothing else.

--- a/crates/catalogue/src/document.rs
+++ b/crates/catalogue/src/document.rs
@@ -24,81 +24,78 @@
 const QUOTA_ACCELERATORS_MAX: u64 = 1 << 20;
 const DEADLINE_MS_MAX: u64 = 30 * 24 * 60 * 60 * 1_000;
 
-const fn required(path: &'static str, kind: Kind, doc: &'static str) -> Field {
-    Field { path, kind, default: None, doc }
-}
-
-const fn field(path: &'static str, kind: Kind, default: &'static str, doc: &'static str) -> Field {
-    Field { path, kind, default: Some(default), doc }
-}
-
 /// The fields of a work entry.
 pub const WORK_FIELDS: &[Field] = &[
-    required("kind", Kind::Choice(&["work"]), "what the entry describes"),
-    required("name", Kind::Name, "the entry's name, which submissions give"),
-    required("owner", Kind::Name, "whose work it is"),
-    required(
+    Field::required("kind", Kind::Choice(&["work"]), "what the entry describes"),
+    Field::required("name", Kind::Name, "the entry's name, which submissions give"),
+    Field::required("owner", Kind::Name, "whose work it is"),
+    Field::required(
         "class",
         Kind::Choice(&["request", "service", "gang", "batch"]),
         "how it is scheduled",
     ),
-    required(
+    Field::required(
         "execution",
         Kind::Choice(&["at_most_once", "exclusive", "idempotent"]),
         "how often a task may run",
     ),
-    field(
+    Field::optional(
         "urgency",
         Kind::Choice(&["urgent", "normal", "patient"]),
         r#""normal""#,
         "how soon it should start",
     ),
-    field(
+    Field::optional(
         "task.cpu_millis",
         Kind::Number(0, CPU_MILLIS_MAX),
         "0",
         "thousandths of a core that one task needs",
     ),
-    field(
+    Field::optional(
         "task.memory_bytes",
         Kind::Number(0, MEMORY_BYTES_MAX),
         "0",
         "bytes of memory that one task needs",
     ),
-    field(
+    Field::optional(
         "task.accelerators",
         Kind::Number(0, ACCELERATORS_MAX),
         "0",
         "accelerators that one task needs",
     ),
-    field("limits.tasks_per_job", Kind::Number(1, 100_000), "1000", "tasks of one job"),
-    field(
+    Field::optional("limits.tasks_per_job", Kind::Number(1, 100_000), "1000", "tasks of one job"),
+    Field::optional(
         "limits.queued_jobs",
         Kind::Number(1, 10_000_000),
         "10000",
         "jobs that wait at one daemon",
     ),
-    field("limits.running_tasks", Kind::Number(1, 1_000_000), "50000", "tasks that run at once"),
-    field(
+    Field::optional(
+        "limits.running_tasks",
+        Kind::Number(1, 1_000_000),
+        "50000",
+        "tasks that run at once",
+    ),
+    Field::optional(
         "limits.deadline_ms",
         Kind::Number(0, DEADLINE_MS_MAX),
         "0",
         "milliseconds from acceptance until the answer is of no use; 0 is no limit",
     ),
-    field(
+    Field::optional(
         "limits.attempts",
         Kind::Number(1, 100),
         "3",
         "tries for one task; at-most-once work gets one whatever this says",
     ),
-    field(
+    Field::optional(
         "limits.body_bytes",
         Kind::Number(0, 16_777_216),
         "262144",
         "bytes of a submission's body",
     ),
-    field("minions", Kind::Name, "null", "group of minions that answer; requests only"),
-    field(
+    Field::optional("minions", Kind::Name, "null", "group of minions that answer; requests only"),
+    Field::optional(
         "traffic_permille",
         Kind::Number(0, 1_000),
         "1000",
@@ -108,28 +105,43 @@
 
 /// The fields of an owner entry.
 pub const OWNER_FIELDS: &[Field] = &[
-    required("kind", Kind::Choice(&["owner"]), "what the entry describes"),
-    required("owner", Kind::Name, "the owner's name"),
-    required(
+    Field::required("kind", Kind::Choice(&["owner"]), "what the entry describes"),
+    Field::required("owner", Kind::Name, "the owner's name"),
+    Field::required(
         "quota.cpu_millis",
         Kind::Number(0, QUOTA_CPU_MILLIS_MAX),
         "thousandths of a core for all its running work",
     ),
-    required(
+    Field::required(
         "quota.memory_bytes",
         Kind::Number(0, QUOTA_MEMORY_BYTES_MAX),
         "bytes of memory for all its running work",
     ),
-    field(
+    Field::optional(
         "quota.accelerators",
         Kind::Number(0, QUOTA_ACCELERATORS_MAX),
         "0",
         "accelerators for all its running work",
     ),
-    field("token_sha256", Kind::Hash, "null", "SHA-256 of the bearer token of its callers"),
-    field("weights.waiting", Kind::Number(0, 100), "1", "what starting soon is worth to it"),
-    field("weights.packing", Kind::Number(0, 100), "1", "what full instances are worth to it"),
-    field(
+    Field::optional(
+        "token_sha256",
+        Kind::Hash,
+        "null",
+        "SHA-256 of the bearer token of its callers",
+    ),
+    Field::optional(
+        "weights.waiting",
+        Kind::Number(0, 100),
+        "1",
+        "what starting soon is worth to it",
+    ),
+    Field::optional(
+        "weights.packing",
+        Kind::Number(0, 100),
+        "1",
+        "what full instances are worth to it",
+    ),
+    Field::optional(
         "weights.control",
         Kind::Number(0, 100),
         "1",
--- a/crates/schema/src/lib.rs
+++ b/crates/schema/src/lib.rs
@@ -33,6 +33,23 @@
     pub doc: &'static str,
 }
 
+impl Field {
+    /// A field that must be given.
+    pub const fn required(path: &'static str, kind: Kind, doc: &'static str) -> Self {
+        Self { path, kind, default: None, doc }
+    }
+
+    /// A field with a default, written as JSON.
+    pub const fn optional(
+        path: &'static str,
+        kind: Kind,
+        default: &'static str,
+        doc: &'static str,
+    ) -> Self {
+        Self { path, kind, default: Some(default), doc }
+    }
+}
+
 /// What values a field takes.
 #[derive(Clone, Copy, Debug)]
 pub enum Kind {
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -8,213 +8,220 @@
 
 const DAY_MS: u64 = 24 * 60 * 60 * 1_000;
 
-const fn required(path: &'static str, kind: Kind, doc: &'static str) -> Field {
-    Field { path, kind, default: None, doc }
-}
-
-const fn field(path: &'static str, kind: Kind, default: &'static str, doc: &'static str) -> Field {
-    Field { path, kind, default: Some(default), doc }
-}
-
 /// Every setting.
 pub const FIELDS: &[Field] = &[
-    required("daemon.name", Kind::Name, "the daemon's name, unique in the cell"),
-    required("daemon.zone", Kind::Name, "the availability zone it stands in"),
-    required("daemon.region", Kind::Name, "the region of that zone"),
-    field(
+    Field::required("daemon.name", Kind::Name, "the daemon's name, unique in the cell"),
+    Field::required("daemon.zone", Kind::Name, "the availability zone it stands in"),
+    Field::required("daemon.region", Kind::Name, "the region of that zone"),
+    Field::optional(
         "listen.http_address",
         Kind::Address,
         r#""127.0.0.1:0""#,
         "IP and port for callers and operators; port 0 takes a free one",
     ),
-    field(
+    Field::optional(
         "listen.peer_address",
         Kind::Address,
         r#""127.0.0.1:0""#,
         "IP and port for other daemons; port 0 takes a free one",
     ),
-    required(
+    Field::required(
         "platform.store_address",
         Kind::Address,
         "IP and port of the platform's table, object store and instance list",
     ),
-    field(
+    Field::optional(
         "platform.store_timeout_ms",
         Kind::Number(10, 60_000),
         "2000",
         "milliseconds that a call to the store may take",
     ),
-    field(
+    Field::optional(
         "platform.worker_timeout_ms",
         Kind::Number(10, 60_000),
         "1000",
         "milliseconds that a call to a worker may take, beyond the time it is asked to wait",
     ),
-    field(
+    Field::optional(
         "platform.instances_interval_ms",
         Kind::Number(50, 600_000),
         "5000",
         "milliseconds between reads of the instance list",
     ),
-    field(
+    Field::optional(
         "security.open_access",
         Kind::Flag,
         "false",
         "whether everybody may do everything; for loopback only",
     ),
-    field(
+    Field::optional(
         "security.operator_token_sha256",
         Kind::Hashes,
         "[]",
         "SHA-256 of each operator's bearer token",
     ),
-    required(
+    Field::required(
         "security.peer_key",
         Kind::Text(256),
         "key that all daemons share, 16 bytes or more; a stranger's connection is refused",
     ),
-    field(
+    Field::optional(
         "leases.ttl_ms",
         Kind::Number(200, 600_000),
         "6000",
         "milliseconds that a lease on a worker runs",
     ),
-    field(
+    Field::optional(
         "leases.renew_wait_ms",
         Kind::Number(50, 300_000),
         "2000",
         "milliseconds that a renewal waits for news; below a third of leases.ttl_ms",
     ),
-    field(
+    Field::optional(
         "leases.moves_per_second",
         Kind::Number(1, 10_000),
         "5",
         "workers a second that a daemon gives up to a better placed one",
     ),
-    field(
+    Field::optional(
         "leases.orphan_ms",
         Kind::Number(1_000, DAY_MS),
         "30000",
         "milliseconds that exclusive work goes on when nobody holds its worker",
     ),
-    field(
+    Field::optional(
         "membership.heartbeat_ms",
         Kind::Number(20, 60_000),
         "500",
         "milliseconds between heartbeats inside a zone",
     ),
-    field(
+    Field::optional(
         "membership.relay_ms",
         Kind::Number(20, 600_000),
         "1000",
         "milliseconds between heartbeats of the relays of different zones",
     ),
-    field(
+    Field::optional(
         "membership.silent_after_ms",
         Kind::Number(100, 600_000),
         "3000",
         "milliseconds of silence after which a daemon counts as dead; above three heartbeats",
     ),
-    field(
+    Field::optional(
         "membership.peer_timeout_ms",
         Kind::Number(10, 60_000),
         "1000",
         "milliseconds that a call to another daemon may take",
     ),
-    field("ledger.rows_per_commit", Kind::Number(3, 10_000), "128", "rows in one transaction"),
-    field(
+    Field::optional(
+        "ledger.rows_per_commit",
+        Kind::Number(3, 10_000),
+        "128",
+        "rows in one transaction",
+    ),
+    Field::optional(
         "ledger.commits_per_second",
         Kind::Number(1, 1_000),
         "20",
         "transactions a second that this daemon may send, its share of what the table takes",
     ),
-    field(
+    Field::optional(
         "ledger.retention_ms",
         Kind::Number(1_000, 400 * DAY_MS),
         "86400000",
         "milliseconds that records of finished jobs stay",
     ),
-    field(
+    Field::optional(
         "ledger.sweep_ms",
         Kind::Number(50, 600_000),
         "5000",
         "milliseconds between looks for jobs that nobody runs",
     ),
-    field(
+    Field::optional(
         "ledger.inline_body_bytes",
         Kind::Number(0, 1_048_576),
         "16384",
         "bytes of the largest body kept in the table; larger ones go to the object store",
     ),
-    field(
+    Field::optional(
         "ledger.accept_timeout_ms",
         Kind::Number(50, 60_000),
         "3000",
         "milliseconds that a submission waits for its durable record",
     ),
-    field(
+    Field::optional(
         "catalogue.poll_ms",
         Kind::Number(20, 60_000),
         "1000",
         "milliseconds between reads of the catalogue's head",
     ),
-    field("queue.jobs", Kind::Number(1, 10_000_000), "100000", "unfinished jobs at this daemon"),
-    field(
+    Field::optional(
+        "queue.jobs",
+        Kind::Number(1, 10_000_000),
+        "100000",
+        "unfinished jobs at this daemon",
+    ),
+    Field::optional(
         "queue.requests",
         Kind::Number(1, 1_000_000),
         "2000",
         "requests in work or waiting at this daemon",
     ),
-    field(
+    Field::optional(
         "queue.gang_reserve_ms",
         Kind::Number(100, DAY_MS),
         "60000",
         "milliseconds for which freed room is kept for a gang that waits",
     ),
-    field(
+    Field::optional(
         "routing.request_timeout_ms",
         Kind::Number(10, 600_000),
         "10000",
         "milliseconds that a request without a deadline may take",
     ),
-    field(
+    Field::optional(
         "routing.retry_permille",
         Kind::Number(0, 1_000),
         "100",
         "retries allowed for each thousand first tries",
     ),
-    field(
+    Field::optional(
         "routing.breaker_failures",
         Kind::Number(1, 1_000),
         "5",
         "failures in a row after which a minion is left alone",
     ),
-    field(
+    Field::optional(
         "routing.breaker_open_ms",
         Kind::Number(10, 600_000),
         "2000",
         "milliseconds for which it is left alone",
     ),
-    field(
+    Field::optional(
         "http.body_bytes_max",
         Kind::Number(1_024, 67_108_864),
         "1048576",
         "bytes of the largest body accepted",
     ),
-    field(
+    Field::optional(
         "http.wait_max_ms",
         Kind::Number(0, 600_000),
         "60000",
         "milliseconds of the longest wait in a long poll",
     ),
-    field("log.format", Kind::Choice(&["json", "text"]), r#""text""#, "how log lines are written"),
-    field(
+    Field::optional(
+        "log.format",
+        Kind::Choice(&["json", "text"]),
+        r#""text""#,
+        "how log lines are written",
+    ),
+    Field::optional(
         "log.level",
         Kind::Choice(&["error", "warn", "info", "debug", "trace"]),
         r#""info""#,
         "least level written",
     ),
-    field(
+    Field::optional(
         "stop.grace_ms",
         Kind::Number(0, 3_600_000),
         "15000",
