One walk around the tree for spreading and for giving way

Cause: both searches had the same loop with its turn at the end.

Change: FitTree::around yields the positions in the same order and number.

--- a/crates/placement/src/cell/search.rs
+++ b/crates/placement/src/cell/search.rs
@@ -56,21 +56,9 @@
     ) -> Option<usize> {
         self.settle(owner);
         let pool = self.pools.get(owner)?;
-        let seed = mix(attempt);
+        let start = mix(attempt) as usize % pool.members.len().max(1);
         let mut best: Option<(usize, usize, usize)> = None;
-        let mut from = seed as usize % pool.members.len().max(1);
-        let mut wrapped = false;
-        for _ in 0..SPREAD_CANDIDATES {
-            let found = pool.free.first_from(from, need);
-            let Some(position) = found else {
-                if wrapped {
-                    break;
-                }
-                wrapped = true;
-                from = 0;
-                continue;
-            };
-            from = position + 1;
+        for position in pool.free.around(start, need, SPREAD_CANDIDATES) {
             let index = pool.members[position];
             let (on_worker, on_rack) = self.siblings(pool, index, attempt);
             if best.is_none_or(|(rack, worker, _)| (on_rack, on_worker) < (rack, worker)) {
@@ -94,18 +82,8 @@
         self.settle(owner);
         let pool = self.pools.get(owner)?;
         let mut best: Option<(f64, usize, Vec<AttemptId>)> = None;
-        let mut from = mix(seed) as usize % pool.members.len().max(1);
-        let mut wrapped = false;
-        for _ in 0..CANDIDATES {
-            let Some(position) = pool.reclaim.first_from(from, need) else {
-                if wrapped {
-                    break;
-                }
-                wrapped = true;
-                from = 0;
-                continue;
-            };
-            from = position + 1;
+        let start = mix(seed) as usize % pool.members.len().max(1);
+        for position in pool.reclaim.around(start, need, CANDIDATES) {
             let index = pool.members[position];
             let Some((lost, victims)) = self.victims(index, need, now_ms) else {
                 continue;
--- a/crates/placement/src/tree.rs
+++ b/crates/placement/src/tree.rs
@@ -57,6 +57,11 @@
         self.find(1, 0, self.leaves, start, need)
     }
 
+    /// Up to `looks` positions that hold `need`, from `start` on and once around.
+    pub fn around<'a>(&'a self, start: usize, need: &'a Resources, looks: usize) -> Around<'a> {
+        Around { tree: self, need, from: start, looks, wrapped: false }
+    }
+
     fn find(
         &self,
         node: usize,
@@ -76,3 +81,33 @@
         left.or_else(|| self.find(node * 2 + 1, low + half, half, start, need))
     }
 }
+
+/// Positions that hold enough, starting anywhere; turning around costs a look.
+#[derive(Clone, Debug)]
+pub struct Around<'a> {
+    tree: &'a FitTree,
+    need: &'a Resources,
+    from: usize,
+    looks: usize,
+    wrapped: bool,
+}
+
+impl Iterator for Around<'_> {
+    type Item = usize;
+
+    fn next(&mut self) -> Option<usize> {
+        while self.looks > 0 {
+            self.looks -= 1;
+            if let Some(position) = self.tree.first_from(self.from, self.need) {
+                self.from = position + 1;
+                return Some(position);
+            }
+            if self.wrapped {
+                self.looks = 0;
+            }
+            self.wrapped = true;
+            self.from = 0;
+        }
+        None
+    }
+}
