--- a/crates/daemon/src/core.rs
+++ b/crates/daemon/src/core.rs
@@ -154,7 +154,7 @@
                 let peers = self.peers.clone();
                 tokio::spawn(async move {
                     let limit = Duration::from_millis(timeout_ms);
-                    let reply = peers.call(&address, call, limit).await.map_err(call_error);
+                    let reply = peers.call(&address, &call, limit).await.map_err(call_error);
                     notify(&itself, Event::PeerDone { op, reply }).await;
                 });
             }
--- /dev/null
+++ b/crates/node/src/accept.rs
@@ -0,0 +1,229 @@
+//! Makes submissions and cancellations durable, many in one transaction.
+//!
+//! One transaction is under way at a time; what arrives meanwhile goes with
+//! the next. A write without an answer may have been done, or may be done
+//! later, so its callers are told neither "accepted" nor "not run" before a
+//! further try has shown which; its condition makes trying again harmless.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatwell_pool::JobId;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::health::StoreHealth;
+use crate::outside::Outside;
+use crate::outside::StoreError;
+use crate::outside::Table;
+use crate::outside::Transaction;
+
+/// Most rows of one transaction; the store takes 100 entries.
+const BATCH_MAX: usize = 90;
+/// Most bytes of one transaction, with room for its coding; the store takes 1 MB.
+const BATCH_BYTES_MAX: usize = 600_000;
+/// Requests that wait for a transaction at one time. Beyond it a daemon is
+/// choked and says so at once.
+const WAITING_MAX: usize = 2_000;
+/// A refusal by the store is tried again after this ...
+const REFUSED_PAUSE: Duration = Duration::from_millis(60);
+/// ... this many times, which outlasts the second in which a full part drains
+/// only in part: callers are told to come back instead.
+const REFUSED_TRIES: u32 = 4;
+/// After a write without answer.
+const DOUBT_PAUSE: Duration = Duration::from_millis(30);
+
+/// What became of a submission or cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Accepted {
+    /// It is durable.
+    Yes,
+    /// It is surely not durable and never will be.
+    No,
+    /// Nothing could tell in time.
+    Unknown,
+}
+
+/// What is to be made durable.
+#[derive(Clone, Debug)]
+pub enum Item {
+    /// A job, with its row.
+    Submit(JobId, Vec<u8>),
+    /// A cancellation.
+    Cancel(JobId),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    item: Item,
+    answer: oneshot::Sender<Accepted>,
+    deadline: Instant,
+    in_doubt: bool,
+    refusals: u32,
+}
+
+/// Makes items durable.
+#[derive(Clone, Debug)]
+pub struct Acceptor {
+    items: mpsc::Sender<Waiting>,
+    health: Arc<StoreHealth>,
+}
+
+impl Acceptor {
+    /// Starts the task that writes.
+    pub fn start(outside: Arc<impl Outside>, health: Arc<StoreHealth>) -> Self {
+        let (items, queue) = mpsc::channel(WAITING_MAX);
+        tokio::spawn(write(outside, Arc::clone(&health), queue));
+        Self { items, health }
+    }
+
+    /// Makes one item durable, or tells that it could not be.
+    pub async fn accept(&self, item: Item, deadline: Instant) -> Accepted {
+        if self.health.is_down() {
+            return Accepted::No;
+        }
+        let (answer, answered) = oneshot::channel();
+        let waiting = Waiting { item, answer, deadline, in_doubt: false, refusals: 0 };
+        if self.items.try_send(waiting).is_err() {
+            return Accepted::No;
+        }
+        answered.await.unwrap_or(Accepted::Unknown)
+    }
+}
+
+async fn write(
+    outside: Arc<impl Outside>,
+    health: Arc<StoreHealth>,
+    mut queue: mpsc::Receiver<Waiting>,
+) {
+    let mut batch: Vec<Waiting> = Vec::new();
+    loop {
+        if batch.is_empty() {
+            let Some(first) = queue.recv().await else { return };
+            batch.push(first);
+        }
+        fill(&mut batch, &mut queue, &health);
+        expire(&mut batch);
+        if batch.is_empty() {
+            continue;
+        }
+        let result = outside.transact(&transaction(&batch)).await;
+        health.note(&result);
+        match result {
+            Ok(_) => {
+                for done in batch.drain(..) {
+                    settle(done, Accepted::Yes);
+                }
+            }
+            Err(StoreError::Conflict(rows)) => {
+                // Those jobs are durable already; the others go again.
+                let exists = |waiting: &Waiting| match waiting.item {
+                    Item::Submit(id, _) => rows.iter().any(|(table, row)| {
+                        *table == Table::Jobs && row.version > 0 && row.key == id.to_string()
+                    }),
+                    Item::Cancel(_) => false,
+                };
+                let (there, rest): (Vec<Waiting>, Vec<Waiting>) = batch.drain(..).partition(exists);
+                batch = rest;
+                for done in there {
+                    settle(done, Accepted::Yes);
+                }
+            }
+            Err(StoreError::NoAnswer) => {
+                for waiting in &mut batch {
+                    waiting.in_doubt = true;
+                }
+                tracing::warn!(items = batch.len(), "store did not answer a write, it is tried again");
+                tokio::time::sleep(DOUBT_PAUSE).await;
+            }
+            Err(StoreError::Refused | StoreError::HistoryLost) => {
+                refuse(&mut batch);
+                tokio::time::sleep(REFUSED_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Adds what waits. While the store does not answer, what was not sent yet is
+/// refused at once: its caller can go to a daemon that still reaches the store.
+fn fill(batch: &mut Vec<Waiting>, queue: &mut mpsc::Receiver<Waiting>, health: &StoreHealth) {
+    let mut bytes: usize = batch.iter().map(|waiting| waiting.item.bytes()).sum();
+    while batch.len() < BATCH_MAX && bytes < BATCH_BYTES_MAX {
+        let Ok(next) = queue.try_recv() else { return };
+        if health.is_down() {
+            settle(next, Accepted::No);
+            continue;
+        }
+        bytes += next.item.bytes();
+        batch.push(next);
+    }
+}
+
+/// One entry for each job, also where it was submitted twice at the same time.
+fn transaction(batch: &[Waiting]) -> Transaction {
+    let mut transaction = Transaction::default();
+    let mut seen = std::collections::BTreeSet::new();
+    for waiting in batch {
+        match &waiting.item {
+            Item::Submit(id, row) => {
+                if !seen.insert((true, *id)) {
+                    continue;
+                }
+                transaction.expect.push((Table::Jobs, id.to_string(), 0));
+                transaction.put.push((Table::Jobs, id.to_string(), row.clone()));
+            }
+            Item::Cancel(id) => {
+                if seen.insert((false, *id)) {
+                    transaction.put.push((Table::Cancels, id.to_string(), Vec::new()));
+                }
+            }
+        }
+    }
+    transaction
+}
+
+fn expire(batch: &mut Vec<Waiting>) {
+    let now = Instant::now();
+    let (late, rest): (Vec<Waiting>, Vec<Waiting>) =
+        batch.drain(..).partition(|waiting| waiting.deadline <= now);
+    *batch = rest;
+    for waiting in late {
+        let answer = if waiting.in_doubt { Accepted::Unknown } else { Accepted::No };
+        settle(waiting, answer);
+    }
+}
+
+fn refuse(batch: &mut Vec<Waiting>) {
+    for waiting in batch.iter_mut() {
+        waiting.refusals += 1;
+    }
+    let over =
+        |waiting: &Waiting| !waiting.in_doubt && waiting.refusals >= REFUSED_TRIES;
+    let (refused, rest): (Vec<Waiting>, Vec<Waiting>) = batch.drain(..).partition(over);
+    *batch = rest;
+    for waiting in refused {
+        settle(waiting, Accepted::No);
+    }
+}
+
+fn settle(waiting: Waiting, answer: Accepted) {
+    if waiting.answer.send(answer).is_err() {
+        tracing::debug!(item = ?waiting.item.job(), "the caller left before the store answered");
+    }
+}
+
+impl Item {
+    fn bytes(&self) -> usize {
+        match self {
+            Self::Submit(_, row) => row.len(),
+            Self::Cancel(_) => 0,
+        }
+    }
+
+    fn job(&self) -> JobId {
+        match self {
+            Self::Submit(id, _) | Self::Cancel(id) => *id,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/duty.rs
@@ -0,0 +1,109 @@
+//! Who schedules the pool: one row of the store, held for a time.
+//!
+//! The holder rewrites the row several times a second. A daemon that has seen
+//! it unchanged for [`LEASE_MS`] may claim it under the version that it saw;
+//! the store lets one of several win. How long a daemon waits beyond that is
+//! its fitness: near the store and with a strong processor goes first, so no
+//! vote is needed to end up with a good one.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// How often the holder rewrites the row; a third of the lease, so that two
+/// lost writes in a row do not cost the duty.
+pub const RENEW_MS: u64 = 500;
+/// A row that is unchanged for this long has lost its holder. Jobs wait for
+/// about this long when a scheduler dies, so it is short; a store that answers
+/// fifty times slower than usual still lets a renewal through in time.
+pub const LEASE_MS: u64 = 1_600;
+/// What a millisecond of the store's answer time costs a candidate: daemons of
+/// other regions are some 24 ms farther away and stand back about 240 ms, long
+/// enough for a claim from nearby to be seen.
+const DELAY_PER_ANSWER_MS: u64 = 10;
+/// The most that distance costs a candidate.
+const DISTANCE_DELAY_MAX_MS: u64 = 400;
+/// What a machine with a quarter of a core is kept back, against one with half a core.
+const WEAK_DELAY_MS: f64 = 100.0;
+/// Candidates that are alike are spread over this.
+const SPREAD_MS: u64 = 60;
+
+/// The row.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DutyRow {
+    /// The daemon that schedules.
+    pub holder: String,
+    /// Its start, so that a daemon that was restarted is not taken for its former self.
+    pub incarnation: u64,
+    /// Where other daemons reach it.
+    pub address: String,
+    /// Rises with each holder.
+    pub epoch: u64,
+    /// Rises with each renewal.
+    pub beat: u64,
+    /// Whether the holder has given the duty up.
+    pub released: bool,
+}
+
+/// What a daemon knows of the row.
+#[derive(Clone, Debug)]
+pub struct DutyView {
+    /// The row and its version, if there is one.
+    pub row: Option<(DutyRow, u64)>,
+    /// When it was last seen to change.
+    pub changed_ms: u64,
+}
+
+/// What makes a daemon a good or a bad scheduler.
+#[derive(Clone, Debug)]
+pub struct Fitness {
+    /// Its name.
+    pub name: String,
+    /// Its share of a core times the core's speed.
+    pub cores: f64,
+    /// The store's usual answer time, as measured.
+    pub store_answer_ms: u64,
+}
+
+impl Fitness {
+    /// How long this daemon stands back for better ones.
+    pub fn delay_ms(&self) -> u64 {
+        let distance_ms = (self.store_answer_ms * DELAY_PER_ANSWER_MS).min(DISTANCE_DELAY_MAX_MS);
+        let weak_ms = (WEAK_DELAY_MS * (0.5 - self.cores) / 0.25).max(0.0) as u64;
+        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+        for byte in self.name.bytes() {
+            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+        distance_ms + weak_ms + hash % SPREAD_MS
+    }
+}
+
+impl DutyView {
+    /// A daemon that has not read the row yet.
+    pub fn new(now_ms: u64) -> Self {
+        Self { row: None, changed_ms: now_ms }
+    }
+
+    /// Takes note of the row as it was read.
+    pub fn saw(&mut self, row: Option<(DutyRow, u64)>, now_ms: u64) {
+        let version = |row: &Option<(DutyRow, u64)>| row.as_ref().map(|(_, version)| *version);
+        if version(&row) == version(&self.row) {
+            return;
+        }
+        self.row = row;
+        self.changed_ms = now_ms;
+    }
+
+    /// When this daemon may claim the duty, if nothing changes.
+    pub fn claim_ms(&self, fitness: &Fitness) -> u64 {
+        let free = self.row.as_ref().is_none_or(|(row, _)| row.released);
+        // A row of this daemon's former self has surely lost its holder.
+        let mine = self.row.as_ref().is_some_and(|(row, _)| row.holder == fitness.name);
+        let wait_ms = if free || mine { 0 } else { LEASE_MS };
+        self.changed_ms + wait_ms + fitness.delay_ms()
+    }
+
+    /// The version under which a claim is made, and the claim's epoch.
+    pub fn next_epoch(&self) -> (u64, u64) {
+        self.row.as_ref().map_or((0, 1), |(row, version)| (*version, row.epoch + 1))
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway.rs
@@ -0,0 +1,210 @@
+//! What callers ask of a daemon, whichever it is.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use stoatwell_peer::Peers;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
+use stoatwell_pool::Outcome;
+use stoatwell_pool::Progress;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::accept::Accepted;
+use crate::accept::Acceptor;
+use crate::accept::Item;
+use crate::commit::encode;
+use crate::health::StoreHealth;
+use crate::lead::Query;
+use crate::lead::read_row;
+use crate::outside::Outside;
+use crate::outside::StoreError;
+use crate::outside::Table;
+use crate::peers::NodeCall;
+use crate::peers::NodeReply;
+
+/// How long the scheduler may take to answer before the store is asked:
+/// several round trips between regions.
+const SCHEDULER_LIMIT: Duration = Duration::from_millis(400);
+
+/// The scheduler as far as this daemon knows.
+#[derive(Clone, Debug, Default)]
+pub enum Scheduler {
+    /// None is known.
+    #[default]
+    None,
+    /// This daemon.
+    Here(mpsc::Sender<Query>),
+    /// The daemon at this address.
+    At(String),
+}
+
+/// Answers callers.
+#[derive(Debug)]
+pub struct Gateway<O> {
+    outside: Arc<O>,
+    acceptor: Acceptor,
+    peers: Peers,
+    health: Arc<StoreHealth>,
+    scheduler: Mutex<Scheduler>,
+}
+
+/// What a caller learns of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// It stands so.
+    State(JobState),
+    /// There is no such job.
+    NoJob,
+    /// Nothing could tell now.
+    Unknown,
+}
+
+impl<O: Outside> Gateway<O> {
+    /// A gateway that knows no scheduler yet.
+    pub fn new(
+        outside: Arc<O>,
+        acceptor: Acceptor,
+        peers: Peers,
+        health: Arc<StoreHealth>,
+    ) -> Self {
+        Self { outside, acceptor, peers, health, scheduler: Mutex::default() }
+    }
+
+    /// Takes note of who schedules.
+    pub fn set_scheduler(&self, scheduler: Scheduler) {
+        *self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) = scheduler;
+    }
+
+    /// Whether the store answers.
+    pub fn is_store_up(&self) -> bool {
+        !self.health.is_down()
+    }
+
+    /// Makes a job durable.
+    pub async fn submit(&self, job: JobId, spec: &JobSpec, deadline: Instant) -> Accepted {
+        let accepted = self.acceptor.accept(Item::Submit(job, encode(spec)), deadline).await;
+        tracing::info!(%job, queue = spec.queue.name, ?accepted, "submission answered");
+        metrics::counter!("stoatwell_submissions_total", "outcome" => outcome_name(accepted))
+            .increment(1);
+        accepted
+    }
+
+    /// Makes a cancellation durable, if there is such a job.
+    pub async fn cancel(&self, job: JobId, deadline: Instant) -> Option<Accepted> {
+        let known = self.state(job).await;
+        if known == Known::NoJob {
+            return None;
+        }
+        let accepted = match known {
+            Known::State(JobState::Completed | JobState::Failed | JobState::Cancelled) => {
+                Accepted::Yes
+            }
+            Known::Unknown => Accepted::Unknown,
+            _ => self.acceptor.accept(Item::Cancel(job), deadline).await,
+        };
+        tracing::info!(%job, ?known, ?accepted, "cancellation answered");
+        Some(accepted)
+    }
+
+    /// Where a job stands.
+    pub async fn state(&self, job: JobId) -> Known {
+        match self.ask(NodeCall::State(job)).await {
+            Some(NodeReply::State(Some(state))) => return Known::State(state),
+            Some(_) | None => {}
+        }
+        // The scheduler is away, or has not heard of a job just accepted.
+        match self.state_in_store(job).await {
+            Ok(Some(state)) => Known::State(state),
+            Ok(None) => Known::NoJob,
+            Err(error) => {
+                tracing::warn!(%job, %error, "state cannot be told");
+                Known::Unknown
+            }
+        }
+    }
+
+    /// Jobs of a queue for which nothing has started; `None` when nothing can tell.
+    pub async fn pending(&self, queue: &str) -> Option<u64> {
+        match self.ask(NodeCall::Pending(queue.to_owned())).await {
+            Some(NodeReply::Pending(count)) => Some(count),
+            _ => None,
+        }
+    }
+
+    async fn state_in_store(&self, job: JobId) -> Result<Option<JobState>, StoreError> {
+        let key = job.to_string();
+        if self.outside.read(Table::Jobs, &key).await?.is_none() {
+            return Ok(None);
+        }
+        let progress = self.outside.read(Table::Progress, &key).await?;
+        let progress = progress.as_ref().and_then(read_row::<Progress>);
+        let progress = progress.map(|(_, progress)| progress).unwrap_or_default();
+        if progress.outcome.is_none_or(|outcome| outcome == Outcome::Cancelled)
+            && self.outside.read(Table::Cancels, &key).await?.is_some()
+        {
+            return Ok(Some(JobState::Cancelled));
+        }
+        Ok(Some(progress.state()))
+    }
+
+    /// Asks the scheduler, here or elsewhere.
+    async fn ask(&self, call: NodeCall) -> Option<NodeReply> {
+        let scheduler = self.scheduler.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        match scheduler {
+            Scheduler::None => None,
+            Scheduler::Here(queries) => ask_here(&queries, call).await,
+            Scheduler::At(address) => {
+                match self.peers.call::<NodeReply>(&address, &call, SCHEDULER_LIMIT).await {
+                    Ok(NodeReply::NotScheduler) => None,
+                    Ok(reply) => Some(reply),
+                    Err(error) => {
+                        tracing::debug!(address, %error, "the scheduler does not answer");
+                        None
+                    }
+                }
+            }
+        }
+    }
+
+    /// Answers another daemon.
+    pub async fn answer(&self, call: NodeCall) -> NodeReply {
+        if let NodeCall::Advise { step, workers, limit_ms } = call {
+            let granted = self.outside.advise(step, &workers, limit_ms).await;
+            let row = |grant: stoatwell_pool::Grant| (grant.worker, grant.ticket);
+            return NodeReply::Advised(granted.map(|all| all.into_iter().map(row).collect()));
+        }
+        let scheduler = self.scheduler.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let Scheduler::Here(queries) = scheduler else { return NodeReply::NotScheduler };
+        ask_here(&queries, call).await.unwrap_or(NodeReply::NotScheduler)
+    }
+}
+
+async fn ask_here(queries: &mpsc::Sender<Query>, call: NodeCall) -> Option<NodeReply> {
+    match call {
+        NodeCall::State(job) => {
+            let (answer, answered) = oneshot::channel();
+            queries.send(Query::State(job, answer)).await.ok()?;
+            answered.await.ok().map(NodeReply::State)
+        }
+        NodeCall::Pending(queue) => {
+            let (answer, answered) = oneshot::channel();
+            queries.send(Query::Pending(queue, answer)).await.ok()?;
+            answered.await.ok().map(NodeReply::Pending)
+        }
+        NodeCall::Advise { .. } => None,
+    }
+}
+
+fn outcome_name(accepted: Accepted) -> &'static str {
+    match accepted {
+        Accepted::Yes => "accepted",
+        Accepted::No => "refused",
+        Accepted::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/node/src/lead.rs
@@ -0,0 +1,429 @@
+//! The scheduler of the pool, while this daemon holds the duty.
+//!
+//! One task owns the [`Pool`]; news reach it through a channel and are taken in
+//! as many as there are before it decides again. Another task owns the duty's
+//! row: it renews it and writes the pool's batches under its version, so that
+//! nothing a former scheduler writes can take effect.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatwell_model::WorkerId;
+use stoatwell_pool::Effect;
+use stoatwell_pool::Event;
+use stoatwell_pool::Grant;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
+use stoatwell_pool::Limits;
+use stoatwell_pool::Pool;
+use stoatwell_pool::PoolDump;
+use stoatwell_pool::Progress;
+use stoatwell_pool::StartCall;
+use stoatwell_pool::StepId;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use crate::advisors::Advisors;
+use crate::clock::steady_ms;
+use crate::clock::unix_ms;
+use crate::commit::Batch;
+use crate::commit::Held;
+use crate::commit::keep_duty;
+use crate::health::StoreHealth;
+use crate::outside::Outside;
+use crate::outside::Row;
+use crate::outside::StoreError;
+use crate::outside::Table;
+use crate::outside::WorkerChanges;
+
+/// How often the pool looks at what only time announces.
+const TICK: Duration = Duration::from_millis(25);
+/// News taken in before the pool decides.
+const NEWS_PER_TURN: usize = 256;
+/// An order that was made longer ago is not sent any more: the process stood
+/// still, and the order may belong to a scheduler that was replaced.
+const ORDER_AGE_MAX_MS: u64 = 700;
+/// How long a question for changes waits at the store.
+const FOLLOW_WAIT_MS: u64 = 1_500;
+/// After a question for changes that failed.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
+/// Between two questions for changes to jobs: arrivals of this long are taken
+/// together, which bounds the calls to the store at the peak.
+const JOBS_PAUSE: Duration = Duration::from_millis(8);
+/// Between two questions for changes to the list of workers, which changes
+/// with each of their heartbeats.
+const WORKERS_PAUSE: Duration = Duration::from_millis(400);
+/// Workers that are missing from the list are taken for gone only after the
+/// list was readable for this long: entries come back late after an outage.
+const MISSING_GRACE_MS: u64 = 2_500;
+
+/// A question to the scheduler.
+#[derive(Debug)]
+pub enum Query {
+    /// Where does a job stand?
+    State(JobId, oneshot::Sender<Option<JobState>>),
+    /// How many jobs of a queue wait?
+    Pending(String, oneshot::Sender<u64>),
+    /// What does it believe?
+    Dump(oneshot::Sender<PoolDump>),
+    /// Why is a job where it is?
+    Explain(JobId, oneshot::Sender<Vec<String>>),
+}
+
+/// What the scheduler hears.
+#[derive(Debug)]
+enum News {
+    Event(Event),
+    Query(Query),
+    Deposed,
+}
+
+/// Everything a scheduler needs of its daemon.
+#[derive(Debug)]
+pub struct Lead<O> {
+    /// The outside world.
+    pub outside: Arc<O>,
+    /// The duty as it was won.
+    pub held: Held,
+    /// The pool's figures.
+    pub limits: Limits,
+    /// Whether the store answers.
+    pub health: Arc<StoreHealth>,
+    /// Who asks the advisor.
+    pub advisors: Arc<Advisors<O>>,
+    /// Questions of this daemon's callers and of other daemons.
+    pub queries: mpsc::Receiver<Query>,
+    /// Fires when the daemon stops.
+    pub stop: tokio::sync::watch::Receiver<bool>,
+}
+
+impl<O: Outside> Lead<O> {
+    /// Schedules until another daemon does or this one stops.
+    pub async fn run(mut self) {
+        let began_ms = steady_ms();
+        let epoch = self.held.row.epoch;
+        let (news, mut inbox) = mpsc::unbounded_channel();
+        let (batches, batch_queue) = mpsc::channel(1);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(keep_duty_and_tell(
+            Arc::clone(&self.outside),
+            self.held.clone(),
+            Arc::clone(&self.health),
+            batch_queue,
+            news.clone(),
+            self.stop.clone(),
+        ));
+        let Some(mut pool) = self.load(epoch, &mut tasks, &news, &mut inbox).await else { return };
+        tracing::info!(epoch, took_ms = steady_ms() - began_ms, "scheduler ready");
+        metrics::counter!("stoatwell_takeovers_total").increment(1);
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let first = tokio::select! {
+                biased;
+                first = inbox.recv() => first,
+                Some(query) = self.queries.recv() => Some(News::Query(query)),
+                _ = tick.tick() => None,
+            };
+            let mut next = first;
+            for _ in 0..NEWS_PER_TURN {
+                let Some(one) = next else { break };
+                match one {
+                    News::Deposed => return,
+                    News::Event(event) => pool.handle(steady_ms(), unix_ms(), event),
+                    News::Query(query) => answer(&pool, query),
+                }
+                next = inbox.try_recv().ok();
+            }
+            while let Ok(query) = self.queries.try_recv() {
+                answer(&pool, query);
+            }
+            for effect in pool.pump(steady_ms(), unix_ms()) {
+                if effect == Effect::StepDown {
+                    tracing::warn!(epoch, "stepping down: a worker follows another scheduler");
+                    return;
+                }
+                self.carry_out(effect, &news, &batches, &mut tasks);
+            }
+            while tasks.try_join_next().is_some() {}
+        }
+    }
+
+    /// Reads everything that lasts, and begins to follow it.
+    async fn load(
+        &self,
+        epoch: u64,
+        tasks: &mut JoinSet<()>,
+        news: &mpsc::UnboundedSender<News>,
+        inbox: &mut mpsc::UnboundedReceiver<News>,
+    ) -> Option<Pool> {
+        let outside = &*self.outside;
+        let all = async {
+            tokio::join!(
+                persist(|| outside.workers()),
+                persist(|| outside.read_all(Table::Jobs)),
+                persist(|| outside.read_all(Table::Cancels)),
+                // After the jobs: progress without its job would be lost.
+                persist(|| outside.read_all(Table::Progress)),
+            )
+        };
+        let (workers, jobs, cancels, progress) = tokio::select! {
+            all = all => all,
+            () = deposed(inbox) => return None,
+        };
+        let mut pool = Pool::new(epoch, self.limits, steady_ms(), unix_ms());
+        let mut done = std::collections::HashMap::new();
+        for row in &progress.rows {
+            if let Some((id, value)) = read_row::<Progress>(row) {
+                done.insert(id, value);
+            }
+        }
+        let (mut count, mut open) = (0, 0);
+        for row in &jobs.rows {
+            let Some((id, spec)) = read_row::<JobSpec>(row) else { continue };
+            let progress = done.get(&id);
+            count += 1;
+            open += usize::from(progress.is_none_or(|progress| progress.outcome.is_none()));
+            pool.restore(id, Arc::new(spec), progress);
+        }
+        for row in &cancels.rows {
+            if let Ok(job) = row.key.parse() {
+                pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
+            }
+        }
+        let version = workers.version;
+        tracing::info!(epoch, jobs = count, open, workers = workers.listed.len(), "state read back");
+        for listed in workers.listed {
+            pool.handle(steady_ms(), unix_ms(), Event::Listed(listed));
+        }
+        let spawn = |tasks: &mut JoinSet<()>, table, after| {
+            tasks.spawn(follow(Arc::clone(&self.outside), table, after, news.clone()));
+        };
+        spawn(tasks, Table::Jobs, jobs.version);
+        spawn(tasks, Table::Cancels, cancels.version);
+        tasks.spawn(follow_workers(Arc::clone(&self.outside), version, news.clone()));
+        Some(pool)
+    }
+
+    fn carry_out(
+        &self,
+        effect: Effect,
+        news: &mpsc::UnboundedSender<News>,
+        batches: &mpsc::Sender<Batch>,
+        tasks: &mut JoinSet<()>,
+    ) {
+        let outside = Arc::clone(&self.outside);
+        let news = news.clone();
+        match effect {
+            Effect::Hold(call) => {
+                let sent_ms = steady_ms();
+                tasks.spawn(async move {
+                    let reply = outside.hold(&call).await;
+                    tell(&news, Event::Held { worker: call.to.worker, sent_ms, reply });
+                });
+            }
+            Effect::Start(call) => {
+                tasks.spawn(async move { start(&*outside, call, &news).await });
+            }
+            Effect::Stop(call) => {
+                tasks.spawn(async move {
+                    let reply = outside.stop(&call).await;
+                    let (task, run) = (call.task, call.run);
+                    tell(&news, Event::Stopped { task, run, worker: call.to.worker, reply });
+                });
+            }
+            Effect::Advise { step, workers } => {
+                let advisors = Arc::clone(&self.advisors);
+                tasks.spawn(async move { advise(&advisors, step, workers, &news).await });
+            }
+            Effect::Commit { batch, puts, removes } => {
+                // One batch is under way at a time, so there is always room for it.
+                if batches.try_send(Batch { number: batch, puts, removes }).is_err() {
+                    tracing::error!(batch, "a batch found another one under way");
+                }
+            }
+            Effect::StepDown => {}
+        }
+    }
+}
+
+async fn deposed(inbox: &mut mpsc::UnboundedReceiver<News>) {
+    while let Some(news) = inbox.recv().await {
+        if matches!(news, News::Deposed) {
+            return;
+        }
+    }
+}
+
+async fn keep_duty_and_tell<O: Outside>(
+    outside: Arc<O>,
+    held: Held,
+    health: Arc<StoreHealth>,
+    batches: mpsc::Receiver<Batch>,
+    news: mpsc::UnboundedSender<News>,
+    stop: tokio::sync::watch::Receiver<bool>,
+) {
+    let committed = |batch| tell(&news, Event::Committed { batch });
+    keep_duty(outside, held, health, batches, stop, committed).await;
+    if news.send(News::Deposed).is_err() {
+        tracing::debug!("the scheduler had ended before");
+    }
+}
+
+/// Tries until it succeeds; the store may be down while the duty is held.
+async fn persist<T, F>(call: impl Fn() -> F) -> T
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    loop {
+        match call().await {
+            Ok(value) => return value,
+            Err(error) => {
+                tracing::warn!(%error, "state cannot be read back yet");
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn start(outside: &impl Outside, call: StartCall, news: &mpsc::UnboundedSender<News>) {
+    let age_ms = steady_ms().saturating_sub(call.made_ms);
+    let reply = if age_ms > ORDER_AGE_MAX_MS {
+        Err(stoatwell_pool::CallError::NotSent)
+    } else {
+        outside.start(&call).await
+    };
+    let (task, run) = (call.task, call.run);
+    tell(news, Event::Started { task, run, worker: call.to.worker, reply });
+}
+
+async fn advise<O: Outside>(
+    advisors: &Advisors<O>,
+    step: StepId,
+    asked: Vec<WorkerId>,
+    news: &mpsc::UnboundedSender<News>,
+) {
+    let granted: Option<Vec<Grant>> = advisors.ask(step, &asked).await;
+    tell(news, Event::Advised { step, asked, granted });
+}
+
+async fn follow<O: Outside>(
+    outside: Arc<O>,
+    table: Table,
+    mut after: u64,
+    news: mpsc::UnboundedSender<News>,
+) {
+    loop {
+        let rows = match outside.follow(table, after, FOLLOW_WAIT_MS).await {
+            Ok(rows) => rows,
+            Err(StoreError::HistoryLost) => {
+                tracing::warn!(%table, after, "the store dropped the history, the table is read anew");
+                persist(|| outside.read_all(table)).await
+            }
+            Err(error) => {
+                tracing::warn!(%table, %error, "changes cannot be followed");
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+                continue;
+            }
+        };
+        after = rows.version;
+        for row in &rows.rows {
+            if row.value.is_none() {
+                continue;
+            }
+            match table {
+                Table::Jobs => {
+                    let Some((job, spec)) = read_row::<JobSpec>(row) else { continue };
+                    tell(&news, Event::Accepted { job, spec: Arc::new(spec) });
+                }
+                Table::Cancels => {
+                    let Ok(job) = row.key.parse() else { continue };
+                    tell(&news, Event::Cancelled { job });
+                }
+                Table::Progress | Table::Duty | Table::Daemons => {}
+            }
+        }
+        tokio::time::sleep(JOBS_PAUSE).await;
+    }
+}
+
+async fn follow_workers<O: Outside>(
+    outside: Arc<O>,
+    mut after: u64,
+    news: mpsc::UnboundedSender<News>,
+) {
+    let mut missing: std::collections::BTreeMap<WorkerId, u64> = std::collections::BTreeMap::new();
+    let mut readable_since_ms = steady_ms();
+    loop {
+        let changes = match outside.follow_workers(after, 0).await {
+            Ok(changes) => changes,
+            Err(StoreError::HistoryLost) => {
+                // What left meanwhile is not in the new reading; its silence tells.
+                persist(|| outside.workers()).await
+            }
+            Err(error) => {
+                tracing::warn!(%error, "the list of workers cannot be followed");
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+                readable_since_ms = steady_ms();
+                continue;
+            }
+        };
+        after = changes.version;
+        take_changes(changes, &mut missing, &news);
+        let now_ms = steady_ms();
+        let gone = |at: &u64| {
+            let since_ms = (*at).max(readable_since_ms);
+            now_ms > since_ms + MISSING_GRACE_MS
+        };
+        for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
+            tell(&news, Event::Unlisted { worker });
+        }
+        tokio::time::sleep(WORKERS_PAUSE).await;
+    }
+}
+
+fn take_changes(
+    changes: WorkerChanges,
+    missing: &mut std::collections::BTreeMap<WorkerId, u64>,
+    news: &mpsc::UnboundedSender<News>,
+) {
+    for worker in changes.unlisted {
+        missing.insert(worker, steady_ms());
+    }
+    for listed in changes.listed {
+        missing.remove(&listed.worker);
+        tell(news, Event::Listed(listed));
+    }
+}
+
+/// A row's job and value; what cannot be read is somebody else's and is left out.
+pub fn read_row<T: serde::de::DeserializeOwned>(row: &Row) -> Option<(JobId, T)> {
+    let value = row.value.as_ref()?;
+    match (row.key.parse(), serde_json::from_slice(value)) {
+        (Ok(id), Ok(value)) => Some((id, value)),
+        _ => {
+            tracing::warn!(key = row.key, version = row.version, "row cannot be read, left out");
+            None
+        }
+    }
+}
+
+fn answer(pool: &Pool, query: Query) {
+    let asked = match query {
+        Query::State(job, answer) => answer.send(pool.state(job)).is_ok(),
+        Query::Pending(queue, answer) => answer.send(pool.pending(&queue) as u64).is_ok(),
+        Query::Dump(answer) => answer.send(pool.dump()).is_ok(),
+        Query::Explain(job, answer) => answer.send(pool.explain(job)).is_ok(),
+    };
+    if !asked {
+        tracing::debug!("a question's caller left before the answer");
+    }
+}
+
+fn tell(news: &mpsc::UnboundedSender<News>, event: Event) {
+    if news.send(News::Event(event)).is_err() {
+        tracing::debug!("the scheduler ended before the news came");
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,156 @@
+//! One daemon of a pool.
+//!
+//! Every daemon is a gateway: it makes jobs durable in the store and answers
+//! what becomes of them. One of them is elected to schedule. There is nothing
+//! else to agree on, and nothing is kept but in the store.
+
+mod accept;
+mod advisors;
+pub mod clock;
+mod commit;
+mod duty;
+mod gateway;
+mod health;
+mod lead;
+mod manifest;
+mod outside;
+mod peers;
+mod watch;
+
+use std::sync::Arc;
+
+use stoatwell_peer::Peers;
+use stoatwell_peer::Traffic;
+use stoatwell_pool::Limits;
+use tokio::net::TcpListener;
+
+use crate::accept::Acceptor;
+use crate::advisors::Advisors;
+use crate::health::StoreHealth;
+use crate::watch::Watch;
+
+pub use crate::accept::Accepted;
+pub use crate::duty::DutyRow;
+pub use crate::duty::DutyView;
+pub use crate::duty::Fitness;
+pub use crate::duty::LEASE_MS;
+pub use crate::duty::RENEW_MS;
+pub use crate::gateway::Gateway;
+pub use crate::gateway::Known;
+pub use crate::lead::Query;
+pub use crate::manifest::Manifest;
+pub use crate::manifest::Queue;
+pub use crate::outside::Outside;
+pub use crate::outside::Row;
+pub use crate::outside::Rows;
+pub use crate::outside::StoreError;
+pub use crate::outside::Table;
+pub use crate::outside::Transaction;
+pub use crate::outside::WorkerChanges;
+
+/// Who a daemon is and how it is set up.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// Its name.
+    pub name: String,
+    /// Where other daemons reach it.
+    pub address: String,
+    /// Its share of a core times the core's speed.
+    pub cores: f64,
+    /// The pool's figures.
+    pub limits: Limits,
+    /// Shared by the daemons; a stranger's connection is closed.
+    pub peer_key: String,
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Node<O> {
+    gateway: Arc<Gateway<O>>,
+    manifest: tokio::sync::watch::Receiver<Arc<Manifest>>,
+    stop: tokio::sync::watch::Sender<bool>,
+    stopped: tokio::sync::watch::Receiver<bool>,
+    leading: tokio::sync::watch::Receiver<Option<tokio::sync::mpsc::Sender<Query>>>,
+}
+
+impl<O: Outside> Node<O> {
+    /// Starts the daemon's tasks; peers connect to the listener.
+    pub fn start(settings: &NodeSettings, outside: Arc<O>, listener: TcpListener) -> Self {
+        let health = Arc::new(StoreHealth::default());
+        let acceptor = Acceptor::start(Arc::clone(&outside), Arc::clone(&health));
+        let peers = Peers::new(&settings.peer_key, Traffic::default());
+        let gateway = Arc::new(Gateway::new(
+            Arc::clone(&outside),
+            acceptor,
+            peers.clone(),
+            Arc::clone(&health),
+        ));
+        let (manifest_out, manifest) = tokio::sync::watch::channel(Arc::default());
+        let (stop, stopping) = tokio::sync::watch::channel(false);
+        let (stopped_out, stopped) = tokio::sync::watch::channel(false);
+        let (leading_out, leading) = tokio::sync::watch::channel(None);
+        tokio::spawn(watch::follow_manifest(
+            Arc::clone(&outside),
+            Arc::clone(&health),
+            manifest_out,
+        ));
+        tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
+        let advisors = Arc::new(Advisors::new(
+            Arc::clone(&outside),
+            peers,
+            settings.address.clone(),
+        ));
+        let watch = Watch {
+            settings: settings.clone(),
+            outside,
+            health,
+            gateway: Arc::clone(&gateway),
+            advisors,
+            stop: stopping,
+            leading: leading_out,
+        };
+        tokio::spawn(async move {
+            watch.run().await;
+            if stopped_out.send(true).is_err() {
+                tracing::debug!("nobody waits for the scheduler's end");
+            }
+        });
+        Self { gateway, manifest, stop, stopped, leading }
+    }
+
+    /// Answers callers.
+    pub fn gateway(&self) -> &Arc<Gateway<O>> {
+        &self.gateway
+    }
+
+    /// The manifest in force; its version is 0 before there is one.
+    pub fn manifest(&self) -> Arc<Manifest> {
+        Arc::clone(&self.manifest.borrow())
+    }
+
+    /// The way to the scheduler's state, while it is this daemon.
+    pub fn scheduler(&self) -> Option<tokio::sync::mpsc::Sender<Query>> {
+        self.leading.borrow().clone()
+    }
+
+    /// Gives the duty up, if it is held; callers are still answered.
+    pub async fn stop(&self) {
+        if self.stop.send(true).is_err() {
+            return;
+        }
+        let mut stopped = self.stopped.clone();
+        if stopped.wait_for(|stopped| *stopped).await.is_err() {
+            tracing::debug!("the scheduler ended before it was waited for");
+        }
+    }
+}
+
+async fn serve_peers<O: Outside>(listener: TcpListener, key: String, gateway: Arc<Gateway<O>>) {
+    let handler = move |call| {
+        let gateway = Arc::clone(&gateway);
+        async move { gateway.answer(call).await }
+    };
+    if let Err(error) = stoatwell_peer::serve(listener, key, Traffic::default(), handler).await {
+        tracing::error!(%error, "peers can no longer connect");
+    }
+}
--- /dev/null
+++ b/crates/node/src/peers.rs
@@ -0,0 +1,39 @@
+//! What daemons ask of each other.
+
+use serde::Deserialize;
+use serde::Serialize;
+use stoatwell_model::WorkerId;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobState;
+use stoatwell_pool::StepId;
+
+/// A question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NodeCall {
+    /// To the scheduler: where does a job stand?
+    State(JobId),
+    /// To the scheduler: how many jobs of this queue wait?
+    Pending(String),
+    /// To any daemon: which of these workers may run the step?
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers.
+        workers: Vec<WorkerId>,
+        /// How long the answer may take.
+        limit_ms: u64,
+    },
+}
+
+/// An answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum NodeReply {
+    /// Where the job stands; `None` is unknown here.
+    State(Option<JobState>),
+    /// How many wait.
+    Pending(u64),
+    /// Workers with their tickets; `None` is no answer from the advisor.
+    Advised(Option<Vec<(WorkerId, String)>>),
+    /// This daemon does not schedule.
+    NotScheduler,
+}
--- /dev/null
+++ b/crates/node/src/watch.rs
@@ -0,0 +1,276 @@
+//! Watches the duty and the manifest, and takes the duty over when it is free.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::NodeSettings;
+use crate::advisors::Advisors;
+use crate::clock::steady_ms;
+use crate::clock::unix_ms;
+use crate::commit::DUTY_KEY;
+use crate::commit::Held;
+use crate::commit::encode;
+use crate::duty::DutyRow;
+use crate::duty::DutyView;
+use crate::duty::Fitness;
+use crate::gateway::Gateway;
+use crate::gateway::Scheduler;
+use crate::health::StoreHealth;
+use crate::lead::Lead;
+use crate::lead::Query;
+use crate::manifest::Manifest;
+use crate::outside::Outside;
+use crate::outside::Row;
+use crate::outside::StoreError;
+use crate::outside::Table;
+use crate::outside::Transaction;
+
+/// How long a look at the duty's row waits for a change.
+const LOOK_WAIT_MS: u64 = 1_000;
+/// After a look that failed.
+const LOOK_PAUSE: Duration = Duration::from_millis(150);
+/// How long a question for a newer manifest waits.
+const MANIFEST_WAIT_MS: u64 = 1_000;
+/// After one that failed.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
+/// How often the scheduler reads which daemons there are.
+const DAEMONS_EVERY: Duration = Duration::from_millis(2_000);
+/// Questions to the scheduler that wait at one time.
+const QUERIES_MAX: usize = 1_024;
+
+/// Follows the duty for the whole life of a daemon.
+#[derive(Debug)]
+pub struct Watch<O> {
+    /// Who this daemon is.
+    pub settings: NodeSettings,
+    /// The outside world.
+    pub outside: Arc<O>,
+    /// Whether the store answers.
+    pub health: Arc<StoreHealth>,
+    /// Told who schedules.
+    pub gateway: Arc<Gateway<O>>,
+    /// Told which daemons there are.
+    pub advisors: Arc<Advisors<O>>,
+    /// Fires when the daemon stops.
+    pub stop: tokio::sync::watch::Receiver<bool>,
+    /// Told whether this daemon schedules.
+    pub leading: tokio::sync::watch::Sender<Option<mpsc::Sender<Query>>>,
+}
+
+impl<O: Outside> Watch<O> {
+    /// Watches, and schedules whenever the duty is won, until the daemon stops.
+    pub async fn run(self) {
+        let mut stop = self.stop.clone();
+        let incarnation = unix_ms();
+        self.announce().await;
+        let mut view = DutyView::new(steady_ms());
+        let mut after = None;
+        loop {
+            if *stop.borrow() {
+                return;
+            }
+            let looked = tokio::select! {
+                looked = self.look(&mut view, &mut after) => looked,
+                _ = stop.wait_for(|stop| *stop) => return,
+            };
+            if !looked || steady_ms() < view.claim_ms(&self.fitness()) {
+                continue;
+            }
+            let Some(held) = self.claim(&view, incarnation).await else { continue };
+            self.lead(held).await;
+            view = DutyView::new(steady_ms());
+            after = None;
+        }
+    }
+
+    fn fitness(&self) -> Fitness {
+        Fitness {
+            name: self.settings.name.clone(),
+            cores: self.settings.cores,
+            store_answer_ms: self.health.answer_ms(),
+        }
+    }
+
+    /// Tells other daemons where this one is, so that the scheduler can ask
+    /// the advisor through it.
+    async fn announce(&self) {
+        let value = self.settings.address.clone().into_bytes();
+        let put = vec![(Table::Daemons, self.settings.name.clone(), value)];
+        let transaction = Transaction { put, ..Transaction::default() };
+        for _ in 0..20 {
+            let sent = Instant::now();
+            match self.outside.transact(&transaction).await {
+                Ok(_) => {
+                    self.health.note_answer(sent.elapsed().as_millis() as u64);
+                    return;
+                }
+                Err(error) => tracing::warn!(%error, "this daemon cannot be announced yet"),
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Looks at the duty's row once, waiting for a change as long as no claim is due.
+    async fn look(&self, view: &mut DutyView, after: &mut Option<u64>) -> bool {
+        let result = match *after {
+            None => self.read_duty(after).await,
+            Some(version) => self.follow_duty(version, view, after).await,
+        };
+        match result {
+            Ok(None) => true,
+            Ok(Some(row)) => {
+                view.saw(row, steady_ms());
+                self.tell_gateway(view);
+                true
+            }
+            Err(StoreError::HistoryLost) => {
+                *after = None;
+                false
+            }
+            Err(error) => {
+                tracing::debug!(%error, "the duty cannot be looked at");
+                tokio::time::sleep(LOOK_PAUSE).await;
+                false
+            }
+        }
+    }
+
+    async fn read_duty(&self, after: &mut Option<u64>) -> Result<Option<Option<(DutyRow, u64)>>, StoreError> {
+        let rows = self.outside.read_all(Table::Duty).await?;
+        *after = Some(rows.version);
+        Ok(Some(rows.rows.iter().find_map(duty_row)))
+    }
+
+    async fn follow_duty(
+        &self,
+        version: u64,
+        view: &DutyView,
+        after: &mut Option<u64>,
+    ) -> Result<Option<Option<(DutyRow, u64)>>, StoreError> {
+        let due_ms = view.claim_ms(&self.fitness()).saturating_sub(steady_ms());
+        let wait_ms = due_ms.min(LOOK_WAIT_MS);
+        let rows = self.outside.follow(Table::Duty, version, wait_ms).await?;
+        *after = Some(rows.version);
+        let newest = rows.rows.iter().rev().find(|row| row.key == DUTY_KEY);
+        Ok(newest.map(duty_row))
+    }
+
+    fn tell_gateway(&self, view: &DutyView) {
+        let scheduler = match &view.row {
+            Some((row, _)) if !row.released => Scheduler::At(row.address.clone()),
+            _ => Scheduler::None,
+        };
+        self.gateway.set_scheduler(scheduler);
+    }
+
+    async fn claim(&self, view: &DutyView, incarnation: u64) -> Option<Held> {
+        let (version, epoch) = view.next_epoch();
+        let row = DutyRow {
+            holder: self.settings.name.clone(),
+            incarnation,
+            address: self.settings.address.clone(),
+            epoch,
+            beat: 0,
+            released: false,
+        };
+        let transaction = Transaction {
+            expect: vec![(Table::Duty, DUTY_KEY.to_owned(), version)],
+            put: vec![(Table::Duty, DUTY_KEY.to_owned(), encode(&row))],
+            remove: Vec::new(),
+        };
+        match self.outside.transact(&transaction).await {
+            Ok(version) => {
+                let before = view.row.as_ref().map(|(row, _)| row.holder.as_str());
+                let silent_ms = steady_ms().saturating_sub(view.changed_ms);
+                tracing::info!(epoch, before, silent_ms, "duty taken over");
+                Some(Held { row, version })
+            }
+            Err(error) => {
+                // Without an answer the claim may still succeed; the next look tells.
+                tracing::info!(epoch, %error, "duty not taken over");
+                None
+            }
+        }
+    }
+
+    async fn lead(&self, held: Held) {
+        let epoch = held.row.epoch;
+        let (queries, inbox) = mpsc::channel(QUERIES_MAX);
+        self.gateway.set_scheduler(Scheduler::Here(queries.clone()));
+        self.leading.send_replace(Some(queries));
+        let lead = Lead {
+            outside: Arc::clone(&self.outside),
+            held,
+            limits: self.settings.limits,
+            health: Arc::clone(&self.health),
+            advisors: Arc::clone(&self.advisors),
+            queries: inbox,
+            stop: self.stop.clone(),
+        };
+        tokio::select! {
+            () = lead.run() => {}
+            () = self.know_daemons() => {}
+        }
+        self.leading.send_replace(None);
+        self.gateway.set_scheduler(Scheduler::None);
+        tracing::info!(epoch, "duty ended");
+    }
+
+    async fn know_daemons(&self) {
+        loop {
+            match self.outside.read_all(Table::Daemons).await {
+                Ok(rows) => self.advisors.know(&rows.rows),
+                Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
+            }
+            tokio::time::sleep(DAEMONS_EVERY).await;
+        }
+    }
+}
+
+fn duty_row(row: &Row) -> Option<(DutyRow, u64)> {
+    let value = row.value.as_ref().filter(|_| row.key == DUTY_KEY)?;
+    match serde_json::from_slice(value) {
+        Ok(duty) => Some((duty, row.version)),
+        Err(error) => {
+            tracing::warn!(%error, "the duty's row cannot be read");
+            None
+        }
+    }
+}
+
+/// Keeps the newest manifest; an older version never takes its place, also
+/// when a store that lags behind answers with one.
+pub async fn follow_manifest<O: Outside>(
+    outside: Arc<O>,
+    health: Arc<StoreHealth>,
+    newest: tokio::sync::watch::Sender<Arc<Manifest>>,
+) {
+    let mut after = None;
+    loop {
+        let result = match after {
+            None => outside.manifest().await,
+            Some(version) => outside.follow_manifest(version, MANIFEST_WAIT_MS).await,
+        };
+        health.note(&result);
+        match result {
+            Ok((manifest, version)) => {
+                after = Some(version);
+                let Some(manifest) = manifest else { continue };
+                if manifest.version <= newest.borrow().version {
+                    continue;
+                }
+                let (version, queues) = (manifest.version, manifest.queues.len());
+                tracing::info!(version, queues, "manifest in force");
+                newest.send_replace(Arc::new(manifest));
+            }
+            Err(StoreError::HistoryLost) => after = None,
+            Err(error) => {
+                tracing::debug!(%error, "the manifest cannot be followed");
+                tokio::time::sleep(MANIFEST_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use stoatwell_engine::PeerCall;
-use stoatwell_engine::PeerReply;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tarpc::client::Config;
 use tarpc::client::RpcError;
 use tarpc::context;
@@ -69,12 +69,13 @@
     }
 
     /// Calls the daemon at this IP and port.
-    pub async fn call(
+    pub async fn call<R: DeserializeOwned>(
         &self,
         address: &str,
-        call: PeerCall,
+        call: &impl Serialize,
         limit: Duration,
-    ) -> Result<PeerReply, PeerError> {
+    ) -> Result<R, PeerError> {
+        let call = bincode::serialize(call).map_err(|error| PeerError::NotSent(error.to_string()))?;
         let slot = self.slot(address);
         let connected = timeout(limit, self.connect(address, &slot)).await;
         let (client, generation) = match connected {
@@ -85,7 +86,9 @@
         let mut context = context::current();
         context.deadline = Instant::now() + limit;
         match client.call(context, call).await {
-            Ok(reply) => Ok(reply),
+            Ok(reply) => {
+                bincode::deserialize(&reply).map_err(|error| PeerError::NoAnswer(error.to_string()))
+            }
             Err(error) => {
                 let mut connection = slot.state.lock().await;
                 if connection.generation == generation {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -1,7 +1,7 @@
 //! Calls between daemons.
 //!
-//! One `tarpc` method carries every [`PeerCall`], so that the engine alone
-//! knows what they mean. Before the first call both sides prove that they know
+//! One `tarpc` method carries every call, so that only those who decide know
+//! what they mean. Before the first call both sides prove that they know
 //! the cell's key ([`handshake`]); a stranger's connection is closed. Frames
 //! are length-delimited `bincode`.
 
@@ -10,8 +10,6 @@
 pub mod server;
 mod traffic;
 
-use stoatwell_engine::PeerCall;
-use stoatwell_engine::PeerReply;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::tokio_util::codec::length_delimited::Builder;
 
@@ -24,14 +22,11 @@
 const FRAME_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 mod service {
-    use super::PeerCall;
-    use super::PeerReply;
-
     /// The one service between daemons.
     #[tarpc::service]
     pub trait PeerService {
-        /// Carries any call.
-        async fn call(call: PeerCall) -> PeerReply;
+        /// Carries any call and its answer, encoded by the caller's crate.
+        async fn call(call: Vec<u8>) -> Vec<u8>;
     }
 }
 
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -1,11 +1,12 @@
 //! The listening side.
 
 use std::io;
+use std::marker::PhantomData;
 use std::time::Duration;
 
 use futures::StreamExt;
-use stoatwell_engine::PeerCall;
-use stoatwell_engine::PeerReply;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::server::BaseChannel;
@@ -24,15 +25,17 @@
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answers calls until the task is ended.
-pub async fn serve<F, R>(
+pub async fn serve<C, R, F, A>(
     listener: TcpListener,
     key: String,
     traffic: Traffic,
     handler: F,
 ) -> io::Result<()>
 where
-    F: Fn(PeerCall) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = PeerReply> + Send + 'static,
+    C: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+    F: Fn(C) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = R> + Send + 'static,
 {
     loop {
         let (stream, from) = listener.accept().await?;
@@ -47,15 +50,17 @@
     }
 }
 
-async fn serve_one<F, R>(
+async fn serve_one<C, R, F, A>(
     stream: TcpStream,
     key: &str,
     traffic: &Traffic,
     handler: F,
 ) -> io::Result<()>
 where
-    F: Fn(PeerCall) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = PeerReply> + Send + 'static,
+    C: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+    F: Fn(C) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = R> + Send + 'static,
 {
     stream.set_nodelay(true)?;
     let mut stream = traffic.count(stream);
@@ -64,7 +69,7 @@
         .map_err(|elapsed| io::Error::new(io::ErrorKind::TimedOut, elapsed))??;
     let framed = codec().new_framed(stream);
     let transport = serde_transport::new(framed, Bincode::default());
-    let requests = BaseChannel::with_defaults(transport).execute(Handler(handler).serve());
+    let requests = BaseChannel::with_defaults(transport).execute(Handler { answer: handler, call: PhantomData }.serve());
     requests
         .for_each(|request| async move {
             tokio::spawn(request);
@@ -73,15 +78,37 @@
     Ok(())
 }
 
-#[derive(Clone)]
-struct Handler<F>(F);
+struct Handler<C, F> {
+    answer: F,
+    call: PhantomData<fn(C)>,
+}
+
+impl<C, F: Clone> Clone for Handler<C, F> {
+    fn clone(&self) -> Self {
+        Self { answer: self.answer.clone(), call: PhantomData }
+    }
+}
 
-impl<F, R> PeerService for Handler<F>
+impl<C, R, F, A> PeerService for Handler<C, F>
 where
-    F: Fn(PeerCall) -> R + Clone + Send + Sync + 'static,
-    R: Future<Output = PeerReply> + Send + 'static,
+    C: DeserializeOwned + 'static,
+    R: Serialize + 'static,
+    F: Fn(C) -> A + Clone + Send + Sync + 'static,
+    A: Future<Output = R> + Send + 'static,
 {
-    async fn call(self, _context: Context, call: PeerCall) -> PeerReply {
-        (self.0)(call).await
+    /// Answers with nothing to what cannot be read; the caller takes that for no answer.
+    async fn call(self, _context: Context, call: Vec<u8>) -> Vec<u8> {
+        let call = match bincode::deserialize(&call) {
+            Ok(call) => call,
+            Err(error) => {
+                tracing::warn!(%error, "a peer's call cannot be read");
+                return Vec::new();
+            }
+        };
+        let reply = (self.answer)(call).await;
+        bincode::serialize(&reply).unwrap_or_else(|error| {
+            tracing::error!(%error, "an answer to a peer cannot be written");
+            Vec::new()
+        })
     }
 }
--- a/crates/peer/tests/connections.rs
+++ b/crates/peer/tests/connections.rs
@@ -21,7 +21,7 @@
 async fn listen() -> String {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address").to_string();
-    let handler = |_call| async { PeerReply::Noted };
+    let handler = |_call: PeerCall| async { PeerReply::Noted };
     tokio::spawn(stoatwell_peer::serve(listener, KEY.to_owned(), Traffic::default(), handler));
     address
 }
@@ -36,9 +36,9 @@
 async fn stranger_without_the_key_is_refused() {
     let address = listen().await;
     let friend = Peers::new(KEY, Traffic::default());
-    assert_eq!(friend.call(&address, hint(), LONG).await, Ok(PeerReply::Noted));
+    assert_eq!(friend.call(&address, &hint(), LONG).await, Ok(PeerReply::Noted));
     let stranger = Peers::new("another key of sixteen", Traffic::default());
-    let refused = stranger.call(&address, hint(), LONG).await;
+    let refused = stranger.call::<PeerReply>(&address, &hint(), LONG).await;
     assert!(matches!(refused, Err(PeerError::NotSent(_))), "{refused:?}");
 }
 
@@ -95,9 +95,9 @@
         }
     });
     let peers = Peers::new(KEY, Traffic::default());
-    let silent = peers.call(&address, hint(), Duration::from_millis(300)).await;
+    let silent = peers.call::<PeerReply>(&address, &hint(), Duration::from_millis(300)).await;
     assert!(matches!(silent, Err(PeerError::NoAnswer(_))), "{silent:?}");
-    assert_eq!(peers.call(&address, hint(), LONG).await, Ok(PeerReply::Noted));
+    assert_eq!(peers.call(&address, &hint(), LONG).await, Ok(PeerReply::Noted));
     assert_eq!(connections.load(Ordering::SeqCst), 2);
 }
 
@@ -109,6 +109,6 @@
     let address = listener.local_addr().expect("an address").to_string();
     drop(listener);
     let peers = Peers::new(KEY, Traffic::default());
-    let result = peers.call(&address, hint(), LONG).await;
+    let result = peers.call::<PeerReply>(&address, &hint(), LONG).await;
     assert!(matches!(result, Err(PeerError::NotSent(_))), "{result:?}");
 }
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,17 +1,7 @@
 //! The platform over HTTP.
-//!
-//! Each address has a client of its own. A connection can go silent for good
-//! while new ones work, because something between the two ends lost track of
-//! it; one notices only that answers stop. So after a call without an answer
-//! the whole client of that address is dropped with all its connections, and
-//! the next call dials anew.
-
-use std::collections::HashMap;
-use std::sync::Mutex;
-use std::sync::PoisonError;
+
 use std::time::Duration;
 
-use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::StatusCode;
 use serde::de::DeserializeOwned;
@@ -27,6 +17,7 @@
 use crate::call::StoreReply;
 use crate::call::WorkerCall;
 use crate::call::WorkerReply;
+use crate::clients::Clients;
 
 /// Header that names a request to a minion, on the way there and back.
 pub const ATTEMPT_HEADER: &str = "x-attempt-id";
@@ -35,10 +26,6 @@
 /// Header by which a minion marks an answer that is not an ordinary one.
 pub const REPLY_HEADER: &str = "x-reply";
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
-const IDLE_CONNECTIONS_MAX: usize = 8;
-
 /// Time limits of calls to the platform.
 #[derive(Clone, Copy, Debug)]
 pub struct CallTimeouts {
@@ -53,39 +40,19 @@
 pub struct HttpPlatform {
     store_address: String,
     timeouts: CallTimeouts,
-    clients: Mutex<HashMap<String, Client>>,
+    clients: Clients,
 }
 
 impl HttpPlatform {
     /// A client that finds the store at this IP and port.
     pub fn new(store_address: impl Into<String>, timeouts: CallTimeouts) -> Self {
-        Self { store_address: store_address.into(), timeouts, clients: Mutex::default() }
-    }
-
-    fn client(&self, address: &str) -> Result<Client, CallError> {
-        let mut clients = self.clients.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(client) = clients.get(address) {
-            return Ok(client.clone());
-        }
-        let client = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_max_idle_per_host(IDLE_CONNECTIONS_MAX)
-            .no_proxy()
-            .build()
-            .map_err(|error| CallError::NotSent(error.to_string()))?;
-        clients.insert(address.to_owned(), client.clone());
-        Ok(client)
-    }
-
-    fn forget(&self, address: &str) {
-        self.clients.lock().unwrap_or_else(PoisonError::into_inner).remove(address);
+        Self { store_address: store_address.into(), timeouts, clients: Clients::default() }
     }
 
     async fn send(&self, address: &str, request: RequestBuilder) -> Result<Answer, CallError> {
         let result = receive(request).await;
         if let Err(CallError::NoAnswer(_)) = &result {
-            self.forget(address);
+            self.clients.forget(address);
         }
         result
     }
@@ -98,7 +65,9 @@
         timeout_ms: u64,
     ) -> Result<T, CallError> {
         let request = self
-            .client(address)?
+            .clients
+            .get(address)
+            .map_err(|error| CallError::NotSent(error.to_string()))?
             .post(format!("http://{address}{path}"))
             .timeout(Duration::from_millis(timeout_ms))
             .json(body);
@@ -115,7 +84,9 @@
         body: String,
     ) -> Result<MinionReply, CallError> {
         let request = self
-            .client(address)?
+            .clients
+            .get(address)
+            .map_err(|error| CallError::NotSent(error.to_string()))?
             .post(format!("http://{address}{path}"))
             .timeout(Duration::from_millis(deadline_ms))
             .header(ATTEMPT_HEADER, attempt.to_string())
@@ -125,7 +96,7 @@
         // An answer that names another request came late or crossed; handing
         // it on would give a caller somebody else's answer.
         if answer.attempt.as_deref() != Some(attempt.to_string().as_str()) {
-            self.forget(address);
+            self.clients.forget(address);
             return Err(CallError::NoAnswer("the answer names another request".to_owned()));
         }
         Ok(match answer.reply.as_deref() {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! protocol is known here and in the stand-in and nowhere else.
 
 pub mod call;
+mod clients;
 pub mod http;
 
 pub use call::CallError;
@@ -21,6 +22,7 @@
 pub use call::Transaction;
 pub use call::WorkerCall;
 pub use call::WorkerReply;
+pub use clients::Clients;
 pub use http::HttpPlatform;
 
 use stoatwell_model::MinionId;
--- /dev/null
+++ b/crates/pool/src/advise.rs
@@ -0,0 +1,119 @@
+//! Asking the advisor which workers may run a step.
+//!
+//! What it grants does not change, only the ticket ages. So a step asks once
+//! about enough workers and keeps the set; just before a start it asks again
+//! for the few workers that were chosen and whose ticket is old. Their room is
+//! kept meanwhile.
+
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::event::Effect;
+use crate::event::Grant;
+use crate::id::StepId;
+use crate::id::TaskId;
+use crate::job::Phase;
+use crate::job::Ticket;
+
+/// A ticket counts as old this long before it expires: a start is made durable
+/// and sent in between.
+const TICKET_MARGIN_MS: u64 = 250;
+/// What a question may cost beyond the advisor's own time for it.
+const EACH_BUDGET_MS: f64 = 200.0;
+/// Fewest workers asked about at once, however long each takes.
+const ASKED_MIN: usize = 8;
+/// After a question without answer the next one waits this long.
+const ADVICE_PAUSE_MS: u64 = 150;
+
+impl Pool {
+    /// How many workers one question about a step names.
+    pub(crate) fn asked_max(&self, each_ms: f64) -> usize {
+        let affordable = if each_ms > 0.0 { (EACH_BUDGET_MS / each_ms) as usize } else { usize::MAX };
+        affordable.clamp(ASKED_MIN, self.limits.advice_workers_max)
+    }
+
+    /// Asks the advisor about these workers.
+    pub(crate) fn ask(&mut self, step: StepId, workers: Vec<WorkerId>) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(unit) = job.unit_of(step) else { return };
+        job.units[unit].advice.since_ms = Some(now_ms);
+        self.effects.push(Effect::Advise { step, workers });
+    }
+
+    pub(crate) fn on_advised(
+        &mut self,
+        step: StepId,
+        asked: &[WorkerId],
+        granted: Option<Vec<Grant>>,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let valid_ms = job.spec.queue.advice.map_or(0, |advice| advice.valid_ms);
+        let Some(unit) = job.unit_of(step) else { return };
+        let advice = &mut job.units[unit].advice;
+        advice.since_ms = None;
+        match granted {
+            None => advice.pause_until_ms = now_ms + ADVICE_PAUSE_MS,
+            Some(granted) => {
+                tracing::debug!(%step, asked = asked.len(), granted = granted.len(), "advice came");
+                advice.asked.extend(asked.iter().cloned());
+                for grant in granted {
+                    let Some(worker) = self.workers.get(&grant.worker) else { continue };
+                    let expires_ms = now_ms + valid_ms;
+                    let life = worker.news.life;
+                    let ticket = Ticket { text: grant.ticket, life, expires_ms };
+                    advice.granted.insert(grant.worker, ticket);
+                }
+            }
+        }
+        self.start_reserved(step);
+        self.place_due = true;
+    }
+
+    /// Starts the tasks that waited for tickets, or frees their room.
+    fn start_reserved(&mut self, step: StepId) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(unit) = job.unit_of(step) else { return };
+        let gang = job.step(unit).gang;
+        let mut ready = Vec::new();
+        let mut denied = Vec::new();
+        for (index, task) in job.units[unit].tasks.iter().enumerate() {
+            if task.phase != Phase::Reserved {
+                continue;
+            }
+            let id = TaskId { step, index: index as u32 };
+            let fresh = task.worker.as_ref().is_some_and(|name| {
+                self.has_fresh_ticket(step, name)
+                    && self.workers.get(name).is_some_and(|worker| worker.is_open(self.now_ms))
+            });
+            if fresh { ready.push(id) } else { denied.push(id) }
+        }
+        if gang && !denied.is_empty() {
+            denied.append(&mut ready);
+        }
+        for id in denied {
+            self.release(id);
+            self.requeue(id);
+        }
+        self.record_starts(step, &ready);
+    }
+
+    /// Whether a start on this worker could show a ticket that is good.
+    pub(crate) fn has_fresh_ticket(&self, step: StepId, name: &WorkerId) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let Some(unit) = job.unit_of(step) else { return false };
+        let Some(ticket) = job.units[unit].advice.granted.get(name) else { return false };
+        let life = self.workers.get(name).map(|worker| worker.news.life);
+        life == Some(ticket.life) && ticket.expires_ms > self.now_ms + TICKET_MARGIN_MS
+    }
+
+    /// A worker refused a ticket; the next start asks for a new one.
+    pub(crate) fn drop_ticket(&mut self, id: TaskId, name: &WorkerId) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        if let Some(ticket) = job.units[unit].advice.granted.get_mut(name) {
+            ticket.expires_ms = 0;
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/commit.rs
@@ -0,0 +1,126 @@
+//! Group commit: one batch of rows is under way at a time, and what depends on
+//! a row happens after the batch that holds it.
+//!
+//! With some ten milliseconds for a write and hundreds of starts and ends a
+//! second, a write for each of them would pass what one part of the store
+//! takes; batches need some tens of writes a second whatever the load.
+
+use std::collections::BTreeMap;
+
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::event::Effect;
+use crate::id::JobId;
+use crate::id::TaskId;
+
+/// Rows in one transaction; the store takes 100 entries, one is the scheduler's own.
+const ROWS_PER_BATCH: usize = 95;
+
+/// What has to be written, and what follows from it.
+#[derive(Debug, Default)]
+pub(crate) struct Commits {
+    next: u64,
+    dirty: BTreeMap<JobId, Vec<After>>,
+    removes: Vec<JobId>,
+    under_way: Option<(u64, Vec<After>)>,
+}
+
+/// What happens once a row is durable.
+#[derive(Clone, Debug)]
+pub(crate) enum After {
+    /// A start is sent.
+    Start {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+    },
+    /// A worker may forget an end.
+    Forget {
+        /// The worker.
+        worker: WorkerId,
+        /// The life that listed it.
+        life: u64,
+        /// The end.
+        number: u64,
+    },
+    /// Callers are told the outcome.
+    Settle(JobId),
+}
+
+impl Commits {
+    /// Asks for a job's row to be written.
+    pub fn note(&mut self, job: JobId, after: After) {
+        self.dirty.entry(job).or_default().push(after);
+    }
+
+    /// Asks for a job's row with its outcome to be written.
+    pub fn settle(&mut self, job: JobId) {
+        self.note(job, After::Settle(job));
+    }
+
+    /// Asks for a job's rows to be removed.
+    pub fn remove(&mut self, job: JobId) {
+        self.removes.push(job);
+    }
+
+    /// Whether a batch is under way or waits.
+    pub fn is_busy(&self) -> bool {
+        self.under_way.is_some() || !self.dirty.is_empty()
+    }
+}
+
+impl Pool {
+    /// Sends the next batch, if there is one and none is under way.
+    pub(crate) fn commit(&mut self) {
+        let commits = &mut self.commits;
+        if commits.under_way.is_some() || (commits.dirty.is_empty() && commits.removes.is_empty()) {
+            return;
+        }
+        let mut puts = Vec::new();
+        let mut afters = Vec::new();
+        while puts.len() < ROWS_PER_BATCH {
+            let Some((id, after)) = commits.dirty.pop_first() else { break };
+            afters.extend(after);
+            let Some(job) = self.jobs.get(&id) else { continue };
+            puts.push((id, job.progress()));
+        }
+        let room = (ROWS_PER_BATCH - puts.len()) / 3;
+        let removes = commits.removes.split_off(commits.removes.len().saturating_sub(room));
+        commits.next += 1;
+        commits.under_way = Some((commits.next, afters));
+        self.effects.push(Effect::Commit { batch: commits.next, puts, removes });
+    }
+
+    pub(crate) fn on_committed(&mut self, batch: u64) {
+        let Some((number, afters)) = self.commits.under_way.take() else { return };
+        if number != batch {
+            self.commits.under_way = Some((number, afters));
+            return;
+        }
+        for after in afters {
+            match after {
+                After::Start { task, run } => self.send_start(task, run),
+                After::Forget { worker, life, number } => {
+                    let Some(worker) = self.workers.get_mut(&worker) else { continue };
+                    if worker.news.life != life {
+                        continue;
+                    }
+                    worker.not_durable.remove(&number);
+                    worker.next_hold_ms = self.now_ms;
+                }
+                After::Settle(job) => self.on_settled(job),
+            }
+        }
+    }
+
+    fn on_settled(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.settled = job.outcome.is_some();
+        let Some(outcome) = job.outcome else { return };
+        let took_ms = self.unix_ms.saturating_sub(job.spec.accepted_unix_ms);
+        let allowed_ms = job.spec.allowed_ms();
+        tracing::info!(job = %id, queue = job.spec.queue.name, %outcome, took_ms, allowed_ms, "job settled");
+    }
+}
--- /dev/null
+++ b/crates/pool/src/event.rs
@@ -0,0 +1,298 @@
+//! What the pool is told, and what it asks to have done.
+
+use std::sync::Arc;
+
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
+
+use crate::id::JobId;
+use crate::id::StepId;
+use crate::id::TaskId;
+use crate::record::Progress;
+use crate::spec::JobSpec;
+
+/// News for the pool.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A job is durably accepted.
+    Accepted {
+        /// The job.
+        job: JobId,
+        /// What was submitted.
+        spec: Arc<JobSpec>,
+    },
+    /// A cancellation is durable.
+    Cancelled {
+        /// The job.
+        job: JobId,
+    },
+    /// A worker is listed, for the first time or with new facts.
+    Listed(WorkerNews),
+    /// A worker is listed no longer.
+    Unlisted {
+        /// The worker.
+        worker: WorkerId,
+    },
+    /// A hold was answered, or not.
+    Held {
+        /// The worker.
+        worker: WorkerId,
+        /// When the call was sent.
+        sent_ms: u64,
+        /// What came back.
+        reply: Result<HoldReply, CallError>,
+    },
+    /// A start was answered, or not.
+    Started {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// What came back.
+        reply: Result<StartReply, CallError>,
+    },
+    /// A stop was answered, or not.
+    Stopped {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// What came back.
+        reply: Result<(), CallError>,
+    },
+    /// The advisor answered; `None` is no answer or a refusal.
+    Advised {
+        /// The step.
+        step: StepId,
+        /// The workers asked about.
+        asked: Vec<WorkerId>,
+        /// Those that may run it.
+        granted: Option<Vec<Grant>>,
+    },
+    /// The batch of this number is durable.
+    Committed {
+        /// The batch.
+        batch: u64,
+    },
+}
+
+/// What a worker's entry in the list says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerNews {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its IP and port.
+    pub address: String,
+    /// The service that it belongs to.
+    pub service: String,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// What it holds.
+    pub capacity: Resources,
+    /// Its kind and its rack.
+    pub labels: Vec<String>,
+    /// Whether it leaves soon.
+    pub draining: bool,
+    /// The least time that a leaving worker still has.
+    pub remaining_ms: Option<u64>,
+    /// Which start of the worker this is; rises with each.
+    pub life: u64,
+}
+
+/// A worker's own account of what it runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HoldReply {
+    /// The worker's clock.
+    pub clock_ms: u64,
+    /// Which start of the worker answers.
+    pub life: u64,
+    /// What runs.
+    pub active: Vec<Active>,
+    /// What ended and may not be forgotten yet, in the order of the numbers.
+    pub ended: Vec<Ended>,
+}
+
+/// A run at work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Active {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u32,
+    /// The newest checkpoint; empty is none.
+    pub checkpoint: String,
+    /// How much of it is done.
+    pub percent: u32,
+}
+
+/// A run that ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Its number in the worker's list, from 1 in each life.
+    pub number: u64,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u32,
+    /// How it ended.
+    pub end: End,
+    /// The newest checkpoint; empty is none.
+    pub checkpoint: String,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum End {
+    /// done
+    Done,
+    /// failed
+    Failed,
+    /// stopped
+    Stopped,
+    /// lease lapsed
+    Lapsed,
+    /// another member of the gang ended
+    Broken,
+    /// the other members of the gang did not come
+    Alone,
+}
+
+/// What a worker says to a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum StartReply {
+    /// started
+    Started,
+    /// not started: a higher token was seen
+    Superseded,
+    /// not started: a run not lower than this one has ended here
+    OldRun,
+    /// not started: the order came too late
+    TooLate,
+    /// not started: no room
+    NoRoom,
+    /// not started: the ticket is no longer good
+    BadTicket,
+    /// not started: the worker is unwell
+    Unwell,
+    /// not started: the worker does not accept the order
+    Rejected,
+}
+
+/// A call that brought no answer of use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum CallError {
+    /// nothing listens at the address
+    Refused,
+    /// nothing was sent
+    NotSent,
+    /// no answer came, so it may have been carried out
+    NoAnswer,
+    /// another life of the worker, or another worker, answers at the address
+    OtherLife,
+    /// a higher token was seen
+    Superseded,
+    /// the worker is unwell and has done nothing
+    Unwell,
+}
+
+/// A worker that may run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// The worker.
+    pub worker: WorkerId,
+    /// What a start has to show.
+    pub ticket: String,
+}
+
+/// Something to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// Ask a worker for its lists, and extend its lease.
+    Hold(HoldCall),
+    /// Start a run.
+    Start(StartCall),
+    /// Stop a run.
+    Stop(StopCall),
+    /// Ask the advisor which workers may run a step.
+    Advise {
+        /// The step.
+        step: StepId,
+        /// The workers asked about.
+        workers: Vec<WorkerId>,
+    },
+    /// Make rows durable, under the condition that this daemon still schedules.
+    Commit {
+        /// The number of the batch.
+        batch: u64,
+        /// New progress.
+        puts: Vec<(JobId, Progress)>,
+        /// Jobs whose rows may go.
+        removes: Vec<JobId>,
+    },
+    /// Another daemon schedules this pool now.
+    StepDown,
+}
+
+/// Where a call goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Callee {
+    /// The worker.
+    pub worker: WorkerId,
+    /// Its IP and port.
+    pub address: String,
+    /// The fencing token.
+    pub token: u64,
+}
+
+/// A question for a worker's lists.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HoldCall {
+    /// Where it goes.
+    pub to: Callee,
+    /// Until when everything there may run, by the worker's clock.
+    pub until_ms: Option<u64>,
+    /// Ends up to this number may be forgotten.
+    pub forget: u64,
+    /// How long the answer may wait for an end.
+    pub wait_ms: u64,
+}
+
+/// An order to start a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StartCall {
+    /// Where it goes.
+    pub to: Callee,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u32,
+    /// The payload of its job.
+    pub spec: Arc<JobSpecText>,
+    /// Until when everything there may run, by the worker's clock; the order is void after it.
+    pub until_ms: u64,
+    /// The checkpoint to go on from; empty is none.
+    pub checkpoint: String,
+    /// The advisor's ticket, where one is needed.
+    pub ticket: Option<String>,
+    /// When the order was made; one that is sent much later must not be sent.
+    pub made_ms: u64,
+}
+
+/// The payload of a job, shared by its starts.
+pub type JobSpecText = str;
+
+/// An order to stop a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StopCall {
+    /// Where it goes.
+    pub to: Callee,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u32,
+}
--- /dev/null
+++ b/crates/pool/src/holds.rs
@@ -0,0 +1,342 @@
+//! Workers: who is listed, who is held, and what their lists tell.
+//!
+//! A waiting hold is kept at every worker. It extends the lease on everything
+//! there, tells at once when a run ends, and shows by its silence that the
+//! worker or the way to it is gone.
+
+use std::collections::HashMap;
+
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::commit::After;
+use crate::event::CallError;
+use crate::event::Effect;
+use crate::event::HoldCall;
+use crate::event::HoldReply;
+use crate::event::StopCall;
+use crate::event::WorkerNews;
+use crate::id::TaskId;
+use crate::job::Phase;
+use crate::job::Task;
+use crate::runs::callee;
+use crate::worker::Worker;
+
+/// How long a hold waits for an end: long enough that idle workers cost about
+/// one call a second, short enough that two fit into the age at which a worker
+/// counts as silent.
+const HOLD_WAIT_MS: u64 = 1_000;
+/// After a hold without answer the next one waits this long.
+const HOLD_PAUSE_MS: u64 = 200;
+/// A hold whose answer never comes is given up by the caller well before this.
+const HOLD_LOST_MS: u64 = 4_000;
+/// How much longer than its longest lease a worker that was never reached may
+/// have been kept by the scheduler before this one: its own time to notice.
+const EARLIER_SCHEDULER_MS: u64 = 3_000;
+
+impl Pool {
+    pub(crate) fn on_listed(&mut self, news: WorkerNews) {
+        let lapse_ms = self.limits.lease_max_ms * 1_025 / 1_000 + EARLIER_SCHEDULER_MS;
+        let earlier_lapse_ms = self.started_ms + lapse_ms;
+        let name = news.worker.clone();
+        let Some(worker) = self.workers.get_mut(&name) else {
+            tracing::info!(worker = %name, address = news.address, "worker listed");
+            self.workers.insert(name, Worker::new(news, earlier_lapse_ms));
+            return;
+        };
+        if news.life < worker.news.life {
+            return;
+        }
+        if news.life > worker.news.life {
+            let life = news.life;
+            worker.news = WorkerNews { life: worker.news.life, ..news };
+            self.begin_life(&name, life);
+            return;
+        }
+        if news.draining && !worker.news.draining {
+            tracing::info!(worker = %name, remaining_ms = news.remaining_ms, "worker drains");
+        }
+        if !worker.listed {
+            tracing::info!(worker = %name, "worker listed again");
+        }
+        worker.listed = true;
+        worker.news = news;
+        self.place_due = true;
+    }
+
+    pub(crate) fn on_unlisted(&mut self, name: &WorkerId) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.listed = false;
+        tracing::info!(worker = %name, tasks = worker.tasks.len(), "worker no longer listed");
+    }
+
+    /// A worker started anew: nothing of before runs on it.
+    fn begin_life(&mut self, name: &WorkerId, life: u64) {
+        tracing::warn!(worker = %name, life, "worker began a new life");
+        self.lose_tasks(name);
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.begin_life(life, self.now_ms);
+        }
+    }
+
+    /// A worker is gone for good, with all that ran on it.
+    pub(crate) fn lose_worker(&mut self, name: &WorkerId, why: &str) {
+        tracing::warn!(worker = %name, why, "worker lost");
+        self.lose_tasks(name);
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.held = false;
+        worker.clock = None;
+        worker.until_max = 0;
+        worker.earlier_lapse_ms = 0;
+        worker.strangers.clear();
+        worker.next_hold_ms = self.now_ms + HOLD_PAUSE_MS;
+        worker.add_up();
+        if !worker.listed {
+            self.workers.remove(name);
+        }
+    }
+
+    /// Takes all tasks away from a worker on which nothing runs any more.
+    fn lose_tasks(&mut self, name: &WorkerId) {
+        let Some(worker) = self.workers.get(name) else { return };
+        let mut tasks: Vec<TaskId> = worker.tasks.keys().copied().collect();
+        tasks.sort_unstable();
+        for id in tasks {
+            tracing::warn!(task = %id, worker = %name, "run lost with its worker");
+            self.lose_run(id);
+        }
+    }
+
+    /// A run is known to be nowhere.
+    fn lose_run(&mut self, id: TaskId) {
+        self.release(id);
+        self.break_gang(id);
+        self.requeue(id);
+    }
+
+    pub(crate) fn on_held(
+        &mut self,
+        name: &WorkerId,
+        sent_ms: u64,
+        reply: Result<HoldReply, CallError>,
+    ) {
+        let now_ms = self.now_ms;
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if worker.hold_sent_ms == Some(sent_ms) {
+            worker.hold_sent_ms = None;
+        }
+        let reply = match reply {
+            Ok(reply) => reply,
+            Err(error) => {
+                worker.next_hold_ms = now_ms + HOLD_PAUSE_MS;
+                self.on_hold_failed(name, error);
+                return;
+            }
+        };
+        // An answer to an earlier life's token says nothing of the present one.
+        if reply.life < worker.news.life || sent_ms <= worker.life_began_ms {
+            return;
+        }
+        if reply.life > worker.news.life {
+            self.begin_life(name, reply.life);
+            // The answer was given to a token that counts for the old life.
+            return;
+        }
+        worker.answered_ms = now_ms;
+        worker.silent = 0;
+        worker.clock = Some((reply.clock_ms, now_ms));
+        if !worker.held {
+            tracing::info!(worker = %name, active = reply.active.len(), ended = reply.ended.len(), "worker held");
+            worker.held = true;
+        }
+        worker.next_hold_ms = now_ms;
+        self.take_in_ends(name, &reply);
+        self.compare(name, sent_ms, &reply);
+        self.place_due = true;
+    }
+
+    fn on_hold_failed(&mut self, name: &WorkerId, error: CallError) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.silent += 1;
+        if worker.silent == 1 {
+            tracing::warn!(worker = %name, %error, tasks = worker.tasks.len(), "hold not answered");
+        }
+        match error {
+            CallError::Refused => self.lose_worker(name, "nothing listens at its address"),
+            CallError::OtherLife => self.lose_worker(name, "another one answers at its address"),
+            CallError::Superseded => {
+                tracing::warn!(worker = %name, "worker follows a higher token");
+                self.deposed = true;
+            }
+            CallError::NoAnswer | CallError::NotSent | CallError::Unwell => {}
+        }
+    }
+
+    fn take_in_ends(&mut self, name: &WorkerId, reply: &HoldReply) {
+        for ended in &reply.ended {
+            let Some(worker) = self.workers.get_mut(name) else { return };
+            if ended.number <= worker.taken_in {
+                continue;
+            }
+            worker.taken_in = ended.number;
+            let life = worker.news.life;
+            let job = ended.task.step.job;
+            if self.jobs.contains_key(&job) {
+                worker.not_durable.insert(ended.number);
+                let after =
+                    After::Forget { worker: name.clone(), life, number: ended.number };
+                self.commits.note(job, after);
+            }
+            self.on_end(ended.task, ended.run, name, ended.end, &ended.checkpoint);
+        }
+    }
+
+    /// Holds what a worker lists against what is believed to be there.
+    fn compare(&mut self, name: &WorkerId, sent_ms: u64, reply: &HoldReply) {
+        let now_ms = self.now_ms;
+        let Some(worker) = self.workers.get(name) else { return };
+        let here: Vec<TaskId> = worker.tasks.keys().copied().collect();
+        let mut listed: HashMap<(TaskId, u32), &crate::event::Active> = HashMap::new();
+        for active in &reply.active {
+            listed.insert((active.task, active.run), active);
+        }
+        let mut gone = Vec::new();
+        for id in here {
+            let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+                continue;
+            };
+            if let Some(active) = listed.remove(&(id, task.run)) {
+                note_active(task, active, now_ms);
+                continue;
+            }
+            if is_gone(task, sent_ms) {
+                gone.push(id);
+            }
+        }
+        gone.sort_unstable();
+        for id in gone {
+            tracing::warn!(task = %id, worker = %name, "run is not on its worker");
+            self.lose_run(id);
+        }
+        self.stop_strangers(name, listed.into_keys().collect());
+    }
+
+    /// Runs that nothing here asks for are stopped; until they are gone they
+    /// take the room that they were started with.
+    fn stop_strangers(&mut self, name: &WorkerId, mut strangers: Vec<(TaskId, u32)>) {
+        strangers.sort_unstable();
+        let mut rooms = Vec::new();
+        for (id, run) in strangers {
+            let Some(job) = self.jobs.get(&id.step.job) else {
+                self.stop_stranger(name, id, run);
+                continue;
+            };
+            if let Some(unit) = job.unit_of(id.step) {
+                rooms.push(job.step(unit).room());
+            }
+            self.stop_stranger(name, id, run);
+        }
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        worker.strangers = rooms;
+        worker.add_up();
+    }
+
+    fn stop_stranger(&mut self, name: &WorkerId, task: TaskId, run: u32) {
+        tracing::warn!(%task, run, worker = %name, "run that is not wanted, stopped");
+        let Some(to) = callee(self.epoch, &self.workers, name) else { return };
+        self.effects.push(Effect::Stop(StopCall { to, task, run }));
+    }
+
+    /// Sends the holds that are due.
+    pub(crate) fn call_workers(&mut self) {
+        let now_ms = self.now_ms;
+        let lease_ms = self.limits.lease_ms;
+        let mut due = Vec::new();
+        for (name, worker) in &mut self.workers {
+            let probe = worker.held && std::mem::take(&mut worker.probe_due);
+            let lost = worker.hold_sent_ms.is_some_and(|at| at + HOLD_LOST_MS < now_ms);
+            let waits = worker.hold_sent_ms.is_some() && !lost;
+            if !probe && (waits || worker.next_hold_ms > now_ms) {
+                continue;
+            }
+            // Ends whose rows are not durable yet would be returned at once,
+            // again and again; their commit makes the next hold due.
+            if !probe && worker.held && !worker.not_durable.is_empty() && !near_end(worker, now_ms)
+            {
+                continue;
+            }
+            if !waits {
+                worker.hold_sent_ms = Some(now_ms);
+            }
+            let until_ms = worker.until(now_ms, lease_ms).filter(|_| worker.held);
+            worker.until_max = worker.until_max.max(until_ms.unwrap_or(0));
+            let at_once = probe || !worker.held || !worker.not_durable.is_empty();
+            let wait_ms = if at_once { 0 } else { HOLD_WAIT_MS };
+            due.push((name.clone(), until_ms, worker.forget(), wait_ms));
+        }
+        for (name, until_ms, forget, wait_ms) in due {
+            let Some(to) = callee(self.epoch, &self.workers, &name) else { continue };
+            self.effects.push(Effect::Hold(HoldCall { to, until_ms, forget, wait_ms }));
+        }
+    }
+
+    /// Takes tasks away from workers whose lease has lapsed for sure.
+    pub(crate) fn sweep_workers(&mut self) {
+        let now_ms = self.now_ms;
+        let mut lapsed = Vec::new();
+        let mut gone = Vec::new();
+        for (name, worker) in &self.workers {
+            if worker.silent > 0 && !worker.tasks.is_empty() && worker.is_lapsed(now_ms) {
+                lapsed.push(name.clone());
+            }
+            if !worker.listed && worker.tasks.is_empty() && worker.silent > 0 {
+                gone.push(name.clone());
+            }
+        }
+        for name in lapsed {
+            tracing::warn!(worker = %name, "lease of a silent worker has lapsed");
+            self.lose_tasks(&name);
+            if let Some(worker) = self.workers.get_mut(&name) {
+                // What it may still list of before is refused by a new hold only.
+                worker.held = false;
+            }
+        }
+        for name in gone {
+            tracing::info!(worker = %name, "worker forgotten");
+            self.workers.remove(&name);
+        }
+    }
+}
+
+/// Whether the lease needs a call soon, whatever else holds it up.
+fn near_end(worker: &Worker, now_ms: u64) -> bool {
+    worker.answered_ms + HOLD_WAIT_MS < now_ms
+}
+
+fn note_active(task: &mut Task, active: &crate::event::Active, now_ms: u64) {
+    if matches!(task.phase, Phase::Sent | Phase::Adopted) {
+        task.phase = Phase::Running { since_ms: now_ms };
+        task.moved_ms = now_ms;
+    }
+    if active.percent != task.percent {
+        task.percent = active.percent;
+        task.moved_ms = now_ms;
+    }
+    if !active.checkpoint.is_empty() {
+        task.checkpoint.clone_from(&active.checkpoint);
+    }
+}
+
+/// Whether a task that its worker does not list is nowhere for sure.
+fn is_gone(task: &Task, hold_sent_ms: u64) -> bool {
+    match task.phase {
+        Phase::Adopted | Phase::Done => true,
+        Phase::Running { since_ms } => since_ms < hold_sent_ms,
+        Phase::Stopping { answered_ms: Some(at_ms), .. } => at_ms < hold_sent_ms,
+        Phase::Stopping { answered_ms: None, .. }
+        | Phase::Waiting
+        | Phase::Reserved
+        | Phase::Recorded
+        | Phase::Sent => false,
+    }
+}
--- /dev/null
+++ b/crates/pool/src/id.rs
@@ -0,0 +1,120 @@
+//! Names of jobs, steps and tasks as callers and workers know them.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde_with::DeserializeFromStr;
+use serde_with::SerializeDisplay;
+
+/// A job, by the number that its caller chose.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct JobId(pub u64);
+
+/// One step of one occurrence of a job.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct StepId {
+    /// The job.
+    pub job: JobId,
+    /// Which occurrence of a repeated job, from 0.
+    pub occurrence: u32,
+    /// Which step, from 0.
+    pub step: u32,
+}
+
+/// One task of a step.
+#[derive(
+    Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct TaskId {
+    /// The step that it belongs to.
+    pub step: StepId,
+    /// Its place in the step, from 0.
+    pub index: u32,
+}
+
+/// not the name of a job, step or task
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub struct IdError;
+
+impl std::error::Error for IdError {}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Debug for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = IdError;
+
+    /// Takes the one spelling that [`fmt::Display`] writes, so that no two texts name one job.
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let lower_hex = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+        if text.len() != 16 || !text.bytes().all(lower_hex) {
+            return Err(IdError);
+        }
+        u64::from_str_radix(text, 16).map(Self).map_err(|_error| IdError)
+    }
+}
+
+impl fmt::Display for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+impl fmt::Debug for StepId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for StepId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let mut parts = text.split('.');
+        let job = parts.next().ok_or(IdError)?.parse()?;
+        let occurrence = number(parts.next())?;
+        let step = number(parts.next())?;
+        if parts.next().is_some() {
+            return Err(IdError);
+        }
+        Ok(Self { job, occurrence, step })
+    }
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
+
+impl fmt::Debug for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let (step, index) = text.rsplit_once('.').ok_or(IdError)?;
+        Ok(Self { step: step.parse()?, index: number(Some(index))? })
+    }
+}
+
+fn number(part: Option<&str>) -> Result<u32, IdError> {
+    part.ok_or(IdError)?.parse().map_err(|_error| IdError)
+}
--- /dev/null
+++ b/crates/pool/src/job.rs
@@ -0,0 +1,259 @@
+//! A job in memory: its steps' tasks and where each of them stands.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use stoatwell_model::WorkerId;
+
+use crate::id::JobId;
+use crate::id::StepId;
+use crate::id::TaskId;
+use crate::record::JobState;
+use crate::record::Outcome;
+use crate::record::Progress;
+use crate::record::TaskProgress;
+use crate::spec::JobSpec;
+use crate::spec::StepSpec;
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Not anywhere.
+    Waiting,
+    /// Has room on a worker; waits for tickets.
+    Reserved,
+    /// Has room on a worker; waits for its row to be durable.
+    Recorded,
+    /// A start was sent and not answered yet.
+    Sent,
+    /// Known to run, at the latest since `since_ms`.
+    Running {
+        /// When a hold that shows it no more proves that it is gone.
+        since_ms: u64,
+    },
+    /// Shall not run; whether it does is known once a hold was sent after the
+    /// stop's answer.
+    Stopping {
+        /// When the stop was answered.
+        answered_ms: Option<u64>,
+        /// When the stop was last sent.
+        sent_ms: u64,
+    },
+    /// Recorded by an earlier scheduler; the first hold tells.
+    Adopted,
+    /// Done.
+    Done,
+}
+
+/// One task.
+#[derive(Clone, Debug)]
+pub(crate) struct Task {
+    pub phase: Phase,
+    pub run: u32,
+    pub failures: u32,
+    pub failed_run: u32,
+    pub worker: Option<WorkerId>,
+    pub checkpoint: String,
+    pub percent: u32,
+    /// When [`Self::percent`] last changed.
+    pub moved_ms: u64,
+    /// When the newest run was recorded.
+    pub placed_ms: u64,
+}
+
+/// A ticket of the advisor.
+#[derive(Clone, Debug)]
+pub(crate) struct Ticket {
+    pub text: String,
+    pub life: u64,
+    pub expires_ms: u64,
+}
+
+/// What the advisor has said of a step.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Advice {
+    /// Workers that may run the step, with the newest ticket.
+    pub granted: HashMap<WorkerId, Ticket>,
+    /// Workers asked about, granted or not.
+    pub asked: HashSet<WorkerId>,
+    /// Since when an answer is awaited.
+    pub since_ms: Option<u64>,
+    /// Not before this is the advisor asked again.
+    pub pause_until_ms: u64,
+}
+
+/// One step of one occurrence.
+#[derive(Clone, Debug)]
+pub(crate) struct Unit {
+    pub id: StepId,
+    pub tasks: Vec<Task>,
+    pub advice: Advice,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// Whether it is in the queue.
+    pub queued: bool,
+}
+
+/// A job.
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub id: JobId,
+    pub spec: Arc<JobSpec>,
+    pub payload: Arc<str>,
+    pub units: Vec<Unit>,
+    /// How it ended, maybe not durable yet.
+    pub outcome: Option<Outcome>,
+    /// Whether the outcome is durable.
+    pub settled: bool,
+    pub finished_unix_ms: u64,
+    pub started: bool,
+}
+
+impl Job {
+    /// A job with nothing done yet.
+    pub fn new(id: JobId, spec: Arc<JobSpec>) -> Self {
+        let mut units = Vec::new();
+        for occurrence in 0..spec.occurrences() {
+            for (number, step) in spec.steps.iter().enumerate() {
+                let id = StepId { job: id, occurrence, step: number as u32 };
+                units.push(Unit::new(id, step.tasks));
+            }
+        }
+        Self {
+            id,
+            payload: Arc::from(spec.payload.as_str()),
+            spec,
+            units,
+            outcome: None,
+            settled: false,
+            finished_unix_ms: 0,
+            started: false,
+        }
+    }
+
+    /// Puts back what an earlier scheduler recorded.
+    pub fn restore(&mut self, progress: &Progress) {
+        self.outcome = progress.outcome;
+        self.settled = progress.outcome.is_some();
+        self.finished_unix_ms = progress.finished_unix_ms;
+        self.started = !progress.tasks.is_empty();
+        for row in &progress.tasks {
+            let Some(unit) = self.units.get_mut(row.unit as usize) else { continue };
+            let Some(task) = unit.tasks.get_mut(row.index as usize) else { continue };
+            task.run = row.run;
+            task.failures = row.failures;
+            task.failed_run = row.failed_run;
+            task.checkpoint.clone_from(&row.checkpoint);
+            if row.done {
+                task.phase = Phase::Done;
+                unit.left -= 1;
+                continue;
+            }
+            task.worker.clone_from(&row.worker);
+            if row.worker.is_some() {
+                task.phase = Phase::Adopted;
+            }
+        }
+    }
+
+    /// The row that makes the present state durable.
+    pub fn progress(&self) -> Progress {
+        let mut tasks = Vec::new();
+        for (number, unit) in self.units.iter().enumerate() {
+            for (index, task) in unit.tasks.iter().enumerate() {
+                if task.run == 0 || (self.outcome.is_some() && task.worker.is_none()) {
+                    continue;
+                }
+                tasks.push(TaskProgress {
+                    unit: number as u32,
+                    index: index as u32,
+                    run: task.run,
+                    failures: task.failures,
+                    failed_run: task.failed_run,
+                    done: task.phase == Phase::Done,
+                    worker: task.worker.clone().filter(|_| task.phase != Phase::Reserved),
+                    checkpoint: task.checkpoint.clone(),
+                });
+            }
+        }
+        Progress { outcome: self.outcome, finished_unix_ms: self.finished_unix_ms, tasks }
+    }
+
+    /// What callers are told.
+    pub fn state(&self) -> JobState {
+        match self.outcome {
+            Some(outcome) if self.settled || outcome == Outcome::Cancelled => outcome.into(),
+            _ if self.started => JobState::Running,
+            _ => JobState::Queued,
+        }
+    }
+
+    /// The step that a unit belongs to.
+    pub fn step(&self, unit: usize) -> &StepSpec {
+        &self.spec.steps[self.units[unit].id.step as usize]
+    }
+
+    /// The place of a step among the units.
+    pub fn unit_of(&self, id: StepId) -> Option<usize> {
+        let unit = id.occurrence as usize * self.spec.steps.len() + id.step as usize;
+        let known = (id.step as usize) < self.spec.steps.len() && unit < self.units.len();
+        known.then_some(unit)
+    }
+
+    /// The task of this name.
+    pub fn task_mut(&mut self, id: TaskId) -> Option<&mut Task> {
+        let unit = self.unit_of(id.step)?;
+        self.units[unit].tasks.get_mut(id.index as usize)
+    }
+
+    /// Whether all steps that the unit waits for are done.
+    pub fn is_ready(&self, unit: usize) -> bool {
+        let first = self.units[unit].id.occurrence as usize * self.spec.steps.len();
+        self.step(unit).after.iter().all(|earlier| self.units[first + *earlier as usize].left == 0)
+    }
+
+    /// Whether nothing is left to be done.
+    pub fn is_done(&self) -> bool {
+        self.units.iter().all(|unit| unit.left == 0)
+    }
+
+    /// Whether any task may still be on a worker.
+    pub fn is_anywhere(&self) -> bool {
+        self.units.iter().flat_map(|unit| &unit.tasks).any(|task| task.worker.is_some())
+    }
+}
+
+impl Unit {
+    fn new(id: StepId, tasks: u32) -> Self {
+        Self {
+            id,
+            tasks: vec![Task::default(); tasks as usize],
+            advice: Advice::default(),
+            left: tasks,
+            queued: false,
+        }
+    }
+
+    /// Places of the tasks that are not anywhere.
+    pub fn waiting(&self) -> impl Iterator<Item = u32> {
+        let waiting = |(_, task): &(usize, &Task)| task.phase == Phase::Waiting;
+        self.tasks.iter().enumerate().filter(waiting).map(|(index, _)| index as u32)
+    }
+}
+
+impl Default for Task {
+    fn default() -> Self {
+        Self {
+            phase: Phase::Waiting,
+            run: 0,
+            failures: 0,
+            failed_run: 0,
+            worker: None,
+            checkpoint: String::new(),
+            percent: 0,
+            moved_ms: 0,
+            placed_ms: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/pool/src/lib.rs
@@ -0,0 +1,332 @@
+//! Decides where the tasks of jobs run in one pool of workers.
+//!
+//! [`Pool`] is the scheduler's whole state. [`Pool::handle`] takes one piece of
+//! news, [`Pool::pump`] tells what has to be done. It waits for nothing and
+//! reads no clock, so tests replay any schedule of failures in virtual time.
+//!
+//! Three facts keep a task from running twice. A start is durable before it is
+//! sent. A worker that was held under a token does nothing for a lower one. A
+//! run whose start brought no answer is stopped, and not started elsewhere
+//! before the stop was answered and a later hold shows nothing, or before the
+//! worker's lease has lapsed for sure.
+
+mod advise;
+mod commit;
+mod dump;
+mod event;
+mod holds;
+mod id;
+mod job;
+mod place;
+mod record;
+mod runs;
+mod spec;
+mod worker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use stoatwell_model::WorkerId;
+
+use crate::commit::Commits;
+use crate::job::Job;
+use crate::job::Phase;
+use crate::worker::Worker;
+
+pub use crate::dump::PoolDump;
+pub use crate::dump::WorkerDump;
+pub use crate::event::Active;
+pub use crate::event::CallError;
+pub use crate::event::Callee;
+pub use crate::event::Effect;
+pub use crate::event::End;
+pub use crate::event::Ended;
+pub use crate::event::Event;
+pub use crate::event::Grant;
+pub use crate::event::HoldCall;
+pub use crate::event::HoldReply;
+pub use crate::event::StartCall;
+pub use crate::event::StartReply;
+pub use crate::event::StopCall;
+pub use crate::event::WorkerNews;
+pub use crate::id::IdError;
+pub use crate::id::JobId;
+pub use crate::id::StepId;
+pub use crate::id::TaskId;
+pub use crate::record::JobState;
+pub use crate::record::Outcome;
+pub use crate::record::Progress;
+pub use crate::record::TaskProgress;
+pub use crate::spec::AdviceSpec;
+pub use crate::spec::JobSpec;
+pub use crate::spec::QueueSpec;
+pub use crate::spec::Repeat;
+pub use crate::spec::SpecError;
+pub use crate::spec::StepSpec;
+
+/// Bits of a token below the epoch; they count a worker's lives.
+const LIFE_BITS: u32 = 12;
+
+/// Figures that the installation sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// How long a worker keeps things running without hearing from us.
+    pub lease_ms: u64,
+    /// The longest lease that a worker grants to anybody.
+    pub lease_max_ms: u64,
+    /// How long a finished job is remembered.
+    pub remember_ms: u64,
+    /// How many workers one question to the advisor may name.
+    pub advice_workers_max: usize,
+}
+
+/// The scheduler of one pool.
+#[derive(Debug)]
+pub struct Pool {
+    limits: Limits,
+    /// Rises with every change of scheduler; the high part of every token.
+    epoch: u64,
+    now_ms: u64,
+    unix_ms: u64,
+    started_ms: u64,
+    jobs: HashMap<JobId, Job>,
+    /// Cancellations of jobs that are not known yet.
+    early_cancels: BTreeSet<JobId>,
+    workers: BTreeMap<WorkerId, Worker>,
+    /// Units with tasks to place: priority, due time, arrival.
+    queue: BTreeMap<QueueKey, StepId>,
+    /// Units of occurrences that are not due yet.
+    timed: BTreeSet<(u64, StepId)>,
+    arrivals: u64,
+    commits: Commits,
+    place_due: bool,
+    effects: Vec<Effect>,
+    deposed: bool,
+    next_sweep_ms: u64,
+}
+
+/// The order of the queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct QueueKey {
+    priority: u32,
+    due_ms: u64,
+    arrival: u64,
+}
+
+/// How often things that no event announces are looked at.
+const SWEEP_EVERY_MS: u64 = 100;
+
+impl Pool {
+    /// A scheduler that has just been elected for the given epoch.
+    pub fn new(epoch: u64, limits: Limits, now_ms: u64, unix_ms: u64) -> Self {
+        Self {
+            limits,
+            epoch,
+            now_ms,
+            unix_ms,
+            started_ms: now_ms,
+            jobs: HashMap::new(),
+            early_cancels: BTreeSet::new(),
+            workers: BTreeMap::new(),
+            queue: BTreeMap::new(),
+            timed: BTreeSet::new(),
+            arrivals: 0,
+            commits: Commits::default(),
+            place_due: true,
+            effects: Vec::new(),
+            deposed: false,
+            next_sweep_ms: 0,
+        }
+    }
+
+    /// Puts a job back that was accepted before this scheduler began.
+    pub fn restore(&mut self, id: JobId, spec: Arc<JobSpec>, progress: Option<&Progress>) {
+        let mut job = Job::new(id, spec);
+        if let Some(progress) = progress {
+            job.restore(progress);
+        }
+        self.admit(job);
+    }
+
+    /// Takes in one piece of news.
+    pub fn handle(&mut self, now_ms: u64, unix_ms: u64, event: Event) {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.unix_ms = unix_ms;
+        match event {
+            Event::Accepted { job, spec } => self.on_accepted(job, spec),
+            Event::Cancelled { job } => self.on_cancelled(job),
+            Event::Listed(news) => self.on_listed(news),
+            Event::Unlisted { worker } => self.on_unlisted(&worker),
+            Event::Held { worker, sent_ms, reply } => self.on_held(&worker, sent_ms, reply),
+            Event::Started { task, run, worker, reply } => {
+                self.on_started(task, run, &worker, reply);
+            }
+            Event::Stopped { task, run, worker, reply } => {
+                self.on_stopped(task, run, &worker, reply);
+            }
+            Event::Advised { step, asked, granted } => self.on_advised(step, &asked, granted),
+            Event::Committed { batch } => self.on_committed(batch),
+        }
+    }
+
+    /// What has to be done by now.
+    pub fn pump(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Effect> {
+        self.now_ms = self.now_ms.max(now_ms);
+        self.unix_ms = unix_ms;
+        if self.now_ms >= self.next_sweep_ms {
+            self.next_sweep_ms = self.now_ms + SWEEP_EVERY_MS;
+            self.sweep();
+        }
+        if self.place_due {
+            self.place_due = false;
+            self.place();
+        }
+        self.commit();
+        self.call_workers();
+        if self.deposed {
+            self.effects.push(Effect::StepDown);
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// What callers are told of a job; `None` is an unknown one.
+    pub fn state(&self, job: JobId) -> Option<JobState> {
+        self.jobs.get(&job).map(Job::state)
+    }
+
+    /// Jobs of a queue for which nothing has started yet.
+    pub fn pending(&self, queue: &str) -> usize {
+        let pending = |job: &&Job| job.state() == JobState::Queued && job.spec.queue.name == queue;
+        self.jobs.values().filter(pending).count()
+    }
+
+    /// Whether a commit is under way, so that a stop may wait for it.
+    pub fn is_committing(&self) -> bool {
+        self.commits.is_busy()
+    }
+
+    fn on_accepted(&mut self, id: JobId, spec: Arc<JobSpec>) {
+        if self.jobs.contains_key(&id) {
+            return;
+        }
+        tracing::info!(job = %id, queue = spec.queue.name, "job taken on");
+        let job = Job::new(id, spec);
+        self.admit(job);
+        if self.early_cancels.remove(&id) {
+            self.on_cancelled(id);
+        }
+    }
+
+    fn admit(&mut self, job: Job) {
+        let id = job.id;
+        let units = job.units.len();
+        let over = job.outcome.is_some();
+        self.jobs.insert(id, job);
+        if over {
+            return;
+        }
+        for unit in 0..units {
+            self.enqueue_if_ready(id, unit);
+        }
+        self.place_due = true;
+    }
+
+    /// Puts a unit into the queue if it has tasks to place and nothing to wait for.
+    fn enqueue_if_ready(&mut self, id: JobId, unit: usize) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.outcome.is_some() || job.units[unit].queued || !job.is_ready(unit) {
+            return;
+        }
+        if job.units[unit].waiting().next().is_none() {
+            return;
+        }
+        let step = job.units[unit].id;
+        let due_unix_ms = job.spec.due_unix_ms(step.occurrence);
+        if due_unix_ms > self.unix_ms {
+            self.timed.insert((due_unix_ms, step));
+            return;
+        }
+        job.units[unit].queued = true;
+        let late_unix_ms = job.spec.accepted_unix_ms.max(due_unix_ms) + job.spec.allowed_ms();
+        let key = QueueKey {
+            priority: job.spec.queue.priority,
+            due_ms: late_unix_ms,
+            arrival: self.arrivals,
+        };
+        self.arrivals += 1;
+        self.queue.insert(key, step);
+        self.place_due = true;
+    }
+
+    fn on_cancelled(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            self.early_cancels.insert(id);
+            return;
+        };
+        if job.outcome.is_some() {
+            return;
+        }
+        tracing::info!(job = %id, "job cancelled");
+        self.finish(id, Outcome::Cancelled);
+    }
+
+    /// Ends a job: nothing of it is started any more, what runs is stopped.
+    fn finish(&mut self, id: JobId, outcome: Outcome) {
+        let unix_ms = self.unix_ms;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.outcome = Some(outcome);
+        job.finished_unix_ms = unix_ms;
+        let tasks: Vec<TaskId> = tasks_anywhere(job);
+        for task in tasks {
+            self.stop(task);
+        }
+        self.commits.settle(id);
+        self.place_due = true;
+    }
+
+    /// What only time announces: due occurrences, leases that lapsed, stops
+    /// without answer, tasks that stand still, jobs to be forgotten.
+    fn sweep(&mut self) {
+        while let Some((due_unix_ms, step)) = self.timed.first().copied() {
+            if due_unix_ms > self.unix_ms {
+                break;
+            }
+            self.timed.pop_first();
+            let unit = self.jobs.get(&step.job).and_then(|job| job.unit_of(step));
+            if let Some(unit) = unit {
+                self.enqueue_if_ready(step.job, unit);
+            }
+        }
+        self.sweep_workers();
+        self.sweep_runs();
+        self.forget_jobs();
+        self.place_due = true;
+    }
+
+    fn forget_jobs(&mut self) {
+        let old = |job: &&Job| {
+            job.settled
+                && !job.is_anywhere()
+                && job.finished_unix_ms + self.limits.remember_ms < self.unix_ms
+        };
+        let gone: Vec<JobId> = self.jobs.values().filter(old).map(|job| job.id).collect();
+        for id in gone {
+            self.jobs.remove(&id);
+            self.commits.remove(id);
+        }
+    }
+}
+
+fn tasks_anywhere(job: &Job) -> Vec<TaskId> {
+    let mut tasks = Vec::new();
+    for unit in &job.units {
+        for (index, task) in unit.tasks.iter().enumerate() {
+            if task.worker.is_some() && task.phase != Phase::Done {
+                tasks.push(TaskId { step: unit.id, index: index as u32 });
+            }
+        }
+    }
+    tasks
+}
--- /dev/null
+++ b/crates/pool/src/place.rs
@@ -0,0 +1,351 @@
+//! Where waiting tasks go.
+//!
+//! Units are looked at by priority, then by the time after which their job is
+//! late. A gang goes whole or not at all. While one waits, the workers that
+//! may run it are kept from work of lower priority, or many short tasks would
+//! take each bit of room as it comes free and the gang would wait for ever.
+
+use std::collections::HashMap;
+
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::QueueKey;
+use crate::id::StepId;
+use crate::id::TaskId;
+use crate::job::Phase;
+use crate::spec::StepSpec;
+
+/// Units looked at in one pass; those behind them wait for the next.
+const UNITS_PER_PASS: usize = 600;
+/// Share of the workers, in hundredths, that waiting gangs may keep for themselves.
+const KEPT_PERCENT: usize = 35;
+
+/// A worker during one pass.
+#[derive(Clone, Debug)]
+struct Room {
+    name: WorkerId,
+    free: Resources,
+    capacity: Resources,
+    /// Work of a larger number may not go here.
+    kept_for: u32,
+}
+
+/// What the look at one unit came to.
+enum Look {
+    /// All its tasks have a place, or wait for a ticket.
+    Placed,
+    /// Something is left.
+    Waits,
+}
+
+impl Pool {
+    /// Places what can be placed now.
+    pub(crate) fn place(&mut self) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let mut rooms = self.rooms();
+        let kept_max = rooms.len() * KEPT_PERCENT / 100;
+        let mut kept = 0;
+        let mut lacking: Vec<(String, Resources)> = Vec::new();
+        let units: Vec<(QueueKey, StepId)> =
+            self.queue.iter().take(UNITS_PER_PASS).map(|(key, step)| (*key, *step)).collect();
+        for (key, step) in units {
+            let Some(job) = self.jobs.get(&step.job) else {
+                self.queue.remove(&key);
+                continue;
+            };
+            let Some(unit) = job.unit_of(step) else { continue };
+            if job.outcome.is_some() || job.units[unit].waiting().next().is_none() {
+                self.unqueue(key, step);
+                continue;
+            }
+            let spec = job.step(unit);
+            let (gang, room) = (spec.gang, spec.room());
+            let service = job.spec.queue.service.clone();
+            // What no worker of the service had room for in this pass, none has now.
+            if lacking.iter().any(|(at, need)| *at == service && room.holds(need)) {
+                if gang && kept < kept_max {
+                    kept += self.keep_for(step, key.priority, &mut rooms, kept_max - kept);
+                }
+                continue;
+            }
+            match self.place_unit(step, unit, key.priority, &mut rooms) {
+                Look::Placed => self.unqueue(key, step),
+                Look::Waits if gang => {
+                    kept += self.keep_for(step, key.priority, &mut rooms, kept_max - kept);
+                }
+                Look::Waits => {
+                    if !rooms.iter().any(|at| at.free.holds(&room)) {
+                        lacking.push((service, room));
+                    }
+                }
+            }
+        }
+    }
+
+    fn unqueue(&mut self, key: QueueKey, step: StepId) {
+        self.queue.remove(&key);
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(unit) = job.unit_of(step) else { return };
+        job.units[unit].queued = false;
+    }
+
+    fn rooms(&self) -> Vec<Room> {
+        let open = |(_, worker): &(&WorkerId, &crate::worker::Worker)| worker.is_open(self.now_ms);
+        let room = |(name, worker): (&WorkerId, &crate::worker::Worker)| Room {
+            name: name.clone(),
+            free: worker.free(),
+            capacity: worker.news.capacity,
+            kept_for: u32::MAX,
+        };
+        self.workers.iter().filter(open).map(room).collect()
+    }
+
+    fn place_unit(
+        &mut self,
+        step: StepId,
+        unit: usize,
+        priority: u32,
+        rooms: &mut [Room],
+    ) -> Look {
+        let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
+        let spec = job.step(unit).clone();
+        let advice = job.spec.queue.advice;
+        let state = &job.units[unit];
+        let waiting: Vec<u32> = state.waiting().collect();
+        if spec.gang && waiting.len() < state.tasks.len() {
+            return Look::Waits;
+        }
+        if advice.is_some() && state.advice.since_ms.is_some() {
+            return Look::Waits;
+        }
+        let allowed: Vec<usize> =
+            (0..rooms.len()).filter(|at| self.is_allowed(step, unit, &spec, &rooms[*at])).collect();
+        let chosen = self.choose(step, unit, &spec, priority, &waiting, &allowed, rooms);
+        let whole = chosen.len() == waiting.len();
+        if !chosen.is_empty() && (whole || !spec.gang) {
+            for (index, at) in &chosen {
+                self.reserve(TaskId { step, index: *index }, &rooms[*at].name.clone(), spec.room());
+            }
+            self.start_or_ask(step, unit, &chosen, rooms);
+            return if whole { Look::Placed } else { Look::Waits };
+        }
+        for (_, at) in &chosen {
+            rooms[*at].free = rooms[*at].free.plus(&spec.room());
+        }
+        if let Some(advice) = advice {
+            self.ask_more(step, unit, &spec, advice.each_ms, rooms);
+        }
+        Look::Waits
+    }
+
+    /// Whether a worker may run a step at all, with room or without.
+    fn is_allowed(&self, step: StepId, unit: usize, spec: &StepSpec, room: &Room) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        if !self.is_eligible(&job.spec.queue.service, spec, &room.name) {
+            return false;
+        }
+        job.spec.queue.advice.is_none()
+            || job.units[unit].advice.granted.contains_key(&room.name)
+    }
+
+    /// Whether a worker is of the service and has the label.
+    fn is_eligible(&self, service: &str, spec: &StepSpec, name: &WorkerId) -> bool {
+        let Some(worker) = self.workers.get(name) else { return false };
+        worker.news.service == service
+            && spec.label.as_ref().is_none_or(|label| worker.news.labels.contains(label))
+    }
+
+    /// Picks a worker for as many of the tasks as can be, and takes the room
+    /// in this pass's view.
+    #[expect(clippy::too_many_arguments, reason = "one call site; the pass's view and the unit's")]
+    fn choose(
+        &self,
+        step: StepId,
+        unit: usize,
+        spec: &StepSpec,
+        priority: u32,
+        waiting: &[u32],
+        allowed: &[usize],
+        rooms: &mut [Room],
+    ) -> Vec<(u32, usize)> {
+        let room = spec.room();
+        let mut mine = self.placed_counts(step, unit);
+        let mut chosen = Vec::new();
+        for index in waiting {
+            let mut best: Option<(f64, usize)> = None;
+            for at in allowed {
+                let view = &rooms[*at];
+                if !view.free.holds(&room) || view.kept_for < priority {
+                    continue;
+                }
+                if spec.per_worker_max > 0
+                    && mine.get(&view.name).copied().unwrap_or(0) >= spec.per_worker_max
+                {
+                    continue;
+                }
+                let score = self.score(step, spec, view, &room);
+                if best.is_none_or(|(least, _)| score < least) {
+                    best = Some((score, *at));
+                }
+            }
+            let Some((_, at)) = best else { break };
+            rooms[at].free = rooms[at].free.minus(&room);
+            *mine.entry(rooms[at].name.clone()).or_default() += 1;
+            chosen.push((*index, at));
+        }
+        chosen
+    }
+
+    /// Lower is better: near the data, with a ticket at hand, then the tightest
+    /// fit, which leaves whole workers free for large tasks.
+    fn score(&self, step: StepId, spec: &StepSpec, view: &Room, room: &Resources) -> f64 {
+        let left = view.free.minus(room).dominant_share(&view.capacity);
+        let rack = self.workers.get(&view.name).and_then(|worker| worker.rack());
+        let far = spec.near_rack.is_some() && spec.near_rack.as_deref() != rack;
+        let stale = !self.has_fresh_ticket(step, &view.name);
+        left + f64::from(u8::from(far)) * 4.0 + f64::from(u8::from(stale))
+    }
+
+    /// How many tasks of the unit each worker has already.
+    fn placed_counts(&self, step: StepId, unit: usize) -> HashMap<WorkerId, u32> {
+        let mut counts = HashMap::new();
+        let Some(job) = self.jobs.get(&step.job) else { return counts };
+        for task in &job.units[unit].tasks {
+            let Some(name) = &task.worker else { continue };
+            *counts.entry(name.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    fn reserve(&mut self, id: TaskId, name: &WorkerId, room: Resources) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        task.phase = Phase::Reserved;
+        task.worker = Some(name.clone());
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.take(id, room);
+        }
+    }
+
+    /// Records the starts of chosen tasks, or first asks for tickets.
+    fn start_or_ask(&mut self, step: StepId, unit: usize, chosen: &[(u32, usize)], rooms: &[Room]) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let needs_tickets = job.spec.queue.advice.is_some();
+        let gang = job.step(unit).gang;
+        let mut stale: Vec<WorkerId> = Vec::new();
+        let mut ready = Vec::new();
+        for (index, at) in chosen {
+            let name = &rooms[*at].name;
+            if needs_tickets && !self.has_fresh_ticket(step, name) {
+                if !stale.contains(name) {
+                    stale.push(name.clone());
+                }
+                continue;
+            }
+            ready.push(TaskId { step, index: *index });
+        }
+        if !stale.is_empty() {
+            self.ask(step, stale);
+            if gang {
+                return;
+            }
+        }
+        self.record_starts(step, &ready);
+    }
+
+    /// Gives tasks their next run and records them. A gang's members share it.
+    pub(crate) fn record_starts(&mut self, step: StepId, tasks: &[TaskId]) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(unit) = job.unit_of(step) else { return };
+        let unit = &job.units[unit];
+        let gang = job.spec.steps[step.step as usize].gang;
+        let newest = unit.tasks.iter().map(|task| task.run).max().unwrap_or(0);
+        let own: Vec<u32> = tasks.iter().map(|id| unit.tasks[id.index as usize].run).collect();
+        let saved = unit.tasks.iter().map(|task| task.checkpoint.clone()).max().unwrap_or_default();
+        for (id, run) in tasks.iter().zip(own) {
+            let next = if gang { newest + 1 } else { run + 1 };
+            if gang {
+                // All members have to carry the same checkpoint; any of theirs is good.
+                let task = self.jobs.get_mut(&step.job).and_then(|job| job.task_mut(*id));
+                if let Some(task) = task {
+                    task.checkpoint.clone_from(&saved);
+                }
+            }
+            self.record_start(*id, next);
+        }
+    }
+
+    /// Asks the advisor about open workers that it was not asked about yet,
+    /// those with the most room first.
+    fn ask_more(
+        &mut self,
+        step: StepId,
+        unit: usize,
+        spec: &StepSpec,
+        each_ms: f64,
+        rooms: &[Room],
+    ) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let advice = &job.units[unit].advice;
+        if advice.pause_until_ms > self.now_ms {
+            return;
+        }
+        let first = advice.asked.is_empty();
+        let need = spec.room();
+        let mut fresh: Vec<(u64, &WorkerId)> = Vec::new();
+        for room in rooms {
+            if advice.asked.contains(&room.name)
+                || !room.capacity.holds(&need)
+                || !(first || room.free.holds(&need))
+                || !self.is_eligible(&job.spec.queue.service, spec, &room.name)
+            {
+                continue;
+            }
+            fresh.push((room.free.times_held(&need), &room.name));
+        }
+        fresh.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| spread(step, a.1).cmp(&spread(step, b.1))));
+        let most = self.asked_max(each_ms);
+        let names: Vec<WorkerId> =
+            fresh.into_iter().take(most).map(|(_, name)| name.clone()).collect();
+        if !names.is_empty() {
+            self.ask(step, names);
+        }
+    }
+
+    /// Keeps the workers that may run a waiting gang from work of lower priority.
+    fn keep_for(&self, step: StepId, priority: u32, rooms: &mut [Room], most: usize) -> usize {
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
+        let Some(unit) = job.unit_of(step) else { return 0 };
+        let spec = job.step(unit);
+        let need = spec.room();
+        let mut wanted = job.units[unit].tasks.len() as u64;
+        let mut kept = 0;
+        let mut order: Vec<usize> = (0..rooms.len())
+            .filter(|at| self.is_allowed(step, unit, spec, &rooms[*at]))
+            .filter(|at| rooms[*at].kept_for > priority)
+            .collect();
+        order.sort_by_key(|at| std::cmp::Reverse(rooms[*at].free.cpu_millis));
+        for at in order {
+            if kept >= most || wanted == 0 {
+                break;
+            }
+            rooms[at].kept_for = priority;
+            wanted = wanted.saturating_sub(rooms[at].capacity.times_held(&need).max(1));
+            kept += 1;
+        }
+        kept
+    }
+}
+
+/// Spreads equal choices over the workers, each step in its own order.
+fn spread(step: StepId, name: &WorkerId) -> u64 {
+    let mut hash = step.job.0 ^ u64::from(step.step);
+    for byte in name.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash
+}
--- /dev/null
+++ b/crates/pool/src/runs.rs
@@ -0,0 +1,418 @@
+//! A task's way from a free place to its end.
+
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::commit::After;
+use crate::event::CallError;
+use crate::event::Callee;
+use crate::event::Effect;
+use crate::event::End;
+use crate::event::StartCall;
+use crate::event::StartReply;
+use crate::event::StopCall;
+use crate::id::TaskId;
+use crate::job::Phase;
+use crate::record::Outcome;
+
+/// A stop that was not answered is sent again after this; a few round trips.
+const STOP_AGAIN_MS: u64 = 600;
+/// A worker that refused for want of room or health is left alone this long.
+const REFUSED_PAUSE_MS: u64 = 500;
+/// A task whose progress did not move for this long stands still. Progress is
+/// shown in hundredths, so that tasks of minutes may show none for a second.
+const STILL_MS: u64 = 1_500;
+/// ... or for this share, in hundredths, of what it was estimated to take.
+const STILL_PERCENT: u64 = 25;
+
+impl Pool {
+    /// Sends a start whose row is durable.
+    pub(crate) fn send_start(&mut self, id: TaskId, run: u32) {
+        let now_ms = self.now_ms;
+        let lease_ms = self.limits.lease_ms;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let payload = job.payload.clone();
+        let needs_ticket = job.spec.queue.advice.is_some();
+        let Some(unit) = job.unit_of(id.step) else { return };
+        let unit = &mut job.units[unit];
+        let Some(task) = unit.tasks.get_mut(id.index as usize) else { return };
+        if task.phase != Phase::Recorded || task.run != run {
+            return;
+        }
+        let Some(name) = task.worker.clone() else { return };
+        let Some(worker) = self.workers.get_mut(&name) else { return };
+        let Some(until_ms) = worker.until(now_ms, lease_ms).filter(|_| worker.held) else {
+            // The worker began a new life meanwhile; nothing was sent to it.
+            self.not_started(id);
+            return;
+        };
+        let ticket = unit.advice.granted.get(&name);
+        let ticket = ticket.filter(|_| needs_ticket).map(|ticket| ticket.text.clone());
+        worker.until_max = worker.until_max.max(until_ms);
+        task.phase = Phase::Sent;
+        job.started = true;
+        let to = callee(self.epoch, &self.workers, &name);
+        let Some(to) = to else { return };
+        let checkpoint = task.checkpoint.clone();
+        self.effects.push(Effect::Start(StartCall {
+            to,
+            task: id,
+            run,
+            spec: payload,
+            until_ms,
+            checkpoint,
+            ticket,
+            made_ms: now_ms,
+        }));
+    }
+
+    pub(crate) fn on_started(
+        &mut self,
+        id: TaskId,
+        run: u32,
+        from: &WorkerId,
+        reply: Result<StartReply, CallError>,
+    ) {
+        let now_ms = self.now_ms;
+        if let Some(worker) = self.workers.get_mut(from) {
+            match &reply {
+                Ok(StartReply::NoRoom | StartReply::Unwell) | Err(CallError::Unwell) => {
+                    worker.quarantine_until_ms =
+                        worker.quarantine_until_ms.max(now_ms + REFUSED_PAUSE_MS);
+                }
+                Err(CallError::NoAnswer | CallError::NotSent) => worker.silent += 1,
+                _ => {}
+            }
+        }
+        if reply == Err(CallError::Refused) {
+            self.lose_worker(from, "nothing listens at its address");
+            return;
+        }
+        let Some(task) = self.task_at(id, run, from) else { return };
+        if !matches!(task.phase, Phase::Sent) {
+            return;
+        }
+        match reply {
+            Ok(StartReply::Started) => task.phase = Phase::Running { since_ms: now_ms },
+            Ok(StartReply::OldRun) | Err(CallError::NoAnswer) => {
+                tracing::warn!(task = %id, run, worker = %from, ?reply, "start in doubt");
+                self.stop(id);
+            }
+            Ok(answer) => {
+                tracing::warn!(task = %id, run, worker = %from, %answer, "not started");
+                if answer == StartReply::BadTicket {
+                    self.drop_ticket(id, from);
+                }
+                self.not_started(id);
+            }
+            Err(error) => {
+                tracing::warn!(task = %id, run, worker = %from, %error, "not started");
+                self.not_started(id);
+            }
+        }
+    }
+
+    /// The run was surely not begun. Members of a gang that were, would wait
+    /// for it in vain, so the gang is gathered again.
+    pub(crate) fn not_started(&mut self, id: TaskId) {
+        self.release(id);
+        self.break_gang(id);
+        self.requeue(id);
+    }
+
+    /// Makes sure that a task does not run where it was sent.
+    pub(crate) fn stop(&mut self, id: TaskId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        match task.phase {
+            Phase::Waiting | Phase::Done | Phase::Stopping { .. } => return,
+            Phase::Reserved | Phase::Recorded => {
+                self.release(id);
+                self.requeue(id);
+                return;
+            }
+            Phase::Sent | Phase::Running { .. } | Phase::Adopted => {}
+        }
+        task.phase = Phase::Stopping { answered_ms: None, sent_ms: now_ms };
+        self.send_stop(id);
+    }
+
+    fn send_stop(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        let Some(name) = &task.worker else { return };
+        let Some(to) = callee(self.epoch, &self.workers, name) else { return };
+        self.effects.push(Effect::Stop(StopCall { to, task: id, run: task.run }));
+    }
+
+    pub(crate) fn on_stopped(
+        &mut self,
+        id: TaskId,
+        run: u32,
+        from: &WorkerId,
+        reply: Result<(), CallError>,
+    ) {
+        let now_ms = self.now_ms;
+        if reply == Err(CallError::Refused) {
+            self.lose_worker(from, "nothing listens at its address");
+            return;
+        }
+        let Some(task) = self.task_at(id, run, from) else { return };
+        let Phase::Stopping { answered_ms, sent_ms } = &mut task.phase else { return };
+        if let Err(error) = reply {
+            tracing::warn!(task = %id, run, worker = %from, %error, "stop not answered");
+            *sent_ms = now_ms;
+            return;
+        }
+        if answered_ms.is_none() {
+            *answered_ms = Some(now_ms);
+        }
+        if let Some(worker) = self.workers.get_mut(from) {
+            worker.probe_due = true;
+        }
+    }
+
+    /// Takes in how a run ended.
+    pub(crate) fn on_end(&mut self, id: TaskId, run: u32, from: &WorkerId, end: End, saved: &str) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        let step = job.step(unit);
+        let gang = step.gang;
+        let lasting = step.long_running;
+        let speculative = step.speculative;
+        let over = job.outcome.is_some();
+        let Some(task) = job.task_mut(id) else { return };
+        let here = task.run == run && task.worker.as_ref() == Some(from);
+        if !here && !(speculative && end == End::Done) {
+            return;
+        }
+        if task.phase == Phase::Done {
+            // A gang's member that another one's end stood for.
+            self.release(id);
+            return;
+        }
+        if !saved.is_empty() {
+            saved.clone_into(&mut task.checkpoint);
+        }
+        tracing::info!(task = %id, run, worker = %from, %end, "run ended");
+        self.release(id);
+        if let Some(worker) = self.workers.get_mut(from) {
+            match end {
+                End::Done => worker.did_well(),
+                End::Failed if worker.did_badly(now_ms, 1) => {
+                    tracing::warn!(worker = %from, "worker left alone: runs fail on it");
+                }
+                _ => {}
+            }
+        }
+        if over {
+            return;
+        }
+        match end {
+            End::Done if !lasting => self.on_done(id, gang),
+            End::Failed if !lasting => self.on_failed(id, run, gang),
+            _ => {
+                if gang {
+                    self.break_gang(id);
+                }
+                self.requeue(id);
+            }
+        }
+    }
+
+    fn on_done(&mut self, id: TaskId, gang: bool) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        let mut members = vec![id.index];
+        if gang {
+            // The members end together, so one end stands for all.
+            members = (0..job.units[unit].tasks.len() as u32).collect();
+        }
+        for index in members {
+            let task = &mut job.units[unit].tasks[index as usize];
+            if task.phase == Phase::Done {
+                continue;
+            }
+            // Its room stays taken until its worker lists its own end.
+            task.phase = Phase::Done;
+            job.units[unit].left -= 1;
+        }
+        if job.units[unit].left > 0 {
+            return;
+        }
+        if job.is_done() {
+            self.finish(id.step.job, Outcome::Completed);
+            return;
+        }
+        for later in 0..job.units.len() {
+            self.enqueue_if_ready(id.step.job, later);
+        }
+    }
+
+    fn on_failed(&mut self, id: TaskId, run: u32, gang: bool) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let attempts_max = job.spec.queue.attempts_max;
+        let Some(unit) = job.unit_of(id.step) else { return };
+        let mut failures = 0;
+        for (index, task) in job.units[unit].tasks.iter_mut().enumerate() {
+            if (!gang && index as u32 != id.index) || task.failed_run >= run {
+                failures = failures.max(if index as u32 == id.index { task.failures } else { 0 });
+                continue;
+            }
+            task.failed_run = run;
+            task.failures += 1;
+            failures = failures.max(task.failures);
+        }
+        if failures >= attempts_max {
+            self.finish(id.step.job, Outcome::Failed);
+            return;
+        }
+        if gang {
+            self.break_gang(id);
+        }
+        self.requeue(id);
+    }
+
+    /// Stops the other members of a gang after one of them ended or was not begun.
+    pub(crate) fn break_gang(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        if !job.step(unit).gang {
+            return;
+        }
+        for index in 0..job.units[unit].tasks.len() as u32 {
+            if index != id.index {
+                self.stop(TaskId { step: id.step, index });
+            }
+        }
+    }
+
+    /// Gives back the room of a task that is nowhere any more.
+    pub(crate) fn release(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        if task.phase != Phase::Done {
+            task.phase = Phase::Waiting;
+        }
+        task.percent = 0;
+        let Some(name) = task.worker.take() else { return };
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.give_back(id);
+        }
+        self.place_due = true;
+    }
+
+    /// Puts a task's unit back into the queue.
+    pub(crate) fn requeue(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        self.enqueue_if_ready(id.step.job, unit);
+    }
+
+    /// Records where a task will run; the start follows once that is durable.
+    pub(crate) fn record_start(&mut self, id: TaskId, run: u32) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(task) = job.task_mut(id) else { return };
+        task.phase = Phase::Recorded;
+        task.run = run;
+        task.percent = 0;
+        task.moved_ms = now_ms;
+        task.placed_ms = now_ms;
+        self.commits.note(id.step.job, After::Start { task: id, run });
+    }
+
+    /// Stops without answer are sent again; tasks that stand still are moved.
+    ///
+    /// A worker can keep its lease and answer holds while its tasks make no
+    /// progress; only the progress they show tells. Without this check their
+    /// jobs would never end.
+    pub(crate) fn sweep_runs(&mut self) {
+        let mut again = Vec::new();
+        let mut still = Vec::new();
+        for job in self.jobs.values() {
+            if job.outcome.is_some() && !job.is_anywhere() {
+                continue;
+            }
+            for (number, unit) in job.units.iter().enumerate() {
+                if unit.tasks.iter().all(|task| task.worker.is_none()) {
+                    continue;
+                }
+                let step = job.step(number);
+                let still_ms = STILL_MS.max(step.estimate_ms * STILL_PERCENT / 100);
+                for (index, task) in unit.tasks.iter().enumerate() {
+                    let id = TaskId { step: unit.id, index: index as u32 };
+                    match task.phase {
+                        Phase::Stopping { answered_ms: None, sent_ms }
+                            if sent_ms + STOP_AGAIN_MS < self.now_ms =>
+                        {
+                            again.push(id);
+                        }
+                        Phase::Running { since_ms }
+                            if !step.long_running
+                                && !step.gang
+                                && task.moved_ms.max(since_ms) + still_ms < self.now_ms =>
+                        {
+                            still.push(id);
+                        }
+                        _ => {}
+                    }
+                }
+            }
+        }
+        for id in again {
+            let now_ms = self.now_ms;
+            if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) {
+                task.phase = Phase::Stopping { answered_ms: None, sent_ms: now_ms };
+            }
+            self.send_stop(id);
+        }
+        for id in still {
+            self.move_from_still_worker(id);
+        }
+    }
+
+    fn move_from_still_worker(&mut self, id: TaskId) {
+        let now_ms = self.now_ms;
+        let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+            return;
+        };
+        let Some(name) = task.worker.clone() else { return };
+        let Some(worker) = self.workers.get_mut(&name) else { return };
+        // Only answers prove that it is the task that stands still and not the link.
+        if worker.answered_ms < task.moved_ms.max(task.placed_ms) + STILL_MS {
+            return;
+        }
+        worker.did_badly(now_ms, 2);
+        tracing::warn!(task = %id, worker = %name, percent = task.percent, "task stands still, moved away");
+        self.stop(id);
+    }
+
+    /// The task, if this run of it is on this worker.
+    pub(crate) fn task_at(
+        &mut self,
+        id: TaskId,
+        run: u32,
+        worker: &WorkerId,
+    ) -> Option<&mut crate::job::Task> {
+        let task = self.jobs.get_mut(&id.step.job)?.task_mut(id)?;
+        let here = task.run == run && task.worker.as_ref() == Some(worker);
+        here.then_some(task)
+    }
+}
+
+/// Where a call to a worker goes, under the token of its present life.
+pub(crate) fn callee(
+    epoch: u64,
+    workers: &std::collections::BTreeMap<WorkerId, crate::worker::Worker>,
+    name: &WorkerId,
+) -> Option<Callee> {
+    let worker = workers.get(name)?;
+    Some(Callee {
+        worker: name.clone(),
+        address: worker.news.address.clone(),
+        token: (epoch << crate::LIFE_BITS) + worker.lives,
+    })
+}
--- /dev/null
+++ b/crates/pool/src/worker.rs
@@ -0,0 +1,187 @@
+//! One worker as the scheduler sees it: its room, its lease, its lists.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+
+use stoatwell_model::Resources;
+
+use crate::event::WorkerNews;
+use crate::id::TaskId;
+
+/// A worker's clock may lose this much, in thousandths.
+const SLOW_CLOCK_PERMILLE: u64 = 20;
+/// Added before a lease counts as lapsed, for the time the worker takes to kill what ran.
+const LAPSE_MARGIN_MS: u64 = 300;
+/// A worker whose last answer is older gets no new task; two waiting holds fit in.
+const ANSWER_AGE_MAX_MS: u64 = 2_500;
+/// Failed runs in a row, without one that did well, after which a worker is
+/// left alone. One run in twenty fails through its own fault, so two in a row
+/// are the worker's with good odds.
+const FAILURES_MAX: u32 = 2;
+/// How long it is left alone at first; doubled each time up to eight times.
+const QUARANTINE_MS: u64 = 2_500;
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Worker {
+    pub news: WorkerNews,
+    pub listed: bool,
+    /// Counts lives; part of the token, so that orders for an earlier life are refused.
+    pub lives: u64,
+    /// Whether a hold under the present token was answered.
+    pub held: bool,
+    pub hold_sent_ms: Option<u64>,
+    pub next_hold_ms: u64,
+    /// Whether a hold that does not wait shall tell what a stop has left.
+    pub probe_due: bool,
+    /// When the present life was first known of; 0 for the first one.
+    pub life_began_ms: u64,
+    /// The worker's clock, and when the answer that told it came.
+    pub clock: Option<(u64, u64)>,
+    /// The latest moment on the worker's clock that was ever allowed.
+    pub until_max: u64,
+    /// When the lease of an earlier scheduler has lapsed for sure.
+    pub earlier_lapse_ms: u64,
+    /// Ends up to this number were taken in.
+    pub taken_in: u64,
+    /// Numbers of ends that are taken in and not durable yet.
+    pub not_durable: BTreeSet<u64>,
+    /// Tasks that have room here, with it.
+    pub tasks: HashMap<TaskId, Resources>,
+    /// Runs that are none of ours but take room.
+    pub strangers: Vec<Resources>,
+    pub used: Resources,
+    pub failures: u32,
+    pub quarantines: u32,
+    pub quarantine_until_ms: u64,
+    /// When it last showed that it does what it is told.
+    pub answered_ms: u64,
+    /// Calls without answer in a row.
+    pub silent: u32,
+}
+
+impl Worker {
+    pub fn new(news: WorkerNews, earlier_lapse_ms: u64) -> Self {
+        Self {
+            news,
+            listed: true,
+            lives: 0,
+            held: false,
+            hold_sent_ms: None,
+            next_hold_ms: 0,
+            probe_due: false,
+            life_began_ms: 0,
+            clock: None,
+            until_max: 0,
+            earlier_lapse_ms,
+            taken_in: 0,
+            not_durable: BTreeSet::new(),
+            tasks: HashMap::new(),
+            strangers: Vec::new(),
+            used: Resources::ZERO,
+            failures: 0,
+            quarantines: 0,
+            quarantine_until_ms: 0,
+            answered_ms: 0,
+            silent: 0,
+        }
+    }
+
+    /// Forgets what belongs to an earlier life. Its tasks are the caller's to take away.
+    pub fn begin_life(&mut self, life: u64, now_ms: u64) {
+        self.life_began_ms = now_ms;
+        self.news.life = life;
+        self.lives += 1;
+        self.held = false;
+        self.hold_sent_ms = None;
+        self.next_hold_ms = 0;
+        self.clock = None;
+        self.until_max = 0;
+        self.earlier_lapse_ms = 0;
+        self.taken_in = 0;
+        self.not_durable.clear();
+        self.strangers.clear();
+        self.failures = 0;
+        self.quarantine_until_ms = 0;
+        self.add_up();
+    }
+
+    /// Whether new tasks may go here.
+    pub fn is_open(&self, now_ms: u64) -> bool {
+        self.held
+            && self.listed
+            && !self.news.draining
+            && self.quarantine_until_ms <= now_ms
+            && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
+    }
+
+    /// What is free.
+    pub fn free(&self) -> Resources {
+        self.news.capacity.minus(&self.used)
+    }
+
+    /// Takes room for a task.
+    pub fn take(&mut self, task: TaskId, room: Resources) {
+        self.tasks.insert(task, room);
+        self.used = self.used.plus(&room);
+    }
+
+    /// Gives a task's room back.
+    pub fn give_back(&mut self, task: TaskId) {
+        if self.tasks.remove(&task).is_some() {
+            self.add_up();
+        }
+    }
+
+    /// Works the used room out anew.
+    pub fn add_up(&mut self) {
+        let all = self.tasks.values().chain(&self.strangers);
+        self.used = all.fold(Resources::ZERO, |sum, room| sum.plus(room));
+    }
+
+    /// A moment on the worker's clock, this long from now. The clock may be
+    /// slower than ours, so the lease may end up a little longer, never shorter.
+    pub fn until(&self, now_ms: u64, lease_ms: u64) -> Option<u64> {
+        let (clock, at_ms) = self.clock?;
+        Some(clock + now_ms.saturating_sub(at_ms) + lease_ms)
+    }
+
+    /// Whether everything that was ever allowed here has been killed for sure.
+    pub fn is_lapsed(&self, now_ms: u64) -> bool {
+        let Some((clock, at_ms)) = self.clock else { return now_ms > self.earlier_lapse_ms };
+        let passed_ms = now_ms.saturating_sub(at_ms);
+        let at_least = passed_ms - passed_ms * SLOW_CLOCK_PERMILLE / 1_000;
+        clock + at_least > self.until_max + LAPSE_MARGIN_MS
+    }
+
+    /// Ends up to this number may be forgotten by the worker.
+    pub fn forget(&self) -> u64 {
+        self.not_durable.first().map_or(self.taken_in, |first| first - 1)
+    }
+
+    /// The rack, which is the last of the labels.
+    pub fn rack(&self) -> Option<&str> {
+        self.news.labels.get(1..)?.last().map(String::as_str)
+    }
+
+    /// Takes note of a run that did well.
+    pub fn did_well(&mut self) {
+        self.failures = 0;
+        self.quarantines = 0;
+    }
+
+    /// Takes note of a run that failed or stood still; tells whether the worker is left alone now.
+    ///
+    /// A worker that fails all it starts would otherwise be the emptiest one
+    /// and use up the attempts of job after job.
+    pub fn did_badly(&mut self, now_ms: u64, weight: u32) -> bool {
+        self.failures += weight;
+        if self.failures < FAILURES_MAX {
+            return false;
+        }
+        self.failures = FAILURES_MAX - 1;
+        self.quarantine_until_ms = now_ms + (QUARANTINE_MS << self.quarantines.min(3));
+        self.quarantines += 1;
+        true
+    }
+}
