Holds end when answered; advice by priority; room left for urgent work

The pool remembered a hold by its own clock and the shell by another, so an answered hold counted as under way for four seconds and ends were seen late: bookings took 3.5 s of which 0.6 s was work. The call now carries the time it was made.

--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -2,12 +2,12 @@
 //!
 //! The advisor serves one question at a time for each daemon that asks, and
 //! one can take most of a second. Asked by the scheduler alone, it would be
-//! its bottleneck; so each question goes through the daemon with the least to
-//! wait for.
+//! its bottleneck; so questions go through all daemons, the most urgent first.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use stoatwell_peer::Peers;
 use stoatwell_pool::Grant;
 use stoatwell_pool::StepId;
+use tokio::sync::oneshot;
 
 use crate::clock::steady_ms;
 use crate::outside::Outside;
@@ -28,63 +29,113 @@
 /// A daemon that brought no answer is not asked again for this long.
 const PAUSE_MS: u64 = 2_000;
 
+/// A call is long if the advisor takes at least this for it. Long calls go
+/// through at most half of the daemons at a time, so that a short one, which
+/// urgent work waits for, never finds them all taken for most of a second.
+const LONG_MS: u64 = 200;
+/// A daemon is given further calls while the advisor has less than this to do
+/// for it: the way there and back between regions, which would be idle time.
+const AHEAD_MS: u64 = 30;
+
 /// Daemons that ask the advisor.
 #[derive(Debug)]
 pub struct Advisors<O> {
     outside: Arc<O>,
     peers: Peers,
     me: String,
-    asking: Mutex<BTreeMap<String, Asking>>,
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    asking: BTreeMap<String, Asking>,
+    /// Calls that wait for a daemon, by priority and arrival.
+    waiting: BTreeMap<(u32, u64), Waiting>,
+    arrivals: u64,
 }
 
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
 struct Asking {
-    workers: usize,
+    /// Time of the advisor that is asked for through it and not answered yet.
+    busy_ms: u64,
+    long_calls: usize,
     pause_until_ms: u64,
 }
 
+#[derive(Debug)]
+struct Waiting {
+    cost_ms: u64,
+    turn: oneshot::Sender<String>,
+}
+
 impl<O: Outside> Advisors<O> {
     /// Only this daemon asks, until others are known.
     pub fn new(outside: Arc<O>, peers: Peers, me: String) -> Self {
         let asking = BTreeMap::from([(me.clone(), Asking::default())]);
-        Self { outside, peers, me, asking: Mutex::new(asking) }
+        let state = State { asking, ..State::default() };
+        Self { outside, peers, me, state: Mutex::new(state) }
     }
 
     /// Takes note of the daemons there are, by the rows that they wrote.
     pub fn know(&self, rows: &[Row]) {
-        let mut asking = self.asking.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
         for row in rows {
             let address = row.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
             match address {
                 Some(address) => {
-                    asking.entry(address.to_owned()).or_default();
+                    state.asking.entry(address.to_owned()).or_default();
                 }
                 None => tracing::debug!(key = row.key, "a daemon's row cannot be read"),
             }
         }
     }
 
-    /// Asks; `None` is no answer.
-    pub async fn ask(&self, step: StepId, workers: &[WorkerId]) -> Option<Vec<Grant>> {
-        let address = self.least_busy(workers.len());
+    /// Asks when it is this call's turn; `None` is no answer.
+    pub async fn ask(
+        &self,
+        step: StepId,
+        workers: &[WorkerId],
+        priority: u32,
+        cost_ms: u64,
+    ) -> Option<Vec<Grant>> {
+        let asked_ms = steady_ms();
+        let address = self.turn(priority, cost_ms).await?;
+        let waited_ms = steady_ms() - asked_ms;
         let granted = if address == self.me {
             self.outside.advise(step, workers, LIMIT_MS).await
         } else {
             self.ask_peer(&address, step, workers).await
         };
-        let mut asking = self.asking.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(one) = asking.get_mut(&address) {
-            one.workers = one.workers.saturating_sub(workers.len() + 1);
-            if granted.is_none() {
-                one.pause_until_ms = steady_ms() + PAUSE_MS;
+        self.lock().release(&address, cost_ms, granted.is_some());
+        let took_ms = steady_ms() - asked_ms - waited_ms;
+        let asked = workers.len();
+        match &granted {
+            Some(granted) => {
+                let granted = granted.len();
+                tracing::info!(
+                    %step, through = address, asked, granted, cost_ms, waited_ms, took_ms,
+                    "advice came"
+                );
+            }
+            None => {
+                tracing::warn!(%step, through = address, asked, took_ms, "advisor brought no answer");
             }
-        }
-        if granted.is_none() {
-            tracing::warn!(%step, through = address, "advisor brought no answer");
         }
         granted
     }
 
+    async fn turn(&self, priority: u32, cost_ms: u64) -> Option<String> {
+        let (turn, my_turn) = oneshot::channel();
+        {
+            let mut state = self.lock();
+            let arrival = state.arrivals;
+            state.arrivals += 1;
+            state.waiting.insert((priority, arrival), Waiting { cost_ms, turn });
+            state.assign();
+        }
+        my_turn.await.ok()
+    }
+
     async fn ask_peer(
         &self,
         address: &str,
@@ -106,18 +157,48 @@
         }
     }
 
-    fn least_busy(&self, workers: usize) -> String {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    /// Gives waiting calls to daemons that are free for them.
+    fn assign(&mut self) {
         let now_ms = steady_ms();
-        let mut asking = self.asking.lock().unwrap_or_else(PoisonError::into_inner);
-        let best = asking
-            .iter_mut()
-            .min_by_key(|(_, one)| (one.pause_until_ms > now_ms, one.workers));
-        match best {
-            Some((address, one)) => {
-                one.workers += workers + 1;
-                address.clone()
+        let long_max = self.asking.len().div_ceil(2);
+        let mut long_calls: usize = self.asking.values().map(|one| one.long_calls).sum();
+        let mut later = BTreeMap::new();
+        while let Some((key, call)) = self.waiting.pop_first() {
+            let long = call.cost_ms >= LONG_MS;
+            let free = self.asking.iter_mut().filter(|(_, one)| one.busy_ms < AHEAD_MS);
+            let best = free.min_by_key(|(_, one)| (one.pause_until_ms > now_ms, one.busy_ms));
+            let Some((address, one)) = best.filter(|_| !long || long_calls < long_max) else {
+                later.insert(key, call);
+                if long {
+                    continue;
+                }
+                break;
+            };
+            let address = address.clone();
+            if call.turn.send(address).is_err() {
+                continue;
+            }
+            one.busy_ms += call.cost_ms;
+            one.long_calls += usize::from(long);
+            long_calls += usize::from(long);
+        }
+        self.waiting.append(&mut later);
+    }
+
+    fn release(&mut self, address: &str, cost_ms: u64, answered: bool) {
+        if let Some(one) = self.asking.get_mut(address) {
+            one.busy_ms = one.busy_ms.saturating_sub(cost_ms);
+            one.long_calls = one.long_calls.saturating_sub(usize::from(cost_ms >= LONG_MS));
+            if !answered {
+                one.pause_until_ms = steady_ms() + PAUSE_MS;
             }
-            None => self.me.clone(),
         }
+        self.assign();
     }
 }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -11,7 +11,6 @@
 use stoatwell_model::WorkerId;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Event;
-use stoatwell_pool::Grant;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
@@ -20,7 +19,6 @@
 use stoatwell_pool::PoolDump;
 use stoatwell_pool::Progress;
 use stoatwell_pool::StartCall;
-use stoatwell_pool::StepId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -218,7 +216,7 @@
         let news = news.clone();
         match effect {
             Effect::Hold(call) => {
-                let sent_ms = steady_ms();
+                let sent_ms = call.made_ms;
                 tasks.spawn(async move {
                     let reply = outside.hold(&call).await;
                     tell(&news, Event::Held { worker: call.to.worker, sent_ms, reply });
@@ -234,9 +232,12 @@
                     tell(&news, Event::Stopped { task, run, worker: call.to.worker, reply });
                 });
             }
-            Effect::Advise { step, workers } => {
+            Effect::Advise { step, workers, priority, cost_ms } => {
                 let advisors = Arc::clone(&self.advisors);
-                tasks.spawn(async move { advise(&advisors, step, workers, &news).await });
+                tasks.spawn(async move {
+                    let granted = advisors.ask(step, &workers, priority, cost_ms).await;
+                    tell(&news, Event::Advised { step, asked: workers, granted });
+                });
             }
             Effect::Commit { batch, puts, removes } => {
                 // One batch is under way at a time, so there is always room for it.
@@ -299,16 +300,6 @@
     tell(news, Event::Started { task, run, worker: call.to.worker, reply });
 }
 
-async fn advise<O: Outside>(
-    advisors: &Advisors<O>,
-    step: StepId,
-    asked: Vec<WorkerId>,
-    news: &mpsc::UnboundedSender<News>,
-) {
-    let granted: Option<Vec<Grant>> = advisors.ask(step, &asked).await;
-    tell(news, Event::Advised { step, asked, granted });
-}
-
 async fn follow<O: Outside>(
     outside: Arc<O>,
     table: Table,
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -37,8 +37,11 @@
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(unit) = job.unit_of(step) else { return };
+        let Some(rule) = job.spec.queue.advice else { return };
         job.units[unit].advice.since_ms = Some(now_ms);
-        self.effects.push(Effect::Advise { step, workers });
+        let cost_ms = (rule.decide_ms + rule.each_ms * workers.len() as f64) as u64 + 1;
+        let priority = job.spec.queue.priority;
+        self.effects.push(Effect::Advise { step, workers, priority, cost_ms });
     }
 
     pub(crate) fn on_advised(
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -224,6 +224,10 @@
         step: StepId,
         /// The workers asked about.
         workers: Vec<WorkerId>,
+        /// The rank of its queue; 0 goes first.
+        priority: u32,
+        /// What the advisor will take for it.
+        cost_ms: u64,
     },
     /// Make rows durable, under the condition that this daemon still schedules.
     Commit {
@@ -260,6 +264,8 @@
     pub forget: u64,
     /// How long the answer may wait for an end.
     pub wait_ms: u64,
+    /// When the call was made; given back with the answer.
+    pub made_ms: u64,
 }
 
 /// An order to start a run.
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -276,7 +276,13 @@
         }
         for (name, until_ms, forget, wait_ms) in due {
             let Some(to) = callee(self.epoch, &self.workers, &name) else { continue };
-            self.effects.push(Effect::Hold(HoldCall { to, until_ms, forget, wait_ms }));
+            self.effects.push(Effect::Hold(HoldCall {
+                to,
+                until_ms,
+                forget,
+                wait_ms,
+                made_ms: now_ms,
+            }));
         }
     }
 
--- /dev/null
+++ b/crates/pool/src/learned.rs
@@ -0,0 +1,65 @@
+//! What runs have shown of a queue's tasks.
+//!
+//! Callers' estimates are off by half and more either way. The mean of what
+//! the tasks of a queue really took draws them towards the truth.
+
+use std::collections::HashMap;
+
+use stoatwell_model::Resources;
+
+/// Weight of the newest run; some forty runs are remembered.
+const NEWEST_WEIGHT: f64 = 0.025;
+/// Runs after which the mean counts for as much as an estimate.
+const RUNS_MIN: u32 = 10;
+/// Weight of the newest look at how much room urgent work takes; looks come ten
+/// times a second, so some five seconds are remembered.
+const USE_WEIGHT: f64 = 0.02;
+
+/// What is learned.
+#[derive(Debug, Default)]
+pub(crate) struct Learned {
+    queues: HashMap<String, Mean>,
+    urgent_use: HashMap<String, (f64, f64)>,
+}
+
+#[derive(Debug, Default)]
+struct Mean {
+    took_ms: f64,
+    runs: u32,
+}
+
+impl Learned {
+    /// Takes note of a run that did well.
+    pub fn ran(&mut self, queue: &str, took_ms: u64) {
+        if !self.queues.contains_key(queue) {
+            self.queues.insert(queue.to_owned(), Mean::default());
+        }
+        let Some(mean) = self.queues.get_mut(queue) else { return };
+        mean.runs += 1;
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(mean.runs));
+        mean.took_ms += (took_ms as f64 - mean.took_ms) * weight;
+    }
+
+    /// How long a task of the queue takes, by its estimate and what is known.
+    pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
+        match self.queues.get(queue) {
+            Some(mean) if mean.runs >= RUNS_MIN => {
+                (estimate_ms as f64 * 0.5 + mean.took_ms * 0.5) as u64
+            }
+            _ => estimate_ms,
+        }
+    }
+
+    /// Takes note of the room that work of the first priority takes now at a service.
+    pub fn saw_urgent_use(&mut self, service: &str, used: &Resources) {
+        let (cpu, memory) = self.urgent_use.entry(service.to_owned()).or_default();
+        *cpu += (used.cpu_millis as f64 - *cpu) * USE_WEIGHT;
+        *memory += (used.memory_bytes as f64 - *memory) * USE_WEIGHT;
+    }
+
+    /// The room that work of the first priority usually takes at a service.
+    pub fn urgent_use(&self, service: &str) -> Resources {
+        let (cpu, memory) = self.urgent_use.get(service).copied().unwrap_or_default();
+        Resources { cpu_millis: cpu as u64, memory_bytes: memory as u64, accelerators: 0 }
+    }
+}
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -17,6 +17,7 @@
 mod holds;
 mod id;
 mod job;
+mod learned;
 mod place;
 mod record;
 mod runs;
@@ -28,11 +29,13 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 
 use crate::commit::Commits;
 use crate::job::Job;
 use crate::job::Phase;
+use crate::learned::Learned;
 use crate::worker::Worker;
 
 pub use crate::dump::PoolDump;
@@ -101,6 +104,7 @@
     timed: BTreeSet<(u64, StepId)>,
     arrivals: u64,
     commits: Commits,
+    learned: Learned,
     place_due: bool,
     effects: Vec<Effect>,
     deposed: bool,
@@ -134,6 +138,7 @@
             timed: BTreeSet::new(),
             arrivals: 0,
             commits: Commits::default(),
+            learned: Learned::default(),
             place_due: true,
             effects: Vec::new(),
             deposed: false,
@@ -301,10 +306,27 @@
         }
         self.sweep_workers();
         self.sweep_runs();
+        self.look_at_urgent_use();
         self.forget_jobs();
         self.place_due = true;
     }
 
+    fn look_at_urgent_use(&mut self) {
+        let mut used: BTreeMap<String, Resources> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let sum = used.entry(worker.news.service.clone()).or_default();
+            for (task, room) in &worker.tasks {
+                let job = self.jobs.get(&task.step.job);
+                if job.is_some_and(|job| job.spec.queue.priority == 0) {
+                    *sum = sum.plus(room);
+                }
+            }
+        }
+        for (service, used) in used {
+            self.learned.saw_urgent_use(&service, &used);
+        }
+    }
+
     fn forget_jobs(&mut self) {
         let old = |job: &&Job| {
             job.settled
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -1,9 +1,12 @@
 //! Where waiting tasks go.
 //!
 //! Units are looked at by priority, then by the time after which their job is
-//! late. A gang goes whole or not at all. While one waits, the workers that
-//! may run it are kept from work of lower priority, or many short tasks would
-//! take each bit of room as it comes free and the gang would wait for ever.
+//! late; those that are late already come last, since time spent on them first
+//! would only make others late too. A gang goes whole or not at all. While one
+//! waits, some of the workers that may run it are kept from work of lower
+//! priority, or many small tasks would take each bit of room as it comes free
+//! and the gang would wait for ever. Work below the first priority leaves room
+//! for urgent work that is about to come, which is over sooner than any stop.
 
 use std::collections::HashMap;
 
@@ -18,14 +21,28 @@
 use crate::spec::StepSpec;
 
 /// Units looked at in one pass; those behind them wait for the next.
-const UNITS_PER_PASS: usize = 600;
+const UNITS_PER_PASS: usize = 1_000;
 /// Share of the workers, in hundredths, that waiting gangs may keep for themselves.
 const KEPT_PERCENT: usize = 35;
+/// Room that other work leaves free for urgent work, in hundredths of what
+/// urgent work takes at the time: enough for twice the usual arrivals to find
+/// room at once while what runs ends.
+const HEADROOM_PERCENT: u64 = 80;
+
+/// The workers during one pass.
+#[derive(Debug, Default)]
+struct Pass {
+    rooms: Vec<Room>,
+    by_name: HashMap<WorkerId, usize>,
+    /// Free room by service.
+    free: HashMap<String, Resources>,
+}
 
 /// A worker during one pass.
 #[derive(Clone, Debug)]
 struct Room {
     name: WorkerId,
+    service: String,
     free: Resources,
     capacity: Resources,
     /// Work of a larger number may not go here.
@@ -40,19 +57,33 @@
     Waits,
 }
 
+impl Pass {
+    fn take(&mut self, at: usize, room: &Resources) {
+        self.rooms[at].free = self.rooms[at].free.minus(room);
+        if let Some(free) = self.free.get_mut(&self.rooms[at].service) {
+            *free = free.minus(room);
+        }
+    }
+
+    fn give_back(&mut self, at: usize, room: &Resources) {
+        self.rooms[at].free = self.rooms[at].free.plus(room);
+        if let Some(free) = self.free.get_mut(&self.rooms[at].service) {
+            *free = free.plus(room);
+        }
+    }
+}
+
 impl Pool {
     /// Places what can be placed now.
     pub(crate) fn place(&mut self) {
         if self.queue.is_empty() {
             return;
         }
-        let mut rooms = self.rooms();
-        let kept_max = rooms.len() * KEPT_PERCENT / 100;
+        let mut pass = self.begin_pass();
+        let kept_max = pass.rooms.len() * KEPT_PERCENT / 100;
         let mut kept = 0;
         let mut lacking: Vec<(String, Resources)> = Vec::new();
-        let units: Vec<(QueueKey, StepId)> =
-            self.queue.iter().take(UNITS_PER_PASS).map(|(key, step)| (*key, *step)).collect();
-        for (key, step) in units {
+        for (key, step) in self.ordered_units() {
             let Some(job) = self.jobs.get(&step.job) else {
                 self.queue.remove(&key);
                 continue;
@@ -68,17 +99,18 @@
             // What no worker of the service had room for in this pass, none has now.
             if lacking.iter().any(|(at, need)| *at == service && room.holds(need)) {
                 if gang && kept < kept_max {
-                    kept += self.keep_for(step, key.priority, &mut rooms, kept_max - kept);
+                    kept += self.keep_for(step, key.priority, &mut pass, kept_max - kept);
                 }
                 continue;
             }
-            match self.place_unit(step, unit, key.priority, &mut rooms) {
+            match self.place_unit(step, unit, key.priority, &mut pass) {
                 Look::Placed => self.unqueue(key, step),
                 Look::Waits if gang => {
-                    kept += self.keep_for(step, key.priority, &mut rooms, kept_max - kept);
+                    kept += self.keep_for(step, key.priority, &mut pass, kept_max - kept);
                 }
                 Look::Waits => {
-                    if !rooms.iter().any(|at| at.free.holds(&room)) {
+                    let mut mine = pass.rooms.iter().filter(|at| at.service == service);
+                    if !mine.any(|at| at.free.holds(&room)) {
                         lacking.push((service, room));
                     }
                 }
@@ -86,6 +118,33 @@
         }
     }
 
+    /// The queue, with what is late for good behind the rest.
+    fn ordered_units(&self) -> Vec<(QueueKey, StepId)> {
+        let mut in_time = Vec::new();
+        let mut late = Vec::new();
+        for (key, step) in self.queue.iter().take(UNITS_PER_PASS) {
+            if self.is_late(*key, *step) {
+                late.push((*key, *step));
+            } else {
+                in_time.push((*key, *step));
+            }
+        }
+        in_time.append(&mut late);
+        in_time
+    }
+
+    /// Whether the job of a unit would be late even if the unit began now.
+    fn is_late(&self, key: QueueKey, step: StepId) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let estimate_ms = job.spec.steps[step.step as usize].estimate_ms;
+        let needs_ms = self.learned.expected_ms(&job.spec.queue.name, estimate_ms);
+        let allowed_ms = job.spec.queue.slack_factor * needs_ms as f64;
+        // The due time stands on the estimate too; what was learned moves both.
+        let moved_ms = allowed_ms - job.spec.queue.slack_factor * estimate_ms as f64;
+        let due_ms = key.due_ms as f64 + moved_ms;
+        (self.unix_ms + needs_ms) as f64 > due_ms
+    }
+
     fn unqueue(&mut self, key: QueueKey, step: StepId) {
         self.queue.remove(&key);
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
@@ -93,15 +152,22 @@
         job.units[unit].queued = false;
     }
 
-    fn rooms(&self) -> Vec<Room> {
-        let open = |(_, worker): &(&WorkerId, &crate::worker::Worker)| worker.is_open(self.now_ms);
-        let room = |(name, worker): (&WorkerId, &crate::worker::Worker)| Room {
-            name: name.clone(),
-            free: worker.free(),
-            capacity: worker.news.capacity,
-            kept_for: u32::MAX,
-        };
-        self.workers.iter().filter(open).map(room).collect()
+    fn begin_pass(&self) -> Pass {
+        let mut pass = Pass::default();
+        for (name, worker) in &self.workers {
+            if !worker.is_open(self.now_ms) {
+                continue;
+            }
+            let free = worker.free();
+            let service = worker.news.service.clone();
+            let sum = pass.free.entry(service.clone()).or_default();
+            *sum = sum.plus(&free);
+            pass.by_name.insert(name.clone(), pass.rooms.len());
+            let capacity = worker.news.capacity;
+            let room = Room { name: name.clone(), service, free, capacity, kept_for: u32::MAX };
+            pass.rooms.push(room);
+        }
+        pass
     }
 
     fn place_unit(
@@ -109,7 +175,7 @@
         step: StepId,
         unit: usize,
         priority: u32,
-        rooms: &mut [Room],
+        pass: &mut Pass,
     ) -> Look {
         let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
         let spec = job.step(unit).clone();
@@ -119,37 +185,79 @@
         if spec.gang && waiting.len() < state.tasks.len() {
             return Look::Waits;
         }
-        if advice.is_some() && state.advice.since_ms.is_some() {
+        if spec.gang && advice.is_some() && state.advice.since_ms.is_some() {
             return Look::Waits;
         }
-        let allowed: Vec<usize> =
-            (0..rooms.len()).filter(|at| self.is_allowed(step, unit, &spec, &rooms[*at])).collect();
-        let chosen = self.choose(step, unit, &spec, priority, &waiting, &allowed, rooms);
+        let mut allowed = self.allowed(step, unit, &spec, pass);
+        let with_old_tickets = allowed.len();
+        if advice.is_some() && !spec.gang {
+            allowed.retain(|at| self.has_fresh_ticket(step, &pass.rooms[*at].name));
+        }
+        let chosen = self.choose(step, unit, &spec, priority, &waiting, &allowed, pass);
         let whole = chosen.len() == waiting.len();
         if !chosen.is_empty() && (whole || !spec.gang) {
             for (index, at) in &chosen {
-                self.reserve(TaskId { step, index: *index }, &rooms[*at].name.clone(), spec.room());
+                let name = pass.rooms[*at].name.clone();
+                self.reserve(TaskId { step, index: *index }, &name, spec.room());
+            }
+            self.start_or_ask(step, unit, &chosen, pass);
+            if whole {
+                return Look::Placed;
+            }
+        } else {
+            for (_, at) in &chosen {
+                pass.give_back(*at, &spec.room());
             }
-            self.start_or_ask(step, unit, &chosen, rooms);
-            return if whole { Look::Placed } else { Look::Waits };
-        }
-        for (_, at) in &chosen {
-            rooms[*at].free = rooms[*at].free.plus(&spec.room());
         }
         if let Some(advice) = advice {
-            self.ask_more(step, unit, &spec, advice.each_ms, rooms);
+            if with_old_tickets > allowed.len() && self.renew_tickets(step, unit, &spec, pass) {
+                return Look::Waits;
+            }
+            self.ask_more(step, unit, &spec, advice.each_ms, pass);
         }
         Look::Waits
     }
 
-    /// Whether a worker may run a step at all, with room or without.
-    fn is_allowed(&self, step: StepId, unit: usize, spec: &StepSpec, room: &Room) -> bool {
+    /// The workers that may run a step, with room or without.
+    fn allowed(&self, step: StepId, unit: usize, spec: &StepSpec, pass: &Pass) -> Vec<usize> {
+        let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
+        let service = &job.spec.queue.service;
+        if job.spec.queue.advice.is_none() {
+            let eligible = |at: &usize| self.is_eligible(service, spec, &pass.rooms[*at].name);
+            return (0..pass.rooms.len()).filter(eligible).collect();
+        }
+        let granted = job.units[unit].advice.granted.keys();
+        let mut allowed: Vec<usize> = granted
+            .filter_map(|name| pass.by_name.get(name).copied())
+            .filter(|at| self.is_eligible(service, spec, &pass.rooms[*at].name))
+            .collect();
+        allowed.sort_unstable();
+        allowed
+    }
+
+    /// Asks anew for all workers that may run a step, if one of them has room.
+    ///
+    /// The advisor takes nearly as long for one worker as for all of them, and
+    /// with good tickets at hand whatever room comes free next is used at once;
+    /// asking only when room is found keeps the room empty meanwhile.
+    fn renew_tickets(&mut self, step: StepId, unit: usize, spec: &StepSpec, pass: &Pass) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
-        if !self.is_eligible(&job.spec.queue.service, spec, &room.name) {
-            return false;
+        let advice = &job.units[unit].advice;
+        if advice.since_ms.is_some() || advice.pause_until_ms > self.now_ms {
+            return true;
+        }
+        let need = spec.room();
+        let mut names = Vec::new();
+        let mut has_room = false;
+        for at in self.allowed(step, unit, spec, pass) {
+            has_room |= pass.rooms[at].free.holds(&need);
+            names.push(pass.rooms[at].name.clone());
         }
-        job.spec.queue.advice.is_none()
-            || job.units[unit].advice.granted.contains_key(&room.name)
+        names.truncate(self.limits.advice_workers_max);
+        if has_room {
+            self.ask(step, names);
+        }
+        has_room
     }
 
     /// Whether a worker is of the service and has the label.
@@ -170,15 +278,19 @@
         priority: u32,
         waiting: &[u32],
         allowed: &[usize],
-        rooms: &mut [Room],
+        pass: &mut Pass,
     ) -> Vec<(u32, usize)> {
         let room = spec.room();
+        let headroom = self.headroom(step, priority);
         let mut mine = self.placed_counts(step, unit);
         let mut chosen = Vec::new();
         for index in waiting {
+            if !self.leaves_headroom(step, &room, &headroom, pass) {
+                break;
+            }
             let mut best: Option<(f64, usize)> = None;
             for at in allowed {
-                let view = &rooms[*at];
+                let view = &pass.rooms[*at];
                 if !view.free.holds(&room) || view.kept_for < priority {
                     continue;
                 }
@@ -193,13 +305,36 @@
                 }
             }
             let Some((_, at)) = best else { break };
-            rooms[at].free = rooms[at].free.minus(&room);
-            *mine.entry(rooms[at].name.clone()).or_default() += 1;
+            pass.take(at, &room);
+            *mine.entry(pass.rooms[at].name.clone()).or_default() += 1;
             chosen.push((*index, at));
         }
         chosen
     }
 
+    /// What a unit has to leave free for urgent work.
+    fn headroom(&self, step: StepId, priority: u32) -> Resources {
+        let Some(job) = self.jobs.get(&step.job).filter(|_| priority > 0) else {
+            return Resources::ZERO;
+        };
+        self.learned.urgent_use(&job.spec.queue.service).share(HEADROOM_PERCENT, 100)
+    }
+
+    fn leaves_headroom(
+        &self,
+        step: StepId,
+        room: &Resources,
+        headroom: &Resources,
+        pass: &Pass,
+    ) -> bool {
+        if headroom.is_zero() {
+            return true;
+        }
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let free = pass.free.get(&job.spec.queue.service).copied().unwrap_or_default();
+        free.holds(&room.plus(headroom))
+    }
+
     /// Lower is better: near the data, with a ticket at hand, then the tightest
     /// fit, which leaves whole workers free for large tasks.
     fn score(&self, step: StepId, spec: &StepSpec, view: &Room, room: &Resources) -> f64 {
@@ -232,14 +367,14 @@
     }
 
     /// Records the starts of chosen tasks, or first asks for tickets.
-    fn start_or_ask(&mut self, step: StepId, unit: usize, chosen: &[(u32, usize)], rooms: &[Room]) {
+    fn start_or_ask(&mut self, step: StepId, unit: usize, chosen: &[(u32, usize)], pass: &Pass) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let needs_tickets = job.spec.queue.advice.is_some();
         let gang = job.step(unit).gang;
         let mut stale: Vec<WorkerId> = Vec::new();
         let mut ready = Vec::new();
         for (index, at) in chosen {
-            let name = &rooms[*at].name;
+            let name = &pass.rooms[*at].name;
             if needs_tickets && !self.has_fresh_ticket(step, name) {
                 if !stale.contains(name) {
                     stale.push(name.clone());
@@ -287,17 +422,17 @@
         unit: usize,
         spec: &StepSpec,
         each_ms: f64,
-        rooms: &[Room],
+        pass: &Pass,
     ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let advice = &job.units[unit].advice;
-        if advice.pause_until_ms > self.now_ms {
+        if advice.since_ms.is_some() || advice.pause_until_ms > self.now_ms {
             return;
         }
         let first = advice.asked.is_empty();
         let need = spec.room();
         let mut fresh: Vec<(u64, &WorkerId)> = Vec::new();
-        for room in rooms {
+        for room in &pass.rooms {
             if advice.asked.contains(&room.name)
                 || !room.capacity.holds(&need)
                 || !(first || room.free.holds(&need))
@@ -317,24 +452,22 @@
     }
 
     /// Keeps the workers that may run a waiting gang from work of lower priority.
-    fn keep_for(&self, step: StepId, priority: u32, rooms: &mut [Room], most: usize) -> usize {
+    fn keep_for(&self, step: StepId, priority: u32, pass: &mut Pass, most: usize) -> usize {
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let Some(unit) = job.unit_of(step) else { return 0 };
         let spec = job.step(unit);
         let need = spec.room();
         let mut wanted = job.units[unit].tasks.len() as u64;
         let mut kept = 0;
-        let mut order: Vec<usize> = (0..rooms.len())
-            .filter(|at| self.is_allowed(step, unit, spec, &rooms[*at]))
-            .filter(|at| rooms[*at].kept_for > priority)
-            .collect();
-        order.sort_by_key(|at| std::cmp::Reverse(rooms[*at].free.cpu_millis));
+        let mut order = self.allowed(step, unit, spec, pass);
+        order.retain(|at| pass.rooms[*at].kept_for > priority);
+        order.sort_by_key(|at| std::cmp::Reverse(pass.rooms[*at].free.cpu_millis));
         for at in order {
             if kept >= most || wanted == 0 {
                 break;
             }
-            rooms[at].kept_for = priority;
-            wanted = wanted.saturating_sub(rooms[at].capacity.times_held(&need).max(1));
+            pass.rooms[at].kept_for = priority;
+            wanted = wanted.saturating_sub(pass.rooms[at].capacity.times_held(&need).max(1));
             kept += 1;
         }
         kept
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -196,7 +196,11 @@
         if !saved.is_empty() {
             saved.clone_into(&mut task.checkpoint);
         }
-        tracing::info!(task = %id, run, worker = %from, %end, "run ended");
+        let took_ms = now_ms.saturating_sub(task.placed_ms);
+        tracing::info!(task = %id, run, worker = %from, %end, took_ms, "run ended");
+        if end == End::Done && task.placed_ms > 0 && run == 1 {
+            self.learned.ran(&job.spec.queue.name, took_ms);
+        }
         self.release(id);
         if let Some(worker) = self.workers.get_mut(from) {
             match end {
