--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -84,7 +84,7 @@
             let Some((id, after)) = commits.dirty.pop_first() else { break };
             afters.extend(after);
             let Some(job) = self.jobs.get(&id) else { continue };
-            puts.push((id, job.progress()));
+            puts.push((id, job.progress(&self.workers)));
         }
         let room = (ROWS_PER_BATCH - puts.len()) / 3;
         let removes = commits.removes.split_off(commits.removes.len().saturating_sub(room));
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -104,6 +104,23 @@
     pub life: u64,
 }
 
+impl WorkerNews {
+    /// A worker that is known only by what it may still run.
+    pub fn unlisted(worker: WorkerId, address: String, service: String, life: u64) -> Self {
+        Self {
+            worker,
+            address,
+            service,
+            zone: ZoneName::new(""),
+            capacity: Resources::ZERO,
+            labels: Vec::new(),
+            draining: true,
+            remaining_ms: None,
+            life,
+        }
+    }
+}
+
 /// A worker's own account of what it runs.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct HoldReply {
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -36,8 +36,7 @@
 
 impl Pool {
     pub(crate) fn on_listed(&mut self, news: WorkerNews) {
-        let lapse_ms = self.limits.lease_max_ms * 1_025 / 1_000 + EARLIER_SCHEDULER_MS;
-        let earlier_lapse_ms = self.started_ms + lapse_ms;
+        let earlier_lapse_ms = self.earlier_lapse_ms();
         let name = news.worker.clone();
         let Some(worker) = self.workers.get_mut(&name) else {
             tracing::info!(worker = %name, address = news.address, "worker listed");
@@ -64,6 +63,12 @@
         self.place_due = true;
     }
 
+    /// When whatever an earlier scheduler allowed has lapsed for sure.
+    pub(crate) fn earlier_lapse_ms(&self) -> u64 {
+        let lapse_ms = self.limits.lease_max_ms * 1_025 / 1_000 + EARLIER_SCHEDULER_MS;
+        self.started_ms + lapse_ms
+    }
+
     pub(crate) fn on_unlisted(&mut self, name: &WorkerId) {
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.listed = false;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -1,5 +1,6 @@
 //! A job in memory: its steps' tasks and where each of them stands.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 use crate::record::TaskProgress;
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
+use crate::worker::Worker;
 
 /// Where a task stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -158,13 +160,15 @@
     }
 
     /// The row that makes the present state durable.
-    pub fn progress(&self) -> Progress {
+    pub fn progress(&self, workers: &BTreeMap<WorkerId, Worker>) -> Progress {
         let mut tasks = Vec::new();
         for (number, unit) in self.units.iter().enumerate() {
             for (index, task) in unit.tasks.iter().enumerate() {
                 if task.run == 0 || (self.outcome.is_some() && task.worker.is_none()) {
                     continue;
                 }
+                let worker = task.worker.clone().filter(|_| task.phase != Phase::Reserved);
+                let at = worker.as_ref().and_then(|name| workers.get(name));
                 tasks.push(TaskProgress {
                     unit: number as u32,
                     index: index as u32,
@@ -172,7 +176,9 @@
                     failures: task.failures,
                     failed_run: task.failed_run,
                     done: task.phase == Phase::Done,
-                    worker: task.worker.clone().filter(|_| task.phase != Phase::Reserved),
+                    address: at.map(|at| at.news.address.clone()).unwrap_or_default(),
+                    life: at.map_or(0, |at| at.news.life),
+                    worker,
                     checkpoint: task.checkpoint.clone(),
                 });
             }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -151,10 +151,32 @@
         let mut job = Job::new(id, spec);
         if let Some(progress) = progress {
             job.restore(progress);
+            for task in &progress.tasks {
+                self.adopt(&job, task);
+            }
         }
         self.admit(job);
     }
 
+    /// Notes where a task may run. The worker may be listed no more; then it is
+    /// asked at the address it had, and whatever it lists or its silence tells.
+    fn adopt(&mut self, job: &Job, row: &TaskProgress) {
+        let Some(name) = row.worker.clone().filter(|_| !row.done) else { return };
+        let Some(unit) = job.units.get(row.unit as usize) else { return };
+        let id = TaskId { step: unit.id, index: row.index };
+        let room = job.step(row.unit as usize).room();
+        if !self.workers.contains_key(&name) {
+            let service = job.spec.queue.service.clone();
+            let news = WorkerNews::unlisted(name.clone(), row.address.clone(), service, row.life);
+            let mut worker = Worker::new(news, self.earlier_lapse_ms());
+            worker.listed = false;
+            self.workers.insert(name.clone(), worker);
+        }
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.take(id, room);
+        }
+    }
+
     /// Takes in one piece of news.
     pub fn handle(&mut self, now_ms: u64, unix_ms: u64, event: Event) {
         self.now_ms = self.now_ms.max(now_ms);
--- a/crates/pool/src/record.rs
+++ b/crates/pool/src/record.rs
@@ -84,6 +84,12 @@
     /// Where the newest run may be, while it may be anywhere.
     #[serde(rename = "w", default, skip_serializing_if = "Option::is_none")]
     pub worker: Option<WorkerId>,
+    /// That worker's address, so that it is found also when it is listed no more.
+    #[serde(rename = "a", default, skip_serializing_if = "String::is_empty")]
+    pub address: String,
+    /// Which life of the worker the run was sent to; nothing of it is in a later one.
+    #[serde(rename = "b", default, skip_serializing_if = "is_zero")]
+    pub life: u64,
     /// The newest checkpoint that is known; empty is none.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
