--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -76,8 +76,8 @@
         Self { outside, peers, me, state: Mutex::new(state) }
     }
 
-    /// Takes note of the daemons there are, by the rows that they wrote.
-    pub fn know(&self, rows: &[Row]) {
+    /// Takes note of the daemons there are, by the rows that they wrote; gives their number.
+    pub fn know(&self, rows: &[Row]) -> usize {
         let mut state = self.lock();
         for row in rows {
             let address = row.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
@@ -88,6 +88,7 @@
                 None => tracing::debug!(key = row.key, "a daemon's row cannot be read"),
             }
         }
+        state.asking.len()
     }
 
     /// Asks when it is this call's turn; `None` is no answer.
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -53,6 +53,8 @@
 /// Between two questions for changes to the list of workers, which changes
 /// with each of their heartbeats.
 const WORKERS_PAUSE: Duration = Duration::from_millis(400);
+/// How often the scheduler reads which daemons there are.
+const DAEMONS_EVERY: Duration = Duration::from_millis(2_000);
 /// Workers that are missing from the list are taken for gone only after the
 /// list was readable for this long: entries come back late after an outage.
 const MISSING_GRACE_MS: u64 = 2_500;
@@ -202,6 +204,11 @@
         spawn(tasks, Table::Jobs, jobs.version);
         spawn(tasks, Table::Cancels, cancels.version);
         tasks.spawn(follow_workers(Arc::clone(&self.outside), version, news.clone()));
+        tasks.spawn(know_daemons(
+            Arc::clone(&self.outside),
+            Arc::clone(&self.advisors),
+            news.clone(),
+        ));
         Some(pool)
     }
 
@@ -216,10 +223,9 @@
         let news = news.clone();
         match effect {
             Effect::Hold(call) => {
-                let sent_ms = call.made_ms;
                 tasks.spawn(async move {
                     let reply = outside.hold(&call).await;
-                    tell(&news, Event::Held { worker: call.to.worker, sent_ms, reply });
+                    tell(&news, Event::Held { worker: call.to.worker, turn: call.turn, reply });
                 });
             }
             Effect::Start(call) => {
@@ -289,6 +295,21 @@
     }
 }
 
+/// Keeps in mind which daemons the advisor can be asked through.
+async fn know_daemons<O: Outside>(
+    outside: Arc<O>,
+    advisors: Arc<Advisors<O>>,
+    news: mpsc::UnboundedSender<News>,
+) {
+    loop {
+        match outside.read_all(Table::Daemons).await {
+            Ok(rows) => tell(&news, Event::Advisors { count: advisors.know(&rows.rows) }),
+            Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
+        }
+        tokio::time::sleep(DAEMONS_EVERY).await;
+    }
+}
+
 async fn start(outside: &impl Outside, call: StartCall, news: &mpsc::UnboundedSender<News>) {
     let age_ms = steady_ms().saturating_sub(call.made_ms);
     let reply = if age_ms > ORDER_AGE_MAX_MS {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -36,8 +36,6 @@
 const MANIFEST_WAIT_MS: u64 = 1_000;
 /// After one that failed.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
-/// How often the scheduler reads which daemons there are.
-const DAEMONS_EVERY: Duration = Duration::from_millis(2_000);
 /// Questions to the scheduler that wait at one time.
 const QUERIES_MAX: usize = 1_024;
 
@@ -210,24 +208,11 @@
             queries: inbox,
             stop: self.stop.clone(),
         };
-        tokio::select! {
-            () = lead.run() => {}
-            () = self.know_daemons() => {}
-        }
+        lead.run().await;
         self.leading.send_replace(None);
         self.gateway.set_scheduler(Scheduler::None);
         tracing::info!(epoch, "duty ended");
     }
-
-    async fn know_daemons(&self) {
-        loop {
-            match self.outside.read_all(Table::Daemons).await {
-                Ok(rows) => self.advisors.know(&rows.rows),
-                Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
-            }
-            tokio::time::sleep(DAEMONS_EVERY).await;
-        }
-    }
 }
 
 fn duty_row(row: &Row) -> Option<(DutyRow, u64)> {
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -14,12 +14,17 @@
 use crate::id::TaskId;
 use crate::job::Phase;
 use crate::job::Ticket;
+use crate::spec::AdviceSpec;
 
 /// A ticket counts as old this long before it expires: a start is made durable
 /// and sent in between.
 const TICKET_MARGIN_MS: u64 = 250;
 /// What a question may cost beyond the advisor's own time for it.
 const EACH_BUDGET_MS: f64 = 200.0;
+/// A question that takes at least this is a long one. No more of them are under
+/// way than half of the daemons can ask: more would wait for each other until
+/// the tickets that came first are old again, and nothing would ever start.
+pub const LONG_ASK_MS: u64 = 200;
 /// Fewest workers asked about at once, however long each takes.
 const ASKED_MIN: usize = 8;
 /// After a question without answer the next one waits this long.
@@ -32,6 +37,13 @@
         affordable.clamp(ASKED_MIN, self.limits.advice_workers_max)
     }
 
+    /// Whether a question about this many workers may be asked now.
+    pub(crate) fn may_ask(&self, rule: AdviceSpec, workers: usize) -> bool {
+        let long = |cost_ms: &&u64| **cost_ms >= LONG_ASK_MS;
+        cost_ms(rule, workers) < LONG_ASK_MS
+            || self.asks.values().filter(long).count() < self.advisors.div_ceil(2)
+    }
+
     /// Asks the advisor about these workers.
     pub(crate) fn ask(&mut self, step: StepId, workers: Vec<WorkerId>) {
         let now_ms = self.now_ms;
@@ -39,8 +51,9 @@
         let Some(unit) = job.unit_of(step) else { return };
         let Some(rule) = job.spec.queue.advice else { return };
         job.units[unit].advice.since_ms = Some(now_ms);
-        let cost_ms = (rule.decide_ms + rule.each_ms * workers.len() as f64) as u64 + 1;
+        let cost_ms = cost_ms(rule, workers.len());
         let priority = job.spec.queue.priority;
+        self.asks.insert(step, cost_ms);
         self.effects.push(Effect::Advise { step, workers, priority, cost_ms });
     }
 
@@ -51,6 +64,7 @@
         granted: Option<Vec<Grant>>,
     ) {
         let now_ms = self.now_ms;
+        self.asks.remove(&step);
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let valid_ms = job.spec.queue.advice.map_or(0, |advice| advice.valid_ms);
         let Some(unit) = job.unit_of(step) else { return };
@@ -120,3 +134,8 @@
         }
     }
 }
+
+/// What the advisor takes for a question.
+fn cost_ms(rule: AdviceSpec, workers: usize) -> u64 {
+    (rule.decide_ms + rule.each_ms * workers as f64) as u64 + 1
+}
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -38,8 +38,8 @@
     Held {
         /// The worker.
         worker: WorkerId,
-        /// When the call was sent.
-        sent_ms: u64,
+        /// The turn of the pool in which the call was made.
+        turn: u64,
         /// What came back.
         reply: Result<HoldReply, CallError>,
     },
@@ -74,6 +74,11 @@
         /// Those that may run it.
         granted: Option<Vec<Grant>>,
     },
+    /// The advisor can be asked through this many daemons.
+    Advisors {
+        /// How many.
+        count: usize,
+    },
     /// The batch of this number is durable.
     Committed {
         /// The batch.
@@ -281,8 +286,8 @@
     pub forget: u64,
     /// How long the answer may wait for an end.
     pub wait_ms: u64,
-    /// When the call was made; given back with the answer.
-    pub made_ms: u64,
+    /// The turn of the pool in which the call was made; given back with the answer.
+    pub turn: u64,
 }
 
 /// An order to start a run.
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -76,11 +76,11 @@
     }
 
     /// A worker started anew: nothing of before runs on it.
-    fn begin_life(&mut self, name: &WorkerId, life: u64) {
+    pub(crate) fn begin_life(&mut self, name: &WorkerId, life: u64) {
         tracing::warn!(worker = %name, life, "worker began a new life");
         self.lose_tasks(name);
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.begin_life(life, self.now_ms);
+            worker.begin_life(life, self.turn);
         }
     }
 
@@ -113,7 +113,7 @@
     }
 
     /// A run is known to be nowhere.
-    fn lose_run(&mut self, id: TaskId) {
+    pub(crate) fn lose_run(&mut self, id: TaskId) {
         self.release(id);
         self.break_gang(id);
         self.requeue(id);
@@ -122,13 +122,13 @@
     pub(crate) fn on_held(
         &mut self,
         name: &WorkerId,
-        sent_ms: u64,
+        turn: u64,
         reply: Result<HoldReply, CallError>,
     ) {
         let now_ms = self.now_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
-        if worker.hold_sent_ms == Some(sent_ms) {
-            worker.hold_sent_ms = None;
+        if worker.hold_turn == Some(turn) {
+            worker.hold_turn = None;
         }
         let reply = match reply {
             Ok(reply) => reply,
@@ -139,7 +139,7 @@
             }
         };
         // An answer to an earlier life's token says nothing of the present one.
-        if reply.life < worker.news.life || sent_ms <= worker.life_began_ms {
+        if reply.life < worker.news.life || turn <= worker.life_began_turn {
             return;
         }
         if reply.life > worker.news.life {
@@ -156,7 +156,7 @@
         }
         worker.next_hold_ms = now_ms;
         self.take_in_ends(name, &reply);
-        self.compare(name, sent_ms, &reply);
+        self.compare(name, turn, &reply);
         self.place_due = true;
     }
 
@@ -197,8 +197,9 @@
     }
 
     /// Holds what a worker lists against what is believed to be there.
-    fn compare(&mut self, name: &WorkerId, sent_ms: u64, reply: &HoldReply) {
+    fn compare(&mut self, name: &WorkerId, turn: u64, reply: &HoldReply) {
         let now_ms = self.now_ms;
+        let this_turn = self.turn;
         let Some(worker) = self.workers.get(name) else { return };
         let here: Vec<TaskId> = worker.tasks.keys().copied().collect();
         let mut listed: HashMap<(TaskId, u32), &crate::event::Active> = HashMap::new();
@@ -211,10 +212,10 @@
                 continue;
             };
             if let Some(active) = listed.remove(&(id, task.run)) {
-                note_active(task, active, now_ms);
+                note_active(task, active, now_ms, this_turn);
                 continue;
             }
-            if is_gone(task, sent_ms) {
+            if is_gone(task, turn) {
                 gone.push(id);
             }
         }
@@ -256,11 +257,12 @@
     pub(crate) fn call_workers(&mut self) {
         let now_ms = self.now_ms;
         let lease_ms = self.limits.lease_ms;
+        let turn = self.turn;
         let mut due = Vec::new();
         for (name, worker) in &mut self.workers {
             let probe = worker.held && std::mem::take(&mut worker.probe_due);
-            let lost = worker.hold_sent_ms.is_some_and(|at| at + HOLD_LOST_MS < now_ms);
-            let waits = worker.hold_sent_ms.is_some() && !lost;
+            let lost = worker.hold_sent_ms + HOLD_LOST_MS < now_ms;
+            let waits = worker.hold_turn.is_some() && !lost;
             if !probe && (waits || worker.next_hold_ms > now_ms) {
                 continue;
             }
@@ -271,7 +273,8 @@
                 continue;
             }
             if !waits {
-                worker.hold_sent_ms = Some(now_ms);
+                worker.hold_turn = Some(turn);
+                worker.hold_sent_ms = now_ms;
             }
             let until_ms = worker.until(now_ms, lease_ms).filter(|_| worker.held);
             worker.until_max = worker.until_max.max(until_ms.unwrap_or(0));
@@ -286,7 +289,7 @@
                 until_ms,
                 forget,
                 wait_ms,
-                made_ms: now_ms,
+                turn,
             }));
         }
     }
@@ -324,9 +327,9 @@
     worker.answered_ms + HOLD_WAIT_MS < now_ms
 }
 
-fn note_active(task: &mut Task, active: &crate::event::Active, now_ms: u64) {
+fn note_active(task: &mut Task, active: &crate::event::Active, now_ms: u64, turn: u64) {
     if matches!(task.phase, Phase::Sent | Phase::Adopted) {
-        task.phase = Phase::Running { since_ms: now_ms };
+        task.phase = Phase::Running { since_turn: turn };
         task.moved_ms = now_ms;
     }
     if active.percent != task.percent {
@@ -339,12 +342,12 @@
 }
 
 /// Whether a task that its worker does not list is nowhere for sure.
-fn is_gone(task: &Task, hold_sent_ms: u64) -> bool {
+fn is_gone(task: &Task, hold_turn: u64) -> bool {
     match task.phase {
         Phase::Adopted | Phase::Done => true,
-        Phase::Running { since_ms } => since_ms < hold_sent_ms,
-        Phase::Stopping { answered_ms: Some(at_ms), .. } => at_ms < hold_sent_ms,
-        Phase::Stopping { answered_ms: None, .. }
+        Phase::Running { since_turn } => since_turn < hold_turn,
+        Phase::Stopping { answered_turn: Some(turn), .. } => turn < hold_turn,
+        Phase::Stopping { answered_turn: None, .. }
         | Phase::Waiting
         | Phase::Reserved
         | Phase::Recorded
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -1,8 +1,7 @@
 //! A job in memory: its steps' tasks and where each of them stands.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use stoatwell_model::WorkerId;
@@ -29,16 +28,16 @@
     Recorded,
     /// A start was sent and not answered yet.
     Sent,
-    /// Known to run, at the latest since `since_ms`.
+    /// Known to run.
     Running {
-        /// When a hold that shows it no more proves that it is gone.
-        since_ms: u64,
+        /// A hold made in a later turn that does not show it proves that it is gone.
+        since_turn: u64,
     },
-    /// Shall not run; whether it does is known once a hold was sent after the
-    /// stop's answer.
+    /// Shall not run; whether it does is told by a hold made in a later turn than
+    /// the stop's answer.
     Stopping {
-        /// When the stop was answered.
-        answered_ms: Option<u64>,
+        /// The turn in which the stop was answered.
+        answered_turn: Option<u64>,
         /// When the stop was last sent.
         sent_ms: u64,
     },
@@ -76,9 +75,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Advice {
     /// Workers that may run the step, with the newest ticket.
-    pub granted: HashMap<WorkerId, Ticket>,
+    pub granted: BTreeMap<WorkerId, Ticket>,
     /// Workers asked about, granted or not.
-    pub asked: HashSet<WorkerId>,
+    pub asked: BTreeSet<WorkerId>,
     /// Since when an answer is awaited.
     pub since_ms: Option<u64>,
     /// Not before this is the advisor asked again.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,7 +26,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use stoatwell_model::Resources;
@@ -94,7 +93,10 @@
     now_ms: u64,
     unix_ms: u64,
     started_ms: u64,
-    jobs: HashMap<JobId, Job>,
+    /// Counts the calls of [`Pool::pump`]: what is asked for in a later turn than
+    /// an answer was taken in, is asked after it.
+    turn: u64,
+    jobs: BTreeMap<JobId, Job>,
     /// Cancellations of jobs that are not known yet.
     early_cancels: BTreeSet<JobId>,
     workers: BTreeMap<WorkerId, Worker>,
@@ -105,6 +107,10 @@
     arrivals: u64,
     commits: Commits,
     learned: Learned,
+    /// Questions to the advisor that are under way, with what each takes.
+    asks: BTreeMap<StepId, u64>,
+    /// Daemons through which the advisor can be asked.
+    advisors: usize,
     place_due: bool,
     effects: Vec<Effect>,
     deposed: bool,
@@ -131,7 +137,8 @@
             now_ms,
             unix_ms,
             started_ms: now_ms,
-            jobs: HashMap::new(),
+            turn: 1,
+            jobs: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
             workers: BTreeMap::new(),
             queue: BTreeMap::new(),
@@ -139,6 +146,8 @@
             arrivals: 0,
             commits: Commits::default(),
             learned: Learned::default(),
+            asks: BTreeMap::new(),
+            advisors: 1,
             place_due: true,
             effects: Vec::new(),
             deposed: false,
@@ -149,32 +158,43 @@
     /// Puts a job back that was accepted before this scheduler began.
     pub fn restore(&mut self, id: JobId, spec: Arc<JobSpec>, progress: Option<&Progress>) {
         let mut job = Job::new(id, spec);
-        if let Some(progress) = progress {
-            job.restore(progress);
-            for task in &progress.tasks {
-                self.adopt(&job, task);
-            }
-        }
+        let Some(progress) = progress else {
+            self.admit(job);
+            return;
+        };
+        job.restore(progress);
         self.admit(job);
+        for task in &progress.tasks {
+            self.adopt(id, task);
+        }
     }
 
     /// Notes where a task may run. The worker may be listed no more; then it is
     /// asked at the address it had, and whatever it lists or its silence tells.
-    fn adopt(&mut self, job: &Job, row: &TaskProgress) {
+    fn adopt(&mut self, job: JobId, row: &TaskProgress) {
         let Some(name) = row.worker.clone().filter(|_| !row.done) else { return };
+        let Some(job) = self.jobs.get(&job) else { return };
         let Some(unit) = job.units.get(row.unit as usize) else { return };
         let id = TaskId { step: unit.id, index: row.index };
         let room = job.step(row.unit as usize).room();
-        if !self.workers.contains_key(&name) {
-            let service = job.spec.queue.service.clone();
-            let news = WorkerNews::unlisted(name.clone(), row.address.clone(), service, row.life);
-            let mut worker = Worker::new(news, self.earlier_lapse_ms());
-            worker.listed = false;
-            self.workers.insert(name.clone(), worker);
+        let service = job.spec.queue.service.clone();
+        let earlier_lapse_ms = self.earlier_lapse_ms();
+        let worker = self.workers.entry(name.clone()).or_insert_with(|| {
+            let address = row.address.clone();
+            let news = WorkerNews::unlisted(name.clone(), address, service, row.life);
+            Worker { listed: false, ..Worker::new(news, earlier_lapse_ms) }
+        });
+        let known_life = worker.news.life;
+        if row.life > known_life {
+            // What was noted before belongs to a life that is over.
+            self.begin_life(&name, row.life);
         }
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.take(id, room);
         }
+        if row.life < known_life {
+            self.lose_run(id);
+        }
     }
 
     /// Takes in one piece of news.
@@ -186,7 +206,7 @@
             Event::Cancelled { job } => self.on_cancelled(job),
             Event::Listed(news) => self.on_listed(news),
             Event::Unlisted { worker } => self.on_unlisted(&worker),
-            Event::Held { worker, sent_ms, reply } => self.on_held(&worker, sent_ms, reply),
+            Event::Held { worker, turn, reply } => self.on_held(&worker, turn, reply),
             Event::Started { task, run, worker, reply } => {
                 self.on_started(task, run, &worker, reply);
             }
@@ -194,6 +214,7 @@
                 self.on_stopped(task, run, &worker, reply);
             }
             Event::Advised { step, asked, granted } => self.on_advised(step, &asked, granted),
+            Event::Advisors { count } => self.advisors = count.max(1),
             Event::Committed { batch } => self.on_committed(batch),
         }
     }
@@ -202,6 +223,7 @@
     pub fn pump(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Effect> {
         self.now_ms = self.now_ms.max(now_ms);
         self.unix_ms = unix_ms;
+        self.turn += 1;
         if self.now_ms >= self.next_sweep_ms {
             self.next_sweep_ms = self.now_ms + SWEEP_EVERY_MS;
             self.sweep();
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -18,6 +18,7 @@
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::job::Phase;
+use crate::spec::AdviceSpec;
 use crate::spec::StepSpec;
 
 /// Units looked at in one pass; those behind them wait for the next.
@@ -29,6 +30,12 @@
 /// room at once while what runs ends.
 const HEADROOM_PERCENT: u64 = 80;
 
+/// A step has enough workers to choose from when they hold this many times its
+/// tasks while empty.
+const PLACES_FACTOR: u64 = 3;
+/// Fewest workers with room for which a step that has enough asks once more.
+const ASKED_AGAIN_MIN: usize = 4;
+
 /// The workers during one pass.
 #[derive(Debug, Default)]
 struct Pass {
@@ -195,12 +202,14 @@
         }
         let chosen = self.choose(step, unit, &spec, priority, &waiting, &allowed, pass);
         let whole = chosen.len() == waiting.len();
-        if !chosen.is_empty() && (whole || !spec.gang) {
+        let may_start = whole || !spec.gang;
+        let may_ask = self.may_renew(step, advice, &chosen, pass);
+        if !chosen.is_empty() && may_start && may_ask {
             for (index, at) in &chosen {
                 let name = pass.rooms[*at].name.clone();
                 self.reserve(TaskId { step, index: *index }, &name, spec.room());
             }
-            self.start_or_ask(step, unit, &chosen, pass);
+            self.start_or_ask(step, &chosen, pass);
             if whole {
                 return Look::Placed;
             }
@@ -209,15 +218,28 @@
                 pass.give_back(*at, &spec.room());
             }
         }
-        if let Some(advice) = advice {
+        if let Some(advice) = advice.filter(|_| may_ask) {
             if with_old_tickets > allowed.len() && self.renew_tickets(step, unit, &spec, pass) {
                 return Look::Waits;
             }
-            self.ask_more(step, unit, &spec, advice.each_ms, pass);
+            self.ask_more(step, unit, &spec, advice, pass);
         }
         Look::Waits
     }
 
+    /// Whether tickets for the chosen workers are at hand or can be asked for now.
+    fn may_renew(
+        &self,
+        step: StepId,
+        advice: Option<AdviceSpec>,
+        chosen: &[(u32, usize)],
+        pass: &Pass,
+    ) -> bool {
+        let Some(rule) = advice else { return true };
+        let fresh = |(_, at): &(u32, usize)| self.has_fresh_ticket(step, &pass.rooms[*at].name);
+        (!chosen.is_empty() && chosen.iter().all(fresh)) || self.may_ask(rule, chosen.len())
+    }
+
     /// The workers that may run a step, with room or without.
     fn allowed(&self, step: StepId, unit: usize, spec: &StepSpec, pass: &Pass) -> Vec<usize> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
@@ -254,7 +276,8 @@
             names.push(pass.rooms[at].name.clone());
         }
         names.truncate(self.limits.advice_workers_max);
-        if has_room {
+        let Some(rule) = job.spec.queue.advice else { return false };
+        if has_room && self.may_ask(rule, names.len()) {
             self.ask(step, names);
         }
         has_room
@@ -367,27 +390,25 @@
     }
 
     /// Records the starts of chosen tasks, or first asks for tickets.
-    fn start_or_ask(&mut self, step: StepId, unit: usize, chosen: &[(u32, usize)], pass: &Pass) {
+    fn start_or_ask(&mut self, step: StepId, chosen: &[(u32, usize)], pass: &Pass) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let needs_tickets = job.spec.queue.advice.is_some();
-        let gang = job.step(unit).gang;
-        let mut stale: Vec<WorkerId> = Vec::new();
+        let mut names: Vec<WorkerId> = Vec::new();
+        let mut stale = false;
         let mut ready = Vec::new();
         for (index, at) in chosen {
             let name = &pass.rooms[*at].name;
-            if needs_tickets && !self.has_fresh_ticket(step, name) {
-                if !stale.contains(name) {
-                    stale.push(name.clone());
-                }
-                continue;
+            if !names.contains(name) {
+                names.push(name.clone());
             }
+            stale |= needs_tickets && !self.has_fresh_ticket(step, name);
             ready.push(TaskId { step, index: *index });
         }
-        if !stale.is_empty() {
-            self.ask(step, stale);
-            if gang {
-                return;
-            }
+        if stale {
+            // Asked for all of them: tickets that are good now may be old when
+            // the answer comes, and one old ticket keeps a gang from starting.
+            self.ask(step, names);
+            return;
         }
         self.record_starts(step, &ready);
     }
@@ -416,12 +437,16 @@
 
     /// Asks the advisor about open workers that it was not asked about yet,
     /// those with the most room first.
+    ///
+    /// A gang asks again only while the workers it may use are few, a step of
+    /// single tasks only for several workers with room at once: each question
+    /// costs the time to decide, however little it asks.
     fn ask_more(
         &mut self,
         step: StepId,
         unit: usize,
         spec: &StepSpec,
-        each_ms: f64,
+        rule: AdviceSpec,
         pass: &Pass,
     ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
@@ -429,24 +454,36 @@
         if advice.since_ms.is_some() || advice.pause_until_ms > self.now_ms {
             return;
         }
-        let first = advice.asked.is_empty();
         let need = spec.room();
+        let granted_room = |name: &WorkerId| {
+            pass.by_name.get(name).map_or(0, |at| pass.rooms[*at].capacity.times_held(&need))
+        };
+        let places: u64 = advice.granted.keys().map(granted_room).sum();
+        let enough = places >= u64::from(spec.tasks) * PLACES_FACTOR;
+        if spec.gang && enough {
+            return;
+        }
+        let first = advice.asked.is_empty();
+        let any_room = first || spec.gang || !enough;
         let mut fresh: Vec<(u64, &WorkerId)> = Vec::new();
         for room in &pass.rooms {
             if advice.asked.contains(&room.name)
                 || !room.capacity.holds(&need)
-                || !(first || room.free.holds(&need))
+                || !(any_room || room.free.holds(&need))
                 || !self.is_eligible(&job.spec.queue.service, spec, &room.name)
             {
                 continue;
             }
             fresh.push((room.free.times_held(&need), &room.name));
         }
+        if fresh.is_empty() || (enough && fresh.len() < ASKED_AGAIN_MIN) {
+            return;
+        }
         fresh.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| spread(step, a.1).cmp(&spread(step, b.1))));
-        let most = self.asked_max(each_ms);
+        let most = self.asked_max(rule.each_ms);
         let names: Vec<WorkerId> =
             fresh.into_iter().take(most).map(|(_, name)| name.clone()).collect();
-        if !names.is_empty() {
+        if self.may_ask(rule, names.len()) {
             self.ask(step, names);
         }
     }
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -74,6 +74,7 @@
         reply: Result<StartReply, CallError>,
     ) {
         let now_ms = self.now_ms;
+        let turn = self.turn;
         if let Some(worker) = self.workers.get_mut(from) {
             match &reply {
                 Ok(StartReply::NoRoom | StartReply::Unwell) | Err(CallError::Unwell) => {
@@ -93,7 +94,10 @@
             return;
         }
         match reply {
-            Ok(StartReply::Started) => task.phase = Phase::Running { since_ms: now_ms },
+            Ok(StartReply::Started) => {
+                task.phase = Phase::Running { since_turn: turn };
+                task.moved_ms = now_ms;
+            }
             Ok(StartReply::OldRun) | Err(CallError::NoAnswer) => {
                 tracing::warn!(task = %id, run, worker = %from, ?reply, "start in doubt");
                 self.stop(id);
@@ -134,7 +138,7 @@
             }
             Phase::Sent | Phase::Running { .. } | Phase::Adopted => {}
         }
-        task.phase = Phase::Stopping { answered_ms: None, sent_ms: now_ms };
+        task.phase = Phase::Stopping { answered_turn: None, sent_ms: now_ms };
         self.send_stop(id);
     }
 
@@ -154,19 +158,20 @@
         reply: Result<(), CallError>,
     ) {
         let now_ms = self.now_ms;
+        let turn = self.turn;
         if reply == Err(CallError::Refused) {
             self.lose_worker(from, "nothing listens at its address");
             return;
         }
         let Some(task) = self.task_at(id, run, from) else { return };
-        let Phase::Stopping { answered_ms, sent_ms } = &mut task.phase else { return };
+        let Phase::Stopping { answered_turn, sent_ms } = &mut task.phase else { return };
         if let Err(error) = reply {
             tracing::warn!(task = %id, run, worker = %from, %error, "stop not answered");
             *sent_ms = now_ms;
             return;
         }
-        if answered_ms.is_none() {
-            *answered_ms = Some(now_ms);
+        if answered_turn.is_none() {
+            *answered_turn = Some(turn);
         }
         if let Some(worker) = self.workers.get_mut(from) {
             worker.probe_due = true;
@@ -349,15 +354,15 @@
                 for (index, task) in unit.tasks.iter().enumerate() {
                     let id = TaskId { step: unit.id, index: index as u32 };
                     match task.phase {
-                        Phase::Stopping { answered_ms: None, sent_ms }
+                        Phase::Stopping { answered_turn: None, sent_ms }
                             if sent_ms + STOP_AGAIN_MS < self.now_ms =>
                         {
                             again.push(id);
                         }
-                        Phase::Running { since_ms }
+                        Phase::Running { .. }
                             if !step.long_running
                                 && !step.gang
-                                && task.moved_ms.max(since_ms) + still_ms < self.now_ms =>
+                                && task.moved_ms + still_ms < self.now_ms =>
                         {
                             still.push(id);
                         }
@@ -369,7 +374,7 @@
         for id in again {
             let now_ms = self.now_ms;
             if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) {
-                task.phase = Phase::Stopping { answered_ms: None, sent_ms: now_ms };
+                task.phase = Phase::Stopping { answered_turn: None, sent_ms: now_ms };
             }
             self.send_stop(id);
         }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -1,7 +1,7 @@
 //! One worker as the scheduler sees it: its room, its lease, its lists.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 
 use stoatwell_model::Resources;
 
@@ -30,12 +30,14 @@
     pub lives: u64,
     /// Whether a hold under the present token was answered.
     pub held: bool,
-    pub hold_sent_ms: Option<u64>,
+    /// The turn in which the hold under way was made.
+    pub hold_turn: Option<u64>,
+    pub hold_sent_ms: u64,
     pub next_hold_ms: u64,
     /// Whether a hold that does not wait shall tell what a stop has left.
     pub probe_due: bool,
     /// When the present life was first known of; 0 for the first one.
-    pub life_began_ms: u64,
+    pub life_began_turn: u64,
     /// The worker's clock, and when the answer that told it came.
     pub clock: Option<(u64, u64)>,
     /// The latest moment on the worker's clock that was ever allowed.
@@ -47,7 +49,7 @@
     /// Numbers of ends that are taken in and not durable yet.
     pub not_durable: BTreeSet<u64>,
     /// Tasks that have room here, with it.
-    pub tasks: HashMap<TaskId, Resources>,
+    pub tasks: BTreeMap<TaskId, Resources>,
     /// Runs that are none of ours but take room.
     pub strangers: Vec<Resources>,
     pub used: Resources,
@@ -67,16 +69,17 @@
             listed: true,
             lives: 0,
             held: false,
-            hold_sent_ms: None,
+            hold_turn: None,
+            hold_sent_ms: 0,
             next_hold_ms: 0,
             probe_due: false,
-            life_began_ms: 0,
+            life_began_turn: 0,
             clock: None,
             until_max: 0,
             earlier_lapse_ms,
             taken_in: 0,
             not_durable: BTreeSet::new(),
-            tasks: HashMap::new(),
+            tasks: BTreeMap::new(),
             strangers: Vec::new(),
             used: Resources::ZERO,
             failures: 0,
@@ -88,12 +91,13 @@
     }
 
     /// Forgets what belongs to an earlier life. Its tasks are the caller's to take away.
-    pub fn begin_life(&mut self, life: u64, now_ms: u64) {
-        self.life_began_ms = now_ms;
+    pub fn begin_life(&mut self, life: u64, turn: u64) {
+        self.life_began_turn = turn;
+
         self.news.life = life;
         self.lives += 1;
         self.held = false;
-        self.hold_sent_ms = None;
+        self.hold_turn = None;
         self.next_hold_ms = 0;
         self.clock = None;
         self.until_max = 0;
--- /dev/null
+++ b/crates/pool/tests/world/mod.rs
@@ -0,0 +1,480 @@
+//! A pool with workers, a store and a network, in virtual time.
+//!
+//! Everything that can go wrong between a scheduler and its workers goes wrong
+//! by a seeded draw: calls and answers are lost or come seconds later, workers
+//! crash, are cut off and begin new lives, schedulers are replaced while their
+//! orders are still under way. The world watches what the workers do and
+//! remembers each promise that is broken.
+
+mod worker;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+use stoatwell_pool::CallError;
+use stoatwell_pool::Effect;
+use stoatwell_pool::Event;
+use stoatwell_pool::Grant;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
+use stoatwell_pool::Limits;
+use stoatwell_pool::Pool;
+use stoatwell_pool::Progress;
+use stoatwell_pool::QueueSpec;
+use stoatwell_pool::StepSpec;
+use stoatwell_pool::TaskId;
+
+use self::worker::Call;
+use self::worker::Reply;
+use self::worker::Worker;
+
+/// The lease that schedulers ask for, and the longest that workers grant.
+pub const LEASE_MS: u64 = 6_000;
+
+/// What may go wrong, as chances in a thousand.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    /// A call never arrives.
+    pub lost_calls: u32,
+    /// A call brings no answer but is carried out.
+    pub lost_answers: u32,
+    /// A call brings no answer and is carried out seconds later.
+    pub late_calls: u32,
+    /// A run fails.
+    pub failed_runs: u32,
+    /// In each tenth of a second, a worker crashes and begins a new life.
+    pub crashes: u32,
+    /// In each tenth of a second, a worker is cut off for some seconds.
+    pub cuts: u32,
+    /// In each tenth of a second, another scheduler takes over.
+    pub take_overs: u32,
+    /// A question to the advisor brings no answer.
+    pub lost_advice: u32,
+}
+
+/// One day of a pool.
+pub struct World {
+    pub now_ms: u64,
+    pub rng: Pcg64,
+    pub faults: Faults,
+    pub workers: BTreeMap<WorkerId, Worker>,
+    pub broken: Vec<String>,
+    pub starts: u64,
+    pool: Pool,
+    epoch: u64,
+    jobs: BTreeMap<JobId, Arc<JobSpec>>,
+    progress: BTreeMap<JobId, Progress>,
+    cancelled: BTreeMap<JobId, u64>,
+    /// Tasks whose end as done a worker was told to forget.
+    noted_done: BTreeSet<TaskId>,
+    agenda: BTreeMap<(u64, u64), Item>,
+    items: u64,
+}
+
+enum Item {
+    /// A call arrives at the life of a worker that it was sent to; the answer
+    /// goes back unless it is lost.
+    Arrives { epoch: u64, life: u64, call: Call, answered: bool },
+    /// News reach the scheduler of this epoch.
+    News(u64, Event),
+    /// A worker is reached again.
+    Healed(WorkerId),
+    /// A worker that crashed is listed again.
+    Listed(WorkerId),
+}
+
+impl World {
+    /// A pool of workers with 16 cores each.
+    pub fn new(seed: u64, workers: usize, faults: Faults) -> Self {
+        let mut world = Self {
+            now_ms: 1_000,
+            rng: Pcg64::seed_from_u64(seed),
+            faults,
+            workers: BTreeMap::new(),
+            broken: Vec::new(),
+            starts: 0,
+            pool: Pool::new(1, limits(), 1_000, 1_000),
+            epoch: 1,
+            jobs: BTreeMap::new(),
+            progress: BTreeMap::new(),
+            cancelled: BTreeMap::new(),
+            noted_done: BTreeSet::new(),
+            agenda: BTreeMap::new(),
+            items: 0,
+        };
+        for number in 0..workers {
+            let name = WorkerId::new(format!("w{number:02}"));
+            let slow_permille = world.rng.random_range(0..20);
+            world.workers.insert(name.clone(), Worker::new(name, slow_permille));
+        }
+        world.list_all();
+        world
+    }
+
+    /// Hands a job in.
+    pub fn submit(&mut self, id: u64, spec: JobSpec) {
+        let (job, spec) = (JobId(id), Arc::new(spec));
+        self.jobs.insert(job, Arc::clone(&spec));
+        self.tell(Event::Accepted { job, spec });
+    }
+
+    /// Cancels a job.
+    pub fn cancel(&mut self, id: u64) {
+        self.cancelled.insert(JobId(id), self.now_ms);
+        self.tell(Event::Cancelled { job: JobId(id) });
+    }
+
+    /// What callers are told of a job.
+    pub fn state(&self, id: u64) -> Option<JobState> {
+        self.pool.state(JobId(id))
+    }
+
+    /// Jobs that are not over.
+    pub fn open_jobs(&self) -> Vec<JobId> {
+        let over = |job: &&JobId| {
+            matches!(
+                self.pool.state(**job),
+                Some(JobState::Completed | JobState::Failed | JobState::Cancelled)
+            )
+        };
+        self.jobs.keys().filter(|job| !over(job)).copied().collect()
+    }
+
+    /// Why a job is where it is.
+    pub fn explain(&self, job: JobId) -> String {
+        self.pool.explain(job).join("\n")
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, for_ms: u64) {
+        let end_ms = self.now_ms + for_ms;
+        while self.now_ms < end_ms {
+            self.now_ms += 5;
+            while let Some(entry) = self.agenda.first_entry() {
+                if entry.key().0 > self.now_ms {
+                    break;
+                }
+                let item = entry.remove();
+                self.happen(item);
+            }
+            if self.now_ms % 100 == 0 {
+                self.draw_faults();
+            }
+            self.work();
+            self.pump();
+            self.check();
+        }
+    }
+
+    /// Another daemon schedules from now on; calls of the former one are still under way.
+    pub fn take_over(&mut self) {
+        self.epoch += 1;
+        self.pool = Pool::new(self.epoch, limits(), self.now_ms, self.now_ms);
+        for (job, spec) in &self.jobs {
+            self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
+        }
+        for job in self.cancelled.keys().copied().collect::<Vec<_>>() {
+            self.tell(Event::Cancelled { job });
+        }
+        self.list_all();
+    }
+
+    /// A worker loses all it knows; it is back, as a new life, after a while.
+    pub fn crash(&mut self, name: &WorkerId) {
+        let now_ms = self.now_ms;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.crash(now_ms);
+        }
+        self.schedule(1_500, Item::Listed(name.clone()));
+    }
+
+    /// The scheduler and a worker do not reach each other for a while.
+    pub fn cut(&mut self, name: &WorkerId, for_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.cut = true;
+        }
+        self.schedule(for_ms, Item::Healed(name.clone()));
+    }
+
+    fn list_all(&mut self) {
+        let news: Vec<_> =
+            self.workers.values().filter(|worker| worker.up).map(Worker::news).collect();
+        for news in news {
+            self.tell(Event::Listed(news));
+        }
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.pool.handle(self.now_ms, self.now_ms, event);
+    }
+
+    fn schedule(&mut self, in_ms: u64, item: Item) {
+        self.items += 1;
+        self.agenda.insert((self.now_ms + in_ms, self.items), item);
+    }
+
+    fn chance(&mut self, permille: u32) -> bool {
+        permille > 0 && self.rng.random_range(0..1_000) < permille
+    }
+
+    fn draw_faults(&mut self) {
+        let names: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        for name in names {
+            if self.chance(self.faults.crashes) {
+                self.crash(&name);
+            }
+            if self.chance(self.faults.cuts) {
+                let for_ms = self.rng.random_range(500..9_000);
+                self.cut(&name, for_ms);
+            }
+        }
+        if self.chance(self.faults.take_overs) {
+            self.take_over();
+        }
+    }
+
+    fn happen(&mut self, item: Item) {
+        match item {
+            Item::News(epoch, event) if epoch == self.epoch => self.tell(event),
+            Item::News(..) => {}
+            Item::Healed(name) => {
+                if let Some(worker) = self.workers.get_mut(&name) {
+                    worker.cut = false;
+                }
+            }
+            Item::Listed(name) => {
+                let Some(worker) = self.workers.get_mut(&name) else { return };
+                worker.up = true;
+                let news = worker.news();
+                self.tell(Event::Listed(news));
+            }
+            Item::Arrives { epoch, life, call, answered } => {
+                self.arrive(epoch, life, call, answered);
+            }
+        }
+    }
+
+    fn arrive(&mut self, epoch: u64, life: u64, call: Call, answered: bool) {
+        let Some(worker) = self.workers.get_mut(call.worker()) else { return };
+        if worker.up && worker.life != life {
+            // The connection went with the life that it led to.
+            let event = call.event(Err(CallError::NoAnswer));
+            self.schedule(1, Item::News(epoch, event));
+            return;
+        }
+        if worker.cut {
+            let event = call.event(Err(CallError::NoAnswer));
+            self.schedule(900, Item::News(epoch, event));
+            return;
+        }
+        if !worker.up {
+            let event = call.event(Err(CallError::Refused));
+            self.schedule(2, Item::News(epoch, event));
+            return;
+        }
+        if let Call::Hold(hold) = &call {
+            for task in worker.forget(hold.forget, hold.to.token) {
+                tracing::info!(at = self.now_ms, %task, worker = %hold.to.worker, token = hold.to.token, "WORLD noted");
+                self.noted_done.insert(task);
+            }
+        }
+        let starts = matches!(call, Call::Start(_));
+        let reply = worker.answer(&call, self.now_ms);
+        if starts && matches!(reply, Reply::Started) {
+            self.note_start(&call);
+        }
+        if !answered {
+            return;
+        }
+        if matches!(reply, Reply::Waits) {
+            self.schedule(20, Item::Arrives { epoch, life, call: call.waited(20), answered });
+            return;
+        }
+        let event = call.event(Ok(reply));
+        let way_ms = self.rng.random_range(1..15);
+        self.schedule(way_ms, Item::News(epoch, event));
+    }
+
+    fn note_start(&mut self, call: &Call) {
+        let Call::Start(start) = call else { return };
+        self.starts += 1;
+        tracing::info!(at = self.now_ms, task = %start.task, run = start.run, worker = %start.to.worker, token = start.to.token, "WORLD start");
+        if self.noted_done.contains(&start.task) {
+            self.broken.push(format!("{}: started after its end was noted", start.task));
+        }
+        let job = start.task.step.job;
+        if self.cancelled.get(&job).is_some_and(|at| at + 3_000 < self.now_ms)
+            && start.made_ms + 1_000 > self.now_ms
+        {
+            self.broken.push(format!("{}: started long after it was cancelled", start.task));
+        }
+        let Some(spec) = self.jobs.get(&job).cloned() else { return };
+        let step = &spec.steps[start.task.step.step as usize];
+        for earlier in &step.after {
+            let all = 0..spec.steps[*earlier as usize].tasks;
+            for index in all {
+                let mut before = start.task;
+                before.step.step = *earlier;
+                before.index = index;
+                if !self.was_done(before) {
+                    self.broken.push(format!("{}: started before {before} was done", start.task));
+                }
+            }
+        }
+        let fails = self.chance(self.faults.failed_runs);
+        let takes_ms = self.rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
+        let room = step.demand;
+        let gang = step.gang.then_some(step.tasks);
+        let now_ms = self.now_ms;
+        if let Some(worker) = self.workers.get_mut(&start.to.worker) {
+            worker.begin(start, now_ms, takes_ms, fails, room, gang);
+        }
+    }
+
+    fn was_done(&self, task: TaskId) -> bool {
+        self.workers.values().any(|worker| worker.was_done.contains(&task))
+    }
+
+    fn work(&mut self) {
+        let present = self.present();
+        for worker in self.workers.values_mut() {
+            worker.work(self.now_ms, &present);
+        }
+        // A gang ends together; the end of one member breaks the others.
+        let mut ended = BTreeSet::new();
+        for worker in self.workers.values_mut() {
+            ended.append(&mut worker.gang_ends);
+        }
+        for worker in self.workers.values_mut() {
+            worker.break_gangs(&ended);
+        }
+    }
+
+    /// How many members of each gang's run are at work.
+    fn present(&self) -> BTreeMap<(stoatwell_pool::StepId, u32), u32> {
+        let mut present = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, run) in worker.active.keys() {
+                *present.entry((task.step, *run)).or_insert(0) += 1;
+            }
+        }
+        present
+    }
+
+    fn pump(&mut self) {
+        for effect in self.pool.pump(self.now_ms, self.now_ms) {
+            match effect {
+                Effect::Hold(call) => self.send(Call::Hold(call)),
+                Effect::Start(call) => self.send(Call::Start(call)),
+                Effect::Stop(call) => self.send(Call::Stop(call)),
+                Effect::Advise { step, workers, .. } => {
+                    let lost = self.chance(self.faults.lost_advice);
+                    let grant = |worker: &WorkerId| Grant {
+                        worker: worker.clone(),
+                        ticket: "t".to_owned(),
+                    };
+                    let granted = workers.iter().filter(|name| is_granted(step, name));
+                    let granted = (!lost).then(|| granted.map(grant).collect());
+                    let event = Event::Advised { step, asked: workers, granted };
+                    self.schedule(80, Item::News(self.epoch, event));
+                }
+                Effect::Commit { batch, puts, removes } => {
+                    for (job, progress) in puts {
+                        self.progress.insert(job, progress);
+                    }
+                    for job in removes {
+                        self.progress.remove(&job);
+                        self.jobs.remove(&job);
+                    }
+                    self.schedule(12, Item::News(self.epoch, Event::Committed { batch }));
+                }
+                Effect::StepDown => {}
+            }
+        }
+    }
+
+    fn send(&mut self, call: Call) {
+        let way_ms = self.rng.random_range(1..15);
+        let epoch = self.epoch;
+        let life = self.workers.get(call.worker()).map_or(0, |worker| worker.life);
+        if self.chance(self.faults.lost_calls) {
+            let event = call.event(Err(CallError::NoAnswer));
+            self.schedule(1_000, Item::News(epoch, event));
+            return;
+        }
+        let late = self.chance(self.faults.late_calls);
+        if late || self.chance(self.faults.lost_answers) {
+            let event = call.event(Err(CallError::NoAnswer));
+            self.schedule(1_000, Item::News(epoch, event));
+            let way_ms = if late { self.rng.random_range(2_000..12_000) } else { way_ms };
+            self.schedule(way_ms, Item::Arrives { epoch, life, call, answered: false });
+            return;
+        }
+        self.schedule(way_ms, Item::Arrives { epoch, life, call, answered: true });
+    }
+
+    fn check(&mut self) {
+        let mut seen: BTreeMap<TaskId, WorkerId> = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            let mut used = Resources::ZERO;
+            for ((task, _), run) in &worker.active {
+                used = used.plus(&run.room);
+                if let Some(other) = seen.insert(*task, name.clone()) {
+                    self.broken.push(format!("{task}: runs on {other} and on {name}"));
+                }
+            }
+            if !worker.capacity.holds(&used) {
+                self.broken.push(format!("{name}: {used:?} is more than it holds"));
+            }
+        }
+    }
+}
+
+/// The advisor permits about three workers of five.
+fn is_granted(step: stoatwell_pool::StepId, worker: &WorkerId) -> bool {
+    let mut hash = step.job.0.wrapping_mul(31) ^ u64::from(step.step);
+    for byte in worker.as_str().bytes() {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    hash % 5 < 3
+}
+
+fn limits() -> Limits {
+    Limits {
+        lease_ms: LEASE_MS,
+        lease_max_ms: LEASE_MS,
+        remember_ms: 1_000_000,
+        advice_workers_max: 100,
+    }
+}
+
+/// A queue without an advisor.
+pub fn queue(priority: u32) -> QueueSpec {
+    QueueSpec {
+        name: format!("q{priority}"),
+        service: "pool".to_owned(),
+        priority,
+        attempts_max: 3,
+        slack_factor: 2.0,
+        target_ms: 1_000,
+        advice: None,
+    }
+}
+
+/// A job of the given steps.
+pub fn job(queue: QueueSpec, steps: Vec<StepSpec>) -> JobSpec {
+    JobSpec { queue, payload: "work".to_owned(), steps, repeat: None, accepted_unix_ms: 1_000 }
+}
+
+/// A step of tasks that need this many thousandths of a core.
+pub fn step(tasks: u32, cpu_millis: u64, estimate_ms: u64) -> StepSpec {
+    let demand = Resources { cpu_millis, memory_bytes: 1 << 20, accelerators: 0 };
+    StepSpec { tasks, demand, estimate_ms, ..StepSpec::default() }
+}
