--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -1,7 +1,7 @@
 //! Makes submissions and cancellations durable, many in one transaction.
 //!
-//! One transaction is under way at a time; what arrives meanwhile goes with
-//! the next. A write without an answer may have been done, or may be done
+//! One transaction of a shard is under way at a time; what arrives meanwhile
+//! goes with the next. A write without an answer may have been done, or may be done
 //! later, so its callers are told neither "accepted" nor "not run" before a
 //! further try has shown which; its condition makes trying again harmless.
 
@@ -15,17 +15,21 @@
 
 use crate::health::StoreHealth;
 use crate::outside::Outside;
+use crate::outside::SHARDS;
+use crate::outside::Shard;
 use crate::outside::StoreError;
 use crate::outside::Table;
 use crate::outside::Transaction;
+use crate::outside::shard;
 
-/// Most rows of one transaction; the store takes 100 entries.
-const BATCH_MAX: usize = 90;
+/// Most items of one transaction: the store takes 100 entries, and a
+/// submission needs two, its row and the condition that there is none yet.
+const BATCH_MAX: usize = 48;
 /// Most bytes of one transaction, with room for its coding; the store takes 1 MB.
 const BATCH_BYTES_MAX: usize = 600_000;
-/// Requests that wait for a transaction at one time. Beyond it a daemon is
-/// choked and says so at once.
-const WAITING_MAX: usize = 2_000;
+/// Requests that wait for a transaction of one shard at one time. Beyond it a
+/// daemon is choked and says so at once.
+const WAITING_MAX: usize = 400;
 /// A refusal by the store is tried again after this ...
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
 /// ... this many times, which outlasts the second in which a full part drains
@@ -66,16 +70,20 @@
 /// Makes items durable.
 #[derive(Clone, Debug)]
 pub struct Acceptor {
-    items: mpsc::Sender<Waiting>,
+    shards: Vec<mpsc::Sender<Waiting>>,
     health: Arc<StoreHealth>,
 }
 
 impl Acceptor {
-    /// Starts the task that writes.
+    /// Starts the tasks that write, one for each shard.
     pub fn start(outside: Arc<impl Outside>, health: Arc<StoreHealth>) -> Self {
-        let (items, queue) = mpsc::channel(WAITING_MAX);
-        tokio::spawn(write(outside, Arc::clone(&health), queue));
-        Self { items, health }
+        let mut shards = Vec::with_capacity(SHARDS);
+        for _ in 0..SHARDS {
+            let (items, queue) = mpsc::channel(WAITING_MAX);
+            tokio::spawn(write(Arc::clone(&outside), Arc::clone(&health), queue));
+            shards.push(items);
+        }
+        Self { shards, health }
     }
 
     /// Makes one item durable, or tells that it could not be.
@@ -85,7 +93,11 @@
         }
         let (answer, answered) = oneshot::channel();
         let waiting = Waiting { item, answer, deadline, in_doubt: false, refusals: 0 };
-        if self.items.try_send(waiting).is_err() {
+        let items = match shard(Table::Jobs, &waiting.item.job().to_string()) {
+            Shard::Jobs(number) => self.shards.get(number),
+            Shard::Scheduler => None,
+        };
+        if !items.is_some_and(|items| items.try_send(waiting).is_ok()) {
             return Accepted::No;
         }
         answered.await.unwrap_or(Accepted::Unknown)
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,10 +43,13 @@
 pub use crate::outside::Outside;
 pub use crate::outside::Row;
 pub use crate::outside::Rows;
+pub use crate::outside::SHARDS;
+pub use crate::outside::Shard;
 pub use crate::outside::StoreError;
 pub use crate::outside::Table;
 pub use crate::outside::Transaction;
 pub use crate::outside::WorkerChanges;
+pub use crate::outside::shard;
 
 /// Who a daemon is and how it is set up.
 #[derive(Clone, Debug)]
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -32,6 +32,34 @@
     Daemons,
 }
 
+/// Shards of [`Table::Jobs`] and [`Table::Cancels`].
+///
+/// The store writes one transaction of a shard after another, so that when it
+/// is slow each one waits for all before it. With eight, a daemon's write
+/// rarely waits for another daemon's, and the scheduler's, which are a shard of
+/// their own, never for submissions.
+pub const SHARDS: usize = 8;
+
+/// Rows that the store writes one transaction after another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Shard {
+    /// What the scheduler writes.
+    Scheduler,
+    /// What daemons write for the jobs of this number.
+    Jobs(usize),
+}
+
+/// The shard of a row.
+pub fn shard(table: Table, key: &str) -> Shard {
+    match table {
+        Table::Jobs | Table::Cancels => {
+            let last = key.bytes().last().unwrap_or_default();
+            Shard::Jobs(usize::from(last) % SHARDS)
+        }
+        Table::Progress | Table::Duty | Table::Daemons => Shard::Scheduler,
+    }
+}
+
 /// A row as the store has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -328,8 +328,11 @@
                 }
             }
         }
-        let fails = self.chance(self.faults.failed_runs);
-        let takes_ms = self.rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
+        // The members of a gang work together, so they draw alike.
+        let alike = start.task.step.job.0 ^ u64::from(start.task.step.step) << 32 ^ u64::from(start.run);
+        let mut rng = if step.gang { Pcg64::seed_from_u64(alike) } else { Pcg64::from_rng(&mut self.rng) };
+        let fails = rng.random_range(0..1_000) < self.faults.failed_runs;
+        let takes_ms = rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
         let room = step.demand;
         let gang = step.gang.then_some(step.tasks);
         let now_ms = self.now_ms;
