--- a/crates/bench/src/slopes.rs
+++ b/crates/bench/src/slopes.rs
@@ -8,6 +8,7 @@
 
 use clap::ArgMatches;
 use stoatwell_engine::PeerCall;
+use stoatwell_engine::PeerReply;
 use stoatwell_model::DaemonId;
 use stoatwell_model::OwnerName;
 use stoatwell_model::RegionName;
@@ -295,10 +296,13 @@
     for (name, call) in
         [("a hint", PeerCall::Changed { revision: 7 }), ("a heartbeat of 45 owners", heartbeat(45))]
     {
-        peers.call(&address, call.clone(), limit).await.map_err(|error| error.to_string())?;
+        peers.call::<PeerReply>(&address, &call, limit).await.map_err(|error| error.to_string())?;
         let before = traffic.counts();
         for _ in 0..ROUNDS {
-            peers.call(&address, call.clone(), limit).await.map_err(|error| error.to_string())?;
+            peers
+                .call::<PeerReply>(&address, &call, limit)
+                .await
+                .map_err(|error| error.to_string())?;
         }
         let sent = (traffic.counts().sent_bytes - before.sent_bytes) as f64 / f64::from(ROUNDS);
         let bare = wire_bytes(&call) as f64;
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -97,7 +97,7 @@
             Shard::Jobs(number) => self.shards.get(number),
             Shard::Scheduler => None,
         };
-        if !items.is_some_and(|items| items.try_send(waiting).is_ok()) {
+        if items.is_none_or(|items| items.try_send(waiting).is_err()) {
             return Accepted::No;
         }
         answered.await.unwrap_or(Accepted::Unknown)
@@ -146,7 +146,10 @@
                 for waiting in &mut batch {
                     waiting.in_doubt = true;
                 }
-                tracing::warn!(items = batch.len(), "store did not answer a write, it is tried again");
+                tracing::warn!(
+                    items = batch.len(),
+                    "store did not answer a write, it is tried again"
+                );
                 tokio::time::sleep(DOUBT_PAUSE).await;
             }
             Err(StoreError::Refused | StoreError::HistoryLost) => {
@@ -210,8 +213,7 @@
     for waiting in batch.iter_mut() {
         waiting.refusals += 1;
     }
-    let over =
-        |waiting: &Waiting| !waiting.in_doubt && waiting.refusals >= REFUSED_TRIES;
+    let over = |waiting: &Waiting| !waiting.in_doubt && waiting.refusals >= REFUSED_TRIES;
     let (refused, rest): (Vec<Waiting>, Vec<Waiting>) = batch.drain(..).partition(over);
     *batch = rest;
     for waiting in refused {
--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -87,12 +87,11 @@
         let mut known = BTreeSet::from([self.me.clone()]);
         for row in rows {
             let address = row.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
-            match address {
-                Some(address) => {
-                    known.insert(address.to_owned());
-                }
-                None => tracing::debug!(key = row.key, "a daemon's row cannot be read"),
-            }
+            let Some(address) = address else {
+                tracing::debug!(key = row.key, "a daemon's row cannot be read");
+                continue;
+            };
+            known.insert(address.to_owned());
         }
         let mut state = self.lock();
         state.asking.retain(|address, one| known.contains(address) || one.busy_ms > 0);
@@ -141,13 +140,7 @@
 
     async fn turn(&self, priority: u32, cost_ms: u64) -> Option<String> {
         let (turn, my_turn) = oneshot::channel();
-        {
-            let mut state = self.lock();
-            let arrival = state.arrivals;
-            state.arrivals += 1;
-            state.waiting.insert((priority, arrival), Waiting { cost_ms, turn });
-            state.assign();
-        }
+        self.lock().enqueue(priority, Waiting { cost_ms, turn });
         my_turn.await.ok()
     }
 
@@ -178,6 +171,12 @@
 }
 
 impl State {
+    fn enqueue(&mut self, priority: u32, call: Waiting) {
+        self.waiting.insert((priority, self.arrivals), call);
+        self.arrivals += 1;
+        self.assign();
+    }
+
     /// Gives waiting calls to daemons that are free for them.
     fn assign(&mut self) {
         let now_ms = steady_ms();
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -114,9 +114,8 @@
 
     /// Where a job stands.
     pub async fn state(&self, job: JobId) -> Known {
-        match self.ask(NodeCall::State(job)).await {
-            Some(NodeReply::State(Some(state))) => return Known::State(state),
-            Some(_) | None => {}
+        if let Some(NodeReply::State(Some(state))) = self.ask(NodeCall::State(job)).await {
+            return Known::State(state);
         }
         // The scheduler is away, or has not heard of a job just accepted.
         match self.state_in_store(job).await {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -27,7 +27,10 @@
             Err(StoreError::NoAnswer | StoreError::Refused) => {
                 let before = self.failures.fetch_add(1, Ordering::Relaxed);
                 if before + 1 == FAILURES_MAX {
-                    tracing::warn!(dependency = "store", "lost: new jobs are refused until it answers");
+                    tracing::warn!(
+                        dependency = "store",
+                        "lost: new jobs are refused until it answers"
+                    );
                 }
             }
             Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost) => {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -54,7 +54,7 @@
 /// with each of their heartbeats.
 const WORKERS_PAUSE: Duration = Duration::from_millis(400);
 /// How often the scheduler reads which daemons there are.
-const DAEMONS_EVERY: Duration = Duration::from_millis(2_000);
+const DAEMONS_EVERY: Duration = Duration::from_secs(2);
 /// Workers that are missing from the list are taken for gone only after the
 /// list was readable for this long: entries come back late after an outage.
 const MISSING_GRACE_MS: u64 = 2_500;
@@ -194,7 +194,13 @@
             }
         }
         let version = workers.version;
-        tracing::info!(epoch, jobs = count, open, workers = workers.listed.len(), "state read back");
+        tracing::info!(
+            epoch,
+            jobs = count,
+            open,
+            workers = workers.listed.len(),
+            "state read back"
+        );
         for listed in workers.listed {
             pool.handle(steady_ms(), unix_ms(), Event::Listed(listed));
         }
@@ -413,13 +419,11 @@
 /// A row's job and value; what cannot be read is somebody else's and is left out.
 pub fn read_row<T: serde::de::DeserializeOwned>(row: &Row) -> Option<(JobId, T)> {
     let value = row.value.as_ref()?;
-    match (row.key.parse(), serde_json::from_slice(value)) {
-        (Ok(id), Ok(value)) => Some((id, value)),
-        _ => {
-            tracing::warn!(key = row.key, version = row.version, "row cannot be read, left out");
-            None
-        }
+    if let (Ok(id), Ok(value)) = (row.key.parse(), serde_json::from_slice(value)) {
+        return Some((id, value));
     }
+    tracing::warn!(key = row.key, version = row.version, "row cannot be read, left out");
+    None
 }
 
 fn answer(pool: &Pool, query: Query) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -98,11 +98,8 @@
             manifest_out,
         ));
         tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
-        let advisors = Arc::new(Advisors::new(
-            Arc::clone(&outside),
-            peers,
-            settings.address.clone(),
-        ));
+        let advisors =
+            Arc::new(Advisors::new(Arc::clone(&outside), peers, settings.address.clone()));
         let watch = Watch {
             settings: settings.clone(),
             outside,
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -156,8 +156,7 @@
     ) -> impl Future<Output = Result<WorkerChanges, StoreError>> + Send;
 
     /// Reads the manifest, and the store's version to follow it from.
-    fn manifest(&self)
-    -> impl Future<Output = Result<(Option<Manifest>, u64), StoreError>> + Send;
+    fn manifest(&self) -> impl Future<Output = Result<(Option<Manifest>, u64), StoreError>> + Send;
 
     /// Waits for a newer manifest.
     fn follow_manifest(
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -146,7 +146,10 @@
         }
     }
 
-    async fn read_duty(&self, after: &mut Option<u64>) -> Result<Option<Option<(DutyRow, u64)>>, StoreError> {
+    async fn read_duty(
+        &self,
+        after: &mut Option<u64>,
+    ) -> Result<Option<Option<(DutyRow, u64)>>, StoreError> {
         let rows = self.outside.read_all(Table::Duty).await?;
         *after = Some(rows.version);
         Ok(Some(rows.rows.iter().find_map(duty_row)))
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -75,7 +75,8 @@
         call: &impl Serialize,
         limit: Duration,
     ) -> Result<R, PeerError> {
-        let call = bincode::serialize(call).map_err(|error| PeerError::NotSent(error.to_string()))?;
+        let call =
+            bincode::serialize(call).map_err(|error| PeerError::NotSent(error.to_string()))?;
         let slot = self.slot(address);
         let connected = timeout(limit, self.connect(address, &slot)).await;
         let (client, generation) = match connected {
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -69,7 +69,8 @@
         .map_err(|elapsed| io::Error::new(io::ErrorKind::TimedOut, elapsed))??;
     let framed = codec().new_framed(stream);
     let transport = serde_transport::new(framed, Bincode::default());
-    let requests = BaseChannel::with_defaults(transport).execute(Handler { answer: handler, call: PhantomData }.serve());
+    let requests = BaseChannel::with_defaults(transport)
+        .execute(Handler { answer: handler, call: PhantomData }.serve());
     requests
         .for_each(|request| async move {
             tokio::spawn(request);
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -33,7 +33,8 @@
 impl Pool {
     /// How many workers one question about a step names.
     pub(crate) fn asked_max(&self, each_ms: f64) -> usize {
-        let affordable = if each_ms > 0.0 { (EACH_BUDGET_MS / each_ms) as usize } else { usize::MAX };
+        let affordable =
+            if each_ms > 0.0 { (EACH_BUDGET_MS / each_ms) as usize } else { usize::MAX };
         affordable.clamp(ASKED_MIN, self.limits.advice_workers_max)
     }
 
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -188,8 +188,7 @@
             let job = ended.task.step.job;
             if self.jobs.contains_key(&job) {
                 worker.not_durable.insert(ended.number);
-                let after =
-                    After::Forget { worker: name.clone(), life, number: ended.number };
+                let after = After::Forget { worker: name.clone(), life, number: ended.number };
                 self.commits.note(job, after);
             }
             self.on_end(ended.task, ended.run, name, ended.end, &ended.checkpoint);
@@ -208,7 +207,8 @@
         }
         let mut gone = Vec::new();
         for id in here {
-            let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+            let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id))
+            else {
                 continue;
             };
             if let Some(active) = listed.remove(&(id, task.run)) {
@@ -287,13 +287,7 @@
         }
         for (name, until_ms, forget, wait_ms) in due {
             let Some(to) = callee(self.epoch, &self.workers, &name) else { continue };
-            self.effects.push(Effect::Hold(HoldCall {
-                to,
-                until_ms,
-                forget,
-                wait_ms,
-                turn,
-            }));
+            self.effects.push(Effect::Hold(HoldCall { to, until_ms, forget, wait_ms, turn }));
         }
     }
 
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -177,13 +177,7 @@
         pass
     }
 
-    fn place_unit(
-        &mut self,
-        step: StepId,
-        unit: usize,
-        priority: u32,
-        pass: &mut Pass,
-    ) -> Look {
+    fn place_unit(&mut self, step: StepId, unit: usize, priority: u32, pass: &mut Pass) -> Look {
         let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
         let spec = job.step(unit).clone();
         let advice = job.spec.queue.advice;
@@ -292,7 +286,6 @@
 
     /// Picks a worker for as many of the tasks as can be, and takes the room
     /// in this pass's view.
-    #[expect(clippy::too_many_arguments, reason = "one call site; the pass's view and the unit's")]
     fn choose(
         &self,
         step: StepId,
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -1,7 +1,11 @@
 //! A task's way from a free place to its end.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use stoatwell_model::WorkerId;
 
+use crate::LIFE_BITS;
 use crate::Pool;
 use crate::commit::After;
 use crate::event::CallError;
@@ -13,7 +17,9 @@
 use crate::event::StopCall;
 use crate::id::TaskId;
 use crate::job::Phase;
+use crate::job::Task;
 use crate::record::Outcome;
+use crate::worker::Worker;
 
 /// A stop that was not answered is sent again after this; a few round trips.
 const STOP_AGAIN_MS: u64 = 600;
@@ -31,7 +37,7 @@
         let now_ms = self.now_ms;
         let lease_ms = self.limits.lease_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
-        let payload = job.payload.clone();
+        let payload = Arc::clone(&job.payload);
         let needs_ticket = job.spec.queue.advice.is_some();
         let Some(unit) = job.unit_of(id.step) else { return };
         let unit = &mut job.units[unit];
@@ -190,7 +196,8 @@
         let over = job.outcome.is_some();
         let Some(task) = job.task_mut(id) else { return };
         let here = task.run == run && task.worker.as_ref() == Some(from);
-        if !here && !(speculative && end == End::Done) {
+        let copy_is_done = speculative && end == End::Done;
+        if !here && !copy_is_done {
             return;
         }
         if task.phase == Phase::Done {
@@ -400,12 +407,7 @@
     }
 
     /// The task, if this run of it is on this worker.
-    pub(crate) fn task_at(
-        &mut self,
-        id: TaskId,
-        run: u32,
-        worker: &WorkerId,
-    ) -> Option<&mut crate::job::Task> {
+    pub(crate) fn task_at(&mut self, id: TaskId, run: u32, worker: &WorkerId) -> Option<&mut Task> {
         let task = self.jobs.get_mut(&id.step.job)?.task_mut(id)?;
         let here = task.run == run && task.worker.as_ref() == Some(worker);
         here.then_some(task)
@@ -415,13 +417,13 @@
 /// Where a call to a worker goes, under the token of its present life.
 pub(crate) fn callee(
     epoch: u64,
-    workers: &std::collections::BTreeMap<WorkerId, crate::worker::Worker>,
+    workers: &BTreeMap<WorkerId, Worker>,
     name: &WorkerId,
 ) -> Option<Callee> {
     let worker = workers.get(name)?;
     Some(Callee {
         worker: name.clone(),
         address: worker.news.address.clone(),
-        token: (epoch << crate::LIFE_BITS) + worker.lives,
+        token: (epoch << LIFE_BITS) + worker.lives,
     })
 }
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -41,7 +41,12 @@
     let name = busy_worker(&world);
     world.cut(&name, 1_000_000);
     world.run(LEASE_MS * 103 / 100 + 24_000);
-    assert_eq!(world.state(1), Some(JobState::Completed), "{}", world.explain(stoatwell_pool::JobId(1)));
+    assert_eq!(
+        world.state(1),
+        Some(JobState::Completed),
+        "{}",
+        world.explain(stoatwell_pool::JobId(1))
+    );
     assert_kept(&world);
 }
 
--- a/crates/pool/tests/seeds.rs
+++ b/crates/pool/tests/seeds.rs
@@ -20,7 +20,8 @@
 /// A day of mixed jobs under mixed faults, then calm until all is over.
 fn play(seed: u64) -> Result<u64, String> {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x5eed);
-    let mut draw = |most: u32| if rng.random_range(0..3) == 0 { rng.random_range(0..most) } else { 0 };
+    let mut draw =
+        |most: u32| if rng.random_range(0..3) == 0 { rng.random_range(0..most) } else { 0 };
     let faults = Faults {
         lost_calls: draw(60),
         lost_answers: draw(60),
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -171,7 +171,7 @@
                 let item = entry.remove();
                 self.happen(item);
             }
-            if self.now_ms % 100 == 0 {
+            if self.now_ms.is_multiple_of(100) {
                 self.draw_faults();
             }
             self.work();
@@ -223,8 +223,12 @@
     }
 
     fn list_all(&mut self) {
-        let news: Vec<_> =
-            self.workers.values().filter(|worker| worker.up && !self.unlisted.contains(&worker.name)).map(Worker::news).collect();
+        let news: Vec<_> = self
+            .workers
+            .values()
+            .filter(|worker| worker.up && !self.unlisted.contains(&worker.name))
+            .map(Worker::news)
+            .collect();
         for news in news {
             self.tell(Event::Listed(news));
         }
@@ -249,7 +253,9 @@
             if self.chance(self.faults.crashes) {
                 self.crash(&name);
             }
-            if self.chance(self.faults.darkness) && self.workers.values().filter(|at| at.dark).count() < 4 {
+            if self.chance(self.faults.darkness)
+                && self.workers.values().filter(|at| at.dark).count() < 4
+            {
                 self.workers.get_mut(&name).expect("known").dark = true;
             }
             if self.chance(self.faults.cuts) {
@@ -351,8 +357,10 @@
             }
         }
         // The members of a gang work together, so they draw alike.
-        let alike = start.task.step.job.0 ^ u64::from(start.task.step.step) << 32 ^ u64::from(start.run);
-        let mut rng = if step.gang { Pcg64::seed_from_u64(alike) } else { Pcg64::from_rng(&mut self.rng) };
+        let alike =
+            start.task.step.job.0 ^ u64::from(start.task.step.step) << 32 ^ u64::from(start.run);
+        let mut rng =
+            if step.gang { Pcg64::seed_from_u64(alike) } else { Pcg64::from_rng(&mut self.rng) };
         let fails = rng.random_range(0..1_000) < self.faults.failed_runs;
         let takes_ms = rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
         let room = step.demand;
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -274,15 +274,8 @@
         room: Resources,
         gang: Option<u32>,
     ) {
-        let run = Run {
-            room,
-            begun_ms: now_ms,
-            takes_ms,
-            fails,
-            gang,
-            worked_ms: 0,
-            stops_ms: None,
-        };
+        let run =
+            Run { room, begun_ms: now_ms, takes_ms, fails, gang, worked_ms: 0, stops_ms: None };
         self.active.insert((call.task, call.run), run);
     }
 
