--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -22,10 +22,9 @@
 use crate::runs::callee;
 use crate::worker::Worker;
 
-/// How long a hold waits for an end: long enough that idle workers cost about
-/// one call a second, short enough that two fit into the age at which a worker
-/// counts as silent.
-const HOLD_WAIT_MS: u64 = 1_000;
+/// How long a hold waits for an end: long enough that idle workers cost two
+/// calls a second, short enough to show within a second that tasks stand still.
+const HOLD_WAIT_MS: u64 = 500;
 /// After a hold without answer the next one waits this long.
 const HOLD_PAUSE_MS: u64 = 200;
 /// A hold whose answer never comes is given up by the caller well before this.
@@ -157,6 +156,7 @@
         worker.next_hold_ms = now_ms;
         self.take_in_ends(name, &reply);
         self.compare(name, turn, &reply);
+        self.judge_speed(name);
         self.place_due = true;
     }
 
@@ -328,6 +328,7 @@
     if matches!(task.phase, Phase::Sent | Phase::Adopted) {
         task.phase = Phase::Running { since_turn: turn };
         task.moved_ms = now_ms;
+        task.began_ms = now_ms;
     }
     if active.percent != task.percent {
         task.percent = active.percent;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -61,6 +61,8 @@
     pub moved_ms: u64,
     /// When the newest run was recorded.
     pub placed_ms: u64,
+    /// When the newest run was first known to be at work; 0 before.
+    pub began_ms: u64,
 }
 
 /// A ticket of the advisor.
@@ -259,6 +261,7 @@
             percent: 0,
             moved_ms: 0,
             placed_ms: 0,
+            began_ms: 0,
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,6 +22,7 @@
 mod record;
 mod runs;
 mod spec;
+mod speed;
 mod worker;
 
 use std::collections::BTreeMap;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -358,6 +358,8 @@
         let rack = self.workers.get(&view.name).and_then(|worker| worker.rack());
         let far = spec.near_rack.is_some() && spec.near_rack.as_deref() != rack;
         let stale = !self.has_fresh_ticket(step, &view.name);
+        let suspect = self.workers.get(&view.name).is_some_and(|worker| worker.is_suspect());
+        let far = far || suspect;
         left + f64::from(u8::from(far)) * 4.0 + f64::from(u8::from(stale))
     }
 
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -25,11 +25,15 @@
 const STOP_AGAIN_MS: u64 = 600;
 /// A worker that refused for want of room or health is left alone this long.
 const REFUSED_PAUSE_MS: u64 = 500;
-/// A task whose progress did not move for this long stands still. Progress is
-/// shown in hundredths, so that tasks of minutes may show none for a second.
-const STILL_MS: u64 = 1_500;
-/// ... or for this share, in hundredths, of what it was estimated to take.
-const STILL_PERCENT: u64 = 25;
+/// A task whose progress did not move for this long stands still. Holds show it
+/// twice a second, so one answer may be missing.
+const STILL_MS: u64 = 1_100;
+/// ... or for this share, in hundredths, of what it was estimated to take:
+/// progress comes in hundredths, so that tasks of minutes may show none for long.
+const STILL_PERCENT: u64 = 5;
+/// The members of a gang begin at different moments; it may stand still for
+/// this much longer.
+const GANG_STILL_MS: u64 = 1_500;
 
 impl Pool {
     /// Sends a start whose row is durable.
@@ -103,6 +107,7 @@
             Ok(StartReply::Started) => {
                 task.phase = Phase::Running { since_turn: turn };
                 task.moved_ms = now_ms;
+                task.began_ms = now_ms;
             }
             Ok(StartReply::OldRun) | Err(CallError::NoAnswer) => {
                 tracing::warn!(task = %id, run, worker = %from, ?reply, "start in doubt");
@@ -337,6 +342,7 @@
         task.percent = 0;
         task.moved_ms = now_ms;
         task.placed_ms = now_ms;
+        task.began_ms = 0;
         self.commits.note(id.step.job, After::Start { task: id, run });
     }
 
@@ -357,7 +363,8 @@
                     continue;
                 }
                 let step = job.step(number);
-                let still_ms = STILL_MS.max(step.estimate_ms * STILL_PERCENT / 100);
+                let gang_ms = if step.gang { GANG_STILL_MS } else { 0 };
+                let still_ms = STILL_MS.max(step.estimate_ms * STILL_PERCENT / 100) + gang_ms;
                 for (index, task) in unit.tasks.iter().enumerate() {
                     let id = TaskId { step: unit.id, index: index as u32 };
                     match task.phase {
@@ -368,7 +375,6 @@
                         }
                         Phase::Running { .. }
                             if !step.long_running
-                                && !step.gang
                                 && task.moved_ms + still_ms < self.now_ms =>
                         {
                             still.push(id);
@@ -392,18 +398,28 @@
 
     fn move_from_still_worker(&mut self, id: TaskId) {
         let now_ms = self.now_ms;
-        let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let gang = job.unit_of(id.step).is_some_and(|unit| job.step(unit).gang);
+        let Some(task) = job.task_mut(id) else { return };
+        if !matches!(task.phase, Phase::Running { .. }) {
             return;
-        };
+        }
         let Some(name) = task.worker.clone() else { return };
         let Some(worker) = self.workers.get_mut(&name) else { return };
         // Only answers prove that it is the task that stands still and not the link.
         if worker.answered_ms < task.moved_ms.max(task.placed_ms) + STILL_MS {
             return;
         }
-        worker.did_badly(now_ms, 2);
-        tracing::warn!(task = %id, worker = %name, percent = task.percent, "task stands still, moved away");
+        if gang {
+            // Any member's worker may be the one that holds all of them up.
+            worker.failures = worker.failures.max(1);
+        } else {
+            worker.did_badly(now_ms, 2);
+        }
+        let percent = task.percent;
+        tracing::warn!(task = %id, worker = %name, percent, "task stands still, moved away");
         self.stop(id);
+        self.break_gang(id);
     }
 
     /// The task, if this run of it is on this worker.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -56,6 +56,8 @@
     pub failures: u32,
     pub quarantines: u32,
     pub quarantine_until_ms: u64,
+    /// Its speed against what its tasks were expected to take, as last judged.
+    pub speed_percent: u64,
     /// When it last showed that it does what it is told.
     pub answered_ms: u64,
     /// Calls without answer in a row.
@@ -85,6 +87,7 @@
             failures: 0,
             quarantines: 0,
             quarantine_until_ms: 0,
+            speed_percent: 100,
             answered_ms: 0,
             silent: 0,
         }
@@ -118,6 +121,11 @@
             && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
     }
 
+    /// Whether it failed or held up a run and did none well since.
+    pub fn is_suspect(&self) -> bool {
+        self.failures > 0
+    }
+
     /// What is free.
     pub fn free(&self) -> Resources {
         self.news.capacity.minus(&self.used)
