--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -365,8 +365,11 @@
                 let step = job.step(number);
                 let gang_ms = if step.gang { GANG_STILL_MS } else { 0 };
                 let still_ms = STILL_MS.max(step.estimate_ms * STILL_PERCENT / 100) + gang_ms;
+                // A gang's member that is through waits for the others to end.
+                let gang_moved_ms = unit.tasks.iter().map(|task| task.moved_ms).max().unwrap_or(0);
                 for (index, task) in unit.tasks.iter().enumerate() {
                     let id = TaskId { step: unit.id, index: index as u32 };
+                    let moved_ms = if step.gang { gang_moved_ms } else { task.moved_ms };
                     match task.phase {
                         Phase::Stopping { answered_turn: None, sent_ms }
                             if sent_ms + STOP_AGAIN_MS < self.now_ms =>
@@ -374,8 +377,7 @@
                             again.push(id);
                         }
                         Phase::Running { .. }
-                            if !step.long_running
-                                && task.moved_ms + still_ms < self.now_ms =>
+                            if !step.long_running && moved_ms + still_ms < self.now_ms =>
                         {
                             still.push(id);
                         }
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -16,9 +16,10 @@
 /// All tasks of a worker together need this much time for a judgement. Single
 /// tasks may take three times what was expected of them.
 const TIME_MIN_MS: u64 = 900;
-/// A worker is slow below this share of the speed expected. Tasks vary by half,
-/// so the mean of a few on a sound worker stays above it.
-const SLOW_PERCENT: u64 = 33;
+/// A worker is slow below this share of the speed expected, by the number of
+/// its tasks that count. Estimates are off by half and tasks vary by half, so
+/// one task proves little; of three, the mean on a sound worker stays above it.
+const SLOW_PERCENT: [u64; 3] = [15, 22, 30];
 /// How long a slow worker gets nothing new; judged again with each answer.
 const SLOW_PAUSE_MS: u64 = 1_200;
 /// A task is moved only if it would be done this much sooner elsewhere,
@@ -54,7 +55,7 @@
         let speed_percent = done_ms * 100 / time_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
         worker.speed_percent = speed_percent;
-        if speed_percent >= SLOW_PERCENT {
+        if speed_percent >= SLOW_PERCENT[tasks.len().clamp(1, 3) - 1] {
             return;
         }
         if worker.quarantine_until_ms < now_ms {
