Daemons tell the scheduler what they accept; passes are paced; metrics and a log budget

The store's feed was asked up to a hundred times a second for new jobs; now the daemon that accepted one tells the scheduler, the feed follows four times a second. Passes over the queue run at most every 8 ms, finished jobs drop payloads and tickets, a narrow link counts against a candidate.

--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -24,6 +24,11 @@
 const DISTANCE_DELAY_MAX_MS: u64 = 400;
 /// What a machine with a quarter of a core is kept back, against one with half a core.
 const WEAK_DELAY_MS: f64 = 100.0;
+/// What a narrow link costs a candidate: calls to 350 workers and the rows that
+/// follow take some 10 Mbit/s.
+const NARROW_DELAY_MS: u64 = 150;
+/// A link below this is narrow.
+const NARROW_MBPS: f64 = 60.0;
 /// Candidates that are alike are spread over this.
 const SPREAD_MS: u64 = 60;
 
@@ -60,6 +65,8 @@
     pub name: String,
     /// Its share of a core times the core's speed.
     pub cores: f64,
+    /// What its machine's link carries.
+    pub link_mbps: f64,
     /// The store's usual answer time, as measured.
     pub store_answer_ms: u64,
 }
@@ -69,11 +76,12 @@
     pub fn delay_ms(&self) -> u64 {
         let distance_ms = (self.store_answer_ms * DELAY_PER_ANSWER_MS).min(DISTANCE_DELAY_MAX_MS);
         let weak_ms = (WEAK_DELAY_MS * (0.5 - self.cores) / 0.25).max(0.0) as u64;
+        let narrow_ms = if self.link_mbps < NARROW_MBPS { NARROW_DELAY_MS } else { 0 };
         let mut hash = 0xcbf2_9ce4_8422_2325_u64;
         for byte in self.name.bytes() {
             hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
         }
-        distance_ms + weak_ms + hash % SPREAD_MS
+        distance_ms + weak_ms + narrow_ms + hash % SPREAD_MS
     }
 }
 
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -87,8 +87,17 @@
     }
 
     /// Makes a job durable.
-    pub async fn submit(&self, job: JobId, spec: &JobSpec, deadline: Instant) -> Accepted {
-        let accepted = self.acceptor.accept(Item::Submit(job, encode(spec)), deadline).await;
+    pub async fn submit(
+        self: &Arc<Self>,
+        job: JobId,
+        spec: &JobSpec,
+        deadline: Instant,
+    ) -> Accepted {
+        let row = encode(spec);
+        let accepted = self.acceptor.accept(Item::Submit(job, row.clone()), deadline).await;
+        if accepted == Accepted::Yes {
+            self.tell_scheduler(NodeCall::Accepted { job, row });
+        }
         tracing::info!(%job, queue = spec.queue.name, ?accepted, "submission answered");
         metrics::counter!("stoatwell_submissions_total", "outcome" => outcome_name(accepted))
             .increment(1);
@@ -96,7 +105,7 @@
     }
 
     /// Makes a cancellation durable, if there is such a job.
-    pub async fn cancel(&self, job: JobId, deadline: Instant) -> Option<Accepted> {
+    pub async fn cancel(self: &Arc<Self>, job: JobId, deadline: Instant) -> Option<Accepted> {
         let known = self.state(job).await;
         if known == Known::NoJob {
             return None;
@@ -108,10 +117,25 @@
             Known::Unknown => Accepted::Unknown,
             _ => self.acceptor.accept(Item::Cancel(job), deadline).await,
         };
+        if accepted == Accepted::Yes {
+            self.tell_scheduler(NodeCall::Cancelled(job));
+        }
         tracing::info!(%job, ?known, ?accepted, "cancellation answered");
         Some(accepted)
     }
 
+    /// Tells the scheduler of something durable, without waiting for it. The
+    /// store's feed tells it too, a quarter of a second later; with a slow store
+    /// much later.
+    fn tell_scheduler(self: &Arc<Self>, call: NodeCall) {
+        let gateway = Arc::clone(self);
+        tokio::spawn(async move {
+            if gateway.ask(call).await.is_none() {
+                tracing::debug!("the scheduler was not told, the store's feed will");
+            }
+        });
+    }
+
     /// Where a job stands.
     pub async fn state(&self, job: JobId) -> Known {
         if let Some(NodeReply::State(Some(state))) = self.ask(NodeCall::State(job)).await {
@@ -196,6 +220,14 @@
             queries.send(Query::Pending(queue, answer)).await.ok()?;
             answered.await.ok().map(NodeReply::Pending)
         }
+        NodeCall::Accepted { job, row } => {
+            queries.send(Query::Accepted(job, row)).await.ok()?;
+            Some(NodeReply::Noted)
+        }
+        NodeCall::Cancelled(job) => {
+            queries.send(Query::Cancelled(job)).await.ok()?;
+            Some(NodeReply::Noted)
+        }
         NodeCall::Advise { .. } => None,
     }
 }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use stoatwell_model::WorkerId;
+use stoatwell_pool::CallError;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
@@ -19,6 +20,7 @@
 use stoatwell_pool::PoolDump;
 use stoatwell_pool::Progress;
 use stoatwell_pool::StartCall;
+use stoatwell_pool::StartReply;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -36,8 +38,8 @@
 use crate::outside::Table;
 use crate::outside::WorkerChanges;
 
-/// How often the pool looks at what only time announces.
-const TICK: Duration = Duration::from_millis(25);
+/// The longest that the pool is left alone.
+const NAP_MAX_MS: u64 = 50;
 /// News taken in before the pool decides.
 const NEWS_PER_TURN: usize = 256;
 /// An order that was made longer ago is not sent any more: the process stood
@@ -47,14 +49,17 @@
 const FOLLOW_WAIT_MS: u64 = 1_500;
 /// After a question for changes that failed.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
-/// Between two questions for changes to jobs: arrivals of this long are taken
-/// together, which bounds the calls to the store at the peak.
-const JOBS_PAUSE: Duration = Duration::from_millis(8);
+/// Between two questions for changes to jobs. Daemons tell the scheduler of
+/// what they accept; the store's feed brings what they could not tell, and its
+/// calls are priced.
+const JOBS_PAUSE: Duration = Duration::from_millis(250);
 /// Between two questions for changes to the list of workers, which changes
 /// with each of their heartbeats.
 const WORKERS_PAUSE: Duration = Duration::from_millis(400);
 /// How often the scheduler reads which daemons there are.
 const DAEMONS_EVERY: Duration = Duration::from_secs(2);
+/// How often gauges are set.
+const MEASURE_EVERY_MS: u64 = 1_000;
 /// Workers that are missing from the list are taken for gone only after the
 /// list was readable for this long: entries come back late after an outage.
 const MISSING_GRACE_MS: u64 = 2_500;
@@ -66,6 +71,10 @@
     State(JobId, oneshot::Sender<Option<JobState>>),
     /// How many jobs of a queue wait?
     Pending(String, oneshot::Sender<u64>),
+    /// A job is durable.
+    Accepted(JobId, Vec<u8>),
+    /// A cancellation is durable.
+    Cancelled(JobId),
     /// What does it believe?
     Dump(oneshot::Sender<PoolDump>),
     /// Why is a job where it is?
@@ -118,27 +127,30 @@
         let Some(mut pool) = self.load(epoch, &mut tasks, &news, &mut inbox).await else { return };
         tracing::info!(epoch, took_ms = steady_ms() - began_ms, "scheduler ready");
         metrics::counter!("stoatwell_takeovers_total").increment(1);
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut measured_ms = 0;
         loop {
+            let nap_ms = pool.idle_ms(steady_ms()).clamp(1, NAP_MAX_MS);
             let first = tokio::select! {
                 biased;
                 first = inbox.recv() => first,
                 Some(query) = self.queries.recv() => Some(News::Query(query)),
-                _ = tick.tick() => None,
+                () = tokio::time::sleep(Duration::from_millis(nap_ms)) => None,
             };
             let mut next = first;
             for _ in 0..NEWS_PER_TURN {
                 let Some(one) = next else { break };
                 match one {
                     News::Deposed => return,
-                    News::Event(event) => pool.handle(steady_ms(), unix_ms(), event),
-                    News::Query(query) => answer(&pool, query),
+                    News::Event(event) => {
+                        count(&event);
+                        pool.handle(steady_ms(), unix_ms(), event);
+                    }
+                    News::Query(query) => answer(&mut pool, query),
                 }
                 next = inbox.try_recv().ok();
             }
             while let Ok(query) = self.queries.try_recv() {
-                answer(&pool, query);
+                answer(&mut pool, query);
             }
             for effect in pool.pump(steady_ms(), unix_ms()) {
                 if effect == Effect::StepDown {
@@ -148,6 +160,10 @@
                 self.carry_out(effect, &news, &batches, &mut tasks);
             }
             while tasks.try_join_next().is_some() {}
+            if steady_ms() >= measured_ms + MEASURE_EVERY_MS {
+                measured_ms = steady_ms();
+                measure(&pool);
+            }
         }
     }
 
@@ -262,6 +278,42 @@
     }
 }
 
+/// Counts what workers and the advisor answered.
+fn count(event: &Event) {
+    match event {
+        Event::Held { reply, .. } => {
+            let outcome = reply.as_ref().map_or_else(CallError::to_string, |_| "answered".into());
+            metrics::counter!("stoatwell_holds_total", "outcome" => outcome).increment(1);
+            let Ok(reply) = reply else { return };
+            for ended in &reply.ended {
+                let end = ended.end.to_string();
+                metrics::counter!("stoatwell_ends_listed_total", "end" => end).increment(1);
+            }
+        }
+        Event::Started { reply, .. } => {
+            let outcome = reply.as_ref().map_or_else(CallError::to_string, StartReply::to_string);
+            metrics::counter!("stoatwell_starts_total", "outcome" => outcome).increment(1);
+        }
+        Event::Advised { granted, .. } => {
+            let outcome = if granted.is_some() { "answered" } else { "no answer" };
+            metrics::counter!("stoatwell_advice_total", "outcome" => outcome).increment(1);
+        }
+        _ => {}
+    }
+}
+
+/// Sets the gauges of what the scheduler believes.
+fn measure(pool: &Pool) {
+    let counts = pool.counts();
+    metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
+    metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
+    metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
+    metrics::gauge!("stoatwell_workers_open").set(counts.open_workers as f64);
+    metrics::gauge!("stoatwell_workers_silent").set(counts.silent_workers as f64);
+    metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
+    metrics::gauge!("stoatwell_used_cpu_millis").set(counts.used_cpu_millis as f64);
+}
+
 async fn deposed(inbox: &mut mpsc::UnboundedReceiver<News>) {
     while let Some(news) = inbox.recv().await {
         if matches!(news, News::Deposed) {
@@ -426,8 +478,24 @@
     None
 }
 
-fn answer(pool: &Pool, query: Query) {
+fn answer(pool: &mut Pool, query: Query) {
     let asked = match query {
+        Query::Accepted(job, row) => {
+            match serde_json::from_slice(&row) {
+                Ok(spec) => {
+                    let event = Event::Accepted { job, spec: Arc::new(spec) };
+                    pool.handle(steady_ms(), unix_ms(), event);
+                }
+                Err(error) => {
+                    tracing::warn!(%job, %error, "a daemon's news of a job cannot be read")
+                }
+            }
+            true
+        }
+        Query::Cancelled(job) => {
+            pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
+            true
+        }
         Query::State(job, answer) => answer.send(pool.state(job)).is_ok(),
         Query::Pending(queue, answer) => answer.send(pool.pending(&queue) as u64).is_ok(),
         Query::Dump(answer) => answer.send(pool.dump()).is_ok(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -60,6 +60,8 @@
     pub address: String,
     /// Its share of a core times the core's speed.
     pub cores: f64,
+    /// What its machine's link carries.
+    pub link_mbps: f64,
     /// The pool's figures.
     pub limits: Limits,
     /// Shared by the daemons; a stranger's connection is closed.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -14,6 +14,15 @@
     State(JobId),
     /// To the scheduler: how many jobs of this queue wait?
     Pending(String),
+    /// To the scheduler: this job is durable.
+    Accepted {
+        /// The job.
+        job: JobId,
+        /// Its row.
+        row: Vec<u8>,
+    },
+    /// To the scheduler: this cancellation is durable.
+    Cancelled(JobId),
     /// To any daemon: which of these workers may run the step?
     Advise {
         /// The step.
@@ -34,6 +43,8 @@
     Pending(u64),
     /// Workers with their tickets; `None` is no answer from the advisor.
     Advised(Option<Vec<(WorkerId, String)>>),
+    /// Taken note of.
+    Noted,
     /// This daemon does not schedule.
     NotScheduler,
 }
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -98,6 +98,7 @@
         Fitness {
             name: self.settings.name.clone(),
             cores: self.settings.cores,
+            link_mbps: self.settings.link_mbps,
             store_answer_ms: self.health.answer_ms(),
         }
     }
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -119,6 +119,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.settled = job.outcome.is_some();
         let Some(outcome) = job.outcome else { return };
+        job.slim();
         let took_ms = self.unix_ms.saturating_sub(job.spec.accepted_unix_ms);
         let allowed_ms = job.spec.allowed_ms();
         tracing::info!(job = %id, queue = job.spec.queue.name, %outcome, took_ms, allowed_ms, "job settled");
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -22,6 +22,25 @@
     pub workers: Vec<WorkerDump>,
 }
 
+/// Sums over what the scheduler believes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Jobs of which nothing has started.
+    pub queued_jobs: usize,
+    /// Jobs that run.
+    pub running_jobs: usize,
+    /// Steps with tasks to place.
+    pub queued_steps: usize,
+    /// Workers that take new tasks.
+    pub open_workers: usize,
+    /// Workers that did not answer the last call.
+    pub silent_workers: usize,
+    /// Processors that are free.
+    pub free_cpu_millis: u64,
+    /// Processors that are taken.
+    pub used_cpu_millis: u64,
+}
+
 /// What the scheduler believes of a worker.
 #[derive(Clone, Debug, Serialize)]
 pub struct WorkerDump {
@@ -87,10 +106,22 @@
         lines
     }
 
-    /// Jobs by state, for the metrics.
-    pub fn counts(&self) -> (usize, usize, usize) {
-        let queued = self.jobs.values().filter(|job| job.state() == JobState::Queued).count();
-        let running = self.jobs.values().filter(|job| job.state() == JobState::Running).count();
-        (queued, running, self.queue.len())
+    /// Sums for the metrics.
+    pub fn counts(&self) -> Counts {
+        let mut counts = Counts { queued_steps: self.queue.len(), ..Counts::default() };
+        for job in self.jobs.values() {
+            match job.state() {
+                JobState::Queued => counts.queued_jobs += 1,
+                JobState::Running => counts.running_jobs += 1,
+                JobState::Completed | JobState::Failed | JobState::Cancelled => {}
+            }
+        }
+        for worker in self.workers.values() {
+            counts.open_workers += usize::from(worker.is_open(self.now_ms));
+            counts.silent_workers += usize::from(worker.silent > 0);
+            counts.free_cpu_millis += worker.free().cpu_millis;
+            counts.used_cpu_millis += worker.used.cpu_millis;
+        }
+        counts
     }
 }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -187,6 +187,17 @@
         Progress { outcome: self.outcome, finished_unix_ms: self.finished_unix_ms, tasks }
     }
 
+    /// Drops what a job that is over needs no more: it stays known for minutes,
+    /// and payloads and tickets would be most of the scheduler's memory.
+    pub fn slim(&mut self) {
+        self.payload = Arc::from("");
+        let spec = JobSpec { payload: String::new(), ..(*self.spec).clone() };
+        self.spec = Arc::new(spec);
+        for unit in &mut self.units {
+            unit.advice = Advice::default();
+        }
+    }
+
     /// What callers are told.
     pub fn state(&self) -> JobState {
         match self.outcome {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -38,6 +38,7 @@
 use crate::learned::Learned;
 use crate::worker::Worker;
 
+pub use crate::dump::Counts;
 pub use crate::dump::PoolDump;
 pub use crate::dump::WorkerDump;
 pub use crate::event::Active;
@@ -116,6 +117,7 @@
     effects: Vec<Effect>,
     deposed: bool,
     next_sweep_ms: u64,
+    next_place_ms: u64,
 }
 
 /// The order of the queue.
@@ -129,6 +131,11 @@
 /// How often things that no event announces are looked at.
 const SWEEP_EVERY_MS: u64 = 100;
 
+/// Least time between two passes over the queue. Some hundred ends and arrivals
+/// a second would each cost a pass over all workers; with 350 workers passes
+/// took half of the scheduler's processor time.
+const PLACE_EVERY_MS: u64 = 8;
+
 impl Pool {
     /// A scheduler that has just been elected for the given epoch.
     pub fn new(epoch: u64, limits: Limits, now_ms: u64, unix_ms: u64) -> Self {
@@ -153,6 +160,7 @@
             effects: Vec::new(),
             deposed: false,
             next_sweep_ms: 0,
+            next_place_ms: 0,
         }
     }
 
@@ -229,8 +237,9 @@
             self.next_sweep_ms = self.now_ms + SWEEP_EVERY_MS;
             self.sweep();
         }
-        if self.place_due {
+        if self.place_due && self.now_ms >= self.next_place_ms {
             self.place_due = false;
+            self.next_place_ms = self.now_ms + PLACE_EVERY_MS;
             self.place();
         }
         self.commit();
@@ -241,6 +250,12 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// How long until something is due that no event announces.
+    pub fn idle_ms(&self, now_ms: u64) -> u64 {
+        let place_ms = if self.place_due { self.next_place_ms } else { u64::MAX };
+        self.next_sweep_ms.min(place_ms).saturating_sub(now_ms)
+    }
+
     /// What callers are told of a job; `None` is an unknown one.
     pub fn state(&self, job: JobId) -> Option<JobState> {
         self.jobs.get(&job).map(Job::state)
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -16,6 +16,7 @@
 use crate::event::StartReply;
 use crate::event::StopCall;
 use crate::id::TaskId;
+use crate::job::Advice;
 use crate::job::Phase;
 use crate::job::Task;
 use crate::record::Outcome;
@@ -263,6 +264,8 @@
         if job.units[unit].left > 0 {
             return;
         }
+        // Tickets of a hundred workers are most of what a job weighs.
+        job.units[unit].advice = Advice::default();
         if job.is_done() {
             self.finish(id.step.job, Outcome::Completed);
             return;
@@ -337,6 +340,11 @@
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
+        if let Some(worker) = &task.worker {
+            let free = self.workers.get(worker).map(Worker::free).unwrap_or_default();
+            let left_cpu_millis = free.cpu_millis;
+            tracing::info!(task = %id, run, worker = %worker, left_cpu_millis, "run placed");
+        }
         task.phase = Phase::Recorded;
         task.run = run;
         task.percent = 0;
