--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -15,6 +15,7 @@
 use crate::job::Phase;
 use crate::job::Ticket;
 use crate::spec::AdviceSpec;
+use crate::spec::QueueSpec;
 
 /// A ticket counts as old this long before it expires: a start is made durable
 /// and sent in between.
@@ -25,17 +26,24 @@
 /// way than half of the daemons can ask: more would wait for each other until
 /// the tickets that came first are old again, and nothing would ever start.
 pub const LONG_ASK_MS: u64 = 200;
+/// A step has enough workers to choose from when they hold this many times its
+/// tasks while empty.
+pub(crate) const PLACES_FACTOR: u64 = 3;
 /// Fewest workers asked about at once, however long each takes.
 const ASKED_MIN: usize = 8;
 /// After a question without answer the next one waits this long.
 const ADVICE_PAUSE_MS: u64 = 150;
 
 impl Pool {
-    /// How many workers one question about a step names.
-    pub(crate) fn asked_max(&self, each_ms: f64) -> usize {
+    /// How many workers one question about a step names: as many as cost little
+    /// beside the decision, or as the step needs to have a choice.
+    pub(crate) fn asked_max(&self, queue: &QueueSpec, tasks: u64, places_each: u64) -> usize {
+        let each_ms = queue.advice.map_or(0.0, |rule| rule.each_ms);
         let affordable =
             if each_ms > 0.0 { (EACH_BUDGET_MS / each_ms) as usize } else { usize::MAX };
-        affordable.clamp(ASKED_MIN, self.limits.advice_workers_max)
+        let places_each = places_each.max(1) as f64 * self.learned.granted_share(&queue.name);
+        let needed = ((tasks * PLACES_FACTOR) as f64 / places_each).ceil() as usize;
+        affordable.max(needed).clamp(ASKED_MIN, self.limits.advice_workers_max)
     }
 
     /// Whether a question about this many workers may be asked now.
@@ -69,8 +77,12 @@
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let valid_ms = job.spec.queue.advice.map_or(0, |advice| advice.valid_ms);
         let Some(unit) = job.unit_of(step) else { return };
+        job.units[unit].look_after_ms = 0;
         let advice = &mut job.units[unit].advice;
         advice.since_ms = None;
+        if let Some(granted) = &granted {
+            self.learned.advised(&job.spec.queue.name, asked.len(), granted.len());
+        }
         match granted {
             None => advice.pause_until_ms = now_ms + ADVICE_PAUSE_MS,
             Some(granted) => {
--- /dev/null
+++ b/crates/pool/src/choose.rs
@@ -0,0 +1,184 @@
+//! Which of the open workers a unit's tasks go to.
+
+use std::collections::HashMap;
+
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::id::StepId;
+use crate::spec::StepSpec;
+
+/// Room that other work leaves free for urgent work, in hundredths of what
+/// urgent work takes at the time: enough for twice the usual arrivals to find
+/// room at once while what runs ends.
+const HEADROOM_PERCENT: u64 = 80;
+
+/// The workers during one pass.
+#[derive(Debug, Default)]
+pub(crate) struct Pass {
+    pub rooms: Vec<Room>,
+    pub by_name: HashMap<WorkerId, usize>,
+    /// Free room by service.
+    free: HashMap<String, Resources>,
+}
+
+/// A worker during one pass.
+#[derive(Clone, Debug)]
+pub(crate) struct Room {
+    pub name: WorkerId,
+    pub service: String,
+    pub free: Resources,
+    pub capacity: Resources,
+    /// Work of a larger number may not go here.
+    pub kept_for: u32,
+}
+
+/// What a unit asks of the workers.
+#[derive(Debug)]
+pub(crate) struct Ask<'a> {
+    pub service: &'a str,
+    pub spec: &'a StepSpec,
+    pub priority: u32,
+    /// What it has to leave free for urgent work.
+    pub headroom: Resources,
+}
+
+/// A worker that may run a unit's tasks.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Candidate {
+    at: usize,
+    /// Added to how much it leaves free; lower goes first.
+    bias: f64,
+    /// Tasks of the unit that it has already.
+    mine: u32,
+}
+
+impl Pass {
+    fn take(&mut self, at: usize, room: &Resources) {
+        self.rooms[at].free = self.rooms[at].free.minus(room);
+        if let Some(free) = self.free.get_mut(&self.rooms[at].service) {
+            *free = free.minus(room);
+        }
+    }
+
+    pub fn give_back(&mut self, at: usize, room: &Resources) {
+        self.rooms[at].free = self.rooms[at].free.plus(room);
+        if let Some(free) = self.free.get_mut(&self.rooms[at].service) {
+            *free = free.plus(room);
+        }
+    }
+
+    /// Picks a worker for as many of the tasks as can be, and takes the room in
+    /// this pass's view. The tightest fit goes first, which leaves whole
+    /// workers free for large tasks.
+    pub fn choose(
+        &mut self,
+        ask: &Ask<'_>,
+        waiting: &[u32],
+        mut candidates: Vec<Candidate>,
+    ) -> Vec<(u32, usize)> {
+        let room = ask.spec.room();
+        let most = ask.spec.per_worker_max;
+        candidates.retain(|one| self.rooms[one.at].kept_for >= ask.priority);
+        let mut chosen = Vec::new();
+        for index in waiting {
+            if !self.leaves_headroom(ask, &room) {
+                break;
+            }
+            let mut best: Option<(f64, usize)> = None;
+            for (number, one) in candidates.iter().enumerate() {
+                let view = &self.rooms[one.at];
+                if !view.free.holds(&room) || (most > 0 && one.mine >= most) {
+                    continue;
+                }
+                let left = view.free.minus(&room).dominant_share(&view.capacity) + one.bias;
+                if best.is_none_or(|(least, _)| left < least) {
+                    best = Some((left, number));
+                }
+            }
+            let Some((_, number)) = best else { break };
+            candidates[number].mine += 1;
+            self.take(candidates[number].at, &room);
+            chosen.push((*index, candidates[number].at));
+        }
+        chosen
+    }
+
+    fn leaves_headroom(&self, ask: &Ask<'_>, room: &Resources) -> bool {
+        if ask.headroom.is_zero() {
+            return true;
+        }
+        let free = self.free.get(ask.service).copied().unwrap_or_default();
+        free.holds(&room.plus(&ask.headroom))
+    }
+}
+
+impl Pool {
+    /// The open workers as they are now.
+    pub(crate) fn begin_pass(&self) -> Pass {
+        let mut pass = Pass::default();
+        for (name, worker) in &self.workers {
+            if !worker.is_open(self.now_ms) {
+                continue;
+            }
+            let free = worker.free();
+            let service = worker.news.service.clone();
+            let sum = pass.free.entry(service.clone()).or_default();
+            *sum = sum.plus(&free);
+            pass.by_name.insert(name.clone(), pass.rooms.len());
+            let capacity = worker.news.capacity;
+            let room = Room { name: name.clone(), service, free, capacity, kept_for: u32::MAX };
+            pass.rooms.push(room);
+        }
+        pass
+    }
+
+    /// The workers that a unit may use, with what speaks for and against each:
+    /// near the data, no failures of late, a ticket at hand.
+    pub(crate) fn candidates(
+        &self,
+        step: StepId,
+        unit: usize,
+        spec: &StepSpec,
+        allowed: &[usize],
+        pass: &Pass,
+    ) -> Vec<Candidate> {
+        let room = spec.room();
+        let mine = self.placed_counts(step, unit);
+        let mut candidates = Vec::with_capacity(allowed.len());
+        for at in allowed {
+            let view = &pass.rooms[*at];
+            if !view.free.holds(&room) {
+                continue;
+            }
+            let Some(worker) = self.workers.get(&view.name) else { continue };
+            let far = spec.near_rack.is_some() && spec.near_rack.as_deref() != worker.rack();
+            let last = far || worker.is_suspect();
+            let stale = !self.has_fresh_ticket(step, &view.name);
+            let bias = f64::from(u8::from(last)) * 4.0 + f64::from(u8::from(stale));
+            let mine = mine.get(&view.name).copied().unwrap_or(0);
+            candidates.push(Candidate { at: *at, bias, mine });
+        }
+        candidates
+    }
+
+    /// What a unit has to leave free for urgent work.
+    pub(crate) fn headroom(&self, step: StepId, priority: u32) -> Resources {
+        let Some(job) = self.jobs.get(&step.job).filter(|_| priority > 0) else {
+            return Resources::ZERO;
+        };
+        self.learned.urgent_use(&job.spec.queue.service).share(HEADROOM_PERCENT, 100)
+    }
+
+    /// How many tasks of the unit each worker has already.
+    fn placed_counts(&self, step: StepId, unit: usize) -> HashMap<WorkerId, u32> {
+        let mut counts = HashMap::new();
+        let Some(job) = self.jobs.get(&step.job) else { return counts };
+        for task in &job.units[unit].tasks {
+            let Some(name) = &task.worker else { continue };
+            *counts.entry(name.clone()).or_default() += 1;
+        }
+        counts
+    }
+}
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -25,6 +25,9 @@
 /// How long a hold waits for an end: long enough that idle workers cost two
 /// calls a second, short enough to show within a second that tasks stand still.
 const HOLD_WAIT_MS: u64 = 500;
+/// With more workers than this a hold waits twice as long: at 350 workers holds
+/// without news are a fifth of the scheduler's processor time otherwise.
+const WORKERS_MANY: usize = 100;
 /// After a hold without answer the next one waits this long.
 const HOLD_PAUSE_MS: u64 = 200;
 /// A hold whose answer never comes is given up by the caller well before this.
@@ -258,6 +261,8 @@
         let now_ms = self.now_ms;
         let lease_ms = self.limits.lease_ms;
         let turn = self.turn;
+        let many = self.workers.len() > WORKERS_MANY;
+        let wait_ms = if many { HOLD_WAIT_MS * 2 } else { HOLD_WAIT_MS };
         let mut due = Vec::new();
         for (name, worker) in &mut self.workers {
             let probe = worker.held && std::mem::take(&mut worker.probe_due);
@@ -282,7 +287,7 @@
             let until_ms = worker.until(now_ms, lease_ms).filter(|_| extends);
             worker.until_max = worker.until_max.max(until_ms.unwrap_or(0));
             let at_once = probe || !worker.held || !worker.not_durable.is_empty();
-            let wait_ms = if at_once { 0 } else { HOLD_WAIT_MS };
+            let wait_ms = if at_once { 0 } else { wait_ms };
             due.push((name.clone(), until_ms, worker.forget(), wait_ms));
         }
         for (name, until_ms, forget, wait_ms) in due {
@@ -321,7 +326,7 @@
 
 /// Whether the lease needs a call soon, whatever else holds it up.
 fn near_end(worker: &Worker, now_ms: u64) -> bool {
-    worker.answered_ms + HOLD_WAIT_MS < now_ms
+    worker.answered_ms + HOLD_WAIT_MS * 2 < now_ms
 }
 
 fn note_active(task: &mut Task, active: &crate::event::Active, now_ms: u64, turn: u64) {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -96,6 +96,10 @@
     pub left: u32,
     /// Whether it is in the queue.
     pub queued: bool,
+    /// Not before this is a place looked for again.
+    pub look_after_ms: u64,
+    /// Workers kept for it at the last look, for a gang.
+    pub kept: Vec<WorkerId>,
 }
 
 /// A job.
@@ -250,6 +254,8 @@
             advice: Advice::default(),
             left: tasks,
             queued: false,
+            look_after_ms: 0,
+            kept: Vec::new(),
         }
     }
 
--- a/crates/pool/src/learned.rs
+++ b/crates/pool/src/learned.rs
@@ -15,6 +15,11 @@
 /// times a second, so some five seconds are remembered.
 const USE_WEIGHT: f64 = 0.02;
 
+/// Share granted before any answer is known.
+const GRANTED_SHARE: f64 = 0.4;
+/// Keeps a queue whose first answers granted nothing from asking about everybody.
+const GRANTED_SHARE_MIN: f64 = 0.15;
+
 /// What is learned.
 #[derive(Debug, Default)]
 pub(crate) struct Learned {
@@ -26,6 +31,9 @@
 struct Mean {
     took_ms: f64,
     runs: u32,
+    /// Share of the workers asked about that the advisor granted.
+    granted: f64,
+    answers: u32,
 }
 
 impl Learned {
@@ -40,6 +48,23 @@
         mean.took_ms += (took_ms as f64 - mean.took_ms) * weight;
     }
 
+    /// Takes note of an answer of the advisor.
+    pub fn advised(&mut self, queue: &str, asked: usize, granted: usize) {
+        if asked == 0 {
+            return;
+        }
+        let mean = self.queues.entry(queue.to_owned()).or_default();
+        mean.answers += 1;
+        let weight = NEWEST_WEIGHT.max(1.0 / f64::from(mean.answers));
+        mean.granted += (granted as f64 / asked as f64 - mean.granted) * weight;
+    }
+
+    /// Share of the workers asked about that the advisor grants, roughly.
+    pub fn granted_share(&self, queue: &str) -> f64 {
+        let known = self.queues.get(queue).filter(|mean| mean.answers > 0);
+        known.map_or(GRANTED_SHARE, |mean| mean.granted).max(GRANTED_SHARE_MIN)
+    }
+
     /// How long a task of the queue takes, by its estimate and what is known.
     pub fn expected_ms(&self, queue: &str, estimate_ms: u64) -> u64 {
         match self.queues.get(queue) {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,6 +11,7 @@
 //! worker's lease has lapsed for sure.
 
 mod advise;
+mod choose;
 mod commit;
 mod dump;
 mod event;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -8,13 +8,14 @@
 //! and the gang would wait for ever. Work below the first priority leaves room
 //! for urgent work that is about to come, which is over sooner than any stop.
 
-use std::collections::HashMap;
-
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 
 use crate::Pool;
 use crate::QueueKey;
+use crate::advise::PLACES_FACTOR;
+use crate::choose::Ask;
+use crate::choose::Pass;
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::job::Phase;
@@ -25,37 +26,14 @@
 const UNITS_PER_PASS: usize = 1_000;
 /// Share of the workers, in hundredths, that waiting gangs may keep for themselves.
 const KEPT_PERCENT: usize = 35;
-/// Room that other work leaves free for urgent work, in hundredths of what
-/// urgent work takes at the time: enough for twice the usual arrivals to find
-/// room at once while what runs ends.
-const HEADROOM_PERCENT: u64 = 80;
-
-/// A step has enough workers to choose from when they hold this many times its
-/// tasks while empty.
-const PLACES_FACTOR: u64 = 3;
+/// A unit that found no place is looked at again after this; a look at one with
+/// a hundred workers to choose from takes some 50 us, and hundreds may wait.
+const LOOK_PAUSE_MS: u64 = 40;
+/// The same for urgent work, which is short of time.
+const URGENT_LOOK_PAUSE_MS: u64 = 15;
 /// Fewest workers with room for which a step that has enough asks once more.
 const ASKED_AGAIN_MIN: usize = 4;
 
-/// The workers during one pass.
-#[derive(Debug, Default)]
-struct Pass {
-    rooms: Vec<Room>,
-    by_name: HashMap<WorkerId, usize>,
-    /// Free room by service.
-    free: HashMap<String, Resources>,
-}
-
-/// A worker during one pass.
-#[derive(Clone, Debug)]
-struct Room {
-    name: WorkerId,
-    service: String,
-    free: Resources,
-    capacity: Resources,
-    /// Work of a larger number may not go here.
-    kept_for: u32,
-}
-
 /// What the look at one unit came to.
 enum Look {
     /// All its tasks have a place, or wait for a ticket.
@@ -64,22 +42,6 @@
     Waits,
 }
 
-impl Pass {
-    fn take(&mut self, at: usize, room: &Resources) {
-        self.rooms[at].free = self.rooms[at].free.minus(room);
-        if let Some(free) = self.free.get_mut(&self.rooms[at].service) {
-            *free = free.minus(room);
-        }
-    }
-
-    fn give_back(&mut self, at: usize, room: &Resources) {
-        self.rooms[at].free = self.rooms[at].free.plus(room);
-        if let Some(free) = self.free.get_mut(&self.rooms[at].service) {
-            *free = free.plus(room);
-        }
-    }
-}
-
 impl Pool {
     /// Places what can be placed now.
     pub(crate) fn place(&mut self) {
@@ -103,19 +65,23 @@
             let spec = job.step(unit);
             let (gang, room) = (spec.gang, spec.room());
             let service = job.spec.queue.service.clone();
+            let looked_at_late = job.units[unit].look_after_ms > self.now_ms;
+            if gang && looked_at_late {
+                kept += self.keep_again(step, unit, key.priority, &mut pass, kept_max - kept);
+            }
             // What no worker of the service had room for in this pass, none has now.
-            if lacking.iter().any(|(at, need)| *at == service && room.holds(need)) {
-                if gang && kept < kept_max {
-                    kept += self.keep_for(step, key.priority, &mut pass, kept_max - kept);
-                }
+            let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
+            if looked_at_late || (hopeless && !gang) {
                 continue;
             }
             match self.place_unit(step, unit, key.priority, &mut pass) {
                 Look::Placed => self.unqueue(key, step),
                 Look::Waits if gang => {
+                    self.look_later(step, unit, key.priority);
                     kept += self.keep_for(step, key.priority, &mut pass, kept_max - kept);
                 }
                 Look::Waits => {
+                    self.look_later(step, unit, key.priority);
                     let mut mine = pass.rooms.iter().filter(|at| at.service == service);
                     if !mine.any(|at| at.free.holds(&room)) {
                         lacking.push((service, room));
@@ -125,6 +91,15 @@
         }
     }
 
+    /// Leaves a unit alone for a moment after a look that brought nothing.
+    fn look_later(&mut self, step: StepId, unit: usize, priority: u32) {
+        let pause_ms = if priority == 0 { URGENT_LOOK_PAUSE_MS } else { LOOK_PAUSE_MS };
+        let next_ms = self.now_ms + pause_ms;
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.units[unit].look_after_ms = next_ms;
+        }
+    }
+
     /// The queue, with what is late for good behind the rest.
     fn ordered_units(&self) -> Vec<(QueueKey, StepId)> {
         let mut in_time = Vec::new();
@@ -159,27 +134,10 @@
         job.units[unit].queued = false;
     }
 
-    fn begin_pass(&self) -> Pass {
-        let mut pass = Pass::default();
-        for (name, worker) in &self.workers {
-            if !worker.is_open(self.now_ms) {
-                continue;
-            }
-            let free = worker.free();
-            let service = worker.news.service.clone();
-            let sum = pass.free.entry(service.clone()).or_default();
-            *sum = sum.plus(&free);
-            pass.by_name.insert(name.clone(), pass.rooms.len());
-            let capacity = worker.news.capacity;
-            let room = Room { name: name.clone(), service, free, capacity, kept_for: u32::MAX };
-            pass.rooms.push(room);
-        }
-        pass
-    }
-
     fn place_unit(&mut self, step: StepId, unit: usize, priority: u32, pass: &mut Pass) -> Look {
         let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
         let spec = job.step(unit).clone();
+        let service = job.spec.queue.service.clone();
         let advice = job.spec.queue.advice;
         let state = &job.units[unit];
         let waiting: Vec<u32> = state.waiting().collect();
@@ -194,7 +152,10 @@
         if advice.is_some() && !spec.gang {
             allowed.retain(|at| self.has_fresh_ticket(step, &pass.rooms[*at].name));
         }
-        let chosen = self.choose(step, unit, &spec, priority, &waiting, &allowed, pass);
+        let candidates = self.candidates(step, unit, &spec, &allowed, pass);
+        let headroom = self.headroom(step, priority);
+        let ask = Ask { service: &service, spec: &spec, priority, headroom };
+        let chosen = pass.choose(&ask, &waiting, candidates);
         let whole = chosen.len() == waiting.len();
         let may_start = whole || !spec.gang;
         let may_ask = self.may_renew(step, advice, &chosen, pass);
@@ -284,96 +245,6 @@
             && spec.label.as_ref().is_none_or(|label| worker.news.labels.contains(label))
     }
 
-    /// Picks a worker for as many of the tasks as can be, and takes the room
-    /// in this pass's view.
-    fn choose(
-        &self,
-        step: StepId,
-        unit: usize,
-        spec: &StepSpec,
-        priority: u32,
-        waiting: &[u32],
-        allowed: &[usize],
-        pass: &mut Pass,
-    ) -> Vec<(u32, usize)> {
-        let room = spec.room();
-        let headroom = self.headroom(step, priority);
-        let mut mine = self.placed_counts(step, unit);
-        let mut chosen = Vec::new();
-        for index in waiting {
-            if !self.leaves_headroom(step, &room, &headroom, pass) {
-                break;
-            }
-            let mut best: Option<(f64, usize)> = None;
-            for at in allowed {
-                let view = &pass.rooms[*at];
-                if !view.free.holds(&room) || view.kept_for < priority {
-                    continue;
-                }
-                if spec.per_worker_max > 0
-                    && mine.get(&view.name).copied().unwrap_or(0) >= spec.per_worker_max
-                {
-                    continue;
-                }
-                let score = self.score(step, spec, view, &room);
-                if best.is_none_or(|(least, _)| score < least) {
-                    best = Some((score, *at));
-                }
-            }
-            let Some((_, at)) = best else { break };
-            pass.take(at, &room);
-            *mine.entry(pass.rooms[at].name.clone()).or_default() += 1;
-            chosen.push((*index, at));
-        }
-        chosen
-    }
-
-    /// What a unit has to leave free for urgent work.
-    fn headroom(&self, step: StepId, priority: u32) -> Resources {
-        let Some(job) = self.jobs.get(&step.job).filter(|_| priority > 0) else {
-            return Resources::ZERO;
-        };
-        self.learned.urgent_use(&job.spec.queue.service).share(HEADROOM_PERCENT, 100)
-    }
-
-    fn leaves_headroom(
-        &self,
-        step: StepId,
-        room: &Resources,
-        headroom: &Resources,
-        pass: &Pass,
-    ) -> bool {
-        if headroom.is_zero() {
-            return true;
-        }
-        let Some(job) = self.jobs.get(&step.job) else { return false };
-        let free = pass.free.get(&job.spec.queue.service).copied().unwrap_or_default();
-        free.holds(&room.plus(headroom))
-    }
-
-    /// Lower is better: near the data, with a ticket at hand, then the tightest
-    /// fit, which leaves whole workers free for large tasks.
-    fn score(&self, step: StepId, spec: &StepSpec, view: &Room, room: &Resources) -> f64 {
-        let left = view.free.minus(room).dominant_share(&view.capacity);
-        let rack = self.workers.get(&view.name).and_then(|worker| worker.rack());
-        let far = spec.near_rack.is_some() && spec.near_rack.as_deref() != rack;
-        let stale = !self.has_fresh_ticket(step, &view.name);
-        let suspect = self.workers.get(&view.name).is_some_and(|worker| worker.is_suspect());
-        let far = far || suspect;
-        left + f64::from(u8::from(far)) * 4.0 + f64::from(u8::from(stale))
-    }
-
-    /// How many tasks of the unit each worker has already.
-    fn placed_counts(&self, step: StepId, unit: usize) -> HashMap<WorkerId, u32> {
-        let mut counts = HashMap::new();
-        let Some(job) = self.jobs.get(&step.job) else { return counts };
-        for task in &job.units[unit].tasks {
-            let Some(name) = &task.worker else { continue };
-            *counts.entry(name.clone()).or_default() += 1;
-        }
-        counts
-    }
-
     fn reserve(&mut self, id: TaskId, name: &WorkerId, room: Resources) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
@@ -450,10 +321,10 @@
             return;
         }
         let need = spec.room();
-        let granted_room = |name: &WorkerId| {
+        let room_of = |name: &WorkerId| {
             pass.by_name.get(name).map_or(0, |at| pass.rooms[*at].capacity.times_held(&need))
         };
-        let places: u64 = advice.granted.keys().map(granted_room).sum();
+        let places: u64 = advice.granted.keys().map(room_of).sum();
         let enough = places >= u64::from(spec.tasks) * PLACES_FACTOR;
         if spec.gang && enough {
             return;
@@ -475,7 +346,9 @@
             return;
         }
         fresh.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| spread(step, a.1).cmp(&spread(step, b.1))));
-        let most = self.asked_max(rule.each_ms);
+        let places: u64 = fresh.iter().map(|(_, name)| room_of(name)).sum();
+        let places_each = places / fresh.len() as u64;
+        let most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
         let names: Vec<WorkerId> =
             fresh.into_iter().take(most).map(|(_, name)| name.clone()).collect();
         if self.may_ask(rule, names.len()) {
@@ -483,24 +356,49 @@
         }
     }
 
+    /// Keeps the workers for a waiting gang that were kept at its last look.
+    fn keep_again(
+        &self,
+        step: StepId,
+        unit: usize,
+        priority: u32,
+        pass: &mut Pass,
+        most: usize,
+    ) -> usize {
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
+        let mut kept = 0;
+        for name in job.units[unit].kept.iter().take(most) {
+            let Some(at) = pass.by_name.get(name).copied() else { continue };
+            if pass.rooms[at].kept_for > priority {
+                pass.rooms[at].kept_for = priority;
+                kept += 1;
+            }
+        }
+        kept
+    }
+
     /// Keeps the workers that may run a waiting gang from work of lower priority.
-    fn keep_for(&self, step: StepId, priority: u32, pass: &mut Pass, most: usize) -> usize {
+    fn keep_for(&mut self, step: StepId, priority: u32, pass: &mut Pass, most: usize) -> usize {
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let Some(unit) = job.unit_of(step) else { return 0 };
         let spec = job.step(unit);
         let need = spec.room();
         let mut wanted = job.units[unit].tasks.len() as u64;
-        let mut kept = 0;
+        let mut names = Vec::new();
         let mut order = self.allowed(step, unit, spec, pass);
         order.retain(|at| pass.rooms[*at].kept_for > priority);
         order.sort_by_key(|at| std::cmp::Reverse(pass.rooms[*at].free.cpu_millis));
         for at in order {
-            if kept >= most || wanted == 0 {
+            if names.len() >= most || wanted == 0 {
                 break;
             }
             pass.rooms[at].kept_for = priority;
             wanted = wanted.saturating_sub(pass.rooms[at].capacity.times_held(&need).max(1));
-            kept += 1;
+            names.push(pass.rooms[at].name.clone());
+        }
+        let kept = names.len();
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.units[unit].kept = names;
         }
         kept
     }
