--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -305,6 +305,16 @@
 /// Sets the gauges of what the scheduler believes.
 fn measure(pool: &Pool) {
     let counts = pool.counts();
+    tracing::info!(
+        queued_jobs = counts.queued_jobs,
+        running_jobs = counts.running_jobs,
+        queued_steps = counts.queued_steps,
+        open_workers = counts.open_workers,
+        silent_workers = counts.silent_workers,
+        free_cpu_millis = counts.free_cpu_millis,
+        used_cpu_millis = counts.used_cpu_millis,
+        "pool"
+    );
     metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -30,13 +30,16 @@
     pub service: String,
     pub free: Resources,
     pub capacity: Resources,
-    /// Work of a larger number may not go here.
-    pub kept_for: u32,
+    /// The waiting gang that it is kept for, with its priority. Only more urgent
+    /// work may go here meanwhile: gangs of the same rank that need less room
+    /// would otherwise overtake a large one again and again.
+    pub kept_for: Option<(u32, StepId)>,
 }
 
 /// What a unit asks of the workers.
 #[derive(Debug)]
 pub(crate) struct Ask<'a> {
+    pub step: StepId,
     pub service: &'a str,
     pub spec: &'a StepSpec,
     pub priority: u32,
@@ -54,6 +57,13 @@
     mine: u32,
 }
 
+impl Room {
+    /// Whether work of this unit may go here.
+    pub fn is_for(&self, step: StepId, priority: u32) -> bool {
+        self.kept_for.is_none_or(|(rank, unit)| unit == step || priority < rank)
+    }
+}
+
 impl Pass {
     fn take(&mut self, at: usize, room: &Resources) {
         self.rooms[at].free = self.rooms[at].free.minus(room);
@@ -80,7 +90,7 @@
     ) -> Vec<(u32, usize)> {
         let room = ask.spec.room();
         let most = ask.spec.per_worker_max;
-        candidates.retain(|one| self.rooms[one.at].kept_for >= ask.priority);
+        candidates.retain(|one| self.rooms[one.at].is_for(ask.step, ask.priority));
         let mut chosen = Vec::new();
         for index in waiting {
             if !self.leaves_headroom(ask, &room) {
@@ -128,7 +138,7 @@
             *sum = sum.plus(&free);
             pass.by_name.insert(name.clone(), pass.rooms.len());
             let capacity = worker.news.capacity;
-            let room = Room { name: name.clone(), service, free, capacity, kept_for: u32::MAX };
+            let room = Room { name: name.clone(), service, free, capacity, kept_for: None };
             pass.rooms.push(room);
         }
         pass
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -154,7 +154,7 @@
         }
         let candidates = self.candidates(step, unit, &spec, &allowed, pass);
         let headroom = self.headroom(step, priority);
-        let ask = Ask { service: &service, spec: &spec, priority, headroom };
+        let ask = Ask { step, service: &service, spec: &spec, priority, headroom };
         let chosen = pass.choose(&ask, &waiting, candidates);
         let whole = chosen.len() == waiting.len();
         let may_start = whole || !spec.gang;
@@ -369,8 +369,8 @@
         let mut kept = 0;
         for name in job.units[unit].kept.iter().take(most) {
             let Some(at) = pass.by_name.get(name).copied() else { continue };
-            if pass.rooms[at].kept_for > priority {
-                pass.rooms[at].kept_for = priority;
+            if pass.rooms[at].is_for(step, priority) {
+                pass.rooms[at].kept_for = Some((priority, step));
                 kept += 1;
             }
         }
@@ -386,13 +386,13 @@
         let mut wanted = job.units[unit].tasks.len() as u64;
         let mut names = Vec::new();
         let mut order = self.allowed(step, unit, spec, pass);
-        order.retain(|at| pass.rooms[*at].kept_for > priority);
+        order.retain(|at| pass.rooms[*at].is_for(step, priority));
         order.sort_by_key(|at| std::cmp::Reverse(pass.rooms[*at].free.cpu_millis));
         for at in order {
             if names.len() >= most || wanted == 0 {
                 break;
             }
-            pass.rooms[at].kept_for = priority;
+            pass.rooms[at].kept_for = Some((priority, step));
             wanted = wanted.saturating_sub(pass.rooms[at].capacity.times_held(&need).max(1));
             names.push(pass.rooms[at].name.clone());
         }
