--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -8,10 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use stoatwell_pool::JobId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::health::StoreHealth;
 use crate::outside::Outside;
@@ -39,7 +43,7 @@
 const DOUBT_PAUSE: Duration = Duration::from_millis(30);
 
 /// What became of a submission or cancellation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Accepted {
     /// It is durable.
     Yes,
@@ -50,7 +54,7 @@
 }
 
 /// What is to be made durable.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
     /// A job, with its row.
     Submit(JobId, Vec<u8>),
@@ -100,7 +104,10 @@
         if items.is_none_or(|items| items.try_send(waiting).is_err()) {
             return Accepted::No;
         }
-        answered.await.unwrap_or(Accepted::Unknown)
+        match timeout_at(deadline, answered).await {
+            Ok(answer) => answer.unwrap_or(Accepted::Unknown),
+            Err(_) => Accepted::Unknown,
+        }
     }
 }
 
@@ -120,8 +127,15 @@
         if batch.is_empty() {
             continue;
         }
-        let result = outside.transact(&transaction(&batch)).await;
+        let sent = Instant::now();
+        health.note_sent();
+        let write = transaction(&batch);
+        let answered = timeout(health.patience(), outside.transact(&write)).await;
+        let result = answered.unwrap_or(Err(StoreError::NoAnswer));
         health.note(&result);
+        if result.is_ok() {
+            health.note_answer(sent.elapsed().as_millis() as u64);
+        }
         match result {
             Ok(_) => {
                 for done in batch.drain(..) {
@@ -143,9 +157,7 @@
                 }
             }
             Err(StoreError::NoAnswer) => {
-                for waiting in &mut batch {
-                    waiting.in_doubt = true;
-                }
+                give_up_doubtful(&mut batch);
                 tracing::warn!(
                     items = batch.len(),
                     "store did not answer a write, it is tried again"
@@ -209,6 +221,20 @@
     }
 }
 
+/// A write that brought no answer twice is given up: its callers are told that
+/// nobody knows, while they still have time to ask again elsewhere.
+fn give_up_doubtful(batch: &mut Vec<Waiting>) {
+    let (again, first): (Vec<Waiting>, Vec<Waiting>) =
+        batch.drain(..).partition(|waiting| waiting.in_doubt);
+    *batch = first;
+    for waiting in batch.iter_mut() {
+        waiting.in_doubt = true;
+    }
+    for waiting in again {
+        settle(waiting, Accepted::Unknown);
+    }
+}
+
 fn refuse(batch: &mut Vec<Waiting>) {
     for waiting in batch.iter_mut() {
         waiting.refusals += 1;
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -106,6 +106,7 @@
         loop {
             let transaction = self.transaction(batch, rewrites);
             let sent = Instant::now();
+            self.health.note_sent();
             let result = self.outside.transact(&transaction).await;
             self.health.note(&result);
             match result {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use stoatwell_peer::Peers;
+use stoatwell_peer::client::PeerError;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
@@ -32,6 +33,9 @@
 /// several round trips between regions.
 const SCHEDULER_LIMIT: Duration = Duration::from_millis(400);
 
+/// How long another daemon may take to make something durable.
+const KEEP_LIMIT: Duration = Duration::from_millis(1_200);
+
 /// The scheduler as far as this daemon knows.
 #[derive(Clone, Debug, Default)]
 pub enum Scheduler {
@@ -94,7 +98,7 @@
         deadline: Instant,
     ) -> Accepted {
         let row = encode(spec);
-        let accepted = self.acceptor.accept(Item::Submit(job, row.clone()), deadline).await;
+        let accepted = self.keep(Item::Submit(job, row.clone()), deadline).await;
         if accepted == Accepted::Yes {
             self.tell_scheduler(NodeCall::Accepted { job, row });
         }
@@ -115,7 +119,7 @@
                 Accepted::Yes
             }
             Known::Unknown => Accepted::Unknown,
-            _ => self.acceptor.accept(Item::Cancel(job), deadline).await,
+            _ => self.keep(Item::Cancel(job), deadline).await,
         };
         if accepted == Accepted::Yes {
             self.tell_scheduler(NodeCall::Cancelled(job));
@@ -124,6 +128,33 @@
         Some(accepted)
     }
 
+    /// Makes something durable, here or, where the store turns this daemon away,
+    /// through the scheduler's daemon, which reaches it or would not be that.
+    async fn keep(&self, item: Item, deadline: Instant) -> Accepted {
+        let here = self.acceptor.accept(item.clone(), deadline).await;
+        if here != Accepted::No {
+            return here;
+        }
+        let Some(address) = self.scheduler_elsewhere() else { return here };
+        let limit = KEEP_LIMIT.min(deadline.saturating_duration_since(Instant::now()));
+        let call = NodeCall::Keep { item, limit_ms: limit.as_millis() as u64 };
+        match self.peers.call::<NodeReply>(&address, &call, limit).await {
+            Ok(NodeReply::Kept(kept)) => kept,
+            Ok(_) | Err(PeerError::NotSent(_)) => Accepted::No,
+            Err(PeerError::NoAnswer(error)) => {
+                tracing::warn!(address, error, "a daemon did not tell whether it kept something");
+                Accepted::Unknown
+            }
+        }
+    }
+
+    fn scheduler_elsewhere(&self) -> Option<String> {
+        match &*self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) {
+            Scheduler::At(address) => Some(address.clone()),
+            Scheduler::Here(_) | Scheduler::None => None,
+        }
+    }
+
     /// Tells the scheduler of something durable, without waiting for it. The
     /// store's feed tells it too, a quarter of a second later; with a slow store
     /// much later.
@@ -202,6 +233,10 @@
             let row = |grant: stoatwell_pool::Grant| (grant.worker, grant.ticket);
             return NodeReply::Advised(granted.map(|all| all.into_iter().map(row).collect()));
         }
+        if let NodeCall::Keep { item, limit_ms } = call {
+            let deadline = Instant::now() + Duration::from_millis(limit_ms);
+            return NodeReply::Kept(self.acceptor.accept(item, deadline).await);
+        }
         let scheduler = self.scheduler.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let Scheduler::Here(queries) = scheduler else { return NodeReply::NotScheduler };
         ask_here(&queries, call).await.unwrap_or(NodeReply::NotScheduler)
@@ -228,7 +263,7 @@
             queries.send(Query::Cancelled(job)).await.ok()?;
             Some(NodeReply::Noted)
         }
-        NodeCall::Advise { .. } => None,
+        NodeCall::Keep { .. } | NodeCall::Advise { .. } => None,
     }
 }
 
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -497,7 +497,7 @@
                     pool.handle(steady_ms(), unix_ms(), event);
                 }
                 Err(error) => {
-                    tracing::warn!(%job, %error, "a daemon's news of a job cannot be read")
+                    tracing::warn!(%job, %error, "a daemon's news of a job cannot be read");
                 }
             }
             true
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -7,6 +7,9 @@
 use stoatwell_pool::JobState;
 use stoatwell_pool::StepId;
 
+use crate::accept::Accepted;
+use crate::accept::Item;
+
 /// A question.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NodeCall {
@@ -23,6 +26,13 @@
     },
     /// To the scheduler: this cancellation is durable.
     Cancelled(JobId),
+    /// To a daemon that may reach the store: make this durable.
+    Keep {
+        /// What.
+        item: Item,
+        /// How long the answer may take.
+        limit_ms: u64,
+    },
     /// To any daemon: which of these workers may run the step?
     Advise {
         /// The step.
@@ -43,6 +53,8 @@
     Pending(u64),
     /// Workers with their tickets; `None` is no answer from the advisor.
     Advised(Option<Vec<(WorkerId, String)>>),
+    /// What became of what was to be kept.
+    Kept(Accepted),
     /// Taken note of.
     Noted,
     /// This daemon does not schedule.
--- /dev/null
+++ b/crates/node/tests/daemons.rs
@@ -0,0 +1,160 @@
+//! Daemons over a store in memory.
+
+mod fake;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatwell_node::Accepted;
+use stoatwell_node::Known;
+use stoatwell_node::Node;
+use stoatwell_node::NodeSettings;
+use stoatwell_node::Table;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
+use stoatwell_pool::Limits;
+use stoatwell_pool::QueueSpec;
+use stoatwell_pool::StepSpec;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+use self::fake::Fake;
+use self::fake::Mood;
+
+async fn start(name: &str, store: &Arc<Fake>) -> Node<Fake> {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let settings = NodeSettings {
+        name: name.to_owned(),
+        address: listener.local_addr().expect("bound").to_string(),
+        cores: 0.5,
+        link_mbps: 1_000.0,
+        limits: Limits {
+            lease_ms: 6_000,
+            lease_max_ms: 6_000,
+            remember_ms: 60_000,
+            advice_workers_max: 100,
+        },
+        peer_key: "test".to_owned(),
+    };
+    Node::start(&settings, Arc::clone(store), listener)
+}
+
+fn job() -> JobSpec {
+    JobSpec {
+        queue: QueueSpec {
+            name: "q".to_owned(),
+            service: "s".to_owned(),
+            priority: 0,
+            attempts_max: 2,
+            slack_factor: 2.0,
+            target_ms: 400,
+            advice: None,
+        },
+        payload: "work".to_owned(),
+        steps: vec![StepSpec { tasks: 1, ..StepSpec::default() }],
+        repeat: None,
+        accepted_unix_ms: 1,
+    }
+}
+
+fn in_ms(ms: u64) -> Instant {
+    Instant::now() + Duration::from_millis(ms)
+}
+
+async fn until(what: &str, limit_ms: u64, mut holds: impl FnMut() -> bool) {
+    let end = in_ms(limit_ms);
+    while !holds() {
+        assert!(Instant::now() < end, "{what} did not come within {limit_ms} ms");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The answer to the write that accepts a job is lost on its way. The daemon
+/// tries again under the condition that there is no such job and learns that
+/// it is durable; a caller told "not accepted" would hand it in twice.
+#[tokio::test]
+async fn a_lost_answer_of_the_store_still_accepts() {
+    let store = Arc::new(Fake::default());
+    let node = start("a", &store).await;
+    until("a scheduler", 3_000, || node.scheduler().is_some()).await;
+    store.set(Mood::LosesOneAnswer);
+    let accepted = node.gateway().submit(JobId(7), &job(), in_ms(2_000)).await;
+    assert_eq!(accepted, Accepted::Yes);
+    assert_eq!(store.rows(Table::Jobs).len(), 1);
+}
+
+/// The same job arrives twice, as when the first answer did not reach its
+/// caller. It stays one job.
+#[tokio::test]
+async fn the_same_job_again_is_one_job() {
+    let store = Arc::new(Fake::default());
+    let node = start("a", &store).await;
+    assert_eq!(node.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
+    assert_eq!(node.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
+    assert_eq!(store.rows(Table::Jobs).len(), 1);
+}
+
+/// The store refuses writes. The caller is told that the job was not accepted,
+/// which is true, and soon enough to go elsewhere.
+#[tokio::test]
+async fn a_refusing_store_refuses_jobs_truthfully() {
+    let store = Arc::new(Fake::default());
+    let node = start("a", &store).await;
+    until("a scheduler", 3_000, || node.scheduler().is_some()).await;
+    store.set(Mood::Refuses);
+    let began = Instant::now();
+    assert_eq!(node.gateway().submit(JobId(7), &job(), in_ms(3_000)).await, Accepted::No);
+    assert!(began.elapsed() < Duration::from_millis(800), "{:?}", began.elapsed());
+    assert!(store.rows(Table::Jobs).is_empty());
+}
+
+/// The store falls silent with a write under way. Its caller is told before
+/// the deadline that nobody knows; callers after it are refused at once, since
+/// their jobs were never sent anywhere, instead of waiting for nothing.
+#[tokio::test]
+async fn a_silent_store_holds_nobody_up() {
+    let store = Arc::new(Fake::default());
+    let node = start("a", &store).await;
+    until("a scheduler", 3_000, || node.scheduler().is_some()).await;
+    store.set(Mood::Silent);
+    let gateway = Arc::clone(node.gateway());
+    let first = tokio::spawn(async move { gateway.submit(JobId(7), &job(), in_ms(2_800)).await });
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let began = Instant::now();
+    assert_eq!(node.gateway().submit(JobId(8), &job(), in_ms(2_800)).await, Accepted::No);
+    assert!(began.elapsed() < Duration::from_millis(50), "{:?}", began.elapsed());
+    assert_eq!(first.await.expect("no panic"), Accepted::Unknown);
+    assert!(began.elapsed() < Duration::from_secs(2), "{:?}", began.elapsed());
+}
+
+/// The scheduler's daemon stops. It gives the duty up and another one takes it
+/// over within half a second; a user notices nothing.
+#[tokio::test]
+async fn a_stopping_scheduler_hands_the_duty_over() {
+    let store = Arc::new(Fake::default());
+    let first = start("a", &store).await;
+    until("a scheduler", 3_000, || first.scheduler().is_some()).await;
+    let second = start("b", &store).await;
+    assert_eq!(second.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
+    first.stop().await;
+    until("the next scheduler", 1_000, || second.scheduler().is_some()).await;
+    assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Queued));
+}
+
+/// A caller asks a daemon that does not schedule, about jobs there are and
+/// jobs there are not.
+#[tokio::test]
+async fn any_daemon_tells_where_a_job_stands() {
+    let store = Arc::new(Fake::default());
+    let first = start("a", &store).await;
+    until("a scheduler", 3_000, || first.scheduler().is_some()).await;
+    let second = start("b", &store).await;
+    assert_eq!(first.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
+    assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Queued));
+    assert_eq!(second.gateway().state(JobId(8)).await, Known::NoJob);
+    assert_eq!(second.gateway().cancel(JobId(7), in_ms(2_000)).await, Some(Accepted::Yes));
+    assert_eq!(second.gateway().cancel(JobId(8), in_ms(2_000)).await, None);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Cancelled));
+}
--- /dev/null
+++ b/crates/node/tests/duty.rs
@@ -0,0 +1,57 @@
+//! When a daemon may claim the duty.
+
+use stoatwell_node::DutyRow;
+use stoatwell_node::DutyView;
+use stoatwell_node::Fitness;
+use stoatwell_node::LEASE_MS;
+
+fn fit(name: &str, store_answer_ms: u64) -> Fitness {
+    Fitness { name: name.to_owned(), cores: 0.5, link_mbps: 1_000.0, store_answer_ms }
+}
+
+fn row(holder: &str) -> DutyRow {
+    DutyRow {
+        holder: holder.to_owned(),
+        incarnation: 1,
+        address: "10.0.0.1:7720".to_owned(),
+        epoch: 3,
+        beat: 0,
+        released: false,
+    }
+}
+
+/// The scheduler dies: its row stops changing. Nobody may claim the duty while
+/// the holder could still renew it, or two would schedule at once.
+#[test]
+fn a_silent_holder_keeps_the_duty_for_its_lease() {
+    let mut view = DutyView::new(0);
+    view.saw(Some((row("other"), 10)), 1_000);
+    assert!(view.claim_ms(&fit("me", 5)) >= 1_000 + LEASE_MS);
+    view.saw(Some((row("other"), 11)), 1_500);
+    assert!(view.claim_ms(&fit("me", 5)) >= 1_500 + LEASE_MS);
+    view.saw(Some((row("other"), 11)), 2_500);
+    assert!(view.claim_ms(&fit("me", 5)) < 2_500 + LEASE_MS, "the same version is no news");
+}
+
+/// A duty that was given up, or that a daemon's former self held, waits for nobody.
+#[test]
+fn a_free_duty_is_claimed_at_once() {
+    let mut view = DutyView::new(0);
+    view.saw(Some((DutyRow { released: true, ..row("other") }, 10)), 1_000);
+    assert!(view.claim_ms(&fit("me", 5)) < 1_000 + 200);
+    view.saw(Some((row("me"), 12)), 2_000);
+    assert!(view.claim_ms(&fit("me", 5)) < 2_000 + 200);
+    assert_eq!(view.next_epoch(), (12, 4));
+}
+
+/// The daemon nearest to the store with the strongest processor and link goes
+/// first: each write of the scheduler waits for the store, and each call costs
+/// its processor.
+#[test]
+fn the_fittest_daemon_goes_first() {
+    let near = fit("a", 8).delay_ms();
+    let far = fit("a", 32).delay_ms();
+    let weak = Fitness { cores: 0.12, ..fit("a", 8) }.delay_ms();
+    let narrow = Fitness { link_mbps: 10.0, ..fit("a", 8) }.delay_ms();
+    assert!(near + 100 < far && near + 100 < weak && near + 100 < narrow);
+}
--- /dev/null
+++ b/crates/node/tests/fake/mod.rs
@@ -0,0 +1,196 @@
+//! A store in memory that can fail as the platform's does. It has no workers.
+
+#![allow(dead_code, reason = "each test file uses a part of the fake")]
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use stoatwell_model::WorkerId;
+use stoatwell_node::Manifest;
+use stoatwell_node::Outside;
+use stoatwell_node::Row;
+use stoatwell_node::Rows;
+use stoatwell_node::StoreError;
+use stoatwell_node::Table;
+use stoatwell_node::Transaction;
+use stoatwell_node::WorkerChanges;
+use stoatwell_pool::CallError;
+use stoatwell_pool::Grant;
+use stoatwell_pool::HoldCall;
+use stoatwell_pool::HoldReply;
+use stoatwell_pool::StartCall;
+use stoatwell_pool::StartReply;
+use stoatwell_pool::StepId;
+use stoatwell_pool::StopCall;
+
+/// How the store treats writes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mood {
+    /// It does and answers them.
+    #[default]
+    Well,
+    /// It refuses them.
+    Refuses,
+    /// It never answers and does nothing.
+    Silent,
+    /// It does the next one without an answer, then is well.
+    LosesOneAnswer,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct Fake {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    mood: Mood,
+    version: u64,
+    rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    writes: usize,
+}
+
+impl Fake {
+    pub fn set(&self, mood: Mood) {
+        self.state.lock().expect("no panic").mood = mood;
+    }
+
+    pub fn rows(&self, table: Table) -> Vec<Row> {
+        let state = self.state.lock().expect("no panic");
+        let mine = state.rows.iter().filter(|((name, _), _)| *name == table.to_string());
+        mine.map(|((_, key), (value, version))| Row {
+            key: key.clone(),
+            value: Some(value.clone()),
+            version: *version,
+        })
+        .collect()
+    }
+
+    pub fn writes(&self) -> usize {
+        self.state.lock().expect("no panic").writes
+    }
+
+    fn write(&self, transaction: &Transaction) -> Result<u64, StoreError> {
+        let mut state = self.state.lock().expect("no panic");
+        state.writes += 1;
+        let mut conflicts = Vec::new();
+        for (table, key, expected) in &transaction.expect {
+            let there = state.rows.get(&(table.to_string(), key.clone()));
+            let version = there.map_or(0, |(_, version)| *version);
+            let value = there.map(|(value, _)| value.clone());
+            if version != *expected {
+                conflicts.push((*table, Row { key: key.clone(), value, version }));
+            }
+        }
+        if !conflicts.is_empty() {
+            return Err(StoreError::Conflict(conflicts));
+        }
+        state.version += 1;
+        let version = state.version;
+        for (table, key, value) in &transaction.put {
+            state.rows.insert((table.to_string(), key.clone()), (value.clone(), version));
+        }
+        for (table, key) in &transaction.remove {
+            state.rows.remove(&(table.to_string(), key.clone()));
+        }
+        Ok(version)
+    }
+
+    fn mood(&self) -> Mood {
+        self.state.lock().expect("no panic").mood
+    }
+
+    fn version(&self) -> u64 {
+        self.state.lock().expect("no panic").version
+    }
+}
+
+impl Outside for Fake {
+    async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
+        match self.mood() {
+            Mood::Well => self.write(transaction),
+            Mood::Refuses => Err(StoreError::Refused),
+            Mood::Silent => std::future::pending().await,
+            Mood::LosesOneAnswer => {
+                self.set(Mood::Well);
+                let done = self.write(transaction);
+                assert!(done.is_ok(), "the lost write is done");
+                Err(StoreError::NoAnswer)
+            }
+        }
+    }
+
+    async fn read(&self, table: Table, key: &str) -> Result<Option<Row>, StoreError> {
+        if self.mood() == Mood::Silent {
+            return Err(StoreError::NoAnswer);
+        }
+        Ok(self.rows(table).into_iter().find(|row| row.key == key))
+    }
+
+    async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
+        if self.mood() == Mood::Silent {
+            return Err(StoreError::NoAnswer);
+        }
+        Ok(Rows { rows: self.rows(table), version: self.version() })
+    }
+
+    async fn follow(&self, table: Table, after: u64, wait_ms: u64) -> Result<Rows, StoreError> {
+        let rounds = wait_ms / 20 + 1;
+        for _ in 0..rounds {
+            let newer: Vec<Row> =
+                self.rows(table).into_iter().filter(|row| row.version > after).collect();
+            if !newer.is_empty() {
+                return Ok(Rows { rows: newer, version: self.version() });
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        Ok(Rows { rows: Vec::new(), version: self.version().max(after) })
+    }
+
+    async fn workers(&self) -> Result<WorkerChanges, StoreError> {
+        Ok(WorkerChanges::default())
+    }
+
+    async fn follow_workers(&self, _after: u64, _wait: u64) -> Result<WorkerChanges, StoreError> {
+        Ok(WorkerChanges::default())
+    }
+
+    async fn manifest(&self) -> Result<(Option<Manifest>, u64), StoreError> {
+        Ok((None, 0))
+    }
+
+    async fn follow_manifest(
+        &self,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<(Option<Manifest>, u64), StoreError> {
+        tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+        if self.mood() == Mood::Silent {
+            return Err(StoreError::NoAnswer);
+        }
+        Ok((None, after))
+    }
+
+    async fn hold(&self, _call: &HoldCall) -> Result<HoldReply, CallError> {
+        Err(CallError::Refused)
+    }
+
+    async fn start(&self, _call: &StartCall) -> Result<StartReply, CallError> {
+        Err(CallError::Refused)
+    }
+
+    async fn stop(&self, _call: &StopCall) -> Result<(), CallError> {
+        Err(CallError::Refused)
+    }
+
+    async fn advise(
+        &self,
+        _step: StepId,
+        _workers: &[WorkerId],
+        _limit: u64,
+    ) -> Option<Vec<Grant>> {
+        None
+    }
+}
