--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -6,6 +6,7 @@
 //! takes; batches need some tens of writes a second whatever the load.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 
 use stoatwell_model::WorkerId;
 
@@ -22,6 +23,9 @@
 pub(crate) struct Commits {
     next: u64,
     dirty: BTreeMap<JobId, Vec<After>>,
+    /// The dirty jobs in the order in which they became so: by their numbers,
+    /// some would wait for as long as there are more than one batch holds.
+    order: VecDeque<JobId>,
     removes: Vec<JobId>,
     under_way: Option<(u64, Vec<After>)>,
 }
@@ -52,7 +56,11 @@
 impl Commits {
     /// Asks for a job's row to be written.
     pub fn note(&mut self, job: JobId, after: After) {
-        self.dirty.entry(job).or_default().push(after);
+        let afters = self.dirty.entry(job).or_default();
+        if afters.is_empty() {
+            self.order.push_back(job);
+        }
+        afters.push(after);
     }
 
     /// Asks for a job's row with its outcome to be written.
@@ -81,8 +89,8 @@
         let mut puts = Vec::new();
         let mut afters = Vec::new();
         while puts.len() < ROWS_PER_BATCH {
-            let Some((id, after)) = commits.dirty.pop_first() else { break };
-            afters.extend(after);
+            let Some(id) = commits.order.pop_front() else { break };
+            afters.extend(commits.dirty.remove(&id).unwrap_or_default());
             let Some(job) = self.jobs.get(&id) else { continue };
             puts.push((id, job.progress(&self.workers)));
         }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -31,6 +31,9 @@
 const LOOK_PAUSE_MS: u64 = 40;
 /// The same for urgent work, which is short of time.
 const URGENT_LOOK_PAUSE_MS: u64 = 15;
+/// Both grow by themselves for each so many units in the queue, so that a
+/// backlog is not what keeps the scheduler from working it off.
+const QUEUE_LONG: usize = 150;
 /// Fewest workers with room for which a step that has enough asks once more.
 const ASKED_AGAIN_MIN: usize = 4;
 
@@ -94,7 +97,8 @@
     /// Leaves a unit alone for a moment after a look that brought nothing.
     fn look_later(&mut self, step: StepId, unit: usize, priority: u32) {
         let pause_ms = if priority == 0 { URGENT_LOOK_PAUSE_MS } else { LOOK_PAUSE_MS };
-        let next_ms = self.now_ms + pause_ms;
+        let longer_ms = pause_ms * (self.queue.len() / QUEUE_LONG) as u64;
+        let next_ms = self.now_ms + pause_ms + longer_ms;
         if let Some(job) = self.jobs.get_mut(&step.job) {
             job.units[unit].look_after_ms = next_ms;
         }
@@ -105,6 +109,9 @@
         let mut in_time = Vec::new();
         let mut late = Vec::new();
         for (key, step) in self.queue.iter().take(UNITS_PER_PASS) {
+            if self.is_left_alone(*step) {
+                continue;
+            }
             if self.is_late(*key, *step) {
                 late.push((*key, *step));
             } else {
@@ -115,6 +122,14 @@
         in_time
     }
 
+    /// Whether a unit was looked at just now. Waiting gangs stay in the pass for
+    /// the sake of the workers that are kept for them.
+    fn is_left_alone(&self, step: StepId) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let Some(unit) = job.unit_of(step) else { return false };
+        job.units[unit].look_after_ms > self.now_ms && job.units[unit].kept.is_empty()
+    }
+
     /// Whether the job of a unit would be late even if the unit began now.
     fn is_late(&self, key: QueueKey, step: StepId) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
--- /dev/null
+++ b/crates/pool/tests/record.rs
@@ -0,0 +1,51 @@
+//! The durable row of a job.
+
+use stoatwell_model::WorkerId;
+use stoatwell_pool::Outcome;
+use stoatwell_pool::Progress;
+use stoatwell_pool::TaskProgress;
+
+fn task(unit: u32, index: u32) -> TaskProgress {
+    TaskProgress { unit, index, run: 2, failures: 1, failed_run: 1, ..TaskProgress::default() }
+}
+
+#[test]
+fn a_row_reads_back_as_it_was() {
+    let at = |worker: &str, life| TaskProgress {
+        worker: Some(WorkerId::new(worker)),
+        address: "10.0.0.1:80".to_owned(),
+        life,
+        checkpoint: "00ab".to_owned(),
+        ..task(0, 1)
+    };
+    let done = TaskProgress { done: true, ..task(0, 0) };
+    let progress = Progress {
+        outcome: Some(Outcome::Failed),
+        finished_unix_ms: 7,
+        tasks: vec![done, at("i-1", 3), at("i-1", 4), at("i-2", 3), task(1, 0)],
+    };
+    let text = serde_json::to_string(&progress).expect("written");
+    assert_eq!(serde_json::from_str::<Progress>(&text).expect("read"), progress);
+}
+
+/// A job of 25 tasks at work is written some fifty times. A row of it stays
+/// under 1.8 KB, a finished one under 0.6 KB: with 500 such jobs at work the
+/// scheduler's link would be full of rows otherwise.
+#[test]
+fn rows_are_short() {
+    let mut progress = Progress::default();
+    for index in 0..25 {
+        progress.tasks.push(TaskProgress {
+            worker: Some(WorkerId::new(format!("i-22afcd81{index:02}"))),
+            address: "10.128.0.19:8080".to_owned(),
+            life: 1_722_480_104_000,
+            ..task(0, index)
+        });
+    }
+    let at_work = serde_json::to_string(&progress).expect("written").len();
+    for one in &mut progress.tasks {
+        *one = TaskProgress { done: true, ..task(0, one.index) };
+    }
+    let finished = serde_json::to_string(&progress).expect("written").len();
+    assert!(at_work < 1_800 && finished < 600, "{at_work} and {finished} bytes");
+}
