A scheduler cut off from its peers asks the advisor elsewhere; stale ones tell no counts

Calls through daemons that cannot be reached took 2.5 s each, again every two seconds; they now end with the advisor's own time and pauses double.

--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -24,15 +24,19 @@
 use crate::peers::NodeCall;
 use crate::peers::NodeReply;
 
-/// The longest that an answer may take: the slowest queues need about a second
-/// for a hundred workers, and some may wait before it.
-const LIMIT_MS: u64 = 2_500;
-/// A daemon that brought no answer is not asked again for this long.
+/// How much longer than the advisor's own time an answer may take: calls that
+/// wait before it, and some round trips between regions.
+const MARGIN_MS: u64 = 600;
+/// A daemon that brought no answer is not asked again for this long at first;
+/// doubled with each further one. A scheduler that is cut off from many daemons
+/// would otherwise lose every call through them again and again.
 const PAUSE_MS: u64 = 2_000;
+/// ... this many times at most, which is half a minute.
+const PAUSE_DOUBLINGS: u32 = 4;
 
 /// A call that failed is tried through another daemon at once if no more than
-/// this was lost with it: the daemon was gone.
-const QUICK_MS: u64 = 100;
+/// this was lost with it: a daemon that is gone, or cut off, and a short call.
+const QUICK_MS: u64 = 1_000;
 /// ... this many times in all; more than a few daemons rarely stop together.
 const TRIES_MAX: u32 = 4;
 /// A call is long if the advisor takes at least this for it. Long calls go
@@ -66,6 +70,8 @@
     busy_ms: u64,
     long_calls: usize,
     pause_until_ms: u64,
+    /// Calls without answer in a row.
+    failures: u32,
 }
 
 #[derive(Debug)]
@@ -113,10 +119,11 @@
         for _ in 0..TRIES_MAX {
             let address = self.turn(priority, cost_ms).await?;
             let sent_ms = steady_ms();
+            let limit_ms = cost_ms + MARGIN_MS;
             let granted = if address == self.me {
-                self.outside.advise(step, workers, LIMIT_MS).await
+                self.outside.advise(step, workers, limit_ms).await
             } else {
-                self.ask_peer(&address, step, workers).await
+                self.ask_peer(&address, step, workers, limit_ms).await
             };
             self.lock().release(&address, cost_ms, granted.is_some());
             let asked = workers.len();
@@ -149,9 +156,10 @@
         address: &str,
         step: StepId,
         workers: &[WorkerId],
+        limit_ms: u64,
     ) -> Option<Vec<Grant>> {
-        let call = NodeCall::Advise { step, workers: workers.to_vec(), limit_ms: LIMIT_MS };
-        let limit = Duration::from_millis(LIMIT_MS);
+        let call = NodeCall::Advise { step, workers: workers.to_vec(), limit_ms };
+        let limit = Duration::from_millis(limit_ms);
         match self.peers.call::<NodeReply>(address, &call, limit).await {
             Ok(NodeReply::Advised(granted)) => {
                 let grant = |(worker, ticket)| Grant { worker, ticket };
@@ -212,8 +220,12 @@
         if let Some(one) = self.asking.get_mut(address) {
             one.busy_ms = one.busy_ms.saturating_sub(cost_ms);
             one.long_calls = one.long_calls.saturating_sub(usize::from(cost_ms >= LONG_MS));
-            if !answered {
-                one.pause_until_ms = steady_ms() + PAUSE_MS;
+            if answered {
+                one.failures = 0;
+            } else {
+                let pause_ms = PAUSE_MS << one.failures.min(PAUSE_DOUBLINGS);
+                one.pause_until_ms = steady_ms() + pause_ms;
+                one.failures += 1;
             }
         }
         self.assign();
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -1,6 +1,8 @@
 //! Keeps the duty's row, and writes the scheduler's batches under its version.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stoatwell_pool::JobId;
@@ -9,6 +11,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::clock::steady_ms;
 use crate::duty::DutyRow;
 use crate::duty::RENEW_MS;
 use crate::health::StoreHealth;
@@ -56,9 +59,10 @@
     health: Arc<StoreHealth>,
     mut batches: mpsc::Receiver<Batch>,
     mut stop: watch::Receiver<bool>,
+    renewed_ms: Arc<AtomicU64>,
     committed: impl Fn(u64),
 ) {
-    let mut keeper = Keeper { outside, held, health };
+    let mut keeper = Keeper { outside, held, health, renewed_ms };
     let mut renew_at = Instant::now() + Duration::from_millis(RENEW_MS);
     loop {
         let batch = tokio::select! {
@@ -93,6 +97,8 @@
     outside: Arc<O>,
     held: Held,
     health: Arc<StoreHealth>,
+    /// When a write under the duty last succeeded.
+    renewed_ms: Arc<AtomicU64>,
 }
 
 impl<O: Outside> Keeper<O> {
@@ -111,6 +117,7 @@
             self.health.note(&result);
             match result {
                 Ok(version) => {
+                    self.renewed_ms.store(steady_ms(), Ordering::Relaxed);
                     let took_ms = sent.elapsed().as_millis() as u64;
                     let rows = transaction.put.len();
                     self.health.note_answer(took_ms);
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -6,6 +6,8 @@
 //! nothing a former scheduler writes can take effect.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stoatwell_model::WorkerId;
@@ -31,6 +33,7 @@
 use crate::commit::Batch;
 use crate::commit::Held;
 use crate::commit::keep_duty;
+use crate::duty::LEASE_MS;
 use crate::health::StoreHealth;
 use crate::outside::Outside;
 use crate::outside::Row;
@@ -116,6 +119,7 @@
         let (news, mut inbox) = mpsc::unbounded_channel();
         let (batches, batch_queue) = mpsc::channel(1);
         let mut tasks = JoinSet::new();
+        let renewed_ms = Arc::new(AtomicU64::new(began_ms));
         tasks.spawn(keep_duty_and_tell(
             Arc::clone(&self.outside),
             self.held.clone(),
@@ -123,6 +127,7 @@
             batch_queue,
             news.clone(),
             self.stop.clone(),
+            Arc::clone(&renewed_ms),
         ));
         let Some(mut pool) = self.load(epoch, &mut tasks, &news, &mut inbox).await else { return };
         tracing::info!(epoch, took_ms = steady_ms() - began_ms, "scheduler ready");
@@ -145,12 +150,12 @@
                         count(&event);
                         pool.handle(steady_ms(), unix_ms(), event);
                     }
-                    News::Query(query) => answer(&mut pool, query),
+                    News::Query(query) => answer(&mut pool, query, is_fresh(&renewed_ms)),
                 }
                 next = inbox.try_recv().ok();
             }
             while let Ok(query) = self.queries.try_recv() {
-                answer(&mut pool, query);
+                answer(&mut pool, query, is_fresh(&renewed_ms));
             }
             for effect in pool.pump(steady_ms(), unix_ms()) {
                 if effect == Effect::StepDown {
@@ -339,9 +344,10 @@
     batches: mpsc::Receiver<Batch>,
     news: mpsc::UnboundedSender<News>,
     stop: tokio::sync::watch::Receiver<bool>,
+    renewed_ms: Arc<AtomicU64>,
 ) {
     let committed = |batch| tell(&news, Event::Committed { batch });
-    keep_duty(outside, held, health, batches, stop, committed).await;
+    keep_duty(outside, held, health, batches, stop, renewed_ms, committed).await;
     if news.send(News::Deposed).is_err() {
         tracing::debug!("the scheduler had ended before");
     }
@@ -488,7 +494,14 @@
     None
 }
 
-fn answer(pool: &mut Pool, query: Query) {
+/// Whether the duty was renewed of late. A scheduler that is cut off from the
+/// store may have been replaced and not know it; it keeps its workers' leases
+/// until it learns so, but does not tell how much work waits.
+fn is_fresh(renewed_ms: &AtomicU64) -> bool {
+    steady_ms().saturating_sub(renewed_ms.load(Ordering::Relaxed)) < LEASE_MS
+}
+
+fn answer(pool: &mut Pool, query: Query, fresh: bool) {
     let asked = match query {
         Query::Accepted(job, row) => {
             match serde_json::from_slice(&row) {
@@ -507,6 +520,7 @@
             true
         }
         Query::State(job, answer) => answer.send(pool.state(job)).is_ok(),
+        Query::Pending(_, _) if !fresh => true,
         Query::Pending(queue, answer) => answer.send(pool.pending(&queue) as u64).is_ok(),
         Query::Dump(answer) => answer.send(pool.dump()).is_ok(),
         Query::Explain(job, answer) => answer.send(pool.explain(job)).is_ok(),
