--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -24,6 +24,11 @@
 const DISTANCE_DELAY_MAX_MS: u64 = 400;
 /// What a machine with a quarter of a core is kept back, against one with half a core.
 const WEAK_DELAY_MS: f64 = 100.0;
+/// What a machine below [`FEEBLE_CORES`] is kept back: 350 workers take a quarter of
+/// a core, and a scheduler that cannot keep up looks alive while nothing runs.
+const FEEBLE_DELAY_MS: u64 = 700;
+/// A machine with less is feeble.
+const FEEBLE_CORES: f64 = 0.2;
 /// What a narrow link costs a candidate: calls to 350 workers and the rows that
 /// follow take some 10 Mbit/s.
 const NARROW_DELAY_MS: u64 = 150;
@@ -81,7 +86,8 @@
         for byte in self.name.bytes() {
             hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
         }
-        distance_ms + weak_ms + narrow_ms + hash % SPREAD_MS
+        let feeble_ms = if self.cores < FEEBLE_CORES { FEEBLE_DELAY_MS } else { 0 };
+        distance_ms + weak_ms + feeble_ms + narrow_ms + hash % SPREAD_MS
     }
 }
 
