The first waiting gang keeps all it needs; followers and measures in files of their own

A gang wider than 35% of the pool never started among small ones: the test of that load shows it first.

--- /dev/null
+++ b/crates/node/src/follow.rs
@@ -0,0 +1,170 @@
+//! What the scheduler follows in the store: jobs, cancellations, workers, daemons.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatwell_model::WorkerId;
+use stoatwell_pool::Event;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use tokio::sync::mpsc;
+
+use crate::advisors::Advisors;
+use crate::clock::steady_ms;
+use crate::lead::News;
+use crate::lead::tell;
+use crate::outside::Outside;
+use crate::outside::Row;
+use crate::outside::StoreError;
+use crate::outside::Table;
+use crate::outside::WorkerChanges;
+
+/// How long a question for changes waits at the store.
+const FOLLOW_WAIT_MS: u64 = 1_500;
+/// After a question for changes that failed.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
+/// Between two questions for changes to jobs. Daemons tell the scheduler of
+/// what they accept; the store's feed brings what they could not tell, and its
+/// calls are priced.
+const JOBS_PAUSE: Duration = Duration::from_millis(250);
+/// Between two questions for changes to the list of workers, which changes
+/// with each of their heartbeats.
+const WORKERS_PAUSE: Duration = Duration::from_millis(400);
+/// How often the scheduler reads which daemons there are.
+const DAEMONS_EVERY: Duration = Duration::from_secs(2);
+/// Workers that are missing from the list are taken for gone only after the
+/// list was readable for this long: entries come back late after an outage.
+const MISSING_GRACE_MS: u64 = 2_500;
+
+/// Tries until it succeeds; the store may be down while the duty is held.
+pub(crate) async fn persist<T, F>(call: impl Fn() -> F) -> T
+where
+    F: Future<Output = Result<T, StoreError>>,
+{
+    loop {
+        match call().await {
+            Ok(value) => return value,
+            Err(error) => {
+                tracing::warn!(%error, "state cannot be read back yet");
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Keeps in mind which daemons the advisor can be asked through.
+pub(crate) async fn know_daemons<O: Outside>(
+    outside: Arc<O>,
+    advisors: Arc<Advisors<O>>,
+    news: mpsc::UnboundedSender<News>,
+) {
+    loop {
+        match outside.read_all(Table::Daemons).await {
+            Ok(rows) => tell(&news, Event::Advisors { count: advisors.know(&rows.rows) }),
+            Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
+        }
+        tokio::time::sleep(DAEMONS_EVERY).await;
+    }
+}
+
+/// Tells the scheduler of each new row of a table.
+pub(crate) async fn follow<O: Outside>(
+    outside: Arc<O>,
+    table: Table,
+    mut after: u64,
+    news: mpsc::UnboundedSender<News>,
+) {
+    loop {
+        let rows = match outside.follow(table, after, FOLLOW_WAIT_MS).await {
+            Ok(rows) => rows,
+            Err(StoreError::HistoryLost) => {
+                tracing::warn!(%table, after, "the store dropped the history, the table is read anew");
+                persist(|| outside.read_all(table)).await
+            }
+            Err(error) => {
+                tracing::warn!(%table, %error, "changes cannot be followed");
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+                continue;
+            }
+        };
+        after = rows.version;
+        for row in &rows.rows {
+            if row.value.is_none() {
+                continue;
+            }
+            match table {
+                Table::Jobs => {
+                    let Some((job, spec)) = read_row::<JobSpec>(row) else { continue };
+                    tell(&news, Event::Accepted { job, spec: Arc::new(spec) });
+                }
+                Table::Cancels => {
+                    let Ok(job) = row.key.parse() else { continue };
+                    tell(&news, Event::Cancelled { job });
+                }
+                Table::Progress | Table::Duty | Table::Daemons => {}
+            }
+        }
+        tokio::time::sleep(JOBS_PAUSE).await;
+    }
+}
+
+/// Tells the scheduler of each change to the list of workers.
+pub(crate) async fn follow_workers<O: Outside>(
+    outside: Arc<O>,
+    mut after: u64,
+    news: mpsc::UnboundedSender<News>,
+) {
+    let mut missing: BTreeMap<WorkerId, u64> = BTreeMap::new();
+    let mut readable_since_ms = steady_ms();
+    loop {
+        let changes = match outside.follow_workers(after, 0).await {
+            Ok(changes) => changes,
+            Err(StoreError::HistoryLost) => {
+                // What left meanwhile is not in the new reading; its silence tells.
+                persist(|| outside.workers()).await
+            }
+            Err(error) => {
+                tracing::warn!(%error, "the list of workers cannot be followed");
+                tokio::time::sleep(FOLLOW_PAUSE).await;
+                readable_since_ms = steady_ms();
+                continue;
+            }
+        };
+        after = changes.version;
+        take_changes(changes, &mut missing, &news);
+        let now_ms = steady_ms();
+        let gone = |at: &u64| {
+            let since_ms = (*at).max(readable_since_ms);
+            now_ms > since_ms + MISSING_GRACE_MS
+        };
+        for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
+            tell(&news, Event::Unlisted { worker });
+        }
+        tokio::time::sleep(WORKERS_PAUSE).await;
+    }
+}
+
+fn take_changes(
+    changes: WorkerChanges,
+    missing: &mut BTreeMap<WorkerId, u64>,
+    news: &mpsc::UnboundedSender<News>,
+) {
+    for worker in changes.unlisted {
+        missing.insert(worker, steady_ms());
+    }
+    for listed in changes.listed {
+        missing.remove(&listed.worker);
+        tell(news, Event::Listed(listed));
+    }
+}
+
+/// A row's job and value; what cannot be read is somebody else's and is left out.
+pub(crate) fn read_row<T: serde::de::DeserializeOwned>(row: &Row) -> Option<(JobId, T)> {
+    let value = row.value.as_ref()?;
+    if let (Ok(id), Ok(value)) = (row.key.parse(), serde_json::from_slice(value)) {
+        return Some((id, value));
+    }
+    tracing::warn!(key = row.key, version = row.version, "row cannot be read, left out");
+    None
+}
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -10,8 +10,6 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use stoatwell_model::WorkerId;
-use stoatwell_pool::CallError;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
@@ -22,7 +20,6 @@
 use stoatwell_pool::PoolDump;
 use stoatwell_pool::Progress;
 use stoatwell_pool::StartCall;
-use stoatwell_pool::StartReply;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -34,12 +31,16 @@
 use crate::commit::Held;
 use crate::commit::keep_duty;
 use crate::duty::LEASE_MS;
+use crate::follow::follow;
+use crate::follow::follow_workers;
+use crate::follow::know_daemons;
+use crate::follow::persist;
+use crate::follow::read_row;
 use crate::health::StoreHealth;
+use crate::measure::count;
+use crate::measure::measure;
 use crate::outside::Outside;
-use crate::outside::Row;
-use crate::outside::StoreError;
 use crate::outside::Table;
-use crate::outside::WorkerChanges;
 
 /// The longest that the pool is left alone.
 const NAP_MAX_MS: u64 = 50;
@@ -48,25 +49,8 @@
 /// An order that was made longer ago is not sent any more: the process stood
 /// still, and the order may belong to a scheduler that was replaced.
 const ORDER_AGE_MAX_MS: u64 = 700;
-/// How long a question for changes waits at the store.
-const FOLLOW_WAIT_MS: u64 = 1_500;
-/// After a question for changes that failed.
-const FOLLOW_PAUSE: Duration = Duration::from_millis(100);
-/// Between two questions for changes to jobs. Daemons tell the scheduler of
-/// what they accept; the store's feed brings what they could not tell, and its
-/// calls are priced.
-const JOBS_PAUSE: Duration = Duration::from_millis(250);
-/// Between two questions for changes to the list of workers, which changes
-/// with each of their heartbeats.
-const WORKERS_PAUSE: Duration = Duration::from_millis(400);
-/// How often the scheduler reads which daemons there are.
-const DAEMONS_EVERY: Duration = Duration::from_secs(2);
 /// How often gauges are set.
 const MEASURE_EVERY_MS: u64 = 1_000;
-/// Workers that are missing from the list are taken for gone only after the
-/// list was readable for this long: entries come back late after an outage.
-const MISSING_GRACE_MS: u64 = 2_500;
-
 /// A question to the scheduler.
 #[derive(Debug)]
 pub enum Query {
@@ -86,7 +70,7 @@
 
 /// What the scheduler hears.
 #[derive(Debug)]
-enum News {
+pub(crate) enum News {
     Event(Event),
     Query(Query),
     Deposed,
@@ -283,52 +267,6 @@
     }
 }
 
-/// Counts what workers and the advisor answered.
-fn count(event: &Event) {
-    match event {
-        Event::Held { reply, .. } => {
-            let outcome = reply.as_ref().map_or_else(CallError::to_string, |_| "answered".into());
-            metrics::counter!("stoatwell_holds_total", "outcome" => outcome).increment(1);
-            let Ok(reply) = reply else { return };
-            for ended in &reply.ended {
-                let end = ended.end.to_string();
-                metrics::counter!("stoatwell_ends_listed_total", "end" => end).increment(1);
-            }
-        }
-        Event::Started { reply, .. } => {
-            let outcome = reply.as_ref().map_or_else(CallError::to_string, StartReply::to_string);
-            metrics::counter!("stoatwell_starts_total", "outcome" => outcome).increment(1);
-        }
-        Event::Advised { granted, .. } => {
-            let outcome = if granted.is_some() { "answered" } else { "no answer" };
-            metrics::counter!("stoatwell_advice_total", "outcome" => outcome).increment(1);
-        }
-        _ => {}
-    }
-}
-
-/// Sets the gauges of what the scheduler believes.
-fn measure(pool: &Pool) {
-    let counts = pool.counts();
-    tracing::info!(
-        queued_jobs = counts.queued_jobs,
-        running_jobs = counts.running_jobs,
-        queued_steps = counts.queued_steps,
-        open_workers = counts.open_workers,
-        silent_workers = counts.silent_workers,
-        free_cpu_millis = counts.free_cpu_millis,
-        used_cpu_millis = counts.used_cpu_millis,
-        "pool"
-    );
-    metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
-    metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
-    metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
-    metrics::gauge!("stoatwell_workers_open").set(counts.open_workers as f64);
-    metrics::gauge!("stoatwell_workers_silent").set(counts.silent_workers as f64);
-    metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
-    metrics::gauge!("stoatwell_used_cpu_millis").set(counts.used_cpu_millis as f64);
-}
-
 async fn deposed(inbox: &mut mpsc::UnboundedReceiver<News>) {
     while let Some(news) = inbox.recv().await {
         if matches!(news, News::Deposed) {
@@ -353,37 +291,6 @@
     }
 }
 
-/// Tries until it succeeds; the store may be down while the duty is held.
-async fn persist<T, F>(call: impl Fn() -> F) -> T
-where
-    F: Future<Output = Result<T, StoreError>>,
-{
-    loop {
-        match call().await {
-            Ok(value) => return value,
-            Err(error) => {
-                tracing::warn!(%error, "state cannot be read back yet");
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Keeps in mind which daemons the advisor can be asked through.
-async fn know_daemons<O: Outside>(
-    outside: Arc<O>,
-    advisors: Arc<Advisors<O>>,
-    news: mpsc::UnboundedSender<News>,
-) {
-    loop {
-        match outside.read_all(Table::Daemons).await {
-            Ok(rows) => tell(&news, Event::Advisors { count: advisors.know(&rows.rows) }),
-            Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
-        }
-        tokio::time::sleep(DAEMONS_EVERY).await;
-    }
-}
-
 async fn start(outside: &impl Outside, call: StartCall, news: &mpsc::UnboundedSender<News>) {
     let age_ms = steady_ms().saturating_sub(call.made_ms);
     let reply = if age_ms > ORDER_AGE_MAX_MS {
@@ -395,105 +302,6 @@
     tell(news, Event::Started { task, run, worker: call.to.worker, reply });
 }
 
-async fn follow<O: Outside>(
-    outside: Arc<O>,
-    table: Table,
-    mut after: u64,
-    news: mpsc::UnboundedSender<News>,
-) {
-    loop {
-        let rows = match outside.follow(table, after, FOLLOW_WAIT_MS).await {
-            Ok(rows) => rows,
-            Err(StoreError::HistoryLost) => {
-                tracing::warn!(%table, after, "the store dropped the history, the table is read anew");
-                persist(|| outside.read_all(table)).await
-            }
-            Err(error) => {
-                tracing::warn!(%table, %error, "changes cannot be followed");
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-                continue;
-            }
-        };
-        after = rows.version;
-        for row in &rows.rows {
-            if row.value.is_none() {
-                continue;
-            }
-            match table {
-                Table::Jobs => {
-                    let Some((job, spec)) = read_row::<JobSpec>(row) else { continue };
-                    tell(&news, Event::Accepted { job, spec: Arc::new(spec) });
-                }
-                Table::Cancels => {
-                    let Ok(job) = row.key.parse() else { continue };
-                    tell(&news, Event::Cancelled { job });
-                }
-                Table::Progress | Table::Duty | Table::Daemons => {}
-            }
-        }
-        tokio::time::sleep(JOBS_PAUSE).await;
-    }
-}
-
-async fn follow_workers<O: Outside>(
-    outside: Arc<O>,
-    mut after: u64,
-    news: mpsc::UnboundedSender<News>,
-) {
-    let mut missing: std::collections::BTreeMap<WorkerId, u64> = std::collections::BTreeMap::new();
-    let mut readable_since_ms = steady_ms();
-    loop {
-        let changes = match outside.follow_workers(after, 0).await {
-            Ok(changes) => changes,
-            Err(StoreError::HistoryLost) => {
-                // What left meanwhile is not in the new reading; its silence tells.
-                persist(|| outside.workers()).await
-            }
-            Err(error) => {
-                tracing::warn!(%error, "the list of workers cannot be followed");
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-                readable_since_ms = steady_ms();
-                continue;
-            }
-        };
-        after = changes.version;
-        take_changes(changes, &mut missing, &news);
-        let now_ms = steady_ms();
-        let gone = |at: &u64| {
-            let since_ms = (*at).max(readable_since_ms);
-            now_ms > since_ms + MISSING_GRACE_MS
-        };
-        for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
-            tell(&news, Event::Unlisted { worker });
-        }
-        tokio::time::sleep(WORKERS_PAUSE).await;
-    }
-}
-
-fn take_changes(
-    changes: WorkerChanges,
-    missing: &mut std::collections::BTreeMap<WorkerId, u64>,
-    news: &mpsc::UnboundedSender<News>,
-) {
-    for worker in changes.unlisted {
-        missing.insert(worker, steady_ms());
-    }
-    for listed in changes.listed {
-        missing.remove(&listed.worker);
-        tell(news, Event::Listed(listed));
-    }
-}
-
-/// A row's job and value; what cannot be read is somebody else's and is left out.
-pub fn read_row<T: serde::de::DeserializeOwned>(row: &Row) -> Option<(JobId, T)> {
-    let value = row.value.as_ref()?;
-    if let (Ok(id), Ok(value)) = (row.key.parse(), serde_json::from_slice(value)) {
-        return Some((id, value));
-    }
-    tracing::warn!(key = row.key, version = row.version, "row cannot be read, left out");
-    None
-}
-
 /// Whether the duty was renewed of late. A scheduler that is cut off from the
 /// store may have been replaced and not know it; it keeps its workers' leases
 /// until it learns so, but does not tell how much work waits.
@@ -530,7 +338,7 @@
     }
 }
 
-fn tell(news: &mpsc::UnboundedSender<News>, event: Event) {
+pub(crate) fn tell(news: &mpsc::UnboundedSender<News>, event: Event) {
     if news.send(News::Event(event)).is_err() {
         tracing::debug!("the scheduler ended before the news came");
     }
--- /dev/null
+++ b/crates/node/src/measure.rs
@@ -0,0 +1,52 @@
+//! The scheduler's counters, gauges and its line of each second.
+
+use stoatwell_pool::CallError;
+use stoatwell_pool::Event;
+use stoatwell_pool::Pool;
+use stoatwell_pool::StartReply;
+
+/// Counts what workers and the advisor answered.
+pub(crate) fn count(event: &Event) {
+    match event {
+        Event::Held { reply, .. } => {
+            let outcome = reply.as_ref().map_or_else(CallError::to_string, |_| "answered".into());
+            metrics::counter!("stoatwell_holds_total", "outcome" => outcome).increment(1);
+            let Ok(reply) = reply else { return };
+            for ended in &reply.ended {
+                let end = ended.end.to_string();
+                metrics::counter!("stoatwell_ends_listed_total", "end" => end).increment(1);
+            }
+        }
+        Event::Started { reply, .. } => {
+            let outcome = reply.as_ref().map_or_else(CallError::to_string, StartReply::to_string);
+            metrics::counter!("stoatwell_starts_total", "outcome" => outcome).increment(1);
+        }
+        Event::Advised { granted, .. } => {
+            let outcome = if granted.is_some() { "answered" } else { "no answer" };
+            metrics::counter!("stoatwell_advice_total", "outcome" => outcome).increment(1);
+        }
+        _ => {}
+    }
+}
+
+/// Sets the gauges of what the scheduler believes.
+pub(crate) fn measure(pool: &Pool) {
+    let counts = pool.counts();
+    tracing::info!(
+        queued_jobs = counts.queued_jobs,
+        running_jobs = counts.running_jobs,
+        queued_steps = counts.queued_steps,
+        open_workers = counts.open_workers,
+        silent_workers = counts.silent_workers,
+        free_cpu_millis = counts.free_cpu_millis,
+        used_cpu_millis = counts.used_cpu_millis,
+        "pool"
+    );
+    metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
+    metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
+    metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
+    metrics::gauge!("stoatwell_workers_open").set(counts.open_workers as f64);
+    metrics::gauge!("stoatwell_workers_silent").set(counts.silent_workers as f64);
+    metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
+    metrics::gauge!("stoatwell_used_cpu_millis").set(counts.used_cpu_millis as f64);
+}
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -24,7 +24,9 @@
 
 /// Units looked at in one pass; those behind them wait for the next.
 const UNITS_PER_PASS: usize = 1_000;
-/// Share of the workers, in hundredths, that waiting gangs may keep for themselves.
+/// Share of the workers, in hundredths, that waiting gangs may keep for
+/// themselves. The first of them keeps what it needs: a gang wider than the
+/// share would never start.
 const KEPT_PERCENT: usize = 35;
 /// A unit that found no place is looked at again after this; a look at one with
 /// a hundred workers to choose from takes some 50 us, and hundreds may wait.
@@ -53,6 +55,8 @@
         }
         let mut pass = self.begin_pass();
         let kept_max = pass.rooms.len() * KEPT_PERCENT / 100;
+        let may_keep =
+            |kept: usize| if kept == 0 { usize::MAX } else { kept_max.saturating_sub(kept) };
         let mut kept = 0;
         let mut lacking: Vec<(String, Resources)> = Vec::new();
         for (key, step) in self.ordered_units() {
@@ -70,7 +74,7 @@
             let service = job.spec.queue.service.clone();
             let looked_at_late = job.units[unit].look_after_ms > self.now_ms;
             if gang && looked_at_late {
-                kept += self.keep_again(step, unit, key.priority, &mut pass, kept_max - kept);
+                kept += self.keep_again(step, unit, key.priority, &mut pass, may_keep(kept));
             }
             // What no worker of the service had room for in this pass, none has now.
             let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
@@ -81,7 +85,7 @@
                 Look::Placed => self.unqueue(key, step),
                 Look::Waits if gang => {
                     self.look_later(step, unit, key.priority);
-                    kept += self.keep_for(step, key.priority, &mut pass, kept_max - kept);
+                    kept += self.keep_for(step, key.priority, &mut pass, may_keep(kept));
                 }
                 Look::Waits => {
                     self.look_later(step, unit, key.priority);
--- /dev/null
+++ b/crates/pool/tests/load.rs
@@ -0,0 +1,98 @@
+//! Heavy loads of a pool in virtual time: who waits, and where work goes.
+
+mod world;
+
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobState;
+
+use self::world::Faults;
+use self::world::World;
+use self::world::job;
+use self::world::queue;
+use self::world::step;
+
+fn assert_kept(world: &World) {
+    assert!(world.broken.is_empty(), "{:?}", world.broken);
+}
+
+/// Patient batches ask for more than the pool has, all the time, and urgent
+/// confirmations come ten a second. A confirmation takes at most 1.2 s of work;
+/// without room left free for it, it would wait for the end of a batch's task,
+/// two seconds and more, and a clerk would wait with it.
+#[test]
+fn urgent_work_finds_room_beside_an_overload_of_patient_work() {
+    let mut world = World::new(3, 12, Faults::default());
+    world.run(100);
+    let mut number = 0;
+    let mut urgent = Vec::new();
+    for tenth in 0..150 {
+        if tenth % 5 == 0 {
+            number += 1;
+            world.submit(number, job(queue(2), vec![step(20, 2_000, 2_000)]));
+        }
+        number += 1;
+        world.submit(number, job(queue(0), vec![step(2, 1_400, 600)]));
+        urgent.push((number, world.now_ms));
+        world.run(100);
+    }
+    let mut late = 0;
+    for (number, sent_ms) in &urgent {
+        let soon = sent_ms + 2_000;
+        if soon > world.now_ms {
+            continue;
+        }
+        late += usize::from(world.state(*number) != Some(JobState::Completed));
+    }
+    assert_eq!(late, 0, "of {} urgent jobs", urgent.len());
+    assert_kept(&world);
+}
+
+/// Small gangs arrive faster than they leave and one wide gang waits among
+/// them. Workers are kept for it alone in its rank; small ones would otherwise
+/// take each bit of room first, and a packet for a hearing would never start.
+#[test]
+fn a_wide_gang_is_not_overtaken_for_ever() {
+    let gang = |tasks| {
+        let mut spec = job(queue(1), vec![step(tasks, 4_500, 1_500)]);
+        spec.steps[0].gang = true;
+        spec
+    };
+    let mut world = World::new(5, 12, Faults::default());
+    world.run(100);
+    for number in 0..40 {
+        world.submit(number, gang(3));
+    }
+    world.submit(1_000, gang(24));
+    for number in 40..160 {
+        world.submit(number, gang(3));
+        world.run(100);
+    }
+    assert!(
+        matches!(world.state(1_000), Some(JobState::Running | JobState::Completed)),
+        "{}",
+        world.explain(JobId(1_000))
+    );
+    world.run(30_000);
+    assert!(world.open_jobs().is_empty());
+    assert_kept(&world);
+}
+
+/// A sixth of the workers turns so slow that their tasks stand nearly still.
+/// Tasks move to other workers; a user would otherwise get the answer of the
+/// slowest worker.
+#[test]
+fn work_moves_away_from_slow_workers() {
+    let mut world = World::new(9, 12, Faults::default());
+    world.run(100);
+    for number in 0..24 {
+        world.submit(number, job(queue(1), vec![step(4, 1_500, 1_200)]));
+    }
+    world.run(300);
+    let names: Vec<_> = world.workers.keys().take(2).cloned().collect();
+    for name in &names {
+        world.workers.get_mut(name).expect("known").hangs = true;
+    }
+    world.run(9_000);
+    assert!(world.open_jobs().is_empty(), "{:?}", world.open_jobs());
+    assert_kept(&world);
+}
