--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// How often the holder rewrites the row; a third of the lease, so that two
 /// lost writes in a row do not cost the duty.
@@ -82,12 +83,9 @@
         let distance_ms = (self.store_answer_ms * DELAY_PER_ANSWER_MS).min(DISTANCE_DELAY_MAX_MS);
         let weak_ms = (WEAK_DELAY_MS * (0.5 - self.cores) / 0.25).max(0.0) as u64;
         let narrow_ms = if self.link_mbps < NARROW_MBPS { NARROW_DELAY_MS } else { 0 };
-        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-        for byte in self.name.bytes() {
-            hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        }
+        let spread_ms = xxh3_64(self.name.as_bytes()) % SPREAD_MS;
         let feeble_ms = if self.cores < FEEBLE_CORES { FEEBLE_DELAY_MS } else { 0 };
-        distance_ms + weak_ms + feeble_ms + narrow_ms + hash % SPREAD_MS
+        distance_ms + weak_ms + feeble_ms + narrow_ms + spread_ms
     }
 }
 
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -14,6 +14,7 @@
 use stoatwell_pool::StepId;
 use stoatwell_pool::StopCall;
 use stoatwell_pool::WorkerNews;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::manifest::Manifest;
 
@@ -52,13 +53,7 @@
 /// The shard of a row.
 pub fn shard(table: Table, key: &str) -> Shard {
     match table {
-        Table::Jobs | Table::Cancels => {
-            let mut hash = 0_usize;
-            for byte in key.bytes() {
-                hash = hash.wrapping_mul(31).wrapping_add(usize::from(byte));
-            }
-            Shard::Jobs(hash % SHARDS)
-        }
+        Table::Jobs | Table::Cancels => Shard::Jobs(xxh3_64(key.as_bytes()) as usize % SHARDS),
         Table::Progress | Table::Duty | Table::Daemons => Shard::Scheduler,
     }
 }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -10,6 +10,7 @@
 
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Pool;
 use crate::QueueKey;
@@ -425,9 +426,5 @@
 
 /// Spreads equal choices over the workers, each step in its own order.
 fn spread(step: StepId, name: &WorkerId) -> u64 {
-    let mut hash = step.job.0 ^ u64::from(step.step);
-    for byte in name.as_str().bytes() {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    hash
+    xxh3_64_with_seed(name.as_str().as_bytes(), step.job.0 ^ u64::from(step.step))
 }
