--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -73,13 +73,13 @@
             let spec = job.step(unit);
             let (gang, room) = (spec.gang, spec.room());
             let service = job.spec.queue.service.clone();
-            let looked_at_late = job.units[unit].look_after_ms > self.now_ms;
-            if gang && looked_at_late {
+            let left_alone = job.units[unit].look_after_ms > self.now_ms;
+            if gang && left_alone {
                 kept += self.keep_again(step, unit, key.priority, &mut pass, may_keep(kept));
             }
             // What no worker of the service had room for in this pass, none has now.
             let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
-            if looked_at_late || (hopeless && !gang) {
+            if left_alone || (hopeless && !gang) {
                 continue;
             }
             match self.place_unit(step, unit, key.priority, &mut pass) {
