Refused connections prove nothing; starts that a new life carries out count; cancelled work is stopped after a take-over

A refused connection was taken for a worker that is gone, and its tasks started elsewhere while it ran on behind the cut. Three more faults of the same kind showed in virtual time, each by a test that failed first: starts under way are carried out by a new life of the worker and were started again; runs of a job whose cancellation was durable went on after a change of scheduler; a new life got tasks by the room of the former one before the list told its own.

Ruled out: taking a reset and a refusal together as proof, since a cut may do both. What it costs: tasks of a worker that crashed and is not back wait for its lease to lapse.

--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -208,7 +208,7 @@
 /// A call that brought no answer of use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum CallError {
-    /// nothing listens at the address
+    /// the connection was refused, so nothing was sent; the worker may run on behind a firewall
     Refused,
     /// nothing was sent
     NotSent,
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -35,6 +35,9 @@
 /// How much longer than its longest lease a worker that was never reached may
 /// have been kept by the scheduler before this one: its own time to notice.
 const EARLIER_SCHEDULER_MS: u64 = 3_000;
+/// How long after it was sent an order may still be carried out by a worker that
+/// was not held since; workers do so up to 12 s late.
+const LATE_ORDER_MS: u64 = 13_000;
 
 impl Pool {
     pub(crate) fn on_listed(&mut self, news: WorkerNews) {
@@ -67,8 +70,12 @@
 
     /// When whatever an earlier scheduler allowed has lapsed for sure.
     pub(crate) fn earlier_lapse_ms(&self) -> u64 {
-        let lapse_ms = self.limits.lease_max_ms * 1_025 / 1_000 + EARLIER_SCHEDULER_MS;
-        self.started_ms + lapse_ms
+        self.started_ms + self.longest_lease_ms() + EARLIER_SCHEDULER_MS
+    }
+
+    /// The longest that a lease lasts by this clock.
+    fn longest_lease_ms(&self) -> u64 {
+        self.limits.lease_max_ms * 1_025 / 1_000
     }
 
     pub(crate) fn on_unlisted(&mut self, name: &WorkerId) {
@@ -77,12 +84,35 @@
         tracing::info!(worker = %name, tasks = worker.tasks.len(), "worker no longer listed");
     }
 
-    /// A worker started anew: nothing of before runs on it.
+    /// A worker started anew: nothing that it listed before runs on it.
+    ///
+    /// Starts that were under way may have reached the new life, under a token
+    /// that it had no reason to refuse. Taken for lost they would run twice; the
+    /// first hold under the new token tells which are there.
     pub(crate) fn begin_life(&mut self, name: &WorkerId, life: u64) {
         tracing::warn!(worker = %name, life, "worker began a new life");
-        self.lose_tasks(name);
+        let Some(worker) = self.workers.get(name) else { return };
+        let mut tasks: Vec<TaskId> = worker.tasks.keys().copied().collect();
+        tasks.sort_unstable();
+        for id in tasks {
+            let task = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id));
+            let Some(task) = task else { continue };
+            match task.phase {
+                Phase::Sent | Phase::Running { .. } | Phase::Adopted if !task.seen => {
+                    task.phase = Phase::Adopted;
+                }
+                Phase::Stopping { .. } if !task.seen => {
+                    task.phase = Phase::Stopping { answered_turn: None, sent_ms: 0 };
+                }
+                _ => {
+                    tracing::warn!(task = %id, worker = %name, "run lost with its worker");
+                    self.lose_run(id);
+                }
+            }
+        }
+        let lapse_ms = self.now_ms + self.longest_lease_ms() + LATE_ORDER_MS;
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.begin_life(life, self.turn);
+            worker.begin_life(life, self.turn, lapse_ms);
         }
     }
 
@@ -146,11 +176,16 @@
         }
         if reply.life > worker.news.life {
             self.begin_life(name, reply.life);
+            if let Some(worker) = self.workers.get_mut(name) {
+                // What this life holds is not known before the list tells it.
+                worker.listed = false;
+            }
             // The answer was given to a token that counts for the old life.
             return;
         }
         worker.answered_ms = now_ms;
         worker.silent = 0;
+        worker.refuses = false;
         worker.clock = Some((reply.clock_ms, now_ms));
         if !worker.held {
             tracing::info!(worker = %name, active = reply.active.len(), ended = reply.ended.len(), "worker held");
@@ -170,7 +205,7 @@
             tracing::warn!(worker = %name, %error, tasks = worker.tasks.len(), "hold not answered");
         }
         match error {
-            CallError::Refused => self.lose_worker(name, "nothing listens at its address"),
+            CallError::Refused => worker.refuses = true,
             CallError::OtherLife => self.lose_worker(name, "another one answers at its address"),
             CallError::Superseded => {
                 tracing::warn!(worker = %name, "worker follows a higher token");
@@ -335,6 +370,7 @@
         task.moved_ms = now_ms;
         task.began_ms = now_ms;
     }
+    task.seen = true;
     if active.percent != task.percent {
         task.percent = active.percent;
         task.moved_ms = now_ms;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -63,6 +63,8 @@
     pub placed_ms: u64,
     /// When the newest run was first known to be at work; 0 before.
     pub began_ms: u64,
+    /// Whether a hold has listed the newest run, so that the life it is in is known.
+    pub seen: bool,
 }
 
 /// A ticket of the advisor.
@@ -279,6 +281,7 @@
             moved_ms: 0,
             placed_ms: 0,
             began_ms: 0,
+            seen: false,
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -184,6 +184,7 @@
     fn adopt(&mut self, job: JobId, row: &TaskProgress) {
         let Some(name) = row.worker.clone().filter(|_| !row.done) else { return };
         let Some(job) = self.jobs.get(&job) else { return };
+        let over = job.outcome.is_some();
         let Some(unit) = job.units.get(row.unit as usize) else { return };
         let id = TaskId { step: unit.id, index: row.index };
         let room = job.step(row.unit as usize).room();
@@ -194,16 +195,13 @@
             let news = WorkerNews::unlisted(name.clone(), address, service, row.life);
             Worker { listed: false, ..Worker::new(news, earlier_lapse_ms) }
         });
-        let known_life = worker.news.life;
-        if row.life > known_life {
-            // What was noted before belongs to a life that is over.
-            self.begin_life(&name, row.life);
-        }
-        if let Some(worker) = self.workers.get_mut(&name) {
-            worker.take(id, room);
-        }
-        if row.life < known_life {
-            self.lose_run(id);
+        // A start may have reached a later life than the one that it was meant
+        // for, so whatever the rows say of lives, the first hold tells.
+        worker.news.life = worker.news.life.max(row.life);
+        worker.take(id, room);
+        if over {
+            // The earlier scheduler may have died before its stop got there.
+            self.stop(id);
         }
     }
 
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -93,13 +93,13 @@
                         worker.quarantine_until_ms.max(now_ms + REFUSED_PAUSE_MS);
                 }
                 Err(CallError::NoAnswer | CallError::NotSent) => worker.silent += 1,
+                Err(CallError::Refused) => {
+                    worker.silent += 1;
+                    worker.refuses = true;
+                }
                 _ => {}
             }
         }
-        if reply == Err(CallError::Refused) {
-            self.lose_worker(from, "nothing listens at its address");
-            return;
-        }
         let Some(task) = self.task_at(id, run, from) else { return };
         if !matches!(task.phase, Phase::Sent) {
             return;
@@ -171,10 +171,6 @@
     ) {
         let now_ms = self.now_ms;
         let turn = self.turn;
-        if reply == Err(CallError::Refused) {
-            self.lose_worker(from, "nothing listens at its address");
-            return;
-        }
         let Some(task) = self.task_at(id, run, from) else { return };
         let Phase::Stopping { answered_turn, sent_ms } = &mut task.phase else { return };
         if let Err(error) = reply {
@@ -351,6 +347,7 @@
         task.moved_ms = now_ms;
         task.placed_ms = now_ms;
         task.began_ms = 0;
+        task.seen = false;
         self.commits.note(id.step.job, After::Start { task: id, run });
     }
 
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -62,6 +62,9 @@
     pub answered_ms: u64,
     /// Calls without answer in a row.
     pub silent: u32,
+    /// Whether the newest connection to it was refused. That says nothing about
+    /// what runs there: a firewall refuses as a host without the process does.
+    pub refuses: bool,
 }
 
 impl Worker {
@@ -90,13 +93,15 @@
             speed_percent: 100,
             answered_ms: 0,
             silent: 0,
+            refuses: false,
         }
     }
 
     /// Forgets what belongs to an earlier life. Its tasks are the caller's to take away.
-    pub fn begin_life(&mut self, life: u64, turn: u64) {
+    /// Orders that were under way may still be carried out up to a moment.
+    pub fn begin_life(&mut self, life: u64, turn: u64, earlier_lapse_ms: u64) {
         self.life_began_turn = turn;
-
+        self.earlier_lapse_ms = earlier_lapse_ms;
         self.news.life = life;
         self.lives += 1;
         self.held = false;
@@ -116,6 +121,7 @@
     pub fn is_open(&self, now_ms: u64) -> bool {
         self.held
             && self.listed
+            && !self.refuses
             && !self.news.draining
             && self.quarantine_until_ms <= now_ms
             && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -25,7 +25,8 @@
 }
 
 fn assert_kept(world: &World) {
-    assert!(world.broken.is_empty(), "{:?}", world.broken);
+    let (count, first) = (world.broken.len(), world.broken.first());
+    assert!(count == 0, "{count} promises broken, first: {first:?}");
 }
 
 /// A worker loses power and never comes back; nothing refuses its calls, they
@@ -126,3 +127,109 @@
     assert!(world.workers.values().all(|worker| worker.active.is_empty()));
     assert_kept(&world);
 }
+
+/// A firewall in front of a worker refuses every connection while the worker
+/// runs on. A refused connection looks like that of a process that is gone;
+/// taken for that, the tasks would start elsewhere at once and a user would see
+/// two vans in one lobby.
+#[test]
+fn a_refused_connection_does_not_prove_that_a_worker_is_gone() {
+    let mut world = calm(3);
+    world.submit(1, job(queue(1), vec![step(3, 3_000, 4_000)]));
+    world.run(300);
+    let name = busy_worker(&world);
+    world.refuse(&name, 4_000);
+    world.run(12_000);
+    assert_kept(&world);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
+
+/// Connections to a worker with free room are refused for a while. Nothing new
+/// goes there meanwhile; every job placed there would otherwise have to be
+/// placed again and again, and its user would wait.
+#[test]
+fn nothing_new_goes_to_a_worker_that_refuses() {
+    let mut world = calm(2);
+    let name = world.workers.keys().next().cloned().expect("a worker");
+    world.refuse(&name, 60_000);
+    world.run(700);
+    let starts = world.starts;
+    world.submit(1, job(queue(0), vec![step(4, 1_000, 300)]));
+    world.run(300);
+    assert_eq!(world.starts - starts, 4, "{}", world.explain(stoatwell_pool::JobId(1)));
+    assert_kept(&world);
+}
+
+/// A caller cancels a job, and the scheduler dies after that is durable and
+/// before the worker has heard of it. The next scheduler stops the tasks; they
+/// would otherwise run to their end, and a user would pay for work nobody wants.
+#[test]
+fn a_new_scheduler_stops_what_was_cancelled_before() {
+    let mut world = calm(2);
+    world.submit(1, job(queue(1), vec![step(1, 3_000, 20_000)]));
+    world.run(300);
+    let name = busy_worker(&world);
+    world.cut(&name, 800);
+    world.cancel(1);
+    world.run(600);
+    world.take_over();
+    world.run(2_500);
+    assert!(world.workers.values().all(|worker| worker.active.is_empty()));
+    assert_kept(&world);
+}
+
+/// A worker crashes and is back under its old name while starts are under way to
+/// it. They are carried out by the new life, which the scheduler has not heard
+/// of yet. What it finds there counts; started again, a route would be driven
+/// twice.
+#[test]
+fn starts_that_a_new_life_carries_out_are_not_repeated() {
+    let mut world = calm(1);
+    world.run(500);
+    let name = world.workers.keys().next().cloned().expect("a worker");
+    world.crash(&name);
+    world.workers.get_mut(&name).expect("known").up = true;
+    world.submit(1, job(queue(1), vec![step(4, 2_000, 400)]));
+    world.run(8_000);
+    assert_kept(&world);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts, 4);
+}
+
+/// The same, and the scheduler dies as well. The row names the former life of
+/// the worker, yet the run is in the new one.
+#[test]
+fn a_new_scheduler_finds_runs_that_a_new_life_carried_out() {
+    let mut world = calm(1);
+    world.run(500);
+    let name = world.workers.keys().next().cloned().expect("a worker");
+    world.crash(&name);
+    world.workers.get_mut(&name).expect("known").up = true;
+    world.submit(1, job(queue(1), vec![step(4, 2_000, 3_000)]));
+    world.run(60);
+    assert_eq!(world.starts, 4);
+    world.take_over();
+    world.run(8_000);
+    assert_kept(&world);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.starts, 4);
+}
+
+/// A worker crashes and comes back with less room, and answers the scheduler
+/// before the list tells what it holds now. It gets nothing until the list
+/// does; it would otherwise be overloaded, and every task on it would fail.
+#[test]
+fn a_new_life_gets_nothing_before_its_room_is_known() {
+    let mut world = calm(1);
+    world.run(500);
+    let name = world.workers.keys().next().cloned().expect("a worker");
+    world.crash(&name);
+    let worker = world.workers.get_mut(&name).expect("known");
+    worker.up = true;
+    worker.capacity.cpu_millis = 4_000;
+    world.run(800);
+    world.submit(1, job(queue(1), vec![step(6, 2_000, 400)]));
+    world.run(8_000);
+    assert_kept(&world);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+}
--- a/crates/pool/tests/seeds.rs
+++ b/crates/pool/tests/seeds.rs
@@ -15,7 +15,9 @@
 use self::world::step;
 
 /// Days played in an ordinary run; set `SEEDS` for more, `SEED` for one.
-const SEEDS: u64 = 300;
+const SEEDS: u64 = 450;
+/// Days from here on also have workers whose connections are refused.
+const WITH_REFUSALS: u64 = 300;
 
 /// A day of mixed jobs under mixed faults, then calm until all is over.
 fn play(seed: u64) -> Result<u64, String> {
@@ -32,7 +34,10 @@
         cuts: draw(12),
         take_overs: draw(40),
         lost_advice: draw(300),
+        refusals: 0,
     };
+    let refusals = if seed < WITH_REFUSALS { 0 } else { draw(10) };
+    let faults = Faults { refusals, ..faults };
     let mut world = World::new(seed, 12, faults);
     for number in 0..60 {
         let spec = any_job(&mut rng);
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -57,6 +57,9 @@
     pub darkness: u32,
     /// In each tenth of a second, a worker is cut off for some seconds.
     pub cuts: u32,
+    /// In each tenth of a second, connections to a worker begin to be refused for
+    /// some seconds while it runs on.
+    pub refusals: u32,
     /// In each tenth of a second, another scheduler takes over.
     pub take_overs: u32,
     /// A question to the advisor brings no answer.
@@ -210,6 +213,14 @@
         self.schedule(for_ms, Item::Healed(name.clone()));
     }
 
+    /// Connections to a worker are refused for a while, though it runs on.
+    pub fn refuse(&mut self, name: &WorkerId, for_ms: u64) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.refuses = true;
+        }
+        self.schedule(for_ms, Item::Healed(name.clone()));
+    }
+
     /// Workers that went dark come back with nothing on them, long after.
     pub fn replace_dark_workers(&mut self) {
         self.run(10_000);
@@ -262,6 +273,10 @@
                 let for_ms = self.rng.random_range(500..9_000);
                 self.cut(&name, for_ms);
             }
+            if self.chance(self.faults.refusals) {
+                let for_ms = self.rng.random_range(500..9_000);
+                self.refuse(&name, for_ms);
+            }
         }
         if self.chance(self.faults.take_overs) {
             self.take_over();
@@ -275,6 +290,7 @@
             Item::Healed(name) => {
                 if let Some(worker) = self.workers.get_mut(&name) {
                     worker.cut = false;
+                    worker.refuses = false;
                 }
             }
             Item::Listed(name) => {
@@ -302,7 +318,7 @@
             self.schedule(900, Item::News(epoch, event));
             return;
         }
-        if !worker.up {
+        if !worker.up || worker.refuses {
             let event = call.event(Err(CallError::Refused));
             self.schedule(2, Item::News(epoch, event));
             return;
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -58,6 +58,8 @@
     pub name: WorkerId,
     pub up: bool,
     pub cut: bool,
+    /// Cut off by something that refuses connections in its place.
+    pub refuses: bool,
     /// Cut off for good.
     pub dark: bool,
     /// Tasks make no progress.
@@ -139,6 +141,7 @@
             name,
             up: true,
             cut: false,
+            refuses: false,
             dark: false,
             hangs: false,
             capacity: Resources { cpu_millis: 16_000, memory_bytes: 1 << 40, accelerators: 0 },
@@ -177,6 +180,7 @@
         *self = Self {
             up: false,
             cut: self.cut,
+            refuses: self.refuses,
             dark: self.dark,
             life: self.life + 1,
             began_ms: now_ms,
