--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -16,6 +16,7 @@
 use crate::lead::tell;
 use crate::outside::Outside;
 use crate::outside::Row;
+use crate::outside::Rows;
 use crate::outside::StoreError;
 use crate::outside::Table;
 use crate::outside::WorkerChanges;
@@ -53,6 +54,22 @@
     }
 }
 
+/// Reads a table as it is at a version or later.
+///
+/// A store that lags behind may answer with what was there before the duty was
+/// claimed. The former scheduler wrote until then; a start of its that is missing
+/// from what is read would be made again.
+pub(crate) async fn read_since<O: Outside>(outside: &O, table: Table, version: u64) -> Rows {
+    loop {
+        let rows = persist(|| outside.read_all(table)).await;
+        if rows.version >= version {
+            return rows;
+        }
+        tracing::warn!(%table, version, found = rows.version, "the store answers with an old state");
+        tokio::time::sleep(FOLLOW_PAUSE).await;
+    }
+}
+
 /// Keeps in mind which daemons the advisor can be asked through.
 pub(crate) async fn know_daemons<O: Outside>(
     outside: Arc<O>,
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -36,6 +36,7 @@
 use crate::follow::know_daemons;
 use crate::follow::persist;
 use crate::follow::read_row;
+use crate::follow::read_since;
 use crate::health::StoreHealth;
 use crate::measure::count;
 use crate::measure::measure;
@@ -165,13 +166,13 @@
         inbox: &mut mpsc::UnboundedReceiver<News>,
     ) -> Option<Pool> {
         let outside = &*self.outside;
+        let claimed = self.held.version;
         let all = async {
             tokio::join!(
                 persist(|| outside.workers()),
-                persist(|| outside.read_all(Table::Jobs)),
-                persist(|| outside.read_all(Table::Cancels)),
-                // After the jobs: progress without its job would be lost.
-                persist(|| outside.read_all(Table::Progress)),
+                read_since(outside, Table::Jobs, claimed),
+                read_since(outside, Table::Cancels, claimed),
+                read_since(outside, Table::Progress, claimed),
             )
         };
         let (workers, jobs, cancels, progress) = tokio::select! {
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -9,11 +9,16 @@
 use stoatwell_node::Known;
 use stoatwell_node::Node;
 use stoatwell_node::NodeSettings;
+use stoatwell_node::Outside;
+use stoatwell_node::Query;
 use stoatwell_node::Table;
+use stoatwell_node::Transaction;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::Limits;
+use stoatwell_pool::Outcome;
+use stoatwell_pool::Progress;
 use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StepSpec;
 use tokio::net::TcpListener;
@@ -158,3 +163,27 @@
     tokio::time::sleep(Duration::from_millis(400)).await;
     assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Cancelled));
 }
+
+/// The store answers a new scheduler's first readings with what was there before
+/// the duty changed hands. The scheduler reads again; it would otherwise take a
+/// job that is done for one that nobody has begun, and run it a second time.
+#[tokio::test]
+async fn a_new_scheduler_does_not_trust_an_old_state() {
+    let store = Arc::new(Fake::default());
+    let first = start("a", &store).await;
+    until("a scheduler", 3_000, || first.scheduler().is_some()).await;
+    assert_eq!(first.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
+    store.remember();
+    let done = Progress { outcome: Some(Outcome::Completed), ..Progress::default() };
+    let value = serde_json::to_vec(&done).expect("a row");
+    let put = vec![(Table::Progress, JobId(7).to_string(), value)];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    first.stop().await;
+    store.answer_old_readings(2, Table::Progress);
+    let second = start("b", &store).await;
+    until("the next scheduler", 3_000, || second.scheduler().is_some()).await;
+    let (answer, answered) = tokio::sync::oneshot::channel();
+    let queries = second.scheduler().expect("it schedules");
+    queries.send(Query::State(JobId(7), answer)).await.expect("it listens");
+    assert_eq!(answered.await.expect("it answers"), Some(JobState::Completed));
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -50,9 +50,33 @@
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     writes: usize,
+    remembered: Rows,
+    /// How many readings of a table are answered with what is remembered.
+    old_readings: Option<(usize, Table)>,
 }
 
 impl Fake {
+    /// Keeps the present rows for [`Self::answer_old_readings`].
+    pub fn remember(&self) {
+        let mut state = self.state.lock().expect("no panic");
+        state.remembered = Rows { rows: Vec::new(), version: state.version };
+    }
+
+    /// Answers the next readings of a table as it was, empty, when it was remembered.
+    pub fn answer_old_readings(&self, count: usize, table: Table) {
+        self.state.lock().expect("no panic").old_readings = Some((count, table));
+    }
+
+    fn old_reading(&self, table: Table) -> Option<Rows> {
+        let mut state = self.state.lock().expect("no panic");
+        let (count, of) = state.old_readings?;
+        if count == 0 || of != table {
+            return None;
+        }
+        state.old_readings = Some((count - 1, of));
+        Some(state.remembered.clone())
+    }
+
     pub fn set(&self, mood: Mood) {
         self.state.lock().expect("no panic").mood = mood;
     }
@@ -133,6 +157,9 @@
         if self.mood() == Mood::Silent {
             return Err(StoreError::NoAnswer);
         }
+        if let Some(old) = self.old_reading(table) {
+            return Ok(old);
+        }
         Ok(Rows { rows: self.rows(table), version: self.version() })
     }
 
