A gang asks about as many workers as it takes to find room now, two questions at once

Now the question grows until the free places, times the share that is usually granted, are one and a half times those needed.

--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -48,22 +48,23 @@
 
     /// Whether a question about this many workers may be asked now.
     pub(crate) fn may_ask(&self, rule: AdviceSpec, workers: usize) -> bool {
-        let long = |cost_ms: &&u64| **cost_ms >= LONG_ASK_MS;
-        cost_ms(rule, workers) < LONG_ASK_MS
-            || self.asks.values().filter(long).count() < self.advisors.div_ceil(2)
+        cost_ms(rule, workers) < LONG_ASK_MS || self.long_questions < self.advisors.div_ceil(2)
     }
 
-    /// Asks the advisor about these workers.
-    pub(crate) fn ask(&mut self, step: StepId, workers: Vec<WorkerId>) {
-        let now_ms = self.now_ms;
+    /// Asks the advisor about these workers, in as many questions as it takes.
+    pub(crate) fn ask(&mut self, step: StepId, workers: &[WorkerId]) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(unit) = job.unit_of(step) else { return };
         let Some(rule) = job.spec.queue.advice else { return };
-        job.units[unit].advice.since_ms = Some(now_ms);
-        let cost_ms = cost_ms(rule, workers.len());
         let priority = job.spec.queue.priority;
-        self.asks.insert(step, cost_ms);
-        self.effects.push(Effect::Advise { step, workers, priority, cost_ms });
+        let questions = workers.len().div_ceil(self.limits.advice_workers_max).max(1);
+        for some in workers.chunks(workers.len().div_ceil(questions).max(1)) {
+            let cost_ms = cost_ms(rule, some.len());
+            job.units[unit].advice.questions += 1;
+            self.long_questions += usize::from(cost_ms >= LONG_ASK_MS);
+            let workers = some.to_vec();
+            self.effects.push(Effect::Advise { step, workers, priority, cost_ms });
+        }
     }
 
     pub(crate) fn on_advised(
@@ -73,13 +74,15 @@
         granted: Option<Vec<Grant>>,
     ) {
         let now_ms = self.now_ms;
-        self.asks.remove(&step);
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
-        let valid_ms = job.spec.queue.advice.map_or(0, |advice| advice.valid_ms);
+        let Some(rule) = job.spec.queue.advice else { return };
+        if cost_ms(rule, asked.len()) >= LONG_ASK_MS {
+            self.long_questions = self.long_questions.saturating_sub(1);
+        }
         let Some(unit) = job.unit_of(step) else { return };
         job.units[unit].look_after_ms = 0;
         let advice = &mut job.units[unit].advice;
-        advice.since_ms = None;
+        advice.questions = advice.questions.saturating_sub(1);
         if let Some(granted) = &granted {
             self.learned.advised(&job.spec.queue.name, asked.len(), granted.len());
         }
@@ -90,7 +93,7 @@
                 advice.asked.extend(asked.iter().cloned());
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
-                    let expires_ms = now_ms + valid_ms;
+                    let expires_ms = now_ms + rule.valid_ms;
                     let life = worker.news.life;
                     let ticket = Ticket { text: grant.ticket, life, expires_ms };
                     advice.granted.insert(grant.worker, ticket);
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -82,8 +82,8 @@
     pub granted: BTreeMap<WorkerId, Ticket>,
     /// Workers asked about, granted or not.
     pub asked: BTreeSet<WorkerId>,
-    /// Since when an answer is awaited.
-    pub since_ms: Option<u64>,
+    /// Questions that are not answered yet.
+    pub questions: u32,
     /// Not before this is the advisor asked again.
     pub pause_until_ms: u64,
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -110,8 +110,8 @@
     arrivals: u64,
     commits: Commits,
     learned: Learned,
-    /// Questions to the advisor that are under way, with what each takes.
-    asks: BTreeMap<StepId, u64>,
+    /// Long questions to the advisor that are under way.
+    long_questions: usize,
     /// Daemons through which the advisor can be asked.
     advisors: usize,
     place_due: bool,
@@ -155,7 +155,7 @@
             arrivals: 0,
             commits: Commits::default(),
             learned: Learned::default(),
-            asks: BTreeMap::new(),
+            long_questions: 0,
             advisors: 1,
             place_due: true,
             effects: Vec::new(),
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -17,6 +17,7 @@
 use crate::advise::PLACES_FACTOR;
 use crate::choose::Ask;
 use crate::choose::Pass;
+use crate::choose::Room;
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::job::Phase;
@@ -40,6 +41,13 @@
 /// Fewest workers with room for which a step that has enough asks once more.
 const ASKED_AGAIN_MIN: usize = 4;
 
+/// Free places that a gang hopes to be granted, against those it needs: which
+/// workers are granted varies, and some of the room is taken before the answer.
+const FREE_FACTOR: f64 = 1.5;
+/// Questions about a gang at one time, through several daemons. One after the
+/// other they would take most of a second each, while the room goes to others.
+const QUESTIONS_MAX: usize = 2;
+
 /// What the look at one unit came to.
 enum Look {
     /// All its tasks have a place, or wait for a ticket.
@@ -164,7 +172,7 @@
         if spec.gang && waiting.len() < state.tasks.len() {
             return Look::Waits;
         }
-        if spec.gang && advice.is_some() && state.advice.since_ms.is_some() {
+        if spec.gang && advice.is_some() && state.advice.questions > 0 {
             return Look::Waits;
         }
         let mut allowed = self.allowed(step, unit, &spec, pass);
@@ -197,7 +205,7 @@
             if with_old_tickets > allowed.len() && self.renew_tickets(step, unit, &spec, pass) {
                 return Look::Waits;
             }
-            self.ask_more(step, unit, &spec, advice, pass);
+            self.ask_more(step, unit, &spec, advice, priority, pass);
         }
         Look::Waits
     }
@@ -240,7 +248,7 @@
     fn renew_tickets(&mut self, step: StepId, unit: usize, spec: &StepSpec, pass: &Pass) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let advice = &job.units[unit].advice;
-        if advice.since_ms.is_some() || advice.pause_until_ms > self.now_ms {
+        if advice.questions > 0 || advice.pause_until_ms > self.now_ms {
             return true;
         }
         let need = spec.room();
@@ -253,7 +261,7 @@
         names.truncate(self.limits.advice_workers_max);
         let Some(rule) = job.spec.queue.advice else { return false };
         if has_room && self.may_ask(rule, names.len()) {
-            self.ask(step, names);
+            self.ask(step, &names);
         }
         has_room
     }
@@ -293,7 +301,7 @@
         if stale {
             // Asked for all of them: tickets that are good now may be old when
             // the answer comes, and one old ticket keeps a gang from starting.
-            self.ask(step, names);
+            self.ask(step, &names);
             return;
         }
         self.record_starts(step, &ready);
@@ -324,20 +332,24 @@
     /// Asks the advisor about open workers that it was not asked about yet,
     /// those with the most room first.
     ///
-    /// A gang asks again only while the workers it may use are few, a step of
-    /// single tasks only for several workers with room at once: each question
-    /// costs the time to decide, however little it asks.
+    /// A gang asks about as many as it takes to be granted room for all of it at
+    /// once, as far as room is free now; with a third of the workers granted and
+    /// a pool four fifths full, the few workers that would do in an empty pool
+    /// kept it waiting for seconds. It asks again while others have such room. A
+    /// step of single tasks asks again only for several workers with room: each
+    /// question costs the time to decide, however little it asks.
     fn ask_more(
         &mut self,
         step: StepId,
         unit: usize,
         spec: &StepSpec,
         rule: AdviceSpec,
+        priority: u32,
         pass: &Pass,
     ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let advice = &job.units[unit].advice;
-        if advice.since_ms.is_some() || advice.pause_until_ms > self.now_ms {
+        if advice.questions > 0 || advice.pause_until_ms > self.now_ms {
             return;
         }
         let need = spec.room();
@@ -346,21 +358,21 @@
         };
         let places: u64 = advice.granted.keys().map(room_of).sum();
         let enough = places >= u64::from(spec.tasks) * PLACES_FACTOR;
-        if spec.gang && enough {
-            return;
-        }
         let first = advice.asked.is_empty();
-        let any_room = first || spec.gang || !enough;
+        let any_room = first || !enough;
+        let free_at = |room: &Room| {
+            if room.is_for(step, priority) { room.free.times_held(&need) } else { 0 }
+        };
         let mut fresh: Vec<(u64, &WorkerId)> = Vec::new();
         for room in &pass.rooms {
             if advice.asked.contains(&room.name)
                 || !room.capacity.holds(&need)
-                || !(any_room || room.free.holds(&need))
+                || !(any_room || free_at(room) > 0)
                 || !self.is_eligible(&job.spec.queue.service, spec, &room.name)
             {
                 continue;
             }
-            fresh.push((room.free.times_held(&need), &room.name));
+            fresh.push((free_at(room), &room.name));
         }
         if fresh.is_empty() || (enough && fresh.len() < ASKED_AGAIN_MIN) {
             return;
@@ -368,11 +380,24 @@
         fresh.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| spread(step, a.1).cmp(&spread(step, b.1))));
         let places: u64 = fresh.iter().map(|(_, name)| room_of(name)).sum();
         let places_each = places / fresh.len() as u64;
-        let most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
+        let mut most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
+        if spec.gang {
+            let known = advice.granted.keys().filter_map(|name| pass.by_name.get(name));
+            let free_now: u64 = known.map(|at| free_at(&pass.rooms[*at])).sum();
+            let missing = u64::from(spec.tasks).saturating_sub(free_now);
+            let free: Vec<u64> = fresh.iter().map(|(free, _)| *free).collect();
+            let share = self.learned.granted_share(&job.spec.queue.name);
+            match workers_for(missing, &free, share) {
+                Some(workers) => most = most.max(workers),
+                None if enough => return,
+                None => most = usize::MAX,
+            }
+            most = most.min(self.limits.advice_workers_max * QUESTIONS_MAX);
+        }
         let names: Vec<WorkerId> =
             fresh.into_iter().take(most).map(|(_, name)| name.clone()).collect();
         if self.may_ask(rule, names.len()) {
-            self.ask(step, names);
+            self.ask(step, &names);
         }
     }
 
@@ -424,6 +449,20 @@
     }
 }
 
+/// How many of the workers, those with the most free places first, to ask about
+/// for this many places to be granted; `None` if all of them are too few.
+fn workers_for(places: u64, free: &[u64], granted_share: f64) -> Option<usize> {
+    let wanted = places as f64 * FREE_FACTOR;
+    let mut expected = 0.0;
+    for (number, places) in free.iter().enumerate() {
+        if expected >= wanted {
+            return Some(number);
+        }
+        expected += *places as f64 * granted_share;
+    }
+    (expected >= wanted).then_some(free.len())
+}
+
 /// Spreads equal choices over the workers, each step in its own order.
 fn spread(step: StepId, name: &WorkerId) -> u64 {
     xxh3_64_with_seed(name.as_str().as_bytes(), step.job.0 ^ u64::from(step.step))
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -2,6 +2,7 @@
 
 mod world;
 
+use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobState;
 
@@ -96,3 +97,31 @@
     assert!(world.open_jobs().is_empty(), "{:?}", world.open_jobs());
     assert_kept(&world);
 }
+
+/// Each worker has room for one member of some gangs, and the advisor permits one
+/// worker of five. Each gang asks about as many as it takes to find room now;
+/// with the few that would do in an empty pool it would wait until long batches
+/// end, and a packet for a hearing would come late.
+#[test]
+fn a_gang_finds_the_room_there_is_in_a_busy_pool() {
+    let mut world = World::new(11, 120, Faults::default());
+    world.granted_of_five = 1;
+    world.run(100);
+    for number in 0..120 {
+        world.submit(number, job(queue(2), vec![step(2, 6_000, 40_000)]));
+    }
+    world.run(1_000);
+    let mut rules = queue(1);
+    rules.advice = Some(AdviceSpec { decide_ms: 350.0, each_ms: 5.0, valid_ms: 2_000 });
+    let mut gang = job(rules, vec![step(10, 4_000, 3_000)]);
+    gang.steps[0].gang = true;
+    let gangs = 1_000..1_005;
+    for number in gangs.clone() {
+        world.submit(number, gang.clone());
+    }
+    world.run(800);
+    let waiting: Vec<u64> =
+        gangs.filter(|number| world.state(*number) != Some(JobState::Running)).collect();
+    assert!(waiting.is_empty(), "{waiting:?}: {}", world.explain(JobId(waiting[0])));
+    assert_kept(&world);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -76,6 +76,8 @@
     pub starts: u64,
     /// Workers that are up but on nobody's list.
     pub unlisted: BTreeSet<WorkerId>,
+    /// Of five workers, the advisor permits about this many.
+    pub granted_of_five: u64,
     pool: Pool,
     epoch: u64,
     jobs: BTreeMap<JobId, Arc<JobSpec>>,
@@ -110,6 +112,7 @@
             broken: Vec::new(),
             starts: 0,
             unlisted: BTreeSet::new(),
+            granted_of_five: 3,
             pool: Pool::new(1, limits(), 1_000, 1_000),
             epoch: 1,
             jobs: BTreeMap::new(),
@@ -429,7 +432,8 @@
                         worker: worker.clone(),
                         ticket: "t".to_owned(),
                     };
-                    let granted = workers.iter().filter(|name| is_granted(step, name));
+                    let of_five = self.granted_of_five;
+                    let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
                     let granted = (!lost).then(|| granted.map(grant).collect());
                     let event = Event::Advised { step, asked: workers, granted };
                     self.schedule(80, Item::News(self.epoch, event));
@@ -486,13 +490,12 @@
     }
 }
 
-/// The advisor permits about three workers of five.
-fn is_granted(step: stoatwell_pool::StepId, worker: &WorkerId) -> bool {
+fn is_granted(step: stoatwell_pool::StepId, worker: &WorkerId, of_five: u64) -> bool {
     let mut hash = step.job.0.wrapping_mul(31) ^ u64::from(step.step);
     for byte in worker.as_str().bytes() {
         hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
     }
-    hash % 5 < 3
+    hash % 5 < of_five
 }
 
 fn limits() -> Limits {
