--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -54,6 +54,7 @@
         if news.life > worker.news.life {
             let life = news.life;
             worker.news = WorkerNews { life: worker.news.life, ..news };
+            worker.listed = true;
             self.begin_life(&name, life);
             return;
         }
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -233,3 +233,21 @@
     assert_kept(&world);
     assert_eq!(world.state(1), Some(JobState::Completed));
 }
+
+/// The scheduler dies, and a worker that the rows name is listed with a new life
+/// when the next one reads the list. It takes tasks like any other; a pool would
+/// otherwise shrink with every crash beside a change of scheduler.
+#[test]
+fn a_worker_listed_with_a_new_life_after_a_take_over_is_used() {
+    let mut world = calm(1);
+    world.submit(1, job(queue(1), vec![step(1, 3_000, 60_000)]));
+    world.run(300);
+    let name = busy_worker(&world);
+    world.crash(&name);
+    world.run(1_490);
+    world.take_over();
+    world.submit(2, job(queue(1), vec![step(1, 3_000, 300)]));
+    world.run(3_000);
+    assert_eq!(world.state(2), Some(JobState::Completed));
+    assert_kept(&world);
+}
