A scheduler that cannot renew its duty extends no leases; its successor waits for one lease

Workers were lost for good and the scheduler was killed: its successor waited 13 s for tasks on them, by the longest lease that workers grant to anybody and three seconds for an earlier scheduler, though ours asks for six. And nothing kept an earlier scheduler, cut off from the store for longer, from extending leases of workers that its successor does not reach: their tasks would have run twice.

Now a scheduler extends until 4 s after its last renewal, and the duty's row tells for how long an earlier one may. A daemon that follows its own former process, or one that gave the duty up, waits for nothing but the lease. Weighed: to stop extending at once, which loses all runs in a store outage of 6 s.

--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -38,6 +38,8 @@
     pub row: DutyRow,
     /// Its version.
     pub version: u64,
+    /// When it was won.
+    pub won_ms: u64,
 }
 
 /// Rows to be written together.
@@ -112,12 +114,14 @@
         loop {
             let transaction = self.transaction(batch, rewrites);
             let sent = Instant::now();
+            let sent_ms = steady_ms();
             self.health.note_sent();
             let result = self.outside.transact(&transaction).await;
             self.health.note(&result);
             match result {
                 Ok(version) => {
-                    self.renewed_ms.store(steady_ms(), Ordering::Relaxed);
+                    // Others may have seen the row change any time since.
+                    self.renewed_ms.store(sent_ms, Ordering::Relaxed);
                     let took_ms = sent.elapsed().as_millis() as u64;
                     let rows = transaction.put.len();
                     self.health.note_answer(took_ms);
@@ -164,11 +168,18 @@
         ours
     }
 
+    fn next_row(&self) -> DutyRow {
+        let row = &self.held.row;
+        let held_ms = steady_ms().saturating_sub(self.held.won_ms);
+        let earlier_extends_ms = row.earlier_extends_ms.saturating_sub(held_ms);
+        DutyRow { beat: row.beat + 1, earlier_extends_ms, ..row.clone() }
+    }
+
     fn transaction(&self, batch: Option<&Batch>, rewrites: bool) -> Transaction {
         let mut transaction = Transaction::default();
         transaction.expect.push((Table::Duty, DUTY_KEY.to_owned(), self.held.version));
         if rewrites {
-            let row = DutyRow { beat: self.held.row.beat + 1, ..self.held.row.clone() };
+            let row = self.next_row();
             transaction.put.push((Table::Duty, DUTY_KEY.to_owned(), encode(&row)));
         }
         let Some(batch) = batch else { return transaction };
--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_pool::EXTEND_MS;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How often the holder rewrites the row; a third of the lease, so that two
@@ -17,6 +18,9 @@
 /// about this long when a scheduler dies, so it is short; a store that answers
 /// fifty times slower than usual still lets a renewal through in time.
 pub const LEASE_MS: u64 = 1_600;
+/// A renewal may be seen this long before its holder hears of it: some answers of
+/// a slow store.
+const SEEN_LATE_MS: u64 = 400;
 /// What a millisecond of the store's answer time costs a candidate: daemons of
 /// other regions are some 24 ms farther away and stand back about 240 ms, long
 /// enough for a claim from nearby to be seen.
@@ -53,6 +57,10 @@
     pub beat: u64,
     /// Whether the holder has given the duty up.
     pub released: bool,
+    /// For how long after this was written a scheduler before the holder may go
+    /// on extending leases.
+    #[serde(default)]
+    pub earlier_extends_ms: u64,
 }
 
 /// What a daemon knows of the row.
@@ -114,6 +122,20 @@
         self.changed_ms + wait_ms + fitness.delay_ms()
     }
 
+    /// For how long an earlier scheduler may go on extending leases, if this daemon
+    /// claims the duty now.
+    ///
+    /// One that gave the duty up does not, nor a former process of this daemon. Any
+    /// other may not know that its row is taken, and does until [`EXTEND_MS`] after
+    /// its last renewal.
+    pub fn earlier_extends_ms(&self, me: &str, now_ms: u64) -> u64 {
+        let Some((row, _)) = &self.row else { return 0 };
+        let silent_ms = now_ms.saturating_sub(self.changed_ms);
+        let ended = row.released || row.holder == me;
+        let holder_ms = if ended { 0 } else { EXTEND_MS + SEEN_LATE_MS };
+        holder_ms.max(row.earlier_extends_ms).saturating_sub(silent_ms)
+    }
+
     /// The version under which a claim is made, and the claim's epoch.
     pub fn next_epoch(&self) -> (u64, u64) {
         self.row.as_ref().map_or((0, 1), |(row, version)| (*version, row.epoch + 1))
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use stoatwell_pool::Effect;
+use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
@@ -142,6 +143,7 @@
             while let Ok(query) = self.queries.try_recv() {
                 answer(&mut pool, query, is_fresh(&renewed_ms));
             }
+            pool.note_renewal(renewed_ms.load(Ordering::Relaxed));
             for effect in pool.pump(steady_ms(), unix_ms()) {
                 if effect == Effect::StepDown {
                     tracing::warn!(epoch, "stepping down: a worker follows another scheduler");
@@ -179,7 +181,9 @@
             all = all => all,
             () = deposed(inbox) => return None,
         };
-        let mut pool = Pool::new(epoch, self.limits, steady_ms(), unix_ms());
+        let earlier_extends_ms = self.held.row.earlier_extends_ms;
+        let election = Election { epoch, earlier_extends_ms };
+        let mut pool = Pool::new(election, self.limits, steady_ms(), unix_ms());
         let mut done = std::collections::HashMap::new();
         for row in &progress.rows {
             if let Some((id, value)) = read_row::<Progress>(row) {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -187,6 +187,7 @@
             epoch,
             beat: 0,
             released: false,
+            earlier_extends_ms: view.earlier_extends_ms(&self.settings.name, steady_ms()),
         };
         let transaction = Transaction {
             expect: vec![(Table::Duty, DUTY_KEY.to_owned(), version)],
@@ -197,8 +198,9 @@
             Ok(version) => {
                 let before = view.row.as_ref().map(|(row, _)| row.holder.as_str());
                 let silent_ms = steady_ms().saturating_sub(view.changed_ms);
-                tracing::info!(epoch, before, silent_ms, "duty taken over");
-                Some(Held { row, version })
+                let earlier_extends_ms = row.earlier_extends_ms;
+                tracing::info!(epoch, before, silent_ms, earlier_extends_ms, "duty taken over");
+                Some(Held { row, version, won_ms: steady_ms() })
             }
             Err(error) => {
                 // Without an answer the claim may still succeed; the next look tells.
--- a/crates/node/tests/duty.rs
+++ b/crates/node/tests/duty.rs
@@ -4,6 +4,7 @@
 use stoatwell_node::DutyView;
 use stoatwell_node::Fitness;
 use stoatwell_node::LEASE_MS;
+use stoatwell_pool::EXTEND_MS;
 
 fn fit(name: &str, store_answer_ms: u64) -> Fitness {
     Fitness { name: name.to_owned(), cores: 0.5, link_mbps: 1_000.0, store_answer_ms }
@@ -17,6 +18,7 @@
         epoch: 3,
         beat: 0,
         released: false,
+        earlier_extends_ms: 0,
     }
 }
 
@@ -55,3 +57,24 @@
     let narrow = Fitness { link_mbps: 10.0, ..fit("a", 8) }.delay_ms();
     assert!(near + 100 < far && near + 100 < weak && near + 100 < narrow);
 }
+
+/// The scheduler falls silent, and for all one knows it lives and extends leases of
+/// workers that others do not reach. Whoever follows it waits that out; a task
+/// would run there and here. One that gave the duty up, or was a former process of
+/// the same daemon, extends nothing, and work must not wait for it.
+#[test]
+fn a_claim_tells_how_long_earlier_schedulers_may_extend_leases() {
+    let mut view = DutyView::new(0);
+    assert_eq!(view.earlier_extends_ms("me", 500), 0, "nobody was there");
+    view.saw(Some((row("other"), 10)), 1_000);
+    let after_lease_ms = view.earlier_extends_ms("me", 1_000 + LEASE_MS);
+    assert!((EXTEND_MS - LEASE_MS..=EXTEND_MS).contains(&after_lease_ms));
+    view.saw(Some((row("me"), 11)), 3_000);
+    assert_eq!(view.earlier_extends_ms("me", 3_100), 0);
+    view.saw(Some((DutyRow { released: true, ..row("other") }, 12)), 4_000);
+    assert_eq!(view.earlier_extends_ms("me", 4_050), 0);
+    // The one before the last one may still be there.
+    let earlier = DutyRow { released: true, earlier_extends_ms: 2_000, ..row("other") };
+    view.saw(Some((earlier, 13)), 5_000);
+    assert_eq!(view.earlier_extends_ms("me", 5_500), 1_500);
+}
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -79,7 +79,7 @@
                 silent_calls: worker.silent,
             });
         }
-        PoolDump { epoch: self.epoch, jobs, queued_steps: self.queue.len(), workers }
+        PoolDump { epoch: self.election.epoch, jobs, queued_steps: self.queue.len(), workers }
     }
 
     /// Why a job is where it is, a line for each of its steps.
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -32,9 +32,14 @@
 const HOLD_PAUSE_MS: u64 = 200;
 /// A hold whose answer never comes is given up by the caller well before this.
 const HOLD_LOST_MS: u64 = 4_000;
-/// How much longer than its longest lease a worker that was never reached may
-/// have been kept by the scheduler before this one: its own time to notice.
-const EARLIER_SCHEDULER_MS: u64 = 3_000;
+/// How long after it last renewed the duty a scheduler extends leases. Another one
+/// may hold the duty by then and reach some workers that this one does not, and
+/// the other way round; tasks would run twice if both counted on their worker. Store
+/// outages of this and a lease, ten seconds, pass without a run being lost.
+pub const EXTEND_MS: u64 = 4_000;
+/// Added to the lease that an earlier scheduler may have granted, for calls that
+/// were under way.
+const EARLIER_MARGIN_MS: u64 = 500;
 /// How long after it was sent an order may still be carried out by a worker that
 /// was not held since; workers do so up to 12 s late.
 const LATE_ORDER_MS: u64 = 13_000;
@@ -71,12 +76,14 @@
 
     /// When whatever an earlier scheduler allowed has lapsed for sure.
     pub(crate) fn earlier_lapse_ms(&self) -> u64 {
-        self.started_ms + self.longest_lease_ms() + EARLIER_SCHEDULER_MS
+        let lease_ms = by_slow_clock(self.limits.lease_ms) + EARLIER_MARGIN_MS;
+        self.started_ms + self.election.earlier_extends_ms + lease_ms
     }
 
-    /// The longest that a lease lasts by this clock.
-    fn longest_lease_ms(&self) -> u64 {
-        self.limits.lease_max_ms * 1_025 / 1_000
+    /// Takes note that the duty was renewed at a moment, so that leases may be
+    /// extended for [`EXTEND_MS`] more.
+    pub fn note_renewal(&mut self, at_ms: u64) {
+        self.renewed_ms = self.renewed_ms.max(at_ms);
     }
 
     pub(crate) fn on_unlisted(&mut self, name: &WorkerId) {
@@ -111,7 +118,7 @@
                 }
             }
         }
-        let lapse_ms = self.now_ms + self.longest_lease_ms() + LATE_ORDER_MS;
+        let lapse_ms = self.now_ms + by_slow_clock(self.limits.lease_max_ms) + LATE_ORDER_MS;
         if let Some(worker) = self.workers.get_mut(name) {
             worker.begin_life(life, self.turn, lapse_ms);
         }
@@ -288,7 +295,7 @@
 
     fn stop_stranger(&mut self, name: &WorkerId, task: TaskId, run: u32) {
         tracing::warn!(%task, run, worker = %name, "run that is not wanted, stopped");
-        let Some(to) = callee(self.epoch, &self.workers, name) else { return };
+        let Some(to) = callee(self.election.epoch, &self.workers, name) else { return };
         self.effects.push(Effect::Stop(StopCall { to, task, run }));
     }
 
@@ -297,6 +304,7 @@
         let now_ms = self.now_ms;
         let lease_ms = self.limits.lease_ms;
         let turn = self.turn;
+        let renewed = now_ms < self.renewed_ms + EXTEND_MS;
         let many = self.workers.len() > WORKERS_MANY;
         let wait_ms = if many { HOLD_WAIT_MS * 2 } else { HOLD_WAIT_MS };
         let mut due = Vec::new();
@@ -319,7 +327,7 @@
             }
             // A worker that is silent gets no longer lease: whatever was allowed
             // before has to lapse some day, or its tasks could never go elsewhere.
-            let extends = worker.held && worker.silent == 0;
+            let extends = worker.held && worker.silent == 0 && renewed;
             let until_ms = worker.until(now_ms, lease_ms).filter(|_| extends);
             worker.until_max = worker.until_max.max(until_ms.unwrap_or(0));
             let at_once = probe || !worker.held || !worker.not_durable.is_empty();
@@ -327,7 +335,7 @@
             due.push((name.clone(), until_ms, worker.forget(), wait_ms));
         }
         for (name, until_ms, forget, wait_ms) in due {
-            let Some(to) = callee(self.epoch, &self.workers, &name) else { continue };
+            let Some(to) = callee(self.election.epoch, &self.workers, &name) else { continue };
             self.effects.push(Effect::Hold(HoldCall { to, until_ms, forget, wait_ms, turn }));
         }
     }
@@ -360,6 +368,11 @@
     }
 }
 
+/// How long a worker's clock may take for a time.
+fn by_slow_clock(time_ms: u64) -> u64 {
+    time_ms * 1_025 / 1_000
+}
+
 /// Whether the lease needs a call soon, whatever else holds it up.
 fn near_end(worker: &Worker, now_ms: u64) -> bool {
     worker.answered_ms + HOLD_WAIT_MS * 2 < now_ms
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -56,6 +56,7 @@
 pub use crate::event::StartReply;
 pub use crate::event::StopCall;
 pub use crate::event::WorkerNews;
+pub use crate::holds::EXTEND_MS;
 pub use crate::id::IdError;
 pub use crate::id::JobId;
 pub use crate::id::StepId;
@@ -87,12 +88,23 @@
     pub advice_workers_max: usize,
 }
 
+/// How a scheduler came to be one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Election {
+    /// Rises with every change of scheduler; the high part of every token.
+    pub epoch: u64,
+    /// For how long from now on an earlier scheduler, which may not know of this
+    /// one, may go on extending leases.
+    pub earlier_extends_ms: u64,
+}
+
 /// The scheduler of one pool.
 #[derive(Debug)]
 pub struct Pool {
     limits: Limits,
-    /// Rises with every change of scheduler; the high part of every token.
-    epoch: u64,
+    election: Election,
+    /// When the duty was last renewed.
+    renewed_ms: u64,
     now_ms: u64,
     unix_ms: u64,
     started_ms: u64,
@@ -138,11 +150,12 @@
 const PLACE_EVERY_MS: u64 = 8;
 
 impl Pool {
-    /// A scheduler that has just been elected for the given epoch.
-    pub fn new(epoch: u64, limits: Limits, now_ms: u64, unix_ms: u64) -> Self {
+    /// A scheduler that has just been elected.
+    pub fn new(election: Election, limits: Limits, now_ms: u64, unix_ms: u64) -> Self {
         Self {
             limits,
-            epoch,
+            election,
+            renewed_ms: now_ms,
             now_ms,
             unix_ms,
             started_ms: now_ms,
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -62,7 +62,7 @@
         worker.until_max = worker.until_max.max(until_ms);
         task.phase = Phase::Sent;
         job.started = true;
-        let to = callee(self.epoch, &self.workers, &name);
+        let to = callee(self.election.epoch, &self.workers, &name);
         let Some(to) = to else { return };
         let checkpoint = task.checkpoint.clone();
         self.effects.push(Effect::Start(StartCall {
@@ -158,7 +158,7 @@
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
         let Some(name) = &task.worker else { return };
-        let Some(to) = callee(self.epoch, &self.workers, name) else { return };
+        let Some(to) = callee(self.election.epoch, &self.workers, name) else { return };
         self.effects.push(Effect::Stop(StopCall { to, task: id, run: task.run }));
     }
 
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -3,6 +3,7 @@
 mod world;
 
 use stoatwell_model::WorkerId;
+use stoatwell_pool::EXTEND_MS;
 use stoatwell_pool::JobState;
 
 use self::world::Faults;
@@ -251,3 +252,36 @@
     assert_eq!(world.state(2), Some(JobState::Completed));
     assert_kept(&world);
 }
+
+/// A scheduler is cut off from the store and still reaches its workers. Another one
+/// may hold the duty and count on their leases to lapse, so it extends them no
+/// more after a while; a batch that runs on here and again there would send two
+/// vans to one lobby.
+#[test]
+fn a_scheduler_that_cannot_renew_its_duty_lets_leases_lapse() {
+    let mut world = calm(2);
+    world.submit(1, job(queue(1), vec![step(1, 3_000, 60_000)]));
+    world.run(500);
+    world.renews = false;
+    world.run(EXTEND_MS - 500);
+    assert!(world.workers.values().any(|worker| !worker.active.is_empty()), "not at once");
+    world.run(500 + LEASE_MS * 1_025 / 1_000 + 600);
+    assert!(world.workers.values().all(|worker| worker.active.is_empty()));
+    assert_kept(&world);
+}
+
+/// A worker is lost for good and the scheduler with it, whose successor knows that
+/// it is dead. The successor waits for one lease, not for the longest that a worker
+/// grants to anybody; a user would wait the difference for nothing.
+#[test]
+fn a_new_scheduler_waits_for_one_lease_of_a_worker_it_cannot_reach() {
+    let mut world = calm(3);
+    world.submit(1, job(queue(1), vec![step(1, 3_000, 500)]));
+    world.run(150);
+    let name = busy_worker(&world);
+    world.workers.get_mut(&name).expect("known").dark = true;
+    world.take_over();
+    world.run(LEASE_MS * 1_025 / 1_000 + 2_500);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_kept(&world);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -21,6 +21,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_pool::CallError;
 use stoatwell_pool::Effect;
+use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::Grant;
 use stoatwell_pool::JobId;
@@ -78,6 +79,8 @@
     pub unlisted: BTreeSet<WorkerId>,
     /// Of five workers, the advisor permits about this many.
     pub granted_of_five: u64,
+    /// Whether the scheduler can renew its duty.
+    pub renews: bool,
     pool: Pool,
     epoch: u64,
     jobs: BTreeMap<JobId, Arc<JobSpec>>,
@@ -113,7 +116,8 @@
             starts: 0,
             unlisted: BTreeSet::new(),
             granted_of_five: 3,
-            pool: Pool::new(1, limits(), 1_000, 1_000),
+            renews: true,
+            pool: Pool::new(elected(1), limits(), 1_000, 1_000),
             epoch: 1,
             jobs: BTreeMap::new(),
             progress: BTreeMap::new(),
@@ -189,7 +193,7 @@
     /// Another daemon schedules from now on; calls of the former one are still under way.
     pub fn take_over(&mut self) {
         self.epoch += 1;
-        self.pool = Pool::new(self.epoch, limits(), self.now_ms, self.now_ms);
+        self.pool = Pool::new(elected(self.epoch), limits(), self.now_ms, self.now_ms);
         for (job, spec) in &self.jobs {
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
         }
@@ -421,6 +425,9 @@
     }
 
     fn pump(&mut self) {
+        if self.renews {
+            self.pool.note_renewal(self.now_ms);
+        }
         for effect in self.pool.pump(self.now_ms, self.now_ms) {
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
@@ -438,6 +445,8 @@
                     let event = Event::Advised { step, asked: workers, granted };
                     self.schedule(80, Item::News(self.epoch, event));
                 }
+                // Without the duty nothing can be written.
+                Effect::Commit { .. } if !self.renews => {}
                 Effect::Commit { batch, puts, removes } => {
                     for (job, progress) in puts {
                         self.progress.insert(job, progress);
@@ -498,6 +507,11 @@
     hash % 5 < of_five
 }
 
+/// Schedulers of the world follow each other: none goes on beside the next one.
+fn elected(epoch: u64) -> Election {
+    Election { epoch, earlier_extends_ms: 0 }
+}
+
 fn limits() -> Limits {
     Limits {
         lease_ms: LEASE_MS,
