The room of a copy stays taken until it is gone; workers are kept where places come free first

That end gave back the room of the second run, which was under way. Now the second run is stopped and counts until its worker lists it no more. The test fails without the change.

A waiting gang keeps workers by when its places come free, worked out from the progress of what runs, in place of whole workers until they are empty; patient work leaves a fifth of what ranks between take.

--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -6,6 +6,7 @@
 use stoatwell_model::WorkerId;
 
 use crate::Pool;
+use crate::QueueKey;
 use crate::id::StepId;
 use crate::spec::StepSpec;
 
@@ -14,6 +15,11 @@
 /// room at once while what runs ends.
 const HEADROOM_PERCENT: u64 = 80;
 
+/// The same for ranks between the first and its own, for work that could wait for
+/// as long again as it takes: gangs need much room at one moment, which work that
+/// is patient would otherwise nibble away.
+const PATIENT_HEADROOM_PERCENT: u64 = 20;
+
 /// The workers during one pass.
 #[derive(Debug, Default)]
 pub(crate) struct Pass {
@@ -204,12 +210,18 @@
         candidates
     }
 
-    /// What a unit has to leave free for urgent work.
-    pub(crate) fn headroom(&self, step: StepId, priority: u32) -> Resources {
-        let Some(job) = self.jobs.get(&step.job).filter(|_| priority > 0) else {
+    /// What a unit has to leave free for more urgent work.
+    pub(crate) fn headroom(&self, step: StepId, key: QueueKey) -> Resources {
+        let Some(job) = self.jobs.get(&step.job).filter(|_| key.priority > 0) else {
             return Resources::ZERO;
         };
-        self.learned.urgent_use(&job.spec.queue.service).share(HEADROOM_PERCENT, 100)
+        let service = &job.spec.queue.service;
+        let urgent = self.learned.usual_use(service, 0..1).share(HEADROOM_PERCENT, 100);
+        if self.spare_ms(key, step) < self.needs_ms(step) as i64 {
+            return urgent;
+        }
+        let between = self.learned.usual_use(service, 1..key.priority);
+        urgent.plus(&between.share(PATIENT_HEADROOM_PERCENT, 100))
     }
 
     /// How many tasks of the unit each worker has already.
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -69,6 +69,16 @@
     pub began_ms: u64,
     /// Whether a hold has listed the newest run, so that the life it is in is known.
     pub seen: bool,
+    /// Whether another run was done; what is left of the newest is stopped, and its
+    /// room stays taken until it is gone.
+    pub copy_done: bool,
+}
+
+impl Task {
+    /// Whether the task needs no further run.
+    pub fn is_done(&self) -> bool {
+        self.copy_done || self.phase == Phase::Done
+    }
 }
 
 /// A ticket of the advisor.
@@ -115,6 +125,8 @@
     pub look_after_ms: u64,
     /// Workers kept for it at the last look, for a gang.
     pub kept: Vec<WorkerId>,
+    /// When that was worked out.
+    pub kept_ms: u64,
 }
 
 /// A job.
@@ -195,7 +207,7 @@
                     run: task.run,
                     failures: task.failures,
                     failed_run: task.failed_run,
-                    done: task.phase == Phase::Done,
+                    done: task.is_done(),
                     address: at.map(|at| at.news.address.clone()).unwrap_or_default(),
                     life: at.map_or(0, |at| at.news.life),
                     worker,
@@ -271,6 +283,7 @@
             queued: false,
             look_after_ms: 0,
             kept: Vec::new(),
+            kept_ms: 0,
         }
     }
 
@@ -295,6 +308,7 @@
             placed_ms: 0,
             began_ms: 0,
             seen: false,
+            copy_done: false,
         }
     }
 }
--- /dev/null
+++ b/crates/pool/src/keep.rs
@@ -0,0 +1,125 @@
+//! Workers that are kept for a waiting gang.
+//!
+//! A gang needs all its places at one moment, and work that needs less would take
+//! each bit of room as it comes free. So workers are kept from work of its rank and
+//! below: those on which, by what their tasks have left to do, the places come free
+//! first. To keep whole workers until they are empty costs several times as much
+//! idle room and the gang waits for the longest task on them.
+
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::choose::Pass;
+use crate::id::StepId;
+use crate::id::TaskId;
+
+/// Which workers are kept is worked out again after this; it means a look at all
+/// tasks on all workers that the gang may use.
+const KEEP_ANEW_MS: u64 = 300;
+/// Progress below this tells little of the time that is left.
+const PERCENT_MIN: u64 = 10;
+/// A task that is over its time has this much left, for all one knows.
+const OVERDUE_MS: u64 = 300;
+
+impl Pool {
+    /// Keeps workers for a waiting gang, `most` at most; gives how many.
+    pub(crate) fn keep_for(
+        &mut self,
+        step: StepId,
+        unit: usize,
+        priority: u32,
+        pass: &mut Pass,
+        most: usize,
+    ) -> usize {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
+        if now_ms < job.units[unit].kept_ms + KEEP_ANEW_MS {
+            return self.keep_again(step, unit, priority, pass, most);
+        }
+        let spec = job.step(unit);
+        let need = spec.room();
+        let wanted = job.units[unit].tasks.len();
+        // When each place comes free, and on which worker.
+        let mut places: Vec<(u64, usize)> = Vec::new();
+        for one in self.allowed(step, unit, spec, pass) {
+            if !pass.rooms[one.at].is_for(step, priority) {
+                continue;
+            }
+            let times_ms = self.places_ms(&pass.rooms[one.at].name, &need);
+            places.extend(times_ms.into_iter().map(|left_ms| (left_ms, one.at)));
+        }
+        places.sort_unstable();
+        let mut names: Vec<WorkerId> = Vec::new();
+        for (_, at) in places.into_iter().take(wanted) {
+            if pass.rooms[at].kept_for.is_some_and(|(_, kept)| kept == step) {
+                continue;
+            }
+            if names.len() >= most {
+                break;
+            }
+            pass.rooms[at].kept_for = Some((priority, step));
+            names.push(pass.rooms[at].name.clone());
+        }
+        let kept = names.len();
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.units[unit].kept = names;
+            job.units[unit].kept_ms = now_ms;
+        }
+        kept
+    }
+
+    /// Keeps the workers for a waiting gang that were kept at its last look.
+    pub(crate) fn keep_again(
+        &self,
+        step: StepId,
+        unit: usize,
+        priority: u32,
+        pass: &mut Pass,
+        most: usize,
+    ) -> usize {
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
+        let mut kept = 0;
+        for name in job.units[unit].kept.iter().take(most) {
+            let Some(at) = pass.by_name.get(name).copied() else { continue };
+            if pass.rooms[at].is_for(step, priority) {
+                pass.rooms[at].kept_for = Some((priority, step));
+                kept += 1;
+            }
+        }
+        kept
+    }
+
+    /// In how long each place for a task of this need comes free on a worker, if
+    /// nothing else goes there; 0 for those that are free now.
+    fn places_ms(&self, name: &WorkerId, need: &Resources) -> Vec<u64> {
+        let Some(worker) = self.workers.get(name) else { return Vec::new() };
+        let mut ends: Vec<(u64, &Resources)> =
+            worker.tasks.iter().map(|(id, room)| (self.left_ms(*id), room)).collect();
+        ends.sort_unstable_by_key(|(left_ms, _)| *left_ms);
+        let mut free = worker.free();
+        let mut times_ms = vec![0; free.times_held(need) as usize];
+        for (left_ms, room) in ends {
+            free = free.plus(room);
+            times_ms.resize(free.times_held(need) as usize, left_ms);
+        }
+        times_ms
+    }
+
+    /// How long a task that has room somewhere will go on, by its progress or by
+    /// what its like take.
+    fn left_ms(&self, id: TaskId) -> u64 {
+        let Some(job) = self.jobs.get(&id.step.job).filter(|job| job.outcome.is_none()) else {
+            return OVERDUE_MS;
+        };
+        let Some(unit) = job.unit_of(id.step) else { return OVERDUE_MS };
+        let Some(task) = job.units[unit].tasks.get(id.index as usize) else { return OVERDUE_MS };
+        let began_ms = if task.began_ms == 0 { self.now_ms } else { task.began_ms };
+        let had_ms = self.now_ms.saturating_sub(began_ms);
+        let percent = u64::from(task.percent.min(100));
+        if percent >= PERCENT_MIN {
+            return had_ms * (100 - percent) / percent;
+        }
+        self.needs_ms(id.step).saturating_sub(had_ms).max(OVERDUE_MS)
+    }
+}
--- a/crates/pool/src/learned.rs
+++ b/crates/pool/src/learned.rs
@@ -3,7 +3,9 @@
 //! Callers' estimates are off by half and more either way. The mean of what
 //! the tasks of a queue really took draws them towards the truth.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::ops::Range;
 
 use stoatwell_model::Resources;
 
@@ -11,7 +13,7 @@
 const NEWEST_WEIGHT: f64 = 0.025;
 /// Runs after which the mean counts for as much as an estimate.
 const RUNS_MIN: u32 = 10;
-/// Weight of the newest look at how much room urgent work takes; looks come ten
+/// Weight of the newest look at how much room work takes; looks come ten
 /// times a second, so some five seconds are remembered.
 const USE_WEIGHT: f64 = 0.02;
 
@@ -24,7 +26,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Learned {
     queues: HashMap<String, Mean>,
-    urgent_use: HashMap<String, (f64, f64)>,
+    /// Processors and memory by service and rank.
+    used: HashMap<String, BTreeMap<u32, (f64, f64)>>,
 }
 
 #[derive(Debug, Default)]
@@ -75,16 +78,29 @@
         }
     }
 
-    /// Takes note of the room that work of the first priority takes now at a service.
-    pub fn saw_urgent_use(&mut self, service: &str, used: &Resources) {
-        let (cpu, memory) = self.urgent_use.entry(service.to_owned()).or_default();
-        *cpu += (used.cpu_millis as f64 - *cpu) * USE_WEIGHT;
-        *memory += (used.memory_bytes as f64 - *memory) * USE_WEIGHT;
+    /// Takes note of the room that work of each rank takes now at a service.
+    pub fn saw_use(&mut self, service: &str, used: &BTreeMap<u32, Resources>) {
+        if !self.used.contains_key(service) {
+            self.used.insert(service.to_owned(), BTreeMap::new());
+        }
+        let Some(known) = self.used.get_mut(service) else { return };
+        for rank in used.keys() {
+            known.entry(*rank).or_default();
+        }
+        for (rank, (cpu, memory)) in known {
+            let now = used.get(rank).copied().unwrap_or_default();
+            *cpu += (now.cpu_millis as f64 - *cpu) * USE_WEIGHT;
+            *memory += (now.memory_bytes as f64 - *memory) * USE_WEIGHT;
+        }
     }
 
-    /// The room that work of the first priority usually takes at a service.
-    pub fn urgent_use(&self, service: &str) -> Resources {
-        let (cpu, memory) = self.urgent_use.get(service).copied().unwrap_or_default();
-        Resources { cpu_millis: cpu as u64, memory_bytes: memory as u64, accelerators: 0 }
+    /// The room that work of these ranks usually takes at a service.
+    pub fn usual_use(&self, service: &str, ranks: Range<u32>) -> Resources {
+        let Some(known) = self.used.get(service).filter(|_| !ranks.is_empty()) else {
+            return Resources::ZERO;
+        };
+        let sum =
+            known.range(ranks).fold((0.0, 0.0), |sum, (_, used)| (sum.0 + used.0, sum.1 + used.1));
+        Resources { cpu_millis: sum.0 as u64, memory_bytes: sum.1 as u64, accelerators: 0 }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -18,6 +18,7 @@
 mod holds;
 mod id;
 mod job;
+mod keep;
 mod learned;
 mod place;
 mod record;
@@ -28,6 +29,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use stoatwell_model::Resources;
@@ -378,24 +380,23 @@
         }
         self.sweep_workers();
         self.sweep_runs();
-        self.look_at_urgent_use();
+        self.look_at_use();
         self.forget_jobs();
         self.place_due = true;
     }
 
-    fn look_at_urgent_use(&mut self) {
-        let mut used: BTreeMap<String, Resources> = BTreeMap::new();
+    fn look_at_use(&mut self) {
+        let mut used: HashMap<&str, BTreeMap<u32, Resources>> = HashMap::new();
         for worker in self.workers.values() {
-            let sum = used.entry(worker.news.service.clone()).or_default();
+            let ranks = used.entry(&worker.news.service).or_default();
             for (task, room) in &worker.tasks {
-                let job = self.jobs.get(&task.step.job);
-                if job.is_some_and(|job| job.spec.queue.priority == 0) {
-                    *sum = sum.plus(room);
-                }
+                let Some(job) = self.jobs.get(&task.step.job) else { continue };
+                let sum = ranks.entry(job.spec.queue.priority).or_default();
+                *sum = sum.plus(room);
             }
         }
-        for (service, used) in used {
-            self.learned.saw_urgent_use(&service, &used);
+        for (service, ranks) in used {
+            self.learned.saw_use(service, &ranks);
         }
     }
 
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -95,11 +95,11 @@
             if left_alone || (hopeless && !gang) {
                 continue;
             }
-            match self.place_unit(step, unit, key.priority, &mut pass) {
+            match self.place_unit(step, unit, key, &mut pass) {
                 Look::Placed => self.unqueue(key, step),
                 Look::Waits if gang => {
                     self.look_later(step, unit, key.priority);
-                    kept += self.keep_for(step, key.priority, &mut pass, may_keep(kept));
+                    kept += self.keep_for(step, unit, key.priority, &mut pass, may_keep(kept));
                 }
                 Look::Waits => {
                     self.look_later(step, unit, key.priority);
@@ -130,7 +130,7 @@
             if self.is_left_alone(*step) {
                 continue;
             }
-            if self.is_late(*key, *step) {
+            if self.spare_ms(*key, *step) < 0 {
                 late.push((*key, *step));
             } else {
                 in_time.push((*key, *step));
@@ -148,16 +148,22 @@
         job.units[unit].look_after_ms > self.now_ms && job.units[unit].kept.is_empty()
     }
 
-    /// Whether the job of a unit would be late even if the unit began now.
-    fn is_late(&self, key: QueueKey, step: StepId) -> bool {
-        let Some(job) = self.jobs.get(&step.job) else { return false };
+    /// How long a unit's tasks are expected to take.
+    pub(crate) fn needs_ms(&self, step: StepId) -> u64 {
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let estimate_ms = job.spec.steps[step.step as usize].estimate_ms;
-        let needs_ms = self.learned.expected_ms(&job.spec.queue.name, estimate_ms);
-        let allowed_ms = job.spec.queue.slack_factor * needs_ms as f64;
+        self.learned.expected_ms(&job.spec.queue.name, estimate_ms)
+    }
+
+    /// How long a unit could wait and its job still be in time; below 0 it is late
+    /// even if the unit begins now.
+    pub(crate) fn spare_ms(&self, key: QueueKey, step: StepId) -> i64 {
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
+        let estimate_ms = job.spec.steps[step.step as usize].estimate_ms as f64;
+        let needs_ms = self.needs_ms(step) as f64;
         // The due time stands on the estimate too; what was learned moves both.
-        let moved_ms = allowed_ms - job.spec.queue.slack_factor * estimate_ms as f64;
-        let due_ms = key.due_ms as f64 + moved_ms;
-        (self.unix_ms + needs_ms) as f64 > due_ms
+        let moved_ms = job.spec.queue.slack_factor * (needs_ms - estimate_ms);
+        (key.due_ms as f64 + moved_ms - self.unix_ms as f64 - needs_ms) as i64
     }
 
     fn unqueue(&mut self, key: QueueKey, step: StepId) {
@@ -167,7 +173,8 @@
         job.units[unit].queued = false;
     }
 
-    fn place_unit(&mut self, step: StepId, unit: usize, priority: u32, pass: &mut Pass) -> Look {
+    fn place_unit(&mut self, step: StepId, unit: usize, key: QueueKey, pass: &mut Pass) -> Look {
+        let priority = key.priority;
         let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
         let Some(service) = pass.service(&job.spec.queue.service) else { return Look::Waits };
         let spec = job.step(unit).clone();
@@ -186,7 +193,7 @@
             allowed.retain(|one| one.fresh);
         }
         let candidates = self.candidates(step, unit, &spec, &allowed, pass);
-        let headroom = self.headroom(step, priority);
+        let headroom = self.headroom(step, key);
         let ask = Ask { step, service, spec: &spec, priority, headroom };
         let chosen = pass.choose(&ask, &waiting, candidates);
         let whole = chosen.len() == waiting.len();
@@ -229,7 +236,13 @@
     }
 
     /// The workers that may run a step, with room or without.
-    fn allowed(&self, step: StepId, unit: usize, spec: &StepSpec, pass: &Pass) -> Vec<Allowed> {
+    pub(crate) fn allowed(
+        &self,
+        step: StepId,
+        unit: usize,
+        spec: &StepSpec,
+        pass: &Pass,
+    ) -> Vec<Allowed> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
         let Some(service) = pass.service(&job.spec.queue.service) else { return Vec::new() };
         let mut allowed = Vec::new();
@@ -419,53 +432,6 @@
             self.ask(step, &names);
         }
     }
-
-    /// Keeps the workers for a waiting gang that were kept at its last look.
-    fn keep_again(
-        &self,
-        step: StepId,
-        unit: usize,
-        priority: u32,
-        pass: &mut Pass,
-        most: usize,
-    ) -> usize {
-        let Some(job) = self.jobs.get(&step.job) else { return 0 };
-        let mut kept = 0;
-        for name in job.units[unit].kept.iter().take(most) {
-            let Some(at) = pass.by_name.get(name).copied() else { continue };
-            if pass.rooms[at].is_for(step, priority) {
-                pass.rooms[at].kept_for = Some((priority, step));
-                kept += 1;
-            }
-        }
-        kept
-    }
-
-    /// Keeps the workers that may run a waiting gang from work of lower priority.
-    fn keep_for(&mut self, step: StepId, priority: u32, pass: &mut Pass, most: usize) -> usize {
-        let Some(job) = self.jobs.get(&step.job) else { return 0 };
-        let Some(unit) = job.unit_of(step) else { return 0 };
-        let spec = job.step(unit);
-        let need = spec.room();
-        let mut wanted = job.units[unit].tasks.len() as u64;
-        let mut names = Vec::new();
-        let mut order = self.allowed(step, unit, spec, pass);
-        order.retain(|one| pass.rooms[one.at].is_for(step, priority));
-        order.sort_by_key(|one| std::cmp::Reverse(pass.rooms[one.at].free.cpu_millis));
-        for at in order.into_iter().map(|one| one.at) {
-            if names.len() >= most || wanted == 0 {
-                break;
-            }
-            pass.rooms[at].kept_for = Some((priority, step));
-            wanted = wanted.saturating_sub(pass.rooms[at].capacity.times_held(&need).max(1));
-            names.push(pass.rooms[at].name.clone());
-        }
-        let kept = names.len();
-        if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.units[unit].kept = names;
-        }
-        kept
-    }
 }
 
 /// How many of the workers, those with the most free places first, to ask about
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -199,7 +199,11 @@
         let Some(task) = job.task_mut(id) else { return };
         let here = task.run == run && task.worker.as_ref() == Some(from);
         let copy_is_done = speculative && end == End::Done;
-        if !here && !copy_is_done {
+        if !here {
+            if copy_is_done {
+                tracing::info!(task = %id, run, worker = %from, "copy ended, done");
+                self.on_copy_done(id);
+            }
             return;
         }
         if task.phase == Phase::Done {
@@ -207,6 +211,7 @@
             self.release(id);
             return;
         }
+        let settled = task.copy_done;
         if !saved.is_empty() {
             saved.clone_into(&mut task.checkpoint);
         }
@@ -225,7 +230,7 @@
                 _ => {}
             }
         }
-        if over {
+        if over || settled {
             return;
         }
         match end {
@@ -257,6 +262,31 @@
             task.phase = Phase::Done;
             job.units[unit].left -= 1;
         }
+        self.on_unit_progress(id, unit);
+    }
+
+    /// An earlier run of a task that may have copies was done after all. The newest
+    /// one may be under way: it is stopped, and takes its room until it is gone.
+    fn on_copy_done(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        let over = job.outcome.is_some();
+        let Some(task) = job.task_mut(id) else { return };
+        if over || task.is_done() {
+            return;
+        }
+        task.copy_done = true;
+        if task.phase == Phase::Waiting {
+            task.phase = Phase::Done;
+        }
+        job.units[unit].left -= 1;
+        self.stop(id);
+        self.on_unit_progress(id, unit);
+    }
+
+    /// A task of the unit is done; maybe it was the last one.
+    fn on_unit_progress(&mut self, id: TaskId, unit: usize) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         if job.units[unit].left > 0 {
             return;
         }
@@ -313,9 +343,8 @@
     pub(crate) fn release(&mut self, id: TaskId) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
-        if task.phase != Phase::Done {
-            task.phase = Phase::Waiting;
-        }
+        let waits = !task.is_done();
+        task.phase = if waits { Phase::Waiting } else { Phase::Done };
         task.percent = 0;
         let Some(name) = task.worker.take() else { return };
         if let Some(worker) = self.workers.get_mut(&name) {
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -285,3 +285,25 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
     assert_kept(&world);
 }
+
+/// A worker is cut off with a task that may have copies; its lease lapses and the
+/// task starts again elsewhere. Then the first worker is back and tells that it was
+/// done in time. The copy's room stays taken until it is stopped; the worker would
+/// otherwise get more than it holds, and everything on it would suffer.
+#[test]
+fn the_room_of_a_copy_is_taken_until_it_is_gone() {
+    let mut world = calm(2);
+    let mut copied = job(queue(1), vec![step(1, 12_000, 3_000)]);
+    copied.steps[0].speculative = true;
+    world.submit(1, copied);
+    world.run(300);
+    let name = busy_worker(&world);
+    world.cut(&name, 7_200);
+    world.run(7_250);
+    assert_eq!(world.starts, 2, "the copy runs");
+    world.submit(2, job(queue(1), vec![step(2, 12_000, 1_000)]));
+    world.run(9_000);
+    assert_kept(&world);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert_eq!(world.state(2), Some(JobState::Completed));
+}
