Questions to the advisor end with the duty that asked them

A daemon was scheduler, lost the duty with long questions under way and got it back later; those questions were dropped without giving their turns back, so two long questions counted for ever, which is all that three daemons may carry. A turn now ends when it is dropped, wherever that is.

--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -53,7 +53,7 @@
     outside: Arc<O>,
     peers: Peers,
     me: String,
-    state: Mutex<State>,
+    state: Arc<Mutex<State>>,
 }
 
 #[derive(Debug, Default)]
@@ -77,7 +77,7 @@
 #[derive(Debug)]
 struct Waiting {
     cost_ms: u64,
-    turn: oneshot::Sender<String>,
+    turn: oneshot::Sender<Turn>,
 }
 
 impl<O: Outside> Advisors<O> {
@@ -85,7 +85,7 @@
     pub fn new(outside: Arc<O>, peers: Peers, me: String) -> Self {
         let asking = BTreeMap::from([(me.clone(), Asking::default())]);
         let state = State { asking, ..State::default() };
-        Self { outside, peers, me, state: Mutex::new(state) }
+        Self { outside, peers, me, state: Arc::new(Mutex::new(state)) }
     }
 
     /// Takes note of the daemons there are, by the rows that they wrote; gives their number.
@@ -117,7 +117,8 @@
     ) -> Option<Vec<Grant>> {
         let asked_ms = steady_ms();
         for _ in 0..TRIES_MAX {
-            let address = self.turn(priority, cost_ms).await?;
+            let mut turn = self.turn(priority, cost_ms).await?;
+            let address = turn.address.clone();
             let sent_ms = steady_ms();
             let limit_ms = cost_ms + MARGIN_MS;
             let granted = if address == self.me {
@@ -125,7 +126,8 @@
             } else {
                 self.ask_peer(&address, step, workers, limit_ms).await
             };
-            self.lock().release(&address, cost_ms, granted.is_some());
+            turn.came_to = if granted.is_some() { CameTo::Answered } else { CameTo::Nothing };
+            drop(turn);
             let asked = workers.len();
             let took_ms = steady_ms() - sent_ms;
             let Some(granted) = granted else {
@@ -145,9 +147,9 @@
         None
     }
 
-    async fn turn(&self, priority: u32, cost_ms: u64) -> Option<String> {
+    async fn turn(&self, priority: u32, cost_ms: u64) -> Option<Turn> {
         let (turn, my_turn) = oneshot::channel();
-        self.lock().enqueue(priority, Waiting { cost_ms, turn });
+        self.lock().enqueue(&self.state, priority, Waiting { cost_ms, turn });
         my_turn.await.ok()
     }
 
@@ -178,15 +180,50 @@
     }
 }
 
+/// What became of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CameTo {
+    Answered,
+    /// No answer came through the daemon.
+    Nothing,
+    /// It is no longer wanted; says nothing of the daemon.
+    GivenUp,
+}
+
+/// A question's turn to go through a daemon.
+///
+/// It ends however the question does, also when a scheduler that lost its duty
+/// drops it half-way: a turn that stayed taken would count against the daemon for
+/// good, and after some of them no long question, and so no gang, would ever go.
+#[derive(Debug)]
+struct Turn {
+    state: Arc<Mutex<State>>,
+    address: String,
+    cost_ms: u64,
+    came_to: CameTo,
+    /// Whether it counts against the daemon.
+    taken: bool,
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if !self.taken {
+            return;
+        }
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.release(&self.state, &self.address, self.cost_ms, self.came_to);
+    }
+}
+
 impl State {
-    fn enqueue(&mut self, priority: u32, call: Waiting) {
+    fn enqueue(&mut self, shared: &Arc<Mutex<Self>>, priority: u32, call: Waiting) {
         self.waiting.insert((priority, self.arrivals), call);
         self.arrivals += 1;
-        self.assign();
+        self.assign(shared);
     }
 
     /// Gives waiting calls to daemons that are free for them.
-    fn assign(&mut self) {
+    fn assign(&mut self, shared: &Arc<Mutex<Self>>) {
         let now_ms = steady_ms();
         let long_max = self.asking.len().div_ceil(2);
         let mut long_calls: usize = self.asking.values().map(|one| one.long_calls).sum();
@@ -205,8 +242,16 @@
                 }
                 break;
             };
-            let address = address.clone();
-            if call.turn.send(address).is_err() {
+            let turn = Turn {
+                state: Arc::clone(shared),
+                address: address.clone(),
+                cost_ms: call.cost_ms,
+                came_to: CameTo::GivenUp,
+                taken: true,
+            };
+            if let Err(mut turn) = call.turn.send(turn) {
+                // Nobody waits for it any more.
+                turn.taken = false;
                 continue;
             }
             one.busy_ms += call.cost_ms;
@@ -216,18 +261,20 @@
         self.waiting.append(&mut later);
     }
 
-    fn release(&mut self, address: &str, cost_ms: u64, answered: bool) {
+    fn release(&mut self, shared: &Arc<Mutex<Self>>, address: &str, cost_ms: u64, came_to: CameTo) {
         if let Some(one) = self.asking.get_mut(address) {
             one.busy_ms = one.busy_ms.saturating_sub(cost_ms);
             one.long_calls = one.long_calls.saturating_sub(usize::from(cost_ms >= LONG_MS));
-            if answered {
-                one.failures = 0;
-            } else {
-                let pause_ms = PAUSE_MS << one.failures.min(PAUSE_DOUBLINGS);
-                one.pause_until_ms = steady_ms() + pause_ms;
-                one.failures += 1;
+            match came_to {
+                CameTo::Answered => one.failures = 0,
+                CameTo::Nothing => {
+                    let pause_ms = PAUSE_MS << one.failures.min(PAUSE_DOUBLINGS);
+                    one.pause_until_ms = steady_ms() + pause_ms;
+                    one.failures += 1;
+                }
+                CameTo::GivenUp => {}
             }
         }
-        self.assign();
+        self.assign(shared);
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -27,11 +27,11 @@
 use tokio::net::TcpListener;
 
 use crate::accept::Acceptor;
-use crate::advisors::Advisors;
 use crate::health::StoreHealth;
 use crate::watch::Watch;
 
 pub use crate::accept::Accepted;
+pub use crate::advisors::Advisors;
 pub use crate::duty::DutyRow;
 pub use crate::duty::DutyView;
 pub use crate::duty::Fitness;
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -50,6 +50,7 @@
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     writes: usize,
+    advice_hangs: bool,
     remembered: Rows,
     /// How many readings of a table are answered with what is remembered.
     old_readings: Option<(usize, Table)>,
@@ -67,6 +68,11 @@
         self.state.lock().expect("no panic").old_readings = Some((count, table));
     }
 
+    /// Whether the advisor never answers.
+    pub fn hang_advice(&self, hangs: bool) {
+        self.state.lock().expect("no panic").advice_hangs = hangs;
+    }
+
     fn old_reading(&self, table: Table) -> Option<Rows> {
         let mut state = self.state.lock().expect("no panic");
         let (count, of) = state.old_readings?;
@@ -218,6 +224,9 @@
         _workers: &[WorkerId],
         _limit: u64,
     ) -> Option<Vec<Grant>> {
-        None
+        if self.state.lock().expect("no panic").advice_hangs {
+            std::future::pending::<()>().await;
+        }
+        Some(Vec::new())
     }
 }
