--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -259,6 +259,7 @@
             };
             if let Some(active) = listed.remove(&(id, task.run)) {
                 note_active(task, active, now_ms, this_turn);
+                self.note_begun(id);
                 continue;
             }
             if is_gone(task, turn) {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -142,6 +142,8 @@
     pub settled: bool,
     pub finished_unix_ms: u64,
     pub started: bool,
+    /// Whether a worker has said that it began one of its tasks.
+    pub begun: bool,
 }
 
 impl Job {
@@ -163,6 +165,7 @@
             settled: false,
             finished_unix_ms: 0,
             started: false,
+            begun: false,
         }
     }
 
@@ -175,6 +178,8 @@
         for row in &progress.tasks {
             let Some(unit) = self.units.get_mut(row.unit as usize) else { continue };
             let Some(task) = unit.tasks.get_mut(row.index as usize) else { continue };
+            // A row is written before its start is sent, which may never have been.
+            self.begun |= row.done || row.failures > 0 || !row.checkpoint.is_empty();
             task.run = row.run;
             task.failures = row.failures;
             task.failed_run = row.failed_run;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -275,9 +275,10 @@
         self.jobs.get(&job).map(Job::state)
     }
 
-    /// Jobs of a queue for which nothing has started yet.
+    /// Jobs of a queue of which no task has begun yet, by what workers have said.
     pub fn pending(&self, queue: &str) -> usize {
-        let pending = |job: &&Job| job.state() == JobState::Queued && job.spec.queue.name == queue;
+        let pending =
+            |job: &&Job| !job.begun && job.outcome.is_none() && job.spec.queue.name == queue;
         self.jobs.values().filter(pending).count()
     }
 
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -109,6 +109,7 @@
                 task.phase = Phase::Running { since_turn: turn };
                 task.moved_ms = now_ms;
                 task.began_ms = now_ms;
+                self.note_begun(id);
             }
             Ok(StartReply::OldRun) | Err(CallError::NoAnswer) => {
                 tracing::warn!(task = %id, run, worker = %from, ?reply, "start in doubt");
@@ -128,6 +129,13 @@
         }
     }
 
+    /// Takes note that a worker has begun a task of the job.
+    pub(crate) fn note_begun(&mut self, id: TaskId) {
+        if let Some(job) = self.jobs.get_mut(&id.step.job) {
+            job.begun = true;
+        }
+    }
+
     /// The run was surely not begun. Members of a gang that were, would wait
     /// for it in vain, so the gang is gathered again.
     pub(crate) fn not_started(&mut self, id: TaskId) {
@@ -215,11 +223,13 @@
         if !saved.is_empty() {
             saved.clone_into(&mut task.checkpoint);
         }
-        let took_ms = now_ms.saturating_sub(task.placed_ms);
+        // A run that an earlier scheduler placed has a time that is not known.
+        let took_ms = (task.placed_ms > 0).then(|| now_ms.saturating_sub(task.placed_ms));
         tracing::info!(task = %id, run, worker = %from, %end, took_ms, "run ended");
-        if end == End::Done && task.placed_ms > 0 && run == 1 {
+        if let Some(took_ms) = took_ms.filter(|_| end == End::Done && run == 1) {
             self.learned.ran(&job.spec.queue.name, took_ms);
         }
+        job.begun = true;
         self.release(id);
         if let Some(worker) = self.workers.get_mut(from) {
             match end {
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -307,3 +307,22 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
     assert_eq!(world.state(2), Some(JobState::Completed));
 }
+
+/// The scheduler dies after it recorded a start and before it sent it. Nothing of
+/// the job has begun, and the count of waiting jobs says so; operators would
+/// otherwise see an empty queue while their work stands.
+#[test]
+fn a_job_whose_start_was_never_sent_counts_as_waiting() {
+    let mut world = calm(1);
+    world.submit(1, job(queue(1), vec![step(1, 16_000, 30_000)]));
+    world.run(200);
+    assert_eq!(world.pending(), 0);
+    world.submit(2, job(queue(1), vec![step(1, 1_000, 500)]));
+    world.run(200);
+    assert_eq!(world.pending(), 1, "no room for it");
+    world.record_start_of(2);
+    world.take_over();
+    world.run(300);
+    assert_eq!(world.pending(), 1);
+    assert_kept(&world);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -33,6 +33,7 @@
 use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StepSpec;
 use stoatwell_pool::TaskId;
+use stoatwell_pool::TaskProgress;
 
 use self::worker::Call;
 use self::worker::Reply;
@@ -164,6 +165,19 @@
         self.jobs.keys().filter(|job| !over(job)).copied().collect()
     }
 
+    /// Jobs that count as waiting.
+    pub fn pending(&self) -> usize {
+        self.pool.pending("q1")
+    }
+
+    /// Writes the row of a start that is never sent.
+    pub fn record_start_of(&mut self, id: u64) {
+        let name = self.workers.keys().next().cloned();
+        let task = TaskProgress { run: 1, worker: name, life: 1, ..TaskProgress::default() };
+        let progress = Progress { tasks: vec![task], ..Progress::default() };
+        self.progress.insert(JobId(id), progress);
+    }
+
     /// Why a job is where it is.
     pub fn explain(&self, job: JobId) -> String {
         self.pool.explain(job).join("\n")
