--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -45,6 +45,7 @@
                 .arg(job_id()),
         )
         .subcommand(dump())
+        .subcommand(trace())
         .subcommand(completions())
 }
 
@@ -55,6 +56,19 @@
     }
 }
 
+fn trace() -> Command {
+    Command::new("trace")
+        .about("Tell a request's story from collected log files")
+        .arg(Arg::new("id").required(true).value_name("ID").help("The request's id"))
+        .arg(
+            Arg::new("file")
+                .required(true)
+                .num_args(1..)
+                .value_name("FILE")
+                .help("Logs, one file a daemon; the file's name stands for the daemon"),
+        )
+}
+
 fn entry() -> Command {
     let name = || Arg::new("name").required(true).value_name("NAME").help("Name of the entry");
     let kind = || {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod job;
 mod output;
 mod target;
+mod trace;
 
 use std::process::ExitCode;
 
@@ -38,8 +39,11 @@
         args::print_completions(sub);
         return Ok(ExitCode::SUCCESS);
     }
-    let client = Client::new(matches)?;
     let output = Output::new(matches);
+    if let Some(("trace", sub)) = matches.subcommand() {
+        return trace::run(output, sub);
+    }
+    let client = Client::new(matches)?;
     match matches.subcommand() {
         Some(("entry", sub)) => entry::run(&client, output, sub).await,
         Some(("target", sub)) => target::run(&client, output, sub).await,
