--- /dev/null
+++ b/crates/pool/tests/world/checks.rs
@@ -0,0 +1,82 @@
+//! What breaks a promise, judged when a run starts and at each moment.
+
+use std::collections::BTreeMap;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+use stoatwell_pool::TaskId;
+
+use super::World;
+use super::worker::Call;
+
+impl World {
+    pub(super) fn note_start(&mut self, call: &Call) {
+        let Call::Start(start) = call else { return };
+        self.starts += 1;
+        tracing::info!(at = self.now_ms, task = %start.task, run = start.run, worker = %start.to.worker, token = start.to.token, "WORLD start");
+        if self.noted_done.contains(&start.task) && !self.may_have_copies(start.task) {
+            self.broken.push(format!("{}: started after its end was noted", start.task));
+        }
+        let job = start.task.step.job;
+        if self.cancelled.get(&job).is_some_and(|at| at + 3_000 < self.now_ms)
+            && start.made_ms + 1_000 > self.now_ms
+        {
+            self.broken.push(format!("{}: started long after it was cancelled", start.task));
+        }
+        let Some(spec) = self.jobs.get(&job).cloned() else { return };
+        let step = &spec.steps[start.task.step.step as usize];
+        for earlier in &step.after {
+            let all = 0..spec.steps[*earlier as usize].tasks;
+            for index in all {
+                let mut before = start.task;
+                before.step.step = *earlier;
+                before.index = index;
+                if !self.was_done(before) {
+                    self.broken.push(format!("{}: started before {before} was done", start.task));
+                }
+            }
+        }
+        // The members of a gang work together, so they draw alike.
+        let alike =
+            start.task.step.job.0 ^ u64::from(start.task.step.step) << 32 ^ u64::from(start.run);
+        let mut rng =
+            if step.gang { Pcg64::seed_from_u64(alike) } else { Pcg64::from_rng(&mut self.rng) };
+        let fails = rng.random_range(0..1_000) < self.faults.failed_runs;
+        let takes_ms = rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
+        let room = step.demand;
+        let gang = step.gang.then_some(step.tasks);
+        let now_ms = self.now_ms;
+        if let Some(worker) = self.workers.get_mut(&start.to.worker) {
+            worker.begin(start, now_ms, takes_ms, fails, room, gang);
+        }
+    }
+
+    fn may_have_copies(&self, task: TaskId) -> bool {
+        let job = self.jobs.get(&task.step.job);
+        job.is_some_and(|job| job.steps[task.step.step as usize].speculative)
+    }
+
+    fn was_done(&self, task: TaskId) -> bool {
+        self.workers.values().any(|worker| worker.was_done.contains(&task))
+    }
+
+    pub(super) fn check(&mut self) {
+        let mut seen: BTreeMap<TaskId, WorkerId> = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            let mut used = Resources::ZERO;
+            for ((task, _), run) in &worker.active {
+                used = used.plus(&run.room);
+                let other = seen.insert(*task, name.clone());
+                if let Some(other) = other.filter(|_| !self.may_have_copies(*task)) {
+                    self.broken.push(format!("{task}: runs on {other} and on {name}"));
+                }
+            }
+            if !worker.capacity.holds(&used) {
+                self.broken.push(format!("{name}: {used:?} is more than it holds"));
+            }
+        }
+    }
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -8,6 +8,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the world")]
 
+mod checks;
+mod faults;
 mod worker;
 
 use std::collections::BTreeMap;
@@ -35,6 +37,7 @@
 use stoatwell_pool::TaskId;
 use stoatwell_pool::TaskProgress;
 
+pub use self::faults::Faults;
 use self::worker::Call;
 use self::worker::Reply;
 use self::worker::Worker;
@@ -42,32 +45,6 @@
 /// The lease that schedulers ask for, and the longest that workers grant.
 pub const LEASE_MS: u64 = 6_000;
 
-/// What may go wrong, as chances in a thousand.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Faults {
-    /// A call never arrives.
-    pub lost_calls: u32,
-    /// A call brings no answer but is carried out.
-    pub lost_answers: u32,
-    /// A call brings no answer and is carried out seconds later.
-    pub late_calls: u32,
-    /// A run fails.
-    pub failed_runs: u32,
-    /// In each tenth of a second, a worker crashes and begins a new life.
-    pub crashes: u32,
-    /// In each tenth of a second, a worker is cut off for good.
-    pub darkness: u32,
-    /// In each tenth of a second, a worker is cut off for some seconds.
-    pub cuts: u32,
-    /// In each tenth of a second, connections to a worker begin to be refused for
-    /// some seconds while it runs on.
-    pub refusals: u32,
-    /// In each tenth of a second, another scheduler takes over.
-    pub take_overs: u32,
-    /// A question to the advisor brings no answer.
-    pub lost_advice: u32,
-}
-
 /// One day of a pool.
 pub struct World {
     pub now_ms: u64,
@@ -279,31 +256,6 @@
         permille > 0 && self.rng.random_range(0..1_000) < permille
     }
 
-    fn draw_faults(&mut self) {
-        let names: Vec<WorkerId> = self.workers.keys().cloned().collect();
-        for name in names {
-            if self.chance(self.faults.crashes) {
-                self.crash(&name);
-            }
-            if self.chance(self.faults.darkness)
-                && self.workers.values().filter(|at| at.dark).count() < 4
-            {
-                self.workers.get_mut(&name).expect("known").dark = true;
-            }
-            if self.chance(self.faults.cuts) {
-                let for_ms = self.rng.random_range(500..9_000);
-                self.cut(&name, for_ms);
-            }
-            if self.chance(self.faults.refusals) {
-                let for_ms = self.rng.random_range(500..9_000);
-                self.refuse(&name, for_ms);
-            }
-        }
-        if self.chance(self.faults.take_overs) {
-            self.take_over();
-        }
-    }
-
     fn happen(&mut self, item: Item) {
         match item {
             Item::News(epoch, event) if epoch == self.epoch => self.tell(event),
@@ -367,56 +319,6 @@
         self.schedule(way_ms, Item::News(epoch, event));
     }
 
-    fn note_start(&mut self, call: &Call) {
-        let Call::Start(start) = call else { return };
-        self.starts += 1;
-        tracing::info!(at = self.now_ms, task = %start.task, run = start.run, worker = %start.to.worker, token = start.to.token, "WORLD start");
-        if self.noted_done.contains(&start.task) && !self.may_have_copies(start.task) {
-            self.broken.push(format!("{}: started after its end was noted", start.task));
-        }
-        let job = start.task.step.job;
-        if self.cancelled.get(&job).is_some_and(|at| at + 3_000 < self.now_ms)
-            && start.made_ms + 1_000 > self.now_ms
-        {
-            self.broken.push(format!("{}: started long after it was cancelled", start.task));
-        }
-        let Some(spec) = self.jobs.get(&job).cloned() else { return };
-        let step = &spec.steps[start.task.step.step as usize];
-        for earlier in &step.after {
-            let all = 0..spec.steps[*earlier as usize].tasks;
-            for index in all {
-                let mut before = start.task;
-                before.step.step = *earlier;
-                before.index = index;
-                if !self.was_done(before) {
-                    self.broken.push(format!("{}: started before {before} was done", start.task));
-                }
-            }
-        }
-        // The members of a gang work together, so they draw alike.
-        let alike =
-            start.task.step.job.0 ^ u64::from(start.task.step.step) << 32 ^ u64::from(start.run);
-        let mut rng =
-            if step.gang { Pcg64::seed_from_u64(alike) } else { Pcg64::from_rng(&mut self.rng) };
-        let fails = rng.random_range(0..1_000) < self.faults.failed_runs;
-        let takes_ms = rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
-        let room = step.demand;
-        let gang = step.gang.then_some(step.tasks);
-        let now_ms = self.now_ms;
-        if let Some(worker) = self.workers.get_mut(&start.to.worker) {
-            worker.begin(start, now_ms, takes_ms, fails, room, gang);
-        }
-    }
-
-    fn may_have_copies(&self, task: TaskId) -> bool {
-        let job = self.jobs.get(&task.step.job);
-        job.is_some_and(|job| job.steps[task.step.step as usize].speculative)
-    }
-
-    fn was_done(&self, task: TaskId) -> bool {
-        self.workers.values().any(|worker| worker.was_done.contains(&task))
-    }
-
     fn work(&mut self) {
         let present = self.present();
         for worker in self.workers.values_mut() {
@@ -500,25 +402,9 @@
         }
         self.schedule(way_ms, Item::Arrives { epoch, life, call, answered: true });
     }
-
-    fn check(&mut self) {
-        let mut seen: BTreeMap<TaskId, WorkerId> = BTreeMap::new();
-        for (name, worker) in &self.workers {
-            let mut used = Resources::ZERO;
-            for ((task, _), run) in &worker.active {
-                used = used.plus(&run.room);
-                let other = seen.insert(*task, name.clone());
-                if let Some(other) = other.filter(|_| !self.may_have_copies(*task)) {
-                    self.broken.push(format!("{task}: runs on {other} and on {name}"));
-                }
-            }
-            if !worker.capacity.holds(&used) {
-                self.broken.push(format!("{name}: {used:?} is more than it holds"));
-            }
-        }
-    }
 }
 
+/// Whether the advisor permits a worker to run a step.
 fn is_granted(step: stoatwell_pool::StepId, worker: &WorkerId, of_five: u64) -> bool {
     let mut hash = step.job.0.wrapping_mul(31) ^ u64::from(step.step);
     for byte in worker.as_str().bytes() {
