--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -1,5 +1,6 @@
 //! Which of the open workers a unit's tasks go to.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 
 use stoatwell_model::Resources;
@@ -210,6 +211,51 @@
         candidates
     }
 
+    /// Picks workers of one rack for tasks that take longer on several, if one rack
+    /// has room for all that wait; else any workers.
+    pub(crate) fn choose_in_one_rack(
+        &self,
+        ask: &Ask<'_>,
+        unit: usize,
+        waiting: &[u32],
+        candidates: Vec<Candidate>,
+        pass: &mut Pass,
+    ) -> Vec<(u32, usize)> {
+        let need = ask.spec.room();
+        let used = self.rack_in_use(ask.step, unit);
+        let mut racks: BTreeMap<&str, (u64, Vec<Candidate>)> = BTreeMap::new();
+        for one in &candidates {
+            let room = &pass.rooms[one.at];
+            let Some(rack) = self.workers.get(&room.name).and_then(|worker| worker.rack()) else {
+                continue;
+            };
+            let (places, members) = racks.entry(rack).or_default();
+            *places += room.free.times_held(&need);
+            members.push(*one);
+        }
+        let mut order: Vec<(&str, (u64, Vec<Candidate>))> = racks.into_iter().collect();
+        order.retain(|(_, (places, _))| *places >= waiting.len() as u64);
+        // Where the step is already, then where it leaves the most room whole.
+        order.sort_by_key(|(rack, (places, _))| (Some(*rack) != used, *places));
+        for (_, (_, members)) in order {
+            let chosen = pass.choose(ask, waiting, members);
+            if chosen.len() == waiting.len() {
+                return chosen;
+            }
+            for (_, at) in chosen {
+                pass.give_back(at, &need);
+            }
+        }
+        pass.choose(ask, waiting, candidates)
+    }
+
+    /// The rack on which a unit has a task.
+    fn rack_in_use(&self, step: StepId, unit: usize) -> Option<&str> {
+        let tasks = &self.jobs.get(&step.job)?.units[unit].tasks;
+        let name = tasks.iter().find_map(|task| task.worker.as_ref())?;
+        self.workers.get(name)?.rack()
+    }
+
     /// What a unit has to leave free for more urgent work.
     pub(crate) fn headroom(&self, step: StepId, key: QueueKey) -> Resources {
         let Some(job) = self.jobs.get(&step.job).filter(|_| key.priority > 0) else {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -195,7 +195,11 @@
         let candidates = self.candidates(step, unit, &spec, &allowed, pass);
         let headroom = self.headroom(step, key);
         let ask = Ask { step, service, spec: &spec, priority, headroom };
-        let chosen = pass.choose(&ask, &waiting, candidates);
+        let chosen = if spec.same_rack && spec.tasks > 1 {
+            self.choose_in_one_rack(&ask, unit, &waiting, candidates, pass)
+        } else {
+            pass.choose(&ask, &waiting, candidates)
+        };
         let whole = chosen.len() == waiting.len();
         let may_start = whole || !spec.gang;
         let may_ask = self.may_renew(step, advice, &chosen, pass);
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::collections::BTreeSet;
+
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobState;
@@ -168,3 +170,33 @@
     assert!(world.asked <= 12, "{}", world.asked);
     assert_kept(&world);
 }
+
+/// Tasks of a step take longer on several racks than on one, and the tightest fit
+/// would spread them. They go to one rack as long as one has room for all; a packet
+/// would otherwise take twice as long.
+#[test]
+fn tasks_that_belong_together_stay_on_one_rack() {
+    let mut world = World::new(19, 12, Faults::default());
+    for (number, worker) in world.workers.values_mut().enumerate() {
+        worker.rack = ["r1", "r2", "r3"][number % 3];
+    }
+    world.list_all();
+    world.run(100);
+    // Something on each worker, so that the fits differ.
+    for number in 0..12 {
+        world.submit(number, job(queue(1), vec![step(1, 1_000 + 500 * number, 60_000)]));
+    }
+    world.run(200);
+    let mut together = job(queue(1), vec![step(8, 2_500, 1_000)]);
+    together.steps[0].same_rack = true;
+    world.submit(100, together);
+    world.run(150);
+    let mut racks = BTreeSet::new();
+    for worker in world.workers.values() {
+        if worker.active.keys().any(|(task, _)| task.step.job == JobId(100)) {
+            racks.insert(worker.rack);
+        }
+    }
+    assert_eq!(racks.len(), 1, "{racks:?}");
+    assert_kept(&world);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -249,7 +249,8 @@
         }
     }
 
-    fn list_all(&mut self) {
+    /// Tells the scheduler of all workers as they are now.
+    pub fn list_all(&mut self) {
         let news: Vec<_> = self
             .workers
             .values()
