Tasks that fill make way for tasks that serve; calls to workers have tests on the wire

A slowed task is not one that stands still: that test failed first. No deployment at hand has such tasks, so it is tested in virtual time and on the wire only.

--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -254,6 +254,13 @@
                     tell(&news, Event::Stopped { task, run, worker: call.to.worker, reply });
                 });
             }
+            Effect::Pace(call) => {
+                tasks.spawn(async move {
+                    let reply = outside.pace(&call).await;
+                    let (task, run) = (call.task, call.run);
+                    tell(&news, Event::Paced { task, run, worker: call.to.worker, reply });
+                });
+            }
             Effect::Advise { step, workers, priority, cost_ms } => {
                 let advisors = Arc::clone(&self.advisors);
                 tasks.spawn(async move {
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -9,6 +9,7 @@
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
+use stoatwell_pool::PaceCall;
 use stoatwell_pool::StartCall;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
@@ -170,6 +171,9 @@
     /// Stops a run.
     fn stop(&self, call: &StopCall) -> impl Future<Output = Result<(), CallError>> + Send;
 
+    /// Lets a run work at a share of its speed.
+    fn pace(&self, call: &PaceCall) -> impl Future<Output = Result<(), CallError>> + Send;
+
     /// Asks which of these workers may run a step; `None` is no answer.
     fn advise(
         &self,
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -19,6 +19,7 @@
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
+use stoatwell_pool::PaceCall;
 use stoatwell_pool::StartCall;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
@@ -218,6 +219,10 @@
         Err(CallError::Refused)
     }
 
+    async fn pace(&self, _call: &PaceCall) -> Result<(), CallError> {
+        Err(CallError::Refused)
+    }
+
     async fn advise(
         &self,
         _step: StepId,
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -65,6 +65,17 @@
         /// What came back.
         reply: Result<(), CallError>,
     },
+    /// An order on a run's pace was answered, or not.
+    Paced {
+        /// The task.
+        task: TaskId,
+        /// The run.
+        run: u32,
+        /// The worker.
+        worker: WorkerId,
+        /// What came back.
+        reply: Result<(), CallError>,
+    },
     /// The advisor answered; `None` is no answer or a refusal.
     Advised {
         /// The step.
@@ -150,6 +161,9 @@
     pub checkpoint: String,
     /// How much of it is done.
     pub percent: u32,
+    /// For a task that serves users, the tail of their response times in
+    /// milliseconds; for others, the processors in use in thousandths.
+    pub load: u64,
 }
 
 /// A run that ended.
@@ -240,6 +254,8 @@
     Start(StartCall),
     /// Stop a run.
     Stop(StopCall),
+    /// Let a run work at a share of its speed.
+    Pace(PaceCall),
     /// Ask the advisor which workers may run a step.
     Advise {
         /// The step.
@@ -324,3 +340,16 @@
     /// The run.
     pub run: u32,
 }
+
+/// An order to let a run work, and disturb others, at a share of its speed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PaceCall {
+    /// Where it goes.
+    pub to: Callee,
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: u32,
+    /// The share in hundredths.
+    pub percent: u32,
+}
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -203,6 +203,7 @@
         self.take_in_ends(name, &reply);
         self.compare(name, turn, &reply);
         self.judge_speed(name);
+        self.pace_fillers(name, &reply);
         self.place_due = true;
     }
 
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -15,6 +15,7 @@
 use crate::record::TaskProgress;
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
+use crate::worker::FULL_PACE;
 use crate::worker::Worker;
 
 /// Where a task stands.
@@ -65,12 +66,20 @@
     pub began_ms: u64,
     /// Whether a hold has listed the newest run, so that the life it is in is known.
     pub seen: bool,
+    /// The pace that its worker was last told, in hundredths; none is not known to be
+    /// another than full.
+    pub pace_percent: Option<u32>,
     /// Whether another run was done; what is left of the newest is stopped, and its
     /// room stays taken until it is gone.
     pub copy_done: bool,
 }
 
 impl Task {
+    /// Whether it was told to work at less than its full pace.
+    pub fn is_slowed(&self) -> bool {
+        self.pace_percent.is_some_and(|percent| percent < FULL_PACE)
+    }
+
     /// Whether the task needs no further run.
     pub fn is_done(&self) -> bool {
         self.copy_done || self.phase == Phase::Done
@@ -309,6 +318,7 @@
             placed_ms: 0,
             began_ms: 0,
             seen: false,
+            pace_percent: None,
             copy_done: false,
         }
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -20,6 +20,7 @@
 mod job;
 mod keep;
 mod learned;
+mod pace;
 mod place;
 mod record;
 mod runs;
@@ -54,6 +55,7 @@
 pub use crate::event::Grant;
 pub use crate::event::HoldCall;
 pub use crate::event::HoldReply;
+pub use crate::event::PaceCall;
 pub use crate::event::StartCall;
 pub use crate::event::StartReply;
 pub use crate::event::StopCall;
@@ -238,6 +240,9 @@
             Event::Stopped { task, run, worker, reply } => {
                 self.on_stopped(task, run, &worker, reply);
             }
+            Event::Paced { task, run, worker, reply } => {
+                self.on_paced(task, run, &worker, reply);
+            }
             Event::Advised { step, asked, granted } => self.on_advised(step, &asked, granted),
             Event::Advisors { count } => self.advisors = count.max(1),
             Event::Committed { batch } => self.on_committed(batch),
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -387,6 +387,7 @@
         task.placed_ms = now_ms;
         task.began_ms = 0;
         task.seen = false;
+        task.pace_percent = None;
         self.commits.note(id.step.job, After::Start { task: id, run });
     }
 
@@ -421,7 +422,9 @@
                             again.push(id);
                         }
                         Phase::Running { .. }
-                            if !step.long_running && moved_ms + still_ms < self.now_ms =>
+                            if !step.long_running
+                                && !task.is_slowed()
+                                && moved_ms + still_ms < self.now_ms =>
                         {
                             still.push(id);
                         }
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -40,7 +40,8 @@
             let Some(task) = job.units[unit].tasks.get(id.index as usize) else { continue };
             let had_ms = now_ms.saturating_sub(task.began_ms);
             let at_work = matches!(task.phase, Phase::Running { .. }) && task.began_ms > 0;
-            if !at_work || step.long_running || step.gang || had_ms < TASK_TIME_MIN_MS {
+            let unlike = step.long_running || step.gang || step.fills;
+            if !at_work || unlike || had_ms < TASK_TIME_MIN_MS {
                 continue;
             }
             let queue = &job.spec.queue.name;
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -18,6 +18,8 @@
 /// left alone. One run in twenty fails through its own fault, so two in a row
 /// are the worker's with good odds.
 const FAILURES_MAX: u32 = 2;
+/// The pace of a task at its start, in hundredths.
+pub(crate) const FULL_PACE: u32 = 100;
 /// How long it is left alone at first; doubled each time up to eight times.
 const QUARANTINE_MS: u64 = 2_500;
 
@@ -62,6 +64,9 @@
     pub answered_ms: u64,
     /// Calls without answer in a row.
     pub silent: u32,
+    /// The pace of tasks that fill here, in hundredths, and when it last changed.
+    pub pace_percent: u32,
+    pub pace_changed_ms: u64,
     /// Whether the newest connection to it was refused. That says nothing about
     /// what runs there: a firewall refuses as a host without the process does.
     pub refuses: bool,
@@ -93,6 +98,8 @@
             speed_percent: 100,
             answered_ms: 0,
             silent: 0,
+            pace_percent: FULL_PACE,
+            pace_changed_ms: 0,
             refuses: false,
         }
     }
@@ -114,6 +121,7 @@
         self.strangers.clear();
         self.failures = 0;
         self.quarantine_until_ms = 0;
+        self.pace_percent = FULL_PACE;
         self.add_up();
     }
 
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -168,6 +168,11 @@
         self.progress.insert(JobId(id), progress);
     }
 
+    /// The pace of all that fills on all workers together, in hundredths.
+    pub fn filling_percent(&self) -> u64 {
+        self.workers.values().map(Worker::filling_percent).sum()
+    }
+
     /// Why a job is where it is.
     pub fn explain(&self, job: JobId) -> String {
         self.pool.explain(job).join("\n")
@@ -386,6 +391,7 @@
                 Effect::Hold(call) => self.send(Call::Hold(call)),
                 Effect::Start(call) => self.send(Call::Start(call)),
                 Effect::Stop(call) => self.send(Call::Stop(call)),
+                Effect::Pace(call) => self.send(Call::Pace(call)),
                 Effect::Advise { step, workers, .. } => {
                     self.asked = workers.len();
                     let lost = self.chance(self.faults.lost_advice);
