Tasks that need nothing do not count places without end

Found by reading: a gang whose tasks ask for no room and that waits made the scheduler allocate without end and die, and every successor with it. The test fails before.

--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -10,6 +10,7 @@
 use crate::QueueKey;
 use crate::id::StepId;
 use crate::spec::StepSpec;
+use crate::spec::TASKS_MAX;
 
 /// Room that other work leaves free for urgent work, in hundredths of what
 /// urgent work takes at the time: enough for twice the usual arrivals to find
@@ -229,8 +230,8 @@
             let Some(rack) = self.workers.get(&room.name).and_then(|worker| worker.rack()) else {
                 continue;
             };
-            let (places, members) = racks.entry(rack).or_default();
-            *places += room.free.times_held(&need);
+            let (sum, members) = racks.entry(rack).or_default();
+            *sum += places_in(&room.free, &need);
             members.push(*one);
         }
         let mut order: Vec<(&str, (u64, Vec<Candidate>))> = racks.into_iter().collect();
@@ -281,3 +282,9 @@
         counts
     }
 }
+
+/// How many tasks of this need have room; never more than a job may have, since a
+/// task that needs nothing has room without end.
+pub(crate) fn places_in(free: &Resources, need: &Resources) -> u64 {
+    free.times_held(need).min(TASKS_MAX)
+}
--- a/crates/pool/src/keep.rs
+++ b/crates/pool/src/keep.rs
@@ -11,6 +11,7 @@
 
 use crate::Pool;
 use crate::choose::Pass;
+use crate::choose::places_in;
 use crate::id::StepId;
 use crate::id::TaskId;
 
@@ -41,17 +42,17 @@
         let need = spec.room();
         let wanted = job.units[unit].tasks.len();
         // When each place comes free, and on which worker.
-        let mut places: Vec<(u64, usize)> = Vec::new();
+        let mut coming: Vec<(u64, usize)> = Vec::new();
         for one in self.allowed(step, unit, spec, pass) {
             if !pass.rooms[one.at].is_for(step, priority) {
                 continue;
             }
             let times_ms = self.places_ms(&pass.rooms[one.at].name, &need);
-            places.extend(times_ms.into_iter().map(|left_ms| (left_ms, one.at)));
+            coming.extend(times_ms.into_iter().map(|left_ms| (left_ms, one.at)));
         }
-        places.sort_unstable();
+        coming.sort_unstable();
         let mut names: Vec<WorkerId> = Vec::new();
-        for (_, at) in places.into_iter().take(wanted) {
+        for (_, at) in coming.into_iter().take(wanted) {
             if pass.rooms[at].kept_for.is_some_and(|(_, kept)| kept == step) {
                 continue;
             }
@@ -98,10 +99,10 @@
             worker.tasks.iter().map(|(id, room)| (self.left_ms(*id), room)).collect();
         ends.sort_unstable_by_key(|(left_ms, _)| *left_ms);
         let mut free = worker.free();
-        let mut times_ms = vec![0; free.times_held(need) as usize];
+        let mut times_ms = vec![0; places_in(&free, need) as usize];
         for (left_ms, room) in ends {
             free = free.plus(room);
-            times_ms.resize(free.times_held(need) as usize, left_ms);
+            times_ms.resize(places_in(&free, need) as usize, left_ms);
         }
         times_ms
     }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -19,6 +19,7 @@
 use crate::choose::Ask;
 use crate::choose::Pass;
 use crate::choose::Room;
+use crate::choose::places_in;
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::job::Phase;
@@ -391,14 +392,14 @@
         let advice = &job.units[unit].advice;
         let need = spec.room();
         let room_of = |name: &WorkerId| {
-            pass.by_name.get(name).map_or(0, |at| pass.rooms[*at].capacity.times_held(&need))
+            pass.by_name.get(name).map_or(0, |at| places_in(&pass.rooms[*at].capacity, &need))
         };
         let places: u64 = advice.granted.keys().map(room_of).sum();
         let enough = places >= u64::from(spec.tasks) * PLACES_FACTOR;
         let first = advice.asked.is_empty();
         let any_room = first || !enough;
         let free_at = |room: &Room| {
-            if room.is_for(step, priority) { room.free.times_held(&need) } else { 0 }
+            if room.is_for(step, priority) { places_in(&room.free, &need) } else { 0 }
         };
         let mut fresh: Vec<(u64, &WorkerId)> = Vec::new();
         for room in &pass.rooms {
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 
+use stoatwell_model::Resources;
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobState;
@@ -200,3 +201,27 @@
     assert_eq!(racks.len(), 1, "{racks:?}");
     assert_kept(&world);
 }
+
+/// A caller's gang says that it needs nothing, and no more than one task on a worker,
+/// of which there are too few. It waits, and everything else goes on; the scheduler
+/// would otherwise count places without end and die with every start.
+#[test]
+fn a_gang_that_needs_nothing_and_finds_no_workers_harms_nobody() {
+    let mut world = World::new(37, 2, Faults::default());
+    world.run(100);
+    let mut rules = queue(1);
+    rules.advice = Some(AdviceSpec { decide_ms: 20.0, each_ms: 1.0, valid_ms: 2_000 });
+    for (number, rules) in [(1, queue(1)), (2, rules)] {
+        let mut gang = job(rules, vec![step(5, 0, 1_000)]);
+        gang.steps[0].demand = Resources::ZERO;
+        gang.steps[0].gang = true;
+        gang.steps[0].per_worker_max = 1;
+        world.submit(number, gang);
+    }
+    world.run(500);
+    world.submit(3, job(queue(1), vec![step(2, 1_000, 300)]));
+    world.run(2_000);
+    assert_eq!(world.state(3), Some(JobState::Completed));
+    assert_eq!(world.state(1), Some(JobState::Queued));
+    assert_kept(&world);
+}
