Runs that fail on most workers are not the workers' fault; tests of what a job may ask for

Found by a new test: tasks that last and fail often had every worker left alone in turn, and nothing of the service ran for seconds. Workers stay left alone only while they are at most half of their service. Drains, checkpoints, lasting and repeated work had no test that could fail; they have now, in virtual time.

--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -157,8 +157,11 @@
     /// The open workers as they are now.
     pub(crate) fn begin_pass(&self) -> Pass {
         let mut pass = Pass::default();
+        let blamed = self.blamed_services();
         for (name, worker) in &self.workers {
-            if !worker.is_open(self.now_ms) {
+            let acquitted = worker.is_only_suspect(self.now_ms)
+                && !blamed.contains(&worker.news.service.as_str());
+            if !worker.is_open(self.now_ms) && !acquitted {
                 continue;
             }
             let free = worker.free();
@@ -183,6 +186,21 @@
         pass
     }
 
+    /// Services whose failed runs are their workers' fault, for all one knows.
+    ///
+    /// Runs that fail on most workers of a service are the tasks' own fault. With all
+    /// of them left alone for it, nothing of the service would run at all.
+    fn blamed_services(&self) -> Vec<&str> {
+        let mut counts: HashMap<&str, (usize, usize)> = HashMap::new();
+        for worker in self.workers.values() {
+            let (open, suspect) = counts.entry(worker.news.service.as_str()).or_default();
+            *open += usize::from(worker.is_open(self.now_ms));
+            *suspect += usize::from(worker.is_only_suspect(self.now_ms));
+        }
+        let few = |(_, (open, suspect)): &(&str, (usize, usize))| suspect <= open;
+        counts.into_iter().filter(few).map(|(service, _)| service).collect()
+    }
+
     /// The workers that a unit may use, with what speaks for and against each:
     /// near the data, no failures of late, a ticket at hand.
     pub(crate) fn candidates(
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -127,11 +127,19 @@
 
     /// Whether new tasks may go here.
     pub fn is_open(&self, now_ms: u64) -> bool {
+        self.is_reachable(now_ms) && self.quarantine_until_ms <= now_ms
+    }
+
+    /// Whether nothing but failed runs speaks against new tasks here.
+    pub fn is_only_suspect(&self, now_ms: u64) -> bool {
+        self.is_reachable(now_ms) && self.quarantine_until_ms > now_ms && self.is_suspect()
+    }
+
+    fn is_reachable(&self, now_ms: u64) -> bool {
         self.held
             && self.listed
             && !self.refuses
             && !self.news.draining
-            && self.quarantine_until_ms <= now_ms
             && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
     }
 
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -46,11 +46,10 @@
             if step.gang { Pcg64::seed_from_u64(alike) } else { Pcg64::from_rng(&mut self.rng) };
         let fails = rng.random_range(0..1_000) < self.faults.failed_runs;
         let takes_ms = rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
-        let room = step.room();
         let gang = step.gang.then_some(step.tasks);
         let now_ms = self.now_ms;
         if let Some(worker) = self.workers.get_mut(&start.to.worker) {
-            worker.begin(start, now_ms, takes_ms, fails, room, gang, step.fills);
+            worker.begin(start, now_ms, takes_ms, fails, gang, step);
         }
     }
 
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -173,6 +173,11 @@
         self.workers.values().map(Worker::filling_percent).sum()
     }
 
+    /// How far the run is that is nearest to its end, in hundredths.
+    pub fn furthest_percent(&self) -> u64 {
+        self.workers.values().map(Worker::furthest_percent).max().unwrap_or(0)
+    }
+
     /// Why a job is where it is.
     pub fn explain(&self, job: JobId) -> String {
         self.pool.explain(job).join("\n")
@@ -242,6 +247,12 @@
         self.schedule(for_ms, Item::Healed(name.clone()));
     }
 
+    /// A worker tells that it leaves soon.
+    pub fn drain(&mut self, name: &WorkerId) {
+        self.workers.get_mut(name).expect("known").draining = true;
+        self.list_all();
+    }
+
     /// Workers that went dark come back with nothing on them, long after.
     pub fn replace_dark_workers(&mut self) {
         self.run(10_000);
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -17,6 +17,7 @@
 use stoatwell_pool::StartCall;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
+use stoatwell_pool::StepSpec;
 use stoatwell_pool::StopCall;
 use stoatwell_pool::TaskId;
 use stoatwell_pool::WorkerNews;
@@ -55,6 +56,7 @@
     gang: Option<u32>,
     worked_ms: u64,
     fills: bool,
+    saves: bool,
     /// In hundredths.
     pace: u64,
     stops_ms: Option<u64>,
@@ -73,6 +75,8 @@
     pub hangs: bool,
     pub capacity: Resources,
     pub rack: &'static str,
+    /// Whether it leaves soon.
+    pub draining: bool,
     pub active: BTreeMap<(TaskId, u32), Run>,
     pub was_done: BTreeSet<TaskId>,
     pub gang_ends: BTreeSet<(StepId, u32, bool)>,
@@ -88,6 +92,13 @@
     stopped: BTreeMap<TaskId, u32>,
 }
 
+impl Run {
+    /// What it has saved: the work it had done at the last full tenth of a second.
+    fn checkpoint(&self) -> String {
+        if self.saves { format!("{}", self.worked_ms / 100 * 100) } else { String::new() }
+    }
+}
+
 impl Call {
     pub fn worker(&self) -> &WorkerId {
         match self {
@@ -164,6 +175,7 @@
             hangs: false,
             capacity: Resources { cpu_millis: 16_000, memory_bytes: 1 << 40, accelerators: 0 },
             rack: "r1",
+            draining: false,
             active: BTreeMap::new(),
             was_done: BTreeSet::new(),
             gang_ends: BTreeSet::new(),
@@ -187,7 +199,7 @@
             zone: ZoneName::new("a"),
             capacity: self.capacity,
             labels: vec!["a".to_owned(), self.rack.to_owned()],
-            draining: false,
+            draining: self.draining,
             remaining_ms: None,
             life: self.life,
         }
@@ -259,7 +271,7 @@
         let active = |((task, run), at_work): (&(TaskId, u32), &Run)| Active {
             task: *task,
             run: *run,
-            checkpoint: String::new(),
+            checkpoint: at_work.checkpoint(),
             percent: (at_work.worked_ms * 100 / at_work.takes_ms.max(1)) as u32,
             load: if at_work.fills { 0 } else { filling * RESPONSE_MS / 100 },
         };
@@ -300,24 +312,30 @@
         now_ms: u64,
         takes_ms: u64,
         fails: bool,
-        room: Resources,
         gang: Option<u32>,
-        fills: bool,
+        step: &StepSpec,
     ) {
         let run = Run {
-            room,
+            room: step.room(),
             begun_ms: now_ms,
             takes_ms,
             fails,
             gang,
-            worked_ms: 0,
-            fills,
+            worked_ms: call.checkpoint.parse().unwrap_or(0),
+            fills: step.fills,
+            saves: step.checkpoints,
             pace: 100,
             stops_ms: None,
         };
         self.active.insert((call.task, call.run), run);
     }
 
+    /// How far the run is that is nearest to its end, in hundredths.
+    pub fn furthest_percent(&self) -> u64 {
+        let percent = |run: &Run| run.worked_ms * 100 / run.takes_ms.max(1);
+        self.active.values().map(percent).max().unwrap_or(0)
+    }
+
     /// The pace of all that fills here together, in hundredths.
     pub fn filling_percent(&self) -> u64 {
         self.active.values().filter(|run| run.fills).map(|run| run.pace).sum()
@@ -376,6 +394,7 @@
 
     fn end(&mut self, task: TaskId, run: u32, end: End) {
         let Some(at_work) = self.active.remove(&(task, run)) else { return };
+        let checkpoint = at_work.checkpoint();
         if at_work.gang.is_some() {
             self.gang_ends.insert((task.step, run, end == End::Done));
         }
@@ -386,7 +405,7 @@
         *highest = (*highest).max(run);
         let number = self.next_end;
         self.next_end += 1;
-        self.ended.push(Ended { number, task, run, end, checkpoint: String::new() });
+        self.ended.push(Ended { number, task, run, end, checkpoint });
     }
 
     /// Ends the members here of gangs that ended elsewhere.
