--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -10,6 +10,7 @@
 
 mod checks;
 mod faults;
+mod jobs;
 mod worker;
 
 use std::collections::BTreeMap;
@@ -19,7 +20,6 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
-use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::CallError;
 use stoatwell_pool::Effect;
@@ -32,13 +32,14 @@
 use stoatwell_pool::Limits;
 use stoatwell_pool::Pool;
 use stoatwell_pool::Progress;
-use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StartReply;
-use stoatwell_pool::StepSpec;
 use stoatwell_pool::TaskId;
 use stoatwell_pool::TaskProgress;
 
 pub use self::faults::Faults;
+pub use self::jobs::job;
+pub use self::jobs::queue;
+pub use self::jobs::step;
 use self::worker::Call;
 use self::worker::Reply;
 use self::worker::Worker;
@@ -481,27 +482,3 @@
         advice_workers_max: 100,
     }
 }
-
-/// A queue without an advisor.
-pub fn queue(priority: u32) -> QueueSpec {
-    QueueSpec {
-        name: format!("q{priority}"),
-        service: "pool".to_owned(),
-        priority,
-        attempts_max: 3,
-        slack_factor: 2.0,
-        target_ms: 1_000,
-        advice: None,
-    }
-}
-
-/// A job of the given steps.
-pub fn job(queue: QueueSpec, steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec { queue, payload: "work".to_owned(), steps, repeat: None, accepted_unix_ms: 1_000 }
-}
-
-/// A step of tasks that need this many thousandths of a core.
-pub fn step(tasks: u32, cpu_millis: u64, estimate_ms: u64) -> StepSpec {
-    let demand = Resources { cpu_millis, memory_bytes: 1 << 20, accelerators: 0 };
-    StepSpec { tasks, demand, estimate_ms, ..StepSpec::default() }
-}
