No answer is lost when many come at one moment

Cause: the scheduler takes in at most 256 pieces of news before it decides. The 257th was taken out of the inbox and dropped. A lost answer to a start left its task with room on a worker and without anybody who looks at it again, so its job never ended; a lost answer to a commit or of the advisor would do the same to more.

Ruled out: the advisor's queue, lapsed leases, tickets, the queue's bookkeeping, a scheduler that is gone.

Test: no_answer_of_many_at_one_moment_is_lost; it fails before this change.

--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -127,10 +127,9 @@
                 Some(query) = self.queries.recv() => Some(News::Query(query)),
                 () = tokio::time::sleep(Duration::from_millis(nap_ms)) => None,
             };
-            let mut next = first;
-            for _ in 0..NEWS_PER_TURN {
-                let Some(one) = next else { break };
-                match one {
+            let more = std::iter::from_fn(|| inbox.try_recv().ok());
+            for news in first.into_iter().chain(more).take(NEWS_PER_TURN) {
+                match news {
                     News::Deposed => return,
                     News::Event(event) => {
                         count(&event);
@@ -138,7 +137,6 @@
                     }
                     News::Query(query) => answer(&mut pool, query, is_fresh(&renewed_ms)),
                 }
-                next = inbox.try_recv().ok();
             }
             while let Ok(query) = self.queries.try_recv() {
                 answer(&mut pool, query, is_fresh(&renewed_ms));
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -187,3 +187,24 @@
     queries.send(Query::State(JobId(7), answer)).await.expect("it listens");
     assert_eq!(answered.await.expect("it answers"), Some(JobState::Completed));
 }
+
+/// A worker answers hundreds of starts at one moment, as after a store outage that held
+/// all of them up. Each answer is taken in; a task whose answer is lost keeps its room,
+/// is looked at by nobody and never runs, however empty the workers are.
+#[tokio::test]
+async fn no_answer_of_many_at_one_moment_is_lost() {
+    const TASKS: usize = 900;
+    let store = Arc::new(Fake::with_worker());
+    let node = start("a", &store).await;
+    until("a scheduler", 3_000, || node.scheduler().is_some()).await;
+    let step = StepSpec { tasks: TASKS as u32, ..StepSpec::default() };
+    let wide = JobSpec { steps: vec![step], ..job() };
+    assert_eq!(node.gateway().submit(JobId(7), &wide, in_ms(2_000)).await, Accepted::Yes);
+    until("all starts", 5_000, || store.first_starts() == TASKS).await;
+    store.answer_first_starts();
+    let end = in_ms(8_000);
+    while node.gateway().state(JobId(7)).await != Known::State(JobState::Completed) {
+        assert!(Instant::now() < end, "the job is not completed");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -4,9 +4,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
 use stoatwell_node::Manifest;
 use stoatwell_node::Outside;
 use stoatwell_node::Row;
@@ -16,6 +20,8 @@
 use stoatwell_node::Transaction;
 use stoatwell_node::WorkerChanges;
 use stoatwell_pool::CallError;
+use stoatwell_pool::End;
+use stoatwell_pool::Ended;
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
@@ -24,6 +30,9 @@
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
 use stoatwell_pool::StopCall;
+use stoatwell_pool::TaskId;
+use stoatwell_pool::WorkerNews;
+use tokio::sync::watch;
 
 /// How the store treats writes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -39,10 +48,20 @@
     LosesOneAnswer,
 }
 
-/// The store.
+/// The store, with at most one worker.
 #[derive(Debug, Default)]
 pub struct Fake {
     state: Mutex<State>,
+    worker: Option<FakeWorker>,
+}
+
+/// A worker that answers all first starts at one moment, with "not started", and
+/// does whatever is started after that at once.
+#[derive(Debug, Default)]
+struct FakeWorker {
+    answers: watch::Sender<bool>,
+    started: Mutex<Vec<(TaskId, u32)>>,
+    first_starts: AtomicUsize,
 }
 
 #[derive(Debug, Default)]
@@ -58,6 +77,23 @@
 }
 
 impl Fake {
+    /// A store with a worker.
+    pub fn with_worker() -> Self {
+        Self { worker: Some(FakeWorker::default()), ..Self::default() }
+    }
+
+    /// First starts that wait for their answers.
+    pub fn first_starts(&self) -> usize {
+        self.worker.as_ref().map_or(0, |worker| worker.first_starts.load(Ordering::Relaxed))
+    }
+
+    /// Answers all first starts.
+    pub fn answer_first_starts(&self) {
+        if let Some(worker) = &self.worker {
+            worker.answers.send_replace(true);
+        }
+    }
+
     /// Keeps the present rows for [`Self::answer_old_readings`].
     pub fn remember(&self) {
         let mut state = self.state.lock().expect("no panic");
@@ -184,7 +220,18 @@
     }
 
     async fn workers(&self) -> Result<WorkerChanges, StoreError> {
-        Ok(WorkerChanges::default())
+        let listed = self.worker.iter().map(|_| WorkerNews {
+            worker: WorkerId::new("w"),
+            address: "10.0.0.1:1".to_owned(),
+            service: "s".to_owned(),
+            zone: ZoneName::new("z"),
+            capacity: Resources { cpu_millis: 1_000_000, ..Resources::ZERO },
+            labels: Vec::new(),
+            draining: false,
+            remaining_ms: None,
+            life: 1,
+        });
+        Ok(WorkerChanges { listed: listed.collect(), ..WorkerChanges::default() })
     }
 
     async fn follow_workers(&self, _after: u64, _wait: u64) -> Result<WorkerChanges, StoreError> {
@@ -207,12 +254,30 @@
         Ok((None, after))
     }
 
-    async fn hold(&self, _call: &HoldCall) -> Result<HoldReply, CallError> {
-        Err(CallError::Refused)
+    async fn hold(&self, call: &HoldCall) -> Result<HoldReply, CallError> {
+        let Some(worker) = &self.worker else { return Err(CallError::Refused) };
+        tokio::time::sleep(Duration::from_millis(call.wait_ms.min(50))).await;
+        let mut ended = Vec::new();
+        for (number, (task, run)) in worker.started.lock().expect("no panic").iter().enumerate() {
+            let number = number as u64 + 1;
+            let (task, run) = (*task, *run);
+            if number > call.forget {
+                ended.push(Ended { number, task, run, end: End::Done, checkpoint: String::new() });
+            }
+        }
+        Ok(HoldReply { clock_ms: 1, life: 1, active: Vec::new(), ended })
     }
 
-    async fn start(&self, _call: &StartCall) -> Result<StartReply, CallError> {
-        Err(CallError::Refused)
+    async fn start(&self, call: &StartCall) -> Result<StartReply, CallError> {
+        let Some(worker) = &self.worker else { return Err(CallError::Refused) };
+        if call.run > 1 {
+            worker.started.lock().expect("no panic").push((call.task, call.run));
+            return Ok(StartReply::Started);
+        }
+        worker.first_starts.fetch_add(1, Ordering::Relaxed);
+        let mut answers = worker.answers.subscribe();
+        answers.wait_for(|answers| *answers).await.expect("the worker is there");
+        Ok(StartReply::TooLate)
     }
 
     async fn stop(&self, _call: &StopCall) -> Result<(), CallError> {
