Starts whose ticket grew old in a slow write are not sent

Cause: a start is sent after its row is durable.

Hypothesis: to look at the ticket once more before the call saves the call and its round trip.

--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -22,6 +22,8 @@
 use crate::record::Outcome;
 use crate::worker::Worker;
 
+/// How long a start takes to its worker.
+const START_WAY_MS: u64 = 15;
 /// A stop that was not answered is sent again after this; a few round trips.
 const STOP_AGAIN_MS: u64 = 600;
 /// A worker that refused for want of room or health is left alone this long.
@@ -57,8 +59,14 @@
             self.not_started(id);
             return;
         };
-        let ticket = unit.advice.granted.get(&name);
-        let ticket = ticket.filter(|_| needs_ticket).map(|ticket| ticket.text.clone());
+        let ticket = unit.advice.granted.get(&name).filter(|_| needs_ticket);
+        if ticket.is_some_and(|ticket| !ticket.is_fresh(worker.news.life, now_ms + START_WAY_MS)) {
+            // Its row took longer than the ticket is good for, as in a store outage; the
+            // worker would turn it away.
+            self.not_started(id);
+            return;
+        }
+        let ticket = ticket.map(|ticket| ticket.text.clone());
         worker.until_max = worker.until_max.max(until_ms);
         task.phase = Phase::Sent;
         job.started = true;
