--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -127,16 +127,13 @@
         if batch.is_empty() {
             continue;
         }
-        let sent = Instant::now();
-        health.note_sent();
         let write = transaction(&batch);
-        let answered = timeout(health.patience(), outside.transact(&write)).await;
-        let result = answered.unwrap_or(Err(StoreError::NoAnswer));
-        health.note(&result);
-        if result.is_ok() {
-            health.note_answer(sent.elapsed().as_millis() as u64);
-        }
-        match result {
+        let patience = health.patience();
+        let answered = async {
+            let answered = timeout(patience, outside.transact(&write)).await;
+            answered.unwrap_or(Err(StoreError::NoAnswer))
+        };
+        match health.write(answered).await {
             Ok(_) => {
                 for done in batch.drain(..) {
                     settle(done, Accepted::Yes);
--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -46,6 +46,8 @@
 /// A daemon is given further calls while the advisor has less than this to do
 /// for it: the way there and back between regions, which would be idle time.
 const AHEAD_MS: u64 = 30;
+/// How long a daemon that is told something may take.
+const TELL_LIMIT: Duration = Duration::from_millis(500);
 
 /// Daemons that ask the advisor.
 #[derive(Debug)]
@@ -88,8 +90,9 @@
         Self { outside, peers, me, state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Takes note of the daemons there are, by the rows that they wrote; gives their number.
-    pub fn know(&self, rows: &[Row]) -> usize {
+    /// Takes note of the daemons there are, by the rows that they wrote; gives their
+    /// addresses.
+    pub fn know(&self, rows: &[Row]) -> Vec<String> {
         let mut known = BTreeSet::from([self.me.clone()]);
         for row in rows {
             let address = row.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
@@ -104,7 +107,22 @@
         for address in known {
             state.asking.entry(address).or_default();
         }
-        state.asking.len()
+        // Calls that wait may find a daemon now.
+        state.assign(&self.state);
+        state.asking.keys().cloned().collect()
+    }
+
+    /// Tells another daemon something, without waiting for it.
+    pub fn tell(&self, address: String, call: NodeCall) {
+        if address == self.me {
+            return;
+        }
+        let peers = self.peers.clone();
+        tokio::spawn(async move {
+            if let Err(error) = peers.call::<NodeReply>(&address, &call, TELL_LIMIT).await {
+                tracing::debug!(address, %error, "a daemon could not be told");
+            }
+        });
     }
 
     /// Asks when it is this call's turn; `None` is no answer.
--- a/crates/node/src/commit.rs
+++ b/crates/node/src/commit.rs
@@ -113,18 +113,13 @@
         let mut rewrites = renews;
         loop {
             let transaction = self.transaction(batch, rewrites);
-            let sent = Instant::now();
             let sent_ms = steady_ms();
-            self.health.note_sent();
-            let result = self.outside.transact(&transaction).await;
-            self.health.note(&result);
-            match result {
+            match self.health.write(self.outside.transact(&transaction)).await {
                 Ok(version) => {
                     // Others may have seen the row change any time since.
                     self.renewed_ms.store(sent_ms, Ordering::Relaxed);
-                    let took_ms = sent.elapsed().as_millis() as u64;
+                    let took_ms = steady_ms().saturating_sub(sent_ms);
                     let rows = transaction.put.len();
-                    self.health.note_answer(took_ms);
                     metrics::histogram!("stoatwell_commit_ms").record(took_ms as f64);
                     if took_ms > SLOW_MS {
                         tracing::info!(took_ms, rows, "slow write of the scheduler");
--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -11,24 +11,32 @@
 use stoatwell_pool::EXTEND_MS;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::scheduler::Life;
+
 /// How often the holder rewrites the row; a third of the lease, so that two
 /// lost writes in a row do not cost the duty.
 pub const RENEW_MS: u64 = 500;
-/// A row that is unchanged for this long has lost its holder. Jobs wait for
-/// about this long when a scheduler dies, so it is short; a store that answers
+/// A row that is unchanged for this long has lost its holder; a store that answers
 /// fifty times slower than usual still lets a renewal through in time.
 pub const LEASE_MS: u64 = 1_600;
+/// A holder that is gone, or cut off from the store by its own word, is replaced when
+/// the row is unchanged for this long: one that others do not reach still renews it.
+pub const QUIET_MS: u64 = RENEW_MS + 100;
+/// The same in usual answer times of the store, on top of it.
+const QUIET_ANSWERS: u64 = 2;
 /// A renewal may be seen this long before its holder hears of it: some answers of
 /// a slow store.
 const SEEN_LATE_MS: u64 = 400;
-/// What a millisecond of the store's answer time costs a candidate: daemons of
-/// other regions are some 24 ms farther away and stand back about 240 ms, long
-/// enough for a claim from nearby to be seen.
+/// A store that answers within this is near.
+const NEAR_ANSWER_MS: u64 = 12;
+/// What a millisecond of the store's answer time beyond that costs a candidate:
+/// daemons of other regions are some 24 ms farther away and stand back about 240 ms,
+/// long enough for a claim from nearby to be seen.
 const DELAY_PER_ANSWER_MS: u64 = 10;
 /// The most that distance costs a candidate.
 const DISTANCE_DELAY_MAX_MS: u64 = 400;
 /// What a machine with a quarter of a core is kept back, against one with half a core.
-const WEAK_DELAY_MS: f64 = 100.0;
+const WEAK_DELAY_MS: f64 = 40.0;
 /// What a machine below [`FEEBLE_CORES`] is kept back: 350 workers take a quarter of
 /// a core, and a scheduler that cannot keep up looks alive while nothing runs.
 const FEEBLE_DELAY_MS: u64 = 700;
@@ -70,6 +78,8 @@
     pub row: Option<(DutyRow, u64)>,
     /// When it was last seen to change.
     pub changed_ms: u64,
+    /// Since when it could be read; while it cannot, neither can its holder renew it.
+    pub readable_since_ms: u64,
 }
 
 /// What makes a daemon a good or a bad scheduler.
@@ -88,7 +98,8 @@
 impl Fitness {
     /// How long this daemon stands back for better ones.
     pub fn delay_ms(&self) -> u64 {
-        let distance_ms = (self.store_answer_ms * DELAY_PER_ANSWER_MS).min(DISTANCE_DELAY_MAX_MS);
+        let beyond_ms = self.store_answer_ms.saturating_sub(NEAR_ANSWER_MS);
+        let distance_ms = (beyond_ms * DELAY_PER_ANSWER_MS).min(DISTANCE_DELAY_MAX_MS);
         let weak_ms = (WEAK_DELAY_MS * (0.5 - self.cores) / 0.25).max(0.0) as u64;
         let narrow_ms = if self.link_mbps < NARROW_MBPS { NARROW_DELAY_MS } else { 0 };
         let spread_ms = xxh3_64(self.name.as_bytes()) % SPREAD_MS;
@@ -100,7 +111,12 @@
 impl DutyView {
     /// A daemon that has not read the row yet.
     pub fn new(now_ms: u64) -> Self {
-        Self { row: None, changed_ms: now_ms }
+        Self { row: None, changed_ms: now_ms, readable_since_ms: now_ms }
+    }
+
+    /// Takes note that the row cannot be read now.
+    pub fn lost_sight(&mut self, now_ms: u64) {
+        self.readable_since_ms = now_ms;
     }
 
     /// Takes note of the row as it was read.
@@ -114,12 +130,23 @@
     }
 
     /// When this daemon may claim the duty, if nothing changes.
-    pub fn claim_ms(&self, fitness: &Fitness) -> u64 {
+    pub fn claim_ms(&self, fitness: &Fitness, holder: Life) -> u64 {
         let free = self.row.as_ref().is_none_or(|(row, _)| row.released);
         // A row of this daemon's former self has surely lost its holder.
         let mine = self.row.as_ref().is_some_and(|(row, _)| row.holder == fitness.name);
-        let wait_ms = if free || mine { 0 } else { LEASE_MS };
-        self.changed_ms + wait_ms + fitness.delay_ms()
+        if free || mine {
+            return self.changed_ms + fitness.delay_ms();
+        }
+        let quiet_ms = match holder {
+            Life::Gone | Life::CutOff => QUIET_MS + fitness.store_answer_ms * QUIET_ANSWERS,
+            Life::Sound | Life::Unknown => LEASE_MS,
+        };
+        self.changed_ms.max(self.readable_since_ms) + quiet_ms.min(LEASE_MS) + fitness.delay_ms()
+    }
+
+    /// Which holder of the duty the row names.
+    pub fn epoch(&self) -> u64 {
+        self.row.as_ref().map_or(0, |(row, _)| row.epoch)
     }
 
     /// For how long an earlier scheduler may go on extending leases, if this daemon
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -1,6 +1,7 @@
 //! What the scheduler follows in the store: jobs, cancellations, workers, daemons.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,14 +13,16 @@
 
 use crate::advisors::Advisors;
 use crate::clock::steady_ms;
-use crate::lead::News;
-use crate::lead::tell;
+use crate::health::StoreHealth;
+use crate::news::News;
+use crate::news::tell;
 use crate::outside::Outside;
 use crate::outside::Row;
 use crate::outside::Rows;
 use crate::outside::StoreError;
 use crate::outside::Table;
 use crate::outside::WorkerChanges;
+use crate::peers::NodeCall;
 
 /// How long a question for changes waits at the store.
 const FOLLOW_WAIT_MS: u64 = 1_500;
@@ -38,141 +41,156 @@
 /// list was readable for this long: entries come back late after an outage.
 const MISSING_GRACE_MS: u64 = 2_500;
 
-/// Tries until it succeeds; the store may be down while the duty is held.
-pub(crate) async fn persist<T, F>(call: impl Fn() -> F) -> T
-where
-    F: Future<Output = Result<T, StoreError>>,
-{
-    loop {
-        match call().await {
-            Ok(value) => return value,
-            Err(error) => {
-                tracing::warn!(%error, "state cannot be read back yet");
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-            }
-        }
-    }
+/// Reads and follows what lasts, for one scheduler.
+#[derive(Debug)]
+pub(crate) struct Follower<O> {
+    /// The outside world.
+    pub outside: Arc<O>,
+    /// Whether the store answers.
+    pub health: Arc<StoreHealth>,
+    /// The scheduler's inbox.
+    pub news: mpsc::UnboundedSender<News>,
 }
 
-/// Reads a table as it is at a version or later.
-///
-/// A store that lags behind may answer with what was there before the duty was
-/// claimed. The former scheduler wrote until then; a start of its that is missing
-/// from what is read would be made again.
-pub(crate) async fn read_since<O: Outside>(outside: &O, table: Table, version: u64) -> Rows {
-    loop {
-        let rows = persist(|| outside.read_all(table)).await;
-        if rows.version >= version {
-            return rows;
-        }
-        tracing::warn!(%table, version, found = rows.version, "the store answers with an old state");
-        tokio::time::sleep(FOLLOW_PAUSE).await;
+impl<O: Outside> Follower<O> {
+    /// Reads the list of workers.
+    pub async fn workers(&self) -> WorkerChanges {
+        self.persist(|| self.outside.workers()).await
     }
-}
 
-/// Keeps in mind which daemons the advisor can be asked through.
-pub(crate) async fn know_daemons<O: Outside>(
-    outside: Arc<O>,
-    advisors: Arc<Advisors<O>>,
-    news: mpsc::UnboundedSender<News>,
-) {
-    loop {
-        match outside.read_all(Table::Daemons).await {
-            Ok(rows) => tell(&news, Event::Advisors { count: advisors.know(&rows.rows) }),
-            Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
+    /// Reads a table as it is at a version or later.
+    ///
+    /// A store that lags behind may answer with what was there before the duty was
+    /// claimed. The former scheduler wrote until then; a start of its that is missing
+    /// from what is read would be made again.
+    pub async fn read_since(&self, table: Table, version: u64) -> Rows {
+        loop {
+            let rows = self.persist(|| self.outside.read_all(table)).await;
+            if rows.version >= version {
+                return rows;
+            }
+            tracing::warn!(%table, version, found = rows.version, "the store answers with an old state");
+            tokio::time::sleep(FOLLOW_PAUSE).await;
         }
-        tokio::time::sleep(DAEMONS_EVERY).await;
     }
-}
 
-/// Tells the scheduler of each new row of a table.
-pub(crate) async fn follow<O: Outside>(
-    outside: Arc<O>,
-    table: Table,
-    mut after: u64,
-    news: mpsc::UnboundedSender<News>,
-) {
-    loop {
-        let rows = match outside.follow(table, after, FOLLOW_WAIT_MS).await {
-            Ok(rows) => rows,
-            Err(StoreError::HistoryLost) => {
-                tracing::warn!(%table, after, "the store dropped the history, the table is read anew");
-                persist(|| outside.read_all(table)).await
-            }
-            Err(error) => {
-                tracing::warn!(%table, %error, "changes cannot be followed");
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-                continue;
-            }
-        };
-        after = rows.version;
-        for row in &rows.rows {
-            if row.value.is_none() {
-                continue;
-            }
-            match table {
-                Table::Jobs => {
-                    let Some((job, spec)) = read_row::<JobSpec>(row) else { continue };
-                    tell(&news, Event::Accepted { job, spec: Arc::new(spec) });
+    /// Tells the scheduler of each new row of a table.
+    pub async fn follow(self: Arc<Self>, table: Table, mut after: u64) {
+        loop {
+            let changes = self.outside.follow(table, after, FOLLOW_WAIT_MS);
+            let rows = match self.health.read(changes).await {
+                Ok(rows) => rows,
+                Err(StoreError::HistoryLost) => {
+                    tracing::warn!(%table, after, "the store dropped the history, the table is read anew");
+                    self.persist(|| self.outside.read_all(table)).await
                 }
-                Table::Cancels => {
-                    let Ok(job) = row.key.parse() else { continue };
-                    tell(&news, Event::Cancelled { job });
+                Err(error) => {
+                    tracing::warn!(%table, %error, "changes cannot be followed");
+                    tokio::time::sleep(FOLLOW_PAUSE).await;
+                    continue;
                 }
-                Table::Progress | Table::Duty | Table::Daemons => {}
+            };
+            after = rows.version;
+            for row in &rows.rows {
+                self.tell_row(table, row);
             }
+            tokio::time::sleep(JOBS_PAUSE).await;
         }
-        tokio::time::sleep(JOBS_PAUSE).await;
     }
-}
 
-/// Tells the scheduler of each change to the list of workers.
-pub(crate) async fn follow_workers<O: Outside>(
-    outside: Arc<O>,
-    mut after: u64,
-    news: mpsc::UnboundedSender<News>,
-) {
-    let mut missing: BTreeMap<WorkerId, u64> = BTreeMap::new();
-    let mut readable_since_ms = steady_ms();
-    loop {
-        let changes = match outside.follow_workers(after, 0).await {
-            Ok(changes) => changes,
-            Err(StoreError::HistoryLost) => {
-                // What left meanwhile is not in the new reading; its silence tells.
-                persist(|| outside.workers()).await
+    fn tell_row(&self, table: Table, row: &Row) {
+        if row.value.is_none() {
+            return;
+        }
+        match table {
+            Table::Jobs => {
+                let Some((job, spec)) = read_row::<JobSpec>(row) else { return };
+                tell(&self.news, Event::Accepted { job, spec: Arc::new(spec) });
             }
-            Err(error) => {
-                tracing::warn!(%error, "the list of workers cannot be followed");
-                tokio::time::sleep(FOLLOW_PAUSE).await;
-                readable_since_ms = steady_ms();
-                continue;
+            Table::Cancels => {
+                let Ok(job) = row.key.parse() else { return };
+                tell(&self.news, Event::Cancelled { job });
             }
-        };
-        after = changes.version;
-        take_changes(changes, &mut missing, &news);
-        let now_ms = steady_ms();
-        let gone = |at: &u64| {
-            let since_ms = (*at).max(readable_since_ms);
-            now_ms > since_ms + MISSING_GRACE_MS
-        };
-        for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
-            tell(&news, Event::Unlisted { worker });
+            Table::Progress | Table::Duty | Table::Daemons => {}
         }
-        tokio::time::sleep(WORKERS_PAUSE).await;
     }
-}
 
-fn take_changes(
-    changes: WorkerChanges,
-    missing: &mut BTreeMap<WorkerId, u64>,
-    news: &mpsc::UnboundedSender<News>,
-) {
-    for worker in changes.unlisted {
-        missing.insert(worker, steady_ms());
+    /// Tells the scheduler of each change to the list of workers.
+    pub async fn follow_workers(self: Arc<Self>, mut after: u64) {
+        let mut missing: BTreeMap<WorkerId, u64> = BTreeMap::new();
+        let mut readable_since_ms = steady_ms();
+        loop {
+            let changes = match self.health.read(self.outside.follow_workers(after, 0)).await {
+                Ok(changes) => changes,
+                // What left meanwhile is not in the new reading; its silence tells.
+                Err(StoreError::HistoryLost) => self.workers().await,
+                Err(error) => {
+                    tracing::warn!(%error, "the list of workers cannot be followed");
+                    tokio::time::sleep(FOLLOW_PAUSE).await;
+                    readable_since_ms = steady_ms();
+                    continue;
+                }
+            };
+            after = changes.version;
+            self.take_changes(changes, &mut missing);
+            let now_ms = steady_ms();
+            let gone = |at: &u64| {
+                let since_ms = (*at).max(readable_since_ms);
+                now_ms > since_ms + MISSING_GRACE_MS
+            };
+            for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
+                tell(&self.news, Event::Unlisted { worker });
+            }
+            tokio::time::sleep(WORKERS_PAUSE).await;
+        }
+    }
+
+    fn take_changes(&self, changes: WorkerChanges, missing: &mut BTreeMap<WorkerId, u64>) {
+        for worker in changes.unlisted {
+            missing.insert(worker, steady_ms());
+        }
+        for listed in changes.listed {
+            missing.remove(&listed.worker);
+            tell(&self.news, Event::Listed(listed));
+        }
     }
-    for listed in changes.listed {
-        missing.remove(&listed.worker);
-        tell(news, Event::Listed(listed));
+
+    /// Keeps in mind which daemons there are: the advisor can be asked through them,
+    /// and they are told who schedules. One that is cut off from the store would not
+    /// learn it otherwise, and could answer its callers nothing.
+    pub async fn know_daemons(self: Arc<Self>, advisors: Arc<Advisors<O>>, leads: NodeCall) {
+        let mut told = BTreeSet::new();
+        loop {
+            match self.health.read(self.outside.read_all(Table::Daemons)).await {
+                Ok(rows) => {
+                    let known = advisors.know(&rows.rows);
+                    tell(&self.news, Event::Advisors { count: known.len() });
+                    for address in known {
+                        if told.insert(address.clone()) {
+                            advisors.tell(address, leads.clone());
+                        }
+                    }
+                }
+                Err(error) => tracing::debug!(%error, "the daemons cannot be listed"),
+            }
+            tokio::time::sleep(DAEMONS_EVERY).await;
+        }
+    }
+
+    /// Tries until it succeeds; the store may be down while the duty is held.
+    async fn persist<T, F>(&self, call: impl Fn() -> F) -> T
+    where
+        F: Future<Output = Result<T, StoreError>>,
+    {
+        loop {
+            match self.health.read(call()).await {
+                Ok(value) => return value,
+                Err(error) => {
+                    tracing::warn!(%error, "state cannot be read back yet");
+                    tokio::time::sleep(FOLLOW_PAUSE).await;
+                }
+            }
+        }
     }
 }
 
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -1,8 +1,6 @@
 //! What callers ask of a daemon, whichever it is.
 
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use stoatwell_peer::Peers;
@@ -14,6 +12,7 @@
 use stoatwell_pool::Progress;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
 use crate::accept::Accepted;
@@ -22,12 +21,15 @@
 use crate::commit::encode;
 use crate::follow::read_row;
 use crate::health::StoreHealth;
-use crate::lead::Query;
+use crate::news::Query;
 use crate::outside::Outside;
 use crate::outside::StoreError;
 use crate::outside::Table;
 use crate::peers::NodeCall;
 use crate::peers::NodeReply;
+use crate::scheduler::Life;
+use crate::scheduler::Route;
+use crate::scheduler::SchedulerView;
 
 /// How long the scheduler may take to answer before the store is asked:
 /// several round trips between regions.
@@ -36,18 +38,6 @@
 /// How long another daemon may take to make something durable.
 const KEEP_LIMIT: Duration = Duration::from_millis(1_200);
 
-/// The scheduler as far as this daemon knows.
-#[derive(Clone, Debug, Default)]
-pub enum Scheduler {
-    /// None is known.
-    #[default]
-    None,
-    /// This daemon.
-    Here(mpsc::Sender<Query>),
-    /// The daemon at this address.
-    At(String),
-}
-
 /// Answers callers.
 #[derive(Debug)]
 pub struct Gateway<O> {
@@ -55,7 +45,7 @@
     acceptor: Acceptor,
     peers: Peers,
     health: Arc<StoreHealth>,
-    scheduler: Mutex<Scheduler>,
+    scheduler: watch::Sender<SchedulerView>,
 }
 
 /// What a caller learns of a job.
@@ -77,12 +67,38 @@
         peers: Peers,
         health: Arc<StoreHealth>,
     ) -> Self {
-        Self { outside, acceptor, peers, health, scheduler: Mutex::default() }
+        Self { outside, acceptor, peers, health, scheduler: watch::Sender::default() }
+    }
+
+    /// Takes note of who holds the duty.
+    pub(crate) fn saw_scheduler(&self, epoch: u64, address: Option<String>) {
+        self.scheduler.send_modify(|view| view.saw(epoch, address));
+    }
+
+    /// Takes note that this daemon schedules, or does no more.
+    pub(crate) fn set_scheduler_here(&self, here: Option<mpsc::Sender<Query>>) {
+        self.scheduler.send_modify(|view| view.set_here(here));
+    }
+
+    /// Takes note of whether a holder of the duty lives.
+    pub(crate) fn note_life(&self, epoch: u64, life: Life) {
+        self.scheduler.send_if_modified(|view| view.note_life(epoch, life));
+    }
+
+    /// Whether a holder of the duty lives.
+    pub(crate) fn scheduler_life(&self, epoch: u64) -> Life {
+        self.scheduler.borrow().life_of(epoch)
     }
 
-    /// Takes note of who schedules.
-    pub fn set_scheduler(&self, scheduler: Scheduler) {
-        *self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) = scheduler;
+    /// Tells of changes to what is known of the scheduler.
+    pub(crate) fn watch_scheduler(&self) -> watch::Receiver<SchedulerView> {
+        self.scheduler.subscribe()
+    }
+
+    /// Whether the store answers others, so that a caller that is turned away here is
+    /// served at once elsewhere.
+    pub fn do_others_reach_store(&self) -> bool {
+        self.scheduler.borrow().is_sound()
     }
 
     /// Whether the store answers.
@@ -148,10 +164,28 @@
         }
     }
 
+    /// Makes something durable for a daemon that the store turns away. If this one
+    /// schedules, the scheduler hears of it before the other daemon's caller does: the
+    /// store's feed is slower, and the other one cannot read the store.
+    async fn keep_for_other(&self, item: Item, limit_ms: u64) -> Accepted {
+        let deadline = Instant::now() + Duration::from_millis(limit_ms);
+        let kept = self.acceptor.accept(item.clone(), deadline).await;
+        if let (Accepted::Yes, Route::Here(queries)) = (kept, self.route()) {
+            let told = match item {
+                Item::Submit(job, row) => NodeCall::Accepted { job, row },
+                Item::Cancel(job) => NodeCall::Cancelled(job),
+            };
+            if ask_here(&queries, told).await.is_none() {
+                tracing::debug!("the scheduler ended before it was told, the store's feed tells");
+            }
+        }
+        kept
+    }
+
     fn scheduler_elsewhere(&self) -> Option<String> {
-        match &*self.scheduler.lock().unwrap_or_else(PoisonError::into_inner) {
-            Scheduler::At(address) => Some(address.clone()),
-            Scheduler::Here(_) | Scheduler::None => None,
+        match self.route() {
+            Route::At(address) => Some(address),
+            Route::Here(_) | Route::None => None,
         }
     }
 
@@ -207,13 +241,16 @@
         Ok(Some(progress.state()))
     }
 
+    fn route(&self) -> Route {
+        self.scheduler.borrow().route()
+    }
+
     /// Asks the scheduler, here or elsewhere.
     async fn ask(&self, call: NodeCall) -> Option<NodeReply> {
-        let scheduler = self.scheduler.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        match scheduler {
-            Scheduler::None => None,
-            Scheduler::Here(queries) => ask_here(&queries, call).await,
-            Scheduler::At(address) => {
+        match self.route() {
+            Route::None => None,
+            Route::Here(queries) => ask_here(&queries, call).await,
+            Route::At(address) => {
                 match self.peers.call::<NodeReply>(&address, &call, SCHEDULER_LIMIT).await {
                     Ok(NodeReply::NotScheduler) => None,
                     Ok(reply) => Some(reply),
@@ -234,11 +271,16 @@
             return NodeReply::Advised(granted.map(|all| all.into_iter().map(row).collect()));
         }
         if let NodeCall::Keep { item, limit_ms } = call {
-            let deadline = Instant::now() + Duration::from_millis(limit_ms);
-            return NodeReply::Kept(self.acceptor.accept(item, deadline).await);
+            return NodeReply::Kept(self.keep_for_other(item, limit_ms).await);
+        }
+        if let NodeCall::Leads { epoch, address } = call {
+            self.saw_scheduler(epoch, Some(address));
+            return NodeReply::Noted;
+        }
+        let Route::Here(queries) = self.route() else { return NodeReply::NotScheduler };
+        if call == NodeCall::Alive {
+            return NodeReply::Alive { reaches_store: self.is_store_up() };
         }
-        let scheduler = self.scheduler.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        let Scheduler::Here(queries) = scheduler else { return NodeReply::NotScheduler };
         ask_here(&queries, call).await.unwrap_or(NodeReply::NotScheduler)
     }
 }
@@ -263,7 +305,10 @@
             queries.send(Query::Cancelled(job)).await.ok()?;
             Some(NodeReply::Noted)
         }
-        NodeCall::Keep { .. } | NodeCall::Advise { .. } => None,
+        NodeCall::Keep { .. }
+        | NodeCall::Advise { .. }
+        | NodeCall::Alive
+        | NodeCall::Leads { .. } => None,
     }
 }
 
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -13,16 +13,12 @@
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
-use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
-use stoatwell_pool::JobState;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Pool;
-use stoatwell_pool::PoolDump;
 use stoatwell_pool::Progress;
 use stoatwell_pool::StartCall;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
 use crate::advisors::Advisors;
@@ -32,17 +28,17 @@
 use crate::commit::Held;
 use crate::commit::keep_duty;
 use crate::duty::LEASE_MS;
-use crate::follow::follow;
-use crate::follow::follow_workers;
-use crate::follow::know_daemons;
-use crate::follow::persist;
+use crate::follow::Follower;
 use crate::follow::read_row;
-use crate::follow::read_since;
 use crate::health::StoreHealth;
 use crate::measure::count;
 use crate::measure::measure;
+use crate::news::News;
+use crate::news::Query;
+use crate::news::tell;
 use crate::outside::Outside;
 use crate::outside::Table;
+use crate::peers::NodeCall;
 
 /// The longest that the pool is left alone.
 const NAP_MAX_MS: u64 = 50;
@@ -53,31 +49,6 @@
 const ORDER_AGE_MAX_MS: u64 = 700;
 /// How often gauges are set.
 const MEASURE_EVERY_MS: u64 = 1_000;
-/// A question to the scheduler.
-#[derive(Debug)]
-pub enum Query {
-    /// Where does a job stand?
-    State(JobId, oneshot::Sender<Option<JobState>>),
-    /// How many jobs of a queue wait?
-    Pending(String, oneshot::Sender<u64>),
-    /// A job is durable.
-    Accepted(JobId, Vec<u8>),
-    /// A cancellation is durable.
-    Cancelled(JobId),
-    /// What does it believe?
-    Dump(oneshot::Sender<PoolDump>),
-    /// Why is a job where it is?
-    Explain(JobId, oneshot::Sender<Vec<String>>),
-}
-
-/// What the scheduler hears.
-#[derive(Debug)]
-pub(crate) enum News {
-    Event(Event),
-    Query(Query),
-    Deposed,
-}
-
 /// Everything a scheduler needs of its daemon.
 #[derive(Debug)]
 pub struct Lead<O> {
@@ -165,14 +136,18 @@
         news: &mpsc::UnboundedSender<News>,
         inbox: &mut mpsc::UnboundedReceiver<News>,
     ) -> Option<Pool> {
-        let outside = &*self.outside;
+        let follower = Arc::new(Follower {
+            outside: Arc::clone(&self.outside),
+            health: Arc::clone(&self.health),
+            news: news.clone(),
+        });
         let claimed = self.held.version;
         let all = async {
             tokio::join!(
-                persist(|| outside.workers()),
-                read_since(outside, Table::Jobs, claimed),
-                read_since(outside, Table::Cancels, claimed),
-                read_since(outside, Table::Progress, claimed),
+                follower.workers(),
+                follower.read_since(Table::Jobs, claimed),
+                follower.read_since(Table::Cancels, claimed),
+                follower.read_since(Table::Progress, claimed),
             )
         };
         let (workers, jobs, cancels, progress) = tokio::select! {
@@ -212,17 +187,11 @@
         for listed in workers.listed {
             pool.handle(steady_ms(), unix_ms(), Event::Listed(listed));
         }
-        let spawn = |tasks: &mut JoinSet<()>, table, after| {
-            tasks.spawn(follow(Arc::clone(&self.outside), table, after, news.clone()));
-        };
-        spawn(tasks, Table::Jobs, jobs.version);
-        spawn(tasks, Table::Cancels, cancels.version);
-        tasks.spawn(follow_workers(Arc::clone(&self.outside), version, news.clone()));
-        tasks.spawn(know_daemons(
-            Arc::clone(&self.outside),
-            Arc::clone(&self.advisors),
-            news.clone(),
-        ));
+        tasks.spawn(Arc::clone(&follower).follow(Table::Jobs, jobs.version));
+        tasks.spawn(Arc::clone(&follower).follow(Table::Cancels, cancels.version));
+        tasks.spawn(Arc::clone(&follower).follow_workers(version));
+        let leads = NodeCall::Leads { epoch, address: self.held.row.address.clone() };
+        tasks.spawn(follower.know_daemons(Arc::clone(&self.advisors), leads));
         Some(pool)
     }
 
@@ -347,9 +316,3 @@
         tracing::debug!("a question's caller left before the answer");
     }
 }
-
-pub(crate) fn tell(news: &mpsc::UnboundedSender<News>, event: Event) {
-    if news.send(News::Event(event)).is_err() {
-        tracing::debug!("the scheduler ended before the news came");
-    }
-}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,11 +15,14 @@
 mod lead;
 mod manifest;
 mod measure;
+mod news;
 mod outside;
 mod peers;
+mod scheduler;
 mod watch;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use stoatwell_peer::Peers;
 use stoatwell_peer::Traffic;
@@ -36,12 +39,13 @@
 pub use crate::duty::DutyView;
 pub use crate::duty::Fitness;
 pub use crate::duty::LEASE_MS;
+pub use crate::duty::QUIET_MS;
 pub use crate::duty::RENEW_MS;
 pub use crate::gateway::Gateway;
 pub use crate::gateway::Known;
-pub use crate::lead::Query;
 pub use crate::manifest::Manifest;
 pub use crate::manifest::Queue;
+pub use crate::news::Query;
 pub use crate::outside::Outside;
 pub use crate::outside::Row;
 pub use crate::outside::Rows;
@@ -52,6 +56,10 @@
 pub use crate::outside::Transaction;
 pub use crate::outside::WorkerChanges;
 pub use crate::outside::shard;
+pub use crate::scheduler::Life;
+
+/// How often the scheduler is asked whether it lives.
+const PULSE_EVERY: Duration = Duration::from_millis(200);
 
 /// Who a daemon is and how it is set up.
 #[derive(Clone, Debug)]
@@ -102,6 +110,8 @@
             manifest_out,
         ));
         tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
+        tokio::spawn(health::probe(Arc::clone(&outside), Arc::clone(&health)));
+        tokio::spawn(scheduler::feel_pulse(Arc::clone(&gateway), peers.clone(), PULSE_EVERY));
         let advisors =
             Arc::new(Advisors::new(Arc::clone(&outside), peers, settings.address.clone()));
         let watch = Watch {
--- /dev/null
+++ b/crates/node/src/news.rs
@@ -0,0 +1,40 @@
+//! What the scheduler hears, and the way it reaches it.
+
+use stoatwell_pool::Event;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobState;
+use stoatwell_pool::PoolDump;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+/// A question to the scheduler.
+#[derive(Debug)]
+pub enum Query {
+    /// Where does a job stand?
+    State(JobId, oneshot::Sender<Option<JobState>>),
+    /// How many jobs of a queue wait?
+    Pending(String, oneshot::Sender<u64>),
+    /// A job is durable.
+    Accepted(JobId, Vec<u8>),
+    /// A cancellation is durable.
+    Cancelled(JobId),
+    /// What does it believe?
+    Dump(oneshot::Sender<PoolDump>),
+    /// Why is a job where it is?
+    Explain(JobId, oneshot::Sender<Vec<String>>),
+}
+
+/// What the scheduler hears.
+#[derive(Debug)]
+pub(crate) enum News {
+    Event(Event),
+    Query(Query),
+    Deposed,
+}
+
+/// Tells the scheduler of an event.
+pub(crate) fn tell(news: &mpsc::UnboundedSender<News>, event: Event) {
+    if news.send(News::Event(event)).is_err() {
+        tracing::debug!("the scheduler ended before the news came");
+    }
+}
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -33,6 +33,15 @@
         /// How long the answer may take.
         limit_ms: u64,
     },
+    /// To the scheduler: does it live, and does the store answer it?
+    Alive,
+    /// To any daemon: this one schedules now.
+    Leads {
+        /// Which holder of the duty it is.
+        epoch: u64,
+        /// Where it is reached.
+        address: String,
+    },
     /// To any daemon: which of these workers may run the step?
     Advise {
         /// The step.
@@ -55,6 +64,11 @@
     Advised(Option<Vec<(WorkerId, String)>>),
     /// What became of what was to be kept.
     Kept(Accepted),
+    /// This daemon schedules.
+    Alive {
+        /// Whether the store answers it.
+        reaches_store: bool,
+    },
     /// Taken note of.
     Noted,
     /// This daemon does not schedule.
--- /dev/null
+++ b/crates/node/src/scheduler.rs
@@ -0,0 +1,173 @@
+//! Who schedules, as far as one daemon knows, and whether it lives.
+//!
+//! The duty's row tells who. It changes only as often as it is renewed, and says
+//! nothing while the store is away. So the scheduler is also asked directly, several
+//! times a second: a daemon that was killed is missed within a few hundred
+//! milliseconds, and one that lives is not replaced because the store was away.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use stoatwell_peer::Peers;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::gateway::Gateway;
+use crate::news::Query;
+use crate::outside::Outside;
+use crate::peers::NodeCall;
+use crate::peers::NodeReply;
+
+/// How long the scheduler may take to say that it lives: some round trips between
+/// regions, and a pass over a long queue.
+const ALIVE_LIMIT: Duration = Duration::from_millis(250);
+/// Questions without answer in a row after which it counts as gone. The first one may
+/// have gone into a connection that is dead while the daemon lives.
+const MISSES_MAX: u32 = 2;
+/// After the first question without answer.
+const MISSED_PAUSE: Duration = Duration::from_millis(30);
+
+/// The way to the scheduler.
+#[derive(Clone, Debug)]
+pub(crate) enum Route {
+    /// None is known, or it is gone.
+    None,
+    /// This daemon.
+    Here(mpsc::Sender<Query>),
+    /// The daemon at this address.
+    At(String),
+}
+
+/// Whether a scheduler lives.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, displaydoc::Display)]
+pub enum Life {
+    /// not known
+    #[default]
+    Unknown,
+    /// it lives and the store answers it
+    Sound,
+    /// it lives and the store does not answer it
+    CutOff,
+    /// it does not answer, or schedules no more
+    Gone,
+}
+
+/// What a daemon knows of who schedules.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SchedulerView {
+    /// The way to it, while it is this daemon.
+    here: Option<mpsc::Sender<Query>>,
+    /// The newest holder of the duty that was heard of.
+    epoch: u64,
+    /// Where it is; none if it gave the duty up.
+    address: Option<String>,
+    /// Whether it lives.
+    life: Life,
+}
+
+impl SchedulerView {
+    /// Takes note of a holder of the duty; one that was replaced is left out.
+    pub fn saw(&mut self, epoch: u64, address: Option<String>) {
+        if epoch < self.epoch {
+            return;
+        }
+        if epoch > self.epoch || address != self.address {
+            self.life = Life::Unknown;
+        }
+        self.epoch = epoch;
+        self.address = address;
+    }
+
+    /// This daemon schedules now, or does no more.
+    pub fn set_here(&mut self, here: Option<mpsc::Sender<Query>>) {
+        self.here = here;
+    }
+
+    /// The way to the scheduler.
+    pub fn route(&self) -> Route {
+        if let Some(here) = &self.here {
+            return Route::Here(here.clone());
+        }
+        match &self.address {
+            Some(address) if self.life != Life::Gone => Route::At(address.clone()),
+            _ => Route::None,
+        }
+    }
+
+    /// Takes note of whether a holder of the duty lives; tells whether that is news.
+    pub fn note_life(&mut self, epoch: u64, life: Life) -> bool {
+        if epoch != self.epoch || life == self.life {
+            return false;
+        }
+        tracing::info!(epoch, address = self.address, before = %self.life, now = %life, "scheduler");
+        self.life = life;
+        true
+    }
+
+    /// Whether a holder of the duty lives.
+    pub fn life_of(&self, epoch: u64) -> Life {
+        if epoch == self.epoch { self.life } else { Life::Unknown }
+    }
+
+    /// Whether the store answers the scheduler.
+    pub fn is_sound(&self) -> bool {
+        self.life == Life::Sound
+    }
+
+    /// The daemon to be asked whether it lives.
+    fn elsewhere(&self) -> Option<(u64, String)> {
+        let address = self.address.clone().filter(|_| self.here.is_none())?;
+        Some((self.epoch, address))
+    }
+}
+
+/// Asks the scheduler again and again whether it lives, for the whole life of a daemon.
+pub(crate) async fn feel_pulse<O: Outside>(
+    gateway: Arc<Gateway<O>>,
+    peers: Peers,
+    every: Duration,
+) {
+    let mut view = gateway.watch_scheduler();
+    let mut asked = None;
+    let mut misses = 0;
+    loop {
+        let target = view.borrow_and_update().elsewhere();
+        if target != asked {
+            misses = 0;
+            asked.clone_from(&target);
+        }
+        let Some((epoch, address)) = target else {
+            if view.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
+        let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, ALIVE_LIMIT).await;
+        let life = match reply {
+            Ok(NodeReply::Alive { reaches_store: true }) => Some(Life::Sound),
+            Ok(NodeReply::Alive { reaches_store: false }) => Some(Life::CutOff),
+            Ok(_) | Err(_) => None,
+        };
+        misses = if life.is_some() { 0 } else { misses + 1 };
+        let life = life.or_else(|| (misses >= MISSES_MAX).then_some(Life::Gone));
+        if let Some(life) = life {
+            gateway.note_life(epoch, life);
+        }
+        let pause = if misses == 1 { MISSED_PAUSE } else { every };
+        wait(&mut view, asked.as_ref(), pause).await;
+    }
+}
+
+/// Waits for a time, or until another daemon schedules.
+async fn wait(
+    view: &mut watch::Receiver<SchedulerView>,
+    asked: Option<&(u64, String)>,
+    pause: Duration,
+) {
+    let another = view.wait_for(|view| view.elsewhere().as_ref() != asked);
+    tokio::select! {
+        _ = another => {}
+        () = sleep(pause) => {}
+    }
+}
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use crate::NodeSettings;
 use crate::advisors::Advisors;
@@ -17,11 +16,10 @@
 use crate::duty::DutyView;
 use crate::duty::Fitness;
 use crate::gateway::Gateway;
-use crate::gateway::Scheduler;
 use crate::health::StoreHealth;
 use crate::lead::Lead;
-use crate::lead::Query;
 use crate::manifest::Manifest;
+use crate::news::Query;
 use crate::outside::Outside;
 use crate::outside::Row;
 use crate::outside::StoreError;
@@ -32,6 +30,8 @@
 const LOOK_WAIT_MS: u64 = 1_000;
 /// After a look that failed.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
+/// How often a daemon tries to announce itself.
+const ANNOUNCE_TRIES: u32 = 40;
 /// How long a question for a newer manifest waits.
 const MANIFEST_WAIT_MS: u64 = 1_000;
 /// After one that failed.
@@ -63,7 +63,11 @@
     pub async fn run(self) {
         let mut stop = self.stop.clone();
         let incarnation = unix_ms();
-        self.announce().await;
+        tokio::spawn(announce(
+            Arc::clone(&self.outside),
+            Arc::clone(&self.health),
+            self.settings.clone(),
+        ));
         let mut view = DutyView::new(steady_ms());
         let mut after = None;
         loop {
@@ -74,7 +78,7 @@
                 looked = self.look(&mut view, &mut after) => looked,
                 _ = stop.wait_for(|stop| *stop) => break,
             };
-            if !looked || steady_ms() < view.claim_ms(&self.fitness()) {
+            if !looked || steady_ms() < self.claim_ms(&view) {
                 continue;
             }
             let Some(held) = self.claim(&view, incarnation).await else { continue };
@@ -103,30 +107,22 @@
         }
     }
 
-    /// Tells other daemons where this one is, so that the scheduler can ask
-    /// the advisor through it.
-    async fn announce(&self) {
-        let value = self.settings.address.clone().into_bytes();
-        let put = vec![(Table::Daemons, self.settings.name.clone(), value)];
-        let transaction = Transaction { put, ..Transaction::default() };
-        for _ in 0..20 {
-            let sent = Instant::now();
-            match self.outside.transact(&transaction).await {
-                Ok(_) => {
-                    self.health.note_answer(sent.elapsed().as_millis() as u64);
-                    return;
-                }
-                Err(error) => tracing::warn!(%error, "this daemon cannot be announced yet"),
-            }
-            tokio::time::sleep(LOOK_PAUSE).await;
-        }
+    fn claim_ms(&self, view: &DutyView) -> u64 {
+        view.claim_ms(&self.fitness(), self.gateway.scheduler_life(view.epoch()))
     }
 
     /// Looks at the duty's row once, waiting for a change as long as no claim is due.
     async fn look(&self, view: &mut DutyView, after: &mut Option<u64>) -> bool {
+        let life = self.gateway.scheduler_life(view.epoch());
+        let mut scheduler = self.gateway.watch_scheduler();
+        let epoch = view.epoch();
         let result = match *after {
-            None => self.read_duty(after).await,
-            Some(version) => self.follow_duty(version, view, after).await,
+            None => self.health.read(self.read_duty(after)).await,
+            Some(version) => tokio::select! {
+                followed = self.health.read(self.follow_duty(version, view, after)) => followed,
+                // A claim may be due sooner now.
+                _ = scheduler.wait_for(|view| view.life_of(epoch) != life) => return false,
+            },
         };
         match result {
             Ok(None) => true,
@@ -141,6 +137,7 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "the duty cannot be looked at");
+                view.lost_sight(steady_ms());
                 tokio::time::sleep(LOOK_PAUSE).await;
                 false
             }
@@ -162,7 +159,7 @@
         view: &DutyView,
         after: &mut Option<u64>,
     ) -> Result<Option<Option<(DutyRow, u64)>>, StoreError> {
-        let due_ms = view.claim_ms(&self.fitness()).saturating_sub(steady_ms());
+        let due_ms = self.claim_ms(view).saturating_sub(steady_ms());
         let wait_ms = due_ms.min(LOOK_WAIT_MS);
         let rows = self.outside.follow(Table::Duty, version, wait_ms).await?;
         *after = Some(rows.version);
@@ -171,11 +168,9 @@
     }
 
     fn tell_gateway(&self, view: &DutyView) {
-        let scheduler = match &view.row {
-            Some((row, _)) if !row.released => Scheduler::At(row.address.clone()),
-            _ => Scheduler::None,
-        };
-        self.gateway.set_scheduler(scheduler);
+        let Some((row, _)) = &view.row else { return };
+        let address = (!row.released).then(|| row.address.clone());
+        self.gateway.saw_scheduler(row.epoch, address);
     }
 
     async fn claim(&self, view: &DutyView, incarnation: u64) -> Option<Held> {
@@ -194,7 +189,7 @@
             put: vec![(Table::Duty, DUTY_KEY.to_owned(), encode(&row))],
             remove: Vec::new(),
         };
-        match self.outside.transact(&transaction).await {
+        match self.health.write(self.outside.transact(&transaction)).await {
             Ok(version) => {
                 let before = view.row.as_ref().map(|(row, _)| row.holder.as_str());
                 let silent_ms = steady_ms().saturating_sub(view.changed_ms);
@@ -213,7 +208,8 @@
     async fn lead(&self, held: Held) {
         let epoch = held.row.epoch;
         let (queries, inbox) = mpsc::channel(QUERIES_MAX);
-        self.gateway.set_scheduler(Scheduler::Here(queries.clone()));
+        self.gateway.saw_scheduler(epoch, Some(self.settings.address.clone()));
+        self.gateway.set_scheduler_here(Some(queries.clone()));
         self.leading.send_replace(Some(queries));
         let lead = Lead {
             outside: Arc::clone(&self.outside),
@@ -226,11 +222,26 @@
         };
         lead.run().await;
         self.leading.send_replace(None);
-        self.gateway.set_scheduler(Scheduler::None);
+        self.gateway.saw_scheduler(epoch, None);
+        self.gateway.set_scheduler_here(None);
         tracing::info!(epoch, "duty ended");
     }
 }
 
+/// Tells other daemons where this one is, so that the scheduler can ask the advisor
+/// through it.
+async fn announce<O: Outside>(outside: Arc<O>, health: Arc<StoreHealth>, settings: NodeSettings) {
+    let put = vec![(Table::Daemons, settings.name, settings.address.into_bytes())];
+    let transaction = Transaction { put, ..Transaction::default() };
+    for _ in 0..ANNOUNCE_TRIES {
+        match health.write(outside.transact(&transaction)).await {
+            Ok(_) => return,
+            Err(error) => tracing::warn!(%error, "this daemon cannot be announced yet"),
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
 fn duty_row(row: &Row) -> Option<(DutyRow, u64)> {
     let value = row.value.as_ref().filter(|_| row.key == DUTY_KEY)?;
     match serde_json::from_slice(value) {
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -188,6 +188,66 @@
     assert_eq!(answered.await.expect("it answers"), Some(JobState::Completed));
 }
 
+/// The scheduler's process is killed. Its row says nothing of it for a while, but the
+/// other daemons miss it at once, and callers wait no longer than a breath.
+#[test]
+fn a_killed_scheduler_is_replaced_within_a_second_and_a_half() {
+    let store = Arc::new(Fake::default());
+    let doomed = tokio::runtime::Runtime::new().expect("a runtime");
+    let first = doomed.block_on(start("a", &store));
+    let others = tokio::runtime::Runtime::new().expect("a runtime");
+    others.block_on(async {
+        until("a scheduler", 3_000, || first.scheduler().is_some()).await;
+        let second = start("b", &store).await;
+        assert_eq!(second.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        doomed.shutdown_background();
+        until("the next scheduler", 1_500, || second.scheduler().is_some()).await;
+        assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Queued));
+    });
+}
+
+/// The store falls silent and swallows every call for some seconds, then is back. The
+/// first caller after that is served at once, though calls that were swallowed still
+/// wait for their answers, and the scheduler is the one there was.
+#[tokio::test]
+async fn the_return_of_a_silent_store_is_noticed_at_once() {
+    let store = Arc::new(Fake::default());
+    let node = start("a", &store).await;
+    until("a scheduler", 3_000, || node.scheduler().is_some()).await;
+    let other = start("b", &store).await;
+    store.set(Mood::Silent);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    assert!(!node.gateway().is_store_up());
+    store.set(Mood::Well);
+    until("the return", 250, || node.gateway().is_store_up()).await;
+    let began = Instant::now();
+    assert_eq!(node.gateway().submit(JobId(8), &job(), in_ms(2_000)).await, Accepted::Yes);
+    assert!(began.elapsed() < Duration::from_millis(200), "{:?}", began.elapsed());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(node.scheduler().is_some() && other.scheduler().is_none());
+}
+
+/// The store turns the scheduler's machine and another one away, and serves the third.
+/// The third schedules soon, and the other one learns that from it, not from the store:
+/// its callers are served through it instead of being refused until the store is back.
+#[tokio::test]
+async fn daemons_without_the_store_learn_who_schedules() {
+    let store = Arc::new(Fake::default());
+    let first = start("a", &store).await;
+    until("a scheduler", 3_000, || first.scheduler().is_some()).await;
+    let away = Arc::new(store.for_another());
+    let second = start("b", &away).await;
+    let third = start("c", &Arc::new(store.for_another())).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    store.set(Mood::TurnsAway);
+    away.set(Mood::TurnsAway);
+    until("the next scheduler", 2_000, || third.scheduler().is_some()).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(second.gateway().submit(JobId(9), &job(), in_ms(2_000)).await, Accepted::Yes);
+    assert_eq!(second.gateway().state(JobId(9)).await, Known::State(JobState::Queued));
+}
+
 /// A worker answers hundreds of starts at one moment, as after a store outage that held
 /// all of them up. Each answer is taken in; a task whose answer is lost keeps its room,
 /// is looked at by nobody and never runs, however empty the workers are.
--- a/crates/node/tests/duty.rs
+++ b/crates/node/tests/duty.rs
@@ -4,6 +4,8 @@
 use stoatwell_node::DutyView;
 use stoatwell_node::Fitness;
 use stoatwell_node::LEASE_MS;
+use stoatwell_node::Life;
+use stoatwell_node::QUIET_MS;
 use stoatwell_pool::EXTEND_MS;
 
 fn fit(name: &str, store_answer_ms: u64) -> Fitness {
@@ -28,11 +30,14 @@
 fn a_silent_holder_keeps_the_duty_for_its_lease() {
     let mut view = DutyView::new(0);
     view.saw(Some((row("other"), 10)), 1_000);
-    assert!(view.claim_ms(&fit("me", 5)) >= 1_000 + LEASE_MS);
+    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) >= 1_000 + LEASE_MS);
     view.saw(Some((row("other"), 11)), 1_500);
-    assert!(view.claim_ms(&fit("me", 5)) >= 1_500 + LEASE_MS);
+    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) >= 1_500 + LEASE_MS);
     view.saw(Some((row("other"), 11)), 2_500);
-    assert!(view.claim_ms(&fit("me", 5)) < 2_500 + LEASE_MS, "the same version is no news");
+    assert!(
+        view.claim_ms(&fit("me", 5), Life::Unknown) < 2_500 + LEASE_MS,
+        "the same version is no news"
+    );
 }
 
 /// A duty that was given up, or that a daemon's former self held, waits for nobody.
@@ -40,9 +45,9 @@
 fn a_free_duty_is_claimed_at_once() {
     let mut view = DutyView::new(0);
     view.saw(Some((DutyRow { released: true, ..row("other") }, 10)), 1_000);
-    assert!(view.claim_ms(&fit("me", 5)) < 1_000 + 200);
+    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) < 1_000 + 200);
     view.saw(Some((row("me"), 12)), 2_000);
-    assert!(view.claim_ms(&fit("me", 5)) < 2_000 + 200);
+    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) < 2_000 + 200);
     assert_eq!(view.next_epoch(), (12, 4));
 }
 
@@ -78,3 +83,31 @@
     view.saw(Some((earlier, 13)), 5_000);
     assert_eq!(view.earlier_extends_ms("me", 5_500), 1_500);
 }
+
+/// The scheduler is killed, or the store turns its machine away, and it says so when
+/// asked. Jobs wait until somebody else schedules, so its row needs to be unchanged
+/// only for longer than it is renewed: a holder that lives and that others merely do
+/// not reach goes on renewing it, and must not be replaced.
+#[test]
+fn a_holder_that_is_gone_or_cut_off_is_replaced_soon() {
+    for life in [Life::Gone, Life::CutOff] {
+        let mut view = DutyView::new(0);
+        view.saw(Some((row("other"), 10)), 1_000);
+        let claim_ms = view.claim_ms(&fit("me", 5), life);
+        assert!((1_000 + QUIET_MS..1_900).contains(&claim_ms), "{life}: {claim_ms}");
+        view.saw(Some((row("other"), 11)), 1_500);
+        assert!(view.claim_ms(&fit("me", 5), life) >= 1_500 + QUIET_MS);
+    }
+}
+
+/// The store is away for seconds and comes back. Nobody could renew the row meanwhile,
+/// so that it did not change says nothing of its holder. Replaced each time, it would
+/// leave callers waiting for a new scheduler on top of the outage.
+#[test]
+fn time_without_the_store_does_not_count_against_the_holder() {
+    let mut view = DutyView::new(0);
+    view.saw(Some((row("other"), 10)), 1_000);
+    view.lost_sight(5_000);
+    assert!(view.claim_ms(&fit("me", 5), Life::Sound) >= 5_000 + LEASE_MS);
+    assert!(view.claim_ms(&fit("me", 5), Life::CutOff) >= 5_000 + QUIET_MS);
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fake")]
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -46,12 +47,15 @@
     Silent,
     /// It does the next one without an answer, then is well.
     LosesOneAnswer,
+    /// It refuses readings too.
+    TurnsAway,
 }
 
-/// The store, with at most one worker.
+/// The store, as one daemon meets it, with at most one worker.
 #[derive(Debug, Default)]
 pub struct Fake {
-    state: Mutex<State>,
+    mood: Mutex<Mood>,
+    state: Arc<Mutex<State>>,
     worker: Option<FakeWorker>,
 }
 
@@ -66,7 +70,6 @@
 
 #[derive(Debug, Default)]
 struct State {
-    mood: Mood,
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     writes: usize,
@@ -77,6 +80,11 @@
 }
 
 impl Fake {
+    /// The same store, as another daemon meets it.
+    pub fn for_another(&self) -> Self {
+        Self { mood: Mutex::default(), state: Arc::clone(&self.state), worker: None }
+    }
+
     /// A store with a worker.
     pub fn with_worker() -> Self {
         Self { worker: Some(FakeWorker::default()), ..Self::default() }
@@ -121,7 +129,7 @@
     }
 
     pub fn set(&self, mood: Mood) {
-        self.state.lock().expect("no panic").mood = mood;
+        *self.mood.lock().expect("no panic") = mood;
     }
 
     pub fn rows(&self, table: Table) -> Vec<Row> {
@@ -166,7 +174,16 @@
     }
 
     fn mood(&self) -> Mood {
-        self.state.lock().expect("no panic").mood
+        *self.mood.lock().expect("no panic")
+    }
+
+    /// What a reading comes to that is not answered with rows.
+    fn reading_error(&self) -> Option<StoreError> {
+        match self.mood() {
+            Mood::Silent => Some(StoreError::NoAnswer),
+            Mood::TurnsAway => Some(StoreError::Refused),
+            Mood::Well | Mood::Refuses | Mood::LosesOneAnswer => None,
+        }
     }
 
     fn version(&self) -> u64 {
@@ -178,7 +195,7 @@
     async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         match self.mood() {
             Mood::Well => self.write(transaction),
-            Mood::Refuses => Err(StoreError::Refused),
+            Mood::Refuses | Mood::TurnsAway => Err(StoreError::Refused),
             Mood::Silent => std::future::pending().await,
             Mood::LosesOneAnswer => {
                 self.set(Mood::Well);
@@ -190,15 +207,15 @@
     }
 
     async fn read(&self, table: Table, key: &str) -> Result<Option<Row>, StoreError> {
-        if self.mood() == Mood::Silent {
-            return Err(StoreError::NoAnswer);
+        if let Some(error) = self.reading_error() {
+            return Err(error);
         }
         Ok(self.rows(table).into_iter().find(|row| row.key == key))
     }
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
-        if self.mood() == Mood::Silent {
-            return Err(StoreError::NoAnswer);
+        if let Some(error) = self.reading_error() {
+            return Err(error);
         }
         if let Some(old) = self.old_reading(table) {
             return Ok(old);
@@ -209,6 +226,9 @@
     async fn follow(&self, table: Table, after: u64, wait_ms: u64) -> Result<Rows, StoreError> {
         let rounds = wait_ms / 20 + 1;
         for _ in 0..rounds {
+            if self.mood() == Mood::TurnsAway {
+                return Err(StoreError::Refused);
+            }
             let newer: Vec<Row> =
                 self.rows(table).into_iter().filter(|row| row.version > after).collect();
             if !newer.is_empty() {
@@ -248,8 +268,8 @@
         wait_ms: u64,
     ) -> Result<(Option<Manifest>, u64), StoreError> {
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-        if self.mood() == Mood::Silent {
-            return Err(StoreError::NoAnswer);
+        if let Some(error) = self.reading_error() {
+            return Err(error);
         }
         Ok((None, after))
     }
