Tasks that nobody will look at again are found, told and started again

Cause looked for: every way in which a unit is left without a wake-up, after the lost answers. The invariant stands in pool's attend.rs: a waiting task of a ready step is in the queue, one with room and without ticket has a question out, one that is recorded has a row under way, one that was sent is answered within 4 s.

A start without any answer, not even that of a failed call, is in doubt after 4 s and goes the way of those that brought no answer, so that a further fault of this kind costs seconds instead of the job. Test: a_start_without_any_answer_is_made_again.

--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -91,7 +91,7 @@
     pub cores: f64,
     /// What its machine's link carries.
     pub link_mbps: f64,
-    /// The store's usual answer time, as measured.
+    /// The store's usual answer time.
     pub store_answer_ms: u64,
 }
 
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -25,8 +25,7 @@
 /// Calls without answer, or refused, in a row after which the store counts as down.
 const FAILURES_MAX: u32 = 2;
 /// A write that waits longer than this, with no other answered since, makes the
-/// store suspect: thirty times its usual time. What comes meanwhile is refused
-/// at once instead of waiting behind it.
+/// store suspect. What comes meanwhile is refused at once instead of waiting behind it.
 const SUSPECT_MIN_MS: u64 = 350;
 /// The same in usual answer times, for a store that has turned slow.
 const SUSPECT_ANSWERS: u64 = 3;
@@ -34,7 +33,7 @@
 const PATIENCE_MS: std::ops::RangeInclusive<u64> = 700..=1_500;
 /// ... and the same in usual answer times.
 const PATIENCE_ANSWERS: u64 = 4;
-/// Answers are measured no more often than this; the figure changes slowly.
+/// The newest answer counts for one part in this many.
 const SMOOTHING: u64 = 8;
 /// How often it is looked whether the store is down, and asked whether it is back.
 const PROBE_EVERY: Duration = Duration::from_millis(100);
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -41,8 +41,8 @@
 impl Pool {
     /// How many workers one question about a step names: as many as cost little
     /// beside the decision, or as the step needs to have a choice. While questions
-    /// queue up it is what the step needs: with one daemon left, questions about a
-    /// hundred workers let nine jobs a second through, about twelve, forty.
+    /// queue up it is what the step needs: with few daemons left, long questions
+    /// would let few jobs through.
     pub(crate) fn asked_max(&self, queue: &QueueSpec, tasks: u64, places_each: u64) -> usize {
         let each_ms = queue.advice.map_or(0.0, |rule| rule.each_ms);
         let crowded = self.questions > self.advisors * QUESTIONS_EACH_MAX;
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -83,6 +83,14 @@
         self.removes.push(job);
     }
 
+    /// Whether a job's row is being written or waits for its turn.
+    pub fn holds(&self, job: JobId) -> bool {
+        let after =
+            |after: &After| matches!(after, After::Start { task, .. } if task.step.job == job);
+        self.dirty.contains_key(&job)
+            || self.under_way.as_ref().is_some_and(|batch| batch.afters.iter().any(after))
+    }
+
     /// What a batch takes: the mean of the last ones, or longer if the one under way
     /// already does.
     pub fn usual_ms(&self, now_ms: u64) -> u64 {
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -18,6 +18,8 @@
     pub jobs: BTreeMap<String, usize>,
     /// Steps with tasks to place.
     pub queued_steps: usize,
+    /// Tasks that nobody will look at again; there should be none.
+    pub unattended: Vec<String>,
     /// The workers.
     pub workers: Vec<WorkerDump>,
 }
@@ -79,7 +81,13 @@
                 silent_calls: worker.silent,
             });
         }
-        PoolDump { epoch: self.election.epoch, jobs, queued_steps: self.queue.len(), workers }
+        PoolDump {
+            epoch: self.election.epoch,
+            jobs,
+            queued_steps: self.queue.len(),
+            unattended: self.unattended(),
+            workers,
+        }
     }
 
     /// Why a job is where it is, a line for each of its steps.
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -25,8 +25,8 @@
 /// How long a hold waits for an end: long enough that idle workers cost two
 /// calls a second, short enough to show within a second that tasks stand still.
 const HOLD_WAIT_MS: u64 = 500;
-/// With more workers than this a hold waits twice as long: at 350 workers holds
-/// without news are a fifth of the scheduler's processor time otherwise.
+/// With more workers than this a hold waits twice as long: holds without news would
+/// take much of the scheduler's processor time.
 const WORKERS_MANY: usize = 100;
 /// After a hold without answer the next one waits this long.
 const HOLD_PAUSE_MS: u64 = 200;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,6 +11,7 @@
 //! worker's lease has lapsed for sure.
 
 mod advise;
+mod attend;
 mod choose;
 mod commit;
 mod dump;
@@ -149,9 +150,8 @@
 /// How often things that no event announces are looked at.
 const SWEEP_EVERY_MS: u64 = 100;
 
-/// Least time between two passes over the queue. Some hundred ends and arrivals
-/// a second would each cost a pass over all workers; with 350 workers passes
-/// took half of the scheduler's processor time.
+/// Least time between two passes over the queue. Hundreds of ends and arrivals a
+/// second would each cost a pass over all workers.
 const PLACE_EVERY_MS: u64 = 8;
 
 impl Pool {
--- a/crates/pool/src/record.rs
+++ b/crates/pool/src/record.rs
@@ -85,7 +85,7 @@
 
 /// A row as it is written: workers once each, tasks as short lists. Rows are
 /// written a few times for each task, and a named field for each figure made
-/// them three times as long.
+/// them much longer.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 struct Compact {
     #[serde(default, skip_serializing_if = "Option::is_none")]
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -26,6 +26,9 @@
 const START_WAY_MS: u64 = 15;
 /// A stop that was not answered is sent again after this; a few round trips.
 const STOP_AGAIN_MS: u64 = 600;
+/// A start whose answer never came, not even as a failed call, is in doubt after this;
+/// callers give up well before.
+const START_LOST_MS: u64 = 4_000;
 /// A worker that refused for want of room or health is left alone this long.
 const REFUSED_PAUSE_MS: u64 = 500;
 /// A task whose progress did not move for this long stands still. Holds show it
@@ -69,6 +72,7 @@
         let ticket = ticket.map(|ticket| ticket.text.clone());
         worker.until_max = worker.until_max.max(until_ms);
         task.phase = Phase::Sent;
+        task.moved_ms = now_ms;
         job.started = true;
         let to = callee(self.election.epoch, &self.workers, &name);
         let Some(to) = to else { return };
@@ -407,6 +411,7 @@
     pub(crate) fn sweep_runs(&mut self) {
         let mut again = Vec::new();
         let mut still = Vec::new();
+        let mut lost = Vec::new();
         for job in self.jobs.values() {
             if job.outcome.is_some() && !job.is_anywhere() {
                 continue;
@@ -429,6 +434,7 @@
                         {
                             again.push(id);
                         }
+                        Phase::Sent if self.is_start_lost(task) => lost.push(id),
                         Phase::Running { .. }
                             if !step.long_running
                                 && !task.is_slowed()
@@ -448,11 +454,20 @@
             }
             self.send_stop(id);
         }
+        for id in lost {
+            tracing::error!(task = %id, "no answer to a start came, not even a failed call");
+            self.stop(id);
+        }
         for id in still {
             self.move_from_still_worker(id);
         }
     }
 
+    /// Whether the answer to a start must have come by now.
+    pub(crate) fn is_start_lost(&self, task: &Task) -> bool {
+        task.phase == Phase::Sent && task.moved_ms + START_LOST_MS < self.now_ms
+    }
+
     fn move_from_still_worker(&mut self, id: TaskId) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
--- /dev/null
+++ b/crates/pool/tests/unanswered.rs
@@ -0,0 +1,89 @@
+//! Calls whose answers never reach the pool.
+
+use std::sync::Arc;
+
+use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
+use stoatwell_pool::Effect;
+use stoatwell_pool::Election;
+use stoatwell_pool::Event;
+use stoatwell_pool::HoldReply;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::Limits;
+use stoatwell_pool::Pool;
+use stoatwell_pool::QueueSpec;
+use stoatwell_pool::StepSpec;
+use stoatwell_pool::WorkerNews;
+
+const LIMITS: Limits =
+    Limits { lease_ms: 6_000, lease_max_ms: 6_000, remember_ms: 60_000, advice_workers_max: 100 };
+
+fn worker() -> WorkerNews {
+    WorkerNews {
+        worker: WorkerId::new("w"),
+        address: "10.0.0.1:1".to_owned(),
+        service: "s".to_owned(),
+        zone: ZoneName::new("z"),
+        capacity: Resources { cpu_millis: 4_000, ..Resources::ZERO },
+        labels: Vec::new(),
+        draining: false,
+        remaining_ms: None,
+        life: 1,
+    }
+}
+
+fn job() -> JobSpec {
+    JobSpec {
+        queue: QueueSpec {
+            name: "q".to_owned(),
+            service: "s".to_owned(),
+            priority: 0,
+            attempts_max: 2,
+            slack_factor: 2.0,
+            target_ms: 400,
+            advice: None,
+        },
+        payload: "work".to_owned(),
+        steps: vec![StepSpec { tasks: 1, ..StepSpec::default() }],
+        repeat: None,
+        accepted_unix_ms: 1,
+    }
+}
+
+/// The answer to a start gets lost on its way to the pool, within the daemon. The task
+/// would keep its room and its job for ever, with all workers free. After a time in
+/// which every call has come to something the start is in doubt, like one that brought
+/// no answer, and the task starts again once it is surely not there.
+#[test]
+fn a_start_without_any_answer_is_made_again() {
+    let mut pool = Pool::new(Election { epoch: 1, earlier_extends_ms: 0 }, LIMITS, 1_000, 1_000);
+    pool.handle(1_000, 1_000, Event::Listed(worker()));
+    pool.handle(1_000, 1_000, Event::Accepted { job: JobId(1), spec: Arc::new(job()) });
+    let mut starts = 0;
+    for now_ms in (1_000..12_000).step_by(10) {
+        for effect in pool.pump(now_ms, now_ms) {
+            let event = match effect {
+                Effect::Hold(call) => {
+                    let reply = HoldReply { clock_ms: now_ms, life: 1, ..HoldReply::default() };
+                    Event::Held { worker: call.to.worker, turn: call.turn, reply: Ok(reply) }
+                }
+                Effect::Commit { batch, .. } => Event::Committed { batch },
+                Effect::Start(_) => {
+                    starts += 1;
+                    continue;
+                }
+                Effect::Stop(call) => Event::Stopped {
+                    task: call.task,
+                    run: call.run,
+                    worker: call.to.worker,
+                    reply: Ok(()),
+                },
+                _ => continue,
+            };
+            pool.handle(now_ms, now_ms, event);
+        }
+    }
+    assert!(starts > 1, "the task was started {starts} times");
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -207,6 +207,9 @@
             self.work();
             self.pump();
             self.check();
+            if self.now_ms.is_multiple_of(100) {
+                self.broken.extend(self.pool.unattended());
+            }
         }
     }
 
