A worker whose address serves another is asked rarely and told once

Cause: a worker's entry outlives it, and its successor has its address.

Change: the first such answer loses the worker; while it stays listed the next hold waits a second and says nothing. Test: a_worker_whose_address_serves_another_is_asked_rarely (50 holds in ten seconds before, under 15 after).

--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -30,6 +30,8 @@
 const WORKERS_MANY: usize = 100;
 /// After a hold without answer the next one waits this long.
 const HOLD_PAUSE_MS: u64 = 200;
+/// After a hold of a worker that was lost and is still listed.
+const LOST_PAUSE_MS: u64 = 1_000;
 /// A hold whose answer never comes is given up by the caller well before this.
 const HOLD_LOST_MS: u64 = 4_000;
 /// How long after it last renewed the duty a scheduler extends leases. Another one
@@ -126,6 +128,12 @@
 
     /// A worker is gone for good, with all that ran on it.
     pub(crate) fn lose_worker(&mut self, name: &WorkerId, why: &str) {
+        let Some(worker) = self.workers.get_mut(name) else { return };
+        if std::mem::replace(&mut worker.lost, true) && worker.tasks.is_empty() {
+            // Its entry outlives it; each hold would tell the same again.
+            worker.next_hold_ms = self.now_ms + LOST_PAUSE_MS;
+            return;
+        }
         tracing::warn!(worker = %name, why, "worker lost");
         self.lose_tasks(name);
         let Some(worker) = self.workers.get_mut(name) else { return };
@@ -193,6 +201,7 @@
         }
         worker.answered_ms = now_ms;
         worker.silent = 0;
+        worker.lost = false;
         worker.refuses = false;
         worker.clock = Some((reply.clock_ms, now_ms));
         if !worker.held {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -67,6 +67,8 @@
     /// The pace of tasks that fill here, in hundredths, and when it last changed.
     pub pace_percent: u32,
     pub pace_changed_ms: u64,
+    /// Whether another one answers at its address, as the newest call told.
+    pub lost: bool,
     /// Whether the newest connection to it was refused. That says nothing about
     /// what runs there: a firewall refuses as a host without the process does.
     pub refuses: bool,
@@ -100,6 +102,7 @@
             silent: 0,
             pace_percent: FULL_PACE,
             pace_changed_ms: 0,
+            lost: false,
             refuses: false,
         }
     }
@@ -111,6 +114,7 @@
         self.earlier_lapse_ms = earlier_lapse_ms;
         self.news.life = life;
         self.lives += 1;
+        self.lost = false;
         self.held = false;
         self.hold_turn = None;
         self.next_hold_ms = 0;
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -5,6 +5,7 @@
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
+use stoatwell_pool::CallError;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
@@ -87,3 +88,24 @@
     }
     assert!(starts > 1, "the task was started {starts} times");
 }
+
+/// A worker is replaced, and its successor has its address while the old entry is still
+/// listed. Each hold of the old one tells that another one answers there. That is acted
+/// on once; holds without end, each with a line in the log, would hide what matters from
+/// those on call and cost calls.
+#[test]
+fn a_worker_whose_address_serves_another_is_asked_rarely() {
+    let mut pool = Pool::new(Election { epoch: 1, earlier_extends_ms: 0 }, LIMITS, 1_000, 1_000);
+    pool.handle(1_000, 1_000, Event::Listed(worker()));
+    let mut holds = 0;
+    for now_ms in (1_000..11_000).step_by(10) {
+        for effect in pool.pump(now_ms, now_ms) {
+            let Effect::Hold(call) = effect else { continue };
+            holds += 1;
+            let reply = Err(CallError::OtherLife);
+            let event = Event::Held { worker: call.to.worker, turn: call.turn, reply };
+            pool.handle(now_ms, now_ms, event);
+        }
+    }
+    assert!(holds < 15, "{holds} holds");
+}
