--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -11,7 +11,7 @@
 use stoatwell_pool::EXTEND_MS;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::scheduler::Life;
+use crate::scheduler::Liveness;
 
 /// How often the holder rewrites the row; a third of the lease, so that two
 /// lost writes in a row do not cost the duty.
@@ -115,7 +115,7 @@
     }
 
     /// Takes note that the row cannot be read now.
-    pub fn lost_sight(&mut self, now_ms: u64) {
+    pub fn note_unreadable(&mut self, now_ms: u64) {
         self.readable_since_ms = now_ms;
     }
 
@@ -130,7 +130,7 @@
     }
 
     /// When this daemon may claim the duty, if nothing changes.
-    pub fn claim_ms(&self, fitness: &Fitness, holder: Life) -> u64 {
+    pub fn claim_ms(&self, fitness: &Fitness, holder: Liveness) -> u64 {
         let free = self.row.as_ref().is_none_or(|(row, _)| row.released);
         // A row of this daemon's former self has surely lost its holder.
         let mine = self.row.as_ref().is_some_and(|(row, _)| row.holder == fitness.name);
@@ -138,8 +138,10 @@
             return self.changed_ms + fitness.delay_ms();
         }
         let quiet_ms = match holder {
-            Life::Gone | Life::CutOff => QUIET_MS + fitness.store_answer_ms * QUIET_ANSWERS,
-            Life::Sound | Life::Unknown => LEASE_MS,
+            Liveness::Gone | Liveness::Isolated => {
+                QUIET_MS + fitness.store_answer_ms * QUIET_ANSWERS
+            }
+            Liveness::Healthy | Liveness::Unknown => LEASE_MS,
         };
         self.changed_ms.max(self.readable_since_ms) + quiet_ms.min(LEASE_MS) + fitness.delay_ms()
     }
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -27,7 +27,7 @@
 use crate::outside::Table;
 use crate::peers::NodeCall;
 use crate::peers::NodeReply;
-use crate::scheduler::Life;
+use crate::scheduler::Liveness;
 use crate::scheduler::Route;
 use crate::scheduler::SchedulerView;
 
@@ -81,13 +81,13 @@
     }
 
     /// Takes note of whether a holder of the duty lives.
-    pub(crate) fn note_life(&self, epoch: u64, life: Life) {
-        self.scheduler.send_if_modified(|view| view.note_life(epoch, life));
+    pub(crate) fn note_liveness(&self, epoch: u64, liveness: Liveness) {
+        self.scheduler.send_if_modified(|view| view.note_liveness(epoch, liveness));
     }
 
     /// Whether a holder of the duty lives.
-    pub(crate) fn scheduler_life(&self, epoch: u64) -> Life {
-        self.scheduler.borrow().life_of(epoch)
+    pub(crate) fn scheduler_liveness(&self, epoch: u64) -> Liveness {
+        self.scheduler.borrow().liveness_of(epoch)
     }
 
     /// Tells of changes to what is known of the scheduler.
@@ -98,7 +98,7 @@
     /// Whether the store answers others, so that a caller that is turned away here is
     /// served at once elsewhere.
     pub fn do_others_reach_store(&self) -> bool {
-        self.scheduler.borrow().is_sound()
+        self.scheduler.borrow().is_healthy()
     }
 
     /// Whether the store answers.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -56,10 +56,10 @@
 pub use crate::outside::Transaction;
 pub use crate::outside::WorkerChanges;
 pub use crate::outside::shard;
-pub use crate::scheduler::Life;
+pub use crate::scheduler::Liveness;
 
 /// How often the scheduler is asked whether it lives.
-const PULSE_EVERY: Duration = Duration::from_millis(200);
+const LIVENESS_EVERY: Duration = Duration::from_millis(200);
 
 /// Who a daemon is and how it is set up.
 #[derive(Clone, Debug)]
@@ -111,7 +111,11 @@
         ));
         tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
         tokio::spawn(health::probe(Arc::clone(&outside), Arc::clone(&health)));
-        tokio::spawn(scheduler::feel_pulse(Arc::clone(&gateway), peers.clone(), PULSE_EVERY));
+        tokio::spawn(scheduler::check_liveness(
+            Arc::clone(&gateway),
+            peers.clone(),
+            LIVENESS_EVERY,
+        ));
         let advisors =
             Arc::new(Advisors::new(Arc::clone(&outside), peers, settings.address.clone()));
         let watch = Watch {
--- a/crates/node/src/measure.rs
+++ b/crates/node/src/measure.rs
@@ -42,11 +42,11 @@
         used_cpu_millis = counts.used_cpu_millis,
         "pool"
     );
-    let unattended = pool.unattended();
-    if let Some(first) = unattended.first() {
-        tracing::error!(count = unattended.len(), first, "tasks that nobody will look at again");
+    let stuck = pool.stuck_tasks();
+    if let Some(first) = stuck.first() {
+        tracing::error!(count = stuck.len(), first, "tasks that nobody will look at again");
     }
-    metrics::gauge!("stoatwell_tasks_unattended").set(unattended.len() as f64);
+    metrics::gauge!("stoatwell_tasks_stuck").set(stuck.len() as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -41,14 +41,14 @@
 
 /// Whether a scheduler lives.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, displaydoc::Display)]
-pub enum Life {
+pub enum Liveness {
     /// not known
     #[default]
     Unknown,
     /// it lives and the store answers it
-    Sound,
+    Healthy,
     /// it lives and the store does not answer it
-    CutOff,
+    Isolated,
     /// it does not answer, or schedules no more
     Gone,
 }
@@ -63,7 +63,7 @@
     /// Where it is; none if it gave the duty up.
     address: Option<String>,
     /// Whether it lives.
-    life: Life,
+    liveness: Liveness,
 }
 
 impl SchedulerView {
@@ -73,7 +73,7 @@
             return;
         }
         if epoch > self.epoch || address != self.address {
-            self.life = Life::Unknown;
+            self.liveness = Liveness::Unknown;
         }
         self.epoch = epoch;
         self.address = address;
@@ -90,29 +90,29 @@
             return Route::Here(here.clone());
         }
         match &self.address {
-            Some(address) if self.life != Life::Gone => Route::At(address.clone()),
+            Some(address) if self.liveness != Liveness::Gone => Route::At(address.clone()),
             _ => Route::None,
         }
     }
 
     /// Takes note of whether a holder of the duty lives; tells whether that is news.
-    pub fn note_life(&mut self, epoch: u64, life: Life) -> bool {
-        if epoch != self.epoch || life == self.life {
+    pub fn note_liveness(&mut self, epoch: u64, liveness: Liveness) -> bool {
+        if epoch != self.epoch || liveness == self.liveness {
             return false;
         }
-        tracing::info!(epoch, address = self.address, before = %self.life, now = %life, "scheduler");
-        self.life = life;
+        tracing::info!(epoch, address = self.address, before = %self.liveness, now = %liveness, "scheduler");
+        self.liveness = liveness;
         true
     }
 
     /// Whether a holder of the duty lives.
-    pub fn life_of(&self, epoch: u64) -> Life {
-        if epoch == self.epoch { self.life } else { Life::Unknown }
+    pub fn liveness_of(&self, epoch: u64) -> Liveness {
+        if epoch == self.epoch { self.liveness } else { Liveness::Unknown }
     }
 
     /// Whether the store answers the scheduler.
-    pub fn is_sound(&self) -> bool {
-        self.life == Life::Sound
+    pub fn is_healthy(&self) -> bool {
+        self.liveness == Liveness::Healthy
     }
 
     /// The daemon to be asked whether it lives.
@@ -122,8 +122,8 @@
     }
 }
 
-/// Asks the scheduler again and again whether it lives, for the whole life of a daemon.
-pub(crate) async fn feel_pulse<O: Outside>(
+/// Asks the scheduler again and again whether it lives, for the whole liveness of a daemon.
+pub(crate) async fn check_liveness<O: Outside>(
     gateway: Arc<Gateway<O>>,
     peers: Peers,
     every: Duration,
@@ -144,15 +144,15 @@
             continue;
         };
         let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, ALIVE_LIMIT).await;
-        let life = match reply {
-            Ok(NodeReply::Alive { reaches_store: true }) => Some(Life::Sound),
-            Ok(NodeReply::Alive { reaches_store: false }) => Some(Life::CutOff),
+        let liveness = match reply {
+            Ok(NodeReply::Alive { reaches_store: true }) => Some(Liveness::Healthy),
+            Ok(NodeReply::Alive { reaches_store: false }) => Some(Liveness::Isolated),
             Ok(_) | Err(_) => None,
         };
-        misses = if life.is_some() { 0 } else { misses + 1 };
-        let life = life.or_else(|| (misses >= MISSES_MAX).then_some(Life::Gone));
-        if let Some(life) = life {
-            gateway.note_life(epoch, life);
+        misses = if liveness.is_some() { 0 } else { misses + 1 };
+        let liveness = liveness.or_else(|| (misses >= MISSES_MAX).then_some(Liveness::Gone));
+        if let Some(liveness) = liveness {
+            gateway.note_liveness(epoch, liveness);
         }
         let pause = if misses == 1 { MISSED_PAUSE } else { every };
         wait(&mut view, asked.as_ref(), pause).await;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -108,12 +108,12 @@
     }
 
     fn claim_ms(&self, view: &DutyView) -> u64 {
-        view.claim_ms(&self.fitness(), self.gateway.scheduler_life(view.epoch()))
+        view.claim_ms(&self.fitness(), self.gateway.scheduler_liveness(view.epoch()))
     }
 
     /// Looks at the duty's row once, waiting for a change as long as no claim is due.
     async fn look(&self, view: &mut DutyView, after: &mut Option<u64>) -> bool {
-        let life = self.gateway.scheduler_life(view.epoch());
+        let liveness = self.gateway.scheduler_liveness(view.epoch());
         let mut scheduler = self.gateway.watch_scheduler();
         let epoch = view.epoch();
         let result = match *after {
@@ -121,7 +121,7 @@
             Some(version) => tokio::select! {
                 followed = self.health.read(self.follow_duty(version, view, after)) => followed,
                 // A claim may be due sooner now.
-                _ = scheduler.wait_for(|view| view.life_of(epoch) != life) => return false,
+                _ = scheduler.wait_for(|view| view.liveness_of(epoch) != liveness) => return false,
             },
         };
         match result {
@@ -137,7 +137,7 @@
             }
             Err(error) => {
                 tracing::debug!(%error, "the duty cannot be looked at");
-                view.lost_sight(steady_ms());
+                view.note_unreadable(steady_ms());
                 tokio::time::sleep(LOOK_PAUSE).await;
                 false
             }
--- a/crates/node/tests/duty.rs
+++ b/crates/node/tests/duty.rs
@@ -4,7 +4,7 @@
 use stoatwell_node::DutyView;
 use stoatwell_node::Fitness;
 use stoatwell_node::LEASE_MS;
-use stoatwell_node::Life;
+use stoatwell_node::Liveness;
 use stoatwell_node::QUIET_MS;
 use stoatwell_pool::EXTEND_MS;
 
@@ -30,12 +30,12 @@
 fn a_silent_holder_keeps_the_duty_for_its_lease() {
     let mut view = DutyView::new(0);
     view.saw(Some((row("other"), 10)), 1_000);
-    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) >= 1_000 + LEASE_MS);
+    assert!(view.claim_ms(&fit("me", 5), Liveness::Unknown) >= 1_000 + LEASE_MS);
     view.saw(Some((row("other"), 11)), 1_500);
-    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) >= 1_500 + LEASE_MS);
+    assert!(view.claim_ms(&fit("me", 5), Liveness::Unknown) >= 1_500 + LEASE_MS);
     view.saw(Some((row("other"), 11)), 2_500);
     assert!(
-        view.claim_ms(&fit("me", 5), Life::Unknown) < 2_500 + LEASE_MS,
+        view.claim_ms(&fit("me", 5), Liveness::Unknown) < 2_500 + LEASE_MS,
         "the same version is no news"
     );
 }
@@ -45,9 +45,9 @@
 fn a_free_duty_is_claimed_at_once() {
     let mut view = DutyView::new(0);
     view.saw(Some((DutyRow { released: true, ..row("other") }, 10)), 1_000);
-    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) < 1_000 + 200);
+    assert!(view.claim_ms(&fit("me", 5), Liveness::Unknown) < 1_000 + 200);
     view.saw(Some((row("me"), 12)), 2_000);
-    assert!(view.claim_ms(&fit("me", 5), Life::Unknown) < 2_000 + 200);
+    assert!(view.claim_ms(&fit("me", 5), Liveness::Unknown) < 2_000 + 200);
     assert_eq!(view.next_epoch(), (12, 4));
 }
 
@@ -90,13 +90,13 @@
 /// not reach goes on renewing it, and must not be replaced.
 #[test]
 fn a_holder_that_is_gone_or_cut_off_is_replaced_soon() {
-    for life in [Life::Gone, Life::CutOff] {
+    for liveness in [Liveness::Gone, Liveness::Isolated] {
         let mut view = DutyView::new(0);
         view.saw(Some((row("other"), 10)), 1_000);
-        let claim_ms = view.claim_ms(&fit("me", 5), life);
-        assert!((1_000 + QUIET_MS..1_900).contains(&claim_ms), "{life}: {claim_ms}");
+        let claim_ms = view.claim_ms(&fit("me", 5), liveness);
+        assert!((1_000 + QUIET_MS..1_900).contains(&claim_ms), "{liveness}: {claim_ms}");
         view.saw(Some((row("other"), 11)), 1_500);
-        assert!(view.claim_ms(&fit("me", 5), life) >= 1_500 + QUIET_MS);
+        assert!(view.claim_ms(&fit("me", 5), liveness) >= 1_500 + QUIET_MS);
     }
 }
 
@@ -107,7 +107,7 @@
 fn time_without_the_store_does_not_count_against_the_holder() {
     let mut view = DutyView::new(0);
     view.saw(Some((row("other"), 10)), 1_000);
-    view.lost_sight(5_000);
-    assert!(view.claim_ms(&fit("me", 5), Life::Sound) >= 5_000 + LEASE_MS);
-    assert!(view.claim_ms(&fit("me", 5), Life::CutOff) >= 5_000 + QUIET_MS);
+    view.note_unreadable(5_000);
+    assert!(view.claim_ms(&fit("me", 5), Liveness::Healthy) >= 5_000 + LEASE_MS);
+    assert!(view.claim_ms(&fit("me", 5), Liveness::Isolated) >= 5_000 + QUIET_MS);
 }
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -19,7 +19,7 @@
     /// Steps with tasks to place.
     pub queued_steps: usize,
     /// Tasks that nobody will look at again; there should be none.
-    pub unattended: Vec<String>,
+    pub stuck_tasks: Vec<String>,
     /// The workers.
     pub workers: Vec<WorkerDump>,
 }
@@ -85,7 +85,7 @@
             epoch: self.election.epoch,
             jobs,
             queued_steps: self.queue.len(),
-            unattended: self.unattended(),
+            stuck_tasks: self.stuck_tasks(),
             workers,
         }
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -11,7 +11,6 @@
 //! worker's lease has lapsed for sure.
 
 mod advise;
-mod attend;
 mod choose;
 mod commit;
 mod dump;
@@ -27,6 +26,7 @@
 mod runs;
 mod spec;
 mod speed;
+mod stuck;
 mod worker;
 
 use std::collections::BTreeMap;
--- a/crates/pool/src/attend.rs
+++ b/crates/pool/src/stuck.rs
@@ -14,7 +14,7 @@
 
 impl Pool {
     /// Tasks that nobody will look at again, each with the reason.
-    pub fn unattended(&self) -> Vec<String> {
+    pub fn stuck_tasks(&self) -> Vec<String> {
         let queued: BTreeSet<StepId> = self.queue.values().copied().collect();
         let timed: BTreeSet<StepId> = self.timed.iter().map(|(_, step)| *step).collect();
         let mut found = Vec::new();
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -208,7 +208,7 @@
             self.pump();
             self.check();
             if self.now_ms.is_multiple_of(100) {
-                self.broken.extend(self.pool.unattended());
+                self.broken.extend(self.pool.stuck_tasks());
             }
         }
     }
