--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -119,7 +119,11 @@
             if self.collect(peers, session, 0, &on_reply).await {
                 pause = REOPEN_MIN;
                 self.lock().phase = Phase::Open;
-                tracing::info!(executor = self.address, session = session.number, "executor in use");
+                tracing::info!(
+                    executor = self.address,
+                    session = session.number,
+                    "executor in use"
+                );
                 on_change();
                 tokio::select! {
                     () = self.collect_all(peers, session, &on_reply) => {}
@@ -208,10 +212,7 @@
     }
 
     /// What is queued, but for orders that are too old to be sent.
-    fn next_batch(
-        &self,
-        on_reply: &impl Fn(Pending, WorkerReply),
-    ) -> Option<(Batch, Vec<u64>)> {
+    fn next_batch(&self, on_reply: &impl Fn(Pending, WorkerReply)) -> Option<(Batch, Vec<u64>)> {
         let now_ms = steady_ms();
         let mut state = self.lock();
         let (clock_ms, at_ms) = state.clock?;
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -105,9 +105,7 @@
     /// Waits until each zone that needs an executor has one, but not for long.
     pub async fn opened(&self) {
         let mut changes = self.changed.subscribe();
-        let all_open = async {
-            while !self.is_open() && changes.changed().await.is_ok() {}
-        };
+        let all_open = async { while !self.is_open() && changes.changed().await.is_ok() {} };
         if timeout(OPEN_TIMEOUT, all_open).await.is_err() {
             tracing::info!(epoch = self.epoch, "not every zone has an executor yet");
         }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use stoatwell_peer::Peers;
 use stoatwell_pool::Effect;
@@ -33,6 +34,7 @@
 use crate::follow::Follower;
 use crate::follow::read_row;
 use crate::health::StoreHealth;
+use crate::measure::TurnMeter;
 use crate::measure::count;
 use crate::measure::measure;
 use crate::members::Member;
@@ -105,6 +107,7 @@
         tracing::info!(epoch, took_ms = steady_ms() - began_ms, "scheduler ready");
         metrics::counter!("stoatwell_takeovers_total").increment(1);
         let mut measured_ms = 0;
+        let mut meter = TurnMeter::default();
         loop {
             let nap_ms = pool.idle_ms(steady_ms()).clamp(1, NAP_MAX_MS);
             let first = tokio::select! {
@@ -113,6 +116,7 @@
                 Some(query) = self.queries.recv() => Some(News::Query(query)),
                 () = tokio::time::sleep(Duration::from_millis(nap_ms)) => None,
             };
+            let began = Instant::now();
             let more = std::iter::from_fn(|| inbox.try_recv().ok());
             for news in first.into_iter().chain(more).take(NEWS_PER_TURN) {
                 match news {
@@ -127,8 +131,11 @@
             while let Ok(query) = self.queries.try_recv() {
                 answer(&mut pool, query, is_fresh(&renewed_ms));
             }
+            let handled = Instant::now();
             pool.note_renewal(renewed_ms.load(Ordering::Relaxed));
-            for effect in pool.pump(steady_ms(), unix_ms()) {
+            let effects = pool.pump(steady_ms(), unix_ms());
+            let pumped = Instant::now();
+            for effect in effects {
                 if effect == Effect::StepDown {
                     tracing::warn!(epoch, "stepping down: a worker follows another scheduler");
                     return;
@@ -136,9 +143,11 @@
                 self.carry_out(effect, &pool, &executors, &news, &batches, &mut tasks);
             }
             while tasks.try_join_next().is_some() {}
+            meter.add(handled - began, pumped - handled, pumped.elapsed());
             if steady_ms() >= measured_ms + MEASURE_EVERY_MS {
                 measured_ms = steady_ms();
-                measure(&pool);
+                measure(&pool, &meter);
+                meter = TurnMeter::default();
                 executors.update_workers(pool.workers_by_zone());
             }
         }
--- a/crates/node/src/measure.rs
+++ b/crates/node/src/measure.rs
@@ -1,5 +1,7 @@
 //! The scheduler's counters, gauges and its line of each second.
 
+use std::time::Duration;
+
 use stoatwell_pool::CallError;
 use stoatwell_pool::Event;
 use stoatwell_pool::Pool;
@@ -29,8 +31,27 @@
     }
 }
 
+/// What the leader's turns of one second took.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TurnMeter {
+    turns: u32,
+    handling: Duration,
+    deciding: Duration,
+    calling: Duration,
+}
+
+impl TurnMeter {
+    /// Adds a turn: handling messages, deciding, and giving the calls out.
+    pub fn add(&mut self, handling: Duration, deciding: Duration, calling: Duration) {
+        self.turns += 1;
+        self.handling += handling;
+        self.deciding += deciding;
+        self.calling += calling;
+    }
+}
+
 /// Sets the gauges of what the scheduler believes.
-pub(crate) fn measure(pool: &Pool) {
+pub(crate) fn measure(pool: &Pool, meter: &TurnMeter) {
     let counts = pool.counts();
     tracing::info!(
         queued_jobs = counts.queued_jobs,
@@ -40,6 +61,10 @@
         silent_workers = counts.silent_workers,
         free_cpu_millis = counts.free_cpu_millis,
         used_cpu_millis = counts.used_cpu_millis,
+        turns = meter.turns,
+        handling_ms = meter.handling.as_millis() as u64,
+        deciding_ms = meter.deciding.as_millis() as u64,
+        calling_ms = meter.calling.as_millis() as u64,
         "pool"
     );
     let stuck = pool.stuck_tasks();
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -178,8 +178,7 @@
 #[tokio::test]
 async fn orders_of_a_replaced_leader_are_refused() {
     let executor = Executor::new(Arc::new(Fake::with_worker()));
-    let (former, present) =
-        (SessionId { epoch: 1, number: 9 }, SessionId { epoch: 2, number: 1 });
+    let (former, present) = (SessionId { epoch: 1, number: 9 }, SessionId { epoch: 2, number: 1 });
     assert_eq!(executor.collect(former, 0).await, Some(Vec::new()));
     assert_eq!(executor.collect(present, 0).await, Some(Vec::new()));
     assert!(!executor.execute(former, Batch::new(vec![(1, hold(1))], FAR_AWAY_MS)));
@@ -212,8 +211,12 @@
 #[test]
 fn the_most_powerful_daemons_of_the_zone_execute() {
     let leader = member("leader", "z", 0.5);
-    let members =
-        [leader.clone(), member("weak", "z", 0.12), member("strong", "z", 0.5), member("far", "y", 0.5)];
+    let members = [
+        leader.clone(),
+        member("weak", "z", 0.12),
+        member("strong", "z", 0.5),
+        member("far", "y", 0.5),
+    ];
     let order = plan::order_of_use(&ZoneName::new("z"), &members, &leader);
     let addresses: Vec<&str> = order.iter().map(|member| member.address.as_str()).collect();
     assert_eq!(addresses, ["strong", "weak"]);
--- a/crates/pool/src/id.rs
+++ b/crates/pool/src/id.rs
@@ -144,15 +144,16 @@
 }
 
 text_or_numbers!(JobId, u64, |id| id.0, JobId);
-text_or_numbers!(
-    StepId,
-    (JobId, u32, u32),
-    |id| (id.job, id.occurrence, id.step),
-    |(job, occurrence, step)| StepId { job, occurrence, step }
-);
-text_or_numbers!(
-    TaskId,
-    (StepId, u32),
-    |id| (id.step, id.index),
-    |(step, index)| TaskId { step, index }
-);
+text_or_numbers!(StepId, (JobId, u32, u32), |id| (id.job, id.occurrence, id.step), |(
+    job,
+    occurrence,
+    step,
+)| StepId {
+    job,
+    occurrence,
+    step
+});
+text_or_numbers!(TaskId, (StepId, u32), |id| (id.step, id.index), |(step, index)| TaskId {
+    step,
+    index
+});
