Placing works on numbers of workers instead of names, and looks at each worker once

Change: workers have slots; grants, questions and rooms go by them. Only as many workers as a question can name are put in order. Candidates are put in order once and filled one after the other, which chooses as before. A gang that may reserve nothing any more is not worked out. A cycle comes each 13 ms with 1,100 workers instead of 8. A long turn is followed by a rest of the same length, so that messages gather.

--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -49,6 +49,10 @@
 const NAP_MAX_MS: u64 = 50;
 /// News taken in before the pool decides.
 const NEWS_PER_TURN: usize = 256;
+/// A turn that took longer is followed by a rest of the same length ...
+const REST_MIN: Duration = Duration::from_micros(300);
+/// ... but of this at most.
+const REST_MAX: Duration = Duration::from_millis(10);
 /// How often gauges are set.
 const MEASURE_EVERY_MS: u64 = 1_000;
 /// Everything a scheduler needs of its daemon.
@@ -144,6 +148,11 @@
             }
             while tasks.try_join_next().is_some() {}
             meter.add(handled - began, pumped - handled, pumped.elapsed());
+            // Under load messages gather, and a turn costs less for each of them.
+            let rest = began.elapsed().min(REST_MAX);
+            if rest >= REST_MIN {
+                tokio::time::sleep(rest).await;
+            }
             if steady_ms() >= measured_ms + MEASURE_EVERY_MS {
                 measured_ms = steady_ms();
                 measure(&pool, &meter);
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -103,13 +103,14 @@
             None => advice.pause_until_ms = now_ms + ADVICE_PAUSE_MS,
             Some(granted) => {
                 tracing::debug!(%step, asked = asked.len(), granted = granted.len(), "advice came");
-                advice.asked.extend(asked.iter().cloned());
+                let slot = |name: &WorkerId| self.workers.get(name).map(|worker| worker.slot);
+                advice.asked.extend(asked.iter().filter_map(slot));
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
                     let expires_ms = now_ms + rule.valid_ms;
                     let life = worker.news.life;
                     let ticket = Ticket { text: grant.ticket, life, expires_ms };
-                    advice.granted.insert(grant.worker, ticket);
+                    advice.granted.insert(worker.slot, ticket);
                 }
             }
         }
@@ -149,8 +150,8 @@
     pub(crate) fn has_fresh_ticket(&self, step: StepId, name: &WorkerId) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let Some(unit) = job.unit_of(step) else { return false };
-        let Some(ticket) = job.units[unit].advice.granted.get(name) else { return false };
         let Some(worker) = self.workers.get(name) else { return false };
+        let Some(ticket) = job.units[unit].advice.granted.get(&worker.slot) else { return false };
         ticket.is_fresh(worker.news.life, self.sent_ms(job.spec.queue.advice))
     }
 
@@ -169,9 +170,10 @@
 
     /// A worker refused a ticket; the next start asks for a new one.
     pub(crate) fn drop_ticket(&mut self, id: TaskId, name: &WorkerId) {
+        let Some(worker) = self.workers.get(name) else { return };
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(unit) = job.unit_of(id.step) else { return };
-        if let Some(ticket) = job.units[unit].advice.granted.get_mut(name) {
+        if let Some(ticket) = job.units[unit].advice.granted.get_mut(&worker.slot) {
             ticket.expires_ms = 0;
         }
     }
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -4,13 +4,14 @@
 use std::collections::HashMap;
 
 use stoatwell_model::Resources;
-use stoatwell_model::WorkerId;
 
 use crate::Pool;
 use crate::QueueKey;
 use crate::id::StepId;
 use crate::spec::StepSpec;
 use crate::spec::TASKS_MAX;
+use crate::worker::Slot;
+use crate::worker::Worker;
 
 /// Room that other work leaves free for urgent work, in hundredths of what
 /// urgent work takes at the time: enough for twice the usual arrivals to find
@@ -26,7 +27,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pass {
     pub rooms: Vec<Room>,
-    pub by_name: HashMap<WorkerId, usize>,
+    /// Places in `rooms` by the workers' slots.
+    places: Vec<Option<u32>>,
     services: Vec<Service>,
 }
 
@@ -41,7 +43,7 @@
 /// A worker during one pass.
 #[derive(Clone, Debug)]
 pub(crate) struct Room {
-    pub name: WorkerId,
+    pub slot: Slot,
     /// Its service, as [`Pass::service`] numbers it.
     pub service: usize,
     pub life: u64,
@@ -114,6 +116,11 @@
         self.services.iter().position(|service| service.name == name)
     }
 
+    /// The place of a worker in `rooms`, if it is open.
+    pub fn at(&self, slot: Slot) -> Option<usize> {
+        self.places.get(slot.0).copied().flatten().map(|at| at as usize)
+    }
+
     fn take(&mut self, at: usize, room: &Resources) {
         self.rooms[at].free = self.rooms[at].free.minus(room);
         let sum = &mut self.services[self.rooms[at].service].free;
@@ -138,30 +145,30 @@
         let room = ask.spec.room();
         let most = ask.spec.per_worker_max;
         candidates.retain(|one| self.rooms[one.at].takes(ask));
+        // A worker that is the tightest fit stays so until it is full.
+        candidates.sort_by(|a, b| self.left_with(a, &room).total_cmp(&self.left_with(b, &room)));
         let mut chosen = Vec::new();
-        for index in waiting {
-            if !self.leaves_headroom(ask, &room) {
-                break;
-            }
-            let mut best: Option<(f64, usize)> = None;
-            for (number, one) in candidates.iter().enumerate() {
-                let view = &self.rooms[one.at];
-                if !view.free.holds(&room) || (most > 0 && one.mine >= most) {
-                    continue;
-                }
-                let left = view.free.minus(&room).dominant_share(&view.capacity) + one.bias;
-                if best.is_none_or(|(least, _)| left < least) {
-                    best = Some((left, number));
+        let mut waiting = waiting.iter();
+        for mut one in candidates {
+            while self.rooms[one.at].free.holds(&room) && (most == 0 || one.mine < most) {
+                if !self.leaves_headroom(ask, &room) {
+                    return chosen;
                 }
+                let Some(index) = waiting.next() else { return chosen };
+                one.mine += 1;
+                self.take(one.at, &room);
+                chosen.push((*index, one.at));
             }
-            let Some((_, number)) = best else { break };
-            candidates[number].mine += 1;
-            self.take(candidates[number].at, &room);
-            chosen.push((*index, candidates[number].at));
         }
         chosen
     }
 
+    /// How much a candidate would have left, with what speaks against it.
+    fn left_with(&self, one: &Candidate, room: &Resources) -> f64 {
+        let view = &self.rooms[one.at];
+        view.free.minus(room).dominant_share(&view.capacity) + one.bias
+    }
+
     fn leaves_headroom(&self, ask: &Ask<'_>, room: &Resources) -> bool {
         if ask.headroom.is_zero() {
             return true;
@@ -174,8 +181,10 @@
     /// The open workers as they are now.
     pub(crate) fn begin_pass(&self) -> Pass {
         let mut pass = Pass::default();
+        pass.rooms.reserve(self.workers.len());
+        pass.places.resize(self.names.len(), None);
         let blamed = self.blamed_services();
-        for (name, worker) in &self.workers {
+        for worker in self.workers.values() {
             let acquitted = worker.is_only_suspect(self.now_ms)
                 && !blamed.contains(&worker.news.service.as_str());
             if !worker.is_open(self.now_ms) && !acquitted {
@@ -189,9 +198,9 @@
             });
             let sum = &mut pass.services[service].free;
             *sum = sum.plus(&free);
-            pass.by_name.insert(name.clone(), pass.rooms.len());
+            pass.places[worker.slot.0] = Some(pass.rooms.len() as u32);
             pass.rooms.push(Room {
-                name: name.clone(),
+                slot: worker.slot,
                 service,
                 life: worker.news.life,
                 suspect: worker.is_suspect(),
@@ -203,19 +212,31 @@
         pass
     }
 
+    /// The worker of a slot, if it is still known.
+    pub(crate) fn worker_at(&self, slot: Slot) -> Option<&Worker> {
+        self.workers.get(self.names.get(slot.0)?)
+    }
+
     /// Services whose failed runs are their workers' fault, for all one knows.
     ///
     /// Runs that fail on most workers of a service are the tasks' own fault. With all
     /// of them left alone for it, nothing of the service would run at all.
     fn blamed_services(&self) -> Vec<&str> {
-        let mut counts: HashMap<&str, (usize, usize)> = HashMap::new();
+        // Service, open workers, suspect ones; there are few services.
+        let mut counts: Vec<(&str, usize, usize)> = Vec::new();
         for worker in self.workers.values() {
-            let (open, suspect) = counts.entry(worker.news.service.as_str()).or_default();
+            let service = worker.news.service.as_str();
+            let known = counts.iter().position(|(name, ..)| *name == service);
+            let at = known.unwrap_or_else(|| {
+                counts.push((service, 0, 0));
+                counts.len() - 1
+            });
+            let (_, open, suspect) = &mut counts[at];
             *open += usize::from(worker.is_open(self.now_ms));
             *suspect += usize::from(worker.is_only_suspect(self.now_ms));
         }
-        let few = |(_, (open, suspect)): &(&str, (usize, usize))| suspect <= open;
-        counts.into_iter().filter(few).map(|(service, _)| service).collect()
+        let few = |(_, open, suspect): &(&str, usize, usize)| suspect <= open;
+        counts.into_iter().filter(few).map(|(service, ..)| service).collect()
     }
 
     /// The workers that a unit may use, with what speaks for and against each:
@@ -229,7 +250,7 @@
         pass: &Pass,
     ) -> Vec<Candidate> {
         let room = spec.room();
-        let mine = self.placed_counts(step, unit);
+        let mine = self.placed_counts(step, unit, spec);
         let mut candidates = Vec::with_capacity(allowed.len());
         for one in allowed {
             let view = &pass.rooms[one.at];
@@ -237,11 +258,10 @@
                 continue;
             }
             let far = spec.near_rack.is_some()
-                && spec.near_rack.as_deref()
-                    != self.workers.get(&view.name).and_then(|worker| worker.rack());
+                && spec.near_rack.as_deref() != self.worker_at(view.slot).and_then(Worker::rack);
             let last = far || view.suspect;
             let bias = f64::from(u8::from(last)) * 4.0 + f64::from(u8::from(!one.fresh));
-            let mine = mine.get(&view.name).copied().unwrap_or(0);
+            let mine = mine.get(&view.slot).copied().unwrap_or(0);
             candidates.push(Candidate { at: one.at, bias, mine });
         }
         candidates
@@ -262,7 +282,7 @@
         let mut racks: BTreeMap<&str, (u64, Vec<Candidate>)> = BTreeMap::new();
         for one in &candidates {
             let room = &pass.rooms[one.at];
-            let Some(rack) = self.workers.get(&room.name).and_then(|worker| worker.rack()) else {
+            let Some(rack) = self.worker_at(room.slot).and_then(Worker::rack) else {
                 continue;
             };
             let (sum, members) = racks.entry(rack).or_default();
@@ -306,13 +326,18 @@
         urgent.plus(&between.share(PATIENT_HEADROOM_PERCENT, 100))
     }
 
-    /// How many tasks of the unit each worker has already.
-    fn placed_counts(&self, step: StepId, unit: usize) -> HashMap<WorkerId, u32> {
+    /// How many tasks of the unit each worker has already, where that is limited.
+    fn placed_counts(&self, step: StepId, unit: usize, spec: &StepSpec) -> HashMap<Slot, u32> {
         let mut counts = HashMap::new();
         let Some(job) = self.jobs.get(&step.job) else { return counts };
+        if spec.per_worker_max == 0 {
+            return counts;
+        }
         for task in &job.units[unit].tasks {
-            let Some(name) = &task.worker else { continue };
-            *counts.entry(name.clone()).or_default() += 1;
+            let Some(worker) = task.worker.as_ref().and_then(|name| self.workers.get(name)) else {
+                continue;
+            };
+            *counts.entry(worker.slot).or_default() += 1;
         }
         counts
     }
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -48,11 +48,10 @@
 
 impl Pool {
     pub(crate) fn on_listed(&mut self, news: WorkerNews) {
-        let earlier_lapse_ms = self.earlier_lapse_ms();
         let name = news.worker.clone();
         let Some(worker) = self.workers.get_mut(&name) else {
             tracing::info!(worker = %name, address = news.address, "worker listed");
-            self.workers.insert(name, Worker::new(news, earlier_lapse_ms));
+            self.add_worker(news, true);
             return;
         };
         if news.life < worker.news.life {
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -16,6 +16,7 @@
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
 use crate::worker::FULL_PACE;
+use crate::worker::Slot;
 use crate::worker::Worker;
 
 /// Where a task stands.
@@ -105,9 +106,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Advice {
     /// Workers that may run the step, with the newest ticket.
-    pub granted: BTreeMap<WorkerId, Ticket>,
+    pub granted: BTreeMap<Slot, Ticket>,
     /// Workers asked about, granted or not.
-    pub asked: BTreeSet<WorkerId>,
+    pub asked: BTreeSet<Slot>,
     /// Questions that are not answered yet.
     pub questions: u32,
     /// Not before this is the advisor asked again.
@@ -129,7 +130,7 @@
     /// Not before this is a place looked for again.
     pub look_after_ms: u64,
     /// Workers kept for it at the last look, for a gang.
-    pub kept: Vec<WorkerId>,
+    pub kept: Vec<Slot>,
     /// When that was worked out.
     pub kept_ms: u64,
     /// When the last place on them comes free.
--- a/crates/pool/src/keep.rs
+++ b/crates/pool/src/keep.rs
@@ -8,7 +8,6 @@
 //! free, the others are open to work that is over by then.
 
 use stoatwell_model::Resources;
-use stoatwell_model::WorkerId;
 
 use crate::Pool;
 use crate::choose::Kept;
@@ -16,6 +15,7 @@
 use crate::choose::places_in;
 use crate::id::StepId;
 use crate::id::TaskId;
+use crate::worker::Slot;
 
 /// Which workers are kept is worked out again after this; it means a look at all
 /// tasks on all workers that the gang may use.
@@ -35,6 +35,9 @@
         pass: &mut Pass,
         most: usize,
     ) -> usize {
+        if most == 0 {
+            return 0;
+        }
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         if now_ms < job.units[unit].kept_ms + KEEP_ANEW_MS {
@@ -49,26 +52,26 @@
             if !pass.rooms[one.at].is_for(step, priority) {
                 continue;
             }
-            let times_ms = self.places_ms(&pass.rooms[one.at].name, &need);
+            let times_ms = self.places_ms(pass.rooms[one.at].slot, &need);
             coming.extend(times_ms.into_iter().map(|left_ms| (left_ms, one.at)));
         }
         coming.sort_unstable();
         coming.truncate(wanted);
         let until_ms = now_ms + coming.last().map_or(0, |(left_ms, _)| *left_ms);
-        let mut names: Vec<WorkerId> = Vec::new();
+        let mut slots: Vec<Slot> = Vec::new();
         for (_, at) in coming {
             if pass.rooms[at].kept_for.is_some_and(|kept| kept.step == step) {
                 continue;
             }
-            if names.len() >= most {
+            if slots.len() >= most {
                 break;
             }
             pass.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
-            names.push(pass.rooms[at].name.clone());
+            slots.push(pass.rooms[at].slot);
         }
-        let kept = names.len();
+        let kept = slots.len();
         if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.units[unit].kept = names;
+            job.units[unit].kept = slots;
             job.units[unit].kept_ms = now_ms;
             job.units[unit].kept_until_ms = until_ms;
         }
@@ -87,8 +90,8 @@
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let mut kept = 0;
         let until_ms = job.units[unit].kept_until_ms;
-        for name in job.units[unit].kept.iter().take(most) {
-            let Some(at) = pass.by_name.get(name).copied() else { continue };
+        for slot in job.units[unit].kept.iter().take(most) {
+            let Some(at) = pass.at(*slot) else { continue };
             if pass.rooms[at].is_for(step, priority) {
                 pass.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
                 kept += 1;
@@ -99,8 +102,8 @@
 
     /// In how long each place for a task of this need comes free on a worker, if
     /// nothing else goes there; 0 for those that are free now.
-    fn places_ms(&self, name: &WorkerId, need: &Resources) -> Vec<u64> {
-        let Some(worker) = self.workers.get(name) else { return Vec::new() };
+    fn places_ms(&self, slot: Slot, need: &Resources) -> Vec<u64> {
+        let Some(worker) = self.worker_at(slot) else { return Vec::new() };
         let mut ends: Vec<(u64, &Resources)> =
             worker.tasks.iter().map(|(id, room)| (self.left_ms(*id), room)).collect();
         ends.sort_unstable_by_key(|(left_ms, _)| *left_ms);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -42,6 +42,7 @@
 use crate::job::Job;
 use crate::job::Phase;
 use crate::learned::Learned;
+use crate::worker::Slot;
 use crate::worker::Worker;
 
 pub use crate::dump::Counts;
@@ -121,6 +122,8 @@
     /// Cancellations of jobs that are not known yet.
     early_cancels: BTreeSet<JobId>,
     workers: BTreeMap<WorkerId, Worker>,
+    /// Names of workers by their slots.
+    names: Vec<WorkerId>,
     /// Units with tasks to place: priority, due time, arrival.
     queue: BTreeMap<QueueKey, StepId>,
     /// Units of occurrences that are not due yet.
@@ -154,6 +157,8 @@
 /// Least time between two passes over the queue. Hundreds of ends and arrivals a
 /// second would each cost a pass over all workers.
 const PLACE_EVERY_MS: u64 = 8;
+/// A millisecond is added to it for each so many workers, since a pass costs with them.
+const WORKERS_EACH_MS: usize = 200;
 
 impl Pool {
     /// A scheduler that has just been elected.
@@ -169,6 +174,7 @@
             jobs: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
             workers: BTreeMap::new(),
+            names: Vec::new(),
             queue: BTreeMap::new(),
             timed: BTreeSet::new(),
             arrivals: 0,
@@ -209,12 +215,11 @@
         let id = TaskId { step: unit.id, index: row.index };
         let room = job.step(row.unit as usize).room();
         let service = job.spec.queue.service.clone();
-        let earlier_lapse_ms = self.earlier_lapse_ms();
-        let worker = self.workers.entry(name.clone()).or_insert_with(|| {
+        if !self.workers.contains_key(&name) {
             let address = row.address.clone();
-            let news = WorkerNews::unlisted(name.clone(), address, service, row.life);
-            Worker { listed: false, ..Worker::new(news, earlier_lapse_ms) }
-        });
+            self.add_worker(WorkerNews::unlisted(name.clone(), address, service, row.life), false);
+        }
+        let Some(worker) = self.workers.get_mut(&name) else { return };
         // A start may have reached a later life than the one that it was meant
         // for, so whatever the rows say of lives, the first hold tells.
         worker.news.life = worker.news.life.max(row.life);
@@ -225,6 +230,15 @@
         }
     }
 
+    /// Adds a worker that is not known.
+    pub(crate) fn add_worker(&mut self, news: WorkerNews, listed: bool) {
+        let slot = Slot(self.names.len());
+        let name = news.worker.clone();
+        let worker = Worker { listed, ..Worker::new(slot, news, self.earlier_lapse_ms()) };
+        self.names.push(name.clone());
+        self.workers.insert(name, worker);
+    }
+
     /// Takes in one piece of news.
     pub fn handle(&mut self, now_ms: u64, unix_ms: u64, event: Event) {
         self.now_ms = self.now_ms.max(now_ms);
@@ -261,7 +275,7 @@
         }
         if self.place_due && self.now_ms >= self.next_place_ms {
             self.place_due = false;
-            self.next_place_ms = self.now_ms + PLACE_EVERY_MS;
+            self.next_place_ms = self.now_ms + self.place_every_ms();
             self.place();
         }
         self.commit();
@@ -272,6 +286,10 @@
         std::mem::take(&mut self.effects)
     }
 
+    fn place_every_ms(&self) -> u64 {
+        PLACE_EVERY_MS + (self.workers.len() / WORKERS_EACH_MS) as u64
+    }
+
     /// How long until something is due that no event announces.
     pub fn idle_ms(&self, now_ms: u64) -> u64 {
         let place_ms = if self.place_due { self.next_place_ms } else { u64::MAX };
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -8,6 +8,8 @@
 //! and the gang would wait for ever. Work below the first priority leaves room
 //! for urgent work that is about to come, which is over sooner than any stop.
 
+use std::cmp::Reverse;
+
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -25,6 +27,7 @@
 use crate::job::Phase;
 use crate::spec::AdviceSpec;
 use crate::spec::StepSpec;
+use crate::worker::Slot;
 
 /// Units looked at in one pass; those behind them wait for the next.
 const UNITS_PER_PASS: usize = 1_000;
@@ -210,7 +213,7 @@
         let may_ask = self.may_renew(step, advice, &chosen, pass);
         if !chosen.is_empty() && may_start && may_ask {
             for (index, at) in &chosen {
-                let name = pass.rooms[*at].name.clone();
+                let name = self.names[pass.rooms[*at].slot.0].clone();
                 self.reserve(TaskId { step, index: *index }, &name, spec.room());
             }
             self.start_or_ask(step, &chosen, pass);
@@ -240,7 +243,8 @@
         pass: &Pass,
     ) -> bool {
         let Some(rule) = advice else { return true };
-        let fresh = |(_, at): &(u32, usize)| self.has_fresh_ticket(step, &pass.rooms[*at].name);
+        let fresh =
+            |(_, at): &(u32, usize)| self.has_fresh_ticket(step, self.name_of(&pass.rooms[*at]));
         (!chosen.is_empty() && chosen.iter().all(fresh)) || self.may_ask(rule, chosen.len())
     }
 
@@ -264,8 +268,8 @@
             return allowed;
         }
         let sent_ms = self.sent_ms(job.spec.queue.advice);
-        for (name, ticket) in &job.units[unit].advice.granted {
-            let Some(at) = pass.by_name.get(name).copied() else { continue };
+        for (slot, ticket) in &job.units[unit].advice.granted {
+            let Some(at) = pass.at(*slot) else { continue };
             let room = &pass.rooms[at];
             if self.is_eligible(service, spec, room) {
                 allowed.push(Allowed { at, fresh: ticket.is_fresh(room.life, sent_ms) });
@@ -291,7 +295,7 @@
         for one in self.allowed(step, unit, spec, pass) {
             let room = &pass.rooms[one.at];
             has_room |= room.free.holds(&need);
-            names.push(room.name.clone());
+            names.push(self.name_of(room).clone());
         }
         names.truncate(self.limits.advice_workers_max);
         let Some(rule) = job.spec.queue.advice else { return false };
@@ -304,12 +308,16 @@
     /// Whether a worker is of the service and has the label.
     fn is_eligible(&self, service: usize, spec: &StepSpec, room: &Room) -> bool {
         let has_label = |label| {
-            let worker = self.workers.get(&room.name);
+            let worker = self.worker_at(room.slot);
             worker.is_some_and(|worker| worker.news.labels.contains(label))
         };
         room.service == service && spec.label.as_ref().is_none_or(has_label)
     }
 
+    fn name_of(&self, room: &Room) -> &WorkerId {
+        &self.names[room.slot.0]
+    }
+
     fn reserve(&mut self, id: TaskId, name: &WorkerId, room: Resources) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
@@ -328,7 +336,7 @@
         let mut stale = false;
         let mut ready = Vec::new();
         for (index, at) in chosen {
-            let name = &pass.rooms[*at].name;
+            let name = self.name_of(&pass.rooms[*at]);
             if !names.contains(name) {
                 names.push(name.clone());
             }
@@ -394,49 +402,57 @@
         let Some(service) = pass.service(&job.spec.queue.service) else { return };
         let advice = &job.units[unit].advice;
         let need = spec.room();
-        let room_of = |name: &WorkerId| {
-            pass.by_name.get(name).map_or(0, |at| places_in(&pass.rooms[*at].capacity, &need))
-        };
-        let places: u64 = advice.granted.keys().map(room_of).sum();
+        let places_of = |room: &Room| places_in(&room.capacity, &need);
+        let granted_at = |slot: &Slot| pass.at(*slot).map(|at| &pass.rooms[at]);
+        let places: u64 = advice.granted.keys().filter_map(granted_at).map(places_of).sum();
         let enough = places >= u64::from(spec.tasks) * PLACES_FACTOR;
         let first = advice.asked.is_empty();
         let any_room = first || !enough;
         let free_at = |room: &Room| {
             if room.is_for(step, priority) { places_in(&room.free, &need) } else { 0 }
         };
-        let mut fresh: Vec<(u64, &WorkerId)> = Vec::new();
-        for room in &pass.rooms {
-            if advice.asked.contains(&room.name)
-                || !room.capacity.holds(&need)
-                || !(any_room || free_at(room) > 0)
-                || !self.is_eligible(service, spec, room)
-            {
+        // Those with the most room first.
+        let mut fresh: Vec<(Reverse<u64>, u64, usize)> = Vec::new();
+        for (at, room) in pass.rooms.iter().enumerate() {
+            if !room.capacity.holds(&need) || !self.is_eligible(service, spec, room) {
                 continue;
             }
-            fresh.push((free_at(room), &room.name));
+            let free = free_at(room);
+            if (free == 0 && !any_room) || advice.asked.contains(&room.slot) {
+                continue;
+            }
+            fresh.push((Reverse(free), spread(step, room.slot), at));
         }
         if fresh.is_empty() || (enough && fresh.len() < ASKED_AGAIN_MIN) {
             return;
         }
-        fresh.sort_by_cached_key(|(free, name)| (std::cmp::Reverse(*free), spread(step, name)));
-        let places: u64 = fresh.iter().map(|(_, name)| room_of(name)).sum();
+        let places: u64 = fresh.iter().map(|(.., at)| places_of(&pass.rooms[*at])).sum();
         let places_each = places / fresh.len() as u64;
         let mut most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
+        let free_all: u64 = fresh.iter().map(|(free, ..)| free.0).sum();
+        // No question names more; the others need no order.
+        let named_max = self.limits.advice_workers_max * QUESTIONS_MAX;
+        if fresh.len() > named_max {
+            fresh.select_nth_unstable(named_max);
+            fresh.truncate(named_max);
+        }
+        fresh.sort_unstable();
         if spec.gang {
-            let known = advice.granted.keys().filter_map(|name| pass.by_name.get(name));
-            let free_now: u64 = known.map(|at| free_at(&pass.rooms[*at])).sum();
+            let known = advice.granted.keys().filter_map(granted_at);
+            let free_now: u64 = known.map(free_at).sum();
             let missing = u64::from(spec.tasks).saturating_sub(free_now);
-            let free: Vec<u64> = fresh.iter().map(|(free, _)| *free).collect();
+            let free: Vec<u64> = fresh.iter().map(|(free, ..)| free.0).collect();
             let share = self.learned.granted_share(&job.spec.queue.name);
-            match workers_for(missing, &free, share) {
-                Some(workers) => most = most.max(workers),
-                None if enough => return,
-                None => most = usize::MAX,
+            let wanted = missing as f64 * FREE_FACTOR;
+            match workers_for(wanted, &free, share) {
+                Some(workers) => most = most.max(workers).min(named_max),
+                None if enough && (free_all as f64) * share < wanted => return,
+                None => most = named_max,
             }
-            most = most.min(self.limits.advice_workers_max * QUESTIONS_MAX);
         }
+        let asked = fresh.into_iter().take(most);
         let names: Vec<WorkerId> =
-            fresh.into_iter().take(most).map(|(_, name)| name.clone()).collect();
+            asked.map(|(.., at)| self.name_of(&pass.rooms[at]).clone()).collect();
         if self.may_ask(rule, names.len()) {
             self.ask(step, &names);
         }
@@ -445,8 +461,7 @@
 
 /// How many of the workers, those with the most free places first, to ask about
 /// for this many places to be granted; `None` if all of them are too few.
-fn workers_for(places: u64, free: &[u64], granted_share: f64) -> Option<usize> {
-    let wanted = places as f64 * FREE_FACTOR;
+fn workers_for(wanted: f64, free: &[u64], granted_share: f64) -> Option<usize> {
     let mut expected = 0.0;
     for (number, places) in free.iter().enumerate() {
         if expected >= wanted {
@@ -458,6 +473,6 @@
 }
 
 /// Spreads equal choices over the workers, each step in its own order.
-fn spread(step: StepId, name: &WorkerId) -> u64 {
-    xxh3_64_with_seed(name.as_str().as_bytes(), step.job.0 ^ u64::from(step.step))
+fn spread(step: StepId, slot: Slot) -> u64 {
+    xxh3_64_with_seed(&slot.0.to_le_bytes(), step.job.0 ^ u64::from(step.step))
 }
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -62,7 +62,7 @@
             self.not_started(id);
             return;
         };
-        let ticket = unit.advice.granted.get(&name).filter(|_| needs_ticket);
+        let ticket = unit.advice.granted.get(&worker.slot).filter(|_| needs_ticket);
         if ticket.is_some_and(|ticket| !ticket.is_fresh(worker.news.life, now_ms + START_WAY_MS)) {
             // Its row took longer than the ticket is good for, as in a store outage; the
             // worker would turn it away.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -23,9 +23,14 @@
 /// How long it is left alone at first; doubled each time up to eight times.
 const QUARANTINE_MS: u64 = 2_500;
 
+/// A worker's number, which no other worker of a pool ever gets.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Slot(pub usize);
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
+    pub slot: Slot,
     pub news: WorkerNews,
     pub listed: bool,
     /// Counts lives; part of the token, so that orders for an earlier life are refused.
@@ -75,8 +80,9 @@
 }
 
 impl Worker {
-    pub fn new(news: WorkerNews, earlier_lapse_ms: u64) -> Self {
+    pub fn new(slot: Slot, news: WorkerNews, earlier_lapse_ms: u64) -> Self {
         Self {
+            slot,
             news,
             listed: true,
             lives: 0,
