A wide gang asks about as many workers as it needs at once

Hypothesis: a gang of 240 tasks asked about 200 workers, of which 60 may run it with at most three tasks each, and had to ask again three times, a second each, while its first tickets grew old. Change: one question for each 30 tasks, two at least and eight at most.

--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -54,7 +54,11 @@
 const FREE_FACTOR: f64 = 1.5;
 /// Questions about a gang at one time, through several daemons. One after the
 /// other they would take most of a second each, while the room goes to others.
-const QUESTIONS_MAX: usize = 2;
+const QUESTIONS_MIN: usize = 2;
+/// A wider gang has one question for each so many tasks ...
+const TASKS_EACH_QUESTION: u32 = 30;
+/// ... and no more than this.
+const QUESTIONS_MAX: usize = 8;
 
 /// What a task may take against what is expected of it, in hundredths, where it must be
 /// over in time: estimates are off by half.
@@ -431,7 +435,7 @@
         let mut most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
         let free_all: u64 = fresh.iter().map(|(free, ..)| free.0).sum();
         // No question names more; the others need no order.
-        let named_max = self.limits.advice_workers_max * QUESTIONS_MAX;
+        let named_max = self.limits.advice_workers_max * questions_max(spec.tasks);
         if fresh.len() > named_max {
             fresh.select_nth_unstable(named_max);
             fresh.truncate(named_max);
@@ -459,6 +463,11 @@
     }
 }
 
+/// How many questions about a gang of this many tasks may be under way.
+fn questions_max(tasks: u32) -> usize {
+    ((tasks / TASKS_EACH_QUESTION) as usize).clamp(QUESTIONS_MIN, QUESTIONS_MAX)
+}
+
 /// How many of the workers, those with the most free places first, to ask about
 /// for this many places to be granted; `None` if all of them are too few.
 fn workers_for(wanted: f64, free: &[u64], granted_share: f64) -> Option<usize> {
