Gangs learn early where they may run; reservations only for gangs that are wide for their workers

Cause: of 1,100 workers the advisor permits 330 to a step, and a gang knew 60 of them. With a fifth of the processors free it did not find its places among those, asked again a second later, and waited with small gaps all around. Reservations held another share of the room idle.

--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -26,10 +26,18 @@
 /// Questions under way for each daemon above which they are kept short: some more
 /// than one that is asked and one that is next.
 const QUESTIONS_EACH_MAX: usize = 4;
-/// A question that takes at least this is a long one. No more of them are under
-/// way than half of the daemons can ask: more would wait for each other until
-/// the tickets that came first are old again, and nothing would ever start.
+/// A question that takes at least this is a long one.
 pub const LONG_ASK_MS: u64 = 200;
+/// Daemons kept for short questions, which urgent work waits for: one in this many ...
+const SHORT_ONLY_SHARE: usize = 5;
+/// ... and at least this many, as far as that is no more than half of them.
+const SHORT_ONLY_MIN: usize = 8;
+/// Questions about one gang at one time, if no more long ones can be asked through idle
+/// daemons. One after the other they would take most of a second each, while the room
+/// goes to others.
+const GANG_QUESTIONS_MIN: usize = 2;
+/// A gang takes one part in this many of the long questions that can still be asked.
+const IDLE_SHARE: usize = 4;
 /// A step has enough workers to choose from when they hold this many times its
 /// tasks while empty.
 pub(crate) const PLACES_FACTOR: u64 = 3;
@@ -58,7 +66,17 @@
 
     /// Whether a question about this many workers may be asked now.
     pub(crate) fn may_ask(&self, rule: AdviceSpec, workers: usize) -> bool {
-        cost_ms(rule, workers) < LONG_ASK_MS || self.long_questions < self.advisors.div_ceil(2)
+        cost_ms(rule, workers) < LONG_ASK_MS || self.long_questions_left() > 0
+    }
+
+    /// How many questions about one gang may be asked at one time.
+    pub(crate) fn gang_questions_max(&self) -> usize {
+        (self.long_questions_left() / IDLE_SHARE).max(GANG_QUESTIONS_MIN)
+    }
+
+    /// How many more long questions may be under way.
+    fn long_questions_left(&self) -> usize {
+        long_questions_max(self.advisors).saturating_sub(self.long_questions)
     }
 
     /// Asks the advisor about these workers, in as many questions as it takes.
@@ -179,6 +197,12 @@
     }
 }
 
+/// How many long questions may be under way through this many daemons. More would wait
+/// for each other until the tickets that came first are old again.
+pub fn long_questions_max(daemons: usize) -> usize {
+    daemons - (daemons / SHORT_ONLY_SHARE).max(SHORT_ONLY_MIN.min(daemons / 2))
+}
+
 /// What the advisor takes for a question.
 fn cost_ms(rule: AdviceSpec, workers: usize) -> u64 {
     (rule.decide_ms + rule.each_ms * workers as f64) as u64 + 1
--- a/crates/pool/src/keep.rs
+++ b/crates/pool/src/keep.rs
@@ -10,6 +10,7 @@
 use stoatwell_model::Resources;
 
 use crate::Pool;
+use crate::choose::Allowed;
 use crate::choose::Kept;
 use crate::choose::Pass;
 use crate::choose::places_in;
@@ -17,6 +18,9 @@
 use crate::id::TaskId;
 use crate::worker::Slot;
 
+/// A gang that needs less than this share, in hundredths, of the places that its workers
+/// have while empty finds them free at one moment soon enough without a reservation.
+const RESERVING_PERCENT: u64 = 30;
 /// Which workers are kept is worked out again after this; it means a look at all
 /// tasks on all workers that the gang may use.
 const KEEP_ANEW_MS: u64 = 300;
@@ -48,7 +52,13 @@
         let wanted = job.units[unit].tasks.len();
         // When each place comes free, and on which worker.
         let mut coming: Vec<(u64, usize)> = Vec::new();
-        for one in self.allowed(step, unit, spec, pass) {
+        let allowed = self.allowed(step, unit, spec, pass);
+        let empty = |one: &Allowed| places_in(&pass.rooms[one.at].capacity, &need);
+        let places: u64 = allowed.iter().map(empty).sum();
+        if wanted as u64 * 100 < places * RESERVING_PERCENT {
+            return 0;
+        }
+        for one in allowed {
             if !pass.rooms[one.at].is_for(step, priority) {
                 continue;
             }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -45,6 +45,8 @@
 use crate::worker::Slot;
 use crate::worker::Worker;
 
+pub use crate::advise::LONG_ASK_MS;
+pub use crate::advise::long_questions_max;
 pub use crate::dump::Counts;
 pub use crate::dump::PoolDump;
 pub use crate::dump::WorkerDump;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -51,14 +51,7 @@
 const ASK_AGAIN_MS: u64 = 150;
 /// Free places that a gang hopes to be granted, against those it needs: which
 /// workers are granted varies, and some of the room is taken before the answer.
-const FREE_FACTOR: f64 = 1.5;
-/// Questions about a gang at one time, through several daemons. One after the
-/// other they would take most of a second each, while the room goes to others.
-const QUESTIONS_MIN: usize = 2;
-/// A wider gang has one question for each so many tasks ...
-const TASKS_EACH_QUESTION: u32 = 30;
-/// ... and no more than this.
-const QUESTIONS_MAX: usize = 8;
+const FREE_FACTOR: f64 = 4.0;
 
 /// What a task may take against what is expected of it, in hundredths, where it must be
 /// over in time: estimates are off by half.
@@ -435,7 +428,7 @@
         let mut most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
         let free_all: u64 = fresh.iter().map(|(free, ..)| free.0).sum();
         // No question names more; the others need no order.
-        let named_max = self.limits.advice_workers_max * questions_max(spec.tasks);
+        let named_max = self.limits.advice_workers_max * self.gang_questions_max();
         if fresh.len() > named_max {
             fresh.select_nth_unstable(named_max);
             fresh.truncate(named_max);
@@ -463,11 +456,6 @@
     }
 }
 
-/// How many questions about a gang of this many tasks may be under way.
-fn questions_max(tasks: u32) -> usize {
-    ((tasks / TASKS_EACH_QUESTION) as usize).clamp(QUESTIONS_MIN, QUESTIONS_MAX)
-}
-
 /// How many of the workers, those with the most free places first, to ask about
 /// for this many places to be granted; `None` if all of them are too few.
 fn workers_for(wanted: f64, free: &[u64], granted_share: f64) -> Option<usize> {
