--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -103,11 +103,16 @@
         let weak_ms = (WEAK_DELAY_MS * (0.5 - self.cores) / 0.25).max(0.0) as u64;
         let narrow_ms = if self.link_mbps < NARROW_MBPS { NARROW_DELAY_MS } else { 0 };
         let spread_ms = xxh3_64(self.name.as_bytes()) % SPREAD_MS;
-        let feeble_ms = if self.cores < FEEBLE_CORES { FEEBLE_DELAY_MS } else { 0 };
+        let feeble_ms = if is_feeble(self.cores) { FEEBLE_DELAY_MS } else { 0 };
         distance_ms + weak_ms + feeble_ms + narrow_ms + spread_ms
     }
 }
 
+/// Whether a machine is too weak to lead many workers.
+pub fn is_feeble(cores: f64) -> bool {
+    cores < FEEBLE_CORES
+}
+
 impl DutyView {
     /// A daemon that has not read the row yet.
     pub fn new(now_ms: u64) -> Self {
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -14,6 +14,7 @@
 use crate::advisors::Advisors;
 use crate::clock::steady_ms;
 use crate::executors::Executors;
+use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::members::read_members;
 use crate::news::News;
@@ -178,6 +179,7 @@
         self: Arc<Self>,
         advisors: Arc<Advisors<O>>,
         executors: Arc<Executors<O>>,
+        gateway: Arc<Gateway<O>>,
         leads: NodeCall,
     ) {
         let mut told = BTreeSet::new();
@@ -187,6 +189,7 @@
                     let members = read_members(&rows.rows);
                     let known = advisors.update_members(&members);
                     executors.update_members(members);
+                    gateway.set_daemons(known.len());
                     tell(&self.news, Event::Advisors { count: known.len() });
                     for address in known {
                         if told.insert(address.clone()) {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -1,6 +1,8 @@
 //! What callers ask of a daemon, whichever it is.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stoatwell_peer::Peers;
@@ -51,6 +53,8 @@
     health: Arc<StoreHealth>,
     scheduler: watch::Sender<SchedulerView>,
     executor: Executor<O>,
+    /// Daemons that this one knows of while it leads.
+    daemons: AtomicU32,
 }
 
 /// What a caller learns of a job.
@@ -74,7 +78,8 @@
     ) -> Self {
         let executor = Executor::new(Arc::clone(&outside));
         let scheduler = watch::Sender::default();
-        Self { outside, acceptor, peers, health, scheduler, executor }
+        let daemons = AtomicU32::default();
+        Self { outside, acceptor, peers, health, scheduler, executor, daemons }
     }
 
     /// Takes note of who holds the duty.
@@ -102,6 +107,11 @@
         self.scheduler.subscribe()
     }
 
+    /// Updates how many daemons there are, for those that ask.
+    pub(crate) fn set_daemons(&self, count: usize) {
+        self.daemons.store(count as u32, Ordering::Relaxed);
+    }
+
     /// Whether the store answers others, so that a caller that is turned away here is
     /// served at once elsewhere.
     pub fn do_others_reach_store(&self) -> bool {
@@ -298,7 +308,8 @@
         }
         let Route::Here(queries) = self.route() else { return NodeReply::NotScheduler };
         if call == NodeCall::Alive {
-            return NodeReply::Alive { reaches_store: self.is_store_up() };
+            let daemons = self.daemons.load(Ordering::Relaxed);
+            return NodeReply::Alive { reaches_store: self.is_store_up(), daemons };
         }
         ask_here(&queries, call).await.unwrap_or(NodeReply::NotScheduler)
     }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -33,6 +33,7 @@
 use crate::executors::call::WorkerCall;
 use crate::follow::Follower;
 use crate::follow::read_row;
+use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::measure::TurnMeter;
 use crate::measure::count;
@@ -70,6 +71,8 @@
     pub advisors: Arc<Advisors<O>>,
     /// The way to other daemons.
     pub peers: Peers,
+    /// Tells other daemons of this one.
+    pub gateway: Arc<Gateway<O>>,
     /// This daemon, as others know it.
     pub me: Member,
     /// Questions of this daemon's callers and of other daemons.
@@ -227,7 +230,8 @@
         tasks.spawn(Arc::clone(&follower).follow_workers(version));
         let leads = NodeCall::Leads { epoch, address: self.held.row.address.clone() };
         let (advisors, executors) = (Arc::clone(&self.advisors), Arc::clone(executors));
-        tasks.spawn(follower.track_members(advisors, executors, leads));
+        let gateway = Arc::clone(&self.gateway);
+        tasks.spawn(follower.track_members(advisors, executors, gateway, leads));
         Some(pool)
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -24,7 +24,6 @@
 mod watch;
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use stoatwell_model::ZoneName;
 use stoatwell_peer::Peers;
@@ -62,9 +61,7 @@
 pub use crate::outside::WorkerChanges;
 pub use crate::outside::shard;
 pub use crate::scheduler::Liveness;
-
-/// How often the scheduler is asked whether it lives.
-const LIVENESS_EVERY: Duration = Duration::from_millis(200);
+pub use crate::scheduler::probe_interval;
 
 /// Who a daemon is and how it is set up.
 #[derive(Clone, Debug)]
@@ -133,7 +130,7 @@
         tokio::spawn(scheduler::check_liveness(
             Arc::clone(&gateway),
             peers.clone(),
-            LIVENESS_EVERY,
+            duty::is_feeble(settings.cores),
         ));
         let advisors =
             Arc::new(Advisors::new(Arc::clone(&outside), peers.clone(), settings.address.clone()));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -83,6 +83,8 @@
     Alive {
         /// Whether the store answers it.
         reaches_store: bool,
+        /// How many daemons there are, for all it knows.
+        daemons: u32,
     },
     /// Taken note of.
     Noted,
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -25,6 +25,12 @@
 /// Questions without answer in a row after which it counts as gone. The first one may
 /// have gone into a connection that is dead while the daemon lives.
 const MISSES_MAX: u32 = 2;
+/// How often a daemon that could lead asks whether the scheduler lives.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Of the other daemons, one asks in this time ...
+const PROBE_INTERVAL_EACH: Duration = Duration::from_millis(10);
+/// ... and each of them at least once in this.
+const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(2);
 /// After the first question without answer.
 const MISSED_PAUSE: Duration = Duration::from_millis(30);
 
@@ -126,11 +132,12 @@
 pub(crate) async fn check_liveness<O: Outside>(
     gateway: Arc<Gateway<O>>,
     peers: Peers,
-    every: Duration,
+    is_feeble: bool,
 ) {
     let mut view = gateway.watch_scheduler();
     let mut asked = None;
     let mut misses = 0;
+    let mut every = PROBE_INTERVAL;
     loop {
         let target = view.borrow_and_update().elsewhere();
         if target != asked {
@@ -144,9 +151,12 @@
             continue;
         };
         let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, ALIVE_LIMIT).await;
+        if let Ok(NodeReply::Alive { daemons, .. }) = &reply {
+            every = probe_interval(is_feeble, *daemons);
+        }
         let liveness = match reply {
-            Ok(NodeReply::Alive { reaches_store: true }) => Some(Liveness::Healthy),
-            Ok(NodeReply::Alive { reaches_store: false }) => Some(Liveness::Isolated),
+            Ok(NodeReply::Alive { reaches_store: true, .. }) => Some(Liveness::Healthy),
+            Ok(NodeReply::Alive { reaches_store: false, .. }) => Some(Liveness::Isolated),
             Ok(_) | Err(_) => None,
         };
         misses = if liveness.is_some() { 0 } else { misses + 1 };
@@ -159,6 +169,16 @@
     }
 }
 
+/// How often a daemon asks. Those that could lead ask often; hundreds of others would keep
+/// the leader busy, and are told by the next one that it leads.
+pub fn probe_interval(is_feeble: bool, daemons: u32) -> Duration {
+    if is_feeble {
+        (PROBE_INTERVAL_EACH * daemons).clamp(PROBE_INTERVAL, PROBE_INTERVAL_MAX)
+    } else {
+        PROBE_INTERVAL
+    }
+}
+
 /// Waits for a time, or until another daemon schedules.
 async fn wait(
     view: &mut watch::Receiver<SchedulerView>,
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -221,6 +221,7 @@
             health: Arc::clone(&self.health),
             advisors: Arc::clone(&self.advisors),
             peers: self.peers.clone(),
+            gateway: Arc::clone(&self.gateway),
             me: self.settings.member(),
             queries: inbox,
             stop: self.stop.clone(),
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -41,6 +41,7 @@
             lease_max_ms: 6_000,
             remember_ms: 60_000,
             advice_workers_max: 100,
+            batch_bytes_max: 600_000,
         },
         peer_key: "test".to_owned(),
     };
--- a/crates/node/tests/duty.rs
+++ b/crates/node/tests/duty.rs
@@ -6,6 +6,7 @@
 use stoatwell_node::LEASE_MS;
 use stoatwell_node::Liveness;
 use stoatwell_node::QUIET_MS;
+use stoatwell_node::probe_interval;
 use stoatwell_pool::EXTEND_MS;
 
 fn fit(name: &str, store_answer_ms: u64) -> Fitness {
@@ -111,3 +112,15 @@
     assert!(view.claim_ms(&fit("me", 5), Liveness::Healthy) >= 5_000 + LEASE_MS);
     assert!(view.claim_ms(&fit("me", 5), Liveness::Isolated) >= 5_000 + QUIET_MS);
 }
+
+/// Guards against a leader that is kept busy by hundreds of daemons asking whether it lives.
+#[test]
+fn weak_daemons_of_a_large_pool_ask_rarely() {
+    let asked_per_s = |is_feeble: bool, daemons: u32| {
+        f64::from(daemons) / probe_interval(is_feeble, daemons).as_secs_f64()
+    };
+    assert!(asked_per_s(true, 130) <= 101.0);
+    assert!(probe_interval(true, 1_000).as_secs() <= 2);
+    assert_eq!(probe_interval(false, 147), probe_interval(false, 9));
+    assert_eq!(probe_interval(true, 9), probe_interval(false, 9));
+}
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -83,6 +83,7 @@
             lease_max_ms: 6_000,
             remember_ms: 60_000,
             advice_workers_max: 100,
+            batch_bytes_max: 600_000,
         },
         peer_key: KEY.to_owned(),
     };
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -18,6 +18,11 @@
 /// Rows in one transaction; the store takes 100 entries, one is the scheduler's own.
 const ROWS_PER_BATCH: usize = 95;
 
+/// About what a row takes in a call to the store, without its tasks ...
+const ROW_BYTES: usize = 150;
+/// ... and for each task.
+const TASK_BYTES: usize = 100;
+
 /// What has to be written, and what follows from it.
 #[derive(Debug, Default)]
 pub(crate) struct Commits {
@@ -113,11 +118,14 @@
         }
         let mut puts = Vec::new();
         let mut afters = Vec::new();
-        while puts.len() < ROWS_PER_BATCH {
+        let mut bytes = 0;
+        while puts.len() < ROWS_PER_BATCH && bytes < self.limits.batch_bytes_max {
             let Some(id) = commits.order.pop_front() else { break };
             afters.extend(commits.dirty.remove(&id).unwrap_or_default());
             let Some(job) = self.jobs.get(&id) else { continue };
-            puts.push((id, job.progress(&self.workers)));
+            let progress = job.progress(&self.workers);
+            bytes += ROW_BYTES + progress.tasks.len() * TASK_BYTES;
+            puts.push((id, progress));
         }
         let room = (ROWS_PER_BATCH - puts.len()) / 3;
         let removes = commits.removes.split_off(commits.removes.len().saturating_sub(room));
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -95,6 +95,9 @@
     pub remember_ms: u64,
     /// How many workers one question to the advisor may name.
     pub advice_workers_max: usize,
+    /// About how many bytes of rows one batch may hold; the renewal of the leader's
+    /// lease waits behind it.
+    pub batch_bytes_max: usize,
 }
 
 /// How a scheduler came to be one.
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -274,3 +274,44 @@
     assert_eq!(world.bad_tickets, 0, "of {} starts", world.starts);
     assert_kept(&world);
 }
+
+/// Guards against a gang that learns of a tenth of its workers a second and finds no room
+/// among them, in a pool of hundreds with room for it.
+#[test]
+fn a_gang_learns_at_once_where_it_may_run_in_a_large_pool() {
+    let mut world = World::new(17, 600, Faults::default());
+    world.granted_of_five = 1;
+    world.advice_ms = 900;
+    world.set_advisors(140);
+    world.run(100);
+    for number in 0..600 {
+        world.submit(number, job(queue(2), vec![step(2, 6_000, 40_000)]));
+    }
+    world.run(1_000);
+    let mut rules = queue(1);
+    rules.advice = Some(AdviceSpec { decide_ms: 390.0, each_ms: 5.6, valid_ms: 2_000 });
+    let mut gang = job(rules, vec![step(60, 4_000, 3_000)]);
+    gang.steps[0].gang = true;
+    world.submit(1_000, gang);
+    world.run(1_300);
+    assert_eq!(world.state(1_000), Some(JobState::Running), "{}", world.explain(JobId(1_000)));
+    assert_kept(&world);
+}
+
+/// Guards against room that stands idle for gangs which would soon find it anyway, among
+/// many times the places that they need.
+#[test]
+fn a_gang_that_is_narrow_for_its_workers_reserves_nothing() {
+    let mut world = World::new(19, 200, Faults::default());
+    world.run(100);
+    world.submit(1, job(queue(2), vec![step(200, 10_000, 40_000)]));
+    world.run(1_000);
+    let mut gang = job(queue(1), vec![step(10, 7_000, 3_000)]);
+    gang.steps[0].gang = true;
+    world.submit(2, gang);
+    world.run(500);
+    world.submit(3, job(queue(2), vec![step(200, 6_000, 40_000)]));
+    world.run(1_000);
+    assert_eq!(world.starts, 400);
+    assert_kept(&world);
+}
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -18,8 +18,13 @@
 use stoatwell_pool::StepSpec;
 use stoatwell_pool::WorkerNews;
 
-const LIMITS: Limits =
-    Limits { lease_ms: 6_000, lease_max_ms: 6_000, remember_ms: 60_000, advice_workers_max: 100 };
+const LIMITS: Limits = Limits {
+    lease_ms: 6_000,
+    lease_max_ms: 6_000,
+    remember_ms: 60_000,
+    advice_workers_max: 100,
+    batch_bytes_max: 600_000,
+};
 
 fn worker() -> WorkerNews {
     WorkerNews {
@@ -109,3 +114,31 @@
     }
     assert!(holds < 15, "{holds} holds");
 }
+
+/// Guards against batches that fill a narrow link for seconds, with the renewal of the
+/// leader's lease behind them.
+#[test]
+fn a_batch_holds_no_more_than_the_link_carries_in_time() {
+    let limits = Limits { batch_bytes_max: 1_000, ..LIMITS };
+    let mut pool = Pool::new(Election { epoch: 1, earlier_extends_ms: 0 }, limits, 1_000, 1_000);
+    let mut idle = job();
+    idle.steps[0].tasks = 10;
+    for number in 0..20 {
+        let spec = Arc::new(idle.clone());
+        pool.handle(1_000, 1_000, Event::Accepted { job: JobId(number), spec });
+        pool.handle(1_000, 1_000, Event::Cancelled { job: JobId(number) });
+    }
+    let mut written = 0;
+    let mut batches = 0;
+    for turn in 1..200 {
+        let now_ms = 1_000 + turn;
+        for effect in pool.pump(now_ms, now_ms) {
+            let Effect::Commit { batch, puts, .. } = effect else { continue };
+            written += puts.len();
+            batches += 1;
+            pool.handle(now_ms, now_ms, Event::Committed { batch });
+        }
+    }
+    assert_eq!(written, 20);
+    assert!(batches >= 2, "{batches} batches");
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -61,6 +61,8 @@
     pub granted_of_five: u64,
     /// Workers that the newest question to the advisor named.
     pub asked: usize,
+    /// What the advisor takes for a question.
+    pub advice_ms: u64,
     /// What the store takes for a batch.
     pub commit_ms: u64,
     /// Whether workers refuse starts with tickets that have expired.
@@ -105,6 +107,7 @@
             unlisted: BTreeSet::new(),
             granted_of_five: 3,
             asked: 0,
+            advice_ms: 80,
             commit_ms: 12,
             tickets_expire: false,
             bad_tickets: 0,
@@ -411,7 +414,7 @@
                     self.asked = workers.len();
                     let lost = self.chance(self.faults.lost_advice);
                     // The advisor issues tickets as it answers.
-                    let issued_ms = self.now_ms + 80;
+                    let issued_ms = self.now_ms + self.advice_ms;
                     let grant = |worker: &WorkerId| Grant {
                         worker: worker.clone(),
                         ticket: issued_ms.to_string(),
@@ -420,7 +423,7 @@
                     let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
                     let granted = (!lost).then(|| granted.map(grant).collect());
                     let event = Event::Advised { step, asked: workers, granted };
-                    self.schedule(80, Item::News(self.epoch, event));
+                    self.schedule(self.advice_ms, Item::News(self.epoch, event));
                 }
                 // Without the duty nothing can be written.
                 Effect::Commit { .. } if !self.renews => {}
@@ -483,5 +486,6 @@
         lease_max_ms: LEASE_MS,
         remember_ms: 1_000_000,
         advice_workers_max: 100,
+        batch_bytes_max: 600_000,
     }
 }
