--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -33,7 +33,7 @@
 /// How long an executor may take to accept a batch.
 const EXECUTE_TIMEOUT: Duration = Duration::from_millis(600);
 /// Orders are gathered for this long.
-const GATHER: Duration = Duration::from_millis(5);
+const GATHER: Duration = Duration::from_millis(10);
 /// Batches under way; what comes meanwhile goes with the next one.
 const BATCHES_MAX: usize = 4;
 /// An order that was made longer ago is not carried out any more: the leader's process
--- a/crates/node/src/executors/session.rs
+++ b/crates/node/src/executors/session.rs
@@ -21,7 +21,7 @@
 use crate::outside::Outside;
 
 /// Once there is an answer, how long further ones are waited for.
-const GATHER: Duration = Duration::from_millis(8);
+const GATHER: Duration = Duration::from_millis(12);
 
 /// A leader's use of one executor, from its first call to the first that fails.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -40,7 +40,9 @@
 const LOOK_PAUSE_MS: u64 = 40;
 /// The same for urgent work, which is short of time.
 const URGENT_LOOK_PAUSE_MS: u64 = 15;
-/// Both grow by themselves for each so many units in the queue, so that a
+/// For a gang a millisecond is added for each so many workers.
+const GANG_WORKERS_EACH_MS: usize = 10;
+/// They grow by themselves for each so many units in the queue, so that a
 /// backlog is not what keeps the scheduler from working it off.
 const QUEUE_LONG: usize = 150;
 /// Fewest workers with room for which a step that has enough asks once more.
@@ -102,11 +104,13 @@
             match self.place_unit(step, unit, key, &mut pass) {
                 Look::Placed => self.unqueue(key, step),
                 Look::Waits if gang => {
-                    self.look_later(step, unit, key.priority);
+                    self.look_later(step, unit, self.gang_pause_ms());
                     kept += self.keep_for(step, unit, key.priority, &mut pass, may_keep(kept));
                 }
                 Look::Waits => {
-                    self.look_later(step, unit, key.priority);
+                    let urgent = key.priority == 0;
+                    let pause_ms = if urgent { URGENT_LOOK_PAUSE_MS } else { LOOK_PAUSE_MS };
+                    self.look_later(step, unit, pause_ms);
                     let mut mine = pass.rooms.iter().filter(|at| at.service == service);
                     if !mine.any(|at| at.free.holds(&room)) {
                         lacking.push((service, room));
@@ -117,8 +121,7 @@
     }
 
     /// Leaves a unit alone for a moment after a look that brought nothing.
-    fn look_later(&mut self, step: StepId, unit: usize, priority: u32) {
-        let pause_ms = if priority == 0 { URGENT_LOOK_PAUSE_MS } else { LOOK_PAUSE_MS };
+    fn look_later(&mut self, step: StepId, unit: usize, pause_ms: u64) {
         let longer_ms = pause_ms * (self.queue.len() / QUEUE_LONG) as u64;
         let next_ms = self.now_ms + pause_ms + longer_ms;
         if let Some(job) = self.jobs.get_mut(&step.job) {
@@ -126,6 +129,11 @@
         }
     }
 
+    /// A gang is considered with all workers that may run it.
+    fn gang_pause_ms(&self) -> u64 {
+        LOOK_PAUSE_MS + (self.workers.len() / GANG_WORKERS_EACH_MS) as u64
+    }
+
     /// The queue, with what is late for good behind the rest.
     fn ordered_units(&self) -> Vec<(QueueKey, StepId)> {
         let mut in_time = Vec::new();
