--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -14,7 +14,7 @@
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
 use stoatwell_pool::StopCall;
-use stoatwell_pool::WorkerNews;
+use stoatwell_pool::WorkerUpdate;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::manifest::Manifest;
@@ -107,7 +107,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerChanges {
     /// Workers listed, or listed with new facts.
-    pub listed: Vec<WorkerNews>,
+    pub listed: Vec<WorkerUpdate>,
     /// Workers listed no longer.
     pub unlisted: Vec<WorkerId>,
     /// Where to go on from.
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -32,7 +32,7 @@
 use stoatwell_pool::StepId;
 use stoatwell_pool::StopCall;
 use stoatwell_pool::TaskId;
-use stoatwell_pool::WorkerNews;
+use stoatwell_pool::WorkerUpdate;
 use tokio::sync::watch;
 
 /// How the store treats writes.
@@ -240,7 +240,7 @@
     }
 
     async fn workers(&self) -> Result<WorkerChanges, StoreError> {
-        let listed = self.worker.iter().map(|_| WorkerNews {
+        let listed = self.worker.iter().map(|_| WorkerUpdate {
             worker: WorkerId::new("w"),
             address: "10.0.0.1:1".to_owned(),
             service: "s".to_owned(),
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -126,7 +126,7 @@
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
                     let expires_ms = now_ms + rule.valid_ms;
-                    let life = worker.news.life;
+                    let life = worker.info.life;
                     let ticket = Ticket { text: grant.ticket, life, expires_ms };
                     advice.granted.insert(worker.slot, ticket);
                 }
@@ -170,7 +170,7 @@
         let Some(unit) = job.unit_of(step) else { return false };
         let Some(worker) = self.workers.get(name) else { return false };
         let Some(ticket) = job.units[unit].advice.granted.get(&worker.slot) else { return false };
-        ticket.is_fresh(worker.news.life, self.sent_ms(job.spec.queue.advice))
+        ticket.is_fresh(worker.info.life, self.sent_ms(job.spec.queue.advice))
     }
 
     /// About when a start that is recorded now will be sent and arrive.
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -186,13 +186,13 @@
         let blamed = self.blamed_services();
         for worker in self.workers.values() {
             let acquitted = worker.is_only_suspect(self.now_ms)
-                && !blamed.contains(&worker.news.service.as_str());
+                && !blamed.contains(&worker.info.service.as_str());
             if !worker.is_open(self.now_ms) && !acquitted {
                 continue;
             }
             let free = worker.free();
-            let service = pass.service(&worker.news.service).unwrap_or_else(|| {
-                let name = worker.news.service.clone();
+            let service = pass.service(&worker.info.service).unwrap_or_else(|| {
+                let name = worker.info.service.clone();
                 pass.services.push(Service { name, free: Resources::ZERO });
                 pass.services.len() - 1
             });
@@ -202,10 +202,10 @@
             pass.rooms.push(Room {
                 slot: worker.slot,
                 service,
-                life: worker.news.life,
+                life: worker.info.life,
                 suspect: worker.is_suspect(),
                 free,
-                capacity: worker.news.capacity,
+                capacity: worker.info.capacity,
                 kept_for: None,
             });
         }
@@ -225,7 +225,7 @@
         // Service, open workers, suspect ones; there are few services.
         let mut counts: Vec<(&str, usize, usize)> = Vec::new();
         for worker in self.workers.values() {
-            let service = worker.news.service.as_str();
+            let service = worker.info.service.as_str();
             let known = counts.iter().position(|(name, ..)| *name == service);
             let at = known.unwrap_or_else(|| {
                 counts.push((service, 0, 0));
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -146,7 +146,7 @@
                 After::Start { task, run } => self.send_start(task, run),
                 After::Forget { worker, life, number } => {
                     let Some(worker) = self.workers.get_mut(&worker) else { continue };
-                    if worker.news.life != life {
+                    if worker.info.life != life {
                         continue;
                     }
                     worker.not_durable.remove(&number);
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -77,7 +77,7 @@
                 open: worker.is_open(self.now_ms),
                 tasks: worker.tasks.len(),
                 used: worker.used,
-                capacity: worker.news.capacity,
+                capacity: worker.info.capacity,
                 silent_calls: worker.silent,
             });
         }
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -14,7 +14,7 @@
 use crate::record::Progress;
 use crate::spec::JobSpec;
 
-/// News for the pool.
+/// Events that the pool handles.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// A job is durably accepted.
@@ -30,7 +30,7 @@
         job: JobId,
     },
     /// A worker is listed, for the first time or with new facts.
-    Listed(WorkerNews),
+    Listed(WorkerUpdate),
     /// A worker is listed no longer.
     Unlisted {
         /// The worker.
@@ -101,7 +101,7 @@
 
 /// What a worker's entry in the list says.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerNews {
+pub struct WorkerUpdate {
     /// The worker.
     pub worker: WorkerId,
     /// Its IP and port.
@@ -122,7 +122,7 @@
     pub life: u64,
 }
 
-impl WorkerNews {
+impl WorkerUpdate {
     /// A worker that is known only by what it may still run.
     pub fn unlisted(worker: WorkerId, address: String, service: String, life: u64) -> Self {
         Self {
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -15,7 +15,7 @@
 use crate::event::HoldCall;
 use crate::event::HoldReply;
 use crate::event::StopCall;
-use crate::event::WorkerNews;
+use crate::event::WorkerUpdate;
 use crate::id::TaskId;
 use crate::job::Phase;
 use crate::job::Task;
@@ -25,7 +25,7 @@
 /// How long a hold waits for an end: long enough that idle workers cost two
 /// calls a second, short enough to show within a second that tasks stand still.
 const HOLD_WAIT_MS: u64 = 500;
-/// With more workers than this a hold waits twice as long: holds without news would
+/// With more workers than this a hold waits twice as long: polls that bring nothing would
 /// take much of the scheduler's processor time.
 const WORKERS_MANY: usize = 100;
 /// After a hold without answer the next one waits this long.
@@ -47,31 +47,31 @@
 const LATE_ORDER_MS: u64 = 13_000;
 
 impl Pool {
-    pub(crate) fn on_listed(&mut self, news: WorkerNews) {
-        let name = news.worker.clone();
+    pub(crate) fn on_listed(&mut self, update: WorkerUpdate) {
+        let name = update.worker.clone();
         let Some(worker) = self.workers.get_mut(&name) else {
-            tracing::info!(worker = %name, address = news.address, "worker listed");
-            self.add_worker(news, true);
+            tracing::info!(worker = %name, address = update.address, "worker listed");
+            self.add_worker(update, true);
             return;
         };
-        if news.life < worker.news.life {
+        if update.life < worker.info.life {
             return;
         }
-        if news.life > worker.news.life {
-            let life = news.life;
-            worker.news = WorkerNews { life: worker.news.life, ..news };
+        if update.life > worker.info.life {
+            let life = update.life;
+            worker.info = WorkerUpdate { life: worker.info.life, ..update };
             worker.listed = true;
             self.begin_life(&name, life);
             return;
         }
-        if news.draining && !worker.news.draining {
-            tracing::info!(worker = %name, remaining_ms = news.remaining_ms, "worker drains");
+        if update.draining && !worker.info.draining {
+            tracing::info!(worker = %name, remaining_ms = update.remaining_ms, "worker drains");
         }
         if !worker.listed {
             tracing::info!(worker = %name, "worker listed again");
         }
         worker.listed = true;
-        worker.news = news;
+        worker.info = update;
         self.place_due = true;
     }
 
@@ -186,10 +186,10 @@
             }
         };
         // An answer to an earlier life's token says nothing of the present one.
-        if reply.life < worker.news.life || turn <= worker.life_began_turn {
+        if reply.life < worker.info.life || turn <= worker.life_began_turn {
             return;
         }
-        if reply.life > worker.news.life {
+        if reply.life > worker.info.life {
             self.begin_life(name, reply.life);
             if let Some(worker) = self.workers.get_mut(name) {
                 // What this life holds is not known before the list tells it.
@@ -239,7 +239,7 @@
                 continue;
             }
             worker.taken_in = ended.number;
-            let life = worker.news.life;
+            let life = worker.info.life;
             let job = ended.task.step.job;
             if self.jobs.contains_key(&job) {
                 worker.not_durable.insert(ended.number);
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -221,8 +221,8 @@
                     failures: task.failures,
                     failed_run: task.failed_run,
                     done: task.is_done(),
-                    address: at.map(|at| at.news.address.clone()).unwrap_or_default(),
-                    life: at.map_or(0, |at| at.news.life),
+                    address: at.map(|at| at.info.address.clone()).unwrap_or_default(),
+                    life: at.map_or(0, |at| at.info.life),
                     worker,
                     checkpoint: task.checkpoint.clone(),
                 });
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -1,7 +1,7 @@
 //! Decides where the tasks of jobs run in one pool of workers.
 //!
-//! [`Pool`] is the scheduler's whole state. [`Pool::handle`] takes one piece of
-//! news, [`Pool::pump`] tells what has to be done. It waits for nothing and
+//! [`Pool`] is the scheduler's whole state. [`Pool::handle`] handles one
+//! event, [`Pool::pump`] tells what has to be done. It waits for nothing and
 //! reads no clock, so tests replay any schedule of failures in virtual time.
 //!
 //! Three facts keep a task from running twice. A start is durable before it is
@@ -64,7 +64,7 @@
 pub use crate::event::StartCall;
 pub use crate::event::StartReply;
 pub use crate::event::StopCall;
-pub use crate::event::WorkerNews;
+pub use crate::event::WorkerUpdate;
 pub use crate::holds::EXTEND_MS;
 pub use crate::id::IdError;
 pub use crate::id::JobId;
@@ -222,12 +222,15 @@
         let service = job.spec.queue.service.clone();
         if !self.workers.contains_key(&name) {
             let address = row.address.clone();
-            self.add_worker(WorkerNews::unlisted(name.clone(), address, service, row.life), false);
+            self.add_worker(
+                WorkerUpdate::unlisted(name.clone(), address, service, row.life),
+                false,
+            );
         }
         let Some(worker) = self.workers.get_mut(&name) else { return };
         // A start may have reached a later life than the one that it was meant
         // for, so whatever the rows say of lives, the first hold tells.
-        worker.news.life = worker.news.life.max(row.life);
+        worker.info.life = worker.info.life.max(row.life);
         worker.take(id, room);
         if over {
             // The earlier scheduler may have died before its stop got there.
@@ -236,22 +239,22 @@
     }
 
     /// Adds a worker that is not known.
-    pub(crate) fn add_worker(&mut self, news: WorkerNews, listed: bool) {
+    pub(crate) fn add_worker(&mut self, update: WorkerUpdate, listed: bool) {
         let slot = Slot(self.names.len());
-        let name = news.worker.clone();
-        let worker = Worker { listed, ..Worker::new(slot, news, self.earlier_lapse_ms()) };
+        let name = update.worker.clone();
+        let worker = Worker { listed, ..Worker::new(slot, update, self.earlier_lapse_ms()) };
         self.names.push(name.clone());
         self.workers.insert(name, worker);
     }
 
-    /// Takes in one piece of news.
+    /// Handles one event.
     pub fn handle(&mut self, now_ms: u64, unix_ms: u64, event: Event) {
         self.now_ms = self.now_ms.max(now_ms);
         self.unix_ms = unix_ms;
         match event {
             Event::Accepted { job, spec } => self.on_accepted(job, spec),
             Event::Cancelled { job } => self.on_cancelled(job),
-            Event::Listed(news) => self.on_listed(news),
+            Event::Listed(update) => self.on_listed(update),
             Event::Unlisted { worker } => self.on_unlisted(&worker),
             Event::Held { worker, turn, reply } => self.on_held(&worker, turn, reply),
             Event::Started { task, run, worker, reply } => {
@@ -315,14 +318,14 @@
 
     /// The availability zone of a worker.
     pub fn zone(&self, worker: &WorkerId) -> Option<&ZoneName> {
-        self.workers.get(worker).map(|worker| &worker.news.zone)
+        self.workers.get(worker).map(|worker| &worker.info.zone)
     }
 
     /// Workers in each availability zone.
     pub fn workers_by_zone(&self) -> BTreeMap<ZoneName, usize> {
         let mut counts = BTreeMap::new();
         for worker in self.workers.values() {
-            *counts.entry(worker.news.zone.clone()).or_default() += 1;
+            *counts.entry(worker.info.zone.clone()).or_default() += 1;
         }
         counts
     }
@@ -434,7 +437,7 @@
     fn look_at_use(&mut self) {
         let mut used: HashMap<&str, BTreeMap<u32, Resources>> = HashMap::new();
         for worker in self.workers.values() {
-            let ranks = used.entry(&worker.news.service).or_default();
+            let ranks = used.entry(&worker.info.service).or_default();
             for (task, room) in &worker.tasks {
                 let Some(job) = self.jobs.get(&task.step.job) else { continue };
                 let sum = ranks.entry(job.spec.queue.priority).or_default();
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -314,7 +314,7 @@
     fn is_eligible(&self, service: usize, spec: &StepSpec, room: &Room) -> bool {
         let has_label = |label| {
             let worker = self.worker_at(room.slot);
-            worker.is_some_and(|worker| worker.news.labels.contains(label))
+            worker.is_some_and(|worker| worker.info.labels.contains(label))
         };
         room.service == service && spec.label.as_ref().is_none_or(has_label)
     }
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -63,7 +63,7 @@
             return;
         };
         let ticket = unit.advice.granted.get(&worker.slot).filter(|_| needs_ticket);
-        if ticket.is_some_and(|ticket| !ticket.is_fresh(worker.news.life, now_ms + START_WAY_MS)) {
+        if ticket.is_some_and(|ticket| !ticket.is_fresh(worker.info.life, now_ms + START_WAY_MS)) {
             // Its row took longer than the ticket is good for, as in a store outage; the
             // worker would turn it away.
             self.not_started(id);
@@ -511,7 +511,7 @@
     let worker = workers.get(name)?;
     Some(Callee {
         worker: name.clone(),
-        address: worker.news.address.clone(),
+        address: worker.info.address.clone(),
         token: (epoch << LIFE_BITS) + worker.lives,
     })
 }
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -5,7 +5,7 @@
 
 use stoatwell_model::Resources;
 
-use crate::event::WorkerNews;
+use crate::event::WorkerUpdate;
 use crate::id::TaskId;
 
 /// A worker's clock may lose this much, in thousandths.
@@ -31,7 +31,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub slot: Slot,
-    pub news: WorkerNews,
+    pub info: WorkerUpdate,
     pub listed: bool,
     /// Counts lives; part of the token, so that orders for an earlier life are refused.
     pub lives: u64,
@@ -80,10 +80,10 @@
 }
 
 impl Worker {
-    pub fn new(slot: Slot, news: WorkerNews, earlier_lapse_ms: u64) -> Self {
+    pub fn new(slot: Slot, update: WorkerUpdate, earlier_lapse_ms: u64) -> Self {
         Self {
             slot,
-            news,
+            info: update,
             listed: true,
             lives: 0,
             held: false,
@@ -118,7 +118,7 @@
     pub fn begin_life(&mut self, life: u64, turn: u64, earlier_lapse_ms: u64) {
         self.life_began_turn = turn;
         self.earlier_lapse_ms = earlier_lapse_ms;
-        self.news.life = life;
+        self.info.life = life;
         self.lives += 1;
         self.lost = false;
         self.held = false;
@@ -149,7 +149,7 @@
         self.held
             && self.listed
             && !self.refuses
-            && !self.news.draining
+            && !self.info.draining
             && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
     }
 
@@ -160,7 +160,7 @@
 
     /// What is free.
     pub fn free(&self) -> Resources {
-        self.news.capacity.minus(&self.used)
+        self.info.capacity.minus(&self.used)
     }
 
     /// Takes room for a task.
@@ -204,7 +204,7 @@
 
     /// The rack, which is the last of the labels.
     pub fn rack(&self) -> Option<&str> {
-        self.news.labels.get(1..)?.last().map(String::as_str)
+        self.info.labels.get(1..)?.last().map(String::as_str)
     }
 
     /// Takes note of a run that did well.
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -16,7 +16,7 @@
 use stoatwell_pool::Pool;
 use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StepSpec;
-use stoatwell_pool::WorkerNews;
+use stoatwell_pool::WorkerUpdate;
 
 const LIMITS: Limits = Limits {
     lease_ms: 6_000,
@@ -26,8 +26,8 @@
     batch_bytes_max: 600_000,
 };
 
-fn worker() -> WorkerNews {
-    WorkerNews {
+fn worker() -> WorkerUpdate {
+    WorkerUpdate {
         worker: WorkerId::new("w"),
         address: "10.0.0.1:1".to_owned(),
         service: "s".to_owned(),
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -87,7 +87,7 @@
     /// goes back unless it is lost.
     Arrives { epoch: u64, life: u64, call: Call, answered: bool },
     /// News reach the scheduler of this epoch.
-    News(u64, Event),
+    Event(u64, Event),
     /// A worker is reached again.
     Healed(WorkerId),
     /// A worker that crashed is listed again.
@@ -274,14 +274,14 @@
 
     /// Tells the scheduler of all workers as they are now.
     pub fn list_all(&mut self) {
-        let news: Vec<_> = self
+        let updates: Vec<_> = self
             .workers
             .values()
             .filter(|worker| worker.up && !self.unlisted.contains(&worker.name))
-            .map(Worker::news)
+            .map(Worker::update)
             .collect();
-        for news in news {
-            self.tell(Event::Listed(news));
+        for update in updates {
+            self.tell(Event::Listed(update));
         }
     }
 
@@ -300,8 +300,8 @@
 
     fn happen(&mut self, item: Item) {
         match item {
-            Item::News(epoch, event) if epoch == self.epoch => self.tell(event),
-            Item::News(..) => {}
+            Item::Event(epoch, event) if epoch == self.epoch => self.tell(event),
+            Item::Event(..) => {}
             Item::Healed(name) => {
                 if let Some(worker) = self.workers.get_mut(&name) {
                     worker.cut = false;
@@ -311,8 +311,8 @@
             Item::Listed(name) => {
                 let Some(worker) = self.workers.get_mut(&name) else { return };
                 worker.up = true;
-                let news = worker.news();
-                self.tell(Event::Listed(news));
+                let update = worker.update();
+                self.tell(Event::Listed(update));
             }
             Item::Arrives { epoch, life, call, answered } => {
                 self.arrive(epoch, life, call, answered);
@@ -325,17 +325,17 @@
         if worker.up && worker.life != life {
             // The connection went with the life that it led to.
             let event = call.event(Err(CallError::NoAnswer));
-            self.schedule(1, Item::News(epoch, event));
+            self.schedule(1, Item::Event(epoch, event));
             return;
         }
         if worker.cut || worker.dark {
             let event = call.event(Err(CallError::NoAnswer));
-            self.schedule(900, Item::News(epoch, event));
+            self.schedule(900, Item::Event(epoch, event));
             return;
         }
         if !worker.up || worker.refuses {
             let event = call.event(Err(CallError::Refused));
-            self.schedule(2, Item::News(epoch, event));
+            self.schedule(2, Item::Event(epoch, event));
             return;
         }
         if let Call::Hold(hold) = &call {
@@ -362,7 +362,7 @@
         }
         let event = call.event(Ok(reply));
         let way_ms = self.rng.random_range(1..15);
-        self.schedule(way_ms, Item::News(epoch, event));
+        self.schedule(way_ms, Item::Event(epoch, event));
     }
 
     /// Whether a start shows a ticket that is no longer good.
@@ -423,7 +423,7 @@
                     let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
                     let granted = (!lost).then(|| granted.map(grant).collect());
                     let event = Event::Advised { step, asked: workers, granted };
-                    self.schedule(self.advice_ms, Item::News(self.epoch, event));
+                    self.schedule(self.advice_ms, Item::Event(self.epoch, event));
                 }
                 // Without the duty nothing can be written.
                 Effect::Commit { .. } if !self.renews => {}
@@ -437,7 +437,7 @@
                     }
                     self.schedule(
                         self.commit_ms,
-                        Item::News(self.epoch, Event::Committed { batch }),
+                        Item::Event(self.epoch, Event::Committed { batch }),
                     );
                 }
                 Effect::StepDown => {}
@@ -451,13 +451,13 @@
         let life = self.workers.get(call.worker()).map_or(0, |worker| worker.life);
         if self.chance(self.faults.lost_calls) {
             let event = call.event(Err(CallError::NoAnswer));
-            self.schedule(1_000, Item::News(epoch, event));
+            self.schedule(1_000, Item::Event(epoch, event));
             return;
         }
         let late = self.chance(self.faults.late_calls);
         if late || self.chance(self.faults.lost_answers) {
             let event = call.event(Err(CallError::NoAnswer));
-            self.schedule(1_000, Item::News(epoch, event));
+            self.schedule(1_000, Item::Event(epoch, event));
             let way_ms = if late { self.rng.random_range(2_000..12_000) } else { way_ms };
             self.schedule(way_ms, Item::Arrives { epoch, life, call, answered: false });
             return;
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -20,7 +20,7 @@
 use stoatwell_pool::StepSpec;
 use stoatwell_pool::StopCall;
 use stoatwell_pool::TaskId;
-use stoatwell_pool::WorkerNews;
+use stoatwell_pool::WorkerUpdate;
 
 /// How long a gang's member waits for the others.
 const GANG_MS: u64 = 3_000;
@@ -191,8 +191,8 @@
         }
     }
 
-    pub fn news(&self) -> WorkerNews {
-        WorkerNews {
+    pub fn update(&self) -> WorkerUpdate {
+        WorkerUpdate {
             worker: self.name.clone(),
             address: format!("at {}", self.name),
             service: "pool".to_owned(),
