--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -245,8 +245,8 @@
         self.release(id);
         if let Some(worker) = self.workers.get_mut(from) {
             match end {
-                End::Done => worker.did_well(),
-                End::Failed if worker.did_badly(now_ms, 1) => {
+                End::Done => worker.record_success(),
+                End::Failed if worker.record_failure(now_ms, 1) => {
                     tracing::warn!(worker = %from, "worker left alone: runs fail on it");
                 }
                 _ => {}
@@ -486,7 +486,7 @@
             // Any member's worker may be the one that holds all of them up.
             worker.failures = worker.failures.max(1);
         } else {
-            worker.did_badly(now_ms, 2);
+            worker.record_failure(now_ms, 2);
         }
         let percent = task.percent;
         tracing::warn!(task = %id, worker = %name, percent, "task stands still, moved away");
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -208,7 +208,7 @@
     }
 
     /// Takes note of a run that did well.
-    pub fn did_well(&mut self) {
+    pub fn record_success(&mut self) {
         self.failures = 0;
         self.quarantines = 0;
     }
@@ -217,7 +217,7 @@
     ///
     /// A worker that fails all it starts would otherwise be the emptiest one
     /// and use up the attempts of job after job.
-    pub fn did_badly(&mut self, now_ms: u64, weight: u32) -> bool {
+    pub fn record_failure(&mut self, now_ms: u64, weight: u32) -> bool {
         self.failures += weight;
         if self.failures < FAILURES_MAX {
             return false;
