--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -38,7 +38,7 @@
 ///
 /// The store writes one transaction of a shard after another, and takes 180 ms
 /// for each when it is sixty times slower than usual. At a hundred jobs a
-/// second from many daemons, eight shards then pass their capacity and nothing
+/// second from many daemons, eight shards then cycle their capacity and nothing
 /// is accepted any more; with 64 a shard is busy a quarter of the time.
 pub const SHARDS: usize = 64;
 
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -20,7 +20,7 @@
 use crate::peers::NodeReply;
 
 /// How long the scheduler may take to say that it lives: some round trips between
-/// regions, and a pass over a long queue.
+/// regions, and a cycle over a long queue.
 const ALIVE_LIMIT: Duration = Duration::from_millis(250);
 /// Questions without answer in a row after which it counts as gone. The first one may
 /// have gone into a connection that is dead while the daemon lives.
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -23,16 +23,16 @@
 /// is patient would otherwise nibble away.
 const PATIENT_HEADROOM_PERCENT: u64 = 20;
 
-/// The workers during one pass.
+/// The workers during one cycle.
 #[derive(Debug, Default)]
-pub(crate) struct Pass {
+pub(crate) struct Cycle {
     pub rooms: Vec<Room>,
     /// Places in `rooms` by the workers' slots.
     places: Vec<Option<u32>>,
     services: Vec<Service>,
 }
 
-/// A service during one pass.
+/// A service during one cycle.
 #[derive(Debug)]
 struct Service {
     name: String,
@@ -40,11 +40,11 @@
     free: Resources,
 }
 
-/// A worker during one pass.
+/// A worker during one cycle.
 #[derive(Clone, Debug)]
 pub(crate) struct Room {
     pub slot: Slot,
-    /// Its service, as [`Pass::service`] numbers it.
+    /// Its service, as [`Cycle::service`] numbers it.
     pub service: usize,
     pub life: u64,
     /// Whether it failed or held up a run and did none well since.
@@ -110,7 +110,7 @@
     }
 }
 
-impl Pass {
+impl Cycle {
     /// The number of a service, if any open worker is of it.
     pub fn service(&self, name: &str) -> Option<usize> {
         self.services.iter().position(|service| service.name == name)
@@ -134,7 +134,7 @@
     }
 
     /// Picks a worker for as many of the tasks as can be, and takes the room in
-    /// this pass's view. The tightest fit goes first, which leaves whole
+    /// this cycle's view. The tightest fit goes first, which leaves whole
     /// workers free for large tasks.
     pub fn choose(
         &mut self,
@@ -179,10 +179,10 @@
 
 impl Pool {
     /// The open workers as they are now.
-    pub(crate) fn begin_pass(&self) -> Pass {
-        let mut pass = Pass::default();
-        pass.rooms.reserve(self.workers.len());
-        pass.places.resize(self.names.len(), None);
+    pub(crate) fn begin_cycle(&self) -> Cycle {
+        let mut cycle = Cycle::default();
+        cycle.rooms.reserve(self.workers.len());
+        cycle.places.resize(self.names.len(), None);
         let blamed = self.blamed_services();
         for worker in self.workers.values() {
             let acquitted = worker.is_only_suspect(self.now_ms)
@@ -191,15 +191,15 @@
                 continue;
             }
             let free = worker.free();
-            let service = pass.service(&worker.info.service).unwrap_or_else(|| {
+            let service = cycle.service(&worker.info.service).unwrap_or_else(|| {
                 let name = worker.info.service.clone();
-                pass.services.push(Service { name, free: Resources::ZERO });
-                pass.services.len() - 1
+                cycle.services.push(Service { name, free: Resources::ZERO });
+                cycle.services.len() - 1
             });
-            let sum = &mut pass.services[service].free;
+            let sum = &mut cycle.services[service].free;
             *sum = sum.plus(&free);
-            pass.places[worker.slot.0] = Some(pass.rooms.len() as u32);
-            pass.rooms.push(Room {
+            cycle.places[worker.slot.0] = Some(cycle.rooms.len() as u32);
+            cycle.rooms.push(Room {
                 slot: worker.slot,
                 service,
                 life: worker.info.life,
@@ -209,7 +209,7 @@
                 kept_for: None,
             });
         }
-        pass
+        cycle
     }
 
     /// The worker of a slot, if it is still known.
@@ -247,13 +247,13 @@
         unit: usize,
         spec: &StepSpec,
         allowed: &[Allowed],
-        pass: &Pass,
+        cycle: &Cycle,
     ) -> Vec<Candidate> {
         let room = spec.room();
         let mine = self.placed_counts(step, unit, spec);
         let mut candidates = Vec::with_capacity(allowed.len());
         for one in allowed {
-            let view = &pass.rooms[one.at];
+            let view = &cycle.rooms[one.at];
             if !view.free.holds(&room) {
                 continue;
             }
@@ -275,13 +275,13 @@
         unit: usize,
         waiting: &[u32],
         candidates: Vec<Candidate>,
-        pass: &mut Pass,
+        cycle: &mut Cycle,
     ) -> Vec<(u32, usize)> {
         let need = ask.spec.room();
         let used = self.rack_in_use(ask.step, unit);
         let mut racks: BTreeMap<&str, (u64, Vec<Candidate>)> = BTreeMap::new();
         for one in &candidates {
-            let room = &pass.rooms[one.at];
+            let room = &cycle.rooms[one.at];
             let Some(rack) = self.worker_at(room.slot).and_then(Worker::rack) else {
                 continue;
             };
@@ -294,15 +294,15 @@
         // Where the step is already, then where it leaves the most room whole.
         order.sort_by_key(|(rack, (places, _))| (Some(*rack) != used, *places));
         for (_, (_, members)) in order {
-            let chosen = pass.choose(ask, waiting, members);
+            let chosen = cycle.choose(ask, waiting, members);
             if chosen.len() == waiting.len() {
                 return chosen;
             }
             for (_, at) in chosen {
-                pass.give_back(at, &need);
+                cycle.give_back(at, &need);
             }
         }
-        pass.choose(ask, waiting, candidates)
+        cycle.choose(ask, waiting, candidates)
     }
 
     /// The rack on which a unit has a task.
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -2,7 +2,7 @@
 //! a row happens after the batch that holds it.
 //!
 //! With some ten milliseconds for a write and hundreds of starts and ends a
-//! second, a write for each of them would pass what one part of the store
+//! second, a write for each of them would cycle what one part of the store
 //! takes; batches need some tens of writes a second whatever the load.
 
 use std::collections::BTreeMap;
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -37,7 +37,7 @@
 /// How long after it last renewed the duty a scheduler extends leases. Another one
 /// may hold the duty by then and reach some workers that this one does not, and
 /// the other way round; tasks would run twice if both counted on their worker. Store
-/// outages of this and a lease, ten seconds, pass without a run being lost.
+/// outages of this and a lease, ten seconds, cycle without a run being lost.
 pub const EXTEND_MS: u64 = 4_000;
 /// Added to the lease that an earlier scheduler may have granted, for calls that
 /// were under way.
--- a/crates/pool/src/keep.rs
+++ b/crates/pool/src/keep.rs
@@ -11,8 +11,8 @@
 
 use crate::Pool;
 use crate::choose::Allowed;
+use crate::choose::Cycle;
 use crate::choose::Kept;
-use crate::choose::Pass;
 use crate::choose::places_in;
 use crate::id::StepId;
 use crate::id::TaskId;
@@ -36,7 +36,7 @@
         step: StepId,
         unit: usize,
         priority: u32,
-        pass: &mut Pass,
+        cycle: &mut Cycle,
         most: usize,
     ) -> usize {
         if most == 0 {
@@ -45,24 +45,24 @@
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         if now_ms < job.units[unit].kept_ms + KEEP_ANEW_MS {
-            return self.keep_again(step, unit, priority, pass, most);
+            return self.keep_again(step, unit, priority, cycle, most);
         }
         let spec = job.step(unit);
         let need = spec.room();
         let wanted = job.units[unit].tasks.len();
         // When each place comes free, and on which worker.
         let mut coming: Vec<(u64, usize)> = Vec::new();
-        let allowed = self.allowed(step, unit, spec, pass);
-        let empty = |one: &Allowed| places_in(&pass.rooms[one.at].capacity, &need);
+        let allowed = self.allowed(step, unit, spec, cycle);
+        let empty = |one: &Allowed| places_in(&cycle.rooms[one.at].capacity, &need);
         let places: u64 = allowed.iter().map(empty).sum();
         if wanted as u64 * 100 < places * RESERVING_PERCENT {
             return 0;
         }
         for one in allowed {
-            if !pass.rooms[one.at].is_for(step, priority) {
+            if !cycle.rooms[one.at].is_for(step, priority) {
                 continue;
             }
-            let times_ms = self.places_ms(pass.rooms[one.at].slot, &need);
+            let times_ms = self.places_ms(cycle.rooms[one.at].slot, &need);
             coming.extend(times_ms.into_iter().map(|left_ms| (left_ms, one.at)));
         }
         coming.sort_unstable();
@@ -70,14 +70,14 @@
         let until_ms = now_ms + coming.last().map_or(0, |(left_ms, _)| *left_ms);
         let mut slots: Vec<Slot> = Vec::new();
         for (_, at) in coming {
-            if pass.rooms[at].kept_for.is_some_and(|kept| kept.step == step) {
+            if cycle.rooms[at].kept_for.is_some_and(|kept| kept.step == step) {
                 continue;
             }
             if slots.len() >= most {
                 break;
             }
-            pass.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
-            slots.push(pass.rooms[at].slot);
+            cycle.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
+            slots.push(cycle.rooms[at].slot);
         }
         let kept = slots.len();
         if let Some(job) = self.jobs.get_mut(&step.job) {
@@ -94,16 +94,16 @@
         step: StepId,
         unit: usize,
         priority: u32,
-        pass: &mut Pass,
+        cycle: &mut Cycle,
         most: usize,
     ) -> usize {
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let mut kept = 0;
         let until_ms = job.units[unit].kept_until_ms;
         for slot in job.units[unit].kept.iter().take(most) {
-            let Some(at) = pass.at(*slot) else { continue };
-            if pass.rooms[at].is_for(step, priority) {
-                pass.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
+            let Some(at) = cycle.at(*slot) else { continue };
+            if cycle.rooms[at].is_for(step, priority) {
+                cycle.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
                 kept += 1;
             }
         }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -160,9 +160,9 @@
 const SWEEP_EVERY_MS: u64 = 100;
 
 /// Least time between two passes over the queue. Hundreds of ends and arrivals a
-/// second would each cost a pass over all workers.
+/// second would each cost a cycle over all workers.
 const PLACE_EVERY_MS: u64 = 8;
-/// A millisecond is added to it for each so many workers, since a pass costs with them.
+/// A millisecond is added to it for each so many workers, since a cycle costs with them.
 const WORKERS_EACH_MS: usize = 200;
 
 impl Pool {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -19,7 +19,7 @@
 use crate::advise::PLACES_FACTOR;
 use crate::choose::Allowed;
 use crate::choose::Ask;
-use crate::choose::Pass;
+use crate::choose::Cycle;
 use crate::choose::Room;
 use crate::choose::places_in;
 use crate::id::StepId;
@@ -29,8 +29,8 @@
 use crate::spec::StepSpec;
 use crate::worker::Slot;
 
-/// Units looked at in one pass; those behind them wait for the next.
-const UNITS_PER_PASS: usize = 1_000;
+/// Units looked at in one cycle; those behind them wait for the next.
+const UNITS_PER_CYCLE: usize = 1_000;
 /// Share of the workers, in hundredths, that waiting gangs may keep for
 /// themselves. The first of them keeps what it needs: a gang wider than the
 /// share would never start.
@@ -73,8 +73,8 @@
         if self.queue.is_empty() {
             return;
         }
-        let mut pass = self.begin_pass();
-        let kept_max = pass.rooms.len() * KEPT_PERCENT / 100;
+        let mut cycle = self.begin_cycle();
+        let kept_max = cycle.rooms.len() * KEPT_PERCENT / 100;
         let may_keep =
             |kept: usize| if kept == 0 { usize::MAX } else { kept_max.saturating_sub(kept) };
         let mut kept = 0;
@@ -91,27 +91,27 @@
             }
             let spec = job.step(unit);
             let (gang, room) = (spec.gang, spec.room());
-            let Some(service) = pass.service(&job.spec.queue.service) else { continue };
+            let Some(service) = cycle.service(&job.spec.queue.service) else { continue };
             let left_alone = job.units[unit].look_after_ms > self.now_ms;
             if gang && left_alone {
-                kept += self.keep_again(step, unit, key.priority, &mut pass, may_keep(kept));
+                kept += self.keep_again(step, unit, key.priority, &mut cycle, may_keep(kept));
             }
-            // What no worker of the service had room for in this pass, none has now.
+            // What no worker of the service had room for in this cycle, none has now.
             let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
             if left_alone || (hopeless && !gang) {
                 continue;
             }
-            match self.place_unit(step, unit, key, &mut pass) {
+            match self.place_unit(step, unit, key, &mut cycle) {
                 Look::Placed => self.unqueue(key, step),
                 Look::Waits if gang => {
                     self.look_later(step, unit, self.gang_pause_ms());
-                    kept += self.keep_for(step, unit, key.priority, &mut pass, may_keep(kept));
+                    kept += self.keep_for(step, unit, key.priority, &mut cycle, may_keep(kept));
                 }
                 Look::Waits => {
                     let urgent = key.priority == 0;
                     let pause_ms = if urgent { URGENT_LOOK_PAUSE_MS } else { LOOK_PAUSE_MS };
                     self.look_later(step, unit, pause_ms);
-                    let mut mine = pass.rooms.iter().filter(|at| at.service == service);
+                    let mut mine = cycle.rooms.iter().filter(|at| at.service == service);
                     if !mine.any(|at| at.free.holds(&room)) {
                         lacking.push((service, room));
                     }
@@ -138,7 +138,7 @@
     fn ordered_units(&self) -> Vec<(QueueKey, StepId)> {
         let mut in_time = Vec::new();
         let mut late = Vec::new();
-        for (key, step) in self.queue.iter().take(UNITS_PER_PASS) {
+        for (key, step) in self.queue.iter().take(UNITS_PER_CYCLE) {
             if self.is_left_alone(*step) {
                 continue;
             }
@@ -152,7 +152,7 @@
         in_time
     }
 
-    /// Whether a unit was looked at just now. Waiting gangs stay in the pass for
+    /// Whether a unit was looked at just now. Waiting gangs stay in the cycle for
     /// the sake of the workers that are kept for them.
     fn is_left_alone(&self, step: StepId) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
@@ -185,10 +185,10 @@
         job.units[unit].queued = false;
     }
 
-    fn place_unit(&mut self, step: StepId, unit: usize, key: QueueKey, pass: &mut Pass) -> Look {
+    fn place_unit(&mut self, step: StepId, unit: usize, key: QueueKey, cycle: &mut Cycle) -> Look {
         let priority = key.priority;
         let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
-        let Some(service) = pass.service(&job.spec.queue.service) else { return Look::Waits };
+        let Some(service) = cycle.service(&job.spec.queue.service) else { return Look::Waits };
         let spec = job.step(unit).clone();
         let advice = job.spec.queue.advice;
         let state = &job.units[unit];
@@ -199,42 +199,42 @@
         if spec.gang && advice.is_some() && state.advice.questions > 0 {
             return Look::Waits;
         }
-        let mut allowed = self.allowed(step, unit, &spec, pass);
+        let mut allowed = self.allowed(step, unit, &spec, cycle);
         let with_old_tickets = allowed.len();
         if advice.is_some() && !spec.gang {
             allowed.retain(|one| one.fresh);
         }
-        let candidates = self.candidates(step, unit, &spec, &allowed, pass);
+        let candidates = self.candidates(step, unit, &spec, &allowed, cycle);
         let headroom = self.headroom(step, key);
         let over_ms = self.now_ms + self.needs_ms(step) * OVER_PERCENT / 100;
         let ask = Ask { step, service, spec: &spec, priority, over_ms, headroom };
         let chosen = if spec.same_rack && spec.tasks > 1 {
-            self.choose_in_one_rack(&ask, unit, &waiting, candidates, pass)
+            self.choose_in_one_rack(&ask, unit, &waiting, candidates, cycle)
         } else {
-            pass.choose(&ask, &waiting, candidates)
+            cycle.choose(&ask, &waiting, candidates)
         };
         let whole = chosen.len() == waiting.len();
         let may_start = whole || !spec.gang;
-        let may_ask = self.may_renew(step, advice, &chosen, pass);
+        let may_ask = self.may_renew(step, advice, &chosen, cycle);
         if !chosen.is_empty() && may_start && may_ask {
             for (index, at) in &chosen {
-                let name = self.names[pass.rooms[*at].slot.0].clone();
+                let name = self.names[cycle.rooms[*at].slot.0].clone();
                 self.reserve(TaskId { step, index: *index }, &name, spec.room());
             }
-            self.start_or_ask(step, &chosen, pass);
+            self.start_or_ask(step, &chosen, cycle);
             if whole {
                 return Look::Placed;
             }
         } else {
             for (_, at) in &chosen {
-                pass.give_back(*at, &spec.room());
+                cycle.give_back(*at, &spec.room());
             }
         }
         if let Some(advice) = advice.filter(|_| may_ask) {
-            if with_old_tickets > allowed.len() && self.renew_tickets(step, unit, &spec, pass) {
+            if with_old_tickets > allowed.len() && self.renew_tickets(step, unit, &spec, cycle) {
                 return Look::Waits;
             }
-            self.ask_more(step, unit, &spec, advice, priority, pass);
+            self.ask_more(step, unit, &spec, advice, priority, cycle);
         }
         Look::Waits
     }
@@ -245,11 +245,11 @@
         step: StepId,
         advice: Option<AdviceSpec>,
         chosen: &[(u32, usize)],
-        pass: &Pass,
+        cycle: &Cycle,
     ) -> bool {
         let Some(rule) = advice else { return true };
         let fresh =
-            |(_, at): &(u32, usize)| self.has_fresh_ticket(step, self.name_of(&pass.rooms[*at]));
+            |(_, at): &(u32, usize)| self.has_fresh_ticket(step, self.name_of(&cycle.rooms[*at]));
         (!chosen.is_empty() && chosen.iter().all(fresh)) || self.may_ask(rule, chosen.len())
     }
 
@@ -259,13 +259,13 @@
         step: StepId,
         unit: usize,
         spec: &StepSpec,
-        pass: &Pass,
+        cycle: &Cycle,
     ) -> Vec<Allowed> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
-        let Some(service) = pass.service(&job.spec.queue.service) else { return Vec::new() };
+        let Some(service) = cycle.service(&job.spec.queue.service) else { return Vec::new() };
         let mut allowed = Vec::new();
         if job.spec.queue.advice.is_none() {
-            for (at, room) in pass.rooms.iter().enumerate() {
+            for (at, room) in cycle.rooms.iter().enumerate() {
                 if self.is_eligible(service, spec, room) {
                     allowed.push(Allowed { at, fresh: true });
                 }
@@ -274,8 +274,8 @@
         }
         let sent_ms = self.sent_ms(job.spec.queue.advice);
         for (slot, ticket) in &job.units[unit].advice.granted {
-            let Some(at) = pass.at(*slot) else { continue };
-            let room = &pass.rooms[at];
+            let Some(at) = cycle.at(*slot) else { continue };
+            let room = &cycle.rooms[at];
             if self.is_eligible(service, spec, room) {
                 allowed.push(Allowed { at, fresh: ticket.is_fresh(room.life, sent_ms) });
             }
@@ -288,7 +288,7 @@
     /// The advisor takes nearly as long for one worker as for all of them, and
     /// with good tickets at hand whatever room comes free next is used at once;
     /// asking only when room is found keeps the room empty meanwhile.
-    fn renew_tickets(&mut self, step: StepId, unit: usize, spec: &StepSpec, pass: &Pass) -> bool {
+    fn renew_tickets(&mut self, step: StepId, unit: usize, spec: &StepSpec, cycle: &Cycle) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let advice = &job.units[unit].advice;
         if advice.questions > 0 || advice.pause_until_ms > self.now_ms {
@@ -297,8 +297,8 @@
         let need = spec.room();
         let mut names = Vec::new();
         let mut has_room = false;
-        for one in self.allowed(step, unit, spec, pass) {
-            let room = &pass.rooms[one.at];
+        for one in self.allowed(step, unit, spec, cycle) {
+            let room = &cycle.rooms[one.at];
             has_room |= room.free.holds(&need);
             names.push(self.name_of(room).clone());
         }
@@ -334,14 +334,14 @@
     }
 
     /// Records the starts of chosen tasks, or first asks for tickets.
-    fn start_or_ask(&mut self, step: StepId, chosen: &[(u32, usize)], pass: &Pass) {
+    fn start_or_ask(&mut self, step: StepId, chosen: &[(u32, usize)], cycle: &Cycle) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let needs_tickets = job.spec.queue.advice.is_some();
         let mut names: Vec<WorkerId> = Vec::new();
         let mut stale = false;
         let mut ready = Vec::new();
         for (index, at) in chosen {
-            let name = self.name_of(&pass.rooms[*at]);
+            let name = self.name_of(&cycle.rooms[*at]);
             if !names.contains(name) {
                 names.push(name.clone());
             }
@@ -394,7 +394,7 @@
         spec: &StepSpec,
         rule: AdviceSpec,
         priority: u32,
-        pass: &Pass,
+        cycle: &Cycle,
     ) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
@@ -404,11 +404,11 @@
         }
         advice.look_after_ms = now_ms + ASK_AGAIN_MS;
         let Some(job) = self.jobs.get(&step.job) else { return };
-        let Some(service) = pass.service(&job.spec.queue.service) else { return };
+        let Some(service) = cycle.service(&job.spec.queue.service) else { return };
         let advice = &job.units[unit].advice;
         let need = spec.room();
         let places_of = |room: &Room| places_in(&room.capacity, &need);
-        let granted_at = |slot: &Slot| pass.at(*slot).map(|at| &pass.rooms[at]);
+        let granted_at = |slot: &Slot| cycle.at(*slot).map(|at| &cycle.rooms[at]);
         let places: u64 = advice.granted.keys().filter_map(granted_at).map(places_of).sum();
         let enough = places >= u64::from(spec.tasks) * PLACES_FACTOR;
         let first = advice.asked.is_empty();
@@ -418,7 +418,7 @@
         };
         // Those with the most room first.
         let mut fresh: Vec<(Reverse<u64>, u64, usize)> = Vec::new();
-        for (at, room) in pass.rooms.iter().enumerate() {
+        for (at, room) in cycle.rooms.iter().enumerate() {
             if !room.capacity.holds(&need) || !self.is_eligible(service, spec, room) {
                 continue;
             }
@@ -431,7 +431,7 @@
         if fresh.is_empty() || (enough && fresh.len() < ASKED_AGAIN_MIN) {
             return;
         }
-        let places: u64 = fresh.iter().map(|(.., at)| places_of(&pass.rooms[*at])).sum();
+        let places: u64 = fresh.iter().map(|(.., at)| places_of(&cycle.rooms[*at])).sum();
         let places_each = places / fresh.len() as u64;
         let mut most = self.asked_max(&job.spec.queue, u64::from(spec.tasks), places_each);
         let free_all: u64 = fresh.iter().map(|(free, ..)| free.0).sum();
@@ -457,7 +457,7 @@
         }
         let asked = fresh.into_iter().take(most);
         let names: Vec<WorkerId> =
-            asked.map(|(.., at)| self.name_of(&pass.rooms[at]).clone()).collect();
+            asked.map(|(.., at)| self.name_of(&cycle.rooms[at]).clone()).collect();
         if self.may_ask(rule, names.len()) {
             self.ask(step, &names);
         }
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -192,7 +192,7 @@
         self.tell(Event::Advisors { count });
     }
 
-    /// Lets time pass.
+    /// Lets time cycle.
     pub fn run(&mut self, for_ms: u64) {
         let end_ms = self.now_ms + for_ms;
         while self.now_ms < end_ms {
