--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -110,10 +110,10 @@
             self.long_questions = self.long_questions.saturating_sub(1);
         }
         let Some(unit) = job.unit_of(step) else { return };
-        job.units[unit].look_after_ms = 0;
+        job.units[unit].retry_at_ms = 0;
         let advice = &mut job.units[unit].advice;
         advice.questions = advice.questions.saturating_sub(1);
-        advice.look_after_ms = 0;
+        advice.retry_at_ms = 0;
         if let Some(granted) = &granted {
             self.learned.advised(&job.spec.queue.name, asked.len(), granted.len());
         }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -114,7 +114,7 @@
     /// Not before this is the advisor asked again.
     pub pause_until_ms: u64,
     /// Not before this is it worked out whom else to ask about.
-    pub look_after_ms: u64,
+    pub retry_at_ms: u64,
 }
 
 /// One step of one occurrence.
@@ -128,7 +128,7 @@
     /// Whether it is in the queue.
     pub queued: bool,
     /// Not before this is a place looked for again.
-    pub look_after_ms: u64,
+    pub retry_at_ms: u64,
     /// Workers kept for it at the last look, for a gang.
     pub kept: Vec<Slot>,
     /// When that was worked out.
@@ -294,7 +294,7 @@
             advice: Advice::default(),
             left: tasks,
             queued: false,
-            look_after_ms: 0,
+            retry_at_ms: 0,
             kept: Vec::new(),
             kept_ms: 0,
             kept_until_ms: 0,
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -37,9 +37,9 @@
 const KEPT_PERCENT: usize = 35;
 /// A unit that found no place is looked at again after this; a look goes through all
 /// workers that it may use, and hundreds of units may wait.
-const LOOK_PAUSE_MS: u64 = 40;
+const RETRY_BACKOFF_MS: u64 = 40;
 /// The same for urgent work, which is short of time.
-const URGENT_LOOK_PAUSE_MS: u64 = 15;
+const URGENT_RETRY_BACKOFF_MS: u64 = 15;
 /// For a gang a millisecond is added for each so many workers.
 const GANG_WORKERS_EACH_MS: usize = 10;
 /// They grow by themselves for each so many units in the queue, so that a
@@ -60,7 +60,7 @@
 const OVER_PERCENT: u64 = 130;
 
 /// What the look at one unit came to.
-enum Look {
+enum Attempt {
     /// All its tasks have a place, or wait for a ticket.
     Placed,
     /// Something is left.
@@ -92,25 +92,25 @@
             let spec = job.step(unit);
             let (gang, room) = (spec.gang, spec.room());
             let Some(service) = cycle.service(&job.spec.queue.service) else { continue };
-            let left_alone = job.units[unit].look_after_ms > self.now_ms;
-            if gang && left_alone {
+            let in_backoff = job.units[unit].retry_at_ms > self.now_ms;
+            if gang && in_backoff {
                 kept += self.keep_again(step, unit, key.priority, &mut cycle, may_keep(kept));
             }
             // What no worker of the service had room for in this cycle, none has now.
             let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
-            if left_alone || (hopeless && !gang) {
+            if in_backoff || (hopeless && !gang) {
                 continue;
             }
             match self.place_unit(step, unit, key, &mut cycle) {
-                Look::Placed => self.unqueue(key, step),
-                Look::Waits if gang => {
-                    self.look_later(step, unit, self.gang_pause_ms());
+                Attempt::Placed => self.unqueue(key, step),
+                Attempt::Waits if gang => {
+                    self.back_off(step, unit, self.gang_backoff_ms());
                     kept += self.keep_for(step, unit, key.priority, &mut cycle, may_keep(kept));
                 }
-                Look::Waits => {
+                Attempt::Waits => {
                     let urgent = key.priority == 0;
-                    let pause_ms = if urgent { URGENT_LOOK_PAUSE_MS } else { LOOK_PAUSE_MS };
-                    self.look_later(step, unit, pause_ms);
+                    let pause_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
+                    self.back_off(step, unit, pause_ms);
                     let mut mine = cycle.rooms.iter().filter(|at| at.service == service);
                     if !mine.any(|at| at.free.holds(&room)) {
                         lacking.push((service, room));
@@ -121,17 +121,17 @@
     }
 
     /// Leaves a unit alone for a moment after a look that brought nothing.
-    fn look_later(&mut self, step: StepId, unit: usize, pause_ms: u64) {
+    fn back_off(&mut self, step: StepId, unit: usize, pause_ms: u64) {
         let longer_ms = pause_ms * (self.queue.len() / QUEUE_LONG) as u64;
         let next_ms = self.now_ms + pause_ms + longer_ms;
         if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.units[unit].look_after_ms = next_ms;
+            job.units[unit].retry_at_ms = next_ms;
         }
     }
 
     /// A gang is considered with all workers that may run it.
-    fn gang_pause_ms(&self) -> u64 {
-        LOOK_PAUSE_MS + (self.workers.len() / GANG_WORKERS_EACH_MS) as u64
+    fn gang_backoff_ms(&self) -> u64 {
+        RETRY_BACKOFF_MS + (self.workers.len() / GANG_WORKERS_EACH_MS) as u64
     }
 
     /// The queue, with what is late for good behind the rest.
@@ -139,7 +139,7 @@
         let mut in_time = Vec::new();
         let mut late = Vec::new();
         for (key, step) in self.queue.iter().take(UNITS_PER_CYCLE) {
-            if self.is_left_alone(*step) {
+            if self.is_in_backoff(*step) {
                 continue;
             }
             if self.spare_ms(*key, *step) < 0 {
@@ -154,10 +154,10 @@
 
     /// Whether a unit was looked at just now. Waiting gangs stay in the cycle for
     /// the sake of the workers that are kept for them.
-    fn is_left_alone(&self, step: StepId) -> bool {
+    fn is_in_backoff(&self, step: StepId) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let Some(unit) = job.unit_of(step) else { return false };
-        job.units[unit].look_after_ms > self.now_ms && job.units[unit].kept.is_empty()
+        job.units[unit].retry_at_ms > self.now_ms && job.units[unit].kept.is_empty()
     }
 
     /// How long a unit's tasks are expected to take.
@@ -185,19 +185,25 @@
         job.units[unit].queued = false;
     }
 
-    fn place_unit(&mut self, step: StepId, unit: usize, key: QueueKey, cycle: &mut Cycle) -> Look {
+    fn place_unit(
+        &mut self,
+        step: StepId,
+        unit: usize,
+        key: QueueKey,
+        cycle: &mut Cycle,
+    ) -> Attempt {
         let priority = key.priority;
-        let Some(job) = self.jobs.get(&step.job) else { return Look::Placed };
-        let Some(service) = cycle.service(&job.spec.queue.service) else { return Look::Waits };
+        let Some(job) = self.jobs.get(&step.job) else { return Attempt::Placed };
+        let Some(service) = cycle.service(&job.spec.queue.service) else { return Attempt::Waits };
         let spec = job.step(unit).clone();
         let advice = job.spec.queue.advice;
         let state = &job.units[unit];
         let waiting: Vec<u32> = state.waiting().collect();
         if spec.gang && waiting.len() < state.tasks.len() {
-            return Look::Waits;
+            return Attempt::Waits;
         }
         if spec.gang && advice.is_some() && state.advice.questions > 0 {
-            return Look::Waits;
+            return Attempt::Waits;
         }
         let mut allowed = self.allowed(step, unit, &spec, cycle);
         let with_old_tickets = allowed.len();
@@ -223,7 +229,7 @@
             }
             self.start_or_ask(step, &chosen, cycle);
             if whole {
-                return Look::Placed;
+                return Attempt::Placed;
             }
         } else {
             for (_, at) in &chosen {
@@ -232,11 +238,11 @@
         }
         if let Some(advice) = advice.filter(|_| may_ask) {
             if with_old_tickets > allowed.len() && self.renew_tickets(step, unit, &spec, cycle) {
-                return Look::Waits;
+                return Attempt::Waits;
             }
             self.ask_more(step, unit, &spec, advice, priority, cycle);
         }
-        Look::Waits
+        Attempt::Waits
     }
 
     /// Whether tickets for the chosen workers are at hand or can be asked for now.
@@ -399,10 +405,10 @@
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let advice = &mut job.units[unit].advice;
-        if advice.questions > 0 || advice.pause_until_ms.max(advice.look_after_ms) > now_ms {
+        if advice.questions > 0 || advice.pause_until_ms.max(advice.retry_at_ms) > now_ms {
             return;
         }
-        advice.look_after_ms = now_ms + ASK_AGAIN_MS;
+        advice.retry_at_ms = now_ms + ASK_AGAIN_MS;
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(service) = cycle.service(&job.spec.queue.service) else { return };
         let advice = &job.units[unit].advice;
