--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -172,7 +172,7 @@
         let limit = KEEP_LIMIT.min(deadline.saturating_duration_since(Instant::now()));
         let call = NodeCall::Keep { item, limit_ms: limit.as_millis() as u64 };
         match self.peers.call::<NodeReply>(&address, &call, limit).await {
-            Ok(NodeReply::Kept(kept)) => kept,
+            Ok(NodeReply::Reservation(kept)) => kept,
             Ok(_) | Err(PeerError::NotSent(_)) => Accepted::No,
             Err(PeerError::NoAnswer(error)) => {
                 tracing::warn!(address, error, "a daemon did not tell whether it kept something");
@@ -288,7 +288,7 @@
             return NodeReply::Advised(granted.map(|all| all.into_iter().map(row).collect()));
         }
         if let NodeCall::Keep { item, limit_ms } = call {
-            return NodeReply::Kept(self.keep_for_other(item, limit_ms).await);
+            return NodeReply::Reservation(self.keep_for_other(item, limit_ms).await);
         }
         if let NodeCall::Leads { epoch, address } = call {
             self.saw_scheduler(epoch, Some(address));
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -78,7 +78,7 @@
     /// Workers with their tickets; `None` is no answer from the advisor.
     Advised(Option<Vec<(WorkerId, String)>>),
     /// What became of what was to be kept.
-    Kept(Accepted),
+    Reservation(Accepted),
     /// This daemon schedules.
     Alive {
         /// Whether the store answers it.
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -17,7 +17,7 @@
 use crate::spec::AdviceSpec;
 use crate::spec::QueueSpec;
 
-/// Kept of a ticket's time for the way of a start and its worker's answer.
+/// Reservation of a ticket's time for the way of a start and its worker's answer.
 const TICKET_MARGIN_MS: u64 = 200;
 /// The most that is kept of it with the writes in between, in hundredths.
 const TICKET_MARGIN_PERCENT: u64 = 85;
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -54,12 +54,12 @@
     /// The waiting gang that it is kept for. Only more urgent work may go here
     /// meanwhile, and what is over before the gang could start: gangs of the same rank
     /// that need less room would otherwise overtake a large one again and again.
-    pub kept_for: Option<Kept>,
+    pub reserved_for: Option<Reservation>,
 }
 
 /// A waiting gang that a worker is kept for.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Kept {
+pub(crate) struct Reservation {
     pub priority: u32,
     pub step: StepId,
     /// When the last of its places comes free; until then the room would be idle.
@@ -100,13 +100,13 @@
 impl Room {
     /// Whether work of this unit may go here.
     pub fn is_for(&self, step: StepId, priority: u32) -> bool {
-        self.kept_for.is_none_or(|kept| kept.step == step || priority < kept.priority)
+        self.reserved_for.is_none_or(|kept| kept.step == step || priority < kept.priority)
     }
 
     /// Whether a task of this unit may go here now.
     fn takes(&self, ask: &Ask<'_>) -> bool {
         self.is_for(ask.step, ask.priority)
-            || self.kept_for.is_some_and(|kept| ask.over_ms <= kept.until_ms)
+            || self.reserved_for.is_some_and(|kept| ask.over_ms <= kept.until_ms)
     }
 }
 
@@ -206,7 +206,7 @@
                 suspect: worker.is_suspect(),
                 free,
                 capacity: worker.info.capacity,
-                kept_for: None,
+                reserved_for: None,
             });
         }
         cycle
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -130,11 +130,11 @@
     /// Not before this is a place looked for again.
     pub retry_at_ms: u64,
     /// Workers kept for it at the last look, for a gang.
-    pub kept: Vec<Slot>,
+    pub reserved: Vec<Slot>,
     /// When that was worked out.
-    pub kept_ms: u64,
+    pub reserved_ms: u64,
     /// When the last place on them comes free.
-    pub kept_until_ms: u64,
+    pub reserved_until_ms: u64,
 }
 
 /// A job.
@@ -295,9 +295,9 @@
             left: tasks,
             queued: false,
             retry_at_ms: 0,
-            kept: Vec::new(),
-            kept_ms: 0,
-            kept_until_ms: 0,
+            reserved: Vec::new(),
+            reserved_ms: 0,
+            reserved_until_ms: 0,
         }
     }
 
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -34,7 +34,7 @@
 /// Share of the workers, in hundredths, that waiting gangs may keep for
 /// themselves. The first of them keeps what it needs: a gang wider than the
 /// share would never start.
-const KEPT_PERCENT: usize = 35;
+const RESERVED_PERCENT: usize = 35;
 /// A unit that found no place is looked at again after this; a look goes through all
 /// workers that it may use, and hundreds of units may wait.
 const RETRY_BACKOFF_MS: u64 = 40;
@@ -74,9 +74,9 @@
             return;
         }
         let mut cycle = self.begin_cycle();
-        let kept_max = cycle.rooms.len() * KEPT_PERCENT / 100;
-        let may_keep =
-            |kept: usize| if kept == 0 { usize::MAX } else { kept_max.saturating_sub(kept) };
+        let reserved_max = cycle.rooms.len() * RESERVED_PERCENT / 100;
+        let may_reserve =
+            |kept: usize| if kept == 0 { usize::MAX } else { reserved_max.saturating_sub(kept) };
         let mut kept = 0;
         let mut lacking: Vec<(usize, Resources)> = Vec::new();
         for (key, step) in self.ordered_units() {
@@ -94,7 +94,8 @@
             let Some(service) = cycle.service(&job.spec.queue.service) else { continue };
             let in_backoff = job.units[unit].retry_at_ms > self.now_ms;
             if gang && in_backoff {
-                kept += self.keep_again(step, unit, key.priority, &mut cycle, may_keep(kept));
+                kept +=
+                    self.renew_reservation(step, unit, key.priority, &mut cycle, may_reserve(kept));
             }
             // What no worker of the service had room for in this cycle, none has now.
             let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
@@ -105,7 +106,8 @@
                 Attempt::Placed => self.unqueue(key, step),
                 Attempt::Waits if gang => {
                     self.back_off(step, unit, self.gang_backoff_ms());
-                    kept += self.keep_for(step, unit, key.priority, &mut cycle, may_keep(kept));
+                    kept +=
+                        self.reserve_for(step, unit, key.priority, &mut cycle, may_reserve(kept));
                 }
                 Attempt::Waits => {
                     let urgent = key.priority == 0;
@@ -157,7 +159,7 @@
     fn is_in_backoff(&self, step: StepId) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let Some(unit) = job.unit_of(step) else { return false };
-        job.units[unit].retry_at_ms > self.now_ms && job.units[unit].kept.is_empty()
+        job.units[unit].retry_at_ms > self.now_ms && job.units[unit].reserved.is_empty()
     }
 
     /// How long a unit's tasks are expected to take.
--- a/crates/pool/src/keep.rs
+++ b/crates/pool/src/reserve.rs
@@ -12,7 +12,7 @@
 use crate::Pool;
 use crate::choose::Allowed;
 use crate::choose::Cycle;
-use crate::choose::Kept;
+use crate::choose::Reservation;
 use crate::choose::places_in;
 use crate::id::StepId;
 use crate::id::TaskId;
@@ -23,7 +23,7 @@
 const RESERVING_PERCENT: u64 = 30;
 /// Which workers are kept is worked out again after this; it means a look at all
 /// tasks on all workers that the gang may use.
-const KEEP_ANEW_MS: u64 = 300;
+const RESERVE_ANEW_MS: u64 = 300;
 /// Progress below this tells little of the time that is left.
 const PERCENT_MIN: u64 = 10;
 /// A task that is over its time has this much left, for all one knows.
@@ -31,7 +31,7 @@
 
 impl Pool {
     /// Keeps workers for a waiting gang, `most` at most; gives how many.
-    pub(crate) fn keep_for(
+    pub(crate) fn reserve_for(
         &mut self,
         step: StepId,
         unit: usize,
@@ -44,8 +44,8 @@
         }
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
-        if now_ms < job.units[unit].kept_ms + KEEP_ANEW_MS {
-            return self.keep_again(step, unit, priority, cycle, most);
+        if now_ms < job.units[unit].reserved_ms + RESERVE_ANEW_MS {
+            return self.renew_reservation(step, unit, priority, cycle, most);
         }
         let spec = job.step(unit);
         let need = spec.room();
@@ -70,26 +70,26 @@
         let until_ms = now_ms + coming.last().map_or(0, |(left_ms, _)| *left_ms);
         let mut slots: Vec<Slot> = Vec::new();
         for (_, at) in coming {
-            if cycle.rooms[at].kept_for.is_some_and(|kept| kept.step == step) {
+            if cycle.rooms[at].reserved_for.is_some_and(|kept| kept.step == step) {
                 continue;
             }
             if slots.len() >= most {
                 break;
             }
-            cycle.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
+            cycle.rooms[at].reserved_for = Some(Reservation { priority, step, until_ms });
             slots.push(cycle.rooms[at].slot);
         }
         let kept = slots.len();
         if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.units[unit].kept = slots;
-            job.units[unit].kept_ms = now_ms;
-            job.units[unit].kept_until_ms = until_ms;
+            job.units[unit].reserved = slots;
+            job.units[unit].reserved_ms = now_ms;
+            job.units[unit].reserved_until_ms = until_ms;
         }
         kept
     }
 
     /// Keeps the workers for a waiting gang that were kept at its last look.
-    pub(crate) fn keep_again(
+    pub(crate) fn renew_reservation(
         &self,
         step: StepId,
         unit: usize,
@@ -99,11 +99,11 @@
     ) -> usize {
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let mut kept = 0;
-        let until_ms = job.units[unit].kept_until_ms;
-        for slot in job.units[unit].kept.iter().take(most) {
+        let until_ms = job.units[unit].reserved_until_ms;
+        for slot in job.units[unit].reserved.iter().take(most) {
             let Some(at) = cycle.at(*slot) else { continue };
             if cycle.rooms[at].is_for(step, priority) {
-                cycle.rooms[at].kept_for = Some(Kept { priority, step, until_ms });
+                cycle.rooms[at].reserved_for = Some(Reservation { priority, step, until_ms });
                 kept += 1;
             }
         }
