--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -100,13 +100,14 @@
 impl Room {
     /// Whether work of this unit may go here.
     pub fn is_for(&self, step: StepId, priority: u32) -> bool {
-        self.reserved_for.is_none_or(|kept| kept.step == step || priority < kept.priority)
+        self.reserved_for
+            .is_none_or(|reserved| reserved.step == step || priority < reserved.priority)
     }
 
     /// Whether a task of this unit may go here now.
     fn takes(&self, ask: &Ask<'_>) -> bool {
         self.is_for(ask.step, ask.priority)
-            || self.reserved_for.is_some_and(|kept| ask.over_ms <= kept.until_ms)
+            || self.reserved_for.is_some_and(|reserved| ask.over_ms <= reserved.until_ms)
     }
 }
 
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -75,9 +75,10 @@
         }
         let mut cycle = self.begin_cycle();
         let reserved_max = cycle.rooms.len() * RESERVED_PERCENT / 100;
-        let may_reserve =
-            |kept: usize| if kept == 0 { usize::MAX } else { reserved_max.saturating_sub(kept) };
-        let mut kept = 0;
+        let may_reserve = |reserved: usize| {
+            if reserved == 0 { usize::MAX } else { reserved_max.saturating_sub(reserved) }
+        };
+        let mut reserved = 0;
         let mut lacking: Vec<(usize, Resources)> = Vec::new();
         for (key, step) in self.ordered_units() {
             let Some(job) = self.jobs.get(&step.job) else {
@@ -94,8 +95,13 @@
             let Some(service) = cycle.service(&job.spec.queue.service) else { continue };
             let in_backoff = job.units[unit].retry_at_ms > self.now_ms;
             if gang && in_backoff {
-                kept +=
-                    self.renew_reservation(step, unit, key.priority, &mut cycle, may_reserve(kept));
+                reserved += self.renew_reservation(
+                    step,
+                    unit,
+                    key.priority,
+                    &mut cycle,
+                    may_reserve(reserved),
+                );
             }
             // What no worker of the service had room for in this cycle, none has now.
             let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
@@ -106,8 +112,13 @@
                 Attempt::Placed => self.unqueue(key, step),
                 Attempt::Waits if gang => {
                     self.back_off(step, unit, self.gang_backoff_ms());
-                    kept +=
-                        self.reserve_for(step, unit, key.priority, &mut cycle, may_reserve(kept));
+                    reserved += self.reserve_for(
+                        step,
+                        unit,
+                        key.priority,
+                        &mut cycle,
+                        may_reserve(reserved),
+                    );
                 }
                 Attempt::Waits => {
                     let urgent = key.priority == 0;
--- a/crates/pool/src/reserve.rs
+++ b/crates/pool/src/reserve.rs
@@ -70,7 +70,7 @@
         let until_ms = now_ms + coming.last().map_or(0, |(left_ms, _)| *left_ms);
         let mut slots: Vec<Slot> = Vec::new();
         for (_, at) in coming {
-            if cycle.rooms[at].reserved_for.is_some_and(|kept| kept.step == step) {
+            if cycle.rooms[at].reserved_for.is_some_and(|reserved| reserved.step == step) {
                 continue;
             }
             if slots.len() >= most {
@@ -79,13 +79,13 @@
             cycle.rooms[at].reserved_for = Some(Reservation { priority, step, until_ms });
             slots.push(cycle.rooms[at].slot);
         }
-        let kept = slots.len();
+        let reserved = slots.len();
         if let Some(job) = self.jobs.get_mut(&step.job) {
             job.units[unit].reserved = slots;
             job.units[unit].reserved_ms = now_ms;
             job.units[unit].reserved_until_ms = until_ms;
         }
-        kept
+        reserved
     }
 
     /// Keeps the workers for a waiting gang that were kept at its last look.
@@ -98,16 +98,16 @@
         most: usize,
     ) -> usize {
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
-        let mut kept = 0;
+        let mut reserved = 0;
         let until_ms = job.units[unit].reserved_until_ms;
         for slot in job.units[unit].reserved.iter().take(most) {
             let Some(at) = cycle.at(*slot) else { continue };
             if cycle.rooms[at].is_for(step, priority) {
                 cycle.rooms[at].reserved_for = Some(Reservation { priority, step, until_ms });
-                kept += 1;
+                reserved += 1;
             }
         }
-        kept
+        reserved
     }
 
     /// In how long each place for a task of this need comes free on a worker, if
