--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -104,8 +104,8 @@
                 );
             }
             // What no worker of the service had room for in this cycle, none has now.
-            let hopeless = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
-            if in_backoff || (hopeless && !gang) {
+            let infeasible = lacking.iter().any(|(at, need)| *at == service && room.holds(need));
+            if in_backoff || (infeasible && !gang) {
                 continue;
             }
             match self.place_unit(step, unit, key, &mut cycle) {
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -33,13 +33,13 @@
 const REFUSED_PAUSE_MS: u64 = 500;
 /// A task whose progress did not move for this long stands still. Holds show it
 /// twice a second, so one answer may be missing.
-const STILL_MS: u64 = 1_100;
+const STALL_MS: u64 = 1_100;
 /// ... or for this share, in hundredths, of what it was estimated to take:
 /// progress comes in hundredths, so that tasks of minutes may show none for long.
-const STILL_PERCENT: u64 = 5;
+const STALL_PERCENT: u64 = 5;
 /// The members of a gang begin at different moments; it may stand still for
 /// this much longer.
-const GANG_STILL_MS: u64 = 1_500;
+const GANG_STALL_MS: u64 = 1_500;
 
 impl Pool {
     /// Sends a start whose row is durable.
@@ -421,8 +421,8 @@
                     continue;
                 }
                 let step = job.step(number);
-                let gang_ms = if step.gang { GANG_STILL_MS } else { 0 };
-                let still_ms = STILL_MS.max(step.estimate_ms * STILL_PERCENT / 100) + gang_ms;
+                let gang_ms = if step.gang { GANG_STALL_MS } else { 0 };
+                let stall_ms = STALL_MS.max(step.estimate_ms * STALL_PERCENT / 100) + gang_ms;
                 // A gang's member that is through waits for the others to end.
                 let gang_moved_ms = unit.tasks.iter().map(|task| task.moved_ms).max().unwrap_or(0);
                 for (index, task) in unit.tasks.iter().enumerate() {
@@ -438,7 +438,7 @@
                         Phase::Running { .. }
                             if !step.long_running
                                 && !task.is_slowed()
-                                && moved_ms + still_ms < self.now_ms =>
+                                && moved_ms + stall_ms < self.now_ms =>
                         {
                             still.push(id);
                         }
@@ -459,7 +459,7 @@
             self.stop(id);
         }
         for id in still {
-            self.move_from_still_worker(id);
+            self.move_stalled(id);
         }
     }
 
@@ -468,7 +468,7 @@
         task.phase == Phase::Sent && task.moved_ms + START_LOST_MS < self.now_ms
     }
 
-    fn move_from_still_worker(&mut self, id: TaskId) {
+    fn move_stalled(&mut self, id: TaskId) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let gang = job.unit_of(id.step).is_some_and(|unit| job.step(unit).gang);
@@ -479,7 +479,7 @@
         let Some(name) = task.worker.clone() else { return };
         let Some(worker) = self.workers.get_mut(&name) else { return };
         // Only answers prove that it is the task that stands still and not the link.
-        if worker.answered_ms < task.moved_ms.max(task.placed_ms) + STILL_MS {
+        if worker.answered_ms < task.moved_ms.max(task.placed_ms) + STALL_MS {
             return;
         }
         if gang {
