--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -128,9 +128,9 @@
             continue;
         }
         let write = transaction(&batch);
-        let patience = health.patience();
+        let write_timeout = health.write_timeout();
         let answered = async {
-            let answered = timeout(patience, outside.transact(&write)).await;
+            let answered = timeout(write_timeout, outside.transact(&write)).await;
             answered.unwrap_or(Err(StoreError::NoAnswer))
         };
         match health.write(answered).await {
--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -45,7 +45,7 @@
 /// for it: the way there and back between regions, which would be idle time.
 const AHEAD_MS: u64 = 30;
 /// How long a daemon that is told something may take.
-const TELL_LIMIT: Duration = Duration::from_millis(500);
+const NOTIFY_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Daemons that ask the advisor.
 #[derive(Debug)]
@@ -109,7 +109,7 @@
         }
         let peers = self.peers.clone();
         tokio::spawn(async move {
-            if let Err(error) = peers.call::<NodeReply>(&address, &call, TELL_LIMIT).await {
+            if let Err(error) = peers.call::<NodeReply>(&address, &call, NOTIFY_TIMEOUT).await {
                 tracing::debug!(address, %error, "a daemon could not be told");
             }
         });
--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -26,7 +26,7 @@
 const QUIET_ANSWERS: u64 = 2;
 /// A renewal may be seen this long before its holder hears of it: some answers of
 /// a slow store.
-const SEEN_LATE_MS: u64 = 400;
+const RENEWAL_LAG_MS: u64 = 400;
 /// A store that answers within this is near.
 const NEAR_ANSWER_MS: u64 = 12;
 /// What a millisecond of the store's answer time beyond that costs a candidate:
@@ -166,7 +166,7 @@
         let Some((row, _)) = &self.row else { return 0 };
         let silent_ms = now_ms.saturating_sub(self.changed_ms);
         let ended = row.released || row.holder == me;
-        let holder_ms = if ended { 0 } else { EXTEND_MS + SEEN_LATE_MS };
+        let holder_ms = if ended { 0 } else { EXTEND_MS + RENEWAL_LAG_MS };
         holder_ms.max(row.earlier_extends_ms).saturating_sub(silent_ms)
     }
 
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -30,9 +30,9 @@
 /// The same in usual answer times, for a store that has turned slow.
 const SUSPECT_ANSWERS: u64 = 3;
 /// The shortest and longest time that a write of a job waits for its answer ...
-const PATIENCE_MS: std::ops::RangeInclusive<u64> = 700..=1_500;
+const WRITE_TIMEOUT_MS: std::ops::RangeInclusive<u64> = 700..=1_500;
 /// ... and the same in usual answer times.
-const PATIENCE_ANSWERS: u64 = 4;
+const WRITE_TIMEOUT_ANSWERS: u64 = 4;
 /// The newest answer counts for one part in this many.
 const SMOOTHING: u64 = 8;
 /// How often it is looked whether the store is down, and asked whether it is back.
@@ -107,9 +107,9 @@
     }
 
     /// How long a write of a job waits for its answer.
-    pub fn patience(&self) -> Duration {
-        let usual_ms = self.answer_ms() * PATIENCE_ANSWERS;
-        Duration::from_millis(usual_ms.clamp(*PATIENCE_MS.start(), *PATIENCE_MS.end()))
+    pub fn write_timeout(&self) -> Duration {
+        let usual_ms = self.answer_ms() * WRITE_TIMEOUT_ANSWERS;
+        Duration::from_millis(usual_ms.clamp(*WRITE_TIMEOUT_MS.start(), *WRITE_TIMEOUT_MS.end()))
     }
 
     /// Takes note of how a call went.
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -47,7 +47,7 @@
 use crate::peers::NodeCall;
 
 /// The longest that the pool is left alone.
-const NAP_MAX_MS: u64 = 50;
+const IDLE_WAIT_MAX_MS: u64 = 50;
 /// News taken in before the pool decides.
 const NEWS_PER_TURN: usize = 256;
 /// A turn that took longer is followed by a rest of the same length ...
@@ -116,12 +116,12 @@
         let mut measured_ms = 0;
         let mut meter = TurnMeter::default();
         loop {
-            let nap_ms = pool.idle_ms(steady_ms()).clamp(1, NAP_MAX_MS);
+            let wait_ms = pool.idle_ms(steady_ms()).clamp(1, IDLE_WAIT_MAX_MS);
             let first = tokio::select! {
                 biased;
                 first = inbox.recv() => first,
                 Some(query) = self.queries.recv() => Some(News::Query(query)),
-                () = tokio::time::sleep(Duration::from_millis(nap_ms)) => None,
+                () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
             };
             let began = Instant::now();
             let more = std::iter::from_fn(|| inbox.try_recv().ok());
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -21,7 +21,7 @@
 
 /// How long the scheduler may take to say that it lives: some round trips between
 /// regions, and a cycle over a long queue.
-const ALIVE_LIMIT: Duration = Duration::from_millis(250);
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Questions without answer in a row after which it counts as gone. The first one may
 /// have gone into a connection that is dead while the daemon lives.
 const MISSES_MAX: u32 = 2;
@@ -150,7 +150,7 @@
             }
             continue;
         };
-        let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, ALIVE_LIMIT).await;
+        let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, PROBE_TIMEOUT).await;
         if let Ok(NodeReply::Alive { daemons, .. }) = &reply {
             every = probe_interval(is_feeble, *daemons);
         }
