--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -37,11 +37,11 @@
 const DISTANCE_DELAY_MAX_MS: u64 = 400;
 /// What a machine with a quarter of a core is kept back, against one with half a core.
 const WEAK_DELAY_MS: f64 = 40.0;
-/// What a machine below [`FEEBLE_CORES`] is kept back: 350 workers take a quarter of
+/// What a machine below [`LEADER_CORES_MIN`] is kept back: 350 workers take a quarter of
 /// a core, and a scheduler that cannot keep up looks alive while nothing runs.
-const FEEBLE_DELAY_MS: u64 = 700;
-/// A machine with less is feeble.
-const FEEBLE_CORES: f64 = 0.2;
+const UNDERPROVISIONED_DELAY_MS: u64 = 700;
+/// A machine with less is underprovisioned.
+const LEADER_CORES_MIN: f64 = 0.2;
 /// What a narrow link costs a candidate: calls to 350 workers and the rows that
 /// follow take some 10 Mbit/s.
 const NARROW_DELAY_MS: u64 = 150;
@@ -103,14 +103,15 @@
         let weak_ms = (WEAK_DELAY_MS * (0.5 - self.cores) / 0.25).max(0.0) as u64;
         let narrow_ms = if self.link_mbps < NARROW_MBPS { NARROW_DELAY_MS } else { 0 };
         let spread_ms = xxh3_64(self.name.as_bytes()) % SPREAD_MS;
-        let feeble_ms = if is_feeble(self.cores) { FEEBLE_DELAY_MS } else { 0 };
-        distance_ms + weak_ms + feeble_ms + narrow_ms + spread_ms
+        let underprovisioned_ms =
+            if is_underprovisioned(self.cores) { UNDERPROVISIONED_DELAY_MS } else { 0 };
+        distance_ms + weak_ms + underprovisioned_ms + narrow_ms + spread_ms
     }
 }
 
 /// Whether a machine is too weak to lead many workers.
-pub fn is_feeble(cores: f64) -> bool {
-    cores < FEEBLE_CORES
+pub fn is_underprovisioned(cores: f64) -> bool {
+    cores < LEADER_CORES_MIN
 }
 
 impl DutyView {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -130,7 +130,7 @@
         tokio::spawn(scheduler::check_liveness(
             Arc::clone(&gateway),
             peers.clone(),
-            duty::is_feeble(settings.cores),
+            duty::is_underprovisioned(settings.cores),
         ));
         let advisors =
             Arc::new(Advisors::new(Arc::clone(&outside), peers.clone(), settings.address.clone()));
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -132,7 +132,7 @@
 pub(crate) async fn check_liveness<O: Outside>(
     gateway: Arc<Gateway<O>>,
     peers: Peers,
-    is_feeble: bool,
+    is_underprovisioned: bool,
 ) {
     let mut view = gateway.watch_scheduler();
     let mut asked = None;
@@ -152,7 +152,7 @@
         };
         let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, PROBE_TIMEOUT).await;
         if let Ok(NodeReply::Alive { daemons, .. }) = &reply {
-            every = probe_interval(is_feeble, *daemons);
+            every = probe_interval(is_underprovisioned, *daemons);
         }
         let liveness = match reply {
             Ok(NodeReply::Alive { reaches_store: true, .. }) => Some(Liveness::Healthy),
@@ -171,8 +171,8 @@
 
 /// How often a daemon asks. Those that could lead ask often; hundreds of others would keep
 /// the leader busy, and are told by the next one that it leads.
-pub fn probe_interval(is_feeble: bool, daemons: u32) -> Duration {
-    if is_feeble {
+pub fn probe_interval(is_underprovisioned: bool, daemons: u32) -> Duration {
+    if is_underprovisioned {
         (PROBE_INTERVAL_EACH * daemons).clamp(PROBE_INTERVAL, PROBE_INTERVAL_MAX)
     } else {
         PROBE_INTERVAL
--- a/crates/node/tests/duty.rs
+++ b/crates/node/tests/duty.rs
@@ -116,8 +116,8 @@
 /// Guards against a leader that is kept busy by hundreds of daemons asking whether it lives.
 #[test]
 fn weak_daemons_of_a_large_pool_ask_rarely() {
-    let asked_per_s = |is_feeble: bool, daemons: u32| {
-        f64::from(daemons) / probe_interval(is_feeble, daemons).as_secs_f64()
+    let asked_per_s = |is_underprovisioned: bool, daemons: u32| {
+        f64::from(daemons) / probe_interval(is_underprovisioned, daemons).as_secs_f64()
     };
     assert!(asked_per_s(true, 130) <= 101.0);
     assert!(probe_interval(true, 1_000).as_secs() <= 2);
