--- a/crates/node/src/measure.rs
+++ b/crates/node/src/measure.rs
@@ -67,11 +67,11 @@
         calling_ms = meter.calling.as_millis() as u64,
         "pool"
     );
-    let stuck = pool.stuck_tasks();
-    if let Some(first) = stuck.first() {
-        tracing::error!(count = stuck.len(), first, "tasks that nobody will look at again");
+    let stalled = pool.tasks_without_wakeup();
+    if let Some(first) = stalled.first() {
+        tracing::error!(count = stalled.len(), first, "tasks without a pending wake-up");
     }
-    metrics::gauge!("stoatwell_tasks_stuck").set(stuck.len() as f64);
+    metrics::gauge!("stoatwell_tasks_stalled").set(stalled.len() as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -19,7 +19,7 @@
     /// Steps with tasks to place.
     pub queued_steps: usize,
     /// Tasks that nobody will look at again; there should be none.
-    pub stuck_tasks: Vec<String>,
+    pub tasks_without_wakeup: Vec<String>,
     /// The workers.
     pub workers: Vec<WorkerDump>,
 }
@@ -85,7 +85,7 @@
             epoch: self.election.epoch,
             jobs,
             queued_steps: self.queue.len(),
-            stuck_tasks: self.stuck_tasks(),
+            tasks_without_wakeup: self.tasks_without_wakeup(),
             workers,
         }
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,7 +26,7 @@
 mod runs;
 mod spec;
 mod speed;
-mod stuck;
+mod wakeup;
 mod worker;
 
 use std::collections::BTreeMap;
--- a/crates/pool/src/stuck.rs
+++ b/crates/pool/src/wakeup.rs
@@ -14,7 +14,7 @@
 
 impl Pool {
     /// Tasks that nobody will look at again, each with the reason.
-    pub fn stuck_tasks(&self) -> Vec<String> {
+    pub fn tasks_without_wakeup(&self) -> Vec<String> {
         let queued: BTreeSet<StepId> = self.queue.values().copied().collect();
         let timed: BTreeSet<StepId> = self.timed.iter().map(|(_, step)| *step).collect();
         let mut found = Vec::new();
@@ -22,8 +22,10 @@
             for (number, unit) in job.units.iter().enumerate() {
                 let waits = queued.contains(&unit.id) || timed.contains(&unit.id);
                 for (index, task) in unit.tasks.iter().enumerate() {
-                    let Some(lacks) = self.lacks(job, number, task, waits) else { continue };
-                    found.push(format!("{}.{index}: {lacks}", unit.id));
+                    let Some(missing_wakeup) = self.missing_wakeup(job, number, task, waits) else {
+                        continue;
+                    };
+                    found.push(format!("{}.{index}: {missing_wakeup}", unit.id));
                 }
             }
         }
@@ -31,7 +33,13 @@
     }
 
     /// What a task waits for that nobody will do.
-    fn lacks(&self, job: &Job, unit: usize, task: &Task, queued: bool) -> Option<&'static str> {
+    fn missing_wakeup(
+        &self,
+        job: &Job,
+        unit: usize,
+        task: &Task,
+        queued: bool,
+    ) -> Option<&'static str> {
         match task.phase {
             Phase::Waiting if job.is_ready(unit) && !queued => Some("waits outside the queue"),
             Phase::Reserved if job.units[unit].advice.questions == 0 => {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -211,7 +211,7 @@
             self.pump();
             self.check();
             if self.now_ms.is_multiple_of(100) {
-                self.broken.extend(self.pool.stuck_tasks());
+                self.broken.extend(self.pool.tasks_without_wakeup());
             }
         }
     }
