--- a/crates/node/src/advisors.rs
+++ b/crates/node/src/advisors.rs
@@ -103,7 +103,7 @@
     }
 
     /// Tells another daemon something, without waiting for it.
-    pub fn tell(&self, address: String, call: NodeCall) {
+    pub fn notify(&self, address: String, call: NodeCall) {
         if address == self.me {
             return;
         }
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -35,8 +35,8 @@
 use self::plan::needs_executors;
 use self::plan::order_of_use;
 use crate::members::Member;
-use crate::news::News;
-use crate::news::tell;
+use crate::message::Message;
+use crate::message::notify;
 use crate::outside::Outside;
 
 /// How long a new leader waits for its executors before it makes the first calls itself.
@@ -48,7 +48,7 @@
     outside: Arc<O>,
     peers: Peers,
     epoch: u64,
-    news: mpsc::UnboundedSender<News>,
+    messages: mpsc::UnboundedSender<Message>,
     state: Arc<Mutex<State>>,
     /// Calls that the leader makes itself, and the links; all end with it.
     tasks: Mutex<JoinSet<()>>,
@@ -75,7 +75,7 @@
         peers: Peers,
         me: Member,
         epoch: u64,
-        news: mpsc::UnboundedSender<News>,
+        messages: mpsc::UnboundedSender<Message>,
     ) -> Self {
         let state = State {
             me,
@@ -87,7 +87,7 @@
         };
         let state = Arc::new(Mutex::new(state));
         let tasks = Mutex::default();
-        Self { outside, peers, epoch, news, state, tasks, changed: watch::Sender::default() }
+        Self { outside, peers, epoch, messages, state, tasks, changed: watch::Sender::default() }
     }
 
     /// Updates which daemons there are.
@@ -128,7 +128,7 @@
 
     fn call_directly(&self, call: WorkerCall) {
         let outside = Arc::clone(&self.outside);
-        let news = self.news.clone();
+        let messages = self.messages.clone();
         let state = Arc::clone(&self.state);
         let pending = call.pending();
         self.spawn(async move {
@@ -136,7 +136,7 @@
             if reply.is_unanswered() {
                 lock(&state).detours.remove(pending.worker());
             }
-            tell(&news, pending.event(reply));
+            notify(&messages, pending.event(reply));
         });
     }
 
@@ -167,7 +167,7 @@
     /// Keeps a session with an executor for as long as this daemon leads.
     fn keep_open(&self, link: Arc<Link>) {
         let peers = self.peers.clone();
-        let news = self.news.clone();
+        let messages = self.messages.clone();
         let shared = Arc::clone(&self.state);
         let changed = self.changed.clone();
         let epoch = self.epoch;
@@ -175,7 +175,7 @@
             if reply.is_unanswered() {
                 lock(&shared).detours.insert(pending.worker().clone());
             }
-            tell(&news, pending.event(reply));
+            notify(&messages, pending.event(reply));
         };
         let next_session = {
             let shared = Arc::clone(&self.state);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -17,8 +17,8 @@
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::members::read_members;
-use crate::news::News;
-use crate::news::tell;
+use crate::message::Message;
+use crate::message::notify;
 use crate::outside::Outside;
 use crate::outside::Row;
 use crate::outside::Rows;
@@ -52,7 +52,7 @@
     /// Whether the store answers.
     pub health: Arc<StoreHealth>,
     /// The scheduler's inbox.
-    pub news: mpsc::UnboundedSender<News>,
+    pub messages: mpsc::UnboundedSender<Message>,
 }
 
 impl<O: Outside> Follower<O> {
@@ -109,24 +109,24 @@
             };
             after = rows.version;
             for row in &rows.rows {
-                self.tell_row(table, row);
+                self.forward_row(table, row);
             }
             tokio::time::sleep(JOBS_PAUSE).await;
         }
     }
 
-    fn tell_row(&self, table: Table, row: &Row) {
+    fn forward_row(&self, table: Table, row: &Row) {
         if row.value.is_none() {
             return;
         }
         match table {
             Table::Jobs => {
                 let Some((job, spec)) = read_row::<JobSpec>(row) else { return };
-                tell(&self.news, Event::Accepted { job, spec: Arc::new(spec) });
+                notify(&self.messages, Event::Accepted { job, spec: Arc::new(spec) });
             }
             Table::Cancels => {
                 let Ok(job) = row.key.parse() else { return };
-                tell(&self.news, Event::Cancelled { job });
+                notify(&self.messages, Event::Cancelled { job });
             }
             Table::Progress | Table::Duty | Table::Daemons => {}
         }
@@ -156,7 +156,7 @@
                 now_ms > since_ms + MISSING_GRACE_MS
             };
             for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
-                tell(&self.news, Event::Unlisted { worker });
+                notify(&self.messages, Event::Unlisted { worker });
             }
             tokio::time::sleep(WORKERS_PAUSE).await;
         }
@@ -168,7 +168,7 @@
         }
         for listed in changes.listed {
             missing.remove(&listed.worker);
-            tell(&self.news, Event::Listed(listed));
+            notify(&self.messages, Event::Listed(listed));
         }
     }
 
@@ -190,10 +190,10 @@
                     let known = advisors.update_members(&members);
                     executors.update_members(members);
                     gateway.set_daemons(known.len());
-                    tell(&self.news, Event::Advisors { count: known.len() });
+                    notify(&self.messages, Event::Advisors { count: known.len() });
                     for address in known {
                         if told.insert(address.clone()) {
-                            advisors.tell(address, leads.clone());
+                            advisors.notify(address, leads.clone());
                         }
                     }
                 }
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -27,7 +27,7 @@
 use crate::executors::session::Executor;
 use crate::follow::read_row;
 use crate::health::StoreHealth;
-use crate::news::Query;
+use crate::message::Query;
 use crate::outside::Outside;
 use crate::outside::StoreError;
 use crate::outside::Table;
@@ -133,7 +133,7 @@
         let row = encode(spec);
         let accepted = self.keep(Item::Submit(job, row.clone()), deadline).await;
         if accepted == Accepted::Yes {
-            self.tell_scheduler(NodeCall::Accepted { job, row });
+            self.notify_scheduler(NodeCall::Accepted { job, row });
         }
         tracing::info!(%job, queue = spec.queue.name, ?accepted, "submission answered");
         metrics::counter!("stoatwell_submissions_total", "outcome" => outcome_name(accepted))
@@ -155,7 +155,7 @@
             _ => self.keep(Item::Cancel(job), deadline).await,
         };
         if accepted == Accepted::Yes {
-            self.tell_scheduler(NodeCall::Cancelled(job));
+            self.notify_scheduler(NodeCall::Cancelled(job));
         }
         tracing::info!(%job, ?known, ?accepted, "cancellation answered");
         Some(accepted)
@@ -209,7 +209,7 @@
     /// Tells the scheduler of something durable, without waiting for it. The
     /// store's feed tells it too, a quarter of a second later; with a slow store
     /// much later.
-    fn tell_scheduler(self: &Arc<Self>, call: NodeCall) {
+    fn notify_scheduler(self: &Arc<Self>, call: NodeCall) {
         let gateway = Arc::clone(self);
         tokio::spawn(async move {
             if gateway.ask(call).await.is_none() {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -39,17 +39,17 @@
 use crate::measure::count;
 use crate::measure::measure;
 use crate::members::Member;
-use crate::news::News;
-use crate::news::Query;
-use crate::news::tell;
+use crate::message::Message;
+use crate::message::Query;
+use crate::message::notify;
 use crate::outside::Outside;
 use crate::outside::Table;
 use crate::peers::NodeCall;
 
 /// The longest that the pool is left alone.
 const IDLE_WAIT_MAX_MS: u64 = 50;
-/// News taken in before the pool decides.
-const NEWS_PER_TURN: usize = 256;
+/// Message taken in before the pool decides.
+const MESSAGES_PER_TURN: usize = 256;
 /// A turn that took longer is followed by a rest of the same length ...
 const REST_MIN: Duration = Duration::from_micros(300);
 /// ... but of this at most.
@@ -86,16 +86,16 @@
     pub async fn run(mut self) {
         let began_ms = steady_ms();
         let epoch = self.held.row.epoch;
-        let (news, mut inbox) = mpsc::unbounded_channel();
+        let (messages, mut inbox) = mpsc::unbounded_channel();
         let (batches, batch_queue) = mpsc::channel(1);
         let mut tasks = JoinSet::new();
         let renewed_ms = Arc::new(AtomicU64::new(began_ms));
-        tasks.spawn(keep_duty_and_tell(
+        tasks.spawn(keep_duty_and_notify(
             Arc::clone(&self.outside),
             self.held.clone(),
             Arc::clone(&self.health),
             batch_queue,
-            news.clone(),
+            messages.clone(),
             self.stop.clone(),
             Arc::clone(&renewed_ms),
         ));
@@ -104,11 +104,11 @@
             self.peers.clone(),
             self.me.clone(),
             epoch,
-            news.clone(),
+            messages.clone(),
         ));
         let replacing = Arc::clone(&executors);
         tasks.spawn(async move { replacing.replace_failed().await });
-        let loaded = self.load(epoch, &mut tasks, &news, &mut inbox, &executors).await;
+        let loaded = self.load(epoch, &mut tasks, &messages, &mut inbox, &executors).await;
         let Some(mut pool) = loaded else { return };
         executors.opened().await;
         tracing::info!(epoch, took_ms = steady_ms() - began_ms, "scheduler ready");
@@ -120,19 +120,19 @@
             let first = tokio::select! {
                 biased;
                 first = inbox.recv() => first,
-                Some(query) = self.queries.recv() => Some(News::Query(query)),
+                Some(query) = self.queries.recv() => Some(Message::Query(query)),
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
             };
             let began = Instant::now();
             let more = std::iter::from_fn(|| inbox.try_recv().ok());
-            for news in first.into_iter().chain(more).take(NEWS_PER_TURN) {
-                match news {
-                    News::Deposed => return,
-                    News::Event(event) => {
+            for messages in first.into_iter().chain(more).take(MESSAGES_PER_TURN) {
+                match messages {
+                    Message::Deposed => return,
+                    Message::Event(event) => {
                         count(&event);
                         pool.handle(steady_ms(), unix_ms(), event);
                     }
-                    News::Query(query) => answer(&mut pool, query, is_fresh(&renewed_ms)),
+                    Message::Query(query) => answer(&mut pool, query, is_fresh(&renewed_ms)),
                 }
             }
             while let Ok(query) = self.queries.try_recv() {
@@ -147,7 +147,7 @@
                     tracing::warn!(epoch, "stepping down: a worker follows another scheduler");
                     return;
                 }
-                self.carry_out(effect, &pool, &executors, &news, &batches, &mut tasks);
+                self.carry_out(effect, &pool, &executors, &messages, &batches, &mut tasks);
             }
             while tasks.try_join_next().is_some() {}
             meter.add(handled - began, pumped - handled, pumped.elapsed());
@@ -170,14 +170,14 @@
         &self,
         epoch: u64,
         tasks: &mut JoinSet<()>,
-        news: &mpsc::UnboundedSender<News>,
-        inbox: &mut mpsc::UnboundedReceiver<News>,
+        messages: &mpsc::UnboundedSender<Message>,
+        inbox: &mut mpsc::UnboundedReceiver<Message>,
         executors: &Arc<Executors<O>>,
     ) -> Option<Pool> {
         let follower = Arc::new(Follower {
             outside: Arc::clone(&self.outside),
             health: Arc::clone(&self.health),
-            news: news.clone(),
+            messages: messages.clone(),
         });
         let claimed = self.held.version;
         let all = async {
@@ -240,7 +240,7 @@
         effect: Effect,
         pool: &Pool,
         executors: &Executors<O>,
-        news: &mpsc::UnboundedSender<News>,
+        messages: &mpsc::UnboundedSender<Message>,
         batches: &mpsc::Sender<Batch>,
         tasks: &mut JoinSet<()>,
     ) {
@@ -252,10 +252,10 @@
             Effect::Pace(pace) => call(WorkerCall::Pace(pace)),
             Effect::Advise { step, workers, priority, cost_ms } => {
                 let advisors = Arc::clone(&self.advisors);
-                let news = news.clone();
+                let messages = messages.clone();
                 tasks.spawn(async move {
                     let granted = advisors.ask(step, &workers, priority, cost_ms).await;
-                    tell(&news, Event::Advised { step, asked: workers, granted });
+                    notify(&messages, Event::Advised { step, asked: workers, granted });
                 });
             }
             Effect::Commit { batch, puts, removes } => {
@@ -269,26 +269,26 @@
     }
 }
 
-async fn deposed(inbox: &mut mpsc::UnboundedReceiver<News>) {
-    while let Some(news) = inbox.recv().await {
-        if matches!(news, News::Deposed) {
+async fn deposed(inbox: &mut mpsc::UnboundedReceiver<Message>) {
+    while let Some(messages) = inbox.recv().await {
+        if matches!(messages, Message::Deposed) {
             return;
         }
     }
 }
 
-async fn keep_duty_and_tell<O: Outside>(
+async fn keep_duty_and_notify<O: Outside>(
     outside: Arc<O>,
     held: Held,
     health: Arc<StoreHealth>,
     batches: mpsc::Receiver<Batch>,
-    news: mpsc::UnboundedSender<News>,
+    messages: mpsc::UnboundedSender<Message>,
     stop: tokio::sync::watch::Receiver<bool>,
     renewed_ms: Arc<AtomicU64>,
 ) {
-    let committed = |batch| tell(&news, Event::Committed { batch });
+    let committed = |batch| notify(&messages, Event::Committed { batch });
     keep_duty(outside, held, health, batches, stop, renewed_ms, committed).await;
-    if news.send(News::Deposed).is_err() {
+    if messages.send(Message::Deposed).is_err() {
         tracing::debug!("the scheduler had ended before");
     }
 }
@@ -309,7 +309,7 @@
                     pool.handle(steady_ms(), unix_ms(), event);
                 }
                 Err(error) => {
-                    tracing::warn!(%job, %error, "a daemon's news of a job cannot be read");
+                    tracing::warn!(%job, %error, "a daemon's messages of a job cannot be read");
                 }
             }
             true
--- a/crates/node/src/news.rs
+++ b/crates/node/src/message.rs
@@ -26,7 +26,7 @@
 
 /// What the scheduler hears.
 #[derive(Debug)]
-pub enum News {
+pub enum Message {
     /// Something happened to the pool.
     Event(Event),
     /// Somebody asks.
@@ -36,8 +36,8 @@
 }
 
 /// Tells the scheduler of an event.
-pub(crate) fn tell(news: &mpsc::UnboundedSender<News>, event: Event) {
-    if news.send(News::Event(event)).is_err() {
-        tracing::debug!("the scheduler ended before the news came");
+pub(crate) fn notify(messages: &mpsc::UnboundedSender<Message>, event: Event) {
+    if messages.send(Message::Event(event)).is_err() {
+        tracing::debug!("the scheduler ended before the messages came");
     }
 }
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use crate::gateway::Gateway;
-use crate::news::Query;
+use crate::message::Query;
 use crate::outside::Outside;
 use crate::peers::NodeCall;
 use crate::peers::NodeReply;
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -20,7 +20,7 @@
 use crate::health::StoreHealth;
 use crate::lead::Lead;
 use crate::manifest::Manifest;
-use crate::news::Query;
+use crate::message::Query;
 use crate::outside::Outside;
 use crate::outside::Row;
 use crate::outside::StoreError;
@@ -131,7 +131,7 @@
             Ok(None) => true,
             Ok(Some(row)) => {
                 view.saw(row, steady_ms());
-                self.tell_gateway(view);
+                self.notify_gateway(view);
                 true
             }
             Err(StoreError::HistoryLost) => {
@@ -170,7 +170,7 @@
         Ok(newest.map(duty_row))
     }
 
-    fn tell_gateway(&self, view: &DutyView) {
+    fn notify_gateway(&self, view: &DutyView) {
         let Some((row, _)) = &view.row else { return };
         let address = (!row.released).then(|| row.address.clone());
         self.gateway.saw_scheduler(row.epoch, address);
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -9,7 +9,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_node::Member;
-use stoatwell_node::News;
+use stoatwell_node::Message;
 use stoatwell_node::Node;
 use stoatwell_node::NodeSettings;
 use stoatwell_node::executors::Executors;
@@ -93,19 +93,19 @@
 }
 
 /// A leader with one worker in zone `z`, which is more than it can call by itself.
-fn leader(outside: Fake, executor: &str) -> (Executors<Fake>, mpsc::UnboundedReceiver<News>) {
-    let (news, inbox) = mpsc::unbounded_channel();
+fn leader(outside: Fake, executor: &str) -> (Executors<Fake>, mpsc::UnboundedReceiver<Message>) {
+    let (messages, inbox) = mpsc::unbounded_channel();
     let peers = Peers::new(KEY, Traffic::default());
     let me = member("127.0.0.1:1", "y", 0.000_1);
-    let executors = Executors::new(Arc::new(outside), peers, me, 1, news);
+    let executors = Executors::new(Arc::new(outside), peers, me, 1, messages);
     executors.update_members(vec![member(executor, "z", 0.5)]);
     executors.update_workers(BTreeMap::from([(ZoneName::new("z"), 1)]));
     (executors, inbox)
 }
 
-async fn next(inbox: &mut mpsc::UnboundedReceiver<News>) -> Event {
+async fn next(inbox: &mut mpsc::UnboundedReceiver<Message>) -> Event {
     match timeout(Duration::from_secs(3), inbox.recv()).await {
-        Ok(Some(News::Event(event))) => event,
+        Ok(Some(Message::Event(event))) => event,
         other => panic!("no event came: {other:?}"),
     }
 }
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -86,7 +86,7 @@
     /// A call arrives at the life of a worker that it was sent to; the answer
     /// goes back unless it is lost.
     Arrives { epoch: u64, life: u64, call: Call, answered: bool },
-    /// News reach the scheduler of this epoch.
+    /// Message reach the scheduler of this epoch.
     Event(u64, Event),
     /// A worker is reached again.
     Healed(WorkerId),
@@ -134,13 +134,13 @@
     pub fn submit(&mut self, id: u64, spec: JobSpec) {
         let (job, spec) = (JobId(id), Arc::new(spec));
         self.jobs.insert(job, Arc::clone(&spec));
-        self.tell(Event::Accepted { job, spec });
+        self.notify(Event::Accepted { job, spec });
     }
 
     /// Cancels a job.
     pub fn cancel(&mut self, id: u64) {
         self.cancelled.insert(JobId(id), self.now_ms);
-        self.tell(Event::Cancelled { job: JobId(id) });
+        self.notify(Event::Cancelled { job: JobId(id) });
     }
 
     /// What callers are told of a job.
@@ -189,7 +189,7 @@
 
     /// The advisor can be asked through this many daemons.
     pub fn set_advisors(&mut self, count: usize) {
-        self.tell(Event::Advisors { count });
+        self.notify(Event::Advisors { count });
     }
 
     /// Lets time cycle.
@@ -224,7 +224,7 @@
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
         }
         for job in self.cancelled.keys().copied().collect::<Vec<_>>() {
-            self.tell(Event::Cancelled { job });
+            self.notify(Event::Cancelled { job });
         }
         self.list_all();
     }
@@ -281,11 +281,11 @@
             .map(Worker::update)
             .collect();
         for update in updates {
-            self.tell(Event::Listed(update));
+            self.notify(Event::Listed(update));
         }
     }
 
-    fn tell(&mut self, event: Event) {
+    fn notify(&mut self, event: Event) {
         self.pool.handle(self.now_ms, self.now_ms, event);
     }
 
@@ -300,7 +300,7 @@
 
     fn happen(&mut self, item: Item) {
         match item {
-            Item::Event(epoch, event) if epoch == self.epoch => self.tell(event),
+            Item::Event(epoch, event) if epoch == self.epoch => self.notify(event),
             Item::Event(..) => {}
             Item::Healed(name) => {
                 if let Some(worker) = self.workers.get_mut(&name) {
@@ -312,7 +312,7 @@
                 let Some(worker) = self.workers.get_mut(&name) else { return };
                 worker.up = true;
                 let update = worker.update();
-                self.tell(Event::Listed(update));
+                self.notify(Event::Listed(update));
             }
             Item::Arrives { epoch, life, call, answered } => {
                 self.arrive(epoch, life, call, answered);
