--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -124,19 +124,12 @@
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
             };
             let began = Instant::now();
-            let more = std::iter::from_fn(|| inbox.try_recv().ok());
-            for messages in first.into_iter().chain(more).take(MESSAGES_PER_TURN) {
-                match messages {
-                    Message::Deposed => return,
-                    Message::Event(event) => {
-                        count(&event);
-                        pool.handle(steady_ms(), unix_ms(), event);
-                    }
-                    Message::Query(query) => answer(&mut pool, query, is_fresh(&renewed_ms)),
-                }
+            let fresh = is_fresh(&renewed_ms);
+            if !handle_all(&mut pool, first, &mut inbox, fresh) {
+                return;
             }
             while let Ok(query) = self.queries.try_recv() {
-                answer(&mut pool, query, is_fresh(&renewed_ms));
+                answer(&mut pool, query, fresh);
             }
             let handled = Instant::now();
             pool.note_renewal(renewed_ms.load(Ordering::Relaxed));
@@ -293,6 +286,27 @@
     }
 }
 
+/// Handles a message and those that wait behind it; `false` if another daemon leads now.
+fn handle_all(
+    pool: &mut Pool,
+    first: Option<Message>,
+    inbox: &mut mpsc::UnboundedReceiver<Message>,
+    fresh: bool,
+) -> bool {
+    let more = std::iter::from_fn(|| inbox.try_recv().ok());
+    for message in first.into_iter().chain(more).take(MESSAGES_PER_TURN) {
+        match message {
+            Message::Deposed => return false,
+            Message::Event(event) => {
+                count(&event);
+                pool.handle(steady_ms(), unix_ms(), event);
+            }
+            Message::Query(query) => answer(pool, query, fresh),
+        }
+    }
+    true
+}
+
 /// Whether the duty was renewed of late. A scheduler that is cut off from the
 /// store may have been replaced and not know it; it keeps its workers' leases
 /// until it learns so, but does not tell how much work waits.
