--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -263,8 +263,8 @@
 }
 
 async fn deposed(inbox: &mut mpsc::UnboundedReceiver<Message>) {
-    while let Some(messages) = inbox.recv().await {
-        if matches!(messages, Message::Deposed) {
+    while let Some(message) = inbox.recv().await {
+        if matches!(message, Message::Deposed) {
             return;
         }
     }
@@ -323,7 +323,7 @@
                     pool.handle(steady_ms(), unix_ms(), event);
                 }
                 Err(error) => {
-                    tracing::warn!(%job, %error, "a daemon's messages of a job cannot be read");
+                    tracing::warn!(%job, %error, "a daemon's row of a job cannot be read");
                 }
             }
             true
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -38,6 +38,6 @@
 /// Tells the scheduler of an event.
 pub(crate) fn notify(messages: &mpsc::UnboundedSender<Message>, event: Event) {
     if messages.send(Message::Event(event)).is_err() {
-        tracing::debug!("the scheduler ended before the messages came");
+        tracing::debug!("the scheduler ended before it was notified");
     }
 }
