--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -22,10 +22,12 @@
 mod pace;
 mod place;
 mod record;
+mod request;
 mod reserve;
 mod runs;
 mod spec;
 mod speed;
+mod stalled;
 mod wakeup;
 mod worker;
 
