--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -77,6 +77,10 @@
     /// A customer of the cell.
     OwnerName
 );
+name!(
+    /// A customer of a pool, as the manifest names it.
+    CustomerName
+);
 name!(
     /// An availability zone.
     ZoneName
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -21,6 +21,7 @@
 pub use entry::Urgency;
 pub use entry::WorkEntry;
 pub use id::AttemptId;
+pub use id::CustomerName;
 pub use id::DaemonId;
 pub use id::EntryName;
 pub use id::JobId;
