Callers show their customer's key; caps bind on the pool

The leader confirms the manifest twice a second by a transaction under the condition that its row is unchanged; its heartbeat passes the proof on with its age, so a daemon that the store turns away goes on serving. One whose proof grows old asks the store itself.

Pool: room counts against a customer's cap from the moment it is chosen until the run is known to be gone. Gangs go whole or wait; a step wider than the cap runs in waves.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -10,6 +10,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_model::CustomerName;
+use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::JobId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -19,6 +21,7 @@
 
 use crate::health::StoreHealth;
 use crate::outside::Outside;
+use crate::outside::Row;
 use crate::outside::SHARDS;
 use crate::outside::Shard;
 use crate::outside::StoreError;
@@ -49,6 +52,8 @@
     Yes,
     /// It is surely not durable and never will be.
     No,
+    /// A job of another customer has this number.
+    Taken,
     /// Nothing could tell in time.
     Unknown,
 }
@@ -150,7 +155,8 @@
                 let (there, rest): (Vec<Waiting>, Vec<Waiting>) = batch.drain(..).partition(exists);
                 batch = rest;
                 for done in there {
-                    settle(done, Accepted::Yes);
+                    let answer = joined(&done.item, &rows);
+                    settle(done, answer);
                 }
             }
             Err(StoreError::NoAnswer) => {
@@ -169,6 +175,25 @@
     }
 }
 
+/// What becomes of a job that is there already: the same one, unless it is another
+/// customer's.
+fn joined(item: &Item, rows: &[(Table, Row)]) -> Accepted {
+    let Item::Submit(id, mine) = item else { return Accepted::Yes };
+    let key = id.to_string();
+    let there = rows.iter().find(|(table, row)| *table == Table::Jobs && row.key == key);
+    let Some(theirs) = there.and_then(|(_, row)| row.value.as_ref()) else { return Accepted::Yes };
+    if customer_of(theirs) == customer_of(mine) { Accepted::Yes } else { Accepted::Taken }
+}
+
+fn customer_of(row: &[u8]) -> Option<CustomerName> {
+    #[derive(Deserialize)]
+    struct Owned {
+        #[serde(default)]
+        customer: Option<CustomerLimits>,
+    }
+    serde_json::from_slice::<Owned>(row).ok()?.customer.map(|customer| customer.name)
+}
+
 /// Adds what waits. While the store does not answer, what was not sent yet is
 /// refused at once: its caller can go to a daemon that still reaches the store.
 fn fill(batch: &mut Vec<Waiting>, queue: &mut mpsc::Receiver<Waiting>, health: &StoreHealth) {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -5,11 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stoatwell_customers::Proof;
+use stoatwell_model::CustomerName;
 use stoatwell_peer::Peers;
 use stoatwell_peer::client::PeerError;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
+use stoatwell_pool::JobView;
 use stoatwell_pool::Outcome;
 use stoatwell_pool::Progress;
 use tokio::sync::mpsc;
@@ -27,6 +30,9 @@
 use crate::executors::session::Executor;
 use crate::follow::read_row;
 use crate::health::StoreHealth;
+use crate::manifest::Manifest;
+use crate::manifest::ManifestInForce;
+use crate::manifest::PassedProof;
 use crate::message::Query;
 use crate::outside::Outside;
 use crate::outside::StoreError;
@@ -51,6 +57,7 @@
     acceptor: Acceptor,
     peers: Peers,
     health: Arc<StoreHealth>,
+    manifest: Arc<ManifestInForce>,
     scheduler: watch::Sender<SchedulerView>,
     executor: Executor<O>,
     /// Daemons that this one knows of while it leads.
@@ -62,7 +69,7 @@
 pub enum Known {
     /// It stands so.
     State(JobState),
-    /// There is no such job.
+    /// The caller has no such job.
     NoJob,
     /// Nothing could tell now.
     Unknown,
@@ -75,11 +82,12 @@
         acceptor: Acceptor,
         peers: Peers,
         health: Arc<StoreHealth>,
+        manifest: Arc<ManifestInForce>,
     ) -> Self {
         let executor = Executor::new(Arc::clone(&outside));
         let scheduler = watch::Sender::default();
         let daemons = AtomicU32::default();
-        Self { outside, acceptor, peers, health, scheduler, executor, daemons }
+        Self { outside, acceptor, peers, health, manifest, scheduler, executor, daemons }
     }
 
     /// Takes note of who holds the duty.
@@ -123,6 +131,26 @@
         !self.health.is_down()
     }
 
+    /// Takes note of the leader's proof, and gets its manifest if that is newer.
+    pub(crate) async fn note_proof(&self, leader: &str, passed: PassedProof, asked_ms: u64) {
+        if passed.version <= self.manifest.newest().version {
+            let proof = Proof::from_peer(passed.version, passed.age_ms, asked_ms);
+            self.manifest.note_proof(proof);
+            return;
+        }
+        let asked_ms = steady_ms();
+        let reply = self.peers.call(leader, &NodeCall::Manifest, SCHEDULER_LIMIT).await;
+        let Ok(NodeReply::Manifest { manifest, proof }) = reply else { return };
+        let Some(manifest) = executors::call::decode::<Manifest>(&manifest) else { return };
+        self.manifest.offer(manifest);
+        self.manifest.note_proof(Proof::from_peer(proof.version, proof.age_ms, asked_ms));
+    }
+
+    /// The manifest that callers are held against.
+    pub(crate) fn manifest(&self) -> &Arc<ManifestInForce> {
+        &self.manifest
+    }
+
     /// Makes a job durable.
     pub async fn submit(
         self: &Arc<Self>,
@@ -135,15 +163,21 @@
         if accepted == Accepted::Yes {
             self.notify_scheduler(NodeCall::Accepted { job, row });
         }
-        tracing::info!(%job, queue = spec.queue.name, ?accepted, "submission answered");
+        let customer = spec.customer.as_ref().map(|customer| customer.name.as_str());
+        tracing::info!(%job, queue = spec.queue.name, customer, ?accepted, "submission answered");
         metrics::counter!("stoatwell_submissions_total", "outcome" => outcome_name(accepted))
             .increment(1);
         accepted
     }
 
-    /// Makes a cancellation durable, if there is such a job.
-    pub async fn cancel(self: &Arc<Self>, job: JobId, deadline: Instant) -> Option<Accepted> {
-        let known = self.state(job).await;
+    /// Makes a cancellation durable, if the caller has such a job.
+    pub async fn cancel(
+        self: &Arc<Self>,
+        job: JobId,
+        caller: Option<&CustomerName>,
+        deadline: Instant,
+    ) -> Option<Accepted> {
+        let known = self.state(job, caller).await;
         if known == Known::NoJob {
             return None;
         }
@@ -218,14 +252,15 @@
         });
     }
 
-    /// Where a job stands.
-    pub async fn state(&self, job: JobId) -> Known {
-        if let Some(NodeReply::State(Some(state))) = self.ask(NodeCall::State(job)).await {
-            return Known::State(state);
+    /// Where a job stands. One of another customer is to its caller as if it were not
+    /// there, so that nothing is learned of it.
+    pub async fn state(&self, job: JobId, caller: Option<&CustomerName>) -> Known {
+        if let Some(NodeReply::State(Some(view))) = self.ask(NodeCall::State(job)).await {
+            return seen_by(&view, caller);
         }
         // The scheduler is away, or has not heard of a job just accepted.
         match self.state_in_store(job).await {
-            Ok(Some(state)) => Known::State(state),
+            Ok(Some(view)) => seen_by(&view, caller),
             Ok(None) => Known::NoJob,
             Err(error) => {
                 tracing::warn!(%job, %error, "state cannot be told");
@@ -242,20 +277,21 @@
         }
     }
 
-    async fn state_in_store(&self, job: JobId) -> Result<Option<JobState>, StoreError> {
+    async fn state_in_store(&self, job: JobId) -> Result<Option<JobView>, StoreError> {
         let key = job.to_string();
-        if self.outside.read(Table::Jobs, &key).await?.is_none() {
-            return Ok(None);
-        }
+        let row = self.outside.read(Table::Jobs, &key).await?;
+        let Some((_, spec)) = row.as_ref().and_then(read_row::<JobSpec>) else { return Ok(None) };
+        let customer = spec.customer.map(|customer| customer.name);
+        let view = |state| Some(JobView { state, customer });
         let progress = self.outside.read(Table::Progress, &key).await?;
         let progress = progress.as_ref().and_then(read_row::<Progress>);
         let progress = progress.map(|(_, progress)| progress).unwrap_or_default();
         if progress.outcome.is_none_or(|outcome| outcome == Outcome::Cancelled)
             && self.outside.read(Table::Cancels, &key).await?.is_some()
         {
-            return Ok(Some(JobState::Cancelled));
+            return Ok(view(JobState::Cancelled));
         }
-        Ok(Some(progress.state()))
+        Ok(view(progress.state()))
     }
 
     fn route(&self) -> Route {
@@ -306,15 +342,28 @@
             let replies = executors::call::encode(&replies);
             return NodeReply::Collected { clock_ms: steady_ms(), replies };
         }
+        if call == NodeCall::Manifest {
+            let manifest = executors::call::encode(self.manifest.newest().as_ref());
+            return NodeReply::Manifest {
+                manifest,
+                proof: self.manifest.passed_proof(steady_ms()),
+            };
+        }
         let Route::Here(queries) = self.route() else { return NodeReply::NotScheduler };
         if call == NodeCall::Alive {
             let daemons = self.daemons.load(Ordering::Relaxed);
-            return NodeReply::Alive { reaches_store: self.is_store_up(), daemons };
+            let manifest = self.manifest.passed_proof(steady_ms());
+            return NodeReply::Alive { reaches_store: self.is_store_up(), daemons, manifest };
         }
         ask_here(&queries, call).await.unwrap_or(NodeReply::NotScheduler)
     }
 }
 
+/// What a caller learns of a job.
+fn seen_by(view: &JobView, caller: Option<&CustomerName>) -> Known {
+    if view.customer.as_ref() == caller { Known::State(view.state) } else { Known::NoJob }
+}
+
 async fn ask_here(queries: &mpsc::Sender<Query>, call: NodeCall) -> Option<NodeReply> {
     match call {
         NodeCall::State(job) => {
@@ -336,6 +385,7 @@
             Some(NodeReply::Noted)
         }
         NodeCall::Keep { .. }
+        | NodeCall::Manifest
         | NodeCall::Advise { .. }
         | NodeCall::Alive
         | NodeCall::Leads { .. }
@@ -348,6 +398,7 @@
     match accepted {
         Accepted::Yes => "accepted",
         Accepted::No => "refused",
+        Accepted::Taken => "taken",
         Accepted::Unknown => "unknown",
     }
 }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use stoatwell_peer::Peers;
+use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
@@ -35,6 +36,8 @@
 use crate::follow::read_row;
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
+use crate::manifest::Manifest;
+use crate::manifest::ManifestInForce;
 use crate::measure::TurnMeter;
 use crate::measure::count;
 use crate::measure::measure;
@@ -188,6 +191,14 @@
         let earlier_extends_ms = self.held.row.earlier_extends_ms;
         let election = Election { epoch, earlier_extends_ms };
         let mut pool = Pool::new(election, self.limits, steady_ms(), unix_ms());
+        let manifest = self.gateway.manifest().newest();
+        let limits = customers(&manifest);
+        pool.handle(steady_ms(), unix_ms(), Event::Customers { limits });
+        tasks.spawn(forward_customers(
+            Arc::clone(self.gateway.manifest()),
+            manifest.version,
+            messages.clone(),
+        ));
         let mut done = std::collections::HashMap::new();
         for row in &progress.rows {
             if let Some((id, value)) = read_row::<Progress>(row) {
@@ -262,6 +273,24 @@
     }
 }
 
+/// Tells the scheduler of the customers of each newer manifest.
+async fn forward_customers(
+    in_force: Arc<ManifestInForce>,
+    mut version: u64,
+    messages: mpsc::UnboundedSender<Message>,
+) {
+    loop {
+        let manifest = in_force.newer_than(version).await;
+        version = manifest.version;
+        notify(&messages, Event::Customers { limits: customers(&manifest) });
+    }
+}
+
+fn customers(manifest: &Manifest) -> Vec<CustomerLimits> {
+    let Some(directory) = &manifest.customers else { return Vec::new() };
+    directory.customers().iter().map(CustomerLimits::of).collect()
+}
+
 async fn deposed(inbox: &mut mpsc::UnboundedReceiver<Message>) {
     while let Some(message) = inbox.recv().await {
         if matches!(message, Message::Deposed) {
@@ -332,7 +361,7 @@
             pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
             true
         }
-        Query::State(job, answer) => answer.send(pool.state(job)).is_ok(),
+        Query::State(job, answer) => answer.send(pool.view(job)).is_ok(),
         Query::Pending(_, _) if !fresh => true,
         Query::Pending(queue, answer) => answer.send(pool.pending(&queue) as u64).is_ok(),
         Query::Dump(answer) => answer.send(pool.dump()).is_ok(),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,6 +25,7 @@
 
 use std::sync::Arc;
 
+use stoatwell_customers::ProofLimits;
 use stoatwell_model::ZoneName;
 use stoatwell_peer::Peers;
 use stoatwell_peer::Traffic;
@@ -45,11 +46,15 @@
 pub use crate::duty::RENEW_MS;
 pub use crate::gateway::Gateway;
 pub use crate::gateway::Known;
+pub use crate::manifest::Denied;
 pub use crate::manifest::Manifest;
+pub use crate::manifest::ManifestInForce;
+pub use crate::manifest::PassedProof;
 pub use crate::manifest::Queue;
 pub use crate::members::Member;
 pub use crate::message::Message;
 pub use crate::message::Query;
+pub use crate::outside::Confirmation;
 pub use crate::outside::Outside;
 pub use crate::outside::Row;
 pub use crate::outside::Rows;
@@ -80,6 +85,8 @@
     pub limits: Limits,
     /// Shared by the daemons; a stranger's connection is closed.
     pub peer_key: String,
+    /// How long a key may go on working after it was taken away; none is not bounded.
+    pub revoke_ms: Option<u64>,
 }
 
 impl NodeSettings {
@@ -98,7 +105,7 @@
 #[derive(Debug)]
 pub struct Node<O> {
     gateway: Arc<Gateway<O>>,
-    manifest: tokio::sync::watch::Receiver<Arc<Manifest>>,
+    manifest: Arc<ManifestInForce>,
     stop: tokio::sync::watch::Sender<bool>,
     stopped: tokio::sync::watch::Receiver<bool>,
     leading: tokio::sync::watch::Receiver<Option<tokio::sync::mpsc::Sender<Query>>>,
@@ -108,6 +115,7 @@
     /// Starts the daemon's tasks; peers connect to the listener.
     pub fn start(settings: &NodeSettings, outside: Arc<O>, listener: TcpListener) -> Self {
         let health = Arc::new(StoreHealth::default());
+        let manifest = Arc::new(ManifestInForce::new(settings.revoke_ms.map(ProofLimits::new)));
         let acceptor = Acceptor::start(Arc::clone(&outside), Arc::clone(&health));
         let peers = Peers::new(&settings.peer_key, Traffic::default());
         let gateway = Arc::new(Gateway::new(
@@ -115,16 +123,20 @@
             acceptor,
             peers.clone(),
             Arc::clone(&health),
+            Arc::clone(&manifest),
         ));
-        let (manifest_out, manifest) = tokio::sync::watch::channel(Arc::default());
         let (stop, stopping) = tokio::sync::watch::channel(false);
         let (stopped_out, stopped) = tokio::sync::watch::channel(false);
         let (leading_out, leading) = tokio::sync::watch::channel(None);
-        tokio::spawn(watch::follow_manifest(
+        tokio::spawn(manifest::follow(
             Arc::clone(&outside),
             Arc::clone(&health),
-            manifest_out,
+            Arc::clone(&manifest),
         ));
+        let leads = leading.clone();
+        tokio::spawn(manifest::confirm(Arc::clone(&outside), Arc::clone(&manifest), move || {
+            leads.borrow().is_some()
+        }));
         tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
         tokio::spawn(health::probe(Arc::clone(&outside), Arc::clone(&health)));
         tokio::spawn(scheduler::check_liveness(
@@ -158,9 +170,9 @@
         &self.gateway
     }
 
-    /// The manifest in force; its version is 0 before there is one.
-    pub fn manifest(&self) -> Arc<Manifest> {
-        Arc::clone(&self.manifest.borrow())
+    /// The manifest that callers are held against.
+    pub fn manifest(&self) -> &Arc<ManifestInForce> {
+        &self.manifest
     }
 
     /// The way to the scheduler's state, while it is this daemon.
--- a/crates/node/src/manifest/mod.rs
+++ b/crates/node/src/manifest/mod.rs
@@ -1,20 +1,37 @@
-//! The operators' manifest: which queues there are and where they are reached.
+//! The operators' manifest: which queues there are, where they are reached, and by whom.
 
+mod admission;
+mod follow;
+mod in_force;
+
+use serde::Deserialize;
+use serde::Serialize;
+use stoatwell_customers::Directory;
 use stoatwell_pool::QueueSpec;
 
+pub use crate::manifest::admission::Denied;
+pub(crate) use crate::manifest::follow::confirm;
+pub(crate) use crate::manifest::follow::follow;
+pub use crate::manifest::in_force::ManifestInForce;
+pub use crate::manifest::in_force::PassedProof;
+
 /// One version of the manifest.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Manifest {
     /// Rises with every version.
     pub version: u64,
+    /// The version of its row in the store.
+    pub row_version: u64,
     /// The queues.
     pub queues: Vec<Queue>,
     /// Largest body of a request, in bytes.
     pub body_bytes_max: usize,
+    /// The customers; without any, everybody may call.
+    pub customers: Option<Directory>,
 }
 
 /// A queue and where callers reach it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// The host that callers name.
     pub host: String,
@@ -22,6 +39,8 @@
     pub prefix: String,
     /// How long a request may take.
     pub timeout_ms: u64,
+    /// Whether callers need no key.
+    pub anonymous: bool,
     /// The queue's rules.
     pub spec: QueueSpec,
 }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -2,7 +2,7 @@
 
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
-use stoatwell_pool::JobState;
+use stoatwell_pool::JobView;
 use stoatwell_pool::PoolDump;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub enum Query {
     /// Where does a job stand?
-    State(JobId, oneshot::Sender<Option<JobState>>),
+    State(JobId, oneshot::Sender<Option<JobView>>),
     /// How many jobs of a queue wait?
     Pending(String, oneshot::Sender<u64>),
     /// A job is durable.
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -103,6 +103,15 @@
     HistoryLost,
 }
 
+/// Whether a version of the manifest is the newest.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Confirmation {
+    /// It is.
+    Newest,
+    /// There is another one; none if that one cannot be read.
+    Replaced(Option<Manifest>),
+}
+
 /// What changed in the list of workers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkerChanges {
@@ -161,6 +170,13 @@
         wait_ms: u64,
     ) -> impl Future<Output = Result<(Option<Manifest>, u64), StoreError>> + Send;
 
+    /// Tells whether the manifest of a row version was the newest at some moment of the
+    /// call. Unlike a reading, the answer must not lag behind.
+    fn confirm_manifest(
+        &self,
+        row_version: u64,
+    ) -> impl Future<Output = Result<Confirmation, StoreError>> + Send;
+
     /// Holds a worker.
     fn hold(&self, call: &HoldCall) -> impl Future<Output = Result<HoldReply, CallError>> + Send;
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -4,12 +4,13 @@
 use serde::Serialize;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::JobId;
-use stoatwell_pool::JobState;
+use stoatwell_pool::JobView;
 use stoatwell_pool::StepId;
 
 use crate::accept::Accepted;
 use crate::accept::Item;
 use crate::executors::session::SessionId;
+use crate::manifest::PassedProof;
 
 /// A question.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,6 +37,8 @@
     },
     /// To the scheduler: does it live, and does the store answer it?
     Alive,
+    /// To any daemon: what is the newest manifest?
+    Manifest,
     /// To any daemon: this one schedules now.
     Leads {
         /// Which holder of the duty it is.
@@ -72,7 +75,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum NodeReply {
     /// Where the job stands; `None` is unknown here.
-    State(Option<JobState>),
+    State(Option<JobView>),
     /// How many wait.
     Pending(u64),
     /// Workers with their tickets; `None` is no answer from the advisor.
@@ -85,6 +88,15 @@
         reaches_store: bool,
         /// How many daemons there are, for all it knows.
         daemons: u32,
+        /// Up to when its manifest was the newest.
+        manifest: PassedProof,
+    },
+    /// The newest manifest that this daemon knows.
+    Manifest {
+        /// A [`Manifest`](crate::Manifest), encoded.
+        manifest: Vec<u8>,
+        /// Up to when it was the newest.
+        proof: PassedProof,
     },
     /// Taken note of.
     Noted,
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
+use crate::clock::steady_ms;
 use crate::gateway::Gateway;
 use crate::message::Query;
 use crate::outside::Outside;
@@ -150,9 +151,11 @@
             }
             continue;
         };
+        let asked_ms = steady_ms();
         let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, PROBE_TIMEOUT).await;
-        if let Ok(NodeReply::Alive { daemons, .. }) = &reply {
+        if let Ok(NodeReply::Alive { daemons, manifest, .. }) = &reply {
             every = probe_interval(is_underprovisioned, *daemons);
+            gateway.note_proof(&address, *manifest, asked_ms).await;
         }
         let liveness = match reply {
             Ok(NodeReply::Alive { reaches_store: true, .. }) => Some(Liveness::Healthy),
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -1,4 +1,4 @@
-//! Watches the duty and the manifest, and takes the duty over when it is free.
+//! Watches the duty, and takes it over when it is free.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,7 +19,6 @@
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::lead::Lead;
-use crate::manifest::Manifest;
 use crate::message::Query;
 use crate::outside::Outside;
 use crate::outside::Row;
@@ -33,10 +32,6 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// How often a daemon tries to announce itself.
 const ANNOUNCE_TRIES: u32 = 40;
-/// How long a question for a newer manifest waits.
-const MANIFEST_WAIT_MS: u64 = 1_000;
-/// After one that failed.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
 /// Questions to the scheduler that wait at one time.
 const QUERIES_MAX: usize = 1_024;
 
@@ -258,37 +253,3 @@
         }
     }
 }
-
-/// Keeps the newest manifest; an older version never takes its place, also
-/// when a store that lags behind answers with one.
-pub async fn follow_manifest<O: Outside>(
-    outside: Arc<O>,
-    health: Arc<StoreHealth>,
-    newest: tokio::sync::watch::Sender<Arc<Manifest>>,
-) {
-    let mut after = None;
-    loop {
-        let result = match after {
-            None => outside.manifest().await,
-            Some(version) => outside.follow_manifest(version, MANIFEST_WAIT_MS).await,
-        };
-        health.note(&result);
-        match result {
-            Ok((manifest, version)) => {
-                after = Some(version);
-                let Some(manifest) = manifest else { continue };
-                if manifest.version <= newest.borrow().version {
-                    continue;
-                }
-                let (version, queues) = (manifest.version, manifest.queues.len());
-                tracing::info!(version, queues, "manifest in force");
-                newest.send_replace(Arc::new(manifest));
-            }
-            Err(StoreError::HistoryLost) => after = None,
-            Err(error) => {
-                tracing::debug!(%error, "the manifest cannot be followed");
-                tokio::time::sleep(MANIFEST_PAUSE).await;
-            }
-        }
-    }
-}
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -17,6 +17,7 @@
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
+use stoatwell_pool::JobView;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Outcome;
 use stoatwell_pool::Progress;
@@ -44,6 +45,7 @@
             batch_bytes_max: 600_000,
         },
         peer_key: "test".to_owned(),
+        revoke_ms: None,
     };
     Node::start(&settings, Arc::clone(store), listener)
 }
@@ -59,6 +61,7 @@
             target_ms: 400,
             advice: None,
         },
+        customer: None,
         payload: "work".to_owned(),
         steps: vec![StepSpec { tasks: 1, ..StepSpec::default() }],
         repeat: None,
@@ -66,6 +69,10 @@
     }
 }
 
+fn view(state: JobState) -> JobView {
+    JobView { state, customer: None }
+}
+
 fn in_ms(ms: u64) -> Instant {
     Instant::now() + Duration::from_millis(ms)
 }
@@ -147,7 +154,7 @@
     assert_eq!(second.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
     first.stop().await;
     until("the next scheduler", 1_000, || second.scheduler().is_some()).await;
-    assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Queued));
+    assert_eq!(second.gateway().state(JobId(7), None).await, Known::State(JobState::Queued));
 }
 
 /// A caller asks a daemon that does not schedule, about jobs there are and
@@ -159,12 +166,12 @@
     until("a scheduler", 3_000, || first.scheduler().is_some()).await;
     let second = start("b", &store).await;
     assert_eq!(first.gateway().submit(JobId(7), &job(), in_ms(2_000)).await, Accepted::Yes);
-    assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Queued));
-    assert_eq!(second.gateway().state(JobId(8)).await, Known::NoJob);
-    assert_eq!(second.gateway().cancel(JobId(7), in_ms(2_000)).await, Some(Accepted::Yes));
-    assert_eq!(second.gateway().cancel(JobId(8), in_ms(2_000)).await, None);
+    assert_eq!(second.gateway().state(JobId(7), None).await, Known::State(JobState::Queued));
+    assert_eq!(second.gateway().state(JobId(8), None).await, Known::NoJob);
+    assert_eq!(second.gateway().cancel(JobId(7), None, in_ms(2_000)).await, Some(Accepted::Yes));
+    assert_eq!(second.gateway().cancel(JobId(8), None, in_ms(2_000)).await, None);
     tokio::time::sleep(Duration::from_millis(400)).await;
-    assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Cancelled));
+    assert_eq!(second.gateway().state(JobId(7), None).await, Known::State(JobState::Cancelled));
 }
 
 /// The store answers a new scheduler's first readings with what was there before
@@ -188,7 +195,7 @@
     let (answer, answered) = tokio::sync::oneshot::channel();
     let queries = second.scheduler().expect("it schedules");
     queries.send(Query::State(JobId(7), answer)).await.expect("it listens");
-    assert_eq!(answered.await.expect("it answers"), Some(JobState::Completed));
+    assert_eq!(answered.await.expect("it answers"), Some(view(JobState::Completed)));
 }
 
 /// The scheduler's process is killed. Its row says nothing of it for a while, but the
@@ -206,7 +213,7 @@
         tokio::time::sleep(Duration::from_millis(600)).await;
         doomed.shutdown_background();
         until("the next scheduler", 1_500, || second.scheduler().is_some()).await;
-        assert_eq!(second.gateway().state(JobId(7)).await, Known::State(JobState::Queued));
+        assert_eq!(second.gateway().state(JobId(7), None).await, Known::State(JobState::Queued));
     });
 }
 
@@ -248,7 +255,7 @@
     until("the next scheduler", 2_000, || third.scheduler().is_some()).await;
     tokio::time::sleep(Duration::from_millis(200)).await;
     assert_eq!(second.gateway().submit(JobId(9), &job(), in_ms(2_000)).await, Accepted::Yes);
-    assert_eq!(second.gateway().state(JobId(9)).await, Known::State(JobState::Queued));
+    assert_eq!(second.gateway().state(JobId(9), None).await, Known::State(JobState::Queued));
 }
 
 /// A worker answers hundreds of starts at one moment, as after a store outage that held
@@ -266,7 +273,7 @@
     until("all starts", 5_000, || store.first_starts() == TASKS).await;
     store.answer_first_starts();
     let end = in_ms(8_000);
-    while node.gateway().state(JobId(7)).await != Known::State(JobState::Completed) {
+    while node.gateway().state(JobId(7), None).await != Known::State(JobState::Completed) {
         assert!(Instant::now() < end, "the job is not completed");
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -86,6 +86,7 @@
             batch_bytes_max: 600_000,
         },
         peer_key: KEY.to_owned(),
+        revoke_ms: None,
     };
     let _entered = runtime.enter();
     let _node = Node::start(&settings, Arc::new(outside), listener);
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -12,6 +12,7 @@
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
+use stoatwell_node::Confirmation;
 use stoatwell_node::Manifest;
 use stoatwell_node::Outside;
 use stoatwell_node::Row;
@@ -262,6 +263,15 @@
         Ok((None, 0))
     }
 
+    async fn confirm_manifest(&self, _row_version: u64) -> Result<Confirmation, StoreError> {
+        let mood = *self.mood.lock().expect("whole");
+        match mood {
+            Mood::Silent => std::future::pending().await,
+            Mood::Refuses | Mood::TurnsAway => Err(StoreError::Refused),
+            Mood::Well | Mood::LosesOneAnswer => Ok(Confirmation::Newest),
+        }
+    }
+
     async fn follow_manifest(
         &self,
         after: u64,
--- a/crates/pool/src/choose.rs
+++ b/crates/pool/src/choose.rs
@@ -30,6 +30,8 @@
     /// Places in `rooms` by the workers' slots.
     places: Vec<Option<u32>>,
     services: Vec<Service>,
+    /// What each customer has, by its number.
+    pub customers: Vec<Resources>,
 }
 
 /// A service during one cycle.
@@ -181,7 +183,7 @@
 impl Pool {
     /// The open workers as they are now.
     pub(crate) fn begin_cycle(&self) -> Cycle {
-        let mut cycle = Cycle::default();
+        let mut cycle = Cycle { customers: self.customers_use(), ..Cycle::default() };
         cycle.rooms.reserve(self.workers.len());
         cycle.places.resize(self.names.len(), None);
         let blamed = self.blamed_services();
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -8,6 +8,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
+use crate::customers::CustomerLimits;
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
@@ -87,6 +88,11 @@
         /// Those that may run it.
         granted: Option<Vec<Grant>>,
     },
+    /// The manifest names these customers.
+    Customers {
+        /// Their limits.
+        limits: Vec<CustomerLimits>,
+    },
     /// The advisor can be asked through this many daemons.
     Advisors {
         /// How many.
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -294,7 +294,7 @@
                 continue;
             };
             if let Some(unit) = job.unit_of(id.step) {
-                rooms.push(job.step(unit).room());
+                rooms.push(job.taken(unit));
             }
             self.stop_stranger(name, id, run);
         }
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -6,6 +6,7 @@
 
 use stoatwell_model::WorkerId;
 
+use crate::customers::CustomerId;
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
@@ -17,6 +18,7 @@
 use crate::spec::StepSpec;
 use crate::worker::FULL_PACE;
 use crate::worker::Slot;
+use crate::worker::Taken;
 use crate::worker::Worker;
 
 /// Where a task stands.
@@ -142,6 +144,7 @@
 pub(crate) struct Job {
     pub id: JobId,
     pub spec: Arc<JobSpec>,
+    pub customer: Option<CustomerId>,
     pub payload: Arc<str>,
     pub units: Vec<Unit>,
     /// How it ended, maybe not durable yet.
@@ -156,7 +159,7 @@
 
 impl Job {
     /// A job with nothing done yet.
-    pub fn new(id: JobId, spec: Arc<JobSpec>) -> Self {
+    pub fn new(id: JobId, spec: Arc<JobSpec>, customer: Option<CustomerId>) -> Self {
         let mut units = Vec::new();
         for occurrence in 0..spec.occurrences() {
             for (number, step) in spec.steps.iter().enumerate() {
@@ -168,6 +171,7 @@
             id,
             payload: Arc::from(spec.payload.as_str()),
             spec,
+            customer,
             units,
             outcome: None,
             settled: false,
@@ -256,6 +260,12 @@
         &self.spec.steps[self.units[unit].id.step as usize]
     }
 
+    /// What a task of a unit takes.
+    pub fn taken(&self, unit: usize) -> Taken {
+        let step = self.step(unit);
+        Taken { room: step.room(), demand: step.demand, customer: self.customer }
+    }
+
     /// The place of a step among the units.
     pub fn unit_of(&self, id: StepId) -> Option<usize> {
         let unit = id.occurrence as usize * self.spec.steps.len() + id.step as usize;
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -13,6 +13,7 @@
 mod advise;
 mod choose;
 mod commit;
+mod customers;
 mod dump;
 mod event;
 mod holds;
@@ -41,6 +42,7 @@
 use stoatwell_model::ZoneName;
 
 use crate::commit::Commits;
+use crate::customers::Customers;
 use crate::job::Job;
 use crate::job::Phase;
 use crate::learned::Learned;
@@ -49,6 +51,7 @@
 
 pub use crate::advise::LONG_ASK_MS;
 pub use crate::advise::long_questions_max;
+pub use crate::customers::CustomerLimits;
 pub use crate::dump::Counts;
 pub use crate::dump::PoolDump;
 pub use crate::dump::WorkerDump;
@@ -73,6 +76,7 @@
 pub use crate::id::StepId;
 pub use crate::id::TaskId;
 pub use crate::record::JobState;
+pub use crate::record::JobView;
 pub use crate::record::Outcome;
 pub use crate::record::Progress;
 pub use crate::record::TaskProgress;
@@ -128,6 +132,7 @@
     jobs: BTreeMap<JobId, Job>,
     /// Cancellations of jobs that are not known yet.
     early_cancels: BTreeSet<JobId>,
+    customers: Customers,
     workers: BTreeMap<WorkerId, Worker>,
     /// Names of workers by their slots.
     names: Vec<WorkerId>,
@@ -180,6 +185,7 @@
             turn: 1,
             jobs: BTreeMap::new(),
             early_cancels: BTreeSet::new(),
+            customers: Customers::default(),
             workers: BTreeMap::new(),
             names: Vec::new(),
             queue: BTreeMap::new(),
@@ -200,7 +206,7 @@
 
     /// Puts a job back that was accepted before this scheduler began.
     pub fn restore(&mut self, id: JobId, spec: Arc<JobSpec>, progress: Option<&Progress>) {
-        let mut job = Job::new(id, spec);
+        let mut job = self.new_job(id, spec);
         let Some(progress) = progress else {
             self.admit(job);
             return;
@@ -220,7 +226,7 @@
         let over = job.outcome.is_some();
         let Some(unit) = job.units.get(row.unit as usize) else { return };
         let id = TaskId { step: unit.id, index: row.index };
-        let room = job.step(row.unit as usize).room();
+        let taken = job.taken(row.unit as usize);
         let service = job.spec.queue.service.clone();
         if !self.workers.contains_key(&name) {
             let address = row.address.clone();
@@ -233,7 +239,7 @@
         // A start may have reached a later life than the one that it was meant
         // for, so whatever the rows say of lives, the first hold tells.
         worker.info.life = worker.info.life.max(row.life);
-        worker.take(id, room);
+        worker.take(id, taken);
         if over {
             // The earlier scheduler may have died before its stop got there.
             self.stop(id);
@@ -269,6 +275,7 @@
                 self.on_paced(task, run, &worker, reply);
             }
             Event::Advised { step, asked, granted } => self.on_advised(step, &asked, granted),
+            Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisors = count.max(1),
             Event::Committed { batch } => self.on_committed(batch),
         }
@@ -311,6 +318,13 @@
         self.jobs.get(&job).map(Job::state)
     }
 
+    /// What callers are told of a job, and whose it is.
+    pub fn view(&self, job: JobId) -> Option<JobView> {
+        let job = self.jobs.get(&job)?;
+        let customer = job.spec.customer.as_ref().map(|customer| customer.name.clone());
+        Some(JobView { state: job.state(), customer })
+    }
+
     /// Jobs of a queue of which no task has begun yet, by what workers have said.
     pub fn pending(&self, queue: &str) -> usize {
         let pending =
@@ -342,13 +356,23 @@
             return;
         }
         tracing::info!(job = %id, queue = spec.queue.name, "job taken on");
-        let job = Job::new(id, spec);
+        let job = self.new_job(id, spec);
         self.admit(job);
         if self.early_cancels.remove(&id) {
             self.on_cancelled(id);
         }
     }
 
+    fn new_job(&mut self, id: JobId, spec: Arc<JobSpec>) -> Job {
+        let customer = spec.customer.as_ref().map(|limits| self.customers.id_of(limits));
+        Job::new(id, spec, customer)
+    }
+
+    fn on_customers(&mut self, limits: Vec<CustomerLimits>) {
+        self.customers.update(limits);
+        self.place_due = true;
+    }
+
     fn admit(&mut self, job: Job) {
         let id = job.id;
         let units = job.units.len();
@@ -440,10 +464,10 @@
         let mut used: HashMap<&str, BTreeMap<u32, Resources>> = HashMap::new();
         for worker in self.workers.values() {
             let ranks = used.entry(&worker.info.service).or_default();
-            for (task, room) in &worker.tasks {
+            for (task, taken) in &worker.tasks {
                 let Some(job) = self.jobs.get(&task.step.job) else { continue };
                 let sum = ranks.entry(job.spec.queue.priority).or_default();
-                *sum = sum.plus(room);
+                *sum = sum.plus(&taken.room);
             }
         }
         for (service, ranks) in used {
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -49,6 +49,8 @@
     Placed,
     /// Something is left.
     Waits,
+    /// Its customer has as much as it may have.
+    Capped,
 }
 
 impl Pool {
@@ -94,6 +96,10 @@
             }
             match self.place_unit(step, unit, key, &mut cycle) {
                 Attempt::Placed => self.unqueue(key, step),
+                Attempt::Capped => {
+                    self.back_off(step, unit, RETRY_BACKOFF_MS);
+                    self.drop_reservation(step, unit);
+                }
                 Attempt::Waits if gang => {
                     self.back_off(step, unit, self.gang_backoff_ms());
                     reserved += self.reserve_for(
@@ -194,11 +200,20 @@
         let Some(service) = cycle.service(&job.spec.queue.service) else { return Attempt::Waits };
         let spec = job.step(unit).clone();
         let advice = job.spec.queue.advice;
+        let customer = job.customer;
         let state = &job.units[unit];
-        let waiting: Vec<u32> = state.waiting().collect();
+        let mut waiting: Vec<u32> = state.waiting().collect();
         if spec.gang && waiting.len() < state.tasks.len() {
             return Attempt::Waits;
         }
+        let cap_places = self.cap_places(customer, &cycle.customers, &spec.demand);
+        let tasks_left = waiting.len();
+        if cap_places < tasks_left as u64 {
+            if spec.gang || cap_places == 0 {
+                return Attempt::Capped;
+            }
+            waiting.truncate(cap_places as usize);
+        }
         if spec.gang && advice.is_some() && state.advice.questions > 0 {
             return Attempt::Waits;
         }
@@ -216,13 +231,17 @@
         } else {
             cycle.choose(&ask, &waiting, candidates)
         };
-        let whole = chosen.len() == waiting.len();
+        let whole = chosen.len() == tasks_left;
         let may_start = whole || !spec.gang;
         let may_ask = self.may_renew(step, advice, &chosen, cycle);
         if !chosen.is_empty() && may_start && may_ask {
             for (index, at) in &chosen {
                 let name = self.names[cycle.rooms[*at].slot.0].clone();
-                self.reserve(TaskId { step, index: *index }, &name, spec.room());
+                self.reserve(TaskId { step, index: *index }, &name);
+            }
+            if let Some(customer) = customer {
+                let used = &mut cycle.customers[customer.0];
+                *used = used.plus(&spec.demand.times(chosen.len() as u64));
             }
             self.start_or_ask(step, &chosen, cycle);
             if whole {
@@ -299,13 +318,15 @@
         &self.names[room.slot.0]
     }
 
-    fn reserve(&mut self, id: TaskId, name: &WorkerId, room: Resources) {
+    fn reserve(&mut self, id: TaskId, name: &WorkerId) {
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(unit) = job.unit_of(id.step) else { return };
+        let taken = job.taken(unit);
         let Some(task) = job.task_mut(id) else { return };
         task.phase = Phase::Reserved;
         task.worker = Some(name.clone());
         if let Some(worker) = self.workers.get_mut(name) {
-            worker.take(id, room);
+            worker.take(id, taken);
         }
     }
 
--- a/crates/pool/src/record.rs
+++ b/crates/pool/src/record.rs
@@ -6,6 +6,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_model::CustomerName;
 use stoatwell_model::WorkerId;
 
 /// How a job ended.
@@ -36,6 +37,15 @@
     Cancelled,
 }
 
+/// Where a job stands, and whose it is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// Where it stands.
+    pub state: JobState,
+    /// Whose it is; none is anybody's.
+    pub customer: Option<CustomerName>,
+}
+
 impl From<Outcome> for JobState {
     fn from(outcome: Outcome) -> Self {
         match outcome {
--- a/crates/pool/src/reserve.rs
+++ b/crates/pool/src/reserve.rs
@@ -110,12 +110,19 @@
         reserved
     }
 
+    /// Keeps no worker for a gang that could not start now if all were free.
+    pub(crate) fn drop_reservation(&mut self, step: StepId, unit: usize) {
+        if let Some(job) = self.jobs.get_mut(&step.job) {
+            job.units[unit].reserved.clear();
+        }
+    }
+
     /// In how long each place for a task of this need comes free on a worker, if
     /// nothing else goes there; 0 for those that are free now.
     fn places_ms(&self, slot: Slot, need: &Resources) -> Vec<u64> {
         let Some(worker) = self.worker_at(slot) else { return Vec::new() };
         let mut ends: Vec<(u64, &Resources)> =
-            worker.tasks.iter().map(|(id, room)| (self.left_ms(*id), room)).collect();
+            worker.tasks.iter().map(|(id, taken)| (self.left_ms(*id), &taken.room)).collect();
         ends.sort_unstable_by_key(|(left_ms, _)| *left_ms);
         let mut free = worker.free();
         let mut times_ms = vec![0; places_in(&free, need) as usize];
--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -4,6 +4,8 @@
 use serde::Serialize;
 use stoatwell_model::Resources;
 
+use crate::customers::CustomerLimits;
+
 /// Largest number of tasks in all steps and occurrences of one job; keeps a
 /// job's record inside one row of the store.
 pub const TASKS_MAX: u64 = 2_000;
@@ -15,6 +17,9 @@
 pub struct JobSpec {
     /// The queue's rules.
     pub queue: QueueSpec,
+    /// Whose it is, with the limits that the customer had then.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub customer: Option<CustomerLimits>,
     /// What to run, opaque to us.
     pub payload: String,
     /// The steps.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -5,6 +5,7 @@
 
 use stoatwell_model::Resources;
 
+use crate::customers::CustomerId;
 use crate::event::WorkerUpdate;
 use crate::id::TaskId;
 
@@ -27,6 +28,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Slot(pub usize);
 
+/// What a task takes.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Taken {
+    /// Of its worker's room.
+    pub room: Resources,
+    /// Of its customer's cap.
+    pub demand: Resources,
+    pub customer: Option<CustomerId>,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -56,10 +67,12 @@
     /// Numbers of ends that are taken in and not durable yet.
     pub not_durable: BTreeSet<u64>,
     /// Tasks that have room here, with it.
-    pub tasks: BTreeMap<TaskId, Resources>,
+    pub tasks: BTreeMap<TaskId, Taken>,
     /// Runs that are none of ours but take room.
-    pub strangers: Vec<Resources>,
+    pub strangers: Vec<Taken>,
     pub used: Resources,
+    /// What tasks of each customer take.
+    pub by_customer: BTreeMap<CustomerId, Resources>,
     pub failures: u32,
     pub quarantines: u32,
     pub quarantine_until_ms: u64,
@@ -100,6 +113,7 @@
             tasks: BTreeMap::new(),
             strangers: Vec::new(),
             used: Resources::ZERO,
+            by_customer: BTreeMap::new(),
             failures: 0,
             quarantines: 0,
             quarantine_until_ms: 0,
@@ -164,9 +178,17 @@
     }
 
     /// Takes room for a task.
-    pub fn take(&mut self, task: TaskId, room: Resources) {
-        self.tasks.insert(task, room);
-        self.used = self.used.plus(&room);
+    pub fn take(&mut self, task: TaskId, taken: Taken) {
+        self.tasks.insert(task, taken);
+        self.add(&taken);
+    }
+
+    fn add(&mut self, taken: &Taken) {
+        self.used = self.used.plus(&taken.room);
+        if let Some(customer) = taken.customer {
+            let sum = self.by_customer.entry(customer).or_default();
+            *sum = sum.plus(&taken.demand);
+        }
     }
 
     /// Gives a task's room back.
@@ -178,8 +200,12 @@
 
     /// Works the used room out anew.
     pub fn add_up(&mut self) {
-        let all = self.tasks.values().chain(&self.strangers);
-        self.used = all.fold(Resources::ZERO, |sum, room| sum.plus(room));
+        self.used = Resources::ZERO;
+        self.by_customer.clear();
+        let all: Vec<Taken> = self.tasks.values().chain(&self.strangers).copied().collect();
+        for taken in &all {
+            self.add(taken);
+        }
     }
 
     /// A moment on the worker's clock, this long from now. The clock may be
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -51,6 +51,7 @@
             target_ms: 400,
             advice: None,
         },
+        customer: None,
         payload: "work".to_owned(),
         steps: vec![StepSpec { tasks: 1, ..StepSpec::default() }],
         repeat: None,
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -5,6 +5,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::TaskId;
@@ -12,6 +13,9 @@
 use super::World;
 use super::worker::Call;
 
+/// A start is decided this long before it is sent: its row has to be durable first.
+const CAP_LAG_MS: u64 = 100;
+
 impl World {
     pub(super) fn note_start(&mut self, call: &Call) {
         let Call::Start(start) = call else { return };
@@ -27,6 +31,7 @@
             self.broken.push(format!("{}: started long after it was cancelled", start.task));
         }
         let Some(spec) = self.jobs.get(&job).cloned() else { return };
+        self.check_cap(start.task, start.made_ms);
         let step = &spec.steps[start.task.step.step as usize];
         for earlier in &step.after {
             let all = 0..spec.steps[*earlier as usize].tasks;
@@ -53,6 +58,51 @@
         }
     }
 
+    /// A start must not bring its customer above the highest cap since it was decided.
+    fn check_cap(&mut self, task: TaskId, made_ms: u64) {
+        let Some(customer) = self.customer_of(task) else { return };
+        let Some(cap) = self.highest_cap(&customer, made_ms.saturating_sub(CAP_LAG_MS)) else {
+            return;
+        };
+        let mut used = self.demand_of(task);
+        for worker in self.workers.values() {
+            for (other, _) in worker.active.keys() {
+                if self.customer_of(*other).as_ref() == Some(&customer) {
+                    used = used.plus(&self.demand_of(*other));
+                }
+            }
+        }
+        if used.cpu_millis > cap {
+            self.broken.push(format!("{task}: {customer} has {} of {cap}", used.cpu_millis));
+        }
+    }
+
+    /// The highest cap on processors that a customer had since a moment; none is no cap.
+    fn highest_cap(&self, customer: &CustomerName, since_ms: u64) -> Option<u64> {
+        let caps = self.caps.get(customer)?;
+        if caps.first().is_none_or(|(began_ms, _)| *began_ms >= since_ms) {
+            return None;
+        }
+        let mut highest = None;
+        for (number, (_, cap)) in caps.iter().enumerate() {
+            let ended_ms = caps.get(number + 1).map_or(u64::MAX, |(began_ms, _)| *began_ms);
+            if ended_ms >= since_ms {
+                highest = highest.max(Some(*cap));
+            }
+        }
+        highest
+    }
+
+    fn customer_of(&self, task: TaskId) -> Option<CustomerName> {
+        let job = self.jobs.get(&task.step.job)?;
+        job.customer.as_ref().map(|customer| customer.name.clone())
+    }
+
+    fn demand_of(&self, task: TaskId) -> Resources {
+        let job = self.jobs.get(&task.step.job);
+        job.map_or(Resources::ZERO, |job| job.steps[task.step.step as usize].demand)
+    }
+
     fn may_have_copies(&self, task: TaskId) -> bool {
         let job = self.jobs.get(&task.step.job);
         job.is_some_and(|job| job.steps[task.step.step as usize].speculative)
--- a/crates/pool/tests/world/jobs.rs
+++ b/crates/pool/tests/world/jobs.rs
@@ -20,7 +20,14 @@
 
 /// A job of the given steps.
 pub fn job(queue: QueueSpec, steps: Vec<StepSpec>) -> JobSpec {
-    JobSpec { queue, payload: "work".to_owned(), steps, repeat: None, accepted_unix_ms: 1_000 }
+    JobSpec {
+        queue,
+        customer: None,
+        payload: "work".to_owned(),
+        steps,
+        repeat: None,
+        accepted_unix_ms: 1_000,
+    }
 }
 
 /// A step of tasks that need this many thousandths of a core.
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -20,8 +20,11 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
+use stoatwell_model::CustomerName;
+use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::CallError;
+use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
@@ -71,6 +74,10 @@
     pub bad_tickets: u64,
     /// Whether the scheduler can renew its duty.
     pub renews: bool,
+    /// The customers of the manifest.
+    pub customers: BTreeMap<CustomerName, CustomerLimits>,
+    /// Their caps on processors, with the moments from which they held.
+    caps: BTreeMap<CustomerName, Vec<(u64, u64)>>,
     pool: Pool,
     epoch: u64,
     jobs: BTreeMap<JobId, Arc<JobSpec>>,
@@ -112,6 +119,8 @@
             tickets_expire: false,
             bad_tickets: 0,
             renews: true,
+            customers: BTreeMap::new(),
+            caps: BTreeMap::new(),
             pool: Pool::new(elected(1), limits(), 1_000, 1_000),
             epoch: 1,
             jobs: BTreeMap::new(),
@@ -130,6 +139,25 @@
         world
     }
 
+    /// The manifest gives a customer this cap from now on.
+    pub fn set_cap(&mut self, customer: &CustomerName, weight: f64, cap: Resources) {
+        self.write_cap(customer, weight, cap);
+        self.notify_customers();
+    }
+
+    /// The same, but the scheduler does not learn it.
+    pub fn write_cap(&mut self, customer: &CustomerName, weight: f64, cap: Resources) {
+        let limits = CustomerLimits { name: customer.clone(), weight, cap };
+        self.customers.insert(customer.clone(), limits);
+        let caps = self.caps.entry(customer.clone()).or_default();
+        caps.push((self.now_ms, cap.cpu_millis));
+    }
+
+    fn notify_customers(&mut self) {
+        let limits = self.customers.values().cloned().collect();
+        self.notify(Event::Customers { limits });
+    }
+
     /// Hands a job in.
     pub fn submit(&mut self, id: u64, spec: JobSpec) {
         let (job, spec) = (JobId(id), Arc::new(spec));
@@ -220,6 +248,7 @@
     pub fn take_over(&mut self) {
         self.epoch += 1;
         self.pool = Pool::new(elected(self.epoch), limits(), self.now_ms, self.now_ms);
+        self.notify_customers();
         for (job, spec) in &self.jobs {
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
         }
