The leader makes submissions durable, in many parts with a fence each

Jobs, progress and cancels of a job now lie in one of 32 parts. A new leader fences each part before it reads it; batches go under the fence, several parts in one transaction while the store is fast, each part by itself while it is slow or fails. Gateways hand submissions to the leader, which places them while they are made durable; a submission waits 40 ms for its first start and shares its write. Behind a part that does not answer submissions are refused at once (503, not run) instead of ending as 504. A gateway writes the row itself where the leader is gone, cut off, or silent for 2 s.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -11,8 +11,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 use stoatwell_model::CustomerName;
+use stoatwell_pool::Accepted;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::JobId;
+use stoatwell_pool::PARTS;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -22,7 +24,6 @@
 use crate::health::StoreHealth;
 use crate::outside::Outside;
 use crate::outside::Row;
-use crate::outside::SHARDS;
 use crate::outside::Shard;
 use crate::outside::StoreError;
 use crate::outside::Table;
@@ -45,19 +46,6 @@
 /// After a write without answer.
 const DOUBT_PAUSE: Duration = Duration::from_millis(30);
 
-/// What became of a submission or cancellation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Accepted {
-    /// It is durable.
-    Yes,
-    /// It is surely not durable and never will be.
-    No,
-    /// A job of another customer has this number.
-    Taken,
-    /// Nothing could tell in time.
-    Unknown,
-}
-
 /// What is to be made durable.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
@@ -86,8 +74,8 @@
 impl Acceptor {
     /// Starts the tasks that write, one for each shard.
     pub fn start(outside: Arc<impl Outside>, health: Arc<StoreHealth>) -> Self {
-        let mut shards = Vec::with_capacity(SHARDS);
-        for _ in 0..SHARDS {
+        let mut shards = Vec::with_capacity(PARTS);
+        for _ in 0..PARTS {
             let (items, queue) = mpsc::channel(WAITING_MAX);
             tokio::spawn(write(Arc::clone(&outside), Arc::clone(&health), queue));
             shards.push(items);
@@ -104,7 +92,7 @@
         let waiting = Waiting { item, answer, deadline, in_doubt: false, refusals: 0 };
         let items = match shard(Table::Jobs, &waiting.item.job().to_string()) {
             Shard::Jobs(number) => self.shards.get(number),
-            Shard::Scheduler => None,
+            Shard::Control => None,
         };
         if items.is_none_or(|items| items.try_send(waiting).is_err()) {
             return Accepted::No;
@@ -155,7 +143,10 @@
                 let (there, rest): (Vec<Waiting>, Vec<Waiting>) = batch.drain(..).partition(exists);
                 batch = rest;
                 for done in there {
-                    let answer = joined(&done.item, &rows);
+                    let answer = match &done.item {
+                        Item::Submit(job, row) => joined(*job, row, &rows),
+                        Item::Cancel(_) => Accepted::Yes,
+                    };
                     settle(done, answer);
                 }
             }
@@ -177,9 +168,8 @@
 
 /// What becomes of a job that is there already: the same one, unless it is another
 /// customer's.
-fn joined(item: &Item, rows: &[(Table, Row)]) -> Accepted {
-    let Item::Submit(id, mine) = item else { return Accepted::Yes };
-    let key = id.to_string();
+pub(crate) fn joined(job: JobId, mine: &[u8], rows: &[(Table, Row)]) -> Accepted {
+    let key = job.to_string();
     let there = rows.iter().find(|(table, row)| *table == Table::Jobs && row.key == key);
     let Some(theirs) = there.and_then(|(_, row)| row.value.as_ref()) else { return Accepted::Yes };
     if customer_of(theirs) == customer_of(mine) { Accepted::Yes } else { Accepted::Taken }
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -128,7 +128,7 @@
                 let Ok(job) = row.key.parse() else { return };
                 notify(&self.messages, Event::Cancelled { job });
             }
-            Table::Progress | Table::Duty | Table::Daemons => {}
+            Table::Progress | Table::Duty | Table::Daemons | Table::Fences => {}
         }
     }
 
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -1,5 +1,6 @@
 //! What callers ask of a daemon, whichever it is.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -9,6 +10,7 @@
 use stoatwell_model::CustomerName;
 use stoatwell_peer::Peers;
 use stoatwell_peer::client::PeerError;
+use stoatwell_pool::Accepted;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
@@ -19,8 +21,8 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
-use crate::accept::Accepted;
 use crate::accept::Acceptor;
 use crate::accept::Item;
 use crate::clock::steady_ms;
@@ -50,6 +52,21 @@
 /// How long another daemon may take to make something durable.
 const KEEP_LIMIT: Duration = Duration::from_millis(1_200);
 
+/// How long a leader that seems well may take to make a submission durable before this
+/// daemon tries by itself. With a slow store two writers of one row only hold each other up.
+const LEADER_PATIENCE: Duration = Duration::from_secs(2);
+
+/// What the leader said of a submission.
+#[derive(Clone, Copy, Debug)]
+enum Told {
+    /// What became of it.
+    Outcome(Accepted),
+    /// It was not handed in.
+    Nothing,
+    /// It was handed in, and what became of it is not known.
+    Silent,
+}
+
 /// Answers callers.
 #[derive(Debug)]
 pub struct Gateway<O> {
@@ -159,10 +176,7 @@
         deadline: Instant,
     ) -> Accepted {
         let row = encode(spec);
-        let accepted = self.keep(Item::Submit(job, row.clone()), deadline).await;
-        if accepted == Accepted::Yes {
-            self.notify_scheduler(NodeCall::Accepted { job, row });
-        }
+        let accepted = self.make_durable(job, row, deadline).await;
         let customer = spec.customer.as_ref().map(|customer| customer.name.as_str());
         tracing::info!(%job, queue = spec.queue.name, customer, ?accepted, "submission answered");
         metrics::counter!("stoatwell_submissions_total", "outcome" => outcome_name(accepted))
@@ -186,7 +200,7 @@
                 Accepted::Yes
             }
             Known::Unknown => Accepted::Unknown,
-            _ => self.keep(Item::Cancel(job), deadline).await,
+            _ => self.keep_cancel(job, deadline).await,
         };
         if accepted == Accepted::Yes {
             self.notify_scheduler(NodeCall::Cancelled(job));
@@ -195,40 +209,125 @@
         Some(accepted)
     }
 
-    /// Makes something durable, here or, where the store turns this daemon away,
+    /// Makes a submission durable, if possible through the leader: it has the job placed
+    /// meanwhile, and writes many in one call. While the leader is silent, this daemon
+    /// writes the row itself; both writes are of the same row under the condition that it
+    /// is not there.
+    async fn make_durable(
+        self: &Arc<Self>,
+        job: JobId,
+        row: Vec<u8>,
+        deadline: Instant,
+    ) -> Accepted {
+        let mut leader = pin!(self.submit_to_leader(job, row.clone(), deadline));
+        let told = tokio::select! {
+            biased;
+            told = &mut leader => Some(told),
+            () = self.leader_falls_silent() => None,
+        };
+        let mut here = pin!(self.accept_here(job, row, deadline));
+        match told {
+            Some(Told::Outcome(accepted)) => accepted,
+            Some(Told::Nothing) => here.await,
+            Some(Told::Silent) => in_doubt(here.await),
+            None => tokio::select! {
+                accepted = &mut here => match accepted {
+                    Accepted::Yes | Accepted::Taken => accepted,
+                    Accepted::No | Accepted::Unknown => match leader.await {
+                        Told::Outcome(Accepted::No) | Told::Nothing => accepted,
+                        Told::Outcome(accepted) => accepted,
+                        Told::Silent => Accepted::Unknown,
+                    },
+                },
+                told = &mut leader => match told {
+                    Told::Outcome(Accepted::No) | Told::Nothing => here.await,
+                    Told::Outcome(accepted) => accepted,
+                    Told::Silent => in_doubt(here.await),
+                },
+            },
+        }
+    }
+
+    /// Writes a job's row and tells the leader.
+    async fn accept_here(
+        self: &Arc<Self>,
+        job: JobId,
+        row: Vec<u8>,
+        deadline: Instant,
+    ) -> Accepted {
+        let accepted = self.acceptor.accept(Item::Submit(job, row.clone()), deadline).await;
+        if accepted == Accepted::Yes {
+            self.notify_scheduler(NodeCall::Accepted { job, row });
+        }
+        accepted
+    }
+
+    async fn submit_to_leader(&self, job: JobId, row: Vec<u8>, deadline: Instant) -> Told {
+        let call = NodeCall::Submit { job, row };
+        let address = match self.route() {
+            Route::None => return Told::Nothing,
+            Route::Here(_) if !self.is_store_up() => return Told::Nothing,
+            Route::Here(queries) => {
+                let asked = timeout_at(deadline, ask_here(&queries, call)).await;
+                return match asked {
+                    Ok(Some(NodeReply::Submitted(accepted))) => Told::Outcome(accepted),
+                    Ok(_) | Err(_) => Told::Silent,
+                };
+            }
+            Route::At(address) => address,
+        };
+        let limit = deadline.saturating_duration_since(Instant::now());
+        match self.peers.call::<NodeReply>(&address, &call, limit).await {
+            Ok(NodeReply::Submitted(accepted)) => Told::Outcome(accepted),
+            Ok(_) | Err(PeerError::NotSent(_)) => Told::Nothing,
+            Err(PeerError::NoAnswer(error)) => {
+                tracing::debug!(%job, address, error, "the leader did not tell of a submission");
+                Told::Silent
+            }
+        }
+    }
+
+    /// Waits until the leader has taken so long, or is so surely gone, that this daemon has
+    /// to act by itself.
+    async fn leader_falls_silent(&self) {
+        let mut view = self.scheduler.subscribe();
+        let gone = view.wait_for(SchedulerView::is_unfit);
+        tokio::select! {
+            _ = gone => {}
+            () = tokio::time::sleep(LEADER_PATIENCE) => {}
+        }
+    }
+
+    /// Makes a cancellation durable, here or, where the store turns this daemon away,
     /// through the scheduler's daemon, which reaches it or would not be that.
-    async fn keep(&self, item: Item, deadline: Instant) -> Accepted {
-        let here = self.acceptor.accept(item.clone(), deadline).await;
+    async fn keep_cancel(&self, job: JobId, deadline: Instant) -> Accepted {
+        let here = self.acceptor.accept(Item::Cancel(job), deadline).await;
         if here != Accepted::No {
             return here;
         }
         let Some(address) = self.scheduler_elsewhere() else { return here };
         let limit = KEEP_LIMIT.min(deadline.saturating_duration_since(Instant::now()));
-        let call = NodeCall::Keep { item, limit_ms: limit.as_millis() as u64 };
+        let call = NodeCall::Cancel { job, limit_ms: limit.as_millis() as u64 };
         match self.peers.call::<NodeReply>(&address, &call, limit).await {
-            Ok(NodeReply::Reservation(kept)) => kept,
+            Ok(NodeReply::Submitted(kept)) => kept,
             Ok(_) | Err(PeerError::NotSent(_)) => Accepted::No,
             Err(PeerError::NoAnswer(error)) => {
-                tracing::warn!(address, error, "a daemon did not tell whether it kept something");
+                tracing::warn!(%job, address, error, "a daemon did not tell whether it kept a cancellation");
                 Accepted::Unknown
             }
         }
     }
 
-    /// Makes something durable for a daemon that the store turns away. If this one
+    /// Makes a cancellation durable for a daemon that the store turns away. If this one
     /// schedules, the scheduler hears of it before the other daemon's caller does: the
     /// store's feed is slower, and the other one cannot read the store.
-    async fn keep_for_other(&self, item: Item, limit_ms: u64) -> Accepted {
+    async fn keep_cancel_for_other(&self, job: JobId, limit_ms: u64) -> Accepted {
         let deadline = Instant::now() + Duration::from_millis(limit_ms);
-        let kept = self.acceptor.accept(item.clone(), deadline).await;
-        if let (Accepted::Yes, Route::Here(queries)) = (kept, self.route()) {
-            let told = match item {
-                Item::Submit(job, row) => NodeCall::Accepted { job, row },
-                Item::Cancel(job) => NodeCall::Cancelled(job),
-            };
-            if ask_here(&queries, told).await.is_none() {
-                tracing::debug!("the scheduler ended before it was told, the store's feed tells");
-            }
+        let kept = self.acceptor.accept(Item::Cancel(job), deadline).await;
+        if let (Accepted::Yes, Route::Here(queries)) = (kept, self.route())
+            && ask_here(&queries, NodeCall::Cancelled(job)).await.is_none()
+        {
+            tracing::debug!("the scheduler ended before it was told, the store's feed tells");
         }
         kept
     }
@@ -323,8 +422,8 @@
             let row = |grant: stoatwell_pool::Grant| (grant.worker, grant.ticket);
             return NodeReply::Advised(granted.map(|all| all.into_iter().map(row).collect()));
         }
-        if let NodeCall::Keep { item, limit_ms } = call {
-            return NodeReply::Reservation(self.keep_for_other(item, limit_ms).await);
+        if let NodeCall::Cancel { job, limit_ms } = call {
+            return NodeReply::Submitted(self.keep_cancel_for_other(job, limit_ms).await);
         }
         if let NodeCall::Leads { epoch, address } = call {
             self.saw_scheduler(epoch, Some(address));
@@ -355,10 +454,19 @@
             let manifest = self.manifest.passed_proof(steady_ms());
             return NodeReply::Alive { reaches_store: self.is_store_up(), daemons, manifest };
         }
+        if matches!(call, NodeCall::Submit { .. }) && !self.is_store_up() {
+            // The caller's daemon may reach the store itself.
+            return NodeReply::NotScheduler;
+        }
         ask_here(&queries, call).await.unwrap_or(NodeReply::NotScheduler)
     }
 }
 
+/// What became of a submission that somebody else may still make durable.
+fn in_doubt(accepted: Accepted) -> Accepted {
+    if accepted == Accepted::No { Accepted::Unknown } else { accepted }
+}
+
 /// What a caller learns of a job.
 fn seen_by(view: &JobView, caller: Option<&CustomerName>) -> Known {
     if view.customer.as_ref() == caller { Known::State(view.state) } else { Known::NoJob }
@@ -376,6 +484,11 @@
             queries.send(Query::Pending(queue, answer)).await.ok()?;
             answered.await.ok().map(NodeReply::Pending)
         }
+        NodeCall::Submit { job, row } => {
+            let (answer, answered) = oneshot::channel();
+            queries.send(Query::Submit(job, row, answer)).await.ok()?;
+            answered.await.ok().map(NodeReply::Submitted)
+        }
         NodeCall::Accepted { job, row } => {
             queries.send(Query::Accepted(job, row)).await.ok()?;
             Some(NodeReply::Noted)
@@ -384,7 +497,7 @@
             queries.send(Query::Cancelled(job)).await.ok()?;
             Some(NodeReply::Noted)
         }
-        NodeCall::Keep { .. }
+        NodeCall::Cancel { .. }
         | NodeCall::Manifest
         | NodeCall::Advise { .. }
         | NodeCall::Alive
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -24,6 +24,9 @@
 
 /// Calls without answer, or refused, in a row after which the store counts as down.
 const FAILURES_MAX: u32 = 2;
+/// With an answer in this time the store is not down as a whole, whatever else failed:
+/// some of its parts may be.
+const ANSWERS_ELSEWHERE_MS: u64 = 300;
 /// A write that waits longer than this, with no other answered since, makes the
 /// store suspect. What comes meanwhile is refused at once instead of waiting behind it.
 const SUSPECT_MIN_MS: u64 = 350;
@@ -158,7 +161,10 @@
 
     /// Whether writes are pointless now.
     pub fn is_down(&self) -> bool {
-        self.failures.load(Ordering::Relaxed) >= FAILURES_MAX || self.is_suspect()
+        let failing = self.failures.load(Ordering::Relaxed) >= FAILURES_MAX;
+        let answered_ms = self.answered_ms.load(Ordering::Relaxed);
+        let silent = steady_ms().saturating_sub(answered_ms) > ANSWERS_ELSEWHERE_MS;
+        (failing && silent) || self.is_suspect()
     }
 
     fn is_suspect(&self) -> bool {
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -1,11 +1,12 @@
 //! The scheduler of the pool, while this daemon holds the duty.
 //!
-//! One task owns the [`Pool`]; news reach it through a channel and are taken in
-//! as many as there are before it decides again. Another task owns the duty's
-//! row: it renews it and writes the pool's batches under its version, so that
-//! nothing a former scheduler writes can take effect.
+//! One task owns the [`Pool`]; messages reach it through a channel and are handled
+//! as many as there are before it decides again. Another task renews the row that says
+//! who leads. Batches are written under fences, so that nothing a former leader writes
+//! can take effect.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
+use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Pool;
@@ -26,8 +28,10 @@
 use crate::advisors::Advisors;
 use crate::clock::steady_ms;
 use crate::clock::unix_ms;
-use crate::commit::Batch;
+use crate::commit::Fence;
 use crate::commit::Held;
+use crate::commit::Writer;
+use crate::commit::claim_fences;
 use crate::commit::keep_duty;
 use crate::duty::LEASE_MS;
 use crate::executors::Executors;
@@ -48,6 +52,7 @@
 use crate::outside::Outside;
 use crate::outside::Table;
 use crate::peers::NodeCall;
+use crate::submissions::Submissions;
 
 /// The longest that the pool is left alone.
 const IDLE_WAIT_MAX_MS: u64 = 50;
@@ -90,14 +95,12 @@
         let began_ms = steady_ms();
         let epoch = self.held.row.epoch;
         let (messages, mut inbox) = mpsc::unbounded_channel();
-        let (batches, batch_queue) = mpsc::channel(1);
         let mut tasks = JoinSet::new();
         let renewed_ms = Arc::new(AtomicU64::new(began_ms));
         tasks.spawn(keep_duty_and_notify(
             Arc::clone(&self.outside),
             self.held.clone(),
             Arc::clone(&self.health),
-            batch_queue,
             messages.clone(),
             self.stop.clone(),
             Arc::clone(&renewed_ms),
@@ -112,7 +115,8 @@
         let replacing = Arc::clone(&executors);
         tasks.spawn(async move { replacing.replace_failed().await });
         let loaded = self.load(epoch, &mut tasks, &messages, &mut inbox, &executors).await;
-        let Some(mut pool) = loaded else { return };
+        let Some((mut pool, writer)) = loaded else { return };
+        let mut submissions = Submissions::default();
         executors.opened().await;
         tracing::info!(epoch, took_ms = steady_ms() - began_ms, "scheduler ready");
         metrics::counter!("stoatwell_takeovers_total").increment(1);
@@ -128,11 +132,11 @@
             };
             let began = Instant::now();
             let fresh = is_fresh(&renewed_ms);
-            if !handle_all(&mut pool, first, &mut inbox, fresh) {
+            if !handle_all(&mut pool, &mut submissions, first, &mut inbox, fresh) {
                 return;
             }
             while let Ok(query) = self.queries.try_recv() {
-                answer(&mut pool, query, fresh);
+                answer(&mut pool, &mut submissions, query, fresh);
             }
             let handled = Instant::now();
             pool.note_renewal(renewed_ms.load(Ordering::Relaxed));
@@ -143,7 +147,11 @@
                     tracing::warn!(epoch, "stepping down: a worker follows another scheduler");
                     return;
                 }
-                self.carry_out(effect, &pool, &executors, &messages, &batches, &mut tasks);
+                if let Effect::Answer { job, accepted } = effect {
+                    submissions.settle(job, accepted);
+                    continue;
+                }
+                self.carry_out(effect, &pool, &executors, &messages, &writer, &mut tasks);
             }
             while tasks.try_join_next().is_some() {}
             meter.add(handled - began, pumped - handled, pumped.elapsed());
@@ -169,13 +177,27 @@
         messages: &mpsc::UnboundedSender<Message>,
         inbox: &mut mpsc::UnboundedReceiver<Message>,
         executors: &Arc<Executors<O>>,
-    ) -> Option<Pool> {
+    ) -> Option<(Pool, Arc<Writer<O>>)> {
+        let row = &self.held.row;
+        let fence =
+            Fence { holder: row.holder.clone(), incarnation: row.incarnation, epoch, beat: 0 };
+        let versions = tokio::select! {
+            versions = claim_fences(&self.outside, &self.health, &fence) => versions?,
+            () = deposed(inbox) => return None,
+        };
+        let claimed = versions.iter().copied().max().unwrap_or(0).max(self.held.version);
+        let writer = Arc::new(Writer {
+            outside: Arc::clone(&self.outside),
+            health: Arc::clone(&self.health),
+            fence,
+            versions: Mutex::new(versions),
+            messages: messages.clone(),
+        });
         let follower = Arc::new(Follower {
             outside: Arc::clone(&self.outside),
             health: Arc::clone(&self.health),
             messages: messages.clone(),
         });
-        let claimed = self.held.version;
         let all = async {
             tokio::join!(
                 follower.workers_and_executors(executors),
@@ -206,8 +228,10 @@
             }
         }
         let (mut count, mut open) = (0, 0);
-        for row in &jobs.rows {
-            let Some((id, spec)) = read_row::<JobSpec>(row) else { continue };
+        let mut specs: Vec<(JobId, JobSpec)> = jobs.rows.iter().filter_map(read_row).collect();
+        // What is within a customer's weight is reckoned in the order of arrival.
+        specs.sort_by_key(|(_, spec)| spec.accepted_unix_ms);
+        for (id, spec) in specs {
             let progress = done.get(&id);
             count += 1;
             open += usize::from(progress.is_none_or(|progress| progress.outcome.is_none()));
@@ -236,7 +260,7 @@
         let (advisors, executors) = (Arc::clone(&self.advisors), Arc::clone(executors));
         let gateway = Arc::clone(&self.gateway);
         tasks.spawn(follower.track_members(advisors, executors, gateway, leads));
-        Some(pool)
+        Some((pool, writer))
     }
 
     fn carry_out(
@@ -245,7 +269,7 @@
         pool: &Pool,
         executors: &Executors<O>,
         messages: &mpsc::UnboundedSender<Message>,
-        batches: &mpsc::Sender<Batch>,
+        writer: &Arc<Writer<O>>,
         tasks: &mut JoinSet<()>,
     ) {
         let call = |call: WorkerCall| executors.call(pool.zone(call.worker()), call);
@@ -259,16 +283,14 @@
                 let messages = messages.clone();
                 tasks.spawn(async move {
                     let granted = advisors.ask(step, &workers, priority, cost_ms).await;
-                    notify(&messages, Event::Advised { step, asked: workers, granted });
+                    let event = Event::Advised { step, asked: workers, cost_ms, granted };
+                    notify(&messages, event);
                 });
             }
-            Effect::Commit { batch, puts, removes } => {
-                // One batch is under way at a time, so there is always room for it.
-                if batches.try_send(Batch { number: batch, puts, removes }).is_err() {
-                    tracing::error!(batch, "a batch found another one under way");
-                }
+            Effect::Commit { batch, writes } => {
+                tasks.spawn(Arc::clone(writer).write(batch, writes));
             }
-            Effect::StepDown => {}
+            Effect::StepDown | Effect::Answer { .. } => {}
         }
     }
 }
@@ -303,13 +325,11 @@
     outside: Arc<O>,
     held: Held,
     health: Arc<StoreHealth>,
-    batches: mpsc::Receiver<Batch>,
     messages: mpsc::UnboundedSender<Message>,
     stop: tokio::sync::watch::Receiver<bool>,
     renewed_ms: Arc<AtomicU64>,
 ) {
-    let committed = |batch| notify(&messages, Event::Committed { batch });
-    keep_duty(outside, held, health, batches, stop, renewed_ms, committed).await;
+    keep_duty(outside, held, health, stop, renewed_ms).await;
     if messages.send(Message::Deposed).is_err() {
         tracing::debug!("the scheduler had ended before");
     }
@@ -318,6 +338,7 @@
 /// Handles a message and those that wait behind it; `false` if another daemon leads now.
 fn handle_all(
     pool: &mut Pool,
+    submissions: &mut Submissions,
     first: Option<Message>,
     inbox: &mut mpsc::UnboundedReceiver<Message>,
     fresh: bool,
@@ -330,7 +351,7 @@
                 count(&event);
                 pool.handle(steady_ms(), unix_ms(), event);
             }
-            Message::Query(query) => answer(pool, query, fresh),
+            Message::Query(query) => answer(pool, submissions, query, fresh),
         }
     }
     true
@@ -343,8 +364,12 @@
     steady_ms().saturating_sub(renewed_ms.load(Ordering::Relaxed)) < LEASE_MS
 }
 
-fn answer(pool: &mut Pool, query: Query, fresh: bool) {
+fn answer(pool: &mut Pool, submissions: &mut Submissions, query: Query, fresh: bool) {
     let asked = match query {
+        Query::Submit(job, row, answer) => {
+            submissions.hand_in(pool, job, &row, answer);
+            true
+        }
         Query::Accepted(job, row) => {
             match serde_json::from_slice(&row) {
                 Ok(spec) => {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -21,6 +21,7 @@
 mod outside;
 mod peers;
 mod scheduler;
+mod submissions;
 mod watch;
 
 use std::sync::Arc;
@@ -36,7 +37,6 @@
 use crate::health::StoreHealth;
 use crate::watch::Watch;
 
-pub use crate::accept::Accepted;
 pub use crate::advisors::Advisors;
 pub use crate::duty::DutyRow;
 pub use crate::duty::DutyView;
@@ -58,7 +58,6 @@
 pub use crate::outside::Outside;
 pub use crate::outside::Row;
 pub use crate::outside::Rows;
-pub use crate::outside::SHARDS;
 pub use crate::outside::Shard;
 pub use crate::outside::StoreError;
 pub use crate::outside::Table;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,5 +1,6 @@
 //! What the scheduler hears, and the way it reaches it.
 
+use stoatwell_pool::Accepted;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobView;
@@ -14,6 +15,8 @@
     State(JobId, oneshot::Sender<Option<JobView>>),
     /// How many jobs of a queue wait?
     Pending(String, oneshot::Sender<u64>),
+    /// Make a job durable.
+    Submit(JobId, Vec<u8>, oneshot::Sender<Accepted>),
     /// A job is durable.
     Accepted(JobId, Vec<u8>),
     /// A cancellation is durable.
--- a/crates/node/src/outside.rs
+++ b/crates/node/src/outside.rs
@@ -9,13 +9,13 @@
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
+use stoatwell_pool::JobId;
 use stoatwell_pool::PaceCall;
 use stoatwell_pool::StartCall;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
 use stoatwell_pool::StopCall;
 use stoatwell_pool::WorkerUpdate;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::manifest::Manifest;
 
@@ -32,30 +32,28 @@
     Duty,
     /// daemons
     Daemons,
+    /// fences
+    Fences,
 }
 
-/// Shards of [`Table::Jobs`] and [`Table::Cancels`].
-///
-/// The store writes one transaction of a shard after another, and takes 180 ms
-/// for each when it is sixty times slower than usual. At a hundred jobs a
-/// second from many daemons, eight shards then cycle their capacity and nothing
-/// is accepted any more; with 64 a shard is busy a quarter of the time.
-pub const SHARDS: usize = 64;
-
 /// Rows that the store writes one transaction after another.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Shard {
-    /// What the scheduler writes.
-    Scheduler,
-    /// What daemons write for the jobs of this number.
+    /// Who leads, and which daemons there are.
+    Control,
+    /// The rows of the jobs of this part.
     Jobs(usize),
 }
 
 /// The shard of a row.
 pub fn shard(table: Table, key: &str) -> Shard {
     match table {
-        Table::Jobs | Table::Cancels => Shard::Jobs(xxh3_64(key.as_bytes()) as usize % SHARDS),
-        Table::Progress | Table::Duty | Table::Daemons => Shard::Scheduler,
+        Table::Jobs | Table::Cancels | Table::Progress => match key.parse::<JobId>() {
+            Ok(job) => Shard::Jobs(job.part()),
+            Err(_) => Shard::Control,
+        },
+        Table::Fences => key.parse().map_or(Shard::Control, Shard::Jobs),
+        Table::Duty | Table::Daemons => Shard::Control,
     }
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -3,12 +3,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 use stoatwell_model::WorkerId;
+use stoatwell_pool::Accepted;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobView;
 use stoatwell_pool::StepId;
 
-use crate::accept::Accepted;
-use crate::accept::Item;
 use crate::executors::session::SessionId;
 use crate::manifest::PassedProof;
 
@@ -19,6 +18,13 @@
     State(JobId),
     /// To the scheduler: how many jobs of this queue wait?
     Pending(String),
+    /// To the scheduler: make this job durable.
+    Submit {
+        /// The job.
+        job: JobId,
+        /// Its row.
+        row: Vec<u8>,
+    },
     /// To the scheduler: this job is durable.
     Accepted {
         /// The job.
@@ -28,10 +34,10 @@
     },
     /// To the scheduler: this cancellation is durable.
     Cancelled(JobId),
-    /// To a daemon that may reach the store: make this durable.
-    Keep {
-        /// What.
-        item: Item,
+    /// To a daemon that may reach the store: make this cancellation durable.
+    Cancel {
+        /// The job.
+        job: JobId,
         /// How long the answer may take.
         limit_ms: u64,
     },
@@ -80,8 +86,8 @@
     Pending(u64),
     /// Workers with their tickets; `None` is no answer from the advisor.
     Advised(Option<Vec<(WorkerId, String)>>),
-    /// What became of what was to be kept.
-    Reservation(Accepted),
+    /// What became of a submission or cancellation.
+    Submitted(Accepted),
     /// This daemon schedules.
     Alive {
         /// Whether the store answers it.
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -122,6 +122,12 @@
         self.liveness == Liveness::Healthy
     }
 
+    /// Whether there is no leader, or none that could make anything durable.
+    pub fn is_unfit(&self) -> bool {
+        let known = self.here.is_some() || self.address.is_some();
+        !known || matches!(self.liveness, Liveness::Gone | Liveness::Isolated)
+    }
+
     /// The daemon to be asked whether it lives.
     fn elsewhere(&self) -> Option<(u64, String)> {
         let address = self.address.clone().filter(|_| self.here.is_none())?;
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -10,6 +10,7 @@
 use crate::Pool;
 use crate::event::Effect;
 use crate::event::Grant;
+use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::job::Phase;
@@ -100,15 +101,16 @@
         &mut self,
         step: StepId,
         asked: &[WorkerId],
+        cost_ms: u64,
         granted: Option<Vec<Grant>>,
     ) {
         let now_ms = self.now_ms;
-        let Some(job) = self.jobs.get_mut(&step.job) else { return };
-        let Some(rule) = job.spec.queue.advice else { return };
         self.questions = self.questions.saturating_sub(1);
-        if cost_ms(rule, asked.len()) >= LONG_ASK_MS {
+        if cost_ms >= LONG_ASK_MS {
             self.long_questions = self.long_questions.saturating_sub(1);
         }
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(rule) = job.spec.queue.advice else { return };
         let Some(unit) = job.unit_of(step) else { return };
         job.units[unit].retry_at_ms = 0;
         let advice = &mut job.units[unit].advice;
@@ -170,7 +172,7 @@
         let Some(unit) = job.unit_of(step) else { return false };
         let Some(worker) = self.workers.get(name) else { return false };
         let Some(ticket) = job.units[unit].advice.granted.get(&worker.slot) else { return false };
-        ticket.is_fresh(worker.info.life, self.sent_ms(job.spec.queue.advice))
+        ticket.is_fresh(worker.info.life, self.sent_ms(step.job, job.spec.queue.advice))
     }
 
     /// About when a start that is recorded now will be sent and arrive.
@@ -178,9 +180,9 @@
     /// It waits for the batch under way and for its own. With a store that takes
     /// half a second for each, tickets that are good now are not any more then, and
     /// the refused starts would keep the store busy for as long as it is slow.
-    pub(crate) fn sent_ms(&self, advice: Option<AdviceSpec>) -> u64 {
+    pub(crate) fn sent_ms(&self, job: JobId, advice: Option<AdviceSpec>) -> u64 {
         let valid_ms = advice.map_or(0, |rule| rule.valid_ms);
-        let writes_ms = self.commits.usual_ms(self.now_ms) * 2;
+        let writes_ms = self.commits.usual_ms(job, self.now_ms) * 2;
         // Never so long that a ticket could not be fresh at all.
         let margin_ms = (TICKET_MARGIN_MS + writes_ms).min(valid_ms * TICKET_MARGIN_PERCENT / 100);
         self.now_ms + margin_ms
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -8,12 +8,13 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
+use crate::commit::PartWrite;
 use crate::customers::CustomerLimits;
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
-use crate::record::Progress;
 use crate::spec::JobSpec;
+use crate::submit::Accepted;
 
 /// Events that the pool handles.
 #[derive(Clone, Debug)]
@@ -85,6 +86,8 @@
         step: StepId,
         /// The workers asked about.
         asked: Vec<WorkerId>,
+        /// What the advisor was expected to take.
+        cost_ms: u64,
         /// Those that may run it.
         granted: Option<Vec<Grant>>,
     },
@@ -98,10 +101,24 @@
         /// How many.
         count: usize,
     },
-    /// The batch of this number is durable.
+    /// One part of a batch is durable.
     Committed {
         /// The batch.
         batch: u64,
+        /// The part.
+        part: usize,
+    },
+    /// Whether the store has a submission cannot be told for some time.
+    InDoubt {
+        /// The job.
+        job: JobId,
+    },
+    /// The store will never have a submission.
+    Rejected {
+        /// The job.
+        job: JobId,
+        /// Why.
+        accepted: Accepted,
     },
 }
 
@@ -279,10 +296,15 @@
     Commit {
         /// The number of the batch.
         batch: u64,
-        /// New progress.
-        puts: Vec<(JobId, Progress)>,
-        /// Jobs whose rows may go.
-        removes: Vec<JobId>,
+        /// The rows, by part.
+        writes: Vec<PartWrite>,
+    },
+    /// Tell a caller what became of its submission.
+    Answer {
+        /// The job.
+        job: JobId,
+        /// What became of it.
+        accepted: Accepted,
     },
     /// Another daemon schedules this pool now.
     StepDown,
--- a/crates/pool/src/id.rs
+++ b/crates/pool/src/id.rs
@@ -10,11 +10,19 @@
 use serde::Serialize;
 use serde::Serializer;
 use serde::de::Error;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// A job, by the number that its caller chose.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct JobId(pub u64);
 
+/// Parts of the store over which jobs are spread.
+///
+/// The store writes one transaction of a part after another, and takes 180 ms for each
+/// when it is sixty times slower than usual. A new leader has to fence and to read each
+/// part, so there are not many more than it takes to get through a burst then.
+pub const PARTS: usize = 32;
+
 /// One step of one occurrence of a job.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct StepId {
@@ -41,6 +49,13 @@
 
 impl std::error::Error for IdError {}
 
+impl JobId {
+    /// The part of the store in which the job's rows lie.
+    pub fn part(&self) -> usize {
+        xxh3_64(self.to_string().as_bytes()) as usize % PARTS
+    }
+}
+
 impl fmt::Display for JobId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -147,6 +147,8 @@
     pub customer: Option<CustomerId>,
     pub payload: Arc<str>,
     pub units: Vec<Unit>,
+    /// Whether what was submitted is durable.
+    pub durable: bool,
     /// How it ended, maybe not durable yet.
     pub outcome: Option<Outcome>,
     /// Whether the outcome is durable.
@@ -173,6 +175,7 @@
             spec,
             customer,
             units,
+            durable: true,
             outcome: None,
             settled: false,
             finished_unix_ms: 0,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -29,6 +29,7 @@
 mod spec;
 mod speed;
 mod stalled;
+mod submit;
 mod wakeup;
 mod worker;
 
@@ -51,6 +52,8 @@
 
 pub use crate::advise::LONG_ASK_MS;
 pub use crate::advise::long_questions_max;
+pub use crate::commit::PartWrite;
+pub use crate::commit::Put;
 pub use crate::customers::CustomerLimits;
 pub use crate::dump::Counts;
 pub use crate::dump::PoolDump;
@@ -73,6 +76,7 @@
 pub use crate::holds::EXTEND_MS;
 pub use crate::id::IdError;
 pub use crate::id::JobId;
+pub use crate::id::PARTS;
 pub use crate::id::StepId;
 pub use crate::id::TaskId;
 pub use crate::record::JobState;
@@ -86,6 +90,7 @@
 pub use crate::spec::Repeat;
 pub use crate::spec::SpecError;
 pub use crate::spec::StepSpec;
+pub use crate::submit::Accepted;
 
 /// Bits of a token below the epoch; they count a worker's lives.
 const LIFE_BITS: u32 = 12;
@@ -274,10 +279,16 @@
             Event::Paced { task, run, worker, reply } => {
                 self.on_paced(task, run, &worker, reply);
             }
-            Event::Advised { step, asked, granted } => self.on_advised(step, &asked, granted),
+            Event::Advised { step, asked, cost_ms, granted } => {
+                self.on_advised(step, &asked, cost_ms, granted);
+            }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisors = count.max(1),
-            Event::Committed { batch } => self.on_committed(batch),
+            Event::Committed { batch, part } => self.on_committed(batch, part),
+            Event::InDoubt { job } => {
+                self.effects.push(Effect::Answer { job, accepted: Accepted::Unknown });
+            }
+            Event::Rejected { job, accepted } => self.on_rejected(job, accepted),
         }
     }
 
@@ -310,7 +321,8 @@
     /// How long until something is due that no event announces.
     pub fn idle_ms(&self, now_ms: u64) -> u64 {
         let place_ms = if self.place_due { self.next_place_ms } else { u64::MAX };
-        self.next_sweep_ms.min(place_ms).saturating_sub(now_ms)
+        let commit_ms = self.commits.due_ms().unwrap_or(u64::MAX);
+        self.next_sweep_ms.min(place_ms).min(commit_ms).saturating_sub(now_ms)
     }
 
     /// What callers are told of a job; `None` is an unknown one.
@@ -353,6 +365,8 @@
 
     fn on_accepted(&mut self, id: JobId, spec: Arc<JobSpec>) {
         if self.jobs.contains_key(&id) {
+            // A gateway wrote it itself while it was under way here.
+            self.on_accept_durable(id);
             return;
         }
         tracing::info!(job = %id, queue = spec.queue.name, "job taken on");
@@ -456,6 +470,7 @@
         self.sweep_workers();
         self.sweep_runs();
         self.look_at_use();
+        self.refuse_behind_stuck();
         self.forget_jobs();
         self.place_due = true;
     }
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -155,8 +155,8 @@
         in_time
     }
 
-    /// Whether a unit was looked at just now. Waiting gangs stay in the cycle for
-    /// the sake of the workers that are kept for them.
+    /// Whether a unit was considered just now. Waiting gangs stay in the cycle for the
+    /// sake of the workers, or the part of a cap, that are reserved for them.
     fn is_in_backoff(&self, step: StepId) -> bool {
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let Some(unit) = job.unit_of(step) else { return false };
@@ -294,7 +294,7 @@
             }
             return allowed;
         }
-        let sent_ms = self.sent_ms(job.spec.queue.advice);
+        let sent_ms = self.sent_ms(step.job, job.spec.queue.advice);
         for (slot, ticket) in &job.units[unit].advice.granted {
             let Some(at) = cycle.at(*slot) else { continue };
             let room = &cycle.rooms[at];
