Weak daemons follow the leader's row rarely; questions for the manifest wait longer

Cause: calls to the platform cost more than anything but the machines. The leader's row changes twice a second, and 38 daemons were told each time (76 of some 300 calls a second); each asked for a newer manifest once a second.

A daemon that hardly ever leads leaves the row alone for 2 s while the leader's heartbeats say that it is well and four others are fit to lead. The leader's heartbeats carry the manifest's version, so a question for it may wait 5 s.

--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -13,6 +13,7 @@
 
 use crate::advisors::Advisors;
 use crate::clock::steady_ms;
+use crate::duty::is_underprovisioned;
 use crate::executors::Executors;
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
@@ -188,8 +189,9 @@
                 Ok(rows) => {
                     let members = read_members(&rows.rows);
                     let known = advisors.update_members(&members);
+                    let fit = members.iter().filter(|one| !is_underprovisioned(one.cores));
+                    gateway.set_daemons(known.len() as u32, fit.count() as u32);
                     executors.update_members(members);
-                    gateway.set_daemons(known.len());
                     notify(&self.messages, Event::Advisors { count: known.len() });
                     for address in known {
                         if told.insert(address.clone()) {
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -56,6 +56,9 @@
 /// daemon tries by itself. With a slow store two writers of one row only hold each other up.
 const LEADER_PATIENCE: Duration = Duration::from_secs(2);
 
+/// Daemons fit to lead from which on the others leave it to them: some may be lost at once.
+const FIT_DAEMONS_MIN: u32 = 4;
+
 /// What the leader said of a submission.
 #[derive(Clone, Copy, Debug)]
 enum Told {
@@ -77,8 +80,9 @@
     manifest: Arc<ManifestInForce>,
     scheduler: watch::Sender<SchedulerView>,
     executor: Executor<O>,
-    /// Daemons that this one knows of while it leads.
+    /// Daemons that this one knows of while it leads, and those among them that are fit to.
     daemons: AtomicU32,
+    fit_daemons: AtomicU32,
 }
 
 /// What a caller learns of a job.
@@ -104,7 +108,18 @@
         let executor = Executor::new(Arc::clone(&outside));
         let scheduler = watch::Sender::default();
         let daemons = AtomicU32::default();
-        Self { outside, acceptor, peers, health, manifest, scheduler, executor, daemons }
+        let fit_daemons = AtomicU32::default();
+        Self {
+            outside,
+            acceptor,
+            peers,
+            health,
+            manifest,
+            scheduler,
+            executor,
+            daemons,
+            fit_daemons,
+        }
     }
 
     /// Takes note of who holds the duty.
@@ -132,9 +147,16 @@
         self.scheduler.subscribe()
     }
 
-    /// Updates how many daemons there are, for those that ask.
-    pub(crate) fn set_daemons(&self, count: usize) {
-        self.daemons.store(count as u32, Ordering::Relaxed);
+    /// Updates how many daemons there are, and how many are fit to lead, as the leader
+    /// knows.
+    pub(crate) fn set_daemons(&self, count: u32, fit: u32) {
+        self.daemons.store(count, Ordering::Relaxed);
+        self.fit_daemons.store(fit, Ordering::Relaxed);
+    }
+
+    /// Whether several daemons are fit to lead, for all that is known.
+    pub(crate) fn are_others_fit(&self) -> bool {
+        self.fit_daemons.load(Ordering::Relaxed) >= FIT_DAEMONS_MIN
     }
 
     /// Whether the store answers others, so that a caller that is turned away here is
@@ -451,8 +473,9 @@
         let Route::Here(queries) = self.route() else { return NodeReply::NotScheduler };
         if call == NodeCall::Alive {
             let daemons = self.daemons.load(Ordering::Relaxed);
+            let fit = self.fit_daemons.load(Ordering::Relaxed);
             let manifest = self.manifest.passed_proof(steady_ms());
-            return NodeReply::Alive { reaches_store: self.is_store_up(), daemons, manifest };
+            return NodeReply::Alive { reaches_store: self.is_store_up(), daemons, fit, manifest };
         }
         if matches!(call, NodeCall::Submit { .. }) && !self.is_store_up() {
             // The caller's daemon may reach the store itself.
--- a/crates/node/src/manifest/follow.rs
+++ b/crates/node/src/manifest/follow.rs
@@ -15,8 +15,9 @@
 use crate::outside::Outside;
 use crate::outside::StoreError;
 
-/// How long a question for a newer manifest waits.
-const WAIT_MS: u64 = 1_000;
+/// How long a question for a newer manifest waits. One that is lost costs nothing: the
+/// leader's heartbeats tell of a newer version too.
+const WAIT_MS: u64 = 5_000;
 /// After one that failed.
 const PAUSE: Duration = Duration::from_millis(150);
 /// How often the leader asks for a proof, which the other daemons get from it.
@@ -74,7 +75,7 @@
         let leads_and_due =
             is_leader() && now_ms >= asked_ms + LEADER_CONFIRM_EVERY.as_millis() as u64;
         let manifest = in_force.newest();
-        let wanted = manifest.customers.is_some() && leads_and_due;
+        let wanted = manifest.version > 0 && leads_and_due;
         if !wanted && !in_force.is_proof_due(now_ms) {
             continue;
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -94,6 +94,8 @@
         reaches_store: bool,
         /// How many daemons there are, for all it knows.
         daemons: u32,
+        /// How many of them are fit to lead.
+        fit: u32,
         /// Up to when its manifest was the newest.
         manifest: PassedProof,
     },
--- a/crates/node/src/scheduler.rs
+++ b/crates/node/src/scheduler.rs
@@ -159,8 +159,9 @@
         };
         let asked_ms = steady_ms();
         let reply = peers.call::<NodeReply>(&address, &NodeCall::Alive, PROBE_TIMEOUT).await;
-        if let Ok(NodeReply::Alive { daemons, manifest, .. }) = &reply {
+        if let Ok(NodeReply::Alive { daemons, fit, manifest, .. }) = &reply {
             every = probe_interval(is_underprovisioned, *daemons);
+            gateway.set_daemons(*daemons, *fit);
             gateway.note_proof(&address, *manifest, asked_ms).await;
         }
         let liveness = match reply {
--- a/crates/node/src/watch.rs
+++ b/crates/node/src/watch.rs
@@ -16,6 +16,7 @@
 use crate::duty::DutyRow;
 use crate::duty::DutyView;
 use crate::duty::Fitness;
+use crate::duty::is_underprovisioned;
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::lead::Lead;
@@ -25,9 +26,13 @@
 use crate::outside::StoreError;
 use crate::outside::Table;
 use crate::outside::Transaction;
+use crate::scheduler::Liveness;
 
 /// How long a look at the duty's row waits for a change.
 const LOOK_WAIT_MS: u64 = 1_000;
+/// How long a daemon that hardly ever leads leaves the duty's row alone while the leader
+/// says that it is well.
+const LOOK_EVERY: Duration = Duration::from_secs(2);
 /// After a look that failed.
 const LOOK_PAUSE: Duration = Duration::from_millis(150);
 /// How often a daemon tries to announce itself.
@@ -77,6 +82,10 @@
                 _ = stop.wait_for(|stop| *stop) => break,
             };
             if !looked || steady_ms() < self.claim_ms(&view) {
+                tokio::select! {
+                    () = self.rest(&view) => {}
+                    _ = stop.wait_for(|stop| *stop) => break,
+                }
                 continue;
             }
             let Some(held) = self.claim(&view, incarnation).await else { continue };
@@ -142,6 +151,26 @@
         }
     }
 
+    /// Leaves the row alone for a while, if others are there to miss its holder first. The
+    /// row changes with each renewal, and to follow it is most of what hundreds of daemons
+    /// ask of the store.
+    async fn rest(&self, view: &DutyView) {
+        let epoch = view.epoch();
+        let well = |liveness| liveness == Liveness::Healthy;
+        if !is_underprovisioned(self.settings.cores)
+            || !self.gateway.are_others_fit()
+            || !well(self.gateway.scheduler_liveness(epoch))
+        {
+            return;
+        }
+        let mut scheduler = self.gateway.watch_scheduler();
+        let unwell = scheduler.wait_for(|view| !well(view.liveness_of(epoch)));
+        tokio::select! {
+            _ = unwell => {}
+            () = tokio::time::sleep(LOOK_EVERY) => {}
+        }
+    }
+
     async fn read_duty(
         &self,
         after: &mut Option<u64>,
