--- a/crates/node/src/manifest/follow.rs
+++ b/crates/node/src/manifest/follow.rs
@@ -72,6 +72,8 @@
         sleep(CONFIRM_EVERY).await;
         while questions.try_join_next().is_some() {}
         let now_ms = steady_ms();
+        let age_ms = in_force.passed_proof(now_ms).age_ms;
+        metrics::gauge!("stoatwell_manifest_proof_age_ms").set(age_ms as f64);
         let leads_and_due =
             is_leader() && now_ms >= asked_ms + LEADER_CONFIRM_EVERY.as_millis() as u64;
         let manifest = in_force.newest();
--- a/crates/node/src/measure.rs
+++ b/crates/node/src/measure.rs
@@ -7,6 +7,9 @@
 use stoatwell_pool::Pool;
 use stoatwell_pool::StartReply;
 
+/// Customers with gauges of their own; the state dump has all.
+const CUSTOMERS_MEASURED_MAX: usize = 100;
+
 /// Counts what workers and the advisor answered.
 pub(crate) fn count(event: &Event) {
     match event {
@@ -67,6 +70,13 @@
         calling_ms = meter.calling.as_millis() as u64,
         "pool"
     );
+    for one in pool.customers().into_iter().take(CUSTOMERS_MEASURED_MAX) {
+        let customer = one.customer.to_string();
+        metrics::gauge!("stoatwell_customer_used_cpu_millis", "customer" => customer.clone())
+            .set(one.used.cpu_millis as f64);
+        metrics::gauge!("stoatwell_customer_cap_cpu_millis", "customer" => customer)
+            .set(one.cap.cpu_millis as f64);
+    }
     let stalled = pool.tasks_without_wakeup();
     if let Some(first) = stalled.first() {
         tracing::error!(count = stalled.len(), first, "tasks without a pending wake-up");
--- a/crates/pool/src/customers.rs
+++ b/crates/pool/src/customers.rs
@@ -107,6 +107,11 @@
         &self.all[id.0]
     }
 
+    /// The limits of all, by their numbers.
+    pub fn limits(&self) -> impl Iterator<Item = &CustomerLimits> {
+        self.all.iter().map(|account| &account.limits)
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.all.len()
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 
 use serde::Serialize;
+use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 
 use crate::Pool;
+use crate::customers::CustomerLimits;
 use crate::id::JobId;
 use crate::record::JobState;
 
@@ -20,10 +22,25 @@
     pub queued_steps: usize,
     /// Tasks that nobody will look at again; there should be none.
     pub tasks_without_wakeup: Vec<String>,
+    /// The customers.
+    pub customers: Vec<CustomerDump>,
     /// The workers.
     pub workers: Vec<WorkerDump>,
 }
 
+/// What a customer has and may have.
+#[derive(Clone, Debug, Serialize)]
+pub struct CustomerDump {
+    /// Its name.
+    pub customer: CustomerName,
+    /// Its weight.
+    pub weight: f64,
+    /// What its tasks take on all workers.
+    pub used: Resources,
+    /// What they may take; 0 of a resource is no limit.
+    pub cap: Resources,
+}
+
 /// Sums over what the scheduler believes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -86,14 +103,39 @@
             jobs,
             queued_steps: self.queue.len(),
             tasks_without_wakeup: self.tasks_without_wakeup(),
+            customers: self.customers(),
             workers,
         }
     }
 
+    /// What customers have and may have.
+    pub fn customers(&self) -> Vec<CustomerDump> {
+        let both = self.customers.limits().zip(self.customers_use());
+        let dump = |(limits, used): (&CustomerLimits, Resources)| CustomerDump {
+            customer: limits.name.clone(),
+            weight: limits.weight,
+            used,
+            cap: limits.cap,
+        };
+        both.map(dump).collect()
+    }
+
     /// Why a job is where it is, a line for each of its steps.
     pub fn explain(&self, job: JobId) -> Vec<String> {
         let Some(job) = self.jobs.get(&job) else { return Vec::new() };
         let mut lines = vec![format!("state: {}", job.state())];
+        if !job.durable {
+            lines.push("what was submitted is not durable yet".to_owned());
+        }
+        if let Some(customer) = job.customer {
+            let limits = &self.customers.get(customer).limits;
+            let used = self.customers_use().get(customer.0).copied().unwrap_or_default();
+            let name = &limits.name;
+            lines.push(format!(
+                "customer {name}: has {used:?} of {:?}, weight {}, beyond it {}",
+                limits.cap, limits.weight, job.beyond_weight
+            ));
+        }
         for (number, unit) in job.units.iter().enumerate() {
             let waiting = unit.waiting().count();
             let ready = job.is_ready(number);
@@ -103,6 +145,9 @@
                 "step {}: {} of {} tasks to do, {waiting} wait, ready {ready}, advisor granted {granted} of {asked} workers",
                 unit.id, unit.left, unit.tasks.len(),
             ));
+            if unit.awaits_cap {
+                lines.push(format!("step {}: waits for the customer's cap", unit.id));
+            }
             for (index, task) in unit.tasks.iter().enumerate() {
                 let Some(worker) = &task.worker else { continue };
                 lines.push(format!(
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -56,6 +56,7 @@
 pub use crate::commit::Put;
 pub use crate::customers::CustomerLimits;
 pub use crate::dump::Counts;
+pub use crate::dump::CustomerDump;
 pub use crate::dump::PoolDump;
 pub use crate::dump::WorkerDump;
 pub use crate::event::Active;
--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -225,3 +225,20 @@
     assert_eq!(world.state(1_000), Some(JobState::Completed), "{}", world.explain(JobId(1_000)));
     assert!(world.broken.is_empty(), "{:?}", world.broken.first());
 }
+
+/// Guards against a job that waits for its customer's cap with nobody able to tell why.
+#[test]
+fn a_job_that_waits_for_a_cap_says_so() {
+    let mut world = World::new(7, 12, Faults::default());
+    world.run(100);
+    let cap = cpu(8_000);
+    world.set_cap(&CustomerName::new("a"), 3.0, cap);
+    world.submit(1, owned(job(queue(1), vec![step(8, 1_000, 2_000)]), "a", cap));
+    let mut gang = job(queue(1), vec![step(4, 1_000, 500)]);
+    gang.steps[0].gang = true;
+    world.run(200);
+    world.submit(2, owned(gang, "a", cap));
+    world.run(200);
+    let lines = world.explain(JobId(2));
+    assert!(lines.contains("customer a: has") && lines.contains("waits for the customer's cap"));
+}
