--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -32,6 +32,7 @@
 use self::call::WorkerReply;
 use self::link::Link;
 use self::plan::executors_wanted;
+use self::plan::is_busy;
 use self::plan::needs_executors;
 use self::plan::order_of_use;
 use crate::members::Member;
@@ -62,6 +63,8 @@
     members: Vec<Member>,
     workers: BTreeMap<ZoneName, usize>,
     links: BTreeMap<ZoneName, Vec<Arc<Link>>>,
+    /// Whether the leader's decisions take most of its processor.
+    busy: bool,
     /// Workers whose last call through an executor failed; the leader calls them itself
     /// until such a call fails as well.
     detours: HashSet<WorkerId>,
@@ -82,6 +85,7 @@
             members: Vec::new(),
             workers: BTreeMap::new(),
             links: BTreeMap::new(),
+            busy: false,
             detours: HashSet::new(),
             sessions: 0,
         };
@@ -102,6 +106,23 @@
         self.open_links();
     }
 
+    /// Updates how long the leader's decisions took of a period.
+    pub fn update_load(&self, deciding_ms: u64, period_ms: u64) {
+        let mut state = self.lock();
+        let busy = is_busy(deciding_ms, period_ms, &state.me, state.busy);
+        if busy != state.busy {
+            tracing::info!(
+                busy,
+                deciding_ms,
+                period_ms,
+                "executors make calls while the leader is busy"
+            );
+        }
+        state.busy = busy;
+        drop(state);
+        self.open_links();
+    }
+
     /// Waits until each zone that needs an executor has one, but not for long.
     pub async fn opened(&self) {
         let mut changes = self.changed.subscribe();
@@ -143,8 +164,7 @@
     /// Opens links where a zone has too few that work.
     fn open_links(&self) {
         let mut state = self.lock();
-        let total = state.workers.values().sum();
-        if !needs_executors(total, &state.me) {
+        if !state.uses_executors() {
             return;
         }
         for (zone, workers) in state.workers.clone() {
@@ -209,11 +229,10 @@
 
     fn is_open(&self) -> bool {
         let state = self.lock();
-        let total = state.workers.values().sum();
         let has_link = |zone: &ZoneName| {
             state.links.get(zone).is_some_and(|links| links.iter().any(|link| link.is_open()))
         };
-        !needs_executors(total, &state.me) || state.workers.keys().all(has_link)
+        !state.uses_executors() || state.workers.keys().all(has_link)
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -226,10 +245,15 @@
 }
 
 impl State {
+    /// Whether calls go through executors now.
+    fn uses_executors(&self) -> bool {
+        self.busy || needs_executors(self.workers.values().sum(), &self.me)
+    }
+
     /// The executor for a worker: always the same while it works, so that its
     /// connections to the worker are kept.
     fn route(&self, zone: &ZoneName, worker: &WorkerId) -> Option<Arc<Link>> {
-        if self.detours.contains(worker) {
+        if !self.uses_executors() || self.detours.contains(worker) {
             return None;
         }
         let open = self.links.get(zone)?.iter().filter(|link| link.is_open());
--- a/crates/node/src/executors/plan.rs
+++ b/crates/node/src/executors/plan.rs
@@ -21,6 +21,20 @@
     workers as f64 > by_cores.min(by_link)
 }
 
+/// Share of its processor, in hundredths, that a leader may spend on deciding before it
+/// leaves its calls to executors; each call takes about as much again.
+const BUSY_PERCENT: u64 = 55;
+/// Share below which it makes them itself again, which is faster.
+const EASY_PERCENT: u64 = 45;
+
+/// Whether a leader is too busy to make its calls itself, by the time that its decisions
+/// took of a period, and by whether it was before.
+pub fn is_busy(deciding_ms: u64, period_ms: u64, leader: &Member, before: bool) -> bool {
+    let allowed_percent = if before { EASY_PERCENT } else { BUSY_PERCENT };
+    let share = deciding_ms as f64 / period_ms.max(1) as f64;
+    share * 100.0 > allowed_percent as f64 * leader.cores.min(1.0)
+}
+
 /// How many executors a zone should have.
 pub fn executors_wanted(workers: usize) -> usize {
     workers.div_ceil(WORKERS_EACH_EXECUTOR).max(EXECUTORS_MIN)
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -161,8 +161,10 @@
                 tokio::time::sleep(rest).await;
             }
             if steady_ms() >= measured_ms + MEASURE_EVERY_MS {
+                let period_ms = steady_ms() - measured_ms;
                 measured_ms = steady_ms();
                 measure(&pool, &meter);
+                executors.update_load(meter.total().as_millis() as u64, period_ms);
                 meter = TurnMeter::default();
                 executors.update_workers(pool.workers_by_zone());
             }
--- a/crates/node/src/measure.rs
+++ b/crates/node/src/measure.rs
@@ -44,6 +44,11 @@
 }
 
 impl TurnMeter {
+    /// What all of them took.
+    pub fn total(&self) -> Duration {
+        self.handling + self.deciding + self.calling
+    }
+
     /// Adds a turn: handling messages, deciding, and giving the calls out.
     pub fn add(&mut self, handling: Duration, deciding: Duration, calling: Duration) {
         self.turns += 1;
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -209,6 +209,32 @@
     assert!(plan::needs_executors(48, &narrow));
 }
 
+/// Guards against a flood that uses up the leader's processor while other daemons are idle.
+#[test]
+fn a_busy_leader_leaves_its_calls_to_executors() {
+    let (_executor, address) = daemon(Fake::with_worker());
+    Runtime::new().expect("a runtime").block_on(async {
+        let (messages, mut inbox) = mpsc::unbounded_channel();
+        let peers = Peers::new(KEY, Traffic::default());
+        let me = member("127.0.0.1:1", "y", 0.5);
+        let executors = Executors::new(Arc::new(Fake::default()), peers, me, 1, messages);
+        executors.update_members(vec![member(&address, "z", 0.5)]);
+        executors.update_workers(BTreeMap::from([(ZoneName::new("z"), 1)]));
+        let zone = ZoneName::new("z");
+        for (deciding_ms, through_executor) in
+            [(100, false), (400, true), (240, true), (100, false)]
+        {
+            executors.update_load(deciding_ms, 1_000);
+            executors.opened().await;
+            executors.call(Some(&zone), hold(deciding_ms));
+            let event = next(&mut inbox).await;
+            // The leader reaches no worker by itself here.
+            let answered = matches!(&event, Event::Held { reply: Ok(_), .. });
+            assert_eq!(answered, through_executor, "{deciding_ms}: {event:?}");
+        }
+    });
+}
+
 /// Guards against work that goes to the weakest daemons, or back to the leader.
 #[test]
 fn the_most_powerful_daemons_of_the_zone_execute() {
