--- a/crates/node/src/duty.rs
+++ b/crates/node/src/duty.rs
@@ -142,7 +142,11 @@
         // A row of this daemon's former self has surely lost its holder.
         let mine = self.row.as_ref().is_some_and(|(row, _)| row.holder == fitness.name);
         let since_ms = self.changed_ms.max(self.writable_since_ms);
-        if free || mine {
+        if mine {
+            // Nobody else may claim it for longer than any fitness makes up for.
+            return since_ms;
+        }
+        if free {
             return since_ms + fitness.delay_ms();
         }
         let quiet_ms = match holder {
--- a/crates/node/tests/duty.rs
+++ b/crates/node/tests/duty.rs
@@ -139,3 +139,13 @@
         assert!(view.claim_ms(&weak, liveness) > view.claim_ms(&strong, liveness) + 500);
     }
 }
+
+/// Guards against a pool that waits, after all daemons started anew, for a far leader to
+/// stand back for nearer ones that may not claim its row yet.
+#[test]
+fn a_daemon_claims_the_row_of_its_former_self_at_once() {
+    let far = Fitness { cores: 0.12, ..fit("me", 60) };
+    let mut view = DutyView::new(0);
+    view.saw(Some((row("me"), 10)), 1_000);
+    assert_eq!(view.claim_ms(&far, Liveness::Unknown), 1_000);
+}
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -180,10 +180,6 @@
     /// Takes room for a task.
     pub fn take(&mut self, task: TaskId, taken: Taken) {
         self.tasks.insert(task, taken);
-        self.add(&taken);
-    }
-
-    fn add(&mut self, taken: &Taken) {
         self.used = self.used.plus(&taken.room);
         if let Some(customer) = taken.customer {
             let sum = self.by_customer.entry(customer).or_default();
@@ -200,12 +196,17 @@
 
     /// Works the used room out anew.
     pub fn add_up(&mut self) {
-        self.used = Resources::ZERO;
-        self.by_customer.clear();
-        let all: Vec<Taken> = self.tasks.values().chain(&self.strangers).copied().collect();
-        for taken in &all {
-            self.add(taken);
+        let mut used = Resources::ZERO;
+        let mut by_customer: BTreeMap<CustomerId, Resources> = BTreeMap::new();
+        for taken in self.tasks.values().chain(&self.strangers) {
+            used = used.plus(&taken.room);
+            if let Some(customer) = taken.customer {
+                let sum = by_customer.entry(customer).or_default();
+                *sum = sum.plus(&taken.demand);
+            }
         }
+        self.used = used;
+        self.by_customer = by_customer;
     }
 
     /// A moment on the worker's clock, this long from now. The clock may be
