--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -12,6 +12,7 @@
 mod check;
 mod decisions;
 mod fit;
+mod keys;
 mod load;
 mod overhead;
 mod plot;
@@ -37,6 +38,7 @@
         Some(("slopes", sub)) => slopes::run(sub).await,
         Some(("memory", sub)) => slopes::print_memory(*sub.get_one("workers").unwrap_or(&100)),
         Some(("decisions", _)) => decisions::run(),
+        Some(("keys", _)) => keys::run(),
         Some(("check", _)) => check::run(),
         _ => Ok(()),
     };
@@ -71,6 +73,7 @@
         .subcommand(
             Command::new("overhead").about("Compare requests through a daemon with direct ones"),
         )
+        .subcommand(Command::new("keys").about("Measure what it takes to check a key"))
         .subcommand(Command::new("check").about("Hold deterministic figures against their bounds"))
         .subcommand(Command::new("workloads").about("Submit one of each workload").arg(address()))
         .subcommand(
--- a/crates/customers/src/directory.rs
+++ b/crates/customers/src/directory.rs
@@ -59,14 +59,15 @@
 #[serde(try_from = "Vec<Customer>", into = "Vec<Customer>")]
 pub struct Directory {
     customers: Vec<Customer>,
-    /// Places in `customers` by the buckets of their keys.
-    places: HashMap<u64, Vec<(KeyHash, usize)>>,
+    /// Places in `customers` by their keys.
+    places: HashMap<KeyHash, usize>,
 }
 
 impl Directory {
     /// Files customers, or finds every mistake in their list.
     pub fn new(customers: Vec<Customer>) -> Result<Self, Mistakes> {
-        let mut places: HashMap<u64, Vec<(KeyHash, usize)>> = HashMap::new();
+        let keys = customers.iter().map(|customer| customer.keys.len()).sum();
+        let mut places: HashMap<KeyHash, usize> = HashMap::with_capacity(keys);
         let mut names = HashSet::new();
         let mut mistakes = Vec::new();
         for (place, customer) in customers.iter().enumerate() {
@@ -77,14 +78,10 @@
                 mistakes.push(Mistake::BadWeight(customer.name.clone()));
             }
             for key in &customer.keys {
-                let filed = places.entry(key.bucket()).or_default();
-                match filed.iter().find(|(known, _)| known == key) {
-                    None => filed.push((*key, place)),
-                    Some((_, other)) if *other == place => {}
-                    Some((_, other)) => {
-                        let other = customers[*other].name.clone();
-                        mistakes.push(Mistake::SharedKey(other, customer.name.clone()));
-                    }
+                let first = *places.entry(*key).or_insert(place);
+                if first != place {
+                    let first = customers[first].name.clone();
+                    mistakes.push(Mistake::SharedKey(first, customer.name.clone()));
                 }
             }
         }
@@ -96,9 +93,7 @@
         if key.len() > KEY_BYTES_MAX {
             return None;
         }
-        let hash = KeyHash::of(key);
-        let filed = self.places.get(&hash.bucket())?;
-        let (_, place) = filed.iter().find(|(known, _)| *known == hash)?;
+        let place = self.places.get(&KeyHash::of(key))?;
         self.customers.get(*place)
     }
 
--- a/crates/customers/src/key.rs
+++ b/crates/customers/src/key.rs
@@ -1,6 +1,8 @@
 //! Keys as they are kept: hashed, and never written out.
 
 use std::fmt;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::str::FromStr;
 
 use serde::Deserialize;
@@ -34,13 +36,6 @@
     pub fn fingerprint(&self) -> String {
         hex(&self.0[..FINGERPRINT_BYTES])
     }
-
-    /// Where a table files it.
-    pub(crate) fn bucket(&self) -> u64 {
-        let mut bytes = [0; 8];
-        bytes.copy_from_slice(&self.0[..8]);
-        u64::from_le_bytes(bytes)
-    }
 }
 
 /// The time that a comparison takes does not tell how much of a guess was right.
@@ -52,6 +47,12 @@
 
 impl Eq for KeyHash {}
 
+impl Hash for KeyHash {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.0.hash(state);
+    }
+}
+
 impl fmt::Debug for KeyHash {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "KeyHash({})", self.fingerprint())
