--- a/crates/bench/src/keys.rs
+++ b/crates/bench/src/keys.rs
@@ -50,9 +50,7 @@
         times.saturating_record(began.elapsed().as_nanos() as u64);
     }
     println!("Check of a key among {} keys of {CUSTOMERS} customers\n", known.len());
-    println!(
-        "| lookups | found | mean us | p50 us | p99 us | p99.9 us | memory, MB |"
-    );
+    println!("| lookups | found | mean us | p50 us | p99 us | p99.9 us | memory, MB |");
     println!("|---|---|---|---|---|---|---|");
     let us = |ns: u64| ns as f64 / 1_000.0;
     println!(
