What the leader may do is heard before answers that wait; handling gets as much time as deciding

A worker said that it leaves at 1.5 s and got a start at 8.5 s. Starts, polls and advice bring more than 2,000 messages a second, and everything else waits behind them in one inbox: not one line 'worker drains', though 56 workers left.

Ruled out: the feed of workers (read every 0.4 s, the leader's unlisting works) and the take-over (it reads the list after it leads).

Change: listings, cancellations, customers' limits and the word that another daemon leads have an inbox of their own, which each turn empties first. A turn goes on with the rest until that took as long as the last decision.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -9,7 +9,6 @@
 use stoatwell_pool::Accepted;
 use stoatwell_pool::Event;
 use stoatwell_pool::PartWrite;
-use tokio::sync::mpsc;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -19,8 +18,7 @@
 use crate::commit::fences::Fence;
 use crate::commit::fences::read_fence;
 use crate::health::StoreHealth;
-use crate::message::Message;
-use crate::message::notify;
+use crate::inbox::Senders;
 use crate::outside::Outside;
 use crate::outside::Row;
 use crate::outside::StoreError;
@@ -47,7 +45,7 @@
     /// The versions of the fences.
     pub versions: Mutex<Vec<u64>>,
     /// The leader's inbox.
-    pub messages: mpsc::UnboundedSender<Message>,
+    pub messages: Senders,
 }
 
 /// What a try to write came to.
@@ -183,7 +181,7 @@
                 let accepted = joined(put.job, &encode(spec.as_ref()), rows);
                 put.submission = None;
                 if accepted != Accepted::Yes {
-                    notify(&self.messages, Event::Rejected { job: put.job, accepted });
+                    self.messages.notify(Event::Rejected { job: put.job, accepted });
                 }
                 accepted == Accepted::Yes
             });
@@ -195,7 +193,7 @@
     fn tell_doubtful(&self, writes: &[PartWrite]) {
         let puts = writes.iter().flat_map(|write| &write.puts);
         for put in puts.filter(|put| put.submission.is_some()) {
-            notify(&self.messages, Event::InDoubt { job: put.job });
+            self.messages.notify(Event::InDoubt { job: put.job });
         }
     }
 
@@ -205,7 +203,7 @@
             write.puts.retain(|put| {
                 if put.submission.is_some() {
                     let accepted = Accepted::No;
-                    notify(&self.messages, Event::Rejected { job: put.job, accepted });
+                    self.messages.notify(Event::Rejected { job: put.job, accepted });
                 }
                 put.submission.is_none()
             });
@@ -257,12 +255,10 @@
     }
 
     fn committed(&self, batch: u64, part: usize) {
-        notify(&self.messages, Event::Committed { batch, part });
+        self.messages.notify(Event::Committed { batch, part });
     }
 
     fn deposed(&self) {
-        if self.messages.send(Message::Deposed).is_err() {
-            tracing::debug!("the leader had ended before");
-        }
+        self.messages.depose();
     }
 }
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -22,7 +22,6 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_peer::Peers;
-use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -35,9 +34,8 @@
 use self::plan::is_busy;
 use self::plan::needs_executors;
 use self::plan::order_of_use;
+use crate::inbox::Senders;
 use crate::members::Member;
-use crate::message::Message;
-use crate::message::notify;
 use crate::outside::Outside;
 
 /// How long a new leader waits for its executors before it makes the first calls itself.
@@ -49,7 +47,7 @@
     outside: Arc<O>,
     peers: Peers,
     epoch: u64,
-    messages: mpsc::UnboundedSender<Message>,
+    messages: Senders,
     state: Arc<Mutex<State>>,
     /// Calls that the leader makes itself, and the links; all end with it.
     tasks: Mutex<JoinSet<()>>,
@@ -73,13 +71,7 @@
 
 impl<O: Outside> Executors<O> {
     /// No executors yet: the leader makes all calls itself.
-    pub fn new(
-        outside: Arc<O>,
-        peers: Peers,
-        me: Member,
-        epoch: u64,
-        messages: mpsc::UnboundedSender<Message>,
-    ) -> Self {
+    pub fn new(outside: Arc<O>, peers: Peers, me: Member, epoch: u64, messages: Senders) -> Self {
         let state = State {
             me,
             members: Vec::new(),
@@ -157,7 +149,7 @@
             if reply.is_unanswered() {
                 lock(&state).detours.remove(pending.worker());
             }
-            notify(&messages, pending.event(reply));
+            messages.notify(pending.event(reply));
         });
     }
 
@@ -195,7 +187,7 @@
             if reply.is_unanswered() {
                 lock(&shared).detours.insert(pending.worker().clone());
             }
-            notify(&messages, pending.event(reply));
+            messages.notify(pending.event(reply));
         };
         let next_session = {
             let shared = Arc::clone(&self.state);
--- a/crates/node/src/follow.rs
+++ b/crates/node/src/follow.rs
@@ -9,7 +9,6 @@
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
-use tokio::sync::mpsc;
 
 use crate::advisors::Advisors;
 use crate::clock::steady_ms;
@@ -17,9 +16,8 @@
 use crate::executors::Executors;
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
+use crate::inbox::Senders;
 use crate::members::read_members;
-use crate::message::Message;
-use crate::message::notify;
 use crate::outside::Outside;
 use crate::outside::Row;
 use crate::outside::Rows;
@@ -53,7 +51,7 @@
     /// Whether the store answers.
     pub health: Arc<StoreHealth>,
     /// The scheduler's inbox.
-    pub messages: mpsc::UnboundedSender<Message>,
+    pub messages: Senders,
 }
 
 impl<O: Outside> Follower<O> {
@@ -123,11 +121,11 @@
         match table {
             Table::Jobs => {
                 let Some((job, spec)) = read_row::<JobSpec>(row) else { return };
-                notify(&self.messages, Event::Accepted { job, spec: Arc::new(spec) });
+                self.messages.notify(Event::Accepted { job, spec: Arc::new(spec) });
             }
             Table::Cancels => {
                 let Ok(job) = row.key.parse() else { return };
-                notify(&self.messages, Event::Cancelled { job });
+                self.messages.notify(Event::Cancelled { job });
             }
             Table::Progress | Table::Duty | Table::Daemons | Table::Fences => {}
         }
@@ -157,7 +155,7 @@
                 now_ms > since_ms + MISSING_GRACE_MS
             };
             for worker in missing.extract_if(.., |_, at| gone(at)).map(|(worker, _)| worker) {
-                notify(&self.messages, Event::Unlisted { worker });
+                self.messages.notify(Event::Unlisted { worker });
             }
             tokio::time::sleep(WORKERS_PAUSE).await;
         }
@@ -169,7 +167,7 @@
         }
         for listed in changes.listed {
             missing.remove(&listed.worker);
-            notify(&self.messages, Event::Listed(listed));
+            self.messages.notify(Event::Listed(listed));
         }
     }
 
@@ -192,7 +190,7 @@
                     let fit = members.iter().filter(|one| !is_underprovisioned(one.cores));
                     gateway.set_daemons(known.len() as u32, fit.count() as u32);
                     executors.update_members(members);
-                    notify(&self.messages, Event::Advisors { count: known.len() });
+                    self.messages.notify(Event::Advisors { count: known.len() });
                     for address in known {
                         if told.insert(address.clone()) {
                             advisors.notify(address, leads.clone());
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -40,6 +40,10 @@
 use crate::follow::read_row;
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
+use crate::inbox::Inbox;
+use crate::inbox::Senders;
+use crate::inbox::Turn;
+use crate::inbox::inbox;
 use crate::manifest::Manifest;
 use crate::manifest::ManifestInForce;
 use crate::measure::TurnMeter;
@@ -48,7 +52,6 @@
 use crate::members::Member;
 use crate::message::Message;
 use crate::message::Query;
-use crate::message::notify;
 use crate::outside::Outside;
 use crate::outside::Table;
 use crate::peers::NodeCall;
@@ -56,8 +59,6 @@
 
 /// The longest that the pool is left alone.
 const IDLE_WAIT_MAX_MS: u64 = 50;
-/// Message taken in before the pool decides.
-const MESSAGES_PER_TURN: usize = 256;
 /// A turn that took longer is followed by a rest of the same length ...
 const REST_MIN: Duration = Duration::from_micros(300);
 /// ... but of this at most.
@@ -94,7 +95,7 @@
     pub async fn run(mut self) {
         let began_ms = steady_ms();
         let epoch = self.held.row.epoch;
-        let (messages, mut inbox) = mpsc::unbounded_channel();
+        let (messages, mut inbox) = inbox();
         let mut tasks = JoinSet::new();
         let renewed_ms = Arc::new(AtomicU64::new(began_ms));
         tasks.spawn(keep_duty_and_notify(
@@ -122,6 +123,7 @@
         metrics::counter!("stoatwell_takeovers_total").increment(1);
         let mut measured_ms = 0;
         let mut meter = TurnMeter::default();
+        let mut decided = Duration::ZERO;
         loop {
             let wait_ms = pool.idle_ms(steady_ms()).clamp(1, IDLE_WAIT_MAX_MS);
             let first = tokio::select! {
@@ -132,7 +134,8 @@
             };
             let began = Instant::now();
             let fresh = is_fresh(&renewed_ms);
-            if !handle_all(&mut pool, &mut submissions, first, &mut inbox, fresh) {
+            let turn = Turn::after(decided);
+            if !handle_all(&mut pool, &mut submissions, first, &mut inbox, turn, fresh) {
                 return;
             }
             while let Ok(query) = self.queries.try_recv() {
@@ -142,6 +145,7 @@
             pool.note_renewal(renewed_ms.load(Ordering::Relaxed));
             let effects = pool.pump(steady_ms(), unix_ms());
             let pumped = Instant::now();
+            decided = pumped - handled;
             for effect in effects {
                 if effect == Effect::StepDown {
                     tracing::warn!(epoch, "stepping down: a worker follows another scheduler");
@@ -176,8 +180,8 @@
         &self,
         epoch: u64,
         tasks: &mut JoinSet<()>,
-        messages: &mpsc::UnboundedSender<Message>,
-        inbox: &mut mpsc::UnboundedReceiver<Message>,
+        messages: &Senders,
+        inbox: &mut Inbox,
         executors: &Arc<Executors<O>>,
     ) -> Option<(Pool, Arc<Writer<O>>)> {
         let row = &self.held.row;
@@ -270,7 +274,7 @@
         effect: Effect,
         pool: &Pool,
         executors: &Executors<O>,
-        messages: &mpsc::UnboundedSender<Message>,
+        messages: &Senders,
         writer: &Arc<Writer<O>>,
         tasks: &mut JoinSet<()>,
     ) {
@@ -286,7 +290,7 @@
                 tasks.spawn(async move {
                     let granted = advisors.ask(step, &workers, priority, cost_ms).await;
                     let event = Event::Advised { step, asked: workers, cost_ms, granted };
-                    notify(&messages, event);
+                    messages.notify(event);
                 });
             }
             Effect::Commit { batch, writes } => {
@@ -298,15 +302,11 @@
 }
 
 /// Tells the scheduler of the customers of each newer manifest.
-async fn forward_customers(
-    in_force: Arc<ManifestInForce>,
-    mut version: u64,
-    messages: mpsc::UnboundedSender<Message>,
-) {
+async fn forward_customers(in_force: Arc<ManifestInForce>, mut version: u64, messages: Senders) {
     loop {
         let manifest = in_force.newer_than(version).await;
         version = manifest.version;
-        notify(&messages, Event::Customers { limits: customers(&manifest) });
+        messages.notify(Event::Customers { limits: customers(&manifest) });
     }
 }
 
@@ -315,8 +315,8 @@
     directory.customers().iter().map(CustomerLimits::of).collect()
 }
 
-async fn deposed(inbox: &mut mpsc::UnboundedReceiver<Message>) {
-    while let Some(message) = inbox.recv().await {
+async fn deposed(inbox: &mut Inbox) {
+    while let Some(message) = inbox.recv_control().await {
         if matches!(message, Message::Deposed) {
             return;
         }
@@ -327,14 +327,12 @@
     outside: Arc<O>,
     held: Held,
     health: Arc<StoreHealth>,
-    messages: mpsc::UnboundedSender<Message>,
+    messages: Senders,
     stop: tokio::sync::watch::Receiver<bool>,
     renewed_ms: Arc<AtomicU64>,
 ) {
     keep_duty(outside, held, health, stop, renewed_ms).await;
-    if messages.send(Message::Deposed).is_err() {
-        tracing::debug!("the scheduler had ended before");
-    }
+    messages.depose();
 }
 
 /// Handles a message and those that wait behind it; `false` if another daemon leads now.
@@ -342,11 +340,12 @@
     pool: &mut Pool,
     submissions: &mut Submissions,
     first: Option<Message>,
-    inbox: &mut mpsc::UnboundedReceiver<Message>,
+    inbox: &mut Inbox,
+    mut turn: Turn,
     fresh: bool,
 ) -> bool {
-    let more = std::iter::from_fn(|| inbox.try_recv().ok());
-    for message in first.into_iter().chain(more).take(MESSAGES_PER_TURN) {
+    let more = std::iter::from_fn(|| inbox.take(&mut turn));
+    for message in first.into_iter().chain(more) {
         match message {
             Message::Deposed => return false,
             Message::Event(event) => {
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -5,7 +5,6 @@
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobView;
 use stoatwell_pool::PoolDump;
-use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
 /// A question to the scheduler.
@@ -37,10 +36,3 @@
     /// Another daemon schedules now.
     Deposed,
 }
-
-/// Tells the scheduler of an event.
-pub(crate) fn notify(messages: &mpsc::UnboundedSender<Message>, event: Event) {
-    if messages.send(Message::Event(event)).is_err() {
-        tracing::debug!("the scheduler ended before it was notified");
-    }
-}
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -8,6 +8,7 @@
 
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
+use stoatwell_node::Inbox;
 use stoatwell_node::Member;
 use stoatwell_node::Message;
 use stoatwell_node::Node;
@@ -21,6 +22,7 @@
 use stoatwell_node::executors::plan;
 use stoatwell_node::executors::session::Executor;
 use stoatwell_node::executors::session::SessionId;
+use stoatwell_node::inbox;
 use stoatwell_peer::Peers;
 use stoatwell_peer::Traffic;
 use stoatwell_pool::CallError;
@@ -31,7 +33,6 @@
 use stoatwell_pool::StartCall;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
-use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use self::fake::Fake;
@@ -94,8 +95,8 @@
 }
 
 /// A leader with one worker in zone `z`, which is more than it can call by itself.
-fn leader(outside: Fake, executor: &str) -> (Executors<Fake>, mpsc::UnboundedReceiver<Message>) {
-    let (messages, inbox) = mpsc::unbounded_channel();
+fn leader(outside: Fake, executor: &str) -> (Executors<Fake>, Inbox) {
+    let (messages, inbox) = inbox();
     let peers = Peers::new(KEY, Traffic::default());
     let me = member("127.0.0.1:1", "y", 0.000_1);
     let executors = Executors::new(Arc::new(outside), peers, me, 1, messages);
@@ -104,7 +105,7 @@
     (executors, inbox)
 }
 
-async fn next(inbox: &mut mpsc::UnboundedReceiver<Message>) -> Event {
+async fn next(inbox: &mut Inbox) -> Event {
     match timeout(Duration::from_secs(3), inbox.recv()).await {
         Ok(Some(Message::Event(event))) => event,
         other => panic!("no event came: {other:?}"),
@@ -214,7 +215,7 @@
 fn a_busy_leader_leaves_its_calls_to_executors() {
     let (_executor, address) = daemon(Fake::with_worker());
     Runtime::new().expect("a runtime").block_on(async {
-        let (messages, mut inbox) = mpsc::unbounded_channel();
+        let (messages, mut inbox) = inbox();
         let peers = Peers::new(KEY, Traffic::default());
         let me = member("127.0.0.1:1", "y", 0.5);
         let executors = Executors::new(Arc::new(Fake::default()), peers, me, 1, messages);
--- /dev/null
+++ b/crates/node/tests/inbox.rs
@@ -0,0 +1,65 @@
+//! What a leader with more to do than its processor carries hears first.
+
+use std::time::Duration;
+
+use stoatwell_model::WorkerId;
+use stoatwell_node::Inbox;
+use stoatwell_node::Message;
+use stoatwell_node::Turn;
+use stoatwell_node::inbox;
+use stoatwell_pool::Event;
+use stoatwell_pool::JobId;
+
+/// Answers of workers that wait, more than an overloaded leader handles in seconds.
+const BACKLOG: usize = 20_000;
+
+fn answer() -> Event {
+    Event::Committed { batch: 1, part: 0 }
+}
+
+fn turn(inbox: &mut Inbox, decided: Duration) -> Vec<Message> {
+    let mut turn = Turn::after(decided);
+    std::iter::from_fn(|| inbox.take(&mut turn)).collect()
+}
+
+/// Guards against starts on a worker whose leaving waits behind a backlog of answers.
+#[test]
+fn control_messages_do_not_wait_behind_a_backlog() {
+    let (senders, mut inbox) = inbox();
+    for _ in 0..BACKLOG {
+        senders.notify(answer());
+    }
+    senders.notify(Event::Unlisted { worker: WorkerId::new("w") });
+    senders.notify(Event::Cancelled { job: JobId(1) });
+    senders.notify(Event::Customers { limits: Vec::new() });
+    senders.depose();
+    let first: Vec<Message> = turn(&mut inbox, Duration::ZERO).into_iter().take(4).collect();
+    assert!(matches!(first[0], Message::Event(Event::Unlisted { .. })), "{first:?}");
+    assert!(matches!(first[1], Message::Event(Event::Cancelled { .. })), "{first:?}");
+    assert!(matches!(first[2], Message::Event(Event::Customers { .. })), "{first:?}");
+    assert!(matches!(first[3], Message::Deposed), "{first:?}");
+}
+
+/// Guards against a leader that decides all the time and hears a few hundred messages for
+/// each decision, so that its backlog grows for as long as the load lasts.
+#[test]
+fn handling_gets_as_much_time_as_the_last_decision_took() {
+    let (senders, mut inbox) = inbox();
+    for _ in 0..BACKLOG {
+        senders.notify(answer());
+    }
+    let after_short = turn(&mut inbox, Duration::ZERO).len();
+    assert!(after_short < 1_000, "{after_short}");
+    let after_long = turn(&mut inbox, Duration::from_secs(5)).len();
+    assert_eq!(after_short + after_long, BACKLOG);
+}
+
+/// Guards against a message that nobody waits for while the leader is idle.
+#[tokio::test]
+async fn both_kinds_of_message_wake_an_idle_leader() {
+    let (senders, mut inbox) = inbox();
+    senders.notify(answer());
+    assert!(matches!(inbox.recv().await, Some(Message::Event(Event::Committed { .. }))));
+    senders.depose();
+    assert!(matches!(inbox.recv().await, Some(Message::Deposed)));
+}
