A worker that leaves gets no start whose row was written before

A start was sent when its row was durable, whatever its worker had said meanwhile. The run is taken back instead; it was never sent. The test's two workers leave while a row takes 3 s; without the change two starts are sent.

--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -43,8 +43,9 @@
         }
         let Some(name) = task.worker.clone() else { return };
         let Some(worker) = self.workers.get_mut(&name) else { return };
-        let Some(until_ms) = worker.until(now_ms, lease_ms).filter(|_| worker.held) else {
-            // The worker began a new life meanwhile; nothing was sent to it.
+        let may_start = worker.held && !worker.info.draining;
+        let Some(until_ms) = worker.until(now_ms, lease_ms).filter(|_| may_start) else {
+            // While its row was written the worker began a new life, or to leave.
             self.not_started(id);
             return;
         };
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -148,3 +148,19 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
     assert_eq!(world.state(2), Some(JobState::Completed));
 }
+
+/// Guards against a start on a worker that began to leave while the start's row was written.
+#[test]
+fn a_worker_that_leaves_gets_no_start_that_was_recorded_before() {
+    let mut world = World::new(8, 2, Faults::default());
+    world.run(200);
+    world.commit_ms = 3_000;
+    world.hand_in(1, short());
+    world.run(100);
+    for name in world.workers.keys().cloned().collect::<Vec<_>>() {
+        world.drain(&name);
+    }
+    world.run(4_000);
+    assert_eq!(world.answer(1), Some(Accepted::Yes));
+    assert_eq!(world.starts, 0);
+}
