Tickets age while the advisor's answer waits to be handled

Cause: a ticket's time counted from the moment at which the leader handled the answer. Now it counts from when the answer came.

--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -289,7 +289,8 @@
                 let messages = messages.clone();
                 tasks.spawn(async move {
                     let granted = advisors.ask(step, &workers, priority, cost_ms).await;
-                    let event = Event::Advised { step, asked: workers, cost_ms, granted };
+                    let came_ms = steady_ms();
+                    let event = Event::Advised { step, asked: workers, cost_ms, granted, came_ms };
                     messages.notify(event);
                 });
             }
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -103,6 +103,7 @@
         asked: &[WorkerId],
         cost_ms: u64,
         granted: Option<Vec<Grant>>,
+        came_ms: u64,
     ) {
         let now_ms = self.now_ms;
         self.questions = self.questions.saturating_sub(1);
@@ -127,7 +128,7 @@
                 advice.asked.extend(asked.iter().filter_map(slot));
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
-                    let expires_ms = now_ms + rule.valid_ms;
+                    let expires_ms = came_ms.min(now_ms) + rule.valid_ms;
                     let life = worker.info.life;
                     let ticket = Ticket { text: grant.ticket, life, expires_ms };
                     advice.granted.insert(worker.slot, ticket);
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -90,6 +90,8 @@
         cost_ms: u64,
         /// Those that may run it.
         granted: Option<Vec<Grant>>,
+        /// When the answer came, by the steady clock; it may have waited to be handled.
+        came_ms: u64,
     },
     /// The manifest names these customers.
     Customers {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -282,8 +282,8 @@
             Event::Paced { task, run, worker, reply } => {
                 self.on_paced(task, run, &worker, reply);
             }
-            Event::Advised { step, asked, cost_ms, granted } => {
-                self.on_advised(step, &asked, cost_ms, granted);
+            Event::Advised { step, asked, cost_ms, granted, came_ms } => {
+                self.on_advised(step, &asked, cost_ms, granted, came_ms);
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisors = count.max(1),
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -315,3 +315,24 @@
     assert_eq!(world.starts, 400);
     assert_kept(&world);
 }
+
+/// Guards against tickets that grow old while they wait for a leader with a backlog and
+/// count as new when it handles them: workers would turn their starts away.
+#[test]
+fn tickets_age_while_they_wait_to_be_handled() {
+    let mut world = World::new(53, 12, Faults::default());
+    world.tickets_expire = true;
+    world.run(100);
+    let mut rules = queue(1);
+    rules.advice = Some(AdviceSpec { decide_ms: 20.0, each_ms: 1.0, valid_ms: 2_000 });
+    world.backlog_ms = 2_500;
+    for number in 0..10 {
+        world.submit(number, job(rules.clone(), vec![step(2, 2_000, 500)]));
+    }
+    world.run(3_000);
+    world.backlog_ms = 0;
+    world.run(8_000);
+    assert!(world.open_jobs().is_empty(), "{} jobs are open", world.open_jobs().len());
+    assert_eq!(world.bad_tickets, 0, "of {} starts", world.starts);
+    assert_kept(&world);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -68,6 +68,8 @@
     pub asked: usize,
     /// What the advisor takes for a question.
     pub advice_ms: u64,
+    /// How long the advisor's answers wait to be handled.
+    pub backlog_ms: u64,
     /// What the store takes for a batch.
     pub commit_ms: u64,
     /// Whether workers refuse starts with tickets that have expired.
@@ -122,6 +124,7 @@
             granted_of_five: 3,
             asked: 0,
             advice_ms: 80,
+            backlog_ms: 0,
             commit_ms: 12,
             tickets_expire: false,
             bad_tickets: 0,
@@ -475,8 +478,10 @@
                     let of_five = self.granted_of_five;
                     let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
                     let granted = (!lost).then(|| granted.map(grant).collect());
-                    let event = Event::Advised { step, asked: workers, cost_ms, granted };
-                    self.schedule(self.advice_ms, Item::Event(self.epoch, event));
+                    let came_ms = issued_ms;
+                    let event = Event::Advised { step, asked: workers, cost_ms, granted, came_ms };
+                    let handled_ms = self.advice_ms + self.backlog_ms;
+                    self.schedule(handled_ms, Item::Event(self.epoch, event));
                 }
                 // Without the duty nothing can be written.
                 Effect::Commit { .. } if !self.renews => {}
