--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -12,8 +12,9 @@
 
 use crate::message::Message;
 
-/// Messages that a turn handles however long the last decision took.
-const MESSAGES_MIN: usize = 256;
+/// Messages handled at a stretch. Other daemons ask meanwhile whether the leader lives, and
+/// replace one that keeps them waiting.
+const MESSAGES_MAX: usize = 256;
 
 /// The receiving ends.
 #[derive(Debug)]
@@ -29,10 +30,11 @@
     ordinary: mpsc::UnboundedSender<Message>,
 }
 
-/// What one turn of the leader may still handle.
+/// What one turn of the leader handles, in stretches.
 #[derive(Debug)]
 pub struct Turn {
     began: Instant,
+    /// Messages of the present stretch.
     handled: usize,
     /// How long the last decision took: handling gets as much, so that neither starves.
     at_least: Duration,
@@ -61,12 +63,12 @@
         self.control.recv().await
     }
 
-    /// A message that waits, if the turn may handle one more.
+    /// A message that waits, if the stretch may have one more.
     pub fn take(&mut self, turn: &mut Turn) -> Option<Message> {
         if let Ok(message) = self.control.try_recv() {
             return Some(message);
         }
-        if turn.handled >= MESSAGES_MIN && turn.began.elapsed() >= turn.at_least {
+        if turn.handled >= MESSAGES_MAX {
             return None;
         }
         turn.handled += 1;
@@ -102,4 +104,11 @@
     pub fn after(decided: Duration) -> Self {
         Self { began: Instant::now(), handled: 0, at_least: decided }
     }
+
+    /// Begins another stretch, if there is more to handle and time for it.
+    pub fn goes_on(&mut self) -> bool {
+        let is_full = self.handled >= MESSAGES_MAX;
+        self.handled = 0;
+        is_full && self.began.elapsed() < self.at_least
+    }
 }
--- a/crates/node/src/lead.rs
+++ b/crates/node/src/lead.rs
@@ -134,10 +134,16 @@
             };
             let began = Instant::now();
             let fresh = is_fresh(&renewed_ms);
-            let turn = Turn::after(decided);
-            if !handle_all(&mut pool, &mut submissions, first, &mut inbox, turn, fresh) {
+            let mut turn = Turn::after(decided);
+            if !handle_all(&mut pool, &mut submissions, first, &mut inbox, &mut turn, fresh) {
                 return;
             }
+            while turn.goes_on() {
+                tokio::task::yield_now().await;
+                if !handle_all(&mut pool, &mut submissions, None, &mut inbox, &mut turn, fresh) {
+                    return;
+                }
+            }
             while let Ok(query) = self.queries.try_recv() {
                 answer(&mut pool, &mut submissions, query, fresh);
             }
@@ -342,10 +348,10 @@
     submissions: &mut Submissions,
     first: Option<Message>,
     inbox: &mut Inbox,
-    mut turn: Turn,
+    turn: &mut Turn,
     fresh: bool,
 ) -> bool {
-    let more = std::iter::from_fn(|| inbox.take(&mut turn));
+    let more = std::iter::from_fn(|| inbox.take(turn));
     for message in first.into_iter().chain(more) {
         match message {
             Message::Deposed => return false,
--- a/crates/node/tests/inbox.rs
+++ b/crates/node/tests/inbox.rs
@@ -17,9 +17,8 @@
     Event::Committed { batch: 1, part: 0 }
 }
 
-fn turn(inbox: &mut Inbox, decided: Duration) -> Vec<Message> {
-    let mut turn = Turn::after(decided);
-    std::iter::from_fn(|| inbox.take(&mut turn)).collect()
+fn stretch(inbox: &mut Inbox, turn: &mut Turn) -> Vec<Message> {
+    std::iter::from_fn(|| inbox.take(turn)).collect()
 }
 
 /// Guards against starts on a worker whose leaving waits behind a backlog of answers.
@@ -33,7 +32,8 @@
     senders.notify(Event::Cancelled { job: JobId(1) });
     senders.notify(Event::Customers { limits: Vec::new() });
     senders.depose();
-    let first: Vec<Message> = turn(&mut inbox, Duration::ZERO).into_iter().take(4).collect();
+    let mut turn = Turn::after(Duration::ZERO);
+    let first: Vec<Message> = stretch(&mut inbox, &mut turn).into_iter().take(4).collect();
     assert!(matches!(first[0], Message::Event(Event::Unlisted { .. })), "{first:?}");
     assert!(matches!(first[1], Message::Event(Event::Cancelled { .. })), "{first:?}");
     assert!(matches!(first[2], Message::Event(Event::Customers { .. })), "{first:?}");
@@ -48,10 +48,29 @@
     for _ in 0..BACKLOG {
         senders.notify(answer());
     }
-    let after_short = turn(&mut inbox, Duration::ZERO).len();
-    assert!(after_short < 1_000, "{after_short}");
-    let after_long = turn(&mut inbox, Duration::from_secs(5)).len();
-    assert_eq!(after_short + after_long, BACKLOG);
+    let mut after_short = Turn::after(Duration::ZERO);
+    let mut handled = stretch(&mut inbox, &mut after_short).len();
+    assert!(!after_short.goes_on());
+    let mut after_long = Turn::after(Duration::from_secs(5));
+    handled += stretch(&mut inbox, &mut after_long).len();
+    while after_long.goes_on() {
+        handled += stretch(&mut inbox, &mut after_long).len();
+    }
+    assert_eq!(handled, BACKLOG);
+}
+
+/// Guards against a leader that is replaced because it answers nobody while it works off a
+/// backlog.
+#[test]
+fn a_backlog_is_handled_in_short_stretches() {
+    let (senders, mut inbox) = inbox();
+    for _ in 0..BACKLOG {
+        senders.notify(answer());
+    }
+    let mut turn = Turn::after(Duration::from_secs(5));
+    let handled = stretch(&mut inbox, &mut turn).len();
+    assert!(handled < 1_000, "{handled}");
+    assert!(turn.goes_on());
 }
 
 /// Guards against a message that nobody waits for while the leader is idle.
