Reverted: polls of workers whose ends wait for a slow store

Conclusion: some 3,500 polls a second in the slow seconds cost the leader's half core more than the ends heard earlier bring.

--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -215,7 +215,7 @@
     }
 
     /// Whether batches take long, or one of those under way does.
-    pub fn is_slow(&self, now_ms: u64) -> bool {
+    fn is_slow(&self, now_ms: u64) -> bool {
         let mut under_way = self.parts.iter().filter_map(|part| part.under_way.as_ref());
         self.took_ms > SLOW_MS || under_way.any(|batch| batch.since_ms + SLOW_MS < now_ms)
     }
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -28,8 +28,6 @@
 /// With more workers than this a hold waits twice as long: polls that bring nothing would
 /// take much of the scheduler's processor time.
 const WORKERS_MANY: usize = 100;
-/// Between polls of a worker whose ends wait for a slow store, while it runs something.
-const SLOW_STORE_POLL_MS: u64 = 100;
 /// After a hold without answer the next one waits this long.
 const HOLD_PAUSE_MS: u64 = 200;
 /// After a hold of a worker that was lost and is still listed.
@@ -318,7 +316,6 @@
         let turn = self.turn;
         let renewed = now_ms < self.renewed_ms + EXTEND_MS;
         let many = self.workers.len() > WORKERS_MANY;
-        let store_is_slow = self.commits.is_slow(now_ms);
         let wait_ms = if many { HOLD_WAIT_MS * 2 } else { HOLD_WAIT_MS };
         let mut due = Vec::new();
         for (name, worker) in &mut self.workers {
@@ -330,8 +327,8 @@
             }
             // Ends whose rows are not durable yet would be returned at once,
             // again and again; their commit makes the next hold due.
-            let waits_for_store = worker.held && !worker.not_durable.is_empty();
-            if !probe && waits_for_store && !is_poll_due(worker, now_ms, store_is_slow) {
+            if !probe && worker.held && !worker.not_durable.is_empty() && !near_end(worker, now_ms)
+            {
                 continue;
             }
             if !waits {
@@ -386,12 +383,9 @@
     time_ms * 1_025 / 1_000
 }
 
-/// Whether a worker whose ends are not durable yet is polled all the same: its lease has to
-/// be renewed, and while the store is slow its other tasks may end long before these are.
-fn is_poll_due(worker: &Worker, now_ms: u64, store_is_slow: bool) -> bool {
-    let runs = !worker.tasks.is_empty();
-    let pause_ms = if store_is_slow && runs { SLOW_STORE_POLL_MS } else { HOLD_WAIT_MS * 2 };
-    worker.answered_ms + pause_ms < now_ms
+/// Whether the lease needs a call soon, whatever else holds it up.
+fn near_end(worker: &Worker, now_ms: u64) -> bool {
+    worker.answered_ms + HOLD_WAIT_MS * 2 < now_ms
 }
 
 fn note_active(task: &mut Task, active: &crate::event::Active, now_ms: u64, turn: u64) {
