--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -107,12 +107,12 @@
     Overloaded = 7004, 429, "this submission was not taken; come back after the time given, with the same key";
     /// this daemon is not ready yet
     NotReady = 7005, 503, "this submission was not taken; go to another entry instance or come back";
+    /// this daemon does not know whether the caller's key is still good
+    KeyUnconfirmed = 7006, 503, "this call was not taken; go to another entry instance or come back after the time given";
     /// the settings have mistakes
     InvalidSettings = 8001, 500, "mend each field listed; `stoatwelld settings` prints them all with their defaults";
     /// the settings cannot be read
     UnreadableSettings = 8002, 500, "check the path and its permissions";
-    /// this daemon does not know whether the caller's key is still good
-    KeyUnconfirmed = 7006, 503, "this call was not taken; go to another entry instance or come back after the time given";
     /// an error of the program itself
     Internal = 9001, 500, "please report it with the request id and the log around it";
 }
