Logs and metrics tell where a manifest came from and why one did not

The logs of a daemon that was late with a manifest could not tell a poll that hung from a read that skipped a version, nor name the message that could not be decoded: the failed poll was logged at a level that is off, the failed fetch from the leader not at all, and a 404 left no line.

No decision changes.

--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -261,7 +261,7 @@
     bincode::DefaultOptions::new()
 }
 
-/// Encodes a batch or replies.
+/// Encodes a batch, replies or a manifest.
 pub fn encode(value: &impl Serialize) -> Vec<u8> {
     codec().serialize(value).unwrap_or_else(|error| {
         tracing::error!(%error, "cannot encode a message to another daemon; sending an empty one");
@@ -269,15 +269,17 @@
     })
 }
 
-/// Decodes a batch or replies.
-pub fn decode<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Option<T> {
+/// Decodes a batch, replies or a manifest. `content` names it in logs and metrics.
+pub fn decode<T: serde::de::DeserializeOwned>(content: &'static str, bytes: &[u8]) -> Option<T> {
     match codec().deserialize(bytes) {
         Ok(value) => Some(value),
         Err(error) => {
             tracing::warn!(
-                %error, bytes = bytes.len(),
+                content, %error, bytes = bytes.len(),
                 "cannot decode a message from another daemon"
             );
+            metrics::counter!("stoatwell_undecodable_messages_total", "content" => content)
+                .increment(1);
             None
         }
     }
--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -169,7 +169,7 @@
             );
             return false;
         };
-        let Some(replies) = decode::<Replies>(&replies) else { return false };
+        let Some(replies) = decode::<Replies>("replies", &replies) else { return false };
         let mut answered = Vec::with_capacity(replies.len());
         {
             let mut state = self.lock();
--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -36,6 +36,7 @@
 use crate::leader_view::Route;
 use crate::manifest::CurrentManifest;
 use crate::manifest::Manifest;
+use crate::manifest::ManifestSource;
 use crate::manifest::RelayedProof;
 use crate::message::SchedulerRequest;
 use crate::peers::DaemonCall;
@@ -190,9 +191,20 @@
         }
         let requested_ms = steady_ms();
         let reply = self.peers.call(leader, &DaemonCall::Manifest, LEADER_TIMEOUT).await;
-        let Ok(DaemonReply::Manifest { manifest, proof }) = reply else { return };
-        let Some(manifest) = executors::call::decode::<Manifest>(&manifest) else { return };
-        self.manifest.replace_if_newer(manifest);
+        let Ok(DaemonReply::Manifest { manifest, proof }) = reply else {
+            let version = relayed.version;
+            tracing::warn!(
+                leader,
+                version,
+                ?reply,
+                "cannot fetch a newer manifest from the leader"
+            );
+            return;
+        };
+        let Some(manifest) = executors::call::decode::<Manifest>("manifest", &manifest) else {
+            return;
+        };
+        self.manifest.replace_if_newer(manifest, ManifestSource::Leader);
         self.manifest.record_proof(FreshnessProof::from_peer(
             proof.version,
             proof.age_ms,
@@ -481,7 +493,7 @@
             return DaemonReply::Noted;
         }
         if let DaemonCall::Execute { session, batch } = call {
-            let accepted = executors::call::decode::<Batch>(&batch)
+            let accepted = executors::call::decode::<Batch>("batch", &batch)
                 .is_some_and(|batch| self.executor.execute(session, batch));
             return if accepted { DaemonReply::Noted } else { DaemonReply::NotScheduler };
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -70,6 +70,7 @@
 pub use crate::manifest::CurrentManifest;
 pub use crate::manifest::Denied;
 pub use crate::manifest::Manifest;
+pub use crate::manifest::ManifestSource;
 pub use crate::manifest::Queue;
 pub use crate::manifest::RelayedProof;
 pub use crate::message::Message;
--- a/crates/node/src/manifest/current.rs
+++ b/crates/node/src/manifest/current.rs
@@ -11,6 +11,19 @@
 
 use crate::manifest::Manifest;
 
+/// Where a daemon got a manifest from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum ManifestSource {
+    /// read
+    Read,
+    /// change feed
+    Feed,
+    /// confirmation
+    Confirmation,
+    /// leader
+    Leader,
+}
+
 /// The newest manifest that a daemon has seen. The version never decreases, even if a store
 /// that lags behind returns an older one.
 #[derive(Debug)]
@@ -49,14 +62,18 @@
     }
 
     /// Makes a manifest the current one if its version is higher.
-    pub fn replace_if_newer(&self, manifest: Manifest) {
+    pub fn replace_if_newer(&self, manifest: Manifest, source: ManifestSource) {
         self.view.send_if_modified(|view| {
             if manifest.version <= view.manifest.version {
                 return false;
             }
-            let (version, queues) = (manifest.version, manifest.queues.len());
+            let (version, row_version) = (manifest.version, manifest.row_version);
+            let queues = manifest.queues.len();
             let customers = manifest.customers.as_ref().map(|all| all.customers().len());
-            tracing::info!(version, queues, customers, "new manifest applied");
+            tracing::info!(version, row_version, queues, customers, %source, "new manifest applied");
+            metrics::gauge!("stoatwell_manifest_version").set(version as f64);
+            metrics::counter!("stoatwell_manifests_applied_total", "source" => source.to_string())
+                .increment(1);
             view.proof = view.proof.for_newer_version(version);
             view.manifest = Arc::new(manifest);
             true
--- a/crates/node/src/manifest/mod.rs
+++ b/crates/node/src/manifest/mod.rs
@@ -12,6 +12,7 @@
 
 pub use crate::manifest::admission::Denied;
 pub use crate::manifest::current::CurrentManifest;
+pub use crate::manifest::current::ManifestSource;
 pub use crate::manifest::current::RelayedProof;
 pub(crate) use crate::manifest::watch::confirm;
 pub(crate) use crate::manifest::watch::watch;
--- a/crates/node/src/manifest/watch.rs
+++ b/crates/node/src/manifest/watch.rs
@@ -12,6 +12,7 @@
 use crate::clock::steady_ms;
 use crate::health::StoreHealth;
 use crate::manifest::CurrentManifest;
+use crate::manifest::ManifestSource;
 use crate::platform::Confirmation;
 use crate::platform::Platform;
 use crate::platform::StoreError;
@@ -35,22 +36,42 @@
     current: Arc<CurrentManifest>,
 ) {
     let mut read_version = None;
+    let mut failures = 0;
     loop {
-        let result = match read_version {
-            None => platform.manifest().await,
-            Some(version) => platform.poll_manifest(version, POLL_WAIT_MS).await,
+        let sent_ms = steady_ms();
+        let (source, result) = match read_version {
+            None => (ManifestSource::Read, platform.manifest().await),
+            Some(version) => {
+                (ManifestSource::Feed, platform.poll_manifest(version, POLL_WAIT_MS).await)
+            }
         };
         health.record_result(&result);
+        let waited_ms = steady_ms().saturating_sub(sent_ms);
         match result {
             Ok((manifest, version)) => {
+                if failures > 0 {
+                    tracing::info!(failures, version, %source, "watching the manifest works again");
+                    failures = 0;
+                }
                 read_version = Some(version);
                 if let Some(manifest) = manifest {
-                    current.replace_if_newer(manifest);
+                    current.replace_if_newer(manifest, source);
                 }
             }
-            Err(StoreError::HistoryLost) => read_version = None,
+            Err(StoreError::HistoryLost) => {
+                tracing::info!(
+                    after = read_version,
+                    "store no longer has the manifest's change history; reading the manifest"
+                );
+                read_version = None;
+            }
             Err(error) => {
-                tracing::debug!(%error, "polling the manifest failed; retrying");
+                failures += 1;
+                metrics::counter!("stoatwell_manifest_watch_failures_total").increment(1);
+                // Only the first of a series, or one that cost much time: an outage causes several a second.
+                if failures == 1 || waited_ms >= POLL_WAIT_MS {
+                    tracing::warn!(%error, %source, after = read_version, waited_ms, "watching the manifest failed; retrying");
+                }
                 sleep(RETRY_DELAY).await;
             }
         }
@@ -95,7 +116,7 @@
                 }
                 Ok(Ok(Confirmation::Replaced(Some(newer)))) => {
                     let version = newer.version;
-                    current.replace_if_newer(newer);
+                    current.replace_if_newer(newer, ManifestSource::Confirmation);
                     current.record_proof(FreshnessProof::from_store(version, sent_ms));
                 }
                 Ok(Ok(Confirmation::Replaced(None))) => {
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -199,7 +199,7 @@
         (0..40).map(|index| (u64::from(index), start(index, &payload))).collect();
     let bytes = encode(&Batch::new(calls.clone(), NEVER_EXPIRES_MS));
     assert!(bytes.len() < 1_200 + 40 * 100, "{} bytes", bytes.len());
-    let batch: Batch = decode(&bytes).expect("can be read");
+    let batch: Batch = decode("batch", &bytes).expect("can be read");
     assert_eq!(batch.into_calls().collect::<Vec<_>>(), calls);
 }
 
