A manifest with a queue without an advisor can be relayed

Callers saw 404 for a route, and later any change of the manifest, at daemons that had not heard of the version from the store themselves, for as long as 6.5 s.

Cause: QueueSpec leaves the field advice out if it is None (skip_serializing_if). That is right in rows, which are JSON. Manifests are sent between daemons in bincode, which has no field names: the decoder reads the next byte as the presence of the field ("tag for enum is not valid, found 14": the 14 is the length of the next string). So no manifest with a single queue without an advisor could be relayed. All deployments have such queues.

Class: a type shared by two encodings, with an attribute that is only valid in one of them. Looked for elsewhere: the calls and replies between daemons, batches and replies of workers (tests/messages.rs, all optional parts absent and present) and the types of the other daemon's calls (read: no skipped, tagged or flattened field among them). JobSpec and StepSpec skip fields too; they cross between daemons only as encoded JSON rows.

An older daemon decodes what a newer one sends. Rows of jobs get 14 bytes longer where the queue has no advisor.

--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -49,7 +49,8 @@
     pub target_ms: u64,
     /// The cost of the advisor that has to grant each worker; `None` if the queue needs no
     /// advisor.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    // Encoded even if absent: between daemons, the encoding of manifests has no field names.
+    #[serde(default)]
     pub advice: Option<AdviceSpec>,
 }
 
