Only results of writes end the suspicion that writes get no response

A pending write makes the store suspect after 350 ms, so that requests are rejected at once instead of queueing behind it. The result of a poll of the manifest ended that as well, although it says nothing about the partition that the write waits for.

Now the write itself ends it, with its result or when it is dropped: a leader that loses its lease drops its writes, and until now only the next poll of the manifest cleared the mark that they left. The in-memory store ends a write without response after the client's timeout instead of never.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -74,6 +74,24 @@
     }
 }
 
+/// A write that has no result yet. Dropped with its result, or when the write is abandoned.
+struct PendingWrite<'a>(&'a StoreHealth);
+
+impl<'a> PendingWrite<'a> {
+    fn begin(health: &'a StoreHealth, sent_ms: u64) -> Self {
+        if health.unanswered_since_ms.load(Ordering::Relaxed) == 0 {
+            health.unanswered_since_ms.store(sent_ms, Ordering::Relaxed);
+        }
+        Self(health)
+    }
+}
+
+impl Drop for PendingWrite<'_> {
+    fn drop(&mut self) {
+        self.0.unanswered_since_ms.store(0, Ordering::Relaxed);
+    }
+}
+
 impl StoreHealth {
     /// Awaits a write and records its result and latency. Returns [`StoreError::NoAnswer`]
     /// early if the store recovers from an outage meanwhile.
@@ -82,9 +100,7 @@
         call: impl Future<Output = Result<u64, StoreError>>,
     ) -> Result<u64, StoreError> {
         let sent_ms = steady_ms();
-        if self.unanswered_since_ms.load(Ordering::Relaxed) == 0 {
-            self.unanswered_since_ms.store(sent_ms, Ordering::Relaxed);
-        }
+        let _pending = PendingWrite::begin(self, sent_ms);
         // An abandoned call says nothing about the present state of the store.
         let Some(result) = self.abort_on_recovery(call).await else {
             return Err(StoreError::NoAnswer);
@@ -120,11 +136,10 @@
         Duration::from_millis(scaled_ms.clamp(*WRITE_TIMEOUT_MS.start(), *WRITE_TIMEOUT_MS.end()))
     }
 
-    /// Records the result of a call.
+    /// Records the result of a call. It does not tell whether pending writes get a response.
     pub fn record_result<T>(&self, result: &Result<T, StoreError>) {
         match result {
             Err(StoreError::NoAnswer | StoreError::Refused) => {
-                self.unanswered_since_ms.store(0, Ordering::Relaxed);
                 let previous_failures = self.consecutive_failures.fetch_add(1, Ordering::Relaxed);
                 if previous_failures + 1 == CONSECUTIVE_FAILURES_MAX {
                     tracing::warn!(
@@ -135,7 +150,6 @@
             }
             Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost) => {
                 self.record_response();
-                self.unanswered_since_ms.store(0, Ordering::Relaxed);
             }
         }
     }
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -198,6 +198,26 @@
     assert!(node.scheduler().is_some() && other.scheduler().is_none());
 }
 
+/// A leader loses its lease while one of its writes has no response. Guards against a daemon
+/// that counts the store as down, and rejects its callers, because of a write it abandoned.
+#[tokio::test]
+async fn an_abandoned_write_does_not_make_the_store_suspect() {
+    let store = Arc::new(FakePlatform::default());
+    let first = start("a", &store).await;
+    wait_until("a leader", 3_000, || first.scheduler().is_some()).await;
+    let second = start("b", &Arc::new(store.for_other_daemon())).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    store.set_behavior(StoreBehavior::Unresponsive);
+    let gateway = Arc::clone(first.gateway());
+    tokio::spawn(async move { gateway.submit(JobId(7), &job(), deadline_in(500)).await });
+    wait_until("the next leader", 4_000, || second.scheduler().is_some()).await;
+    store.set_behavior(StoreBehavior::Normal);
+    wait_until("the end of the first term", 4_000, || first.scheduler().is_none()).await;
+    wait_until("the recovery", 1_000, || first.gateway().reaches_store()).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert!(first.gateway().reaches_store());
+}
+
 /// The store refuses requests of the leader and of a second daemon, and serves a third one,
 /// which becomes the leader. Guards against a second daemon that refuses its callers until
 /// the store serves it again: it learns of the leader from the leader itself and forwards
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -219,8 +219,9 @@
     }
 }
 
-/// A poll that gets no response, even after the store has recovered, and times out.
-async fn poll_without_response<T>(wait_ms: u64) -> Result<T, StoreError> {
+/// A call that gets no response, even after the store has recovered, and times out. The
+/// store may hold it open for `wait_ms`.
+async fn call_without_response<T>(wait_ms: u64) -> Result<T, StoreError> {
     tokio::time::sleep(Duration::from_millis(wait_ms + RESPONSE_TIMEOUT_MS)).await;
     Err(StoreError::NoAnswer)
 }
@@ -230,7 +231,7 @@
         match self.behavior() {
             StoreBehavior::Normal | StoreBehavior::LosesOnePoll => self.write(transaction),
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
-            StoreBehavior::Unresponsive => std::future::pending().await,
+            StoreBehavior::Unresponsive => call_without_response(0).await,
             StoreBehavior::LosesOneResponse => {
                 self.set_behavior(StoreBehavior::Normal);
                 let done = self.write(transaction);
@@ -312,7 +313,7 @@
 
     async fn confirm_manifest(&self, row_version: u64) -> Result<Confirmation, StoreError> {
         match self.behavior() {
-            StoreBehavior::Unresponsive => std::future::pending().await,
+            StoreBehavior::Unresponsive => call_without_response(0).await,
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
             StoreBehavior::Normal
             | StoreBehavior::LosesOneResponse
@@ -332,10 +333,10 @@
     ) -> Result<(Option<Manifest>, u64), StoreError> {
         for _ in 0..=wait_ms / 20 {
             match self.behavior() {
-                StoreBehavior::Unresponsive => return poll_without_response(wait_ms).await,
+                StoreBehavior::Unresponsive => return call_without_response(wait_ms).await,
                 StoreBehavior::LosesOnePoll => {
                     self.set_behavior(StoreBehavior::Normal);
-                    return poll_without_response(wait_ms).await;
+                    return call_without_response(wait_ms).await;
                 }
                 StoreBehavior::RefusesAll => return Err(StoreError::Refused),
                 StoreBehavior::Normal
