Polls of the manifest overlap, so that a lost response delays none

Callers saw 404 for a confirmed route for up to 6.5 s after the store had been silent, at daemons that could not be reached by the relay between daemons.

Cause: the store may hold a poll of the manifest open for 5,000 ms, and its client waits 1,500 ms longer for the response. A poll that was sent during an outage gets no response after it either, so the daemon asked again only 6,500 ms later; a manifest has to be in force within 2,500 ms.

When its response is overdue by 200 ms, or by three times the store's latency, another poll is sent beside it; the first response ends the others. The number of polls rises from one in 5 s to one in 0.6 s for each daemon.

Class: a wait whose timeout is longer than the bound it serves. Looked for elsewhere: the polls of the leader lease (1,000 + 1,500 ms, ended when the store is regained) and the leader's polls of jobs, cancellations and workers (at most 3,000 ms, ended likewise, and only behind a notification).

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -105,6 +105,8 @@
     pub limits: Limits,
     /// Secret that the daemons share; connections without it are closed.
     pub peer_key: String,
+    /// The time in which a new manifest has to be in force after it was written.
+    pub manifest_apply_ms: u64,
     /// How long a customer's key may still be accepted after its revocation; `None` sets no
     /// bound.
     pub revoke_ms: Option<u64>,
@@ -154,6 +156,7 @@
             Arc::clone(&platform),
             Arc::clone(&health),
             Arc::clone(&manifest),
+            settings.manifest_apply_ms,
         ));
         let local_scheduler_receiver = local_scheduler.clone();
         tokio::spawn(manifest::confirm(Arc::clone(&platform), Arc::clone(&manifest), move || {
--- a/crates/node/src/manifest/watch.rs
+++ b/crates/node/src/manifest/watch.rs
@@ -12,14 +12,19 @@
 use crate::clock::steady_ms;
 use crate::health::StoreHealth;
 use crate::manifest::CurrentManifest;
+use crate::manifest::Manifest;
 use crate::manifest::ManifestSource;
 use crate::platform::Confirmation;
 use crate::platform::Platform;
 use crate::platform::StoreError;
 
-/// How long the store holds a poll for a newer manifest open. A lost poll does no harm: the
-/// leader's replies to liveness probes announce a newer version too.
-const POLL_WAIT_MS: u64 = 5_000;
+/// Number of polls in the time in which a new manifest has to be in force. If the response to
+/// one of them is lost, the next one still brings the manifest in time.
+const POLLS_PER_APPLY_TIME: u64 = 4;
+/// How long the response to a poll may be overdue before another poll is sent.
+const OVERDUE_MIN_MS: u64 = 200;
+/// The same time as a multiple of the store's latency.
+const OVERDUE_LATENCY_FACTOR: u64 = 3;
 /// Delay before a failed poll is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How often the leader asks the store for a proof, which it relays to the other daemons.
@@ -29,53 +34,105 @@
 /// Timeout of a confirmation; a slow store still responds in time.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Keeps the current manifest up to date for the lifetime of the daemon.
+/// A read or poll of the manifest, with its result.
+struct Poll {
+    source: ManifestSource,
+    /// The version after which changes were polled; `None` if the manifest was read.
+    after: Option<u64>,
+    sent_ms: u64,
+    result: Result<(Option<Manifest>, u64), StoreError>,
+}
+
+impl Poll {
+    /// Reads the manifest, or polls for one after a version.
+    async fn run<P: Platform>(platform: Arc<P>, after: Option<u64>, wait_ms: u64) -> Self {
+        let sent_ms = steady_ms();
+        let (source, result) = match after {
+            None => (ManifestSource::Read, platform.manifest().await),
+            Some(version) => (ManifestSource::Feed, platform.poll_manifest(version, wait_ms).await),
+        };
+        Self { source, after, sent_ms, result }
+    }
+}
+
+/// Keeps the current manifest up to date for the lifetime of the daemon. `apply_ms` is the
+/// time in which a new manifest has to be in force.
+///
+/// A poll whose response is lost does not end before its timeout, so polls overlap: when a
+/// response is overdue, another poll is sent.
 pub(crate) async fn watch<P: Platform>(
     platform: Arc<P>,
     health: Arc<StoreHealth>,
     current: Arc<CurrentManifest>,
+    apply_ms: u64,
 ) {
+    let wait_ms = apply_ms / POLLS_PER_APPLY_TIME;
+    let mut polls = JoinSet::new();
     let mut read_version = None;
     let mut failures = 0;
     loop {
-        let sent_ms = steady_ms();
-        let (source, result) = match read_version {
-            None => (ManifestSource::Read, platform.manifest().await),
-            Some(version) => {
-                (ManifestSource::Feed, platform.poll_manifest(version, POLL_WAIT_MS).await)
-            }
+        polls.spawn(Poll::run(Arc::clone(&platform), read_version, wait_ms));
+        let overdue_ms = OVERDUE_MIN_MS.max(health.latency_ms() * OVERDUE_LATENCY_FACTOR);
+        let limit = Duration::from_millis(wait_ms + overdue_ms);
+        let Ok(answered) = timeout(limit, first_answer(&mut polls, &health, &mut failures)).await
+        else {
+            continue;
         };
-        health.record_result(&result);
-        let waited_ms = steady_ms().saturating_sub(sent_ms);
-        match result {
-            Ok((manifest, version)) => {
-                if failures > 0 {
-                    tracing::info!(failures, version, %source, "watching the manifest works again");
-                    failures = 0;
-                }
-                read_version = Some(version);
-                if let Some(manifest) = manifest {
-                    current.replace_if_newer(manifest, source);
-                }
-            }
-            Err(StoreError::HistoryLost) => {
-                tracing::info!(
-                    after = read_version,
-                    "store no longer has the manifest's change history; reading the manifest"
-                );
-                read_version = None;
-            }
+        let Some(Poll { source, result, .. }) = answered else {
+            sleep(RETRY_DELAY).await;
+            continue;
+        };
+        // Responses to earlier polls would tell nothing new.
+        polls = JoinSet::new();
+        let Ok((manifest, version)) = result else {
+            tracing::info!(
+                after = read_version,
+                "store no longer has the manifest's change history; reading the manifest"
+            );
+            read_version = None;
+            continue;
+        };
+        if failures > 0 {
+            tracing::info!(failures, version, %source, "watching the manifest works again");
+            failures = 0;
+        }
+        read_version = Some(version);
+        if let Some(manifest) = manifest {
+            current.replace_if_newer(manifest, source);
+        }
+    }
+}
+
+/// Waits for the first poll that the store answers, and counts those that failed before;
+/// `None` if all failed.
+async fn first_answer(
+    polls: &mut JoinSet<Poll>,
+    health: &StoreHealth,
+    failures: &mut u64,
+) -> Option<Poll> {
+    while let Some(finished) = polls.join_next().await {
+        let poll = match finished {
+            Ok(poll) => poll,
             Err(error) => {
-                failures += 1;
-                metrics::counter!("stoatwell_manifest_watch_failures_total").increment(1);
-                // Only the first of a series, or one that cost much time: an outage causes several a second.
-                if failures == 1 || waited_ms >= POLL_WAIT_MS {
-                    tracing::warn!(%error, %source, after = read_version, waited_ms, "watching the manifest failed; retrying");
-                }
-                sleep(RETRY_DELAY).await;
+                tracing::error!(%error, "a poll of the manifest ended without a result");
+                continue;
             }
+        };
+        health.record_result(&poll.result);
+        let error = match &poll.result {
+            Ok(_) | Err(StoreError::HistoryLost) => return Some(poll),
+            Err(error) => error,
+        };
+        *failures += 1;
+        metrics::counter!("stoatwell_manifest_watch_failures_total").increment(1);
+        // An outage fails several polls a second; the first one tells of it.
+        if *failures == 1 {
+            let Poll { source, after, sent_ms, .. } = &poll;
+            let waited_ms = steady_ms().saturating_sub(*sent_ms);
+            tracing::warn!(%error, %source, after, waited_ms, "watching the manifest failed; retrying");
         }
     }
+    None
 }
 
 /// Asks the store regularly whether the current manifest is the newest, for the lifetime of
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -87,6 +87,7 @@
             batch_bytes_max: 600_000,
         },
         peer_key: KEY.to_owned(),
+        manifest_apply_ms: 2_500,
         revoke_ms: None,
     };
     let _entered = runtime.enter();
--- a/crates/node/tests/fake/daemon.rs
+++ b/crates/node/tests/fake/daemon.rs
@@ -41,6 +41,7 @@
             batch_bytes_max: 600_000,
         },
         peer_key: "test".to_owned(),
+        manifest_apply_ms: 2_500,
         revoke_ms,
     };
     Node::start(&settings, Arc::clone(store), listener)
