A daemon without contact does not deny that a queue exists

Cause: nothing told how old the knowledge behind an answer was. The freshness proof does, but only for keys of customers, and only where the time of a revocation is bounded.

Now each answered poll, and each proof from the store or the leader, moves the time of the last contact. If that is longer ago than manifest_apply_ms and the manifest has no queue for a request, the daemon asks the store at once, waits 250 ms at most, and answers 503 with the new number 7007 if nothing came: the caller goes elsewhere. Requests for known queues are answered as before.

a_daemon_without_contact_does_not_deny_a_queue and a_daemon_with_the_store_or_the_leader_stays_current hold both sides; the first could not pass before, since the manifest alone decided.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -109,6 +109,8 @@
     NotReady = 7005, 503, "this submission was not taken; go to another entry instance or come back";
     /// this daemon does not know whether the caller's key is still good
     KeyUnconfirmed = 7006, 503, "this call was not taken; go to another entry instance or come back after the time given";
+    /// this daemon does not know whether there is such a queue
+    QueueUnconfirmed = 7007, 503, "this call was not taken; go to another entry instance or come back after the time given";
     /// the settings have mistakes
     InvalidSettings = 8001, 500, "mend each field listed; `stoatwelld settings` prints them all with their defaults";
     /// the settings cannot be read
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -71,6 +71,7 @@
 pub use crate::manifest::Denied;
 pub use crate::manifest::Manifest;
 pub use crate::manifest::ManifestSource;
+pub use crate::manifest::Outdated;
 pub use crate::manifest::Queue;
 pub use crate::manifest::RelayedProof;
 pub use crate::message::Message;
@@ -139,7 +140,8 @@
     /// Starts the daemon's tasks. Other daemons connect to `listener`.
     pub fn start(settings: &NodeSettings, platform: Arc<P>, listener: TcpListener) -> Self {
         let health = Arc::new(StoreHealth::default());
-        let manifest = Arc::new(CurrentManifest::new(settings.revoke_ms.map(FreshnessLimits::new)));
+        let limits = settings.revoke_ms.map(FreshnessLimits::new);
+        let manifest = Arc::new(CurrentManifest::new(limits, settings.manifest_apply_ms));
         let acceptor = Acceptor::start(Arc::clone(&platform), Arc::clone(&health));
         let peers = Peers::new(&settings.peer_key, Traffic::default());
         let gateway = Arc::new(Gateway::new(
@@ -156,7 +158,7 @@
             Arc::clone(&platform),
             Arc::clone(&health),
             Arc::clone(&manifest),
-            settings.manifest_apply_ms,
+            settings.manifest_apply_ms / manifest::POLLS_PER_APPLY_TIME,
         ));
         let local_scheduler_receiver = local_scheduler.clone();
         tokio::spawn(manifest::confirm(Arc::clone(&platform), Arc::clone(&manifest), move || {
--- a/crates/node/src/manifest/current.rs
+++ b/crates/node/src/manifest/current.rs
@@ -2,13 +2,17 @@
 //! newest.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 use stoatwell_customers::FreshnessLimits;
 use stoatwell_customers::FreshnessProof;
+use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::timeout;
 
+use crate::clock::steady_ms;
 use crate::manifest::Manifest;
 
 /// Where a daemon got a manifest from.
@@ -31,12 +35,19 @@
     view: watch::Sender<View>,
     /// How old a proof may be; `None` if the time until a key is revoked is not bounded.
     limits: Option<FreshnessLimits>,
+    /// The time in which a new manifest has to be in force.
+    apply_ms: u64,
+    /// Requests the newest manifest from the store.
+    refresh: Notify,
 }
 
 #[derive(Clone, Debug, Default)]
 struct View {
     manifest: Arc<Manifest>,
     proof: FreshnessProof,
+    /// The last time at which the store or the leader was in contact, so that a newer manifest
+    /// would have arrived.
+    contact_ms: u64,
 }
 
 /// A daemon's proof that its manifest was the newest, as it is sent to another daemon. It
@@ -51,9 +62,9 @@
 
 impl CurrentManifest {
     /// Starts without a manifest; see [`Self::newest`]. Without limits, a manifest needs no
-    /// proof.
-    pub fn new(limits: Option<FreshnessLimits>) -> Self {
-        Self { view: watch::Sender::default(), limits }
+    /// proof. `apply_ms` is the time in which a new manifest has to be in force.
+    pub fn new(limits: Option<FreshnessLimits>, apply_ms: u64) -> Self {
+        Self { view: watch::Sender::default(), limits, apply_ms, refresh: Notify::new() }
     }
 
     /// The newest manifest; an empty one of version 0 before the first.
@@ -84,11 +95,50 @@
     pub fn record_proof(&self, proof: FreshnessProof) {
         self.view.send_if_modified(|view| {
             view.proof = view.proof.merge(proof);
+            view.contact_ms = view.contact_ms.max(view.proof.as_of_ms);
             // No task waits for a change of the proof.
             false
         });
     }
 
+    /// Records that the store answered a poll that was sent at `sent_ms`.
+    pub fn record_contact(&self, sent_ms: u64) {
+        self.view.send_if_modified(|view| {
+            let was_in_contact = self.is_in_contact(view, steady_ms());
+            view.contact_ms = view.contact_ms.max(sent_ms);
+            !was_in_contact
+        });
+    }
+
+    /// Whether a manifest would be known here that was written as long ago as a manifest may
+    /// take to be in force.
+    pub fn is_current(&self, now_ms: u64) -> bool {
+        self.is_in_contact(&self.view.borrow(), now_ms)
+    }
+
+    fn is_in_contact(&self, view: &View, now_ms: u64) -> bool {
+        view.manifest.version > 0 && now_ms < view.contact_ms.saturating_add(self.apply_ms)
+    }
+
+    /// How long ago the store or the leader was last in contact.
+    pub fn contact_age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.view.borrow().contact_ms)
+    }
+
+    /// Requests the newest manifest from the store, and waits until the manifest is current.
+    /// Returns whether it is, after `limit` at the latest.
+    pub(crate) async fn refresh(&self, limit: Duration) -> bool {
+        self.refresh.notify_one();
+        let mut view = self.view.subscribe();
+        let current = view.wait_for(|view| self.is_in_contact(view, steady_ms()));
+        matches!(timeout(limit, current).await, Ok(Ok(_)))
+    }
+
+    /// Waits until [`Self::refresh`] is called.
+    pub(crate) async fn refresh_requested(&self) {
+        self.refresh.notified().await;
+    }
+
     /// The proof to send to another daemon.
     pub fn relayed_proof(&self, now_ms: u64) -> RelayedProof {
         let view = self.view.borrow();
--- a/crates/node/src/manifest/mod.rs
+++ b/crates/node/src/manifest/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod current;
+mod lookup;
 mod watch;
 
 use serde::Deserialize;
@@ -14,6 +15,8 @@
 pub use crate::manifest::current::CurrentManifest;
 pub use crate::manifest::current::ManifestSource;
 pub use crate::manifest::current::RelayedProof;
+pub use crate::manifest::lookup::Outdated;
+pub(crate) use crate::manifest::watch::POLLS_PER_APPLY_TIME;
 pub(crate) use crate::manifest::watch::confirm;
 pub(crate) use crate::manifest::watch::watch;
 
--- a/crates/node/src/manifest/watch.rs
+++ b/crates/node/src/manifest/watch.rs
@@ -20,11 +20,14 @@
 
 /// Number of polls in the time in which a new manifest has to be in force. If the response to
 /// one of them is lost, the next one still brings the manifest in time.
-const POLLS_PER_APPLY_TIME: u64 = 4;
+pub(crate) const POLLS_PER_APPLY_TIME: u64 = 4;
 /// How long the response to a poll may be overdue before another poll is sent.
 const OVERDUE_MIN_MS: u64 = 200;
 /// The same time as a multiple of the store's latency.
 const OVERDUE_LATENCY_FACTOR: u64 = 3;
+/// A poll that is requested while another one is pending is sent at the earliest this long
+/// after it.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(100);
 /// Delay before a failed poll is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How often the leader asks the store for a proof, which it relays to the other daemons.
@@ -55,8 +58,8 @@
     }
 }
 
-/// Keeps the current manifest up to date for the lifetime of the daemon. `apply_ms` is the
-/// time in which a new manifest has to be in force.
+/// Keeps the current manifest up to date for the lifetime of the daemon. The store holds a
+/// poll open for up to `wait_ms`.
 ///
 /// A poll whose response is lost does not end before its timeout, so polls overlap: when a
 /// response is overdue, another poll is sent.
@@ -64,21 +67,27 @@
     platform: Arc<P>,
     health: Arc<StoreHealth>,
     current: Arc<CurrentManifest>,
-    apply_ms: u64,
+    wait_ms: u64,
 ) {
-    let wait_ms = apply_ms / POLLS_PER_APPLY_TIME;
     let mut polls = JoinSet::new();
     let mut read_version = None;
     let mut failures = 0;
     loop {
+        // Without contact, an immediate response tells whether the manifest is the newest.
+        let wait_ms = if current.is_current(steady_ms()) { wait_ms } else { 0 };
         polls.spawn(Poll::run(Arc::clone(&platform), read_version, wait_ms));
         let overdue_ms = OVERDUE_MIN_MS.max(health.latency_ms() * OVERDUE_LATENCY_FACTOR);
         let limit = Duration::from_millis(wait_ms + overdue_ms);
-        let Ok(answered) = timeout(limit, first_answer(&mut polls, &health, &mut failures)).await
-        else {
-            continue;
+        let refresh_requested = async {
+            sleep(REFRESH_INTERVAL).await;
+            current.refresh_requested().await;
+        };
+        let answered = tokio::select! {
+            answered = first_answer(&mut polls, &health, &mut failures) => answered,
+            () = sleep(limit) => continue,
+            () = refresh_requested => continue,
         };
-        let Some(Poll { source, result, .. }) = answered else {
+        let Some(Poll { source, sent_ms, result, .. }) = answered else {
             sleep(RETRY_DELAY).await;
             continue;
         };
@@ -100,6 +109,7 @@
         if let Some(manifest) = manifest {
             current.replace_if_newer(manifest, source);
         }
+        current.record_contact(sent_ms);
     }
 }
 
@@ -154,6 +164,8 @@
         let now_ms = steady_ms();
         let age_ms = current.relayed_proof(now_ms).age_ms;
         metrics::gauge!("stoatwell_manifest_proof_age_ms").set(age_ms as f64);
+        let contact_age_ms = current.contact_age_ms(now_ms);
+        metrics::gauge!("stoatwell_manifest_contact_age_ms").set(contact_age_ms as f64);
         let is_leader_due =
             is_leader() && now_ms >= requested_ms + LEADER_CONFIRM_INTERVAL.as_millis() as u64;
         let manifest = current.newest();
--- a/crates/node/tests/manifest.rs
+++ b/crates/node/tests/manifest.rs
@@ -7,12 +7,16 @@
 
 use stoatwell_node::Manifest;
 use stoatwell_node::Node;
+use stoatwell_node::Outdated;
 use stoatwell_node::Queue;
+use stoatwell_node::clock::steady_ms;
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::QueueSpec;
+use tokio::time::Instant;
 
 use self::fake::FakePlatform;
 use self::fake::StoreBehavior;
+use self::fake::daemon::deadline_in;
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
@@ -31,6 +35,15 @@
     Manifest { version, queues: vec![queue], ..Manifest::default() }
 }
 
+/// Asserts that a daemon stays current for twice the time in which a manifest has to be in force.
+async fn assert_stays_current(node: &Node<FakePlatform>) {
+    let end = deadline_in(2 * APPLY_MS);
+    while Instant::now() < end {
+        assert!(node.manifest().is_current(steady_ms()));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 fn version(node: &Node<FakePlatform>) -> u64 {
     node.manifest().newest().version
 }
@@ -95,3 +108,44 @@
     store.write_manifest(manifest(2, None));
     wait_until("the second manifest", APPLY_MS, || version(&node) == 2).await;
 }
+
+/// Guards against "no such queue" from a daemon that neither the store nor the leader has
+/// reached since the queue was added. The caller would take that as final.
+#[tokio::test]
+async fn a_daemon_without_contact_does_not_deny_a_queue() {
+    let store = Arc::new(FakePlatform::default());
+    store.write_manifest(manifest(1, None));
+    store.set_behavior(StoreBehavior::RefusesWrites);
+    let node = start("a", &store).await;
+    wait_until("the first manifest", 2_000, || version(&node) == 1).await;
+    let denied = node.manifest().for_request("other", "/q/").await;
+    assert_eq!(denied.expect("it is current").find("other", "/q/"), None);
+    store.set_behavior(StoreBehavior::Unresponsive);
+    wait_until("the loss of contact", 2 * APPLY_MS, || !node.manifest().is_current(steady_ms()))
+        .await;
+    let other = node.manifest().for_request("other", "/q/").await;
+    assert_eq!(other.expect_err("it is outdated"), Outdated);
+    let known = node.manifest().for_request("h", "/q/").await;
+    assert!(known.expect("it is known").find("h", "/q/").is_some());
+    // A request that arrives just after the recovery is answered by the newest manifest.
+    store.write_manifest(Manifest { queues: Vec::new(), ..manifest(2, None) });
+    store.set_behavior(StoreBehavior::RefusesWrites);
+    let denied = node.manifest().for_request("other", "/q/").await;
+    assert_eq!(denied.expect("it is current").version, 2);
+}
+
+/// Guards against a daemon that rejects callers although it would learn of a new manifest:
+/// from the store without a leader, or from the leader without the store.
+#[tokio::test]
+async fn a_daemon_with_the_store_or_the_leader_stays_current() {
+    let store = Arc::new(FakePlatform::default());
+    store.write_manifest(manifest(1, None));
+    let without_leader = Arc::new(store.for_other_daemon());
+    without_leader.set_behavior(StoreBehavior::RefusesWrites);
+    let node = start("a", &without_leader).await;
+    wait_until("the first manifest", 2_000, || version(&node) == 1).await;
+    assert_stays_current(&node).await;
+    let (_leader, other) = start_leader_and_other(&store).await;
+    wait_until("the first manifest", 2_000, || version(&other) == 1).await;
+    assert_stays_current(&other).await;
+}
