A new leader goes on answering while it restores a backlog

Cause: the rows of jobs and their progress were parsed and restored without a pause, 365 ms for 20,000 jobs on a whole core and twice that on half of one. No probe was answered and no renewal of the lease was sent meanwhile, so the next candidate took over, and found a longer backlog.

The leader now yields to the daemon's other tasks every 10 ms.

Class: work of the leader whose length grows with the load and that nothing interrupts.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -64,6 +64,8 @@
 const PAUSE_MIN: Duration = Duration::from_micros(300);
 /// Longest pause between two scheduling cycles.
 const PAUSE_MAX: Duration = Duration::from_millis(10);
+/// How long the leader may work on one thing before the daemon's other tasks run.
+const WORK_MAX: Duration = Duration::from_millis(10);
 /// Interval between updates of the gauges.
 const GAUGE_INTERVAL_MS: u64 = 1_000;
 
@@ -267,17 +269,24 @@
             inbox_sender.clone(),
         ));
         let mut progress_by_job = std::collections::HashMap::new();
+        let mut yielder = Yielder::default();
         for row in &progress.rows {
+            yielder.checkpoint().await;
             if let Some((id, value)) = read_row::<Progress>(row) {
                 progress_by_job.insert(id, value);
             }
         }
         let (mut job_count, mut open) = (0, 0);
-        let mut specs: Vec<(JobId, JobSpec)> = jobs.rows.iter().filter_map(read_row).collect();
+        let mut specs: Vec<(JobId, JobSpec)> = Vec::with_capacity(jobs.rows.len());
+        for row in &jobs.rows {
+            yielder.checkpoint().await;
+            specs.extend(read_row(row));
+        }
         // A customer's weight includes a rate of jobs. Which jobs exceed that rate depends on
         // their order of arrival.
         specs.sort_by_key(|(_, spec)| spec.accepted_unix_ms);
         for (id, spec) in specs {
+            yielder.checkpoint().await;
             let progress = progress_by_job.get(&id);
             job_count += 1;
             open += usize::from(progress.is_none_or(|progress| progress.outcome.is_none()));
@@ -349,6 +358,29 @@
     }
 }
 
+/// Lets the daemon's other tasks run during long work, at the latest after [`WORK_MAX`].
+/// Otherwise a leader would answer no probes and renew no lease meanwhile.
+#[derive(Debug)]
+struct Yielder {
+    resumed: Instant,
+}
+
+impl Default for Yielder {
+    fn default() -> Self {
+        Self { resumed: Instant::now() }
+    }
+}
+
+impl Yielder {
+    /// Yields if the work has gone on for long enough.
+    async fn checkpoint(&mut self) {
+        if self.resumed.elapsed() >= WORK_MAX {
+            tokio::task::yield_now().await;
+            self.resumed = Instant::now();
+        }
+    }
+}
+
 /// Sends the customers' limits of each newer manifest to the scheduler.
 async fn forward_customers(
     current: Arc<CurrentManifest>,
