A long decision does not keep the leader from answering

Callers of a pool of 3,000 workers were served late or not at all because their leader was replaced while it was at work.

Cause: a decision over a long queue takes 78 to 131 ms on half a core (deciding_ms by turns in the line pool), and together with the messages of its cycle more than the 250 ms in which other daemons expect the answer to a probe. The daemon has one thread: during a decision no probe is answered, no renewal of the lease is sent and no caller is served.

A decision that is expected to be long, by the one before it, now runs in a thread of its own; the daemon's other tasks go on. What they learn meanwhile waits in the inbox as before. A decision that panics ends the leadership with a line instead of the elector's task without one.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -66,6 +66,8 @@
 const PAUSE_MAX: Duration = Duration::from_millis(10);
 /// How long the leader may work on one thing before the daemon's other tasks run.
 const WORK_MAX: Duration = Duration::from_millis(10);
+/// A decision is expected to be long if the one before took at least this time.
+const LONG_DECISION: Duration = Duration::from_millis(20);
 /// Interval between updates of the gauges.
 const GAUGE_INTERVAL_MS: u64 = 1_000;
 
@@ -128,6 +130,7 @@
         let mut gauges_updated_ms = 0;
         let mut cycle_times = CycleTimes::default();
         let mut decision_time = Duration::ZERO;
+        let mut is_first_decision = true;
         loop {
             let wait_ms = pool.idle_ms(steady_ms()).clamp(1, IDLE_WAIT_MAX_MS);
             let first_message = tokio::select! {
@@ -173,7 +176,10 @@
             }
             let handled_at = Instant::now();
             pool.on_leader_lease_renewed(renewed_ms.load(Ordering::Relaxed));
-            let effects = pool.poll_effects(steady_ms(), unix_ms());
+            let is_long = is_first_decision || decision_time >= LONG_DECISION;
+            is_first_decision = false;
+            let Some((decided_pool, effects)) = decide(pool, is_long).await else { return };
+            pool = decided_pool;
             let decided_at = Instant::now();
             decision_time = decided_at - handled_at;
             for effect in effects {
@@ -358,6 +364,26 @@
     }
 }
 
+/// Makes a decision. A long one runs in a thread of its own, so that the daemon's other tasks
+/// go on: they answer probes and renew the lease. `None` if the decision panicked.
+async fn decide(mut pool: Pool, is_long: bool) -> Option<(Pool, Vec<Effect>)> {
+    if !is_long {
+        let effects = pool.poll_effects(steady_ms(), unix_ms());
+        return Some((pool, effects));
+    }
+    let decision = tokio::task::spawn_blocking(move || {
+        let effects = pool.poll_effects(steady_ms(), unix_ms());
+        (pool, effects)
+    });
+    match decision.await {
+        Ok(decided) => Some(decided),
+        Err(error) => {
+            tracing::error!(%error, "a decision failed; giving up the leadership");
+            None
+        }
+    }
+}
+
 /// Lets the daemon's other tasks run during long work, at the latest after [`WORK_MAX`].
 /// Otherwise a leader would answer no probes and renew no lease meanwhile.
 #[derive(Debug)]
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -67,6 +67,7 @@
     behavior: Mutex<StoreBehavior>,
     state: Arc<Mutex<State>>,
     worker: Option<FakeWorker>,
+    worker_count: usize,
 }
 
 /// A worker that answers the first start of each task with "not started", all at the same
@@ -93,12 +94,17 @@
 impl FakePlatform {
     /// The same store as another daemon sees it, with a behavior of its own and no worker.
     pub fn for_other_daemon(&self) -> Self {
-        Self { behavior: Mutex::default(), state: Arc::clone(&self.state), worker: None }
+        Self { state: Arc::clone(&self.state), ..Self::default() }
     }
 
     /// A platform with a worker.
     pub fn with_worker() -> Self {
-        Self { worker: Some(FakeWorker::default()), ..Self::default() }
+        Self::with_workers(1)
+    }
+
+    /// A platform with workers that behave as one.
+    pub fn with_workers(worker_count: usize) -> Self {
+        Self { worker: Some(FakeWorker::default()), worker_count, ..Self::default() }
     }
 
     /// The number of first starts that the worker has received.
@@ -280,8 +286,8 @@
     }
 
     async fn workers(&self) -> Result<WorkerChanges, StoreError> {
-        let listed = self.worker.iter().map(|_| WorkerUpdate {
-            worker: WorkerId::new("w"),
+        let listed = (0..self.worker_count).map(|number| WorkerUpdate {
+            worker: WorkerId::new(format!("w{number}")),
             address: "10.0.0.1:1".to_owned(),
             service: "s".to_owned(),
             zone: ZoneName::new("z"),
