Requests of daemons do not keep the leader from answering either

The leader now yields every 10 ms there too; a cycle still handles at most as many as the queue held before.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -64,6 +64,8 @@
 const PAUSE_MIN: Duration = Duration::from_micros(300);
 /// Longest pause between two scheduling cycles.
 const PAUSE_MAX: Duration = Duration::from_millis(10);
+/// Maximum requests of daemons that are handled in one scheduling cycle.
+const REQUESTS_MAX: usize = 1_024;
 /// How long the leader may work on one thing before the daemon's other tasks run.
 const WORK_MAX: Duration = Duration::from_millis(10);
 /// A decision is expected to be long if the one before took at least this time.
@@ -140,7 +142,7 @@
                 () = tokio::time::sleep(Duration::from_millis(wait_ms)) => None,
             };
             let cycle_started = Instant::now();
-            let mut yielded = Duration::ZERO;
+            let mut yield_time = Duration::ZERO;
             let first_messages = usize::from(first_message.is_some());
             let has_fresh_lease = is_lease_fresh(&renewed_ms);
             let mut budget = MessageBudget::for_cycle(decision_time);
@@ -157,7 +159,7 @@
             while budget.start_next_burst() {
                 let yielded_at = Instant::now();
                 tokio::task::yield_now().await;
-                yielded += yielded_at.elapsed();
+                yield_time += yielded_at.elapsed();
                 if !handle_all(
                     &mut pool,
                     &mut submissions,
@@ -170,9 +172,13 @@
                 }
             }
             let mut requests = 0;
-            while let Ok(request) = self.requests.try_recv() {
+            let mut yielder = Yielder::default();
+            while requests < REQUESTS_MAX
+                && let Ok(request) = self.requests.try_recv()
+            {
                 requests += 1;
                 handle_request(&mut pool, &mut submissions, request, has_fresh_lease);
+                yield_time += yielder.checkpoint().await;
             }
             let handled_at = Instant::now();
             pool.on_leader_lease_renewed(renewed_ms.load(Ordering::Relaxed));
@@ -200,8 +206,8 @@
             cycle_times.add(&Cycle {
                 messages: first_messages + budget.handled(),
                 requests,
-                handling: (handled_at - cycle_started).saturating_sub(yielded),
-                yielded,
+                handling: (handled_at - cycle_started).saturating_sub(yield_time),
+                yielded: yield_time,
                 deciding: decision_time,
                 calling: decided_at.elapsed(),
             });
@@ -398,12 +404,15 @@
 }
 
 impl Yielder {
-    /// Yields if the work has gone on for long enough.
-    async fn checkpoint(&mut self) {
-        if self.resumed.elapsed() >= WORK_MAX {
-            tokio::task::yield_now().await;
-            self.resumed = Instant::now();
+    /// Yields if the work has gone on for long enough; returns for how long.
+    async fn checkpoint(&mut self) -> Duration {
+        if self.resumed.elapsed() < WORK_MAX {
+            return Duration::ZERO;
         }
+        let yielded_at = Instant::now();
+        tokio::task::yield_now().await;
+        self.resumed = Instant::now();
+        self.resumed - yielded_at
     }
 }
 
