A daemon waits for the first manifest instead of polling without pause

Before the first manifest there is none to be outdated, and the daemon polled as fast as the store answered, for the 4.6 s from its start to the first manifest.

--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -74,7 +74,7 @@
     }
 }
 
-/// A write that has no result yet. Dropped with its result, or when the write is abandoned.
+/// Marks a write as unanswered until it has a result or is abandoned.
 struct PendingWrite<'a>(&'a StoreHealth);
 
 impl<'a> PendingWrite<'a> {
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -82,9 +82,7 @@
         budget.handled_in_burst += 1;
         self.ordinary.try_recv().ok()
     }
-}
 
-impl Inbox {
     /// The number of queued messages.
     pub fn len(&self) -> usize {
         self.control.len() + self.ordinary.len()
--- a/crates/node/src/manifest/watch.rs
+++ b/crates/node/src/manifest/watch.rs
@@ -73,8 +73,9 @@
     let mut read_version = None;
     let mut failures = 0;
     loop {
-        // Without contact, an immediate response tells whether the manifest is the newest.
-        let wait_ms = if current.is_current(steady_ms()) { wait_ms } else { 0 };
+        // After a loss of contact, the store responds at once whether there is a newer manifest.
+        let is_outdated = current.newest().version > 0 && !current.is_current(steady_ms());
+        let wait_ms = if is_outdated { 0 } else { wait_ms };
         polls.spawn(Poll::run(Arc::clone(&platform), read_version, wait_ms));
         let overdue_ms = OVERDUE_MIN_MS.max(health.latency_ms() * OVERDUE_LATENCY_FACTOR);
         let limit = Duration::from_millis(wait_ms + overdue_ms);
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -84,6 +84,7 @@
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
     writes: usize,
+    manifest_polls: usize,
     advice_hangs: bool,
     manifest: Option<Manifest>,
     snapshot: Rows,
@@ -174,6 +175,11 @@
         .collect()
     }
 
+    /// The number of polls of the manifest.
+    pub fn manifest_polls(&self) -> usize {
+        self.state.lock().expect("no panic").manifest_polls
+    }
+
     pub fn writes(&self) -> usize {
         self.state.lock().expect("no panic").writes
     }
@@ -337,6 +343,7 @@
         after: u64,
         wait_ms: u64,
     ) -> Result<(Option<Manifest>, u64), StoreError> {
+        self.state.lock().expect("no panic").manifest_polls += 1;
         for _ in 0..=wait_ms / 20 {
             match self.behavior() {
                 StoreBehavior::Unresponsive => return call_without_response(wait_ms).await,
--- a/crates/node/tests/manifest.rs
+++ b/crates/node/tests/manifest.rs
@@ -149,3 +149,13 @@
     wait_until("the first manifest", 2_000, || version(&other) == 1).await;
     assert_stays_current(&other).await;
 }
+
+/// Guards against a daemon that polls without pause before the first manifest is written.
+#[tokio::test]
+async fn a_daemon_waits_for_the_first_manifest() {
+    let store = Arc::new(FakePlatform::default());
+    let _node = start("a", &store).await;
+    tokio::time::sleep(Duration::from_millis(APPLY_MS)).await;
+    let polls = store.manifest_polls();
+    assert!((1..=8).contains(&polls), "{polls} polls");
+}
