A proof from the leader ends the wait of a request too

A request for a queue that an outdated manifest does not have waits up to 250 ms for contact. Only an answered poll woke it; a proof from the leader moved the time of the last contact without a notification, and the request would have been rejected though the manifest was current.

--- a/crates/node/src/manifest/current.rs
+++ b/crates/node/src/manifest/current.rs
@@ -95,19 +95,20 @@
     pub fn record_proof(&self, proof: FreshnessProof) {
         self.view.send_if_modified(|view| {
             view.proof = view.proof.merge(proof);
-            view.contact_ms = view.contact_ms.max(view.proof.as_of_ms);
-            // No task waits for a change of the proof.
-            false
+            self.extend_contact(view, view.proof.as_of_ms)
         });
     }
 
     /// Records that the store answered a poll that was sent at `sent_ms`.
     pub fn record_contact(&self, sent_ms: u64) {
-        self.view.send_if_modified(|view| {
-            let was_in_contact = self.is_in_contact(view, steady_ms());
-            view.contact_ms = view.contact_ms.max(sent_ms);
-            !was_in_contact
-        });
+        self.view.send_if_modified(|view| self.extend_contact(view, sent_ms));
+    }
+
+    /// Records a contact; returns whether it ends a loss of contact, which requests wait for.
+    fn extend_contact(&self, view: &mut View, at_ms: u64) -> bool {
+        let was_in_contact = self.is_in_contact(view, steady_ms());
+        view.contact_ms = view.contact_ms.max(at_ms);
+        !was_in_contact
     }
 
     /// Whether a manifest would be known here that was written as long ago as a manifest may
