A job that may become durable is not reported as "not run"

A caller was told 503, "not run", and the job started under the next leader.

Cause: a leader that ends drops the submissions that it has taken. The daemon that had forwarded one got the same reply as for a submission that never reached a leader, and took its own refusal for the outcome if it did not reach the store. The write of the former leader was under way, and no later leader had fenced it yet. On the daemon of the leader itself the two cases were told apart already.

A second cause: a daemon without the store denied later tries of a job whose earlier try had ended in doubt, or accepted, at that daemon or through it.

The reply "in doubt" is now a message of its own; a daemon of the version before takes it for no answer, which is the same to its callers. A submission that the leader cannot decode is answered instead of dropped, since a dropped one counts as in doubt. The line `submission answered` has the epoch, the reply of the leader and the outcome of the own write.

Looked through for the same confusion: cancellations, the manifest, calls to executors and batches; a refusal there means that nothing was done.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -44,6 +44,7 @@
 use crate::platform::Platform;
 use crate::platform::StoreError;
 use crate::platform::Table;
+use crate::recent_submissions::RecentSubmissions;
 use crate::store_watcher::read_row;
 
 /// Timeout of a call to the leader, after which the store is read instead: several round
@@ -63,7 +64,7 @@
 const CANDIDATES_MIN: u32 = 4;
 
 /// The leader's reply to a submission.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaderReply {
     /// The leader reported the outcome.
     Outcome(Accepted),
@@ -73,11 +74,33 @@
     NoAnswer,
 }
 
+/// The answer to a submission, and what it is based on.
+#[derive(Clone, Copy, Debug)]
+struct SubmissionAnswer {
+    accepted: Accepted,
+    /// The leader's part in it; `None` if it had not replied yet.
+    leader: Option<LeaderReply>,
+    /// The outcome of this daemon's own write; `None` if it made none.
+    local: Option<Accepted>,
+}
+
+/// The result of a call to the scheduler on this daemon.
+enum LocalReply {
+    /// The scheduler replied.
+    Reply(DaemonReply),
+    /// The call did not reach the scheduler.
+    NotTaken,
+    /// The scheduler took the call and ended, or declined to reply.
+    Dropped,
+}
+
 /// Serves callers.
 #[derive(Debug)]
 pub struct Gateway<P> {
     platform: Arc<P>,
     acceptor: Acceptor,
+    /// Submissions that are durable or may be, through this daemon.
+    recent_submissions: RecentSubmissions,
     peers: Peers,
     health: Arc<StoreHealth>,
     manifest: Arc<CurrentManifest>,
@@ -117,6 +140,7 @@
         Self {
             platform,
             acceptor,
+            recent_submissions: RecentSubmissions::default(),
             peers,
             health,
             manifest,
@@ -226,9 +250,15 @@
         deadline: Instant,
     ) -> Accepted {
         let row = encode(spec);
-        let accepted = self.make_submission_durable(job, row, deadline).await;
+        let answer = self.make_submission_durable(job, row, deadline).await;
+        let accepted = self.account_for_earlier_tries(job, answer.accepted);
         let customer = spec.customer.as_ref().map(|customer| customer.name.as_str());
-        tracing::info!(%job, queue = spec.queue.name, customer, ?accepted, "submission answered");
+        let epoch = self.leader.borrow().epoch();
+        let SubmissionAnswer { leader, local, .. } = answer;
+        tracing::info!(
+            %job, queue = spec.queue.name, customer, ?accepted, epoch, ?leader, ?local,
+            "submission answered"
+        );
         metrics::counter!("stoatwell_submissions_total", "outcome" => outcome_name(accepted))
             .increment(1);
         accepted
@@ -260,6 +290,20 @@
         Some(accepted)
     }
 
+    /// Remembers a submission that is durable or may be. The caller of one that was remembered
+    /// before is not told "not accepted": a write for an earlier try may have taken effect, or
+    /// may do so later.
+    fn account_for_earlier_tries(&self, job: JobId, accepted: Accepted) -> Accepted {
+        match accepted {
+            Accepted::Yes | Accepted::Unknown => self.recent_submissions.record(job, steady_ms()),
+            Accepted::No if self.recent_submissions.contains(job, steady_ms()) => {
+                return Accepted::Unknown;
+            }
+            Accepted::No | Accepted::Taken => {}
+        }
+        accepted
+    }
+
     /// Makes a submission durable, through the leader if possible: the leader places the job
     /// meanwhile and batches many submissions into one write. If the leader does not respond,
     /// this daemon writes the row itself. Both writes are of the same row and conditional on
@@ -269,7 +313,7 @@
         job: JobId,
         row: Vec<u8>,
         deadline: Instant,
-    ) -> Accepted {
+    ) -> SubmissionAnswer {
         let mut through_leader = pin!(self.submit_through_leader(job, row.clone(), deadline));
         let leader_reply = tokio::select! {
             biased;
@@ -277,24 +321,24 @@
             () = self.wait_until_leader_fails() => None,
         };
         let mut local = pin!(self.accept_locally(job, row, deadline));
-        match leader_reply {
-            Some(LeaderReply::Outcome(accepted)) => accepted,
-            Some(LeaderReply::NotSent) => local.await,
-            Some(LeaderReply::NoAnswer) => in_doubt_outcome(local.await),
-            None => tokio::select! {
-                accepted = &mut local => match accepted {
-                    Accepted::Yes | Accepted::Taken => accepted,
-                    Accepted::No | Accepted::Unknown => match through_leader.await {
-                        LeaderReply::Outcome(Accepted::No) | LeaderReply::NotSent => accepted,
-                        LeaderReply::Outcome(accepted) => accepted,
-                        LeaderReply::NoAnswer => Accepted::Unknown,
-                    },
-                },
-                reply = &mut through_leader => match reply {
-                    LeaderReply::Outcome(Accepted::No) | LeaderReply::NotSent => local.await,
-                    LeaderReply::Outcome(accepted) => accepted,
-                    LeaderReply::NoAnswer => in_doubt_outcome(local.await),
-                },
+        if let Some(reply) = leader_reply {
+            if let LeaderReply::Outcome(accepted) = reply {
+                return SubmissionAnswer { accepted, leader: Some(reply), local: None };
+            }
+            return combine(Some(reply), Some(local.await));
+        }
+        tokio::select! {
+            accepted = &mut local => {
+                if matches!(accepted, Accepted::Yes | Accepted::Taken) {
+                    return combine(None, Some(accepted));
+                }
+                combine(Some(through_leader.await), Some(accepted))
+            }
+            reply = &mut through_leader => match reply {
+                LeaderReply::Outcome(Accepted::No) | LeaderReply::NotSent | LeaderReply::NoAnswer => {
+                    combine(Some(reply), Some(local.await))
+                }
+                LeaderReply::Outcome(_) => combine(Some(reply), None),
             },
         }
     }
@@ -326,8 +370,13 @@
             Route::Local(requests) => {
                 let reply = timeout_at(deadline, call_local(&requests, call)).await;
                 return match reply {
-                    Ok(Some(DaemonReply::Submitted(accepted))) => LeaderReply::Outcome(accepted),
-                    Ok(_) | Err(_) => LeaderReply::NoAnswer,
+                    Ok(LocalReply::Reply(DaemonReply::Submitted(accepted))) => {
+                        LeaderReply::Outcome(accepted)
+                    }
+                    Ok(LocalReply::NotTaken) => LeaderReply::NotSent,
+                    Ok(LocalReply::Reply(_) | LocalReply::Dropped) | Err(_) => {
+                        LeaderReply::NoAnswer
+                    }
                 };
             }
             Route::Remote(address) => address,
@@ -335,7 +384,11 @@
         let limit = deadline.saturating_duration_since(Instant::now());
         match self.peers.call::<DaemonReply>(&address, &call, limit).await {
             Ok(DaemonReply::Submitted(accepted)) => LeaderReply::Outcome(accepted),
-            Ok(_) | Err(PeerError::NotSent(_)) => LeaderReply::NotSent,
+            Ok(DaemonReply::NotScheduler) | Err(PeerError::NotSent(_)) => LeaderReply::NotSent,
+            Ok(reply) => {
+                tracing::debug!(%job, address, ?reply, "leader ended before the outcome of a submission was known");
+                LeaderReply::NoAnswer
+            }
             Err(PeerError::NoAnswer(error)) => {
                 tracing::debug!(%job, address, error, "leader did not answer a submission; its outcome is unknown");
                 LeaderReply::NoAnswer
@@ -381,7 +434,10 @@
         let deadline = Instant::now() + Duration::from_millis(limit_ms);
         let accepted = self.acceptor.accept(WriteRequest::Cancel(job), deadline).await;
         if let (Accepted::Yes, Route::Local(requests)) = (accepted, self.route())
-            && call_local(&requests, DaemonCall::Cancelled(job)).await.is_none()
+            && !matches!(
+                call_local(&requests, DaemonCall::Cancelled(job)).await,
+                LocalReply::Reply(_)
+            )
         {
             tracing::debug!(
                 "scheduler stopped before it was notified of a cancellation; the store's change feed will deliver it"
@@ -462,7 +518,10 @@
     async fn call_leader(&self, call: DaemonCall) -> Option<DaemonReply> {
         match self.route() {
             Route::None => None,
-            Route::Local(requests) => call_local(&requests, call).await,
+            Route::Local(requests) => match call_local(&requests, call).await {
+                LocalReply::Reply(reply) => Some(reply),
+                LocalReply::NotTaken | LocalReply::Dropped => None,
+            },
             Route::Remote(address) => {
                 match self.peers.call::<DaemonReply>(&address, &call, LEADER_TIMEOUT).await {
                     Ok(DaemonReply::NotScheduler) => None,
@@ -523,18 +582,56 @@
                 manifest,
             };
         }
-        if matches!(call, DaemonCall::Submit { .. }) && !self.reaches_store() {
+        if let DaemonCall::Submit { job, .. } = call {
+            return self.submit_for_peer(&requests, job, call).await;
+        }
+        match call_local(&requests, call).await {
+            LocalReply::Reply(reply) => reply,
+            LocalReply::NotTaken | LocalReply::Dropped => DaemonReply::NotScheduler,
+        }
+    }
+
+    /// Submits a job to the scheduler on this daemon for a caller of another daemon.
+    ///
+    /// A scheduler that ends may have sent the write already. That is told apart from a
+    /// submission that it never took, which the other daemon may report as "not run".
+    async fn submit_for_peer(
+        &self,
+        requests: &mpsc::Sender<SchedulerRequest>,
+        job: JobId,
+        call: DaemonCall,
+    ) -> DaemonReply {
+        if !self.reaches_store() {
             // The calling daemon may reach the store itself.
             return DaemonReply::NotScheduler;
         }
-        call_local(&requests, call).await.unwrap_or(DaemonReply::NotScheduler)
+        match call_local(requests, call).await {
+            LocalReply::Reply(DaemonReply::Submitted(accepted)) => {
+                DaemonReply::Submitted(self.account_for_earlier_tries(job, accepted))
+            }
+            LocalReply::Reply(reply) => reply,
+            LocalReply::NotTaken => DaemonReply::NotScheduler,
+            LocalReply::Dropped => {
+                self.recent_submissions.record(job, steady_ms());
+                DaemonReply::SubmissionInDoubt
+            }
+        }
     }
 }
 
-/// The outcome of a submission that the leader may still make durable: "not accepted" here
-/// becomes unknown.
-fn in_doubt_outcome(accepted: Accepted) -> Accepted {
-    if accepted == Accepted::No { Accepted::Unknown } else { accepted }
+/// Combines the leader's reply to a submission with the outcome of this daemon's own write.
+/// Each of the two is `None` if it does not matter any more.
+fn combine(leader: Option<LeaderReply>, local: Option<Accepted>) -> SubmissionAnswer {
+    let accepted = match (leader, local) {
+        (_, Some(Accepted::Yes | Accepted::Taken)) | (None | Some(LeaderReply::NotSent), _) => {
+            local.unwrap_or(Accepted::Unknown)
+        }
+        (Some(LeaderReply::Outcome(Accepted::No)), _) => local.unwrap_or(Accepted::No),
+        (Some(LeaderReply::Outcome(accepted)), _) => accepted,
+        // The leader may still make the submission durable.
+        (Some(LeaderReply::NoAnswer), _) => Accepted::Unknown,
+    };
+    SubmissionAnswer { accepted, leader, local }
 }
 
 /// What a caller may see of a job.
@@ -542,41 +639,59 @@
     if view.customer.as_ref() == caller { JobLookup::State(view.state) } else { JobLookup::NoJob }
 }
 
-async fn call_local(
-    requests: &mpsc::Sender<SchedulerRequest>,
-    call: DaemonCall,
-) -> Option<DaemonReply> {
+async fn call_local(requests: &mpsc::Sender<SchedulerRequest>, call: DaemonCall) -> LocalReply {
     match call {
         DaemonCall::State(job) => {
             let (reply_sender, reply) = oneshot::channel();
-            requests.send(SchedulerRequest::State(job, reply_sender)).await.ok()?;
-            reply.await.ok().map(DaemonReply::State)
+            let request = SchedulerRequest::State(job, reply_sender);
+            request_reply(requests, request, reply, DaemonReply::State).await
         }
         DaemonCall::Pending(queue) => {
             let (reply_sender, reply) = oneshot::channel();
-            requests.send(SchedulerRequest::Pending(queue, reply_sender)).await.ok()?;
-            reply.await.ok().map(DaemonReply::Pending)
+            let request = SchedulerRequest::Pending(queue, reply_sender);
+            request_reply(requests, request, reply, DaemonReply::Pending).await
         }
         DaemonCall::Submit { job, row } => {
             let (reply_sender, reply) = oneshot::channel();
-            requests.send(SchedulerRequest::Submit(job, row, reply_sender)).await.ok()?;
-            reply.await.ok().map(DaemonReply::Submitted)
+            let request = SchedulerRequest::Submit(job, row, reply_sender);
+            request_reply(requests, request, reply, DaemonReply::Submitted).await
         }
         DaemonCall::Accepted { job, row } => {
-            requests.send(SchedulerRequest::Accepted(job, row)).await.ok()?;
-            Some(DaemonReply::Noted)
-        }
-        DaemonCall::Cancelled(job) => {
-            requests.send(SchedulerRequest::Cancelled(job)).await.ok()?;
-            Some(DaemonReply::Noted)
+            notify(requests, SchedulerRequest::Accepted(job, row)).await
         }
+        DaemonCall::Cancelled(job) => notify(requests, SchedulerRequest::Cancelled(job)).await,
         DaemonCall::Cancel { .. }
         | DaemonCall::Manifest
         | DaemonCall::Advise { .. }
         | DaemonCall::Alive
         | DaemonCall::Leads { .. }
         | DaemonCall::Execute { .. }
-        | DaemonCall::Collect { .. } => None,
+        | DaemonCall::Collect { .. } => LocalReply::NotTaken,
+    }
+}
+
+async fn request_reply<T>(
+    requests: &mpsc::Sender<SchedulerRequest>,
+    request: SchedulerRequest,
+    reply: oneshot::Receiver<T>,
+    into_reply: impl FnOnce(T) -> DaemonReply,
+) -> LocalReply {
+    if requests.send(request).await.is_err() {
+        return LocalReply::NotTaken;
+    }
+    match reply.await {
+        Ok(value) => LocalReply::Reply(into_reply(value)),
+        Err(_) => LocalReply::Dropped,
+    }
+}
+
+async fn notify(
+    requests: &mpsc::Sender<SchedulerRequest>,
+    notification: SchedulerRequest,
+) -> LocalReply {
+    match requests.send(notification).await {
+        Ok(()) => LocalReply::Reply(DaemonReply::Noted),
+        Err(_) => LocalReply::NotTaken,
     }
 }
 
--- a/crates/node/src/leader_view.rs
+++ b/crates/node/src/leader_view.rs
@@ -116,6 +116,11 @@
         true
     }
 
+    /// The highest epoch that was seen.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
     /// The liveness of an epoch's leader; unknown for any but the newest epoch.
     pub fn liveness_of(&self, epoch: u64) -> Liveness {
         if epoch == self.epoch { self.liveness } else { Liveness::Unknown }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -34,6 +34,7 @@
 mod message;
 mod peers;
 mod platform;
+mod recent_submissions;
 mod store_watcher;
 mod submissions;
 mod telemetry;
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -120,4 +120,6 @@
         /// Encoded [`Replies`](crate::executors::call::Replies).
         replies: Vec<u8>,
     },
+    /// The scheduler took a submission and ended before its outcome was known.
+    SubmissionInDoubt,
 }
--- a/crates/node/src/submissions.rs
+++ b/crates/node/src/submissions.rs
@@ -30,8 +30,8 @@
         let spec: JobSpec = match serde_json::from_slice(row) {
             Ok(spec) => spec,
             Err(error) => {
-                tracing::warn!(%job, %error, "dropping a submission that cannot be parsed");
-                return;
+                tracing::warn!(%job, %error, "rejecting a submission that cannot be parsed");
+                return reply(job, caller, Accepted::No);
             }
         };
         match pool.submit(steady_ms(), unix_ms(), job, Arc::new(spec)) {
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -59,6 +59,9 @@
     LosesOnePoll,
     /// It refuses reads and writes.
     RefusesAll,
+    /// It carries out writes of jobs only once they are released, whether or not the caller
+    /// still waits, and is normal otherwise.
+    DelaysJobWrites,
 }
 
 /// The platform as one daemon sees it. The rows can be shared with other daemons.
@@ -66,6 +69,7 @@
 pub struct FakePlatform {
     behavior: Mutex<StoreBehavior>,
     state: Arc<Mutex<State>>,
+    job_writes_released: watch::Sender<bool>,
     worker: Option<FakeWorker>,
     worker_count: usize,
 }
@@ -184,30 +188,25 @@
         self.state.lock().expect("no panic").writes
     }
 
+    /// Carries out the delayed writes of jobs.
+    pub fn release_job_writes(&self) {
+        self.job_writes_released.send_replace(true);
+    }
+
+    /// Carries out a write once it is released, also if the caller no longer waits.
+    async fn write_when_released(&self, transaction: &Transaction) -> Result<u64, StoreError> {
+        let state = Arc::clone(&self.state);
+        let transaction = transaction.clone();
+        let mut released = self.job_writes_released.subscribe();
+        let write = tokio::spawn(async move {
+            released.wait_for(|is_released| *is_released).await.expect("the store is there");
+            write_to(&state, &transaction)
+        });
+        write.await.expect("no panic")
+    }
+
     fn write(&self, transaction: &Transaction) -> Result<u64, StoreError> {
-        let mut state = self.state.lock().expect("no panic");
-        state.writes += 1;
-        let mut conflicts = Vec::new();
-        for (table, key, expected) in &transaction.expect {
-            let existing = state.rows.get(&(table.to_string(), key.clone()));
-            let version = existing.map_or(0, |(_, version)| *version);
-            let value = existing.map(|(value, _)| value.clone());
-            if version != *expected {
-                conflicts.push((*table, Row { key: key.clone(), value, version }));
-            }
-        }
-        if !conflicts.is_empty() {
-            return Err(StoreError::Conflict(conflicts));
-        }
-        state.version += 1;
-        let version = state.version;
-        for (table, key, value) in &transaction.put {
-            state.rows.insert((table.to_string(), key.clone()), (value.clone(), version));
-        }
-        for (table, key) in &transaction.remove {
-            state.rows.remove(&(table.to_string(), key.clone()));
-        }
-        Ok(version)
+        write_to(&self.state, transaction)
     }
 
     fn behavior(&self) -> StoreBehavior {
@@ -222,7 +221,8 @@
             StoreBehavior::Normal
             | StoreBehavior::RefusesWrites
             | StoreBehavior::LosesOneResponse
-            | StoreBehavior::LosesOnePoll => None,
+            | StoreBehavior::LosesOnePoll
+            | StoreBehavior::DelaysJobWrites => None,
         }
     }
 
@@ -231,6 +231,33 @@
     }
 }
 
+/// Executes a transaction on the rows.
+fn write_to(state: &Mutex<State>, transaction: &Transaction) -> Result<u64, StoreError> {
+    let mut state = state.lock().expect("no panic");
+    state.writes += 1;
+    let mut conflicts = Vec::new();
+    for (table, key, expected) in &transaction.expect {
+        let existing = state.rows.get(&(table.to_string(), key.clone()));
+        let version = existing.map_or(0, |(_, version)| *version);
+        let value = existing.map(|(value, _)| value.clone());
+        if version != *expected {
+            conflicts.push((*table, Row { key: key.clone(), value, version }));
+        }
+    }
+    if !conflicts.is_empty() {
+        return Err(StoreError::Conflict(conflicts));
+    }
+    state.version += 1;
+    let version = state.version;
+    for (table, key, value) in &transaction.put {
+        state.rows.insert((table.to_string(), key.clone()), (value.clone(), version));
+    }
+    for (table, key) in &transaction.remove {
+        state.rows.remove(&(table.to_string(), key.clone()));
+    }
+    Ok(version)
+}
+
 /// A call that gets no response, even after the store has recovered, and times out. The
 /// store may hold it open for `wait_ms`.
 async fn call_without_response<T>(wait_ms: u64) -> Result<T, StoreError> {
@@ -243,6 +270,12 @@
         match self.behavior() {
             StoreBehavior::Normal | StoreBehavior::LosesOnePoll => self.write(transaction),
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
+            StoreBehavior::DelaysJobWrites => {
+                if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
+                    return self.write_when_released(transaction).await;
+                }
+                self.write(transaction)
+            }
             StoreBehavior::Unresponsive => call_without_response(0).await,
             StoreBehavior::LosesOneResponse => {
                 self.set_behavior(StoreBehavior::Normal);
@@ -329,7 +362,8 @@
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
             StoreBehavior::Normal
             | StoreBehavior::LosesOneResponse
-            | StoreBehavior::LosesOnePoll => {
+            | StoreBehavior::LosesOnePoll
+            | StoreBehavior::DelaysJobWrites => {
                 let newest = self.newest_manifest();
                 let changed = newest.filter(|newest| newest.row_version != row_version);
                 Ok(changed
@@ -354,7 +388,8 @@
                 StoreBehavior::RefusesAll => return Err(StoreError::Refused),
                 StoreBehavior::Normal
                 | StoreBehavior::RefusesWrites
-                | StoreBehavior::LosesOneResponse => {}
+                | StoreBehavior::LosesOneResponse
+                | StoreBehavior::DelaysJobWrites => {}
             }
             if let Some(newer) =
                 self.newest_manifest().filter(|manifest| manifest.row_version > after)
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -124,7 +124,8 @@
         | DaemonReply::Manifest { .. }
         | DaemonReply::Noted
         | DaemonReply::NotScheduler
-        | DaemonReply::Collected { .. } => 9,
+        | DaemonReply::Collected { .. }
+        | DaemonReply::SubmissionInDoubt => 10,
     }
 }
 
@@ -173,6 +174,7 @@
         DaemonReply::Noted,
         DaemonReply::NotScheduler,
         DaemonReply::Collected { clock_ms: 1, replies: Vec::new() },
+        DaemonReply::SubmissionInDoubt,
     ];
     assert_eq!(variants(&replies), daemon_reply_variants(&replies[0]));
     assert_carried(&replies);
