--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -397,6 +397,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome_durable = job.outcome.is_some();
         let Some(outcome) = job.outcome else { return };
+        self.job_index.mark_finished(job);
         job.release_memory();
         let took_ms = self.unix_ms.saturating_sub(job.spec.accepted_unix_ms);
         let allowed_ms = job.spec.allowed_ms();
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -163,8 +163,12 @@
 
     /// The current totals, for metrics.
     pub fn counts(&self) -> Counts {
-        let mut counts = Counts { queued_steps: self.queue.len(), ..Counts::default() };
-        for job in self.jobs.values() {
+        let mut counts = Counts {
+            queued_steps: self.queue.len(),
+            workers_age_ms: self.workers_age_ms(),
+            ..Counts::default()
+        };
+        for job in self.jobs_in_progress() {
             match job.state() {
                 JobState::Queued => counts.queued_jobs += 1,
                 JobState::Running => counts.running_jobs += 1,
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -178,6 +178,8 @@
     pub start_sent: bool,
     /// Whether a worker has confirmed that it started one of its tasks.
     pub start_confirmed: bool,
+    /// Whether the job is counted as pending in the [`JobIndex`](crate::job_index::JobIndex).
+    pub is_counted_pending: bool,
 }
 
 impl Job {
@@ -203,6 +205,7 @@
             finished_unix_ms: 0,
             start_sent: false,
             start_confirmed: false,
+            is_counted_pending: false,
         }
     }
 
@@ -287,6 +290,11 @@
         }
     }
 
+    /// Whether the job waits for its first run.
+    pub fn is_pending(&self) -> bool {
+        !self.start_confirmed && self.outcome.is_none()
+    }
+
     /// The specification of a step.
     pub fn step_spec(&self, step_index: usize) -> &StepSpec {
         &self.spec.steps[self.step_states[step_index].id.step as usize]
@@ -299,6 +307,7 @@
             worker_demand: step.worker_demand(),
             demand: step.demand,
             customer: self.customer,
+            priority: self.spec.queue.priority,
         }
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -35,6 +35,7 @@
 mod holds;
 mod id;
 mod job;
+mod job_index;
 mod pace;
 mod place;
 mod record;
@@ -62,6 +63,7 @@
 use crate::estimates::Estimates;
 use crate::job::Job;
 use crate::job::Phase;
+use crate::job_index::JobIndex;
 use crate::worker::Worker;
 use crate::worker::WorkerIndex;
 
@@ -154,6 +156,7 @@
     /// later turn was made after that answer.
     turn: u64,
     jobs: BTreeMap<JobId, Job>,
+    job_index: JobIndex,
     /// Cancellations of jobs that are not known yet.
     early_cancels: BTreeSet<JobId>,
     customers: Customers,
@@ -215,6 +218,7 @@
             started_ms: now_ms,
             turn: 1,
             jobs: BTreeMap::new(),
+            job_index: JobIndex::default(),
             early_cancels: BTreeSet::new(),
             customers: Customers::default(),
             workers: BTreeMap::new(),
@@ -371,10 +375,12 @@
     /// The number of jobs in a queue that have not ended and that wait for their first run:
     /// no worker has confirmed the start of any of their tasks.
     pub fn pending(&self, queue: &str) -> usize {
-        let pending = |job: &&Job| {
-            !job.start_confirmed && job.outcome.is_none() && job.spec.queue.name == queue
-        };
-        self.jobs.values().filter(pending).count()
+        self.job_index.pending(queue)
+    }
+
+    /// The jobs whose outcome is not durable, or that may still have tasks on workers.
+    pub(crate) fn jobs_in_progress(&self) -> impl Iterator<Item = &Job> {
+        self.job_index.in_progress().filter_map(|id| self.jobs.get(&id))
     }
 
     /// The availability zone of a worker; `None` if the worker is not known.
@@ -424,10 +430,11 @@
         self.cycle_due = true;
     }
 
-    fn admit(&mut self, job: Job) {
+    fn admit(&mut self, mut job: Job) {
         let id = job.id;
         let step_count = job.step_states.len();
         let job_ended = job.outcome.is_some();
+        self.job_index.insert(&mut job);
         self.jobs.insert(id, job);
         if job_ended {
             return;
@@ -487,6 +494,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome = Some(outcome);
         job.finished_unix_ms = unix_ms;
+        self.job_index.update_pending(job);
         let tasks: Vec<TaskId> = placed_tasks(job);
         for task in tasks {
             self.stop(task);
@@ -522,9 +530,8 @@
         let mut used: HashMap<&str, BTreeMap<u32, Resources>> = HashMap::new();
         for worker in self.workers.values() {
             let by_priority = used.entry(&worker.info.service).or_default();
-            for (task, allocation) in &worker.tasks {
-                let Some(job) = self.jobs.get(&task.step.job) else { continue };
-                let sum = by_priority.entry(job.spec.queue.priority).or_default();
+            for allocation in worker.tasks.values() {
+                let sum = by_priority.entry(allocation.priority).or_default();
                 *sum = sum.plus(&allocation.worker_demand);
             }
         }
@@ -534,14 +541,14 @@
     }
 
     fn remove_expired_jobs(&mut self) {
-        let is_expired = |job: &&Job| {
-            job.outcome_durable
-                && !job.has_placed_tasks()
-                && job.finished_unix_ms + self.limits.job_retention_ms < self.unix_ms
-        };
-        let expired: Vec<JobId> = self.jobs.values().filter(is_expired).map(|job| job.id).collect();
+        let expiry_unix_ms = self.unix_ms.saturating_sub(self.limits.job_retention_ms);
+        let is_gone = |id: &JobId| self.jobs.get(id).is_none_or(|job| !job.has_placed_tasks());
+        let expired: Vec<JobId> =
+            self.job_index.finished_before(expiry_unix_ms).filter(is_gone).collect();
         for id in expired {
-            self.jobs.remove(&id);
+            if let Some(mut job) = self.jobs.remove(&id) {
+                self.job_index.remove(&mut job);
+            }
             self.commits.remove(id);
         }
     }
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -140,6 +140,7 @@
     pub(crate) fn mark_start_confirmed(&mut self, id: TaskId) {
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
             job.start_confirmed = true;
+            self.job_index.update_pending(job);
         }
     }
 
@@ -248,6 +249,7 @@
             self.estimates.record_run(&job.spec.queue.name, took_ms);
         }
         job.start_confirmed = true;
+        self.job_index.update_pending(job);
         self.release(id);
         if let Some(worker) = self.workers.get_mut(from) {
             match end {
--- a/crates/pool/src/stalled.rs
+++ b/crates/pool/src/stalled.rs
@@ -28,8 +28,13 @@
         let mut unanswered_stops = Vec::new();
         let mut stalled = Vec::new();
         let mut lost_starts = Vec::new();
-        for job in self.jobs.values() {
+        let mut settled = Vec::new();
+        for id in self.job_index.in_progress() {
+            let Some(job) = self.jobs.get(&id) else { continue };
             if job.outcome.is_some() && !job.has_placed_tasks() {
+                if job.outcome_durable {
+                    settled.push(id);
+                }
                 continue;
             }
             for (step_index, step_state) in job.step_states.iter().enumerate() {
@@ -66,6 +71,9 @@
                 }
             }
         }
+        for id in settled {
+            self.job_index.mark_settled(id);
+        }
         for id in unanswered_stops {
             let now_ms = self.now_ms;
             if let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) {
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -103,6 +103,8 @@
         for task in placed {
             self.release(task);
         }
-        self.jobs.remove(&id);
+        if let Some(mut job) = self.jobs.remove(&id) {
+            self.job_index.remove(&mut job);
+        }
     }
 }
--- a/crates/pool/src/wakeup.rs
+++ b/crates/pool/src/wakeup.rs
@@ -19,7 +19,7 @@
         let queued: BTreeSet<StepId> = self.queue.values().copied().collect();
         let timed: BTreeSet<StepId> = self.not_due.iter().map(|(_, step)| *step).collect();
         let mut stuck = Vec::new();
-        for job in self.jobs.values().filter(|job| job.outcome.is_none()) {
+        for job in self.jobs_in_progress().filter(|job| job.outcome.is_none()) {
             for (step_index, step_state) in job.step_states.iter().enumerate() {
                 let scheduled = queued.contains(&step_state.id) || timed.contains(&step_state.id);
                 for (index, task) in step_state.tasks.iter().enumerate() {
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -41,6 +41,8 @@
     /// Counted towards the customer's cap.
     pub demand: Resources,
     pub customer: Option<CustomerId>,
+    /// The priority of the task's queue.
+    pub priority: u32,
 }
 
 /// A worker.
