Daemons that start at once spread their announcements

When all daemons of the whole fleet start, 446 of 587 were refused by the store when they announced themselves, and 103 reported the store as lost.

Cause: an announcement is a write to one partition, which carries out 300 a second and refuses what would wait for more than a second; all came at once, and again every 150 ms. The rows lay in the partition of the leader lease, so claims and renewals waited behind them, and a refusal counted as a failure of the store.

The list of daemons has a partition of its own. Daemons that are too weak to lead spread their first attempt over 2 s; retries have jitter and double their delay. A refused announcement is no sign of an outage. A new daemon learns how far away the store is from its first read of the lease; it was learned from the announcement, with the wait for hundreds of others in it.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -96,7 +96,7 @@
         let pending = PendingRequest { request, reply, deadline, in_doubt: false, refusals: 0 };
         let requests = match shard(Table::Jobs, &pending.request.job().to_string()) {
             Shard::Jobs(partition) => self.writers.get(partition),
-            Shard::Control => None,
+            Shard::Control | Shard::Daemons => None,
         };
         if requests.is_none_or(|requests| requests.try_send(pending).is_err()) {
             return Accepted::No;
--- a/crates/node/src/elector.rs
+++ b/crates/node/src/elector.rs
@@ -8,6 +8,7 @@
 
 use crate::NodeSettings;
 use crate::advisor_dispatcher::AdvisorDispatcher;
+use crate::announce::announce;
 use crate::clock::steady_ms;
 use crate::clock::unix_ms;
 use crate::commit::HeldLease;
@@ -33,10 +34,8 @@
 /// Delay between polls of the lease row on a daemon that is unlikely to lead, while the
 /// leader reports that it is healthy.
 const LEASE_POLL_DELAY: Duration = Duration::from_secs(2);
-/// Delay before a failed poll or a failed announcement is retried.
+/// Delay before a failed poll is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Maximum attempts of a daemon to announce itself in the store.
-const ANNOUNCE_ATTEMPTS_MAX: u32 = 40;
 /// Maximum requests queued for the scheduler.
 const REQUEST_QUEUE_MAX: usize = 1_024;
 
@@ -67,11 +66,8 @@
     pub async fn run(self) {
         let mut stop = self.stop.clone();
         let incarnation = unix_ms();
-        tokio::spawn(announce(
-            Arc::clone(&self.platform),
-            Arc::clone(&self.health),
-            self.settings.clone(),
-        ));
+        let announcement =
+            tokio::spawn(announce(Arc::clone(&self.platform), self.settings.clone()));
         let mut view = LeaderLeaseView::new(steady_ms());
         let mut read_version = None;
         loop {
@@ -101,6 +97,7 @@
             view = LeaderLeaseView::new(steady_ms());
             read_version = None;
         }
+        announcement.abort();
         self.withdraw().await;
     }
 
@@ -188,7 +185,9 @@
         &self,
         read_version: &mut Option<u64>,
     ) -> Result<Option<Option<(LeaderLease, u64)>>, StoreError> {
+        let sent_ms = steady_ms();
         let rows = self.platform.read_all(Table::Duty).await?;
+        self.health.record_read_latency(steady_ms().saturating_sub(sent_ms));
         *read_version = Some(rows.version);
         Ok(Some(rows.rows.iter().find_map(parse_lease_row)))
     }
@@ -276,20 +275,6 @@
     }
 }
 
-/// Writes this daemon's address to the store, so that the leader can query the advisor
-/// through it.
-async fn announce<P: Platform>(platform: Arc<P>, health: Arc<StoreHealth>, settings: NodeSettings) {
-    let put = vec![(Table::Daemons, settings.name.clone(), encode(&settings.own_info()))];
-    let transaction = Transaction { put, ..Transaction::default() };
-    for _ in 0..ANNOUNCE_ATTEMPTS_MAX {
-        match health.track_write(platform.transact(&transaction)).await {
-            Ok(_) => return,
-            Err(error) => tracing::warn!(%error, "announcing this daemon in the store failed"),
-        }
-        tokio::time::sleep(RETRY_DELAY).await;
-    }
-}
-
 fn parse_lease_row(row: &Row) -> Option<(LeaderLease, u64)> {
     let value = row.value.as_ref().filter(|_| row.key == LEADER_LEASE_KEY)?;
     match serde_json::from_slice(value) {
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -171,6 +171,14 @@
         }
     }
 
+    /// Records the latency of a read, until that of a write is known. It tells how far away the
+    /// store is.
+    pub fn record_read_latency(&self, sample_ms: u64) {
+        if self.latency_ms() == 0 {
+            self.record_latency(sample_ms);
+        }
+    }
+
     /// Adds a sample to the smoothed latency.
     fn record_latency(&self, sample_ms: u64) {
         let previous_ms = self.latency_ms.load(Ordering::Relaxed);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod accept;
 mod advisor_dispatcher;
+mod announce;
 pub mod clock;
 mod commit;
 mod daemons;
@@ -53,6 +54,7 @@
 use crate::health::StoreHealth;
 
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
+pub use crate::announce::announce_delay;
 pub use crate::daemons::DaemonInfo;
 pub use crate::election::Candidate;
 pub use crate::election::FAILED_LEADER_TIMEOUT_MS;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -37,12 +37,14 @@
 }
 
 /// A group of rows whose transactions the store executes one after another: one of the
-/// [`PARTITIONS`](stoatwell_pool::PARTITIONS) with the rows of jobs, or the group of all other
-/// rows.
+/// [`PARTITIONS`](stoatwell_pool::PARTITIONS) with the rows of jobs, or a group of other rows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Shard {
-    /// The leader lease and the list of daemons.
+    /// The leader lease.
     Control,
+    /// The list of daemons. Hundreds of them may announce themselves at once, and the leader
+    /// lease must not wait behind them.
+    Daemons,
     /// The rows of the jobs in the partition with this index.
     Jobs(usize),
 }
@@ -55,7 +57,8 @@
             Err(_) => Shard::Control,
         },
         Table::Fences => key.parse().map_or(Shard::Control, Shard::Jobs),
-        Table::Duty | Table::Daemons => Shard::Control,
+        Table::Duty => Shard::Control,
+        Table::Daemons => Shard::Daemons,
     }
 }
 
