The view of the list of workers keeps up with any number of heartbeats

Cause: a response of the store carries 500 changed rows at most, and the leader asked every 400 ms, so it could follow 1,250 rows a second. 6,000 workers that write a heartbeat every 3 s change 2,000, and 3,000 workers at 1.5 s do too: the view fell further and further behind. It holds for as long as workers are few.

After a full response the next poll follows at once; so does that of the jobs. Heartbeats that change nothing are not passed to the scheduler any more: it handles changes of workers before everything else, and with 4,000 a second would do little else. A read of the whole list, after the store dropped its history, also shows which workers left; it is taken only if it is not older than what is known. A table of jobs is read as a whole at most once a second.

The age of the view is in the line `pool`, in `run placed`, in the dump and in the gauge `stoatwell_workers_age_ms`; a line says when it passes 2 s.

Ruled out: reading the heartbeats elsewhere. At twice the size they are 4,000 rows and some 2.8 MB a second (computed), which a strong leader reads with some hundredths of a core.

Tests: worker_list.rs. With 4,000 heartbeats a second and the pause after each response, the view is 4,016 ms old after 4 s; now the leaving worker is noticed within the 2 s. log_lines.rs expects the new field.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -31,9 +31,10 @@
 use crate::executors::call::Batch;
 use crate::executors::session::Executor;
 use crate::health::StoreHealth;
+use crate::job_rows::read_row;
 use crate::leader_view::LeaderView;
-use crate::leader_view::Liveness;
 use crate::leader_view::Route;
+use crate::liveness::Liveness;
 use crate::manifest::CurrentManifest;
 use crate::manifest::Manifest;
 use crate::manifest::ManifestSource;
@@ -45,7 +46,6 @@
 use crate::platform::StoreError;
 use crate::platform::Table;
 use crate::recent_submissions::RecentSubmissions;
-use crate::store_watcher::read_row;
 
 /// Timeout of a call to the leader, after which the store is read instead: several round
 /// trips between regions.
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -100,6 +100,7 @@
         let sender = match event {
             Event::Listed(_)
             | Event::Unlisted { .. }
+            | Event::WorkersRead { .. }
             | Event::Cancelled { .. }
             | Event::Customers { .. } => &self.control,
             _ => &self.ordinary,
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -42,6 +42,7 @@
 use crate::inbox::InboxSender;
 use crate::inbox::MessageBudget;
 use crate::inbox::inbox;
+use crate::job_rows::read_row;
 use crate::manifest::CurrentManifest;
 use crate::manifest::Manifest;
 use crate::message::Message;
@@ -50,12 +51,12 @@
 use crate::platform::Platform;
 use crate::platform::Table;
 use crate::store_watcher::StoreWatcher;
-use crate::store_watcher::read_row;
 use crate::submissions::Submissions;
 use crate::telemetry::Cycle;
 use crate::telemetry::CycleTimes;
 use crate::telemetry::count_event;
 use crate::telemetry::publish_gauges;
+use crate::worker_list::WorkerList;
 
 /// Longest wait for a message before the next scheduling cycle.
 const IDLE_WAIT_MAX_MS: u64 = 50;
@@ -257,6 +258,7 @@
             health: Arc::clone(&self.health),
             inbox_sender: inbox_sender.clone(),
         });
+        let load_started_ms = steady_ms();
         let tables = async {
             tokio::join!(
                 store_watcher.load_workers_and_executors(executors),
@@ -310,6 +312,7 @@
             }
         }
         let version = workers.version;
+        let worker_list = WorkerList::new(&workers.listed, load_started_ms);
         tracing::info!(
             epoch,
             jobs = job_count,
@@ -322,7 +325,7 @@
         }
         tasks.spawn(Arc::clone(&store_watcher).watch_table(Table::Jobs, jobs.version));
         tasks.spawn(Arc::clone(&store_watcher).watch_table(Table::Cancels, cancels.version));
-        tasks.spawn(Arc::clone(&store_watcher).watch_workers(version));
+        tasks.spawn(Arc::clone(&store_watcher).watch_workers(worker_list, version));
         let leads_call = DaemonCall::Leads { epoch, address: self.lease.row.address.clone() };
         let (advisor_dispatcher, executors) =
             (Arc::clone(&self.advisor_dispatcher), Arc::clone(executors));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -29,8 +29,11 @@
 mod gateway;
 mod health;
 mod inbox;
+mod job_rows;
 mod leader;
+mod leader_probe;
 mod leader_view;
+mod liveness;
 mod manifest;
 mod message;
 mod peers;
@@ -39,6 +42,7 @@
 mod store_watcher;
 mod submissions;
 mod telemetry;
+mod worker_list;
 
 use std::sync::Arc;
 
@@ -91,6 +95,7 @@
 pub use crate::platform::Transaction;
 pub use crate::platform::WorkerChanges;
 pub use crate::platform::shard;
+pub use crate::worker_list::WorkerList;
 
 /// Identity and settings of a daemon.
 #[derive(Clone, Debug)]
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -80,6 +80,8 @@
     pub rows: Vec<Row>,
     /// The version of the whole store; changes are polled from here on.
     pub version: u64,
+    /// Whether more changes may follow at once, because one response did not hold them all.
+    pub has_more: bool,
 }
 
 /// Changes that are applied atomically.
@@ -125,6 +127,8 @@
     pub unlisted: Vec<WorkerId>,
     /// The store's version from which to poll for further changes.
     pub version: u64,
+    /// Whether more changes may follow at once, because one response did not hold them all.
+    pub has_more: bool,
 }
 
 /// The store, the workers and the advisor that a daemon uses.
@@ -147,6 +151,7 @@
     fn read_all(&self, table: Table) -> impl Future<Output = Result<Rows, StoreError>> + Send;
 
     /// Returns the changes to a table after a version, waiting up to `wait_ms` for the first.
+    /// One response may hold only a part of them, the oldest first.
     fn poll_changes(
         &self,
         table: Table,
@@ -158,7 +163,7 @@
     fn workers(&self) -> impl Future<Output = Result<WorkerChanges, StoreError>> + Send;
 
     /// Returns the changes to the list of workers after a version, waiting up to `wait_ms` for
-    /// the first.
+    /// the first. One response may hold only a part of them, the oldest first.
     fn poll_worker_changes(
         &self,
         after: u64,
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -5,9 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use stoatwell_model::WorkerId;
 use stoatwell_pool::Event;
-use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 
 use crate::advisor_dispatcher::AdvisorDispatcher;
@@ -18,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::inbox::InboxSender;
+use crate::job_rows::read_row;
 use crate::peers::DaemonCall;
 use crate::platform::Platform;
 use crate::platform::Row;
@@ -25,6 +24,7 @@
 use crate::platform::StoreError;
 use crate::platform::Table;
 use crate::platform::WorkerChanges;
+use crate::worker_list::WorkerList;
 
 /// How long the store holds a poll for changes open when there are none.
 const POLL_WAIT_MS: u64 = 1_500;
@@ -34,14 +34,16 @@
 /// accept; the store's change feed only has to deliver those whose notification was lost,
 /// and each call to it has a price.
 const JOBS_POLL_INTERVAL: Duration = Duration::from_millis(250);
+/// Delay before a whole table of jobs is read because the store has no history of its changes.
+const WHOLE_READ_DELAY: Duration = Duration::from_secs(1);
 /// Delay between two polls for changes to the list of workers, which changes with each
 /// worker heartbeat.
 const WORKERS_POLL_INTERVAL: Duration = Duration::from_millis(400);
 /// How often the leader reads the list of daemons.
 const DAEMONS_POLL_INTERVAL: Duration = Duration::from_secs(2);
-/// A worker that left the list is reported only after this time, in which it was absent and
-/// the list was readable. After an outage, entries reappear late.
-const UNLISTED_GRACE_MS: u64 = 2_500;
+/// Age of the view of the list of workers from which on it counts as out of date. A worker
+/// that leaves announces it a few seconds before.
+const WORKERS_AGE_MAX_MS: u64 = 2_000;
 
 /// Reads the stored state and watches it for changes, for one leader.
 #[derive(Debug)]
@@ -98,7 +100,10 @@
             let rows = match self.health.track_read(poll).await {
                 Ok(rows) => rows,
                 Err(StoreError::HistoryLost) => {
+                    // The table has the jobs of some minutes, and a store that drops its history
+                    // may do so again and again.
                     tracing::warn!(%table, after, "store no longer has the change history; reading the whole table");
+                    tokio::time::sleep(WHOLE_READ_DELAY).await;
                     self.retry_until_ok(|| self.platform.read_all(table)).await
                 }
                 Err(error) => {
@@ -111,7 +116,9 @@
             for row in &rows.rows {
                 self.forward_row(table, row);
             }
-            tokio::time::sleep(JOBS_POLL_INTERVAL).await;
+            if !rows.has_more {
+                tokio::time::sleep(JOBS_POLL_INTERVAL).await;
+            }
         }
     }
 
@@ -132,52 +139,60 @@
         }
     }
 
-    /// Polls the list of workers for changes after a version, and forwards each change to the
-    /// leader's inbox. A removal is forwarded only after a grace period.
-    pub async fn watch_workers(self: Arc<Self>, mut after: u64) {
-        let mut unlisted_at_ms: BTreeMap<WorkerId, u64> = BTreeMap::new();
-        let mut readable_since_ms = steady_ms();
+    /// Polls the list of workers for changes after a version, and forwards those that matter to
+    /// the leader's inbox.
+    ///
+    /// With thousands of workers, one response cannot hold all changes of an interval. The next
+    /// poll then follows at once, or the view of the list would fall further and further behind.
+    pub async fn watch_workers(self: Arc<Self>, mut list: WorkerList, mut after: u64) {
+        let mut is_out_of_date = false;
         loop {
-            let changes =
-                match self.health.track_read(self.platform.poll_worker_changes(after, 0)).await {
-                    Ok(changes) => changes,
-                    // A full read does not show which workers were removed meanwhile; the leader
-                    // notices these by their missing responses.
-                    Err(StoreError::HistoryLost) => self.workers().await,
-                    Err(error) => {
-                        tracing::warn!(%error, "polling the list of workers failed; retrying");
-                        tokio::time::sleep(RETRY_DELAY).await;
-                        readable_since_ms = steady_ms();
-                        continue;
+            let sent_ms = steady_ms();
+            let polled = self.health.track_read(self.platform.poll_worker_changes(after, 0)).await;
+            let has_more = polled.as_ref().is_ok_and(|changes| changes.has_more);
+            let events = match polled {
+                Ok(changes) => {
+                    after = changes.version;
+                    list.apply(changes, sent_ms, steady_ms())
+                }
+                Err(StoreError::HistoryLost) => {
+                    tracing::warn!(
+                        after,
+                        "store no longer has the history of the list of workers; reading the list"
+                    );
+                    let sent_ms = steady_ms();
+                    let read = self.workers().await;
+                    if read.version < after {
+                        tracing::warn!(
+                            after,
+                            found = read.version,
+                            "store returned a stale list of workers; reading again"
+                        );
+                        list.record_failure(steady_ms());
+                        Vec::new()
+                    } else {
+                        after = read.version;
+                        list.replace(read, sent_ms, steady_ms())
                     }
-                };
-            after = changes.version;
-            self.apply_worker_changes(changes, &mut unlisted_at_ms);
-            let now_ms = steady_ms();
-            let is_gone = |at_ms: &u64| {
-                let since_ms = (*at_ms).max(readable_since_ms);
-                now_ms > since_ms + UNLISTED_GRACE_MS
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "polling the list of workers failed; retrying");
+                    list.record_failure(steady_ms());
+                    Vec::new()
+                }
             };
-            for worker in
-                unlisted_at_ms.extract_if(.., |_, at_ms| is_gone(at_ms)).map(|(worker, _)| worker)
-            {
-                self.inbox_sender.notify(Event::Unlisted { worker });
+            for event in events {
+                self.inbox_sender.notify(event);
+            }
+            let age_ms = list.age_ms(steady_ms());
+            self.inbox_sender.notify(Event::WorkersRead { as_of_ms: steady_ms() - age_ms });
+            if is_out_of_date != (age_ms > WORKERS_AGE_MAX_MS) {
+                is_out_of_date = !is_out_of_date;
+                tracing::warn!(age_ms, is_out_of_date, "list of workers");
+            }
+            if !has_more {
+                tokio::time::sleep(WORKERS_POLL_INTERVAL).await;
             }
-            tokio::time::sleep(WORKERS_POLL_INTERVAL).await;
-        }
-    }
-
-    fn apply_worker_changes(
-        &self,
-        changes: WorkerChanges,
-        unlisted_at_ms: &mut BTreeMap<WorkerId, u64>,
-    ) {
-        for worker in changes.unlisted {
-            unlisted_at_ms.insert(worker, steady_ms());
-        }
-        for listed in changes.listed {
-            unlisted_at_ms.remove(&listed.worker);
-            self.inbox_sender.notify(Event::Listed(listed));
         }
     }
 
@@ -230,14 +245,3 @@
         }
     }
 }
-
-/// Parses a job's row; `None` if it was removed, or if it cannot be parsed and so belongs to
-/// another writer.
-pub(crate) fn read_row<T: serde::de::DeserializeOwned>(row: &Row) -> Option<(JobId, T)> {
-    let value = row.value.as_ref()?;
-    if let (Ok(id), Ok(value)) = (row.key.parse(), serde_json::from_slice(value)) {
-        return Some((id, value));
-    }
-    tracing::warn!(key = row.key, version = row.version, "skipping a row that cannot be parsed");
-    None
-}
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -88,6 +88,7 @@
         queued_jobs = counts.queued_jobs,
         running_jobs = counts.running_jobs,
         queued_steps = counts.queued_steps,
+        workers_age_ms = counts.workers_age_ms,
         open_workers = counts.open_workers,
         silent_workers = counts.silent_workers,
         free_cpu_millis = counts.free_cpu_millis,
@@ -118,6 +119,7 @@
     metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
     metrics::gauge!("stoatwell_queued_messages").set(queued_messages as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
+    metrics::gauge!("stoatwell_workers_age_ms").set(counts.workers_age_ms as f64);
     metrics::gauge!("stoatwell_workers_open").set(counts.open_workers as f64);
     metrics::gauge!("stoatwell_workers_silent").set(counts.silent_workers as f64);
     metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
@@ -43,6 +44,9 @@
 /// hold it open.
 const RESPONSE_TIMEOUT_MS: u64 = 1_500;
 
+/// Most changes in a response of the store's change feed.
+const FEED_ROWS_MAX: u64 = 500;
+
 /// How the store responds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreBehavior {
@@ -72,6 +76,16 @@
     job_writes_released: watch::Sender<bool>,
     worker: Option<FakeWorker>,
     worker_count: usize,
+    heartbeats: Option<Heartbeats>,
+}
+
+/// Entries in the list of workers that are rewritten in turn.
+#[derive(Debug)]
+struct Heartbeats {
+    began: Instant,
+    per_s: u64,
+    /// From when on the first worker's entry says that it leaves.
+    draining_after: Duration,
 }
 
 /// A worker that answers the first start of each task with "not started", all at the same
@@ -112,6 +126,13 @@
         Self { worker: Some(FakeWorker::default()), worker_count, ..Self::default() }
     }
 
+    /// A platform with workers that write `per_s` heartbeats a second together, and answer no
+    /// calls. The first one begins to leave after `draining_after`.
+    pub fn with_heartbeats(worker_count: usize, per_s: u64, draining_after: Duration) -> Self {
+        let heartbeats = Heartbeats { began: Instant::now(), per_s, draining_after };
+        Self { worker_count, heartbeats: Some(heartbeats), ..Self::default() }
+    }
+
     /// The number of first starts that the worker has received.
     pub fn first_starts_received(&self) -> usize {
         self.worker
@@ -129,7 +150,7 @@
     /// Keeps the present version, but no rows, for [`Self::serve_snapshot`].
     pub fn save_snapshot(&self) {
         let mut state = self.state.lock().expect("no panic");
-        state.snapshot = Rows { rows: Vec::new(), version: state.version };
+        state.snapshot = Rows { version: state.version, ..Rows::default() };
     }
 
     /// Answers the next `count` reads of a table with the snapshot, which is empty.
@@ -231,6 +252,20 @@
     }
 }
 
+fn worker_entry(number: usize, draining: bool) -> WorkerUpdate {
+    WorkerUpdate {
+        worker: WorkerId::new(format!("w{number}")),
+        address: "10.0.0.1:1".to_owned(),
+        service: "s".to_owned(),
+        zone: ZoneName::new("z"),
+        capacity: Resources { cpu_millis: 1_000_000, ..Resources::ZERO },
+        labels: Vec::new(),
+        draining,
+        remaining_ms: None,
+        incarnation: 1,
+    }
+}
+
 /// Executes a transaction on the rows.
 fn write_to(state: &Mutex<State>, transaction: &Transaction) -> Result<u64, StoreError> {
     let mut state = state.lock().expect("no panic");
@@ -300,7 +335,7 @@
         if let Some(stale) = self.stale_read(table) {
             return Ok(stale);
         }
-        Ok(Rows { rows: self.rows(table), version: self.version() })
+        Ok(Rows { rows: self.rows(table), version: self.version(), has_more: false })
     }
 
     async fn poll_changes(
@@ -317,34 +352,33 @@
             let newer: Vec<Row> =
                 self.rows(table).into_iter().filter(|row| row.version > after).collect();
             if !newer.is_empty() {
-                return Ok(Rows { rows: newer, version: self.version() });
+                return Ok(Rows { rows: newer, version: self.version(), has_more: false });
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        Ok(Rows { rows: Vec::new(), version: self.version().max(after) })
+        Ok(Rows { version: self.version().max(after), ..Rows::default() })
     }
 
     async fn workers(&self) -> Result<WorkerChanges, StoreError> {
-        let listed = (0..self.worker_count).map(|number| WorkerUpdate {
-            worker: WorkerId::new(format!("w{number}")),
-            address: "10.0.0.1:1".to_owned(),
-            service: "s".to_owned(),
-            zone: ZoneName::new("z"),
-            capacity: Resources { cpu_millis: 1_000_000, ..Resources::ZERO },
-            labels: Vec::new(),
-            draining: false,
-            remaining_ms: None,
-            incarnation: 1,
-        });
+        let listed = (0..self.worker_count).map(|number| worker_entry(number, false));
         Ok(WorkerChanges { listed: listed.collect(), ..WorkerChanges::default() })
     }
 
     async fn poll_worker_changes(
         &self,
-        _after: u64,
+        after: u64,
         _wait: u64,
     ) -> Result<WorkerChanges, StoreError> {
-        Ok(WorkerChanges::default())
+        let Some(heartbeats) = &self.heartbeats else { return Ok(WorkerChanges::default()) };
+        let written = heartbeats.began.elapsed().as_millis() as u64 * heartbeats.per_s / 1_000;
+        let version = written.min(after + FEED_ROWS_MAX);
+        let listed = (after..version).map(|beat| {
+            let number = beat as usize % self.worker_count;
+            let written_after = Duration::from_millis(beat * 1_000 / heartbeats.per_s);
+            worker_entry(number, number == 0 && written_after >= heartbeats.draining_after)
+        });
+        let has_more = version < written;
+        Ok(WorkerChanges { listed: listed.collect(), unlisted: Vec::new(), version, has_more })
     }
 
     async fn manifest(&self) -> Result<(Option<Manifest>, u64), StoreError> {
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -20,6 +20,8 @@
     pub jobs: BTreeMap<String, usize>,
     /// The number of steps in the queue, which have tasks to place.
     pub queued_steps: usize,
+    /// The age of the view of the list of workers, in milliseconds.
+    pub workers_age_ms: u64,
     /// Tasks that wait for something that will not happen, each with the reason. Empty
     /// unless the scheduler has a fault.
     pub tasks_without_wakeup: Vec<String>,
@@ -51,6 +53,8 @@
     pub running_jobs: usize,
     /// Steps in the queue, which have tasks to place.
     pub queued_steps: usize,
+    /// The age of the view of the list of workers, in milliseconds.
+    pub workers_age_ms: u64,
     /// Workers that accept new tasks.
     pub open_workers: usize,
     /// Workers that did not answer the last call.
@@ -70,6 +74,8 @@
     pub held: bool,
     /// Whether it accepts new tasks.
     pub open: bool,
+    /// Whether its entry in the list of workers says that it leaves.
+    pub draining: bool,
     /// The number of tasks that have capacity allocated on it.
     pub tasks: usize,
     /// The resources that are allocated.
@@ -93,6 +99,7 @@
                 worker: name.to_string(),
                 held: worker.held,
                 open: worker.is_open(self.now_ms),
+                draining: worker.info.draining,
                 tasks: worker.tasks.len(),
                 used: worker.used,
                 capacity: worker.info.capacity,
@@ -103,6 +110,7 @@
             epoch: self.election.epoch,
             jobs,
             queued_steps: self.queue.len(),
+            workers_age_ms: self.workers_age_ms(),
             tasks_without_wakeup: self.tasks_without_wakeup(),
             customers: self.customers(),
             workers,
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -43,6 +43,11 @@
         /// The worker that is no longer listed.
         worker: WorkerId,
     },
+    /// The list of workers was read; all changes before `as_of_ms` are known.
+    WorkersRead {
+        /// The time on the monotonic clock.
+        as_of_ms: u64,
+    },
     /// A hold was answered or failed.
     Held {
         /// The worker that was called.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -161,6 +161,8 @@
     early_cancels: BTreeSet<JobId>,
     customers: Customers,
     workers: BTreeMap<WorkerId, Worker>,
+    /// All changes to the list of workers before this time are known.
+    workers_as_of_ms: u64,
     /// Names of workers, indexed by [`WorkerIndex`].
     worker_names: Vec<WorkerId>,
     /// Steps with tasks to place, by priority, fair share, deadline and arrival.
@@ -222,6 +224,7 @@
             early_cancels: BTreeSet::new(),
             customers: Customers::default(),
             workers: BTreeMap::new(),
+            workers_as_of_ms: now_ms,
             worker_names: Vec::new(),
             queue: BTreeMap::new(),
             not_due: BTreeSet::new(),
@@ -303,6 +306,7 @@
             Event::Cancelled { job } => self.on_cancelled(job),
             Event::Listed(update) => self.on_listed(update),
             Event::Unlisted { worker } => self.on_unlisted(&worker),
+            Event::WorkersRead { as_of_ms } => self.workers_as_of_ms = as_of_ms,
             Event::Held { worker, turn, reply } => self.on_held(&worker, turn, reply),
             Event::Started { task, run, worker, reply } => {
                 self.on_started(task, run, &worker, reply);
@@ -388,6 +392,11 @@
         self.workers.get(worker).map(|worker| &worker.info.zone)
     }
 
+    /// The age of the view of the list of workers: later changes may be missing.
+    pub(crate) fn workers_age_ms(&self) -> u64 {
+        self.now_ms.saturating_sub(self.workers_as_of_ms)
+    }
+
     /// The number of known workers in each availability zone.
     pub fn workers_by_zone(&self) -> BTreeMap<ZoneName, usize> {
         let mut counts = BTreeMap::new();
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -394,12 +394,13 @@
     /// Records on which worker a task will run. The start is sent once the row is durable.
     pub(crate) fn record_start(&mut self, id: TaskId, run: u32) {
         let now_ms = self.now_ms;
+        let workers_age_ms = self.workers_age_ms();
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let Some(task) = job.task_mut(id) else { return };
         if let Some(worker) = &task.worker {
             let free = self.workers.get(worker).map(Worker::free).unwrap_or_default();
             let left_cpu_millis = free.cpu_millis;
-            tracing::info!(task = %id, run, worker = %worker, left_cpu_millis, "run placed");
+            tracing::info!(task = %id, run, worker = %worker, left_cpu_millis, workers_age_ms, "run placed");
         }
         task.phase = Phase::Recorded;
         task.run = run;
--- a/crates/pool/tests/log_lines.rs
+++ b/crates/pool/tests/log_lines.rs
@@ -78,7 +78,11 @@
         world.run(1_000);
     });
     assert_fields(&lines, "job accepted", &["job", "queue"]);
-    assert_fields(&lines, "run placed", &["task", "run", "worker", "left_cpu_millis"]);
+    assert_fields(
+        &lines,
+        "run placed",
+        &["task", "run", "worker", "left_cpu_millis", "workers_age_ms"],
+    );
     assert_fields(&lines, "run ended", &["task", "run", "worker", "end", "took_ms"]);
     let finished_fields = ["job", "queue", "outcome", "took_ms", "allowed_ms"];
     assert_fields(&lines, "job finished", &finished_fields);
