A restarted worker is told to forget no end that was not read

Cause: each incarnation of a worker numbers its ends anew. Every hold repeated the number up to which ends may be forgotten, for as long as the worker lived. If it restarted at once, under the same name, starts could reach the new incarnation and end there before its first answer; a hold with the number of the old one then made it forget these ends unread, and the runs counted as lost.

A number is now sent only until a hold that carried it was answered, and only within 250 ms of an answer. Later, a hold without a number comes first, which costs one call and shows a restart.

Ruled out: the header that names the instance. It carries the name, which stays the same.

Test: a_restarted_worker_forgets_no_end_unread, which fails on the code before ("started after the scheduler had acknowledged its completion").

--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -189,6 +189,7 @@
     ) {
         let now_ms = self.now_ms;
         let Some(worker) = self.workers.get_mut(name) else { return };
+        let hold_forgets = if worker.hold_turn == Some(turn) { worker.hold_forgets } else { 0 };
         if worker.hold_turn == Some(turn) {
             worker.hold_turn = None;
         }
@@ -215,6 +216,7 @@
         }
         worker.answered_ms = now_ms;
         worker.unanswered_calls = 0;
+        worker.forgotten_end = worker.forgotten_end.max(hold_forgets);
         worker.lost = false;
         worker.refuses_connections = false;
         worker.clock = Some((reply.clock_ms, now_ms));
@@ -355,9 +357,11 @@
             {
                 continue;
             }
+            let forget = worker.forgettable_end(now_ms);
             if !pending {
                 worker.hold_turn = Some(turn);
                 worker.hold_sent_ms = now_ms;
+                worker.hold_forgets = forget;
             }
             // The lease of a worker that does not answer is not extended: it has to expire
             // some day, or the tasks of the worker could never run elsewhere.
@@ -366,7 +370,7 @@
             worker.lease_end_max = worker.lease_end_max.max(until_ms.unwrap_or(0));
             let at_once = probe || !worker.held || !worker.non_durable_ends.is_empty();
             let wait_ms = if at_once { 0 } else { wait_ms };
-            due.push((name.clone(), until_ms, worker.last_durable_end(), wait_ms));
+            due.push((name.clone(), until_ms, forget, wait_ms));
         }
         for (name, until_ms, forget, wait_ms) in due {
             let Some(to) = callee(self.election.epoch, &self.workers, &name) else { continue };
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -20,6 +20,9 @@
 /// Age of the last answer above which a worker gets no new tasks. Two holds that both wait
 /// as long as they may fit into it.
 const ANSWER_AGE_MAX_MS: u64 = 2_500;
+/// Age of the last answer up to which a worker is let forget ended runs. It has to be shorter
+/// than the time in which a worker restarts and a run of the new incarnation ends.
+const FORGET_WINDOW_MS: u64 = 250;
 /// Consecutive failed runs after which a worker is put into quarantine. One run in twenty
 /// fails through its own fault, so two in a row are probably the worker's fault.
 const FAILURES_MAX: u32 = 2;
@@ -61,6 +64,8 @@
     /// The turn in which the pending hold was sent; `None` if none is pending.
     pub hold_turn: Option<u64>,
     pub hold_sent_ms: u64,
+    /// Up to which end the pending hold lets the worker forget; 0 for none.
+    pub hold_forgets: u64,
     pub next_hold_ms: u64,
     /// Whether to send a probe: a hold that is sent and answered without delay, to learn
     /// whether a stopped run is gone.
@@ -79,6 +84,8 @@
     pub last_processed_end: u64,
     /// Numbers of processed ends whose rows are not durable yet.
     pub non_durable_ends: BTreeSet<u64>,
+    /// The highest end that the worker was let forget by a hold that it has answered.
+    pub forgotten_end: u64,
     /// Tasks placed on this worker.
     pub tasks: BTreeMap<TaskId, Allocation>,
     /// The resources of runs that the worker reported and the scheduler does not want.
@@ -119,6 +126,7 @@
             held: false,
             hold_turn: None,
             hold_sent_ms: 0,
+            hold_forgets: 0,
             next_hold_ms: 0,
             probe_due: false,
             incarnation_turn: 0,
@@ -127,6 +135,7 @@
             earlier_lease_expiry_ms,
             last_processed_end: 0,
             non_durable_ends: BTreeSet::new(),
+            forgotten_end: 0,
             tasks: BTreeMap::new(),
             unwanted_allocations: Vec::new(),
             used: Resources::ZERO,
@@ -158,6 +167,7 @@
         self.clock = None;
         self.lease_end_max = 0;
         self.last_processed_end = 0;
+        self.forgotten_end = 0;
         self.non_durable_ends.clear();
         self.unwanted_allocations.clear();
         self.failures = 0;
@@ -242,9 +252,18 @@
         clock_ms + min_elapsed_ms > self.lease_end_max + LEASE_EXPIRY_MARGIN_MS
     }
 
-    /// The highest number up to which the worker may forget ended runs.
-    pub fn last_durable_end(&self) -> u64 {
-        self.non_durable_ends.first().map_or(self.last_processed_end, |first| first - 1)
+    /// The number up to which a hold that is sent now lets the worker forget ended runs; 0 for
+    /// none.
+    ///
+    /// Each incarnation numbers its ends anew, and a restart is noticed only by the next answer.
+    /// A number of the earlier incarnation would make the new one forget ends that were not
+    /// read. So a number is sent no more than once, and only shortly after an answer.
+    pub fn forgettable_end(&self, now_ms: u64) -> u64 {
+        let durable_end =
+            self.non_durable_ends.first().map_or(self.last_processed_end, |first| first - 1);
+        let is_confirmed =
+            self.unanswered_calls == 0 && self.answered_ms + FORGET_WINDOW_MS >= now_ms;
+        if is_confirmed && durable_end > self.forgotten_end { durable_end } else { 0 }
     }
 
     /// The rack, which is the last label; `None` if there is no label but the first one,
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -323,3 +323,26 @@
     assert_eq!(world.pending(), 1);
     assert_no_violations(&world);
 }
+
+/// A worker restarts at once, and starts reach its new incarnation before the scheduler knows
+/// of it. Guards against tasks that run twice: a hold told the new incarnation to forget as many
+/// ends as the earlier one had listed, so that ends of the new one were never read.
+#[test]
+fn a_restarted_worker_forgets_no_end_unread() {
+    let mut world = world_without_faults(1);
+    for number in 0..20 {
+        world.submit(number, job(queue(0), vec![step(1, 1_000, 100)]));
+    }
+    world.run(3_000);
+    assert!(world.open_jobs().is_empty());
+    let name = world.workers.keys().next().cloned().expect("a worker");
+    world.restart_unnoticed(&name);
+    for number in 100..105 {
+        world.submit(number, job(queue(0), vec![step(1, 1_000, 50)]));
+    }
+    world.run(2_000);
+    world.list_all();
+    world.run(20_000);
+    assert!(world.open_jobs().is_empty(), "{:?}", world.open_jobs());
+    assert_no_violations(&world);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -295,6 +295,15 @@
         self.schedule(1_500, TimedEvent::Listed(name.clone()));
     }
 
+    /// Restarts a worker at once, as a new incarnation that is not listed yet.
+    pub fn restart_unnoticed(&mut self, name: &WorkerId) {
+        let now_ms = self.now_ms;
+        if let Some(worker) = self.workers.get_mut(name) {
+            worker.crash(now_ms);
+            worker.up = true;
+        }
+    }
+
     /// Makes a worker unreachable for a while: calls to it are lost.
     pub fn isolate(&mut self, name: &WorkerId, for_ms: u64) {
         if let Some(worker) = self.workers.get_mut(name) {
