A long query to the advisor is split over idle daemons

Gangs of the hearing packets wait for more than a second for their first tickets: a query about 100 workers takes 430 ms and 6.2 ms for each of them, and each gang asks about a hundred to several hundred.

A daemon sends one query after another, and of hundreds of daemons nearly all are idle. A query is now split so that the workers add at most a quarter to its fixed time, if that saves 50 ms or more, over at most a quarter of the idle daemons. Small pools split as before, only what one query cannot name. A gang that waits for tickets decides once all its queries are answered; independent tasks start with the first answer that permits them.

Test: a_wide_gang_is_queried_about_through_many_idle_daemons: 30 workers a query or fewer with 587 daemons, as before with 9.

--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -49,6 +49,11 @@
 /// A step has enough granted workers when their total capacity fits this many times
 /// its tasks.
 pub(crate) const SUFFICIENT_PLACES_FACTOR: u64 = 3;
+/// Time that the per-worker cost may add to each query if many daemons are idle, in percent of
+/// the fixed cost.
+const SPLIT_PER_WORKER_PERCENT: f64 = 25.0;
+/// A query is split only if its answer comes at least this much sooner.
+const SPLIT_GAIN_MIN_MS: f64 = 50.0;
 /// Minimum number of workers in a query, whatever the cost per worker.
 const QUERY_WORKERS_MIN: usize = 8;
 /// Delay before the next query after one that failed.
@@ -92,13 +97,27 @@
         long_queries_max(self.advisor_daemons).saturating_sub(self.long_queries)
     }
 
+    /// Into how many queries one about this many workers is split. Each daemon sends its queries
+    /// one after another, so queries through idle daemons are answered at the same time.
+    fn query_count(&self, rule: AdviceSpec, workers: usize) -> usize {
+        let required = workers.div_ceil(self.limits.advice_workers_max).max(1);
+        let per_worker_ms = rule.each_ms * workers as f64;
+        let allowed_ms = (rule.decide_ms * SPLIT_PER_WORKER_PERCENT / 100.0).max(1.0);
+        let wanted = (per_worker_ms / allowed_ms).ceil() as usize;
+        let idle = self.free_long_queries().min(self.advisor_daemons.saturating_sub(self.queries));
+        let count = wanted.min(idle / GANG_QUERIES_DIVISOR).clamp(required, workers.max(required));
+        let gain_ms = per_worker_ms / required as f64 - per_worker_ms / count as f64;
+        if gain_ms < SPLIT_GAIN_MIN_MS { required } else { count }
+    }
+
     /// Queries the advisor about these workers, split into as many queries as needed.
     pub(crate) fn query_advisor(&mut self, step: StepId, workers: &[WorkerId]) {
-        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(step_index) = job.step_index(step) else { return };
         let Some(rule) = job.spec.queue.advice else { return };
         let priority = job.spec.queue.priority;
-        let queries = workers.len().div_ceil(self.limits.advice_workers_max).max(1);
+        let queries = self.query_count(rule, workers.len());
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
         for chunk in workers.chunks(workers.len().div_ceil(queries).max(1)) {
             let cost_ms = query_cost_ms(rule, chunk.len());
             job.step_states[step_index].advice.queries += 1;
@@ -155,11 +174,15 @@
     /// Starts the tasks that waited for tickets.
     ///
     /// Those without a fresh ticket, or whose worker takes no new tasks now, go back to
-    /// the queue. A gang starts all of these tasks or none.
+    /// the queue once all queries are answered. A gang starts all of these tasks or none.
     fn start_reserved_tasks(&mut self, step: StepId) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(step_index) = job.step_index(step) else { return };
         let gang = job.step_spec(step_index).gang;
+        let has_queries = job.step_states[step_index].advice.queries > 0;
+        if gang && has_queries {
+            return;
+        }
         let mut ready = Vec::new();
         let mut denied = Vec::new();
         for (index, task) in job.step_states[step_index].tasks.iter().enumerate() {
@@ -171,7 +194,11 @@
                 self.has_fresh_ticket(step, name)
                     && self.workers.get(name).is_some_and(|worker| worker.is_open(self.now_ms))
             });
-            if fresh { ready.push(id) } else { denied.push(id) }
+            if fresh {
+                ready.push(id);
+            } else if !has_queries {
+                denied.push(id);
+            }
         }
         if gang && !denied.is_empty() {
             denied.append(&mut ready);
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -126,6 +126,29 @@
     assert_no_violations(&world);
 }
 
+/// A wide gang in a pool with hundreds of idle daemons. Guards against a query about a hundred
+/// workers that goes through one daemon and takes twice as long as it has to.
+#[test]
+fn a_wide_gang_is_queried_about_through_many_idle_daemons() {
+    let mut rules = queue(1);
+    rules.advice = Some(AdviceSpec { decide_ms: 430.0, each_ms: 6.2, valid_ms: 2_000 });
+    let mut gang = job(rules, vec![step(40, 4_500, 3_000)]);
+    gang.steps[0].gang = true;
+    for (daemons, query_workers) in [(9, 60..101), (587, 8..30)] {
+        let mut world = World::new(17, 300, Faults::default());
+        world.set_advisor_daemons(daemons);
+        world.run(200);
+        world.submit(1, gang.clone());
+        world.run(60);
+        assert!(query_workers.contains(&world.last_query_workers), "{}", world.last_query_workers);
+        world.run(400);
+        assert_eq!(world.state(1), Some(JobState::Running), "{}", world.explain(JobId(1)));
+        world.run(20_000);
+        assert!(world.open_jobs().is_empty());
+        assert_no_violations(&world);
+    }
+}
+
 /// The store becomes sixty times slower, and each start waits for two of its writes. Guards
 /// against tickets that are valid when a worker is chosen but have expired when the start is
 /// sent: refused starts go through the slow store again until they take all of its
