Leader view, probe and liveness are modules of their own

election, gateway, leader_view and store_watcher imported each other in a circle. What is known of a leader needs neither the gateway nor the probe that finds it out; the decoding of rows belongs to no watcher.

--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -15,7 +15,7 @@
 use stoatwell_pool::EXTENSION_WINDOW_MS;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::leader_view::Liveness;
+use crate::liveness::Liveness;
 
 /// How often the leader renews its lease: about a third of its duration, so that
 /// two lost writes in a row do not cost the leader its lease.
--- a/crates/node/src/elector.rs
+++ b/crates/node/src/elector.rs
@@ -21,7 +21,7 @@
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::leader::Leader;
-use crate::leader_view::Liveness;
+use crate::liveness::Liveness;
 use crate::message::SchedulerRequest;
 use crate::platform::Platform;
 use crate::platform::Row;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -72,8 +72,8 @@
 pub use crate::inbox::InboxSender;
 pub use crate::inbox::MessageBudget;
 pub use crate::inbox::inbox;
-pub use crate::leader_view::Liveness;
-pub use crate::leader_view::probe_interval;
+pub use crate::leader_probe::probe_interval;
+pub use crate::liveness::Liveness;
 pub use crate::manifest::CurrentManifest;
 pub use crate::manifest::Denied;
 pub use crate::manifest::Manifest;
@@ -174,7 +174,7 @@
         }));
         tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
         tokio::spawn(health::probe(Arc::clone(&platform), Arc::clone(&health)));
-        tokio::spawn(leader_view::probe_leader(
+        tokio::spawn(leader_probe::probe_leader(
             Arc::clone(&gateway),
             peers.clone(),
             election::is_underprovisioned(settings.cores),
