A refused submission takes no part in the rest of its batch

The leader rejected the submission after four refusals and went on writing the rest of the batch, in this case only the check of the fence. The caller submitted the job again, and the leader placed it. Then the first batch was written, and its actions, which named the job, were carried out for the second submission: it was accepted and its tasks were started. It counted as durable, so its own row was never written.

A rejected submission now drops its row and its actions from what is to be written and from the batch in flight.

Ruled out: a submission that is taken back before it is sent, which has no batch in flight.

Test: a_job_that_was_refused_is_accepted_only_once_its_own_write_is_durable, which fails on the code before.

--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -143,6 +143,18 @@
     ReportOutcome(JobId),
 }
 
+impl AfterCommit {
+    /// The job whose rows have to be durable; `None` for an end that a worker may forget, whose
+    /// job was durable before.
+    fn job(&self) -> Option<JobId> {
+        match self {
+            Self::Accept(job) | Self::ReportOutcome(job) => Some(*job),
+            Self::Start { task, .. } => Some(task.step.job),
+            Self::Forget { .. } => None,
+        }
+    }
+}
+
 impl Default for Commits {
     fn default() -> Self {
         let partitions = std::iter::repeat_with(Partition::default).take(PARTITIONS).collect();
@@ -188,6 +200,18 @@
         true
     }
 
+    /// Drops everything that concerns a submission that was rejected. The rest of its batch is
+    /// still written; without this, the end of that batch would accept a later submission of the
+    /// same job, whose row is not written yet.
+    pub fn drop_rejected(&mut self, job: JobId) {
+        let partition = &mut self.partitions[job.partition()];
+        partition.dirty.remove(&job);
+        partition.order.retain(|other| *other != job);
+        let Some(batch) = &mut partition.in_flight else { return };
+        batch.jobs.retain(|other| *other != job);
+        batch.actions.retain(|action| action.job() != Some(job));
+    }
+
     /// Whether a row of this job is being written or waits to be written.
     pub fn is_write_pending(&self, job: JobId) -> bool {
         let partition = &self.partitions[job.partition()];
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -86,6 +86,7 @@
             return;
         }
         self.drop_submission(id);
+        self.commits.drop_rejected(id);
         self.effects.push(Effect::Answer { job: id, accepted });
     }
 
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -149,3 +149,24 @@
     assert_eq!(world.submission_result(1), Some(Accepted::Yes));
     assert_eq!(world.starts, 0);
 }
+
+/// The store refuses a submission, and the caller submits the job again before the rest of that
+/// batch is written. Guards against a job that is accepted and starts without a row: the end of
+/// the first batch stood for the second submission, and the next leader did not know the job.
+#[test]
+fn a_job_that_was_refused_is_accepted_only_once_its_own_write_is_durable() {
+    let mut world = ready_world(9);
+    world.refuses_submissions = true;
+    world.submit_via_scheduler(1, short_job());
+    world.run(100);
+    assert_eq!(world.submission_result(1), Some(Accepted::No));
+    world.refuses_submissions = false;
+    world.submit_via_scheduler(1, short_job());
+    for _ in 0..200 {
+        world.run(5);
+        let is_accepted = world.submission_result(1) == Some(Accepted::Yes);
+        assert!(world.is_stored(1) || !(is_accepted || world.starts > 0));
+    }
+    assert_eq!(world.submission_result(1), Some(Accepted::Yes));
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -52,6 +52,9 @@
 /// The length of the leases that schedulers request, and the longest that workers grant.
 pub const LEASE_MS: u64 = 6_000;
 
+/// How much later the rest of a batch is written after its submissions were refused.
+const REFUSED_BATCH_MS: u64 = 200;
+
 /// The simulation of one pool.
 pub struct World {
     pub now_ms: u64,
@@ -78,6 +81,8 @@
     pub bad_tickets: u64,
     /// Whether the scheduler's daemon can renew the leader lease. Without it nothing is written.
     pub can_renew_lease: bool,
+    /// Whether the store refuses rows of submissions; the rest of their batch is written late.
+    pub refuses_submissions: bool,
     /// Partitions of the store that never answer.
     pub stuck_partitions: BTreeSet<usize>,
     /// The number of batches sent to the store.
@@ -129,6 +134,7 @@
             tickets_expire: false,
             bad_tickets: 0,
             can_renew_lease: true,
+            refuses_submissions: false,
             stuck_partitions: BTreeSet::new(),
             batches: 0,
             submission_results: BTreeMap::new(),
@@ -214,6 +220,11 @@
         self.jobs.keys().filter(|job| !is_finished(job)).copied().collect()
     }
 
+    /// Whether the store has the row of a job.
+    pub fn is_stored(&self, id: u64) -> bool {
+        self.jobs.contains_key(&JobId(id))
+    }
+
     /// The number of jobs of queue `q1` that count as waiting.
     pub fn pending(&self) -> usize {
         self.pool.pending("q1")
@@ -523,7 +534,14 @@
         if self.stuck_partitions.contains(&write.partition) {
             return;
         }
+        let mut write_ms = self.commit_ms;
         for put in write.puts {
+            if put.submission.is_some() && self.refuses_submissions {
+                let event = Event::Rejected { job: put.job, accepted: Accepted::No };
+                self.schedule(self.commit_ms, TimedEvent::Event(self.epoch, event));
+                write_ms = self.commit_ms + REFUSED_BATCH_MS;
+                continue;
+            }
             if let Some(spec) = put.submission {
                 self.jobs.insert(put.job, spec);
             }
@@ -536,7 +554,7 @@
             self.jobs.remove(&job);
         }
         let event = Event::Committed { batch, partition: write.partition };
-        self.schedule(self.commit_ms, TimedEvent::Event(self.epoch, event));
+        self.schedule(write_ms, TimedEvent::Event(self.epoch, event));
     }
 
     fn send(&mut self, call: Call) {
