A leader that is behind says so, and refuses what it could not answer in time

How long messages wait in the inbox is in the line `pool` and in the gauge `stoatwell_inbox_delay_ms`. Beyond 1.5 s, half of the time that most callers wait, a submission is refused at once with code 7004 (429): its caller would get no answer in time, and the queue would only grow. Retry-After is the time that the queue needs to drain, spread over as long again.

Before, an overloaded leader took all submissions, and callers ran into their time limits (502 and 504) without knowing what became of their jobs.

--- a/crates/node/src/gateway.rs
+++ b/crates/node/src/gateway.rs
@@ -296,10 +296,12 @@
     fn account_for_earlier_tries(&self, job: JobId, accepted: Accepted) -> Accepted {
         match accepted {
             Accepted::Yes | Accepted::Unknown => self.recent_submissions.record(job, steady_ms()),
-            Accepted::No if self.recent_submissions.contains(job, steady_ms()) => {
+            Accepted::No | Accepted::Overloaded { .. }
+                if self.recent_submissions.contains(job, steady_ms()) =>
+            {
                 return Accepted::Unknown;
             }
-            Accepted::No | Accepted::Taken => {}
+            Accepted::No | Accepted::Taken | Accepted::Overloaded { .. } => {}
         }
         accepted
     }
@@ -700,6 +702,7 @@
         Accepted::Yes => "accepted",
         Accepted::No => "refused",
         Accepted::Taken => "taken",
+        Accepted::Overloaded { .. } => "overloaded",
         Accepted::Unknown => "unknown",
     }
 }
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -20,14 +20,23 @@
 #[derive(Debug)]
 pub struct Inbox {
     control: mpsc::UnboundedReceiver<Message>,
-    ordinary: mpsc::UnboundedReceiver<Message>,
+    ordinary: mpsc::UnboundedReceiver<Queued>,
+    /// How long the ordinary message that was last taken had waited.
+    delay: Duration,
+}
+
+/// An ordinary message, and when it was sent.
+#[derive(Debug)]
+struct Queued {
+    message: Message,
+    sent: Instant,
 }
 
 /// The sending half of the message queue.
 #[derive(Clone, Debug)]
 pub struct InboxSender {
     control: mpsc::UnboundedSender<Message>,
-    ordinary: mpsc::UnboundedSender<Message>,
+    ordinary: mpsc::UnboundedSender<Queued>,
 }
 
 /// Limits how many messages the leader handles in one scheduling cycle.
@@ -51,7 +60,8 @@
 pub fn inbox() -> (InboxSender, Inbox) {
     let (control, control_receiver) = mpsc::unbounded_channel();
     let (ordinary, ordinary_receiver) = mpsc::unbounded_channel();
-    let inbox = Inbox { control: control_receiver, ordinary: ordinary_receiver };
+    let inbox =
+        Inbox { control: control_receiver, ordinary: ordinary_receiver, delay: Duration::ZERO };
     (InboxSender { control, ordinary }, inbox)
 }
 
@@ -61,7 +71,11 @@
         tokio::select! {
             biased;
             message = self.control.recv() => message,
-            message = self.ordinary.recv() => message,
+            queued = self.ordinary.recv() => {
+                let queued = queued?;
+                self.delay = queued.sent.elapsed();
+                Some(queued.message)
+            }
         }
     }
 
@@ -80,7 +94,17 @@
             return None;
         }
         budget.handled_in_burst += 1;
-        self.ordinary.try_recv().ok()
+        let Ok(queued) = self.ordinary.try_recv() else {
+            self.delay = Duration::ZERO;
+            return None;
+        };
+        self.delay = queued.sent.elapsed();
+        Some(queued.message)
+    }
+
+    /// How long the ordinary message that was last taken had waited; 0 if none is queued.
+    pub fn delay(&self) -> Duration {
+        self.delay
     }
 
     /// The number of queued messages.
@@ -97,15 +121,21 @@
 impl InboxSender {
     /// Sends an event to the scheduler.
     pub fn notify(&self, event: Event) {
-        let sender = match event {
+        let is_control = matches!(
+            event,
             Event::Listed(_)
-            | Event::Unlisted { .. }
-            | Event::WorkersRead { .. }
-            | Event::Cancelled { .. }
-            | Event::Customers { .. } => &self.control,
-            _ => &self.ordinary,
+                | Event::Unlisted { .. }
+                | Event::WorkersRead { .. }
+                | Event::Cancelled { .. }
+                | Event::Customers { .. }
+        );
+        let message = Message::Event(event);
+        let is_sent = if is_control {
+            self.control.send(message).is_ok()
+        } else {
+            self.ordinary.send(Queued { message, sent: Instant::now() }).is_ok()
         };
-        if sender.send(Message::Event(event)).is_err() {
+        if !is_sent {
             tracing::debug!("cannot send an event: the scheduler has ended");
         }
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use stoatwell_peer::Peers;
+use stoatwell_pool::Accepted;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -47,6 +48,7 @@
 use crate::manifest::Manifest;
 use crate::message::Message;
 use crate::message::SchedulerRequest;
+use crate::overload::retry_after_s;
 use crate::peers::DaemonCall;
 use crate::platform::Platform;
 use crate::platform::Table;
@@ -178,7 +180,9 @@
                 && let Ok(request) = self.requests.try_recv()
             {
                 requests += 1;
-                handle_request(&mut pool, &mut submissions, request, has_fresh_lease);
+                if let Some(request) = refuse_if_behind(request, inbox.delay()) {
+                    handle_request(&mut pool, &mut submissions, request, has_fresh_lease);
+                }
                 yield_time += yielder.checkpoint().await;
             }
             let handled_at = Instant::now();
@@ -207,6 +211,7 @@
             cycle_times.add(&Cycle {
                 messages: first_messages + budget.handled(),
                 requests,
+                inbox_delay: inbox.delay(),
                 handling: (handled_at - cycle_started).saturating_sub(yield_time),
                 yielded: yield_time,
                 deciding: decision_time,
@@ -220,7 +225,7 @@
             if steady_ms() >= gauges_updated_ms + GAUGE_INTERVAL_MS {
                 let period_ms = steady_ms() - gauges_updated_ms;
                 gauges_updated_ms = steady_ms();
-                publish_gauges(&pool, &cycle_times, inbox.len());
+                publish_gauges(&pool, &cycle_times, &inbox);
                 executors.update_load(cycle_times.total().as_millis() as u64, period_ms);
                 cycle_times = CycleTimes::default();
                 executors.update_workers(pool.workers_by_zone());
@@ -483,6 +488,21 @@
     true
 }
 
+/// Refuses a submission if the leader is too far behind to answer it in time; returns the request
+/// otherwise.
+fn refuse_if_behind(request: SchedulerRequest, inbox_delay: Duration) -> Option<SchedulerRequest> {
+    let SchedulerRequest::Submit(job, row, reply_sender) = request else { return Some(request) };
+    let Some(retry_after_s) = retry_after_s(inbox_delay, job) else {
+        return Some(SchedulerRequest::Submit(job, row, reply_sender));
+    };
+    let inbox_delay_ms = inbox_delay.as_millis() as u64;
+    tracing::info!(%job, inbox_delay_ms, retry_after_s, "submission refused: the leader is behind");
+    if reply_sender.send(Accepted::Overloaded { retry_after_s }).is_err() {
+        tracing::debug!(%job, "caller disconnected before its submission was refused");
+    }
+    None
+}
+
 /// Whether the leader lease was renewed within its duration. A leader that is cut off from
 /// the store may have been replaced without knowing it. It keeps extending its workers'
 /// leases until it learns so, but does not report the number of pending jobs.
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -7,6 +7,8 @@
 use stoatwell_pool::Pool;
 use stoatwell_pool::StartReply;
 
+use crate::inbox::Inbox;
+
 /// Maximum number of customers with gauges of their own; the state dump lists all of them.
 const CUSTOMERS_MEASURED_MAX: usize = 100;
 
@@ -40,6 +42,7 @@
     cycles: u32,
     messages: usize,
     requests: usize,
+    inbox_delay_max: Duration,
     handling: Duration,
     yielded: Duration,
     deciding: Duration,
@@ -53,6 +56,8 @@
     pub messages: usize,
     /// Requests of daemons handled.
     pub requests: usize,
+    /// How long messages wait in the inbox.
+    pub inbox_delay: Duration,
     /// Time spent handling messages and requests.
     pub handling: Duration,
     /// Time given to the daemon's other tasks meanwhile.
@@ -74,6 +79,7 @@
         self.cycles += 1;
         self.messages += cycle.messages;
         self.requests += cycle.requests;
+        self.inbox_delay_max = self.inbox_delay_max.max(cycle.inbox_delay);
         self.handling += cycle.handling;
         self.yielded += cycle.yielded;
         self.deciding += cycle.deciding;
@@ -82,8 +88,10 @@
 }
 
 /// Sets the gauges of the scheduler's view of the pool and logs its summary.
-pub(crate) fn publish_gauges(pool: &Pool, cycle_times: &CycleTimes, queued_messages: usize) {
+pub(crate) fn publish_gauges(pool: &Pool, cycle_times: &CycleTimes, inbox: &Inbox) {
     let counts = pool.counts();
+    let queued_messages = inbox.len();
+    let inbox_delay_ms = cycle_times.inbox_delay_max.as_millis() as u64;
     tracing::info!(
         queued_jobs = counts.queued_jobs,
         running_jobs = counts.running_jobs,
@@ -97,6 +105,7 @@
         messages = cycle_times.messages,
         requests = cycle_times.requests,
         queued_messages,
+        inbox_delay_ms,
         handling_ms = cycle_times.handling.as_millis() as u64,
         yielded_ms = cycle_times.yielded.as_millis() as u64,
         deciding_ms = cycle_times.deciding.as_millis() as u64,
@@ -117,6 +126,7 @@
     metrics::gauge!("stoatwell_tasks_stalled").set(stalled.len() as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
+    metrics::gauge!("stoatwell_inbox_delay_ms").set(inbox_delay_ms as f64);
     metrics::gauge!("stoatwell_queued_messages").set(queued_messages as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
     metrics::gauge!("stoatwell_workers_age_ms").set(counts.workers_age_ms as f64);
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -169,6 +169,7 @@
         DaemonReply::Submitted(Accepted::No),
         DaemonReply::Submitted(Accepted::Taken),
         DaemonReply::Submitted(Accepted::Unknown),
+        DaemonReply::Submitted(Accepted::Overloaded { retry_after_s: 3 }),
         DaemonReply::Alive { reaches_store: true, daemons: 8, fit: 2, manifest: proof },
         DaemonReply::Manifest { manifest: vec![1], proof },
         DaemonReply::Noted,
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -26,6 +26,11 @@
     Taken,
     /// It could not be determined in time whether it is durable.
     Unknown,
+    /// It was not taken, since the scheduler is too far behind to answer in time.
+    Overloaded {
+        /// When the caller may try again.
+        retry_after_s: u32,
+    },
 }
 
 impl Pool {
