--- /dev/null
+++ b/crates/node/src/gateway/serve.rs
@@ -0,0 +1,97 @@
+//! Answers calls from other daemons.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use stoatwell_pool::Accepted;
+use stoatwell_pool::JobId;
+use tokio::time::Instant;
+
+use crate::accept::WriteRequest;
+use crate::clock::steady_ms;
+use crate::executors;
+use crate::executors::call::Batch;
+use crate::gateway::Gateway;
+use crate::gateway::local::LocalReply;
+use crate::gateway::local::call_local;
+use crate::leader_view::Route;
+use crate::peers::DaemonCall;
+use crate::peers::DaemonReply;
+use crate::platform::Platform;
+
+impl<P: Platform> Gateway<P> {
+    /// Handles a call from another daemon.
+    pub async fn answer(&self, call: DaemonCall) -> DaemonReply {
+        if let DaemonCall::Advise { step, workers, limit_ms } = call {
+            let granted = self.platform.advise(step, &workers, limit_ms).await;
+            let to_pair = |grant: stoatwell_pool::Grant| (grant.worker, grant.ticket);
+            return DaemonReply::Advised(
+                granted.map(|grants| grants.into_iter().map(to_pair).collect()),
+            );
+        }
+        if let DaemonCall::Cancel { job, limit_ms } = call {
+            return DaemonReply::Submitted(self.cancel_for_peer(job, limit_ms).await);
+        }
+        if let DaemonCall::Leads { epoch, address } = call {
+            self.observe_leader(epoch, Some(address));
+            return DaemonReply::Noted;
+        }
+        if let DaemonCall::Execute { session, batch } = call {
+            let accepted = executors::call::decode::<Batch>("batch", &batch)
+                .is_some_and(|batch| self.executor.execute(session, batch));
+            return if accepted { DaemonReply::Noted } else { DaemonReply::NotScheduler };
+        }
+        if let DaemonCall::Collect { session, wait_ms } = call {
+            let Some(replies) = self.executor.collect(session, wait_ms).await else {
+                return DaemonReply::NotScheduler;
+            };
+            let replies = executors::call::encode(&replies);
+            return DaemonReply::Collected { clock_ms: steady_ms(), replies };
+        }
+        if call == DaemonCall::Manifest {
+            let manifest = executors::call::encode(self.manifest.newest().as_ref());
+            return DaemonReply::Manifest {
+                manifest,
+                proof: self.manifest.relayed_proof(steady_ms()),
+            };
+        }
+        let Route::Local(requests) = self.route() else { return DaemonReply::NotScheduler };
+        if call == DaemonCall::Alive {
+            let daemons = self.daemon_count.load(Ordering::Relaxed);
+            let fit = self.candidate_count.load(Ordering::Relaxed);
+            let manifest = self.manifest.relayed_proof(steady_ms());
+            return DaemonReply::Alive {
+                reaches_store: self.reaches_store(),
+                daemons,
+                fit,
+                manifest,
+            };
+        }
+        if let DaemonCall::Submit { job, .. } = call {
+            return self.submit_for_peer(&requests, job, call).await;
+        }
+        match call_local(&requests, call).await {
+            LocalReply::Reply(reply) => reply,
+            LocalReply::NotTaken | LocalReply::Dropped => DaemonReply::NotScheduler,
+        }
+    }
+
+    /// Makes a cancellation durable for a daemon that the store rejects. If this daemon
+    /// leads, its scheduler is notified before the other daemon replies to its caller: the
+    /// store's change feed is slower, and the other daemon cannot read the store.
+    async fn cancel_for_peer(&self, job: JobId, limit_ms: u64) -> Accepted {
+        let deadline = Instant::now() + Duration::from_millis(limit_ms);
+        let accepted = self.acceptor.accept(WriteRequest::Cancel(job), deadline).await;
+        if let (Accepted::Yes, Route::Local(requests)) = (accepted, self.route())
+            && !matches!(
+                call_local(&requests, DaemonCall::Cancelled(job)).await,
+                LocalReply::Reply(_)
+            )
+        {
+            tracing::debug!(
+                "scheduler stopped before it was notified of a cancellation; the store's change feed will deliver it"
+            );
+        }
+        accepted
+    }
+}
