Selecting workers for a query does not cost a look at all workers

Each new step looked at every worker of the pool to select those that the advisor is queried about: some 0.3 ms at 6,000 workers. Steps arrive with the size of the pool, so the cost grows with its square.

A selection begins at a place that differs between steps, and ends once it has examined 512 workers and found eight times the free places that it needs. In a nearly full pool it still examines all.

--- a/crates/pool/src/request.rs
+++ b/crates/pool/src/request.rs
@@ -21,6 +21,11 @@
 /// The selection of further workers for a step is repeated after this. It examines every
 /// worker for each waiting step.
 const SELECTION_INTERVAL_MS: u64 = 150;
+/// Fewest workers that a selection examines, so that it has a choice of the emptiest ones.
+const EXAMINED_WORKERS_MIN: usize = 512;
+/// A selection ends once the free places that it found are this many times those that the step
+/// would query about.
+const EXAMINED_PLACES_FACTOR: u64 = 8;
 /// A gang queries about so many workers that the free places that are expected to be granted
 /// are this many times the places that it still needs. Which workers are granted varies, and
 /// some of the free capacity is allocated before the answer arrives.
@@ -104,9 +109,20 @@
         let free_places = |view: &WorkerView| {
             if view.reservation_permits(step, priority) { places_in(&view.free, &need) } else { 0 }
         };
+        let granted_share = self.estimates.granted_share(&job.spec.queue.name);
+        let places_wanted =
+            u64::from(spec.tasks) * SUFFICIENT_PLACES_FACTOR * EXAMINED_PLACES_FACTOR;
+        let free_places_enough = (places_wanted as f64 / granted_share) as u64;
+        let mut free_places_found = 0;
         // Ordered by free places, the most first.
         let mut candidates: Vec<(Reverse<u64>, u64, usize)> = Vec::new();
-        for (view_index, view) in cycle.workers.iter().enumerate() {
+        // Steps arrive with the size of the pool. If each one examined all workers, the cost would
+        // grow with its square.
+        for (examined, view_index) in rotated_indices(step, cycle.workers.len()).enumerate() {
+            if examined >= EXAMINED_WORKERS_MIN && free_places_found >= free_places_enough {
+                break;
+            }
+            let view = &cycle.workers[view_index];
             if !view.capacity.holds(&need) || !self.is_eligible(service, spec, view) {
                 continue;
             }
@@ -114,6 +130,7 @@
             if (free == 0 && !include_full) || advice.queried.contains(&view.worker_index) {
                 continue;
             }
+            free_places_found += free;
             candidates.push((Reverse(free), tie_break(step, view.worker_index), view_index));
         }
         if candidates.is_empty() || (has_enough && candidates.len() < FURTHER_WORKERS_MIN) {
@@ -137,7 +154,6 @@
             let free_granted: u64 = granted.map(free_places).sum();
             let missing = u64::from(spec.tasks).saturating_sub(free_granted);
             let free: Vec<u64> = candidates.iter().map(|(free, ..)| free.0).collect();
-            let granted_share = self.estimates.granted_share(&job.spec.queue.name);
             let wanted = missing as f64 * FREE_FACTOR;
             match workers_for(wanted, &free, granted_share) {
                 Some(workers) => workers_max = workers_max.max(workers).min(named_max),
@@ -169,6 +185,12 @@
     (expected >= wanted).then_some(free.len())
 }
 
+/// All indices below `count`, from one on that differs between steps.
+fn rotated_indices(step: StepId, count: usize) -> impl Iterator<Item = usize> {
+    let first = if count == 0 { 0 } else { tie_break(step, WorkerIndex(0)) as usize % count };
+    (first..count).chain(0..first)
+}
+
 /// Orders workers with equally many free places, for each step differently, so that steps
 /// spread over the workers.
 fn tie_break(step: StepId, worker_index: WorkerIndex) -> u64 {
--- a/crates/pool/tests/large.rs
+++ b/crates/pool/tests/large.rs
@@ -87,6 +87,27 @@
     assert!(began.elapsed() < Duration::from_secs(1), "{:?}", began.elapsed());
 }
 
+/// A thousand urgent jobs arrive at once in such a pool. Guards against a decision that examines
+/// all workers for each of them.
+#[test]
+fn selecting_workers_does_not_cost_a_look_at_all_workers() {
+    let mut world = World::new(25, 12_000, Faults::default());
+    world.set_advisor_daemons(1_174);
+    world.run(300);
+    let mut rules = queue(0);
+    rules.advice = Some(AdviceSpec { decide_ms: 11.0, each_ms: 0.16, valid_ms: 2_000 });
+    for number in 0..1_000 {
+        world.submit(number, job(rules.clone(), vec![step(4, 3_500, 800)]));
+    }
+    let began = Instant::now();
+    world.decide();
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+    assert!(world.last_query_workers >= 8, "{}", world.last_query_workers);
+    world.run(2_500);
+    assert!(world.open_jobs().is_empty(), "{} jobs", world.open_jobs().len());
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against invariants that hold in small pools only.
 #[test]
 fn invariants_hold_in_a_large_pool() {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -307,6 +307,12 @@
         self.schedule(1_500, TimedEvent::Listed(name.clone()));
     }
 
+    /// Lets the scheduler decide, without any progress of time.
+    pub fn decide(&mut self) {
+        self.now_ms += 100;
+        self.apply_effects();
+    }
+
     /// Lets the scheduler handle an answer of one idle worker, and decide what is due then.
     pub fn answer_hold(&mut self, number: usize) {
         let index = number % self.workers.len();
