A refusal of the leader does not hide a write of the own daemon that is in doubt

A daemon that waits two seconds for the leader writes a submission itself. If the leader then refuses, since it is behind, the outcome of the own write counts: it may have taken effect. One method tells which outcomes are refusals.

--- a/crates/node/src/gateway/submission.rs
+++ b/crates/node/src/gateway/submission.rs
@@ -79,14 +79,11 @@
     /// before is not told "not accepted": a write for an earlier try may have taken effect, or
     /// may do so later.
     pub(super) fn account_for_earlier_tries(&self, job: JobId, accepted: Accepted) -> Accepted {
-        match accepted {
-            Accepted::Yes | Accepted::Unknown => self.recent_submissions.record(job, steady_ms()),
-            Accepted::No | Accepted::Overloaded { .. }
-                if self.recent_submissions.contains(job, steady_ms()) =>
-            {
-                return Accepted::Unknown;
-            }
-            Accepted::No | Accepted::Taken | Accepted::Overloaded { .. } => {}
+        if matches!(accepted, Accepted::Yes | Accepted::Unknown) {
+            self.recent_submissions.record(job, steady_ms());
+        }
+        if accepted.is_refusal() && self.recent_submissions.contains(job, steady_ms()) {
+            return Accepted::Unknown;
         }
         accepted
     }
@@ -122,10 +119,12 @@
                 combine(Some(through_leader.await), Some(accepted))
             }
             reply = &mut through_leader => match reply {
-                LeaderReply::Outcome(Accepted::No) | LeaderReply::NotSent | LeaderReply::NoAnswer => {
+                LeaderReply::Outcome(accepted) if !accepted.is_refusal() => {
+                    combine(Some(reply), None)
+                }
+                LeaderReply::Outcome(_) | LeaderReply::NotSent | LeaderReply::NoAnswer => {
                     combine(Some(reply), Some(local.await))
                 }
-                LeaderReply::Outcome(_) => combine(Some(reply), None),
             },
         }
     }
@@ -229,7 +228,10 @@
         (_, Some(Accepted::Yes | Accepted::Taken)) | (None | Some(LeaderReply::NotSent), _) => {
             local.unwrap_or(Accepted::Unknown)
         }
-        (Some(LeaderReply::Outcome(Accepted::No)), _) => local.unwrap_or(Accepted::No),
+        // This daemon's own write may have taken effect although the leader refused.
+        (Some(LeaderReply::Outcome(refusal)), Some(Accepted::Unknown)) if refusal.is_refusal() => {
+            Accepted::Unknown
+        }
         (Some(LeaderReply::Outcome(accepted)), _) => accepted,
         // The leader may still make the submission durable.
         (Some(LeaderReply::NoAnswer), _) => Accepted::Unknown,
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -33,6 +33,16 @@
     },
 }
 
+impl Accepted {
+    /// Whether the submission was surely not made durable by whoever reports this.
+    pub fn is_refusal(self) -> bool {
+        match self {
+            Self::No | Self::Overloaded { .. } => true,
+            Self::Yes | Self::Taken | Self::Unknown => false,
+        }
+    }
+}
+
 impl Pool {
     /// Accepts a submission. `None` means that its outcome follows as [`Effect::Answer`].
     pub fn submit(
