--- a/crates/node/tests/announcements.rs
+++ b/crates/node/tests/announcements.rs
@@ -25,7 +25,7 @@
 
 fn start_all(daemons: usize) -> Start {
     let mut attempts: BTreeMap<(u64, usize), u32> = BTreeMap::new();
-    let is_weak = |daemon: usize| daemon % STRONG_ONE_IN != 0;
+    let is_weak = |daemon: usize| !daemon.is_multiple_of(STRONG_ONE_IN);
     let delay_ms = |daemon: usize, attempt: u32| {
         announce_delay(&format!("edge-{daemon}"), is_weak(daemon), attempt).as_millis() as u64
     };
--- a/crates/node/tests/overload.rs
+++ b/crates/node/tests/overload.rs
@@ -12,7 +12,7 @@
 /// Guards against submissions that a leader takes although it cannot answer them in time.
 #[test]
 fn a_leader_that_is_seconds_behind_refuses_new_work() {
-    assert_eq!(retry_after_s(Duration::from_millis(1_000), JobId(7)), None);
+    assert_eq!(retry_after_s(Duration::from_secs(1), JobId(7)), None);
     let retry_after_s = retry_after_s(Duration::from_secs(3), JobId(7));
     assert!(retry_after_s.is_some_and(|seconds| (3..=8).contains(&seconds)), "{retry_after_s:?}");
 }
@@ -23,7 +23,7 @@
     let times: BTreeSet<u32> =
         (0..500).filter_map(|job| retry_after_s(Duration::from_secs(4), JobId(job))).collect();
     assert!(times.len() >= 4, "{times:?}");
-    let longest = retry_after_s(Duration::from_secs(600), JobId(u64::MAX));
+    let longest = retry_after_s(Duration::from_mins(10), JobId(u64::MAX));
     assert!(longest.is_some_and(|seconds| seconds <= 16), "{longest:?}");
 }
 
--- a/crates/node/tests/worker_list.rs
+++ b/crates/node/tests/worker_list.rs
@@ -97,9 +97,9 @@
     let removed = WorkerChanges { unlisted: vec![WorkerId::new("a")], ..WorkerChanges::default() };
     assert!(list.apply(removed, 1_100, 1_100).is_empty());
     let events = list.apply(WorkerChanges::default(), 4_000, 4_000);
-    assert!(matches!(&events[..], [Event::Unlisted { .. }]), "{events:?}");
+    assert!(matches!(&*events, [Event::Unlisted { .. }]), "{events:?}");
     let events = list.apply(listed(vec![entry("a", false)]), 4_100, 4_100);
-    assert!(matches!(&events[..], [Event::Listed(_)]), "{events:?}");
+    assert!(matches!(&*events, [Event::Listed(_)]), "{events:?}");
 }
 
 /// Guards against a worker whose removal is missed because the store dropped its history.
