--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -155,26 +155,7 @@
                     after = changes.version;
                     list.apply(changes, sent_ms, steady_ms())
                 }
-                Err(StoreError::HistoryLost) => {
-                    tracing::warn!(
-                        after,
-                        "store no longer has the history of the list of workers; reading the list"
-                    );
-                    let sent_ms = steady_ms();
-                    let read = self.workers().await;
-                    if read.version < after {
-                        tracing::warn!(
-                            after,
-                            found = read.version,
-                            "store returned a stale list of workers; reading again"
-                        );
-                        list.record_failure(steady_ms());
-                        Vec::new()
-                    } else {
-                        after = read.version;
-                        list.replace(read, sent_ms, steady_ms())
-                    }
-                }
+                Err(StoreError::HistoryLost) => self.reread_workers(&mut list, &mut after).await,
                 Err(error) => {
                     tracing::warn!(%error, "polling the list of workers failed; retrying");
                     list.record_failure(steady_ms());
@@ -184,8 +165,9 @@
             for event in events {
                 self.inbox_sender.notify(event);
             }
-            let age_ms = list.age_ms(steady_ms());
-            self.inbox_sender.notify(Event::WorkersRead { as_of_ms: steady_ms() - age_ms });
+            let now_ms = steady_ms();
+            let age_ms = list.age_ms(now_ms);
+            self.inbox_sender.notify(Event::WorkersRead { as_of_ms: now_ms - age_ms });
             if is_out_of_date != (age_ms > WORKERS_AGE_MAX_MS) {
                 is_out_of_date = !is_out_of_date;
                 tracing::warn!(age_ms, is_out_of_date, "list of workers");
@@ -196,6 +178,28 @@
         }
     }
 
+    /// Reads the whole list of workers after the store dropped the history of its changes. A
+    /// list that is older than what is known is not used: it would reopen workers that leave.
+    async fn reread_workers(&self, list: &mut WorkerList, after: &mut u64) -> Vec<Event> {
+        tracing::warn!(
+            after,
+            "store no longer has the history of the list of workers; reading the list"
+        );
+        let sent_ms = steady_ms();
+        let read = self.workers().await;
+        if read.version < *after {
+            tracing::warn!(
+                after,
+                found = read.version,
+                "store returned a stale list of workers; reading again"
+            );
+            list.record_failure(steady_ms());
+            return Vec::new();
+        }
+        *after = read.version;
+        list.replace(read, sent_ms, steady_ms())
+    }
+
     /// Tracks the daemons of the pool: queries to the advisor go through them, and each new
     /// one is notified of this leader. A daemon that is cut off from the store would not
     /// learn of the leader otherwise, and could not serve its callers.
