A submission waits until the workers of its owner are known

Callers saw: a daemon whose /readyz says ready answers a submission with 7005, or a booking with 4005.

Cause: 7005 had two senders. One is the state that /readyz shows. The other, after all checks of the queue, refused when the catalogue had targets of the owner and no daemon had reported their workers, which is the case right after a start, after a change of the catalogue, and while a lease moves. The state dumps of a failed run show it: 250 ms after the start one worker is held by nobody, since its holder gave it up to the daemon that is to keep it, and the summary of the other holder has not arrived. Requests had the same hole: no minion known, 4005 at once.

Such a submission is deferred now, for as long as one waits for its durable record at the most, and refused with a code of its own, 7008, if nobody reports a worker until then. Before the instance list was read, nothing says which targets are of this zone, so a request is deferred then too.

Ruled out: refusing on /readyz instead. It would take a daemon out of service for all owners because of the workers of one.

--- a/crates/engine/src/catalogue.rs
+++ b/crates/engine/src/catalogue.rs
@@ -258,7 +258,8 @@
         Some(false)
     }
 
-    fn workers_serving(&self, owner: &OwnerName) -> usize {
+    /// The number of workers held here that serve an owner.
+    pub(crate) fn workers_serving(&self, owner: &OwnerName) -> usize {
         let held_targets = self.held.keys().filter_map(|worker| self.catalogue.target(worker));
         held_targets.filter(|target| target.serves(owner)).count()
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,7 +6,8 @@
 //! the same events. The daemon executes the effects and feeds their results back.
 //!
 //! Each module covers one responsibility of a daemon: `worker_leases` keeps the leases on
-//! workers, `jobs` executes accepted work, `requests` serves requests through minions,
+//! workers, `deferred` keeps submissions until the workers of their owner are known, `jobs`
+//! executes accepted work, `requests` serves requests through minions,
 //! `seal` finds out what became of a request without an answer, `sweep` takes over the
 //! jobs of dead daemons, and `peers` exchanges state with other daemons.
 //!
@@ -25,6 +26,7 @@
 
 mod catalogue;
 mod commit;
+mod deferred;
 mod dump;
 mod gangs;
 mod held_worker;
@@ -74,6 +76,7 @@
 use crate::peers::ZoneState;
 use crate::remote::Remote;
 use crate::requests::Request;
+use crate::submit::IncomingSubmission;
 use crate::sweep::Sweep;
 
 pub use crate::dump::Dump;
@@ -149,6 +152,7 @@
     requests: BTreeMap<u64, Request>,
     request_queue: RequestQueue,
     next_request_id: u64,
+    deferred: Vec<IncomingSubmission>,
 
     stopping: bool,
     stopped: bool,
@@ -209,6 +213,7 @@
             requests: BTreeMap::new(),
             request_queue: RequestQueue::default(),
             next_request_id: 0,
+            deferred: Vec::new(),
             stopping: false,
             stopped: false,
             me,
@@ -223,7 +228,16 @@
         match event {
             Event::Tick => self.on_tick(),
             Event::Submit { ticket, caller, key, submission, wait_ms } => {
-                self.on_submit(ticket, &caller, key, submission, wait_ms);
+                let (received_ms, may_forward) = (self.now_ms, true);
+                self.on_submit(IncomingSubmission {
+                    ticket,
+                    caller,
+                    key,
+                    submission,
+                    received_ms,
+                    wait_ms,
+                    may_forward,
+                });
             }
             Event::Status { ticket, caller, job, wait_ms } => {
                 self.on_status(ticket, &caller, job, wait_ms);
@@ -251,6 +265,11 @@
         !self.stopping && known
     }
 
+    /// Whether the daemon is shutting down.
+    pub fn is_shutting_down(&self) -> bool {
+        self.stopping
+    }
+
     /// Whether the shutdown is complete, so that the process may exit.
     pub fn is_stopped(&self) -> bool {
         self.stopped
@@ -267,6 +286,7 @@
     }
 
     fn on_tick(&mut self) {
+        self.retry_deferred();
         self.poll_catalogue();
         self.send_heartbeats();
         self.read_instance_list();
--- a/crates/engine/src/ops.rs
+++ b/crates/engine/src/ops.rs
@@ -20,6 +20,7 @@
 use crate::message::OpId;
 use crate::message::PeerCall;
 use crate::message::Ticket;
+use crate::submit::IncomingSubmission;
 
 /// Calls whose result has not arrived yet, by the id that the result will carry.
 #[derive(Debug, Default)]
@@ -106,7 +107,7 @@
     /// Queries or cancels a job at its coordinator; the reply goes to the waiting caller.
     ProxyReply(Ticket),
     /// Forwards a submission, which is accepted here if the other daemon did not receive it.
-    Forward { ticket: Ticket, caller: Caller, key: String, submission: Submission, wait_ms: u64 },
+    Forward(Box<IncomingSubmission>),
     /// Reserves capacity on workers that the peer holds.
     Reserve { job: JobId, attempts: Vec<AttemptId>, holder: DaemonId },
     /// Asks what became of attempts whose workers are known.
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -217,9 +217,7 @@
             }
             (PeerOp::Catalogue, Ok(PeerReply::News(update))) => self.on_catalogue_update(update),
             (PeerOp::ProxyReply(ticket), reply) => self.answer_with_peer_reply(ticket, reply),
-            (PeerOp::Forward { ticket, caller, key, submission, wait_ms }, reply) => {
-                self.on_forward_done(ticket, &caller, key, submission, wait_ms, reply);
-            }
+            (PeerOp::Forward(incoming), reply) => self.on_forward_done(*incoming, reply),
             (PeerOp::Reserve { job, attempts, holder }, reply) => {
                 self.on_reserve_reply(job, attempts, &holder, reply);
             }
--- a/crates/engine/src/requests.rs
+++ b/crates/engine/src/requests.rs
@@ -26,7 +26,6 @@
 
 use crate::Engine;
 use crate::jobs::Job;
-use crate::message::Caller;
 use crate::message::OpId;
 use crate::message::Ticket;
 use crate::ops::MinionOp;
@@ -65,14 +64,8 @@
 }
 
 impl Engine {
-    pub(crate) fn accept_request(
-        &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        admitted: Admitted,
-        wait_ms: u64,
-        may_forward: bool,
-    ) {
+    pub(crate) fn accept_request(&mut self, admitted: Admitted) {
+        let ticket = admitted.incoming.ticket;
         if self.requests.len() as u64 >= self.settings.queue.requests {
             let failure = Failure::new(Code::Overloaded).retry_after(RETRY_AFTER_MS);
             return self.answer_job(ticket, Err(failure));
@@ -85,35 +78,33 @@
         let group = admitted.entry.minions.clone().unwrap_or_default();
         let picked = self.minions.pick(self.now_ms, &group, &admitted.entry.owner);
         if picked.is_none() {
-            if may_forward && self.forward_request(ticket, caller, &admitted, wait_ms) {
+            if admitted.incoming.may_forward && self.forward_request(&admitted) {
                 return;
             }
             if !self.has_minions(&group) {
+                if self.workers_of_zone_unknown(&admitted.entry.owner) {
+                    return self.defer(admitted.incoming);
+                }
                 let failure = Failure::new(Code::NoMinion).retry_after(RETRY_AFTER_MS);
                 return self.answer_job(ticket, Err(failure));
             }
         }
         self.retry_budget.on_first_try();
-        let request_id = self.add_request(ticket, admitted, group, at_most_once);
+        let request_id = self.add_request(admitted, group, at_most_once);
         match picked {
             Some(picked) => self.assign_minion(request_id, picked),
             None => self.queue_request(request_id),
         }
     }
 
-    fn add_request(
-        &mut self,
-        ticket: Ticket,
-        admitted: Admitted,
-        group: String,
-        at_most_once: bool,
-    ) -> u64 {
+    fn add_request(&mut self, admitted: Admitted, group: String, at_most_once: bool) -> u64 {
+        let ticket = admitted.incoming.ticket;
         let mut record = self.new_record(&admitted);
         if record.deadline_ms == 0 {
             record.deadline_ms = self.now_ms + self.settings.routing.request_timeout_ms;
         }
         let deadline_ms = record.deadline_ms;
-        let body = admitted.submission.body;
+        let body = admitted.incoming.submission.body;
         // The record contains no body, because no other daemon ever sends the
         // request again.
         record.body = String::new();
--- a/crates/engine/src/shutdown.rs
+++ b/crates/engine/src/shutdown.rs
@@ -22,14 +22,17 @@
         self.on_tick();
     }
 
+    /// Hands work over and determines whether the shutdown is complete. A submission that
+    /// arrives later and is forwarded makes it incomplete again.
     pub(crate) fn advance_shutdown(&mut self) {
-        if !self.stopping || self.stopped {
+        if !self.stopping {
             return;
         }
         self.hand_over_jobs();
-        let is_forwarded =
-            |op: &PeerOp| matches!(op, PeerOp::Forward { .. } | PeerOp::ProxyReply(_));
-        let requests_done = self.requests.is_empty() && !self.ops.peer.values().any(is_forwarded);
+        let is_forwarded = |op: &PeerOp| matches!(op, PeerOp::Forward(_) | PeerOp::ProxyReply(_));
+        let requests_done = self.requests.is_empty()
+            && self.deferred.is_empty()
+            && !self.ops.peer.values().any(is_forwarded);
         let has_successor = !self.zone_peers().is_empty();
         let jobs_done = self.jobs.values().all(|job| !has_successor && !job.machine.is_writing());
         let is_idle = self.committer.backlog() == 0 && self.ops.minion.is_empty();
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -7,6 +7,7 @@
 use stoatwell_model::JobId;
 use stoatwell_model::JobRecord;
 use stoatwell_model::OwnerName;
+use stoatwell_model::UnixMs;
 use stoatwell_model::WorkEntry;
 use stoatwell_model::code::Problem;
 use stoatwell_model::job::JobView;
@@ -32,56 +33,77 @@
 const KEY_BYTES_MAX: usize = 128;
 const PERMILLE: u64 = 1_000;
 
+/// A submission as it arrived, and who waits for its answer.
+#[derive(Clone, Debug)]
+pub(crate) struct IncomingSubmission {
+    pub(crate) ticket: Ticket,
+    pub(crate) caller: Caller,
+    pub(crate) key: String,
+    pub(crate) submission: Submission,
+    pub(crate) received_ms: UnixMs,
+    /// How long the caller waits for the outcome, from `received_ms`.
+    pub(crate) wait_ms: u64,
+    /// Whether it may be forwarded to another daemon; `false` if another one forwarded it.
+    pub(crate) may_forward: bool,
+}
+
+impl IncomingSubmission {
+    /// How long the caller still waits for the outcome.
+    fn remaining_wait_ms(&self, now_ms: UnixMs) -> u64 {
+        (self.received_ms + self.wait_ms).saturating_sub(now_ms)
+    }
+}
+
 /// A submission that passed the admission checks.
+#[derive(Debug)]
 pub(crate) struct Admitted {
+    pub(crate) incoming: IncomingSubmission,
     pub(crate) entry: WorkEntry,
-    pub(crate) key: String,
-    pub(crate) submission: Submission,
     pub(crate) content_hash: u64,
     pub(crate) job: JobId,
 }
 
+impl Admitted {
+    fn new(incoming: IncomingSubmission, entry: WorkEntry) -> Self {
+        let job = JobId::from_key(&entry.owner, &incoming.key);
+        let content_hash = content_hash(&incoming.submission);
+        Self { incoming, entry, content_hash, job }
+    }
+}
+
 impl Engine {
-    pub(crate) fn on_submit(
-        &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        key: String,
-        submission: Submission,
-        wait_ms: u64,
-    ) {
-        if self.stopping && self.forward_while_stopping(ticket, caller, &key, &submission, wait_ms)
-        {
+    pub(crate) fn on_submit(&mut self, incoming: IncomingSubmission) {
+        if self.stopping && self.forward_while_stopping(&incoming) {
             return;
         }
-        match self.admit(caller, &key, &submission) {
-            Ok(entry) if stays_with_old_system(&entry, &key) => {
+        match self.admit(&incoming) {
+            Ok(entry) if incoming.may_forward && stays_with_old_system(&entry, &incoming.key) => {
                 // The submission may have been accepted while the entry's share of traffic was
                 // larger. If it were refused now, the caller would run it again in the old
                 // system.
-                let lookup = Lookup::Resubmission { ticket, key, submission, wait_ms };
-                self.look_up(lookup);
+                self.look_up(Lookup::Resubmission {
+                    ticket: incoming.ticket,
+                    wait_ms: incoming.remaining_wait_ms(self.now_ms),
+                    key: incoming.key,
+                    submission: incoming.submission,
+                });
             }
-            Ok(entry) => self.dispatch(ticket, caller, entry, key, submission, wait_ms, true),
-            Err(failure) => self.answer_job(ticket, Err(failure)),
+            Ok(entry) => self.dispatch(Admitted::new(incoming, entry)),
+            Err(failure) => self.answer_job(incoming.ticket, Err(failure)),
         }
     }
 
-    /// Forwards a submission that arrives during shutdown to another daemon. Load
+    /// Forwards a submission that arrived during shutdown to another daemon. Load
     /// balancers keep sending callers here until they notice the shutdown. Returns
     /// false if the submission cannot be forwarded.
-    fn forward_while_stopping(
-        &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        key: &str,
-        submission: &Submission,
-        wait_ms: u64,
-    ) -> bool {
-        let Some(entry) = self.catalogue.work(&submission.entry).cloned() else {
+    fn forward_while_stopping(&mut self, incoming: &IncomingSubmission) -> bool {
+        if !incoming.may_forward {
+            return false;
+        }
+        let Some(entry) = self.catalogue.work(&incoming.submission.entry).cloned() else {
             return false;
         };
-        if !may_access(caller, &entry.owner) {
+        if !may_access(&incoming.caller, &entry.owner) {
             return false;
         }
         let live = self.members.live(self.now_ms);
@@ -91,44 +113,25 @@
         let Some(daemon) = nearest.map(|member| member.identity.daemon.clone()) else {
             return false;
         };
-        let job = JobId::from_key(&entry.owner, key);
-        let content_hash = content_hash(submission);
-        let admitted = Admitted {
-            entry,
-            key: key.to_owned(),
-            submission: submission.clone(),
-            content_hash,
-            job,
-        };
-        self.forward(ticket, caller, &admitted, wait_ms, &daemon)
+        self.forward(&Admitted::new(incoming.clone(), entry), &daemon)
     }
 
     /// Handles a submission that another daemon forwarded; it is not forwarded again.
     pub(crate) fn on_forwarded(&mut self, ticket: Ticket, call: SubmitCall) {
-        let caller = Caller::Owner(call.owner);
-        match self.admit(&caller, &call.key, &call.submission) {
-            Ok(entry) => {
-                self.dispatch(
-                    ticket,
-                    &caller,
-                    entry,
-                    call.key,
-                    call.submission,
-                    call.wait_ms,
-                    false,
-                );
-            }
-            Err(failure) => self.answer_job(ticket, Err(failure)),
-        }
+        self.on_submit(IncomingSubmission {
+            ticket,
+            caller: Caller::Owner(call.owner),
+            key: call.key,
+            submission: call.submission,
+            received_ms: self.now_ms,
+            wait_ms: call.wait_ms,
+            may_forward: false,
+        });
     }
 
     /// Runs the checks that need only the catalogue and the state of this daemon.
-    fn admit(
-        &self,
-        caller: &Caller,
-        key: &str,
-        submission: &Submission,
-    ) -> Result<WorkEntry, Failure> {
+    fn admit(&self, incoming: &IncomingSubmission) -> Result<WorkEntry, Failure> {
+        let IncomingSubmission { caller, key, submission, .. } = incoming;
         if self.stopping {
             return Err(Failure::new(Code::Stopping).retry_after(0));
         }
@@ -157,56 +160,45 @@
         Ok(entry.clone())
     }
 
-    fn dispatch(
-        &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        entry: WorkEntry,
-        key: String,
-        submission: Submission,
-        wait_ms: u64,
-        may_forward: bool,
-    ) {
-        let job = JobId::from_key(&entry.owner, &key);
-        let content_hash = content_hash(&submission);
-        if self.join_existing_job(ticket, job, content_hash, wait_ms) {
+    fn dispatch(&mut self, admitted: Admitted) {
+        if self.join_existing_job(&admitted) {
             return;
         }
-        let admitted = Admitted { entry, key, submission, content_hash, job };
         if admitted.entry.class == Class::Request {
-            self.accept_request(ticket, caller, admitted, wait_ms, may_forward);
+            self.accept_request(admitted);
             return;
         }
         if let Err(failure) = self.check_capacity(&admitted) {
-            self.answer_job(ticket, Err(failure));
+            if failure.code == Code::WorkersUnknown {
+                self.defer(admitted.incoming);
+            } else {
+                self.answer_job(admitted.incoming.ticket, Err(failure));
+            }
             return;
         }
-        let demand = admitted.submission.demand.unwrap_or(admitted.entry.task);
+        let demand = admitted.incoming.submission.demand.unwrap_or(admitted.entry.task);
         let fits_here = self.scheduler.cell.could_fit(&admitted.entry.owner, &demand);
-        if may_forward && !fits_here {
+        if admitted.incoming.may_forward && !fits_here {
             let peer = self.find_peer_with_capacity(&admitted.entry.owner, &demand);
             if let Some(daemon) = peer
-                && self.forward(ticket, caller, &admitted, wait_ms, &daemon)
+                && self.forward(&admitted, &daemon)
             {
                 return;
             }
         }
-        self.accept(ticket, admitted, wait_ms);
+        self.accept(admitted);
     }
 
     /// Joins an earlier submission with the same idempotency key if this daemon coordinates
     /// its job. Returns `false` if there is none.
-    fn join_existing_job(
-        &mut self,
-        ticket: Ticket,
-        id: JobId,
-        content_hash: u64,
-        wait_ms: u64,
-    ) -> bool {
+    fn join_existing_job(&mut self, admitted: &Admitted) -> bool {
+        let id = admitted.job;
+        let ticket = admitted.incoming.ticket;
+        let wait_ms = admitted.incoming.remaining_wait_ms(self.now_ms);
         let Some(job) = self.jobs.get_mut(&id) else {
             return false;
         };
-        if job.machine.record.content_hash != content_hash {
+        if job.machine.record.content_hash != admitted.content_hash {
             self.answer_job(ticket, Err(Failure::new(Code::KeyReused)));
             return true;
         }
@@ -234,13 +226,14 @@
             let wait_ms = until_ms - self.now_ms;
             return Err(Failure::new(Code::EntryHeldBack).retry_after(wait_ms));
         }
-        let demand = admitted.submission.demand.unwrap_or(entry.task);
+        let submission = &admitted.incoming.submission;
+        let demand = submission.demand.unwrap_or(entry.task);
         match self.could_fit_anywhere(&entry.owner, &demand) {
             Some(true) => {}
             Some(false) => return Err(self.never_fits_failure(&entry.owner, &demand)),
-            None => return Err(Failure::new(Code::NotReady).retry_after(RETRY_AFTER_MS)),
+            None => return Err(Failure::with_detail(Code::WorkersUnknown, &entry.owner)),
         }
-        let total = demand.times(u64::from(admitted.submission.tasks));
+        let total = demand.times(u64::from(submission.tasks));
         let quota = self.catalogue.owner(&entry.owner).map(|owner| owner.quota);
         let simultaneous = if entry.class == Class::Gang { total } else { demand };
         if quota.is_some_and(|quota| !quota.holds(&simultaneous)) {
@@ -262,77 +255,52 @@
         Failure::with_detail(Code::NeverFits, detail)
     }
 
-    fn forward(
-        &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        admitted: &Admitted,
-        wait_ms: u64,
-        daemon: &stoatwell_model::DaemonId,
-    ) -> bool {
+    fn forward(&mut self, admitted: &Admitted, daemon: &stoatwell_model::DaemonId) -> bool {
+        let incoming = &admitted.incoming;
         let call = SubmitCall {
             owner: admitted.entry.owner.clone(),
-            key: admitted.key.clone(),
-            submission: admitted.submission.clone(),
-            wait_ms,
-        };
-        let purpose = PeerOp::Forward {
-            ticket,
-            caller: caller.clone(),
-            key: admitted.key.clone(),
-            submission: admitted.submission.clone(),
-            wait_ms,
+            key: incoming.key.clone(),
+            submission: incoming.submission.clone(),
+            wait_ms: incoming.remaining_wait_ms(self.now_ms),
         };
+        let purpose = PeerOp::Forward(Box::new(incoming.clone()));
         self.call_peer(purpose, daemon, PeerCall::Submit(call))
     }
 
-    pub(crate) fn forward_request(
-        &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        admitted: &Admitted,
-        wait_ms: u64,
-    ) -> bool {
+    pub(crate) fn forward_request(&mut self, admitted: &Admitted) -> bool {
         let group = admitted.entry.minions.clone().unwrap_or_default();
         let Some(daemon) = self.find_peer_with_minions(&group, &admitted.entry.owner) else {
             return false;
         };
-        self.forward(ticket, caller, admitted, wait_ms, &daemon)
+        self.forward(admitted, &daemon)
     }
 
     pub(crate) fn on_forward_done(
         &mut self,
-        ticket: Ticket,
-        caller: &Caller,
-        key: String,
-        submission: Submission,
-        wait_ms: u64,
+        incoming: IncomingSubmission,
         reply: Result<PeerReply, CallError>,
     ) {
         match reply {
-            Ok(PeerReply::Job(result)) => self.answer_job(ticket, result),
+            Ok(PeerReply::Job(result)) => self.answer_job(incoming.ticket, result),
             // The peer never received the submission, so it can be accepted here.
             Err(error) if error.is_without_effect() => {
-                match self.admit(caller, &key, &submission) {
-                    Ok(entry) => {
-                        self.dispatch(ticket, caller, entry, key, submission, wait_ms, false);
-                    }
-                    Err(failure) => self.answer_job(ticket, Err(failure)),
-                }
+                self.on_submit(IncomingSubmission { may_forward: false, ..incoming });
             }
             Ok(_) | Err(_) => {
                 let failure = Failure::new(Code::AcceptanceUnknown).retry_after(RETRY_AFTER_MS);
-                self.answer_job(ticket, Err(failure));
+                self.answer_job(incoming.ticket, Err(failure));
             }
         }
     }
 
     /// Writes the job record; the caller is answered once it is durable.
-    fn accept(&mut self, ticket: Ticket, admitted: Admitted, wait_ms: u64) {
+    fn accept(&mut self, admitted: Admitted) {
+        let ticket = admitted.incoming.ticket;
+        let wait_ms = admitted.incoming.remaining_wait_ms(self.now_ms);
         let record = self.new_record(&admitted);
         let id = record.job;
         let attempts_max = admitted.entry.limits.attempts;
-        let body = admitted.submission.body;
+        let body = admitted.incoming.submission.body;
         let object = record.body_object.clone();
         let mut job = Job::new(JobMachine::new(record, 0, attempts_max), body.clone());
         job.acceptance_waiters.push((ticket, wait_ms));
@@ -363,14 +331,15 @@
 
     pub(crate) fn new_record(&self, admitted: &Admitted) -> JobRecord {
         let entry = &admitted.entry;
-        let submission = &admitted.submission;
+        let submission = &admitted.incoming.submission;
         let relative_ms = submission.deadline_ms.unwrap_or(entry.limits.deadline_ms);
-        let deadline_ms = if relative_ms == 0 { 0 } else { self.now_ms + relative_ms };
+        let received_ms = admitted.incoming.received_ms;
+        let deadline_ms = if relative_ms == 0 { 0 } else { received_ms + relative_ms };
         let large = submission.body.len() as u64 > self.settings.ledger.inline_body_bytes;
         JobRecord {
             job: admitted.job,
             owner: entry.owner.clone(),
-            key: admitted.key.clone(),
+            key: admitted.incoming.key.clone(),
             content_hash: admitted.content_hash,
             entry: entry.name.clone(),
             class: entry.class,
--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -494,3 +494,22 @@
     }
     assert_eq!(done, 3, "every job ran");
 }
+
+/// Guards against refusals by a daemon that is ready and has not heard yet who holds the workers.
+#[test]
+fn daemon_that_just_started_takes_submissions() {
+    for seed in 0..40 {
+        let mut world = World::new(seed, &Layout::default());
+        world.run_ms(4_000);
+        world.crash(1);
+        world.run_ms(3_000);
+        world.restart(1);
+        while !world.engine(1).is_ready() {
+            world.run_ms(1);
+        }
+        let batch = world.submit(1, "bundle", "early-batch", 2, SHORT);
+        world.run_ms(2_500);
+        let answer = world.job_answer(batch).expect("an answer");
+        assert!(answer.is_ok(), "seed {seed}: {answer:?}");
+    }
+}
