A forwarded request has until its deadline, as at the daemon that serves it

Callers saw: 6002, the acceptance could not be confirmed, for a booking that was being served. A daemon without a free minion forwards a request; the call to the other daemon was given the caller's wait_ms and a second, but a request is answered when it has its outcome, up to its deadline. With wait_ms left out, each forwarded request of more than a second ended so.

Not the deferral: the peer had taken the booking.

Tests: forwarded_request_is_answered_when_its_work_ends (red before), and booking_repeated_at_another_daemon_gets_the_same_answer, which was green before too: it looks for the fault of repeated_booking_runs_once at 400 moments of a cell's start, and finds nothing.

--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -261,12 +261,27 @@
             owner: admitted.entry.owner.clone(),
             key: incoming.key.clone(),
             submission: incoming.submission.clone(),
-            wait_ms: incoming.remaining_wait_ms(self.now_ms),
+            wait_ms: self.answer_wait_ms(admitted),
         };
         let purpose = PeerOp::Forward(Box::new(incoming.clone()));
         self.call_peer(purpose, daemon, PeerCall::Submit(call))
     }
 
+    /// How long the answer to a submission may take. A request is answered once it has its
+    /// outcome, however long its caller asked to wait.
+    fn answer_wait_ms(&self, admitted: &Admitted) -> u64 {
+        let incoming = &admitted.incoming;
+        let remaining_wait_ms = incoming.remaining_wait_ms(self.now_ms);
+        if admitted.entry.class != Class::Request {
+            return remaining_wait_ms;
+        }
+        let entry_ms = admitted.entry.limits.deadline_ms;
+        let relative_ms = incoming.submission.deadline_ms.unwrap_or(entry_ms);
+        let limit_ms =
+            if relative_ms == 0 { self.settings.routing.request_timeout_ms } else { relative_ms };
+        remaining_wait_ms.max((incoming.received_ms + limit_ms).saturating_sub(self.now_ms))
+    }
+
     pub(crate) fn forward_request(&mut self, admitted: &Admitted) -> bool {
         let group = admitted.entry.minions.clone().unwrap_or_default();
         let Some(daemon) = self.find_peer_with_minions(&group, &admitted.entry.owner) else {
--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -52,6 +52,10 @@
     world
 }
 
+fn holds_workers(world: &mut World, node: usize) -> bool {
+    world.engine(node).dump().workers.iter().any(|worker| worker.lease_left_ms.is_some())
+}
+
 fn edit_target(world: &mut World, node: usize, worker: &WorkerId, change: TargetChange) -> u64 {
     world.edit(node, &target_key(worker), EditKind::Target(worker.clone(), change), None)
 }
@@ -508,8 +512,52 @@
             world.run_ms(1);
         }
         let batch = world.submit(1, "bundle", "early-batch", 2, SHORT);
+        let booking = world.submit(1, "booking", "early-booking", 1, "");
         world.run_ms(2_500);
-        let answer = world.job_answer(batch).expect("an answer");
-        assert!(answer.is_ok(), "seed {seed}: {answer:?}");
+        for ticket in [batch, booking] {
+            let answer = world.job_answer(ticket).expect("an answer");
+            assert!(answer.is_ok(), "seed {seed}: {answer:?}");
+        }
+    }
+}
+
+/// Guards against a caller that repeats its booking elsewhere and gets no answer, or another one.
+#[test]
+fn booking_repeated_at_another_daemon_gets_the_same_answer() {
+    let layout =
+        Layout { daemons: daemons(&[("zone-a", 1), ("zone-b", 1)], "region"), ..Layout::default() };
+    for seed in 0..400 {
+        let mut world = World::new(seed, &layout);
+        while (0..2).any(|node| !holds_workers(&mut world, node)) {
+            world.run_ms(1);
+        }
+        world.run_ms(seed * 5 % 1_000);
+        let first = world.submit(0, "booking", "repeated", 1, "");
+        world.run_ms(seed % 23);
+        let second = world.submit(1, "booking", "repeated", 1, "");
+        world.run_ms(4_000);
+        let answers = [first, second].map(|ticket| world.job_answer(ticket).expect("an answer"));
+        let [first, second] = answers.map(|answer| answer.map(|view| view.outcome));
+        assert!(matches!(first, Ok(Some(Outcome::Done { .. }))), "seed {seed}: {first:?}");
+        assert_eq!(first, second, "seed {seed}");
+        assert_eq!(world.checker.request_count(job("repeated")), 1, "seed {seed}");
     }
 }
+
+/// Guards against a forwarded request that is answered as unknown while its minion works.
+#[test]
+fn forwarded_request_is_answered_when_its_work_ends() {
+    let layout = Layout {
+        daemons: daemons(&[("zone-a", 2)], "region"),
+        workers_per_zone: 1,
+        ..Layout::default()
+    };
+    let mut world = World::new(1, &layout);
+    world.run_ms(4_000);
+    let holder = usize::from(holds_workers(&mut world, 1));
+    let ticket = world.submit(1 - holder, "booking", "long", 1, r#"{"work_ms":900}"#);
+    world.run_ms(3_000);
+    let answer = world.job_answer(ticket).expect("an answer");
+    let outcome = answer.map(|view| view.outcome);
+    assert!(matches!(outcome, Ok(Some(Outcome::Done { .. }))), "{outcome:?}");
+}
