A refusal of one daemon is not the answer to a submission that was forwarded to it

Callers saw: 7002, this daemon is stopping, from a daemon that is not stopping. A daemon without room forwards a submission to the one whose last summary shows room; that one has just begun to stop, and its refusal was passed on to the caller.

Stopping, not ready, and workers not known are refusals that took nothing and concern the other daemon alone, so the submission is handled here then, as after a call that never arrived.

It is also the case of 4005 for a booking: no daemon has reported the worker that is changing hands.

--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -295,12 +295,16 @@
         incoming: IncomingSubmission,
         reply: Result<PeerReply, CallError>,
     ) {
+        let is_taken = match &reply {
+            Ok(PeerReply::Job(Err(failure))) => !is_refusal_of_peer_alone(failure.code),
+            Ok(_) => true,
+            Err(error) => !error.is_without_effect(),
+        };
         match reply {
-            Ok(PeerReply::Job(result)) => self.answer_job(incoming.ticket, result),
-            // The peer never received the submission, so it can be accepted here.
-            Err(error) if error.is_without_effect() => {
+            _ if !is_taken => {
                 self.on_submit(IncomingSubmission { may_forward: false, ..incoming });
             }
+            Ok(PeerReply::Job(result)) => self.answer_job(incoming.ticket, result),
             Ok(_) | Err(_) => {
                 let failure = Failure::new(Code::AcceptanceUnknown).retry_after(RETRY_AFTER_MS);
                 self.answer_job(incoming.ticket, Err(failure));
@@ -385,6 +389,12 @@
     xxh3_64(key.as_bytes()) % PERMILLE >= u64::from(entry.traffic_permille)
 }
 
+/// Whether a daemon that refuses a submission with this code did not take it, for a reason that
+/// does not concern other daemons.
+fn is_refusal_of_peer_alone(code: Code) -> bool {
+    matches!(code, Code::Stopping | Code::NotReady | Code::WorkersUnknown)
+}
+
 pub(crate) fn may_access(caller: &Caller, owner: &OwnerName) -> bool {
     match caller {
         Caller::Operator => true,
--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -521,6 +521,33 @@
     }
 }
 
+/// Guards against refusals while a stopping daemon hands the only worker over.
+#[test]
+fn requests_wait_while_the_only_worker_changes_hands() {
+    let layout = Layout {
+        daemons: daemons(&[("zone-a", 2)], "region"),
+        workers_per_zone: 1,
+        ..Layout::default()
+    };
+    for seed in 0..10 {
+        let mut world = World::new(seed, &layout);
+        world.run_ms(4_000);
+        let holder = usize::from(holds_workers(&mut world, 1));
+        world.stop(holder);
+        let mut tickets = Vec::new();
+        for number in 0..20 {
+            tickets.push(world.submit(1 - holder, "booking", &format!("booking-{number}"), 1, ""));
+            tickets.push(world.submit(1 - holder, "bundle", &format!("batch-{number}"), 1, SHORT));
+            world.run_ms(25);
+        }
+        world.run_ms(3_000);
+        for ticket in tickets {
+            let answer = world.job_answer(ticket).expect("an answer");
+            assert!(answer.is_ok(), "seed {seed}: {answer:?}");
+        }
+    }
+}
+
 /// Guards against a caller that repeats its booking elsewhere and gets no answer, or another one.
 #[test]
 fn booking_repeated_at_another_daemon_gets_the_same_answer() {
