--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -117,6 +117,8 @@
     InvalidSettings = 8001, 500, "mend each field listed; `stoatwelld settings` prints them all with their defaults";
     /// the settings cannot be read
     UnreadableSettings = 8002, 500, "check the path and its permissions";
+    /// cannot listen on an address of the settings
+    AddressUnavailable = 8003, 500, "end the program that listens there, or change the address in the settings";
     /// an error of the program itself
     Internal = 9001, 500, "please report it with the request id and the log around it";
 }
