--- a/crates/engine/tests/failures.rs
+++ b/crates/engine/tests/failures.rs
@@ -579,12 +579,13 @@
         workers_per_zone: 1,
         ..Layout::default()
     };
-    let mut world = World::new(1, &layout);
-    world.run_ms(4_000);
-    let holder = usize::from(holds_workers(&mut world, 1));
-    let ticket = world.submit(1 - holder, "booking", "long", 1, r#"{"work_ms":900}"#);
-    world.run_ms(3_000);
-    let answer = world.job_answer(ticket).expect("an answer");
-    let outcome = answer.map(|view| view.outcome);
-    assert!(matches!(outcome, Ok(Some(Outcome::Done { .. }))), "{outcome:?}");
+    for seed in 0..200 {
+        let mut world = World::new(seed, &layout);
+        world.run_ms(4_000);
+        let holder = usize::from(holds_workers(&mut world, 1));
+        let ticket = world.submit(1 - holder, "booking", "long", 1, "");
+        world.run_ms(3_000);
+        let outcome = world.job_answer(ticket).expect("an answer").map(|view| view.outcome);
+        assert!(matches!(outcome, Ok(Some(Outcome::Done { .. }))), "seed {seed}: {outcome:?}");
+    }
 }
