Waiting jobs move to a zone with room when theirs has none left

Callers saw: an accepted job that never starts, while another zone has room for it.

Operators gave two or three of the zone's four targets away, or one worker failed for good, and what is left holds fewer accelerators than the gang needs; the other zone has all of its 8 free. A job looked for other zones only at admission.

One that the listed serving targets of the zone could not hold even when empty, for 5 s, is handed to a daemon of a zone that could, by the write and the call of a shutdown. No task of it has started, so nothing can run twice. At admission a job that this zone could never hold is forwarded also when the other zone is full just then.

--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,7 +9,8 @@
 //! workers, `deferred` keeps submissions until the workers of their owner are known, `jobs`
 //! executes accepted work, `requests` serves requests through minions,
 //! `seal` finds out what became of a request without an answer, `sweep` takes over the
-//! jobs of dead daemons, and `peers` exchanges state with other daemons.
+//! jobs of dead daemons, `stranded` hands waiting jobs to zones with room, and `peers`
+//! exchanges state with other daemons.
 //!
 //! These terms are used throughout:
 //!
@@ -41,6 +42,7 @@
 mod requests;
 mod seal;
 mod shutdown;
+mod stranded;
 mod submit;
 mod sweep;
 mod worker_leases;
@@ -153,6 +155,8 @@
     request_queue: RequestQueue,
     next_request_id: u64,
     deferred: Vec<IncomingSubmission>,
+    /// Since when waiting jobs have lacked room in this zone.
+    stranded_since: BTreeMap<JobId, UnixMs>,
 
     stopping: bool,
     stopped: bool,
@@ -214,6 +218,7 @@
             request_queue: RequestQueue::default(),
             next_request_id: 0,
             deferred: Vec::new(),
+            stranded_since: BTreeMap::new(),
             stopping: false,
             stopped: false,
             me,
--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -383,6 +383,26 @@
         self.find_in_other_zone(&has_capacity, false)
     }
 
+    /// A daemon of another zone whose workers could run a task of this demand when empty, if
+    /// none of this zone could. A job that was accepted in this zone would wait for ever.
+    pub(crate) fn find_peer_for_foreign_job(
+        &self,
+        owner: &OwnerName,
+        demand: &Resources,
+    ) -> Option<DaemonId> {
+        let could_fit = |summary: &Summary| {
+            let mut found = summary.owners.iter().filter(|found| found.owner == *owner);
+            found.any(|found| found.largest.holds(demand))
+        };
+        let mut zone_members = self.members.live_in_zone(self.now_ms, &self.me.zone);
+        if self.scheduler.cell.could_fit(owner, demand)
+            || zone_members.any(|member| could_fit(&member.summary))
+        {
+            return None;
+        }
+        self.find_in_other_zone(&could_fit, false)
+    }
+
     /// Another daemon that has a free slot on a minion of this group. Traffic between
     /// regions is paid. If the owner weighs control traffic higher than waiting time, only
     /// daemons of this region are considered.
@@ -412,7 +432,7 @@
 
     /// A daemon of another zone that has capacity. Zones of this region are preferred,
     /// then zones with few queued tasks.
-    fn find_in_other_zone(
+    pub(crate) fn find_in_other_zone(
         &self,
         has_capacity: &dyn Fn(&Summary) -> bool,
         same_region_only: bool,
--- a/crates/engine/src/remote.rs
+++ b/crates/engine/src/remote.rs
@@ -115,6 +115,11 @@
         self.reservations_for_peers.remove(&attempt);
     }
 
+    /// Whether reservations are being collected for a gang.
+    pub(crate) fn is_collecting(&self, job: JobId) -> bool {
+        self.gangs.contains_key(&job)
+    }
+
     pub(crate) fn forget_job(&mut self, job: JobId) {
         self.recently_requested.remove(&job);
         self.gangs.remove(&job);
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -179,7 +179,10 @@
         let demand = admitted.incoming.submission.demand.unwrap_or(admitted.entry.task);
         let fits_here = self.scheduler.cell.could_fit(&admitted.entry.owner, &demand);
         if admitted.incoming.may_forward && !fits_here {
-            let peer = self.find_peer_with_capacity(&admitted.entry.owner, &demand);
+            let owner = &admitted.entry.owner;
+            let peer = self
+                .find_peer_with_capacity(owner, &demand)
+                .or_else(|| self.find_peer_for_foreign_job(owner, &demand));
             if let Some(daemon) = peer
                 && self.forward(&admitted, &daemon)
             {
--- a/crates/engine/src/sweep.rs
+++ b/crates/engine/src/sweep.rs
@@ -94,6 +94,7 @@
             self.sweep.next_scan_ms = now_ms + self.settings.ledger.sweep_ms;
             self.scan_open_jobs();
             self.find_orphans();
+            self.move_stranded_jobs();
         }
         // Of the daemons of a zone, only the relay removes records.
         let due = now_ms >= self.sweep.next_removal_ms && !self.sweep.removing;
