A stopping daemon gives load balancers time to see it, and callers to leave

Cause: the shutdown was complete as soon as no work was left. Beside load the slow booking has not arrived when the stop begins; the daemon is idle then, closes its listener and its connections at once, and there is nobody to say 503. What arrives after the end of the shutdown was forwarded, with 2 s for the answer.

Responses in progress have the rest of the grace period.

--- a/crates/daemon/src/api/system.rs
+++ b/crates/daemon/src/api/system.rs
@@ -6,6 +6,7 @@
 use axum::http::HeaderMap;
 use axum::http::HeaderValue;
 use axum::http::StatusCode;
+use axum::http::header::CONNECTION;
 use axum::middleware::Next;
 use axum::response::IntoResponse;
 use axum::response::Response;
@@ -55,7 +56,8 @@
 }
 
 /// Middleware that returns each request's id, the caller's own or a new one, counts
-/// the response by its status and logs it.
+/// the response by its status and logs it. While the daemon stops, it asks callers to close
+/// their connections.
 pub(crate) async fn track_request<P: Platform>(
     State(state): State<ApiState<P>>,
     request: Request,
@@ -72,6 +74,10 @@
     } else {
         tracing::debug!(request = %id, %method, path, status = status.as_u16(), "call answered");
     }
+    if state.status.borrow().stopping {
+        // A caller that kept its connection would be cut off when the daemon closes it.
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Ok(value) = HeaderValue::from_str(&id) {
         response.headers_mut().insert(REQUEST_ID_HEADER, value);
     }
--- a/crates/daemon/src/engine_actor.rs
+++ b/crates/daemon/src/engine_actor.rs
@@ -48,6 +48,8 @@
 pub struct Status {
     /// Whether callers and operators can be served.
     pub ready: bool,
+    /// Whether the daemon is shutting down.
+    pub stopping: bool,
     /// Whether the shutdown is complete and all work has been handed over.
     pub stopped: bool,
     /// The catalogue that the daemon currently applies.
@@ -107,12 +109,15 @@
 
     fn publish(&self) {
         let ready = self.engine.is_ready();
+        let stopping = self.engine.is_shutting_down();
         let stopped = self.engine.is_stopped();
         let revision = self.engine.catalogue().revision();
         self.status.send_if_modified(|status| {
             let mut changed = false;
-            if status.ready != ready || status.stopped != stopped {
+            let known = (status.ready, status.stopping, status.stopped);
+            if known != (ready, stopping, stopped) {
                 status.ready = ready;
+                status.stopping = stopping;
                 status.stopped = stopped;
                 changed = true;
             }
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -21,8 +21,9 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tokio::time::MissedTickBehavior;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::api;
 use crate::clock::Clock;
@@ -36,8 +37,7 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 /// The metrics are updated on every tick of this number, which is once a second.
 const TICKS_PER_METRICS_UPDATE: u64 = 20;
-/// How long the HTTP server may take to finish writing responses once all work has
-/// ended or the grace period is over.
+/// How long the HTTP server may take to finish writing responses after the grace period.
 const RESPONSE_FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running daemon. Dropping it aborts its tasks without a graceful shutdown.
@@ -126,17 +126,18 @@
     }
 
     /// Shuts down gracefully: takes no new work, lets requests in flight finish and
-    /// hands its work over to other daemons. Ends after `stop.grace_ms` at the latest,
-    /// plus the time for the last responses.
+    /// hands its work over to other daemons. Until `stop.deregister_ms` have passed, it still
+    /// accepts connections, fails its readiness check, and forwards submissions. Ends after
+    /// `stop.grace_ms` at the latest, plus the time for the last responses.
     pub async fn stop(mut self) {
         tracing::info!(daemon = %self.settings.daemon.name, "graceful shutdown started");
-        let grace = Duration::from_millis(self.settings.stop.grace_ms);
+        let deadline = Instant::now() + Duration::from_millis(self.settings.stop.grace_ms);
         if self.actor.tell(HandleEvent(Event::Stop)).await.is_err() {
             return;
         }
+        tokio::time::sleep(Duration::from_millis(self.settings.stop.deregister_ms)).await;
         let mut status = self.status.clone();
-        let timed_out = timeout(grace, status.wait_for(|status| status.stopped)).await.is_err();
-        if timed_out {
+        if timeout_at(deadline, status.wait_for(|status| status.stopped)).await.is_err() {
             tracing::warn!(daemon = %self.settings.daemon.name, "grace period expired; other daemons take over the remaining work");
         }
         if let Some(close_sender) = self.close_sender.take()
@@ -144,8 +145,9 @@
         {
             tracing::debug!("HTTP server had already ended");
         }
+        let responses_due = deadline.max(Instant::now() + RESPONSE_FLUSH_TIMEOUT);
         if let Some(http_server) = self.http_server.take()
-            && timeout(RESPONSE_FLUSH_TIMEOUT, http_server).await.is_err()
+            && timeout_at(responses_due, http_server).await.is_err()
         {
             tracing::warn!(
                 "HTTP server did not finish sending responses in time; some callers may not get theirs"
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -221,6 +221,12 @@
         r#""info""#,
         "least level written",
     ),
+    Field::optional(
+        "stop.deregister_ms",
+        Kind::Number(0, 600_000),
+        "2500",
+        "milliseconds for which a stopping daemon still accepts connections, so that load balancers see that it is not ready",
+    ),
     Field::optional(
         "stop.grace_ms",
         Kind::Number(0, 3_600_000),
@@ -270,6 +276,15 @@
             "use a long random text, the same on every daemon",
         );
     }
+    let stop = &settings.stop;
+    if stop.deregister_ms > stop.grace_ms {
+        report(
+            "stop.deregister_ms",
+            stop.deregister_ms.to_string(),
+            "at most stop.grace_ms",
+            "lower it, or raise stop.grace_ms",
+        );
+    }
     let http_ip = settings.listen.http_address.ip();
     if settings.security.open_access && !http_ip.is_loopback() {
         report(
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -197,6 +197,8 @@
 /// Graceful shutdown.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Stop {
+    /// How long a stopping daemon still accepts connections, while its readiness check fails.
+    pub deregister_ms: u64,
     /// Maximum time from the signal to the exit of the process.
     pub grace_ms: u64,
 }
