Logs tell a batch that never becomes durable from a start that was not sent

What its log rules out: a run that ended unread, was missing, refused, unconfirmed or stalled (each has a line, and no line was left out after 38 s); a task outside the queue, without a row to be written, or sent without an answer (the check of wake-ups runs once a second and said nothing). What fits and could not be told apart: its row was being written and never became durable, while other partitions went on; or all tasks of the step are done and the step does not count them so.

The line pool has oldest_write_ms now, the age of the oldest batch that is not durable, with a gauge; the check of wake-ups names a step whose tasks are all done; and the two cases in which a start is not sent after its row was written have a line.

Test: the_age_of_a_batch_that_is_not_durable_is_counted.

--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -97,6 +97,7 @@
         running_jobs = counts.running_jobs,
         queued_steps = counts.queued_steps,
         workers_age_ms = counts.workers_age_ms,
+        oldest_write_ms = counts.oldest_write_ms,
         open_workers = counts.open_workers,
         silent_workers = counts.silent_workers,
         free_cpu_millis = counts.free_cpu_millis,
@@ -130,6 +131,7 @@
     metrics::gauge!("stoatwell_queued_messages").set(queued_messages as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
     metrics::gauge!("stoatwell_workers_age_ms").set(counts.workers_age_ms as f64);
+    metrics::gauge!("stoatwell_oldest_write_ms").set(counts.oldest_write_ms as f64);
     metrics::gauge!("stoatwell_workers_open").set(counts.open_workers as f64);
     metrics::gauge!("stoatwell_workers_silent").set(counts.silent_workers as f64);
     metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -253,6 +253,12 @@
             || in_flight.any(|batch| batch.since_ms + SLOW_BATCH_MS < now_ms)
     }
 
+    /// The age of the oldest batch that is not durable yet; 0 if there is none.
+    pub fn oldest_batch_ms(&self, now_ms: u64) -> u64 {
+        let in_flight = self.partitions.iter().filter_map(|partition| partition.in_flight.as_ref());
+        in_flight.map(|batch| now_ms.saturating_sub(batch.since_ms)).max().unwrap_or(0)
+    }
+
     /// Whether a row of any job is being written or waits to be written.
     pub fn has_pending_writes(&self) -> bool {
         self.partitions
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -55,6 +55,8 @@
     pub queued_steps: usize,
     /// The age of the view of the list of workers, in milliseconds.
     pub workers_age_ms: u64,
+    /// The age of the oldest batch that is not durable yet, in milliseconds; 0 if there is none.
+    pub oldest_write_ms: u64,
     /// Workers that accept new tasks.
     pub open_workers: usize,
     /// Workers that did not answer the last call.
@@ -174,6 +176,7 @@
         let mut counts = Counts {
             queued_steps: self.queue.len(),
             workers_age_ms: self.workers_age_ms(),
+            oldest_write_ms: self.commits.oldest_batch_ms(self.now_ms),
             ..Counts::default()
         };
         for job in self.jobs_in_progress() {
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -52,6 +52,7 @@
         let may_start = worker.held && !worker.info.draining;
         let Some(until_ms) = worker.lease_end(now_ms, lease_ms).filter(|_| may_start) else {
             // While the row was written, the worker restarted or began to drain.
+            tracing::info!(task = %id, run, worker = %name, "start not sent: the worker takes none; the task is queued again");
             self.requeue_unstarted(id);
             return;
         };
@@ -61,6 +62,7 @@
         }) {
             // Writing the row took longer than the ticket is valid, as in a store outage. The
             // worker would refuse the start.
+            tracing::info!(task = %id, run, worker = %name, "start not sent: its ticket expired; the task is queued again");
             self.requeue_unstarted(id);
             return;
         }
--- a/crates/pool/src/wakeup.rs
+++ b/crates/pool/src/wakeup.rs
@@ -21,6 +21,12 @@
         let mut stuck = Vec::new();
         for job in self.jobs_in_progress().filter(|job| job.outcome.is_none()) {
             for (step_index, step_state) in job.step_states.iter().enumerate() {
+                if step_state.remaining_tasks > 0 && step_state.tasks.iter().all(Task::is_done) {
+                    stuck.push(format!(
+                        "{}: all tasks are done, and the step is not",
+                        step_state.id
+                    ));
+                }
                 let scheduled = queued.contains(&step_state.id) || timed.contains(&step_state.id);
                 for (index, task) in step_state.tasks.iter().enumerate() {
                     let Some(reason) = self.missing_wakeup(job, step_index, task, scheduled) else {
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -170,3 +170,14 @@
     assert_eq!(world.submission_result(1), Some(Accepted::Yes));
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
+
+/// Guards against a batch that never becomes durable and that no figure shows.
+#[test]
+fn the_age_of_a_batch_that_is_not_durable_is_counted() {
+    let mut world = ready_world(9);
+    world.stuck_partitions = (0..32).collect();
+    world.submit_via_scheduler(1, short_job());
+    world.run(1_000);
+    let oldest_write_ms = world.counts().oldest_write_ms;
+    assert!((900..=1_000).contains(&oldest_write_ms), "{oldest_write_ms} ms");
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -221,6 +221,11 @@
         self.jobs.keys().filter(|job| !is_finished(job)).copied().collect()
     }
 
+    /// The current totals of the scheduler.
+    pub fn counts(&self) -> stoatwell_pool::Counts {
+        self.pool.counts()
+    }
+
     /// Whether the store has the row of a job.
     pub fn is_stored(&self, id: u64) -> bool {
         self.jobs.contains_key(&JobId(id))
