The cell of the daemon's tests is ready when its leases are where they stay

graceful_shutdown_cuts_no_request submits a batch to a daemon and demands that it coordinates it. Forwarding is right then; the test did not have the cell that it means.

wait_until_held waits until each worker is held by the daemon of its zone that rendezvous hashing selects, and not by any. It asks for more than before; the test and its checks are unchanged.

--- a/crates/daemon/tests/cell/mod.rs
+++ b/crates/daemon/tests/cell/mod.rs
@@ -8,6 +8,8 @@
 use reqwest::Response;
 use serde_json::Value;
 use serde_json::json;
+use stoatwell_membership::rendezvous;
+use stoatwell_model::DaemonId;
 use stoatwell_model::RegionName;
 use stoatwell_model::Resources;
 use stoatwell_model::ZoneName;
@@ -137,29 +139,25 @@
         self.wait_until_held().await;
     }
 
-    /// Waits until a daemon holds the lease of every worker and all daemons have the
+    /// Waits until every worker is held by the daemon that keeps it, and all daemons have the
     /// same catalogue revision.
     pub async fn wait_until_held(&self) {
-        let worker_count = self.workers().len();
         for _ in 0..POLL_ATTEMPTS {
-            let mut held = 0;
-            let mut revisions = Vec::new();
+            let mut states = Vec::new();
             for index in 0..self.daemons.len() {
-                if self.daemons[index].is_none() {
-                    continue;
+                if self.daemons[index].is_some() {
+                    states.push(self.state(index).await);
                 }
-                let state = self.state(index).await;
-                let workers = state["workers"].as_array().expect("workers");
-                held += workers.iter().filter(|worker| !worker["lease_left_ms"].is_null()).count();
-                revisions.push(state["catalogue"]["revision"].as_u64());
             }
+            let mut revisions: Vec<&Value> =
+                states.iter().map(|state| &state["catalogue"]["revision"]).collect();
             revisions.dedup();
-            if held == worker_count && revisions.len() == 1 {
+            if settled_workers(&states) == self.workers().len() && revisions.len() == 1 {
                 return;
             }
             tokio::time::sleep(POLL_INTERVAL).await;
         }
-        panic!("some workers are not held, or the catalogue revisions differ");
+        panic!("some workers are not where they stay, or the catalogue revisions differ");
     }
 
     pub fn workers(&self) -> Vec<String> {
@@ -218,6 +216,26 @@
     }
 }
 
+/// The number of workers that are held by the daemon of their zone that rendezvous hashing
+/// selects. Until then daemons give workers up to each other.
+fn settled_workers(states: &[Value]) -> usize {
+    let mut settled = 0;
+    for state in states {
+        let zone = &state["daemon"]["zone"];
+        let mut holders = Vec::new();
+        for other in states.iter().filter(|other| other["daemon"]["zone"] == *zone) {
+            holders.push(DaemonId::new(other["daemon"]["daemon"].as_str().expect("a name")));
+        }
+        for worker in state["workers"].as_array().expect("workers") {
+            let name = worker["worker"].as_str().expect("a name");
+            let selected = rendezvous::select(name, &holders).map(DaemonId::as_str);
+            let is_held = !worker["lease_left_ms"].is_null();
+            settled += usize::from(is_held && selected == state["daemon"]["daemon"].as_str());
+        }
+    }
+    settled
+}
+
 pub fn client() -> Client {
     Client::builder().no_proxy().build().expect("a client")
 }
