--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -96,7 +96,8 @@
     let daemon = match Daemon::start(settings).await {
         Ok(daemon) => daemon,
         Err(error) => {
-            tracing::error!(%error, "daemon failed to start; exiting");
+            let code = Code::AddressUnavailable;
+            tracing::error!(code = code.number(), %error, hint = code.hint(), "daemon failed to start; exiting");
             return ExitCode::from(EXIT_START);
         }
     };
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -72,8 +72,9 @@
     /// Starts a daemon on the given platform. Fails if one of its two addresses
     /// cannot be bound.
     pub async fn start_on(settings: Settings, platform: Arc<P>) -> io::Result<Self> {
-        let http_listener = TcpListener::bind(settings.listen.http_address).await?;
-        let peer_listener = TcpListener::bind(settings.listen.peer_address).await?;
+        let listen = &settings.listen;
+        let http_listener = bind("listen.http_address", listen.http_address).await?;
+        let peer_listener = bind("listen.peer_address", listen.peer_address).await?;
         let http_address = http_listener.local_addr()?;
         let peer_address = peer_listener.local_addr()?;
         let clock = Clock::start();
@@ -169,6 +170,13 @@
     }
 }
 
+/// Binds an address; the error names it and its setting.
+async fn bind(setting: &str, address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|error| io::Error::new(error.kind(), format!("{setting} {address}: {error}")))
+}
+
 fn serve_http<P: Platform>(
     listener: TcpListener,
     actor: &ActorRef<EngineActor<P>>,
--- a/crates/daemon/tests/stop.rs
+++ b/crates/daemon/tests/stop.rs
@@ -225,3 +225,13 @@
     assert_eq!(program.exit_status().await, Some(4));
     caller.await.expect("the caller sees the connection end");
 }
+
+/// Guards against an address in use that is reported without its setting and a remedy.
+#[tokio::test(flavor = "multi_thread")]
+async fn address_in_use_is_named_with_its_setting() {
+    let cell = Cell::start(&["zone-a"]).await;
+    let mut settings = stoatwell_settings::example("second");
+    settings.listen.http_address = cell.daemons[0].as_ref().expect("the daemon runs").http_address;
+    let error = stoatwelld::Daemon::start(settings).await.expect_err("the address is in use");
+    assert!(error.to_string().starts_with("listen.http_address 127.0.0.1:"), "{error}");
+}
