Looking for stranded jobs costs a look at the targets once an owner

The room of the zone is worked out once an owner now, and the jobs are compared with it. The functions that other modules share say what they find in their names.

--- a/crates/engine/src/peers.rs
+++ b/crates/engine/src/peers.rs
@@ -34,6 +34,7 @@
 use crate::message::ZoneUpdate;
 use crate::ops::PeerOp;
 use crate::ops::StoreOp;
+use crate::stranded::largest_in;
 
 /// Interval at which an unchanged summary or zone update is sent again.
 pub(crate) const UPDATE_RESEND_MS: u64 = 10_000;
@@ -383,17 +384,14 @@
         self.find_in_other_zone(&has_capacity, false)
     }
 
-    /// A daemon of another zone whose workers could run a task of this demand when empty, if
-    /// none of this zone could. A job that was accepted in this zone would wait for ever.
-    pub(crate) fn find_peer_for_foreign_job(
+    /// A daemon of a zone whose workers could hold a task of this demand when they are empty;
+    /// `None` if those of this zone could. In this zone such a job would never start.
+    pub(crate) fn find_peer_that_could_ever_fit(
         &self,
         owner: &OwnerName,
         demand: &Resources,
     ) -> Option<DaemonId> {
-        let could_fit = |summary: &Summary| {
-            let mut found = summary.owners.iter().filter(|found| found.owner == *owner);
-            found.any(|found| found.largest.holds(demand))
-        };
+        let could_fit = |summary: &Summary| largest_in(summary, owner).holds(demand);
         let mut zone_members = self.members.live_in_zone(self.now_ms, &self.me.zone);
         if self.scheduler.cell.could_fit(owner, demand)
             || zone_members.any(|member| could_fit(&member.summary))
--- a/crates/engine/src/stranded.rs
+++ b/crates/engine/src/stranded.rs
@@ -4,6 +4,8 @@
 //! targets in a zone may be too small for a job even when it is empty. Such a job is handed to
 //! a daemon of another zone whose workers could hold it.
 
+use std::collections::HashMap;
+
 use stoatwell_model::Class;
 use stoatwell_model::DaemonId;
 use stoatwell_model::JobId;
@@ -20,15 +22,35 @@
 /// other zones may be old.
 const STRANDED_MS: u64 = 5_000;
 
+/// What the workers of this zone that serve an owner could hold when they are empty.
+#[derive(Clone, Copy, Debug)]
+struct ZoneRoom {
+    workers: u64,
+    /// The largest amount on any of them, separately for each resource.
+    largest: Resources,
+}
+
+impl ZoneRoom {
+    fn fits(&self, record: &JobRecord) -> bool {
+        let places = self.largest.fit_count(&record.demand).saturating_mul(self.workers);
+        places >= simultaneous_tasks(record)
+    }
+}
+
 impl Engine {
     /// Hands jobs that have lacked room in this zone for a while to other zones.
     pub(crate) fn move_stranded_jobs(&mut self) {
         let now_ms = self.now_ms;
         let mut stranded_since = std::mem::take(&mut self.stranded_since);
-        let mut moves = Vec::new();
         stranded_since.retain(|id, _| self.jobs.contains_key(id));
+        let mut rooms: HashMap<&OwnerName, Option<ZoneRoom>> = HashMap::new();
+        let mut moves = Vec::new();
         for (id, job) in &self.jobs {
-            if !self.is_movable(*id, job) || self.has_room_in_zone(&job.machine.record) {
+            let record = &job.machine.record;
+            let room =
+                *rooms.entry(&record.owner).or_insert_with(|| self.room_in_zone(&record.owner));
+            let has_room = room.is_none_or(|room| room.fits(record));
+            if has_room || !self.is_movable(*id, job) {
                 stranded_since.remove(id);
                 continue;
             }
@@ -36,7 +58,7 @@
             if now_ms < since_ms + STRANDED_MS {
                 continue;
             }
-            if let Some((daemon, zone)) = self.find_zone_with_room(&job.machine.record) {
+            if let Some((daemon, zone)) = self.find_zone_with_room(record) {
                 moves.push((*id, daemon, zone));
             }
         }
@@ -67,25 +89,25 @@
             && !self.remote.is_collecting(id)
     }
 
-    fn has_room_in_zone(&self, record: &JobRecord) -> bool {
-        if self.workers_of_zone_unknown(&record.owner) {
-            return true;
+    /// `None` if the owner's workers in this zone are not known yet.
+    fn room_in_zone(&self, owner: &OwnerName) -> Option<ZoneRoom> {
+        if self.workers_of_zone_unknown(owner) {
+            return None;
         }
-        let serving = self.catalogue.targets().filter(|target| target.serves(&record.owner));
+        let serving = self.catalogue.targets().filter(|target| target.serves(owner));
         let listed = serving
             .filter(|target| self.leases.get(&target.worker).is_some_and(|lease| lease.listed));
-        let mut largest = self.scheduler.cell.largest(&record.owner);
+        let mut largest = self.scheduler.cell.largest(owner);
         for member in self.members.live_in_zone(self.now_ms, &self.me.zone) {
-            largest = largest.max(&largest_in(&member.summary, &record.owner));
+            largest = largest.max(&largest_in(&member.summary, owner));
         }
-        largest.fit_count(&record.demand) * listed.count() as u64 >= simultaneous_tasks(record)
+        Some(ZoneRoom { workers: listed.count() as u64, largest })
     }
 
     fn find_zone_with_room(&self, record: &JobRecord) -> Option<(DaemonId, ZoneName)> {
         let has_room = |summary: &Summary| {
-            let largest = largest_in(summary, &record.owner);
-            let places = largest.fit_count(&record.demand) * u64::from(summary.workers);
-            places >= simultaneous_tasks(record)
+            let workers = u64::from(summary.workers);
+            ZoneRoom { workers, largest: largest_in(summary, &record.owner) }.fits(record)
         };
         let daemon = self.find_in_other_zone(&has_room, false)?;
         let mut zones = self.zones.values();
@@ -101,7 +123,7 @@
 }
 
 /// The largest amount on any worker that serves the owner, separately for each resource.
-fn largest_in(summary: &Summary, owner: &OwnerName) -> Resources {
+pub(crate) fn largest_in(summary: &Summary, owner: &OwnerName) -> Resources {
     let found = summary.owners.iter().find(|entry| entry.owner == *owner);
     found.map_or(Resources::ZERO, |entry| entry.largest)
 }
--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -77,6 +77,7 @@
             return;
         }
         match self.admit(&incoming) {
+            // The daemon that forwards a submission has checked its share of traffic.
             Ok(entry) if incoming.may_forward && stays_with_old_system(&entry, &incoming.key) => {
                 // The submission may have been accepted while the entry's share of traffic was
                 // larger. If it were refused now, the caller would run it again in the old
@@ -182,7 +183,7 @@
             let owner = &admitted.entry.owner;
             let peer = self
                 .find_peer_with_capacity(owner, &demand)
-                .or_else(|| self.find_peer_for_foreign_job(owner, &demand));
+                .or_else(|| self.find_peer_that_could_ever_fit(owner, &demand));
             if let Some(daemon) = peer
                 && self.forward(&admitted, &daemon)
             {
