What follows a forwarded submission reads in the order in which it is decided

First whether the other daemon took nothing, and the submission is handled here; then the answer. No change of behaviour; the engine's tests of failures are green.

--- a/crates/engine/src/submit.rs
+++ b/crates/engine/src/submit.rs
@@ -299,21 +299,22 @@
         incoming: IncomingSubmission,
         reply: Result<PeerReply, CallError>,
     ) {
-        let is_taken = match &reply {
-            Ok(PeerReply::Job(Err(failure))) => !is_refusal_of_peer_alone(failure.code),
-            Ok(_) => true,
-            Err(error) => !error.is_without_effect(),
+        let peer_took_nothing = match &reply {
+            Ok(PeerReply::Job(Err(failure))) => is_refusal_of_peer_alone(failure.code),
+            Ok(_) => false,
+            Err(error) => error.is_without_effect(),
         };
-        match reply {
-            _ if !is_taken => {
-                self.on_submit(IncomingSubmission { may_forward: false, ..incoming });
-            }
-            Ok(PeerReply::Job(result)) => self.answer_job(incoming.ticket, result),
+        if peer_took_nothing {
+            self.on_submit(IncomingSubmission { may_forward: false, ..incoming });
+            return;
+        }
+        let result = match reply {
+            Ok(PeerReply::Job(result)) => result,
             Ok(_) | Err(_) => {
-                let failure = Failure::new(Code::AcceptanceUnknown).retry_after(RETRY_AFTER_MS);
-                self.answer_job(incoming.ticket, Err(failure));
+                Err(Failure::new(Code::AcceptanceUnknown).retry_after(RETRY_AFTER_MS))
             }
-        }
+        };
+        self.answer_job(incoming.ticket, result);
     }
 
     /// Writes the job record; the caller is answered once it is durable.
@@ -393,8 +394,7 @@
     xxh3_64(key.as_bytes()) % PERMILLE >= u64::from(entry.traffic_permille)
 }
 
-/// Whether a daemon that refuses a submission with this code did not take it, for a reason that
-/// does not concern other daemons.
+/// Whether a refusal with this code concerns only the daemon that sent it; it took nothing.
 fn is_refusal_of_peer_alone(code: Code) -> bool {
     matches!(code, Code::Stopping | Code::NotReady | Code::WorkersUnknown)
 }
