A start waits for its row although a gateway wrote the submission

What callers may see: a task that runs twice after a change of leader.

Cause: when the store refuses a batch four times, the writer takes the submissions out of it, with the progress in the same entry. The scheduler ignored this for a job that a gateway had made durable meanwhile, and kept the actions of the batch: the start was sent when the rest of the batch was durable, and no row had the run.

Evidence: read in the code, then forced in virtual time. Before the change a_start_waits_for_its_row_although_a_gateway_wrote_the_submission fails with "started before its row was written"; the check runs at every start of every simulation, and only this test breaks it.

The actions now leave the batch with the row, and the row is written again. The same class was looked for in the gateways' writes (accept.rs): requests are answered one by one, none waits for a batch as a whole.

--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -212,6 +212,19 @@
         batch.actions.retain(|action| action.job() != Some(job));
     }
 
+    /// Schedules another write of a job that was dropped from the batch in flight, with the
+    /// actions that wait for it. The rest of that batch does not include the job's row.
+    pub fn write_again(&mut self, job: JobId) {
+        let Some(batch) = &mut self.partitions[job.partition()].in_flight else { return };
+        batch.jobs.retain(|other| *other != job);
+        let (dropped, kept): (Vec<AfterCommit>, Vec<AfterCommit>) =
+            batch.actions.drain(..).partition(|action| action.job() == Some(job));
+        batch.actions = kept;
+        for action in dropped {
+            self.mark_dirty(job, action);
+        }
+    }
+
     /// Whether a row of this job is being written or waits to be written.
     pub fn is_write_pending(&self, job: JobId) -> bool {
         let partition = &self.partitions[job.partition()];
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -94,10 +94,15 @@
         self.effects.push(Effect::Answer { job: id, accepted: Accepted::Yes });
     }
 
-    /// Handles a submission that the store will never have, because it refused the write
-    /// or another customer's job has the number.
+    /// Handles a submission whose write was given up, because the store refused it or another
+    /// customer's job has the number.
     pub(crate) fn on_rejected(&mut self, id: JobId, accepted: Accepted) {
-        if self.jobs.get(&id).is_none_or(|job| job.durable) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.durable {
+            // A gateway made the submission durable meanwhile. What was placed since is in no
+            // row yet.
+            tracing::info!(job = %id, "write of a submission refused after a gateway wrote it; its progress is written again");
+            self.commits.write_again(id);
             return;
         }
         self.drop_submission(id);
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -171,6 +171,23 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// Guards against a start without a row, which the next leader does not know and repeats: the
+/// store refused the scheduler's write of a submission that a gateway has made durable meanwhile.
+#[test]
+fn a_start_waits_for_its_row_although_a_gateway_wrote_the_submission() {
+    let mut world = ready_world(10);
+    world.commit_ms = 60;
+    world.refuses_submissions = true;
+    world.submit_via_scheduler(1, short_job());
+    world.run(50);
+    world.submit(1, short_job());
+    world.run(100);
+    world.refuses_submissions = false;
+    world.run(2_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against a batch that never becomes durable and that no figure shows.
 #[test]
 fn the_age_of_a_batch_that_is_not_durable_is_counted() {
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -33,6 +33,9 @@
             self.violations.push(format!("{}: started long after it was cancelled", start.task));
         }
         let Some(spec) = self.jobs.get(&job).cloned() else { return };
+        if !self.is_recorded(start.task, start.run) {
+            self.violations.push(format!("{}: started before its row was written", start.task));
+        }
         self.check_cap(start.task, start.made_ms);
         let step = &spec.steps[start.task.step.step as usize];
         for dependency in &step.after {
@@ -64,6 +67,18 @@
         }
     }
 
+    /// Whether the store has the row of this run of a task, or of a later one.
+    fn is_recorded(&self, task: TaskId, run: u32) -> bool {
+        let Some(spec) = self.jobs.get(&task.step.job) else { return false };
+        let step_index = task.step.occurrence * spec.steps.len() as u32 + task.step.step;
+        self.progress.get(&task.step.job).is_some_and(|progress| {
+            let mut rows = progress.tasks.iter();
+            rows.any(|row| {
+                row.step_index == step_index && row.index == task.index && row.run >= run
+            })
+        })
+    }
+
     /// Checks that a start does not take its customer above the highest cap that was in
     /// force since the run was placed.
     fn check_cap(&mut self, task: TaskId, made_ms: u64) {
