Simulations of outages of the store beside losses of workers

24 workers, a store whose batches take 12 to 1,500 ms, an advisor that takes 5 to 400 ms, tickets that expire, steps that limit their tasks for each worker, workers that drain and come back, and submissions through the scheduler and from the store. At the end, without faults, every job has to end.

--- /dev/null
+++ b/crates/pool/tests/outages.rs
@@ -0,0 +1,132 @@
+//! Simulations of a pool whose store is slow or stuck while workers leave, restart and drain,
+//! one for each seed. Every job that some remaining workers may run has to end.
+
+mod world;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use stoatwell_model::WorkerId;
+use stoatwell_pool::AdviceSpec;
+use stoatwell_pool::JobSpec;
+
+use self::world::Faults;
+use self::world::World;
+use self::world::job;
+use self::world::queue;
+use self::world::step;
+
+/// The number of seeds in an ordinary run; set `SEEDS` for more, `SEED` for a single one.
+const SEEDS: u64 = 150;
+const WORKERS: usize = 24;
+const JOBS: u64 = 80;
+
+fn simulate(seed: u64) -> Result<u64, String> {
+    let mut rng = Pcg64::seed_from_u64(seed ^ 0x0a7a);
+    let mut draw =
+        |limit: u32| if rng.random_range(0..2) == 0 { rng.random_range(0..limit) } else { 0 };
+    let faults = Faults {
+        lost_calls: draw(40),
+        lost_answers: draw(40),
+        late_calls: draw(40),
+        failed_runs: draw(200),
+        crashes: draw(6),
+        isolations: draw(8),
+        failovers: draw(15),
+        lost_advice: draw(200),
+        refusals: draw(6),
+        permanent_isolations: 0,
+    };
+    let mut world = World::new(seed, WORKERS, faults);
+    world.tickets_expire = true;
+    world.granted_of_five = rng.random_range(2..5);
+    for number in 0..JOBS {
+        if rng.random_range(0..10) == 0 {
+            world.commit_ms = *[12, 12, 60, 400, 1_500].get(rng.random_range(0..5)).expect("one");
+            world.advice_ms = *[5, 80, 400].get(rng.random_range(0..3)).expect("one");
+        }
+        let spec = random_job(&mut rng);
+        if rng.random_range(0..2) == 0 {
+            world.submit(number, spec);
+        } else {
+            world.submit_via_scheduler(number, spec);
+        }
+        let pause_ms = rng.random_range(10..300);
+        world.run(pause_ms);
+        if rng.random_range(0..12) == 0 {
+            world.cancel(rng.random_range(0..=number));
+        }
+        if rng.random_range(0..16) == 0 {
+            let name = WorkerId::new(format!("w{:02}", rng.random_range(0..WORKERS)));
+            world.drain(&name);
+            world.run(700);
+            world.crash(&name);
+        }
+    }
+    world.run(3_000);
+    world.faults = Faults::default();
+    world.commit_ms = 12;
+    world.run(14_000);
+    for _ in 0..120 {
+        world.run(500);
+        if world.open_jobs().is_empty() {
+            break;
+        }
+    }
+    if let Some(first) = world.violations.first() {
+        return Err(format!("{first} ({} in all), {faults:?}", world.violations.len()));
+    }
+    if let Some(open) = world.open_jobs().first() {
+        return Err(format!("{open} is not finished:\n{}\n{faults:?}", world.explain(*open)));
+    }
+    Ok(world.starts)
+}
+
+fn random_job(rng: &mut Pcg64) -> JobSpec {
+    let mut queue = queue(rng.random_range(0..3));
+    if rng.random_range(0..4) > 0 {
+        let decide_ms = *[7.0, 66.0, 510.0].get(rng.random_range(0..3)).expect("one");
+        queue.advice = Some(AdviceSpec { decide_ms, each_ms: 1.0, valid_ms: 2_000 });
+    }
+    let step_count = rng.random_range(1..4);
+    let mut steps = Vec::new();
+    for index in 0..step_count {
+        let tasks = rng.random_range(1..7);
+        let cpu_millis = rng.random_range(200..5_000);
+        let mut step = step(tasks, cpu_millis, rng.random_range(100..2_500));
+        step.gang = rng.random_range(0..3) == 0;
+        step.checkpoints = rng.random_range(0..2) == 0;
+        if !step.gang && rng.random_range(0..4) == 0 {
+            step.per_worker_max = 1;
+        }
+        if index > 0 && rng.random_range(0..2) == 0 {
+            step.after.push(index - 1);
+        }
+        steps.push(step);
+    }
+    job(queue, steps)
+}
+
+/// Guards against accepted jobs that never end after the store was slow while their workers
+/// left, restarted or drained.
+#[test]
+fn jobs_end_after_outages_of_the_store_and_losses_of_workers() {
+    let single_seed = std::env::var("SEED").ok().and_then(|seed| seed.parse().ok());
+    let count = std::env::var("SEEDS").ok().and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS);
+    let seeds = single_seed.map_or(0..count, |seed| seed..seed + 1);
+    if single_seed.is_some() {
+        tracing_subscriber::fmt().with_target(false).without_time().init();
+    }
+    let mut failed_seeds = Vec::new();
+    for seed in seeds {
+        if let Err(why) = simulate(seed) {
+            failed_seeds.push(format!("SEED={seed}: {why}"));
+        }
+    }
+    assert!(
+        failed_seeds.is_empty(),
+        "{} seeds failed, the first:\n{}",
+        failed_seeds.len(),
+        failed_seeds.join("\n")
+    );
+}
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -389,7 +389,7 @@
             let gang_timed_out = !gang_is_complete
                 && running.worked_ms == 0
                 && running.started_ms + GANG_TIMEOUT_MS < now_ms;
-            let is_finished = running.worked_ms >= running.duration_ms;
+            let is_finished = gang_is_complete && running.worked_ms >= running.duration_ms;
             let end = if lease_expired {
                 RunOutcome::Lapsed
             } else if running.stop_due_ms.is_some_and(|due_ms| due_ms <= now_ms) {
