Logs tell why a step waits although workers have room, and each start that is dropped

Read in the code, these ways went on without one: a step that stays in the queue (reservation, capacity kept for urgent work, advisor not asked again, no long query allowed, a gang with members still on workers), a start whose placement was withdrawn, a placement that was withdrawn or denied its tickets, a row that is not written since its job is gone, the end of an unknown batch, a conflict of the leader's write.

Now each has a line with its reason. The reason of the last attempt is kept with each queued step: `explain` prints it, and once a second the scheduler logs up to four steps that have waited for over a second although a granted worker has capacity; `stoatwell_steps_waiting_with_room` counts them. An answer to a start that finds the task in another phase stays at debug level: nearly always the worker's report came first.

No behaviour changes.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -143,7 +143,19 @@
                 }
                 WriteOutcome::Done
             }
-            Err(StoreError::Conflict(rows)) => self.resolve(writes, &rows),
+            Err(StoreError::Conflict(rows)) => {
+                let part = writes.first().map(|write| write.partition);
+                let conflicts: Vec<String> =
+                    rows.iter().map(|(table, row)| format!("{table}/{}", row.key)).collect();
+                tracing::info!(
+                    part,
+                    parts = writes.len(),
+                    ?conflicts,
+                    "conflict of the leader's write"
+                );
+                metrics::counter!("stoatwell_commit_conflicts_total").increment(1);
+                self.resolve(writes, &rows)
+            }
             Err(error) => {
                 let part = writes.first().map(|write| write.partition);
                 tracing::warn!(
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -96,6 +96,7 @@
         queued_jobs = counts.queued_jobs,
         running_jobs = counts.running_jobs,
         queued_steps = counts.queued_steps,
+        steps_waiting_with_room = counts.steps_waiting_with_room,
         workers_age_ms = counts.workers_age_ms,
         oldest_write_ms = counts.oldest_write_ms,
         open_workers = counts.open_workers,
@@ -130,6 +131,7 @@
     metrics::gauge!("stoatwell_inbox_delay_ms").set(inbox_delay_ms as f64);
     metrics::gauge!("stoatwell_queued_messages").set(queued_messages as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
+    metrics::gauge!("stoatwell_steps_waiting_with_room").set(counts.steps_waiting_with_room as f64);
     metrics::gauge!("stoatwell_workers_age_ms").set(counts.workers_age_ms as f64);
     metrics::gauge!("stoatwell_oldest_write_ms").set(counts.oldest_write_ms as f64);
     metrics::gauge!("stoatwell_workers_open").set(counts.open_workers as f64);
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advise.rs
@@ -203,6 +203,10 @@
         if gang && !denied.is_empty() {
             denied.append(&mut ready);
         }
+        if let Some(first) = denied.first() {
+            let tasks = denied.len();
+            tracing::info!(%step, tasks, %first, "no valid tickets, or workers closed; the tasks are queued again");
+        }
         for id in denied {
             self.release(id);
             self.requeue(id);
--- a/crates/pool/src/candidates.rs
+++ b/crates/pool/src/candidates.rs
@@ -141,6 +141,11 @@
             .map(|view_index| view_index as usize)
     }
 
+    /// Whether no reservation keeps the request from a candidate.
+    pub fn may_start(&self, request: &PlacementRequest<'_>, candidate: &Candidate) -> bool {
+        self.workers[candidate.view_index].may_start_here(request)
+    }
+
     fn allocate(&mut self, view_index: usize, demand: &Resources) {
         self.workers[view_index].free = self.workers[view_index].free.minus(demand);
         let sum = &mut self.services[self.workers[view_index].service].free;
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -373,7 +373,11 @@
                 continue;
             }
             let Some(dirty) = pending.dirty.remove(&id) else { continue };
-            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(job) = self.jobs.get(&id) else {
+                let actions = dirty.actions.len();
+                tracing::info!(job = %id, actions, "row not written: the job is gone; its actions are dropped");
+                continue;
+            };
             let progress = job.progress(&self.workers);
             let has_progress = !progress.tasks.is_empty() || progress.outcome.is_some();
             let submission = (!job.durable).then(|| Arc::clone(&job.spec));
@@ -416,7 +420,10 @@
 
     pub(crate) fn on_committed(&mut self, batch: u64, partition: usize) {
         let Some(partition) = self.commits.partitions.get_mut(partition) else { return };
-        let Some(written) = partition.in_flight.take_if(|sent| sent.batch == batch) else { return };
+        let Some(written) = partition.in_flight.take_if(|sent| sent.batch == batch) else {
+            tracing::warn!(batch, "the end of an unknown batch is ignored");
+            return;
+        };
         let took_ms = self.now_ms.saturating_sub(written.since_ms).min(BATCH_SAMPLE_MAX_MS);
         self.commits.mean_batch_ms = (self.commits.mean_batch_ms * 3 + took_ms) / 4;
         for action in written.actions {
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -55,6 +55,9 @@
     pub queued_steps: usize,
     /// The age of the view of the list of workers, in milliseconds.
     pub workers_age_ms: u64,
+    /// Steps that have waited in the queue for more than a second although a worker has free
+    /// capacity for one of their tasks.
+    pub steps_waiting_with_room: usize,
     /// The age of the oldest batch that is not durable yet, in milliseconds; 0 if there is none.
     pub oldest_write_ms: u64,
     /// Workers that accept new tasks.
@@ -157,6 +160,16 @@
                 "step {}: {} of {} tasks to do, {waiting} wait, ready {ready}, advisor granted {granted} of {queried} workers",
                 step_state.id, step_state.remaining_tasks, step_state.tasks.len(),
             ));
+            if step_state.queued {
+                let reason = step_state.wait_reason;
+                lines.push(format!(
+                    "step {}: queued for {} ms; {}; queries to the advisor: {}",
+                    step_state.id,
+                    self.now_ms.saturating_sub(step_state.queued_ms),
+                    reason.placement,
+                    reason.query
+                ));
+            }
             if step_state.blocked_by_cap {
                 lines.push(format!("step {}: waits for the customer's cap", step_state.id));
             }
@@ -176,6 +189,7 @@
         let mut counts = Counts {
             queued_steps: self.queue.len(),
             workers_age_ms: self.workers_age_ms(),
+            steps_waiting_with_room: self.steps_waiting_with_room,
             oldest_write_ms: self.commits.oldest_batch_ms(self.now_ms),
             ..Counts::default()
         };
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -20,6 +20,7 @@
 use crate::record::TaskProgress;
 use crate::spec::JobSpec;
 use crate::spec::StepSpec;
+use crate::waiting::WaitReason;
 use crate::worker::Allocation;
 use crate::worker::FULL_PACE;
 use crate::worker::Worker;
@@ -142,6 +143,10 @@
     pub remaining_tasks: u32,
     /// Whether it is in the queue.
     pub queued: bool,
+    /// When it was put into the queue.
+    pub queued_ms: u64,
+    /// Why it was not placed as a whole.
+    pub wait_reason: WaitReason,
     /// Placement is not tried again before this.
     pub retry_at_ms: u64,
     /// Whether it is a gang that cannot start now because its customer would exceed its cap.
@@ -356,6 +361,8 @@
             advice: Advice::default(),
             remaining_tasks: tasks,
             queued: false,
+            queued_ms: 0,
+            wait_reason: WaitReason::default(),
             retry_at_ms: 0,
             blocked_by_cap: false,
             reserved: Vec::new(),
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -47,6 +47,7 @@
 mod speed;
 mod stalled;
 mod submit;
+mod waiting;
 mod wakeup;
 mod worker;
 
@@ -66,6 +67,7 @@
 use crate::job::Job;
 use crate::job::Phase;
 use crate::job_index::JobIndex;
+use crate::waiting::WaitReason;
 use crate::worker::Worker;
 use crate::worker::WorkerIndex;
 
@@ -187,6 +189,10 @@
     superseded: bool,
     next_sweep_ms: u64,
     next_cycle_ms: u64,
+    next_wait_report_ms: u64,
+    /// Steps that have waited for long although a worker has free capacity for them, at the
+    /// last report.
+    steps_waiting_with_room: usize,
 }
 
 /// The sort key of a step in the queue.
@@ -243,6 +249,8 @@
             superseded: false,
             next_sweep_ms: 0,
             next_cycle_ms: 0,
+            next_wait_report_ms: 0,
+            steps_waiting_with_room: 0,
         }
     }
 
@@ -482,6 +490,8 @@
             return;
         }
         job.step_states[step_index].queued = true;
+        job.step_states[step_index].queued_ms = self.now_ms;
+        job.step_states[step_index].wait_reason = WaitReason::default();
         let job_deadline_unix_ms =
             job.spec.accepted_unix_ms.max(due_unix_ms) + job.spec.allowed_ms();
         let key = QueueKey {
@@ -541,6 +551,7 @@
         self.sample_usage();
         self.reject_stuck_submissions();
         self.remove_expired_jobs();
+        self.report_waiting_steps();
         self.cycle_due = true;
     }
 
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/place.rs
@@ -23,6 +23,9 @@
 use crate::job::Phase;
 use crate::spec::AdviceSpec;
 use crate::spec::StepSpec;
+use crate::waiting::PlacementBlock;
+use crate::waiting::QueryBlock;
+use crate::waiting::WaitReason;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
@@ -48,7 +51,7 @@
     /// All its tasks are on a worker; some may wait for a ticket.
     Placed,
     /// Some of its tasks still wait.
-    Waits,
+    Waits(WaitReason),
     /// Its customer's cap leaves no capacity for it.
     Capped,
 }
@@ -79,7 +82,11 @@
             }
             let spec = job.step_spec(step_index);
             let (gang, demand) = (spec.gang, spec.worker_demand());
-            let Some(service) = cycle.service_index(&job.spec.queue.service) else { continue };
+            let Some(service) = cycle.service_index(&job.spec.queue.service) else {
+                let placement = PlacementBlock::NoOpenWorker;
+                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                continue;
+            };
             let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
             if gang && in_backoff {
                 reserved += self.renew_reservation(
@@ -96,6 +103,10 @@
                 .iter()
                 .any(|(other, least)| *other == service && demand.holds(least));
             if in_backoff || (infeasible && !gang) {
+                if !in_backoff {
+                    let placement = PlacementBlock::DemandInfeasible;
+                    self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                }
                 if self.blocked_by_cap(step, step_index) {
                     self.reserve_cap(step, step_index, &mut cycle);
                 }
@@ -106,11 +117,14 @@
             match attempt {
                 Attempt::Placed => self.dequeue(key, step),
                 Attempt::Capped => {
+                    let placement = PlacementBlock::Capped;
+                    self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
                     self.back_off(step, step_index, RETRY_BACKOFF_MS);
                     self.drop_reservation(step, step_index);
                     self.reserve_cap(step, step_index, &mut cycle);
                 }
-                Attempt::Waits if gang => {
+                Attempt::Waits(reason) if gang => {
+                    self.set_wait_reason(step, reason);
                     self.back_off(step, step_index, self.gang_backoff_ms());
                     reserved += self.reserve_workers(
                         step,
@@ -120,7 +134,8 @@
                         may_reserve(reserved),
                     );
                 }
-                Attempt::Waits => {
+                Attempt::Waits(reason) => {
+                    self.set_wait_reason(step, reason);
                     let urgent = key.priority == 0;
                     let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
                     self.back_off(step, step_index, base_ms);
@@ -213,8 +228,9 @@
     ) -> Attempt {
         let priority = key.priority;
         let Some(job) = self.jobs.get(&step.job) else { return Attempt::Placed };
+        let waits = |placement, query| Attempt::Waits(WaitReason { placement, query });
         let Some(service) = cycle.service_index(&job.spec.queue.service) else {
-            return Attempt::Waits;
+            return waits(PlacementBlock::NoOpenWorker, QueryBlock::NotNeeded);
         };
         let spec = job.step_spec(step_index).clone();
         let advice = job.spec.queue.advice;
@@ -222,7 +238,7 @@
         let step_state = &job.step_states[step_index];
         let mut waiting: Vec<u32> = step_state.waiting_tasks().collect();
         if spec.gang && waiting.len() < step_state.tasks.len() {
-            return Attempt::Waits;
+            return waits(PlacementBlock::GangIncomplete, QueryBlock::NotNeeded);
         }
         let fit_under_cap = self.tasks_under_cap(customer, &cycle.customers, &spec.demand);
         let waiting_count = waiting.len();
@@ -233,7 +249,7 @@
             waiting.truncate(fit_under_cap as usize);
         }
         if spec.gang && advice.is_some() && step_state.advice.queries > 0 {
-            return Attempt::Waits;
+            return waits(PlacementBlock::NoEligibleWorker, QueryBlock::Pending);
         }
         let mut eligible = self.eligible_workers(step, step_index, &spec, cycle);
         let eligible_count = eligible.len();
@@ -246,6 +262,8 @@
             self.now_ms + self.expected_task_ms(step) * ASSUMED_DURATION_PERCENT / 100;
         let request =
             PlacementRequest { step, service, spec: &spec, priority, expected_end_ms, headroom };
+        let has_candidates = !candidates.is_empty();
+        let may_use_any = candidates.iter().any(|candidate| cycle.may_start(&request, candidate));
         let chosen = if spec.same_rack && spec.tasks > 1 {
             self.choose_in_one_rack(&request, step_index, &waiting, candidates, cycle)
         } else {
@@ -272,14 +290,32 @@
                 cycle.deallocate(*view_index, &spec.worker_demand());
             }
         }
-        if let Some(advice) = advice.filter(|_| may_query) {
-            if eligible_count > eligible.len() && self.renew_tickets(step, step_index, &spec, cycle)
-            {
-                return Attempt::Waits;
-            }
-            self.query_more_workers(step, step_index, &spec, advice, priority, cycle);
-        }
-        Attempt::Waits
+        let placement = if !may_query {
+            PlacementBlock::QueryLimit
+        } else if !chosen.is_empty() {
+            PlacementBlock::NotEnough
+        } else if may_use_any {
+            PlacementBlock::Headroom
+        } else if has_candidates {
+            PlacementBlock::Reserved
+        } else if eligible_count == 0 {
+            PlacementBlock::NoEligibleWorker
+        } else {
+            PlacementBlock::NoCapacity
+        };
+        let Some(advice) = advice.filter(|_| may_query) else {
+            return waits(placement, QueryBlock::NotNeeded);
+        };
+        let has_stale_tickets = eligible_count > eligible.len();
+        let renewal = if has_stale_tickets {
+            self.renew_tickets(step, step_index, &spec, cycle)
+        } else {
+            None
+        };
+        let query = renewal.unwrap_or_else(|| {
+            self.query_more_workers(step, step_index, &spec, advice, priority, cycle)
+        });
+        waits(placement, query)
     }
 
     /// Whether the chosen workers have fresh tickets, or new ones can be queried now.
--- a/crates/pool/src/request.rs
+++ b/crates/pool/src/request.rs
@@ -13,6 +13,7 @@
 use crate::id::StepId;
 use crate::spec::AdviceSpec;
 use crate::spec::StepSpec;
+use crate::waiting::QueryBlock;
 use crate::worker::WorkerIndex;
 
 /// A step that was granted enough workers queries about others only if at least this many
@@ -33,8 +34,8 @@
 
 impl Pool {
     /// Requests new tickets for all workers that were granted to a step, if one of them has
-    /// free capacity. Returns whether the step has to wait for the answer; if not, it may
-    /// query about further workers.
+    /// free capacity. Returns what the step waits for; `None` if it may query about further
+    /// workers.
     ///
     /// The advisor takes nearly as long for one worker as for all of them, and with valid
     /// tickets any capacity that becomes free is used at once. Requesting a ticket only once
@@ -45,11 +46,14 @@
         step_index: usize,
         spec: &StepSpec,
         cycle: &Cycle,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&step.job) else { return false };
+    ) -> Option<QueryBlock> {
+        let job = self.jobs.get(&step.job)?;
         let advice = &job.step_states[step_index].advice;
-        if advice.queries > 0 || advice.pause_until_ms > self.now_ms {
-            return true;
+        if advice.queries > 0 {
+            return Some(QueryBlock::Pending);
+        }
+        if advice.pause_until_ms > self.now_ms {
+            return Some(QueryBlock::Paused);
         }
         let need = spec.worker_demand();
         let mut names = Vec::new();
@@ -60,11 +64,15 @@
             names.push(self.name_of(view).clone());
         }
         names.truncate(self.limits.advice_workers_max);
-        let Some(rule) = job.spec.queue.advice else { return false };
-        if has_capacity && self.may_query(rule, names.len()) {
-            self.query_advisor(step, &names);
+        let rule = job.spec.queue.advice?;
+        if !has_capacity {
+            return None;
+        }
+        if !self.may_query(rule, names.len()) {
+            return Some(QueryBlock::LimitReached);
         }
-        has_capacity
+        self.query_advisor(step, &names);
+        Some(QueryBlock::Pending)
     }
 
     /// Queries the advisor about open workers that it was not queried about yet, those with
@@ -78,6 +86,8 @@
     /// A step of independent tasks queries again only if several such workers have free
     /// capacity, since each query costs the advisor's decision time, however few workers it
     /// names.
+    ///
+    /// Returns why no query was sent, or that one is pending.
     pub(crate) fn query_more_workers(
         &mut self,
         step: StepId,
@@ -86,16 +96,24 @@
         rule: AdviceSpec,
         priority: u32,
         cycle: &Cycle,
-    ) {
+    ) -> QueryBlock {
         let now_ms = self.now_ms;
-        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(job) = self.jobs.get_mut(&step.job) else { return QueryBlock::NotNeeded };
         let advice = &mut job.step_states[step_index].advice;
-        if advice.queries > 0 || advice.pause_until_ms.max(advice.retry_at_ms) > now_ms {
-            return;
+        if advice.queries > 0 {
+            return QueryBlock::Pending;
+        }
+        if advice.pause_until_ms > now_ms {
+            return QueryBlock::Paused;
+        }
+        if advice.retry_at_ms > now_ms {
+            return QueryBlock::SelectedRecently;
         }
         advice.retry_at_ms = now_ms + SELECTION_INTERVAL_MS;
-        let Some(job) = self.jobs.get(&step.job) else { return };
-        let Some(service) = cycle.service_index(&job.spec.queue.service) else { return };
+        let Some(job) = self.jobs.get(&step.job) else { return QueryBlock::NotNeeded };
+        let Some(service) = cycle.service_index(&job.spec.queue.service) else {
+            return QueryBlock::NotNeeded;
+        };
         let advice = &job.step_states[step_index].advice;
         let need = spec.worker_demand();
         let places_of = |view: &WorkerView| places_in(&view.capacity, &need);
@@ -133,8 +151,11 @@
             free_places_found += free;
             candidates.push((Reverse(free), tie_break(step, view.worker_index), view_index));
         }
-        if candidates.is_empty() || (has_enough && candidates.len() < FURTHER_WORKERS_MIN) {
-            return;
+        if candidates.is_empty() {
+            return QueryBlock::AllQueried;
+        }
+        if has_enough && candidates.len() < FURTHER_WORKERS_MIN {
+            return QueryBlock::FewLeft;
         }
         let places: u64 =
             candidates.iter().map(|(.., view_index)| places_of(&cycle.workers[*view_index])).sum();
@@ -157,7 +178,9 @@
             let wanted = missing as f64 * FREE_FACTOR;
             match workers_for(wanted, &free, granted_share) {
                 Some(workers) => workers_max = workers_max.max(workers).min(named_max),
-                None if has_enough && (free_total as f64) * granted_share < wanted => return,
+                None if has_enough && (free_total as f64) * granted_share < wanted => {
+                    return QueryBlock::NotWorthwhile;
+                }
                 None => workers_max = named_max,
             }
         }
@@ -165,9 +188,11 @@
         let names: Vec<WorkerId> = selected
             .map(|(.., view_index)| self.name_of(&cycle.workers[view_index]).clone())
             .collect();
-        if self.may_query(rule, names.len()) {
-            self.query_advisor(step, &names);
+        if !self.may_query(rule, names.len()) {
+            return QueryBlock::LimitReached;
         }
+        self.query_advisor(step, &names);
+        QueryBlock::Pending
     }
 }
 
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -45,6 +45,8 @@
         let step_state = &mut job.step_states[step_index];
         let Some(task) = step_state.tasks.get_mut(id.index as usize) else { return };
         if task.phase != Phase::Recorded || task.run != run {
+            let (phase, newest_run) = (task.phase, task.run);
+            tracing::info!(task = %id, run, newest_run, ?phase, "start not sent: its placement was withdrawn");
             return;
         }
         let Some(name) = task.worker.clone() else { return };
@@ -111,6 +113,8 @@
         }
         let Some(task) = self.task_for_run(id, run, from) else { return };
         if !matches!(task.phase, Phase::Sent) {
+            // Usually the worker's report has said the same before.
+            tracing::debug!(task = %id, run, worker = %from, phase = ?task.phase, ?reply, "answer to a start ignored");
             return;
         }
         match reply {
@@ -165,6 +169,7 @@
         match task.phase {
             Phase::Waiting | Phase::Done | Phase::Stopping { .. } => return,
             Phase::Reserved | Phase::Recorded => {
+                tracing::info!(task = %id, run = task.run, phase = ?task.phase, "placement withdrawn");
                 self.release(id);
                 self.requeue(id);
                 return;
