A worker with long tasks does not count as slow

What users see: jobs wait beside a healthy worker that runs long tasks; tasks of a minute could also be stopped and started elsewhere.

Cause: the speed of a worker was derived from progress in whole percents, rounded down. With tasks of ten minutes it is 0 for six seconds.

Evidence: a_worker_with_long_tasks_does_not_count_as_slow fails before (the second job is queued after 700 ms; it took 5,460 ms) with the line "worker is slow speed_percent=0 tasks=4". A task now counts as having done up to one percent more, which for the short tasks of the slow workers in the other tests is some milliseconds; these pass.

--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/speed.rs
@@ -50,9 +50,11 @@
             }
             let queue = &job.spec.queue.name;
             let expected_ms = self.estimates.expected_ms(queue, step.estimate_ms);
+            // Progress is rounded down. One percent of a long task takes many seconds.
+            let percent_max = (u64::from(task.percent) + 1).min(100);
             total_ms += elapsed_ms;
-            done_ms += expected_ms * u64::from(task.percent) / 100;
-            tasks.push((*id, elapsed_ms, u64::from(task.percent), expected_ms));
+            done_ms += expected_ms * percent_max / 100;
+            tasks.push((*id, elapsed_ms, percent_max, expected_ms));
         }
         if total_ms < TOTAL_TIME_MIN_MS {
             return;
@@ -68,7 +70,7 @@
         }
         worker.quarantine_until_ms = worker.quarantine_until_ms.max(now_ms + SLOW_QUARANTINE_MS);
         for (id, elapsed_ms, percent, expected_ms) in tasks {
-            let left_ms = elapsed_ms * (100 - percent.min(100)) / percent.max(1);
+            let left_ms = elapsed_ms * (100 - percent) / percent;
             if left_ms > expected_ms + MOVE_GAIN_MS {
                 self.move_from_slow_worker(id, name, left_ms, expected_ms);
             }
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -113,6 +113,20 @@
     assert_no_violations(&world);
 }
 
+/// Guards against a healthy worker that gets no more tasks because those it has are long: a task
+/// of ten minutes reports its first percent after six seconds.
+#[test]
+fn a_worker_with_long_tasks_does_not_count_as_slow() {
+    let mut world = world_without_faults(1);
+    world.submit(1, job(queue(1), vec![step(4, 3_000, 600_000)]));
+    world.run(2_000);
+    world.submit(2, job(queue(1), vec![step(1, 3_000, 200)]));
+    world.run(700);
+    assert_eq!(world.state(2), Some(JobState::Completed), "it starts at once");
+    assert_eq!(world.starts, 5, "no task was moved");
+    assert_no_violations(&world);
+}
+
 /// Guards against users who pay for work of a cancelled job: its tasks have to be stopped
 /// soon, and none may start any more.
 #[test]
