A step that waits asks the advisor about the last idle workers too

What callers see: a job waits for seconds beside idle workers that could run it.

Cause: a step that was granted enough workers, counted by their whole capacity, asked about others only if four or more had room, and a gang only if these were likely to be enough, however long it had waited and however idle the advisor was.

The limits now end after a second of waiting while fewer queries are pending than daemons can send.

--- a/crates/pool/src/request.rs
+++ b/crates/pool/src/request.rs
@@ -19,6 +19,9 @@
 /// A step that was granted enough workers queries about others only if at least this many
 /// of them have free capacity.
 const FURTHER_WORKERS_MIN: usize = 4;
+/// A step that has waited for this long queries about any worker with free capacity, while
+/// daemons are idle that could send the query.
+const IMPATIENT_AFTER_MS: u64 = 1_000;
 /// The selection of further workers for a step is repeated after this. It examines every
 /// worker for each waiting step.
 const SELECTION_INTERVAL_MS: u64 = 150;
@@ -87,6 +90,9 @@
     /// capacity, since each query costs the advisor's decision time, however few workers it
     /// names.
     ///
+    /// Neither limit holds for a step that has waited for long while the advisor has time: its
+    /// granted workers may be busy for longer than the query takes, or have left.
+    ///
     /// Returns why no query was sent, or that one is pending.
     pub(crate) fn query_more_workers(
         &mut self,
@@ -121,6 +127,8 @@
             cycle.view_index_of(*worker_index).map(|view_index| &cycle.workers[view_index])
         };
         let places: u64 = advice.granted.keys().filter_map(granted_view).map(places_of).sum();
+        let waited_ms = now_ms.saturating_sub(job.step_states[step_index].queued_ms);
+        let is_impatient = waited_ms >= IMPATIENT_AFTER_MS && self.queries < self.advisor_daemons;
         let has_enough = places >= u64::from(spec.tasks) * SUFFICIENT_PLACES_FACTOR;
         let is_first_query = advice.queried.is_empty();
         let include_full = is_first_query || !has_enough;
@@ -154,7 +162,7 @@
         if candidates.is_empty() {
             return QueryBlock::AllQueried;
         }
-        if has_enough && candidates.len() < FURTHER_WORKERS_MIN {
+        if has_enough && candidates.len() < FURTHER_WORKERS_MIN && !is_impatient {
             return QueryBlock::FewLeft;
         }
         let places: u64 =
@@ -178,7 +186,10 @@
             let wanted = missing as f64 * FREE_FACTOR;
             match workers_for(wanted, &free, granted_share) {
                 Some(workers) => workers_max = workers_max.max(workers).min(named_max),
-                None if has_enough && (free_total as f64) * granted_share < wanted => {
+                None if has_enough
+                    && !is_impatient
+                    && (free_total as f64) * granted_share < wanted =>
+                {
                     return QueryBlock::NotWorthwhile;
                 }
                 None => workers_max = named_max,
--- a/crates/pool/tests/load.rs
+++ b/crates/pool/tests/load.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 
 use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobState;
@@ -357,3 +358,30 @@
     assert_eq!(world.bad_tickets, 0, "of {} starts", world.starts);
     assert_no_violations(&world);
 }
+
+/// The workers that the advisor granted to a step are busy for long, and fewer new ones than are
+/// usually worth a query have joined. Guards against a job that waits beside idle workers.
+#[test]
+fn a_step_queries_about_a_few_idle_workers_if_its_granted_ones_stay_busy() {
+    let mut world = World::new(7, 5, Faults::default());
+    world.granted_of_five = 5;
+    world.run(100);
+    let names: Vec<WorkerId> = world.workers.keys().skip(2).cloned().collect();
+    for name in &names {
+        world.drain(name);
+    }
+    let mut queue = queue(1);
+    queue.advice = Some(AdviceSpec { decide_ms: 66.0, each_ms: 1.0, valid_ms: 2_000 });
+    world.submit(1, job(queue.clone(), vec![step(8, 4_000, 60_000)]));
+    world.run(500);
+    assert_eq!(world.starts, 8);
+    world.submit(2, job(queue, vec![step(2, 4_000, 500)]));
+    world.run(300);
+    for name in &names {
+        world.workers.get_mut(name).expect("known").draining = false;
+    }
+    world.list_all();
+    world.run(4_000);
+    assert_eq!(world.state(2), Some(JobState::Completed), "{}", world.explain(JobId(2)));
+    assert_no_violations(&world);
+}
