A change of the leader does not restart the wait for a dead worker's lease

No line names it: the task is Adopted, and `hold failed` names only the worker.

Cause: a new leader assumed that its predecessors had extended the lease until the end: up to 10.65 s from each change of the leader on. The rows of lost runs named the dead worker until the tasks were placed again.

In virtual time, changes_of_the_leader_do_not_prolong_the_wait_for_a_dead_worker is red without the inherited list ("Adopted on w00").

The leader lease names silent workers with the remaining time of their leases, a claim takes the list over, and a named worker gets no extension and no start until a row without it is durable. Without the rule on extensions, a_worker_that_answers_again_keeps_its_runs_over_a_change_of_the_leader shows a task on two workers.

The scenario of the_states_of_workers_are_logged isolates the worker that is busy, where it named the second one: with lost answers the tasks are placed elsewhere now. Its checks are the same.

--- a/crates/node/src/commit/mod.rs
+++ b/crates/node/src/commit/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) use crate::commit::fences::claim_fences;
 pub(crate) use crate::commit::renew::HeldLease;
 pub(crate) use crate::commit::renew::LEADER_LEASE_KEY;
+pub(crate) use crate::commit::renew::RenewalState;
 pub(crate) use crate::commit::renew::renew_lease;
 pub(crate) use crate::commit::writer::Writer;
 
--- a/crates/node/src/commit/renew.rs
+++ b/crates/node/src/commit/renew.rs
@@ -1,10 +1,18 @@
 //! Renewal of the leader lease.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stoatwell_model::WorkerId;
+use stoatwell_pool::SilentLease;
+use stoatwell_pool::SilentLeases;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -27,7 +35,7 @@
 /// The leader lease, as held by this daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldLease {
-    /// The row as it was last written, but with `earlier_extends_ms` as of `acquired_ms`.
+    /// The row as it was last written, but with all times as of `acquired_ms`.
     pub row: LeaderLease,
     /// Version of the row in the store.
     pub version: u64,
@@ -35,15 +43,78 @@
     pub acquired_ms: u64,
 }
 
+/// What the leader and the task that renews its lease tell each other.
+#[derive(Debug)]
+pub(crate) struct RenewalState {
+    /// When the newest successful renewal was sent.
+    renewed_ms: AtomicU64,
+    /// The silent workers that the next row names.
+    silent_leases: Mutex<SilentLeases>,
+    /// Notified when that list changes. A worker that answers again keeps its runs only if its
+    /// lease is extended in time, and that waits for a row without it.
+    list_changed: Notify,
+    /// The generation of that list in the newest row that is durable.
+    written_generation: AtomicU64,
+}
+
+impl RenewalState {
+    /// The state of a leader that has just acquired this lease.
+    pub fn new(lease: &HeldLease) -> Self {
+        let inherited = |(worker, remaining_ms): (&WorkerId, &u64)| SilentLease {
+            worker: worker.clone(),
+            expires_ms: lease.acquired_ms + remaining_ms,
+        };
+        let leases = lease.row.silent_leases.iter().map(inherited).collect();
+        Self {
+            renewed_ms: AtomicU64::new(lease.acquired_ms),
+            silent_leases: Mutex::new(SilentLeases { generation: 0, leases }),
+            list_changed: Notify::new(),
+            written_generation: AtomicU64::new(0),
+        }
+    }
+
+    /// When the newest successful renewal was sent.
+    pub fn renewed_ms(&self) -> u64 {
+        self.renewed_ms.load(Ordering::Relaxed)
+    }
+
+    /// The generation of the list of silent workers in the newest durable row.
+    pub fn written_generation(&self) -> u64 {
+        self.written_generation.load(Ordering::Relaxed)
+    }
+
+    /// Sets the silent workers that the next row names.
+    pub fn set_silent_leases(&self, silent_leases: &SilentLeases) {
+        let mut current = self.lock();
+        if current.generation != silent_leases.generation {
+            current.clone_from(silent_leases);
+            self.list_changed.notify_one();
+        }
+    }
+
+    /// The remaining times of the leases of silent workers, and the generation of the list.
+    fn remaining_silent_ms(&self) -> (BTreeMap<WorkerId, u64>, u64) {
+        let now_ms = steady_ms();
+        let current = self.lock();
+        let remaining =
+            |lease: &SilentLease| (lease.worker.clone(), lease.expires_ms.saturating_sub(now_ms));
+        (current.leases.iter().map(remaining).collect(), current.generation)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, SilentLeases> {
+        self.silent_leases.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Renews the lease until another daemon holds it or `stop` fires. On `stop` it is released.
 pub(crate) async fn renew_lease<P: Platform>(
     platform: Arc<P>,
     lease: HeldLease,
     health: Arc<StoreHealth>,
     mut stop: watch::Receiver<bool>,
-    renewed_ms: Arc<AtomicU64>,
+    state: Arc<RenewalState>,
 ) {
-    let mut renewer = LeaseRenewer { platform, lease, health, renewed_ms };
+    let mut renewer = LeaseRenewer { platform, lease, health, state };
     let mut renew_at = Instant::now();
     loop {
         renew_at += Duration::from_millis(RENEW_INTERVAL_MS);
@@ -52,6 +123,7 @@
             biased;
             _ = stop.wait_for(|stop| *stop) => break,
             () = tokio::time::sleep_until(renew_at) => {}
+            () = renewer.state.list_changed.notified() => renew_at = Instant::now(),
         }
         if !renewer.write().await {
             return;
@@ -66,20 +138,21 @@
     platform: Arc<P>,
     lease: HeldLease,
     health: Arc<StoreHealth>,
-    /// When the newest successful renewal was sent.
-    renewed_ms: Arc<AtomicU64>,
+    state: Arc<RenewalState>,
 }
 
 impl<P: Platform> LeaseRenewer<P> {
     /// Writes the row, with retries; returns `false` when another daemon holds the lease.
     async fn write(&mut self) -> bool {
         loop {
-            let transaction = self.transaction();
+            let (silent_leases, generation) = self.state.remaining_silent_ms();
+            let transaction = self.transaction(silent_leases);
             let sent_ms = steady_ms();
             match self.health.track_write(self.platform.transact(&transaction)).await {
                 Ok(version) => {
                     // Others may have seen the row change at any time since it was sent.
-                    self.renewed_ms.store(sent_ms, Ordering::Relaxed);
+                    self.state.renewed_ms.store(sent_ms, Ordering::Relaxed);
+                    self.state.written_generation.store(generation, Ordering::Relaxed);
                     self.lease.row.beat += 1;
                     self.lease.version = version;
                     return true;
@@ -121,17 +194,18 @@
         is_own
     }
 
-    fn next_row(&self) -> LeaderLease {
+    fn next_row(&self, silent_leases: BTreeMap<WorkerId, u64>) -> LeaderLease {
         let row = &self.lease.row;
         let since_acquired_ms = steady_ms().saturating_sub(self.lease.acquired_ms);
         let earlier_extends_ms = row.earlier_extends_ms.saturating_sub(since_acquired_ms);
-        LeaderLease { beat: row.beat + 1, earlier_extends_ms, ..row.clone() }
+        LeaderLease { beat: row.beat + 1, earlier_extends_ms, silent_leases, ..row.clone() }
     }
 
-    fn transaction(&self) -> Transaction {
+    fn transaction(&self, silent_leases: BTreeMap<WorkerId, u64>) -> Transaction {
+        let row = encode(&self.next_row(silent_leases));
         Transaction {
             expect: vec![(Table::Duty, LEADER_LEASE_KEY.to_owned(), self.lease.version)],
-            put: vec![(Table::Duty, LEADER_LEASE_KEY.to_owned(), encode(&self.next_row()))],
+            put: vec![(Table::Duty, LEADER_LEASE_KEY.to_owned(), row)],
             remove: Vec::new(),
         }
     }
--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -10,8 +10,11 @@
 //! The table of the row is called `duty`, as are the log messages about taking over, giving
 //! up and ending leadership.
 
+use std::collections::BTreeMap;
+
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_model::WorkerId;
 use stoatwell_pool::EXTENSION_WINDOW_MS;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -76,6 +79,10 @@
     /// leases of workers.
     #[serde(default)]
     pub earlier_extends_ms: u64,
+    /// Workers that do not answer the leader, each with the time from this write after which its
+    /// leases have certainly expired.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub silent_leases: BTreeMap<WorkerId, u64>,
 }
 
 /// What a daemon knows about the leader lease.
@@ -187,6 +194,11 @@
         holder_may_extend_ms.max(row.earlier_extends_ms).saturating_sub(unchanged_ms)
     }
 
+    /// The leases of workers that did not answer the last leader.
+    pub fn silent_leases(&self) -> BTreeMap<WorkerId, u64> {
+        self.row.as_ref().map(|(row, _)| row.silent_leases.clone()).unwrap_or_default()
+    }
+
     /// The version that a claim expects the row to have, and the epoch of the claim.
     pub fn next_epoch(&self) -> (u64, u64) {
         self.row.as_ref().map_or((0, 1), |(row, version)| (*version, row.epoch + 1))
--- a/crates/node/src/elector.rs
+++ b/crates/node/src/elector.rs
@@ -226,6 +226,8 @@
             beat: 0,
             released: false,
             earlier_extends_ms: view.earlier_extends_ms(&self.settings.name, steady_ms()),
+            // The times count from the claim on, since the age of the row is not known.
+            silent_leases: view.silent_leases(),
         };
         let transaction = Transaction {
             expect: vec![(Table::Duty, LEADER_LEASE_KEY.to_owned(), version)],
@@ -238,7 +240,15 @@
                 let before = view.row.as_ref().map(|(row, _)| row.holder.as_str());
                 let silent_ms = steady_ms().saturating_sub(view.changed_ms);
                 let earlier_extends_ms = row.earlier_extends_ms;
-                tracing::info!(epoch, before, silent_ms, earlier_extends_ms, "duty taken over");
+                let silent_workers = row.silent_leases.len();
+                tracing::info!(
+                    epoch,
+                    before,
+                    silent_ms,
+                    earlier_extends_ms,
+                    silent_workers,
+                    "duty taken over"
+                );
                 Ok(HeldLease { row, version, acquired_ms: steady_ms() })
             }
             Err(error) => {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -6,8 +6,6 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -30,6 +28,7 @@
 use crate::clock::unix_ms;
 use crate::commit::Fence;
 use crate::commit::HeldLease;
+use crate::commit::RenewalState;
 use crate::commit::Writer;
 use crate::commit::claim_fences;
 use crate::commit::renew_lease;
@@ -108,14 +107,14 @@
         let epoch = self.lease.row.epoch;
         let (inbox_sender, mut inbox) = inbox();
         let mut tasks = JoinSet::new();
-        let renewed_ms = Arc::new(AtomicU64::new(started_ms));
+        let renewal = Arc::new(RenewalState::new(&self.lease));
         tasks.spawn(renew_lease_and_notify(
             Arc::clone(&self.platform),
             self.lease.clone(),
             Arc::clone(&self.health),
             inbox_sender.clone(),
             self.stop.clone(),
-            Arc::clone(&renewed_ms),
+            Arc::clone(&renewal),
         ));
         let executors = Arc::new(Executors::new(
             Arc::clone(&self.platform),
@@ -147,7 +146,7 @@
             let cycle_started = Instant::now();
             let mut yield_time = Duration::ZERO;
             let first_messages = usize::from(first_message.is_some());
-            let has_fresh_lease = is_lease_fresh(&renewed_ms);
+            let has_fresh_lease = is_lease_fresh(&renewal);
             let mut budget = MessageBudget::for_cycle(decision_time);
             if !handle_all(
                 &mut pool,
@@ -186,11 +185,13 @@
                 yield_time += yielder.checkpoint().await;
             }
             let handled_at = Instant::now();
-            pool.on_leader_lease_renewed(renewed_ms.load(Ordering::Relaxed));
+            pool.on_leader_lease_renewed(renewal.renewed_ms());
+            pool.on_silent_leases_written(renewal.written_generation());
             let is_long = is_first_decision || decision_time >= LONG_DECISION;
             is_first_decision = false;
             let Some((decided_pool, effects)) = decide(pool, is_long).await else { return };
             pool = decided_pool;
+            renewal.set_silent_leases(pool.silent_leases());
             let decided_at = Instant::now();
             decision_time = decided_at - handled_at;
             for effect in effects {
@@ -277,7 +278,8 @@
             () = wait_until_leadership_lost(inbox) => return None,
         };
         let earlier_extends_ms = self.lease.row.earlier_extends_ms;
-        let election = Election { epoch, earlier_extends_ms };
+        let silent_leases = self.lease.row.silent_leases.clone();
+        let election = Election { epoch, earlier_extends_ms, silent_leases };
         let mut pool = Pool::new(election, self.limits, steady_ms(), unix_ms());
         let manifest = self.gateway.manifest().newest();
         let limits = customer_limits(&manifest);
@@ -456,9 +458,9 @@
     health: Arc<StoreHealth>,
     inbox_sender: InboxSender,
     stop: tokio::sync::watch::Receiver<bool>,
-    renewed_ms: Arc<AtomicU64>,
+    renewal: Arc<RenewalState>,
 ) {
-    renew_lease(platform, lease, health, stop, renewed_ms).await;
+    renew_lease(platform, lease, health, stop, renewal).await;
     inbox_sender.notify_leadership_lost();
 }
 
@@ -506,8 +508,8 @@
 /// Whether the leader lease was renewed within its duration. A leader that is cut off from
 /// the store may have been replaced without knowing it. It keeps extending its workers'
 /// leases until it learns so, but does not report the number of pending jobs.
-fn is_lease_fresh(renewed_ms: &AtomicU64) -> bool {
-    steady_ms().saturating_sub(renewed_ms.load(Ordering::Relaxed)) < LEADER_LEASE_MS
+fn is_lease_fresh(renewal: &RenewalState) -> bool {
+    steady_ms().saturating_sub(renewal.renewed_ms()) < LEADER_LEASE_MS
 }
 
 /// Handles a request, and replies if it asks for a reply. A number of pending jobs is not
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -2,10 +2,13 @@
 
 mod fake;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
+use stoatwell_model::WorkerId;
 use stoatwell_node::JobLookup;
+use stoatwell_node::LeaderLease;
 use stoatwell_node::Platform;
 use stoatwell_node::SchedulerRequest;
 use stoatwell_node::StoreError;
@@ -285,3 +288,34 @@
     let refused = store.transact(&late).await;
     assert!(matches!(refused, Err(StoreError::Conflict(_))), "{refused:?}");
 }
+
+/// The leader lease names a dead worker when its holder has released it, and the next leader is
+/// killed before it has called any worker. Guards against a third leader that waits for the
+/// worker's lease from the beginning.
+#[tokio::test]
+async fn a_leader_passes_on_silent_workers_that_it_inherited() {
+    let store = Arc::new(FakePlatform::default());
+    let dead = WorkerId::new("dead");
+    let released = LeaderLease {
+        holder: "earlier".to_owned(),
+        incarnation: 1,
+        address: "127.0.0.1:1".to_owned(),
+        epoch: 1,
+        beat: 1,
+        released: true,
+        earlier_extends_ms: 0,
+        silent_leases: BTreeMap::from([(dead.clone(), 60_000)]),
+    };
+    let key = "scheduler".to_owned();
+    let put = vec![(Table::Duty, key, serde_json::to_vec(&released).expect("a row"))];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    let node = start("a", &store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    let rows = store.rows(Table::Duty);
+    let row: LeaderLease =
+        serde_json::from_slice(rows[0].value.as_ref().expect("a row")).expect("a lease");
+    assert_eq!((row.holder.as_str(), row.epoch), ("a", 2));
+    let remaining_ms = row.silent_leases.get(&dead).copied().expect("the dead worker");
+    assert!((50_000..59_900).contains(&remaining_ms), "{remaining_ms}");
+}
--- a/crates/node/tests/election.rs
+++ b/crates/node/tests/election.rs
@@ -1,5 +1,8 @@
 //! When a daemon may claim the leader lease.
 
+use std::collections::BTreeMap;
+
+use stoatwell_model::WorkerId;
 use stoatwell_node::Candidate;
 use stoatwell_node::FAILED_LEADER_TIMEOUT_MS;
 use stoatwell_node::LEADER_LEASE_MS;
@@ -22,6 +25,7 @@
         beat: 0,
         released: false,
         earlier_extends_ms: 0,
+        silent_leases: BTreeMap::new(),
     }
 }
 
@@ -159,3 +163,26 @@
     view.observe(Some((lease_row("me"), 10)), 1_000);
     assert_eq!(view.claim_due_ms(&far, Liveness::Unknown), 1_000);
 }
+
+/// Guards against a wait for a dead worker that starts again with each leader: a claim takes over
+/// the remaining times that the row names.
+#[test]
+fn a_claim_takes_over_the_leases_of_silent_workers() {
+    let silent_leases = BTreeMap::from([(WorkerId::new("w1"), 1_200)]);
+    let mut view = LeaderLeaseView::new(0);
+    assert!(view.silent_leases().is_empty());
+    view.observe(
+        Some((LeaderLease { silent_leases: silent_leases.clone(), ..lease_row("other") }, 10)),
+        1_000,
+    );
+    assert_eq!(view.silent_leases(), silent_leases);
+}
+
+/// Guards against daemons of two versions that cannot read each other's row of the leader lease.
+#[test]
+fn a_lease_row_without_silent_workers_is_written_as_before() {
+    let row = serde_json::to_string(&lease_row("other")).expect("a row");
+    assert!(!row.contains("silent_leases"), "{row}");
+    let read: LeaderLease = serde_json::from_str(&row).expect("the same row");
+    assert_eq!(read, lease_row("other"));
+}
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -168,15 +168,24 @@
         self.mark_dirty_by(job, action, 0);
     }
 
+    /// Requests that a job's row is written as soon as possible.
+    pub fn mark_changed(&mut self, job: JobId) {
+        self.dirty_entry(job, 0);
+    }
+
     /// Requests that a job's row is sent by `due_ms` at the latest, followed by an action.
     fn mark_dirty_by(&mut self, job: JobId, action: AfterCommit, due_ms: u64) {
+        self.dirty_entry(job, due_ms).actions.push(action);
+    }
+
+    fn dirty_entry(&mut self, job: JobId, due_ms: u64) -> &mut Dirty {
         let partition = &mut self.partitions[job.partition()];
         let dirty = partition.dirty.entry(job).or_insert_with(|| {
             partition.order.push_back(job);
             Dirty { actions: Vec::new(), due_ms }
         });
         dirty.due_ms = dirty.due_ms.min(due_ms);
-        dirty.actions.push(action);
+        dirty
     }
 
     /// Requests that a job's row is written with its outcome, which is then reported.
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/holds.rs
@@ -177,6 +177,8 @@
     /// Releases and requeues a task whose run certainly exists nowhere any more.
     pub(crate) fn lose_run(&mut self, id: TaskId) {
         self.release(id);
+        // The row still names the worker, and the next leader would wait for its lease again.
+        self.commits.mark_changed(id.step.job);
         self.stop_other_members(id);
         self.requeue(id);
     }
@@ -223,6 +225,10 @@
         if !worker.held {
             tracing::info!(worker = %name, active = reply.active.len(), ended = reply.ended.len(), "hold established");
             worker.held = true;
+            // An earlier leader may have extended the lease until this moment, and this leader
+            // may not extend it soon.
+            let lease_ms = self.limits.lease_ms;
+            worker.lease_end_max = worker.lease_end_max.max(reply.clock_ms + lease_ms);
         }
         worker.next_hold_ms = now_ms;
         self.handle_ended_runs(name, &reply);
@@ -384,7 +390,10 @@
             }
             // The lease of a worker that does not answer is not extended: it has to expire
             // some day, or the tasks of the worker could never run elsewhere.
-            let extends = worker.held && worker.unanswered_calls == 0 && may_extend;
+            let extends = worker.held
+                && worker.unanswered_calls == 0
+                && worker.silent.is_none()
+                && may_extend;
             let until_ms = worker.lease_end(now_ms, lease_ms).filter(|_| extends);
             worker.lease_end_max = worker.lease_end_max.max(until_ms.unwrap_or(0));
             let at_once = probe || !worker.held || !worker.non_durable_ends.is_empty();
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -43,6 +43,7 @@
 mod request;
 mod reserve;
 mod runs;
+mod silent;
 mod spec;
 mod speed;
 mod stalled;
@@ -106,6 +107,8 @@
 pub use crate::record::Outcome;
 pub use crate::record::Progress;
 pub use crate::record::TaskProgress;
+pub use crate::silent::SilentLease;
+pub use crate::silent::SilentLeases;
 pub use crate::spec::AdviceSpec;
 pub use crate::spec::JobSpec;
 pub use crate::spec::QueueSpec;
@@ -135,7 +138,7 @@
 }
 
 /// The outcome of the leader election that this scheduler won.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Election {
     /// Increases with every change of leader; the high bits of every fencing token.
     pub epoch: u64,
@@ -143,6 +146,9 @@
     /// because it may not have learned of its successor yet. A lease that it granted may
     /// be valid for this time plus the length of a lease.
     pub earlier_extends_ms: u64,
+    /// Silent workers that the leader lease named when it was acquired. The leases of each have
+    /// certainly expired after this many milliseconds.
+    pub silent_leases: BTreeMap<WorkerId, u64>,
 }
 
 /// The scheduler of one pool.
@@ -190,6 +196,9 @@
     next_sweep_ms: u64,
     next_cycle_ms: u64,
     next_wait_report_ms: u64,
+    silent_leases: SilentLeases,
+    /// The newest generation of the list that is durable.
+    silent_leases_written: u64,
     /// Steps that have waited for long although a worker has free capacity for them, at the
     /// last report.
     steps_waiting_with_room: usize,
@@ -250,6 +259,8 @@
             next_sweep_ms: 0,
             next_cycle_ms: 0,
             next_wait_report_ms: 0,
+            silent_leases: SilentLeases::default(),
+            silent_leases_written: 0,
             steps_waiting_with_room: 0,
         }
     }
@@ -303,8 +314,10 @@
     pub(crate) fn add_worker(&mut self, update: WorkerUpdate, listed: bool) {
         let worker_index = WorkerIndex(self.worker_names.len());
         let name = update.worker.clone();
+        let lease_expiry_ms = self.inherited_lease_expiry_ms(&name);
+        let silent = self.inherited_silent_mark(&name);
         let worker =
-            Worker { listed, ..Worker::new(worker_index, update, self.earlier_lease_expiry_ms()) };
+            Worker { listed, silent, ..Worker::new(worker_index, update, lease_expiry_ms) };
         self.worker_names.push(name.clone());
         self.workers.insert(name, worker);
         self.hold_timers.mark_changed(worker_index);
@@ -547,6 +560,7 @@
             }
         }
         self.sweep_workers();
+        self.update_silent_leases();
         self.sweep_runs();
         self.sample_usage();
         self.reject_stuck_submissions();
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -51,9 +51,9 @@
         }
         let Some(name) = task.worker.clone() else { return };
         let Some(worker) = self.workers.get_mut(&name) else { return };
-        let may_start = worker.held && !worker.info.draining;
+        let may_start = worker.held && !worker.info.draining && worker.silent.is_none();
         let Some(until_ms) = worker.lease_end(now_ms, lease_ms).filter(|_| may_start) else {
-            // While the row was written, the worker restarted or began to drain.
+            // While the row was written, the worker restarted, fell silent or began to drain.
             tracing::info!(task = %id, run, worker = %name, "start not sent: the worker takes none; the task is queued again");
             self.requeue_unstarted(id);
             return;
--- /dev/null
+++ b/crates/pool/src/silent.rs
@@ -0,0 +1,130 @@
+//! Leases of silent workers, which a successor takes over.
+//!
+//! The runs of a worker that does not answer start elsewhere once its lease has certainly
+//! expired. A new leader does not know when that is: its predecessor may have extended the
+//! lease until the end. Without more knowledge every change of leader restarts the wait, and the
+//! runs of a dead worker wait for as long as leaders change.
+//!
+//! So the leader lease names the silent workers, with the time after which their leases have
+//! expired. While a worker is named there, its lease is not extended and nothing is started on
+//! it, also if it answers again: the time in the row would no longer hold. The worker is released
+//! once a later row that does not name it is durable.
+
+use stoatwell_model::WorkerId;
+
+use crate::Pool;
+use crate::worker::Worker;
+
+/// How long a worker is silent before the leader lease names it. A worker that answers again
+/// gets no new tasks until the next renewal of the leader lease, so short silence is left out.
+const SILENCE_MIN_MS: u64 = 1_500;
+/// Maximum workers that the leader lease names. The row is rewritten twice a second.
+const SILENT_LEASES_MAX: usize = 64;
+
+/// The lease of a worker that does not answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SilentLease {
+    /// The worker's name.
+    pub worker: WorkerId,
+    /// The local time after which the lease has certainly expired.
+    pub expires_ms: u64,
+}
+
+/// The leases that the leader lease has to name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SilentLeases {
+    /// Rises with each change of the list.
+    pub generation: u64,
+    /// The leases, by worker.
+    pub leases: Vec<SilentLease>,
+}
+
+/// Marks a worker that the leader lease names, or may name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SilentMark {
+    pub since_ms: u64,
+    /// The first list without the worker; `None` while it is in the list.
+    dropped_in: Option<u64>,
+}
+
+impl SilentMark {
+    pub fn new(since_ms: u64) -> Self {
+        Self { since_ms, dropped_in: None }
+    }
+}
+
+impl Pool {
+    /// The leases that the next row of the leader lease has to name.
+    pub fn silent_leases(&self) -> &SilentLeases {
+        &self.silent_leases
+    }
+
+    /// Handles that a row with this generation of [`Self::silent_leases`] is durable.
+    pub fn on_silent_leases_written(&mut self, generation: u64) {
+        if generation <= self.silent_leases_written {
+            return;
+        }
+        self.silent_leases_written = generation;
+        for (name, worker) in &mut self.workers {
+            let dropped_in = worker.silent.and_then(|mark| mark.dropped_in);
+            if dropped_in.is_some_and(|dropped_in| dropped_in <= generation) {
+                tracing::info!(worker = %name, "worker answers again; its lease may be extended");
+                worker.silent = None;
+                worker.next_hold_ms = self.now_ms;
+                self.hold_timers.mark_changed(worker.index);
+                self.cycle_due = true;
+            }
+        }
+    }
+
+    /// The time after which every lease that an earlier leader granted to a worker has certainly
+    /// expired.
+    pub(crate) fn inherited_lease_expiry_ms(&self, name: &WorkerId) -> u64 {
+        let default_ms = self.earlier_lease_expiry_ms();
+        let remaining_ms = self.election.silent_leases.get(name);
+        remaining_ms
+            .map_or(default_ms, |remaining_ms| default_ms.min(self.started_ms + remaining_ms))
+    }
+
+    /// Whether the leader lease already named the worker when this leader acquired it.
+    pub(crate) fn inherited_silent_mark(&self, name: &WorkerId) -> Option<SilentMark> {
+        let is_named = self.election.silent_leases.contains_key(name);
+        is_named.then(|| SilentMark::new(self.now_ms))
+    }
+
+    /// Updates the list of silent workers.
+    pub(crate) fn update_silent_leases(&mut self) {
+        let next_generation = self.silent_leases.generation + 1;
+        let mut leases = Vec::new();
+        let mut has_changed = false;
+        for (name, worker) in &mut self.workers {
+            let is_named = leases.len() < SILENT_LEASES_MAX && is_silent(worker, self.now_ms);
+            if is_named {
+                let mark = worker.silent.get_or_insert_with(|| SilentMark::new(self.now_ms));
+                has_changed |= mark.dropped_in.take().is_some();
+                let expires_ms = worker.lease_expiry_ms();
+                leases.push(SilentLease { worker: name.clone(), expires_ms });
+            } else if let Some(mark) = &mut worker.silent
+                && mark.dropped_in.is_none()
+            {
+                mark.dropped_in = Some(next_generation);
+                has_changed = true;
+            }
+        }
+        if has_changed || leases != self.silent_leases.leases {
+            self.silent_leases = SilentLeases { generation: next_generation, leases };
+        }
+    }
+}
+
+/// Whether a worker with tasks has not answered for so long that its lease is to be named, or
+/// has not answered since it was.
+fn is_silent(worker: &Worker, now_ms: u64) -> bool {
+    if worker.tasks.is_empty() {
+        return false;
+    }
+    match worker.silent {
+        Some(mark) => worker.answered_ms <= mark.since_ms,
+        None => worker.unanswered_calls > 0 && worker.answered_ms + SILENCE_MIN_MS < now_ms,
+    }
+}
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/worker.rs
@@ -11,6 +11,7 @@
 use crate::customers::CustomerId;
 use crate::event::WorkerUpdate;
 use crate::id::TaskId;
+use crate::silent::SilentMark;
 
 /// The largest rate at which a worker's clock may fall behind.
 const SLOW_CLOCK_PERMILLE: u64 = 20;
@@ -108,6 +109,9 @@
     /// full speed.
     pub pace_percent: u32,
     pub pace_changed_ms: u64,
+    /// Set while the leader lease names the worker as silent, or may do so. Its lease is not
+    /// extended then, and nothing is started on it.
+    pub silent: Option<SilentMark>,
     /// Whether another worker or incarnation answered the latest call to its address, so that
     /// all runs of this incarnation are lost.
     pub lost: bool,
@@ -148,6 +152,7 @@
             unanswered_calls: 0,
             pace_percent: FULL_PACE,
             pace_changed_ms: 0,
+            silent: None,
             lost: false,
             refuses_connections: false,
         }
@@ -190,6 +195,7 @@
     fn is_reachable(&self, now_ms: u64) -> bool {
         self.held
             && self.listed
+            && self.silent.is_none()
             && !self.refuses_connections
             && !self.info.draining
             && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
@@ -242,6 +248,13 @@
         Some(clock_ms + now_ms.saturating_sub(reported_ms) + lease_ms)
     }
 
+    /// The local time after which every lease ever granted here has certainly expired.
+    pub fn lease_expiry_ms(&self) -> u64 {
+        let Some((clock_ms, reported_ms)) = self.clock else { return self.earlier_lease_expiry_ms };
+        let remaining_ms = (self.lease_end_max + LEASE_EXPIRY_MARGIN_MS).saturating_sub(clock_ms);
+        reported_ms + remaining_ms * 1_000 / (1_000 - SLOW_CLOCK_PERMILLE) + 1
+    }
+
     /// Whether every lease ever granted here has certainly expired and its runs are killed.
     pub fn is_lease_expired(&self, now_ms: u64) -> bool {
         let Some((clock_ms, reported_ms)) = self.clock else {
--- a/crates/pool/tests/failures.rs
+++ b/crates/pool/tests/failures.rs
@@ -51,6 +51,65 @@
     assert_no_violations(&world);
 }
 
+/// Guards against a job that never ends because leaders change: each new one waited for the
+/// lease of a dead worker from the beginning.
+#[test]
+fn changes_of_the_leader_do_not_prolong_the_wait_for_a_dead_worker() {
+    let mut world = world_without_faults(3);
+    world.submit(1, job(queue(1), vec![step(1, 6_000, 3_000)]));
+    world.run(300);
+    let name = busy_worker(&world);
+    world.isolate(&name, 1_000_000);
+    for _ in 0..3 {
+        world.run(2_400);
+        world.fail_over();
+    }
+    world.run(1_500);
+    assert_eq!(world.starts, 2, "{}", world.explain(stoatwell_pool::JobId(1)));
+    assert_no_violations(&world);
+}
+
+/// The leader lease named a worker as silent that answers again, and the leader changes. Guards
+/// against a task that runs twice: the lease must not have been extended beyond the time in the
+/// row.
+#[test]
+fn a_worker_that_answers_again_keeps_its_runs_over_a_change_of_the_leader() {
+    for silent_ms in [1_800, 2_500, 3_300, 4_100] {
+        for led_ms in [100, 300, 700, 1_500] {
+            let mut world = world_without_faults(3);
+            world.submit(1, job(queue(1), vec![step(1, 6_000, 20_000)]));
+            world.run(300);
+            let name = busy_worker(&world);
+            world.isolate(&name, silent_ms);
+            world.run(silent_ms + led_ms);
+            world.isolate(&name, 12_000);
+            world.fail_over();
+            world.run(20_000);
+            assert_no_violations(&world);
+        }
+    }
+}
+
+/// A silent worker answers the next leader once, which may not extend its lease yet, and is
+/// silent again. Guards against a task that runs twice: the worker still holds the lease that the
+/// earlier leader granted.
+#[test]
+fn a_worker_that_answers_a_new_leader_once_keeps_its_lease() {
+    for answering_ms in [50, 150, 250] {
+        let mut world = world_without_faults(3);
+        world.submit(1, job(queue(1), vec![step(1, 6_000, 20_000)]));
+        world.run(300);
+        let name = busy_worker(&world);
+        world.isolate(&name, 2_300);
+        world.run(2_100);
+        world.fail_over();
+        world.run(200 + answering_ms);
+        world.isolate(&name, 12_000);
+        world.run(20_000);
+        assert_no_violations(&world);
+    }
+}
+
 /// Guards against running tasks that are started again, at twice the cost and time, when the
 /// scheduler crashes: the next one discovers them with its first holds and lets them finish.
 #[test]
--- a/crates/pool/tests/log_lines.rs
+++ b/crates/pool/tests/log_lines.rs
@@ -101,9 +101,11 @@
         world.faults = Faults::default();
         world.submit(2, job(queue(1), vec![step(6, 2_000, 6_000)]));
         world.run(500);
-        let names: Vec<_> = world.workers.keys().cloned().collect();
-        world.crash(&names[0]);
-        world.isolate(&names[1], 60_000);
+        let busy = world.workers.values().find(|worker| !worker.active.is_empty());
+        let busy = busy.map(|worker| worker.name.clone()).expect("a busy worker");
+        let other = world.workers.keys().find(|name| **name != busy).cloned().expect("another");
+        world.crash(&other);
+        world.isolate(&busy, 60_000);
         world.run(9_000);
     });
     assert_fields(&lines, "worker listed", &["worker", "address"]);
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -31,7 +31,7 @@
         advice_workers_max: 100,
         batch_bytes_max: 600_000,
     };
-    let election = Election { epoch: 1, earlier_extends_ms: 0 };
+    let election = Election { epoch: 1, ..Election::default() };
     let mut pool = Pool::new(election, limits, NOW_MS, NOW_MS);
     let spec = Arc::new(job(queue(0), vec![step(4, 1_000, 500)]));
     let progress = Progress {
--- a/crates/pool/tests/outages.rs
+++ b/crates/pool/tests/outages.rs
@@ -64,7 +64,8 @@
         }
     }
     world.run(3_000);
-    world.faults = Faults::default();
+    // The members of a gang fail together, so the share of failed runs stays the same.
+    world.faults = Faults { failed_runs: faults.failed_runs, ..Faults::default() };
     world.commit_ms = 12;
     world.run(14_000);
     for _ in 0..120 {
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -65,7 +65,7 @@
 /// certain that the worker does not run it.
 #[test]
 fn a_start_without_any_result_is_repeated() {
-    let mut pool = Pool::new(Election { epoch: 1, earlier_extends_ms: 0 }, LIMITS, 1_000, 1_000);
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
     pool.handle(1_000, 1_000, Event::Listed(worker()));
     pool.handle(1_000, 1_000, Event::Accepted { job: JobId(1), spec: Arc::new(job()) });
     let mut starts = 0;
@@ -103,7 +103,7 @@
 /// each with a log line that hides others from operators: the pool has to hold it rarely.
 #[test]
 fn a_worker_whose_address_another_one_uses_is_held_rarely() {
-    let mut pool = Pool::new(Election { epoch: 1, earlier_extends_ms: 0 }, LIMITS, 1_000, 1_000);
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
     pool.handle(1_000, 1_000, Event::Listed(worker()));
     let mut holds = 0;
     for now_ms in (1_000..11_000).step_by(10) {
@@ -123,7 +123,7 @@
 #[test]
 fn the_size_of_a_batch_is_limited() {
     let limits = Limits { batch_bytes_max: 1_000, ..LIMITS };
-    let mut pool = Pool::new(Election { epoch: 1, earlier_extends_ms: 0 }, limits, 1_000, 1_000);
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, limits, 1_000, 1_000);
     let mut spec = job();
     spec.steps[0].tasks = 10;
     for number in 0..20 {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -38,6 +38,7 @@
 use stoatwell_pool::PartitionWrite;
 use stoatwell_pool::Pool;
 use stoatwell_pool::Progress;
+use stoatwell_pool::SilentLease;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::TaskId;
 use stoatwell_pool::TaskProgress;
@@ -53,6 +54,8 @@
 /// The length of the leases that schedulers request, and the longest that workers grant.
 pub const LEASE_MS: u64 = 6_000;
 
+/// How often the scheduler's daemon renews the leader lease.
+const RENEW_INTERVAL_MS: u64 = 500;
 /// How much later the rest of a batch is written after its submissions were refused.
 const REFUSED_BATCH_MS: u64 = 200;
 
@@ -60,6 +63,8 @@
 pub struct World {
     pub now_ms: u64,
     pub rng: Pcg64,
+    /// Draws the losses of renewals of the leader lease.
+    renewal_rng: Pcg64,
     pub faults: Faults,
     pub workers: BTreeMap<WorkerId, Worker>,
     pub violations: Vec<String>,
@@ -88,6 +93,11 @@
     pub stuck_partitions: BTreeSet<usize>,
     /// The number of batches sent to the store.
     pub batches: u64,
+    /// The silent workers that the row of the leader lease names, with the remaining times of
+    /// their leases when it was written.
+    silent_leases: BTreeMap<WorkerId, u64>,
+    /// The generation of the list of silent workers in the last write of that row.
+    renewed_generation: u64,
     submission_results: BTreeMap<JobId, Accepted>,
     /// The customers of the manifest.
     pub customers: BTreeMap<CustomerName, CustomerLimits>,
@@ -122,6 +132,7 @@
         let mut world = Self {
             now_ms: 1_000,
             rng: Pcg64::seed_from_u64(seed),
+            renewal_rng: Pcg64::seed_from_u64(!seed),
             faults,
             workers: BTreeMap::new(),
             violations: Vec::new(),
@@ -138,6 +149,8 @@
             refuses_submissions: false,
             stuck_partitions: BTreeSet::new(),
             batches: 0,
+            silent_leases: BTreeMap::new(),
+            renewed_generation: 0,
             submission_results: BTreeMap::new(),
             customers: BTreeMap::new(),
             caps: BTreeMap::new(),
@@ -281,6 +294,13 @@
             }
             self.advance_workers();
             self.apply_effects();
+            let generation = self.pool.silent_leases().generation;
+            if self.now_ms.is_multiple_of(RENEW_INTERVAL_MS)
+                || generation != self.renewed_generation
+            {
+                self.renewed_generation = generation;
+                self.renew_leader_lease();
+            }
             self.check_invariants();
             if self.now_ms.is_multiple_of(100) {
                 self.violations.extend(self.pool.tasks_without_wakeup());
@@ -288,11 +308,31 @@
         }
     }
 
+    /// Writes the row of the leader lease. One in five writes is lost with its response, or only
+    /// the response is.
+    fn renew_leader_lease(&mut self) {
+        let is_write_lost = self.renewal_rng.random_range(0..10) == 0;
+        let is_response_lost = self.renewal_rng.random_range(0..10) == 0;
+        if !self.can_renew_lease || is_write_lost {
+            return;
+        }
+        let silent = self.pool.silent_leases().clone();
+        let remaining = |lease: &SilentLease| {
+            (lease.worker.clone(), lease.expires_ms.saturating_sub(self.now_ms))
+        };
+        self.silent_leases = silent.leases.iter().map(remaining).collect();
+        if !is_response_lost {
+            self.pool.on_silent_leases_written(silent.generation);
+        }
+    }
+
     /// Replaces the scheduler by one with the next epoch that restores its state from the
     /// rows; calls of the former one are still in flight.
     pub fn fail_over(&mut self) {
         self.epoch += 1;
-        self.pool = Pool::new(elected(self.epoch), limits(), self.now_ms, self.now_ms);
+        let election =
+            Election { silent_leases: self.silent_leases.clone(), ..elected(self.epoch) };
+        self.pool = Pool::new(election, limits(), self.now_ms, self.now_ms);
         self.notify_customers();
         for (job, spec) in &self.jobs {
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
@@ -618,7 +658,7 @@
 /// In the simulation a scheduler stops before the next one begins, so no earlier one
 /// extends leases any more.
 fn elected(epoch: u64) -> Election {
-    Election { epoch, earlier_extends_ms: 0 }
+    Election { epoch, ..Election::default() }
 }
 
 fn limits() -> Limits {
