Gateways tell each leader of the writes that they made durable themselves

What callers see: a job that was accepted does not start for many seconds and is not counted as waiting; a cancelled one goes on.

Cause: the leader was notified once. Between two leaders there is nobody to notify, which is when gateways write themselves, and the store's change feed may be slow or without history at the same time.

Evidence: a_leader_is_told_of_durable_writes_once_it_is_found takes both ways away, as a change of the leader with a store that refuses it does. Before, the leader knows of neither write 3 s after the gateway has found it.

The notification is repeated until it is acknowledged, and for each leader elected in the 10 s after the write.

--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::accept::Acceptor;
 use crate::accept::WriteRequest;
@@ -55,6 +56,12 @@
 /// trips between regions.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long a durable write is reported to leaders. A change of leader and the reading of its
+/// state fit into it.
+const NOTIFICATION_PERIOD: Duration = Duration::from_secs(10);
+/// Delay before a notification without an acknowledgement is repeated.
+const NOTIFICATION_RETRY_DELAY: Duration = Duration::from_millis(200);
+
 /// Maximum time for another daemon to make a cancellation durable.
 const PEER_CANCEL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -229,7 +236,7 @@
             _ => self.make_cancel_durable(job, deadline).await,
         };
         if accepted == Accepted::Yes {
-            self.notify_leader(DaemonCall::Cancelled(job));
+            self.notify_leader(job, DaemonCall::Cancelled(job));
         }
         tracing::info!(%job, ?known, ?accepted, "cancellation answered");
         Some(accepted)
@@ -262,15 +269,34 @@
         }
     }
 
-    /// Notifies the leader of a durable write without waiting for its reply. The store's
-    /// change feed delivers the write too, but a quarter of a second later, and much later if
-    /// the store is slow.
-    fn notify_leader(self: &Arc<Self>, call: DaemonCall) {
+    /// Notifies the leader of a durable write of a job, without waiting for its reply. The
+    /// store's change feed delivers the write too, but a quarter of a second later, and much
+    /// later if the store is slow or has dropped its history.
+    ///
+    /// The notification is repeated until a leader acknowledges it, and for each leader that is
+    /// elected soon after: one that was just elected may have read the job's rows before.
+    fn notify_leader(self: &Arc<Self>, job: JobId, call: DaemonCall) {
         let gateway = Arc::clone(self);
         tokio::spawn(async move {
-            if gateway.call_leader(call).await.is_none() {
-                tracing::debug!(
-                    "leader was not notified of a durable write; the store's change feed will deliver it"
+            let end = Instant::now() + NOTIFICATION_PERIOD;
+            let mut notified_epoch = None;
+            let mut view = gateway.leader.subscribe();
+            while Instant::now() < end {
+                let epoch = view.borrow_and_update().epoch();
+                if gateway.call_leader(call.clone()).await.is_none() {
+                    tokio::time::sleep(NOTIFICATION_RETRY_DELAY).await;
+                    continue;
+                }
+                notified_epoch = Some(epoch);
+                let elected = view.wait_for(|view| view.epoch() > epoch);
+                if timeout_at(end, elected).await.is_err() {
+                    return;
+                }
+            }
+            if notified_epoch.is_none() {
+                tracing::warn!(
+                    %job,
+                    "no leader was notified of a durable write; the store's change feed will deliver it"
                 );
             }
         });
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -9,6 +9,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_node::JobLookup;
 use stoatwell_node::LeaderLease;
+use stoatwell_node::Node;
 use stoatwell_node::Platform;
 use stoatwell_node::SchedulerRequest;
 use stoatwell_node::StoreError;
@@ -319,3 +320,39 @@
     let remaining_ms = row.silent_leases.get(&dead).copied().expect("the dead worker");
     assert!((50_000..59_900).contains(&remaining_ms), "{remaining_ms}");
 }
+
+/// The state of a job, as the scheduler of a daemon knows it.
+async fn scheduler_state(node: &Node<FakePlatform>, job: JobId) -> Option<JobState> {
+    let (reply, state) = tokio::sync::oneshot::channel();
+    let scheduler = node.scheduler().expect("it leads");
+    scheduler.send(SchedulerRequest::State(job, reply)).await.expect("it runs");
+    state.await.expect("a reply").map(|view| view.state)
+}
+
+/// A daemon accepts and cancels jobs while it knows no leader, and the leader gets no changes from
+/// the store. Guards against an accepted job that the leader learns of many seconds later: it does
+/// not start, it is missing among the waiting jobs, and a cancelled one goes on.
+#[tokio::test]
+async fn a_leader_is_told_of_durable_writes_once_it_is_found() {
+    let leader_store = Arc::new(FakePlatform::default());
+    let leader = start("a", &leader_store).await;
+    wait_until("a leader", 3_000, || leader.scheduler().is_some()).await;
+    assert_eq!(leader.gateway().submit(JobId(8), &job(), deadline_in(2_000)).await, Accepted::Yes);
+    leader_store.set_behavior(StoreBehavior::HidesChangesOfJobs);
+    let gateway_store = Arc::new(leader_store.for_other_daemon());
+    gateway_store.set_behavior(StoreBehavior::HidesLeaderLease);
+    let gateway = start("b", &gateway_store).await;
+    let accepted = gateway.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await;
+    assert_eq!(accepted, Accepted::Yes);
+    let cancelled = gateway.gateway().cancel(JobId(8), None, deadline_in(2_000)).await;
+    assert_eq!(cancelled, Some(Accepted::Yes));
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(scheduler_state(&leader, JobId(7)).await, None);
+    gateway_store.set_behavior(StoreBehavior::Normal);
+    let deadline = deadline_in(3_000);
+    while Instant::now() < deadline && scheduler_state(&leader, JobId(7)).await.is_none() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(scheduler_state(&leader, JobId(7)).await, Some(JobState::Queued));
+    assert_eq!(scheduler_state(&leader, JobId(8)).await, Some(JobState::Cancelled));
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -66,6 +66,10 @@
     /// It carries out writes of jobs only once they are released, whether or not the caller
     /// still waits, and is normal otherwise.
     DelaysJobWrites,
+    /// It refuses reads of the leader lease and is normal otherwise.
+    HidesLeaderLease,
+    /// It refuses polls for changes to jobs and cancellations and is normal otherwise.
+    HidesChangesOfJobs,
 }
 
 /// The platform as one daemon sees it. The rows can be shared with other daemons.
@@ -243,10 +247,21 @@
             | StoreBehavior::RefusesWrites
             | StoreBehavior::LosesOneResponse
             | StoreBehavior::LosesOnePoll
+            | StoreBehavior::HidesLeaderLease
+            | StoreBehavior::HidesChangesOfJobs
             | StoreBehavior::DelaysJobWrites => None,
         }
     }
 
+    /// Whether reads of whole tables and polls for changes are refused for this table.
+    fn hides(&self, table: Table) -> bool {
+        match self.behavior() {
+            StoreBehavior::HidesLeaderLease => table == Table::Duty,
+            StoreBehavior::HidesChangesOfJobs => matches!(table, Table::Jobs | Table::Cancels),
+            _ => false,
+        }
+    }
+
     fn version(&self) -> u64 {
         self.state.lock().expect("no panic").version
     }
@@ -303,7 +318,10 @@
 impl Platform for FakePlatform {
     async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         match self.behavior() {
-            StoreBehavior::Normal | StoreBehavior::LosesOnePoll => self.write(transaction),
+            StoreBehavior::Normal
+            | StoreBehavior::LosesOnePoll
+            | StoreBehavior::HidesLeaderLease
+            | StoreBehavior::HidesChangesOfJobs => self.write(transaction),
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
             StoreBehavior::DelaysJobWrites => {
                 if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
@@ -332,6 +350,9 @@
         if let Some(error) = self.read_error() {
             return Err(error);
         }
+        if self.hides(table) {
+            return Err(StoreError::Refused);
+        }
         if let Some(stale) = self.stale_read(table) {
             return Ok(stale);
         }
@@ -346,7 +367,7 @@
     ) -> Result<Rows, StoreError> {
         let rounds = wait_ms / 20 + 1;
         for _ in 0..rounds {
-            if self.behavior() == StoreBehavior::RefusesAll {
+            if self.behavior() == StoreBehavior::RefusesAll || self.hides(table) {
                 return Err(StoreError::Refused);
             }
             let newer: Vec<Row> =
@@ -397,6 +418,8 @@
             StoreBehavior::Normal
             | StoreBehavior::LosesOneResponse
             | StoreBehavior::LosesOnePoll
+            | StoreBehavior::HidesLeaderLease
+            | StoreBehavior::HidesChangesOfJobs
             | StoreBehavior::DelaysJobWrites => {
                 let newest = self.newest_manifest();
                 let changed = newest.filter(|newest| newest.row_version != row_version);
@@ -423,6 +446,8 @@
                 StoreBehavior::Normal
                 | StoreBehavior::RefusesWrites
                 | StoreBehavior::LosesOneResponse
+                | StoreBehavior::HidesLeaderLease
+                | StoreBehavior::HidesChangesOfJobs
                 | StoreBehavior::DelaysJobWrites => {}
             }
             if let Some(newer) =
