The panic of a task is logged, and a leader gives up its lease after one

What callers would see: jobs of one partition are accepted and never start while the same daemon leads.

Cause: ended tasks were removed from their sets without a look at the result. A write that panicked left its partition with a batch in flight for ever.

Evidence: read in the code, no run shows a panic. a_write_that_panics_does_not_block_its_partition, where the client of the store panics in one write, is red with the leader's part taken out: no start within 10 s.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -24,6 +24,7 @@
 use crate::platform::StoreError;
 use crate::platform::Table;
 use crate::platform::Transaction;
+use crate::tasks::log_panic;
 
 /// Delay before a write that the store refused or did not answer is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -77,7 +78,11 @@
                     for write in writes {
                         partitions.spawn(Arc::clone(&self).write_partition(batch, write, in_doubt));
                     }
-                    while partitions.join_next().await.is_some() {}
+                    while let Some(ended) = partitions.join_next().await {
+                        if log_panic("write of a partition", &ended) {
+                            self.notify_leadership_lost();
+                        }
+                    }
                     return;
                 }
             }
--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -25,6 +25,7 @@
 use crate::clock::steady_ms;
 use crate::peers::DaemonCall;
 use crate::peers::DaemonReply;
+use crate::tasks::log_panic;
 
 /// How long an executor that has no replies waits for one when the leader collects them.
 const COLLECT_WAIT_MS: u64 = 200;
@@ -199,6 +200,10 @@
             tokio::select! {
                 () = self.queued.notified(), if in_flight.len() < BATCHES_IN_FLIGHT_MAX => {}
                 Some(accepted) = in_flight.join_next() => {
+                    if log_panic("batch for an executor", &accepted) {
+                        // Its calls are settled with the session.
+                        return;
+                    }
                     let Ok(Err((numbers, error))) = accepted else { continue };
                     self.fail_calls(&numbers, error, on_reply);
                     return;
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -41,6 +41,7 @@
 use crate::daemons::DaemonInfo;
 use crate::inbox::InboxSender;
 use crate::platform::Platform;
+use crate::tasks::reap;
 
 /// How long a new leader waits for its executors before it starts to make calls, directly
 /// where there is no executor.
@@ -238,7 +239,7 @@
 
     fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
         let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
-        while tasks.try_join_next().is_some() {}
+        reap("calls to workers", &mut tasks);
         tasks.spawn(task);
     }
 
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -21,6 +21,7 @@
 use crate::platform::Platform;
 use crate::platform::StoreError;
 use crate::platform::Table;
+use crate::tasks::reap;
 
 /// Consecutive calls without response, or refused, after which the store counts as down.
 const CONSECUTIVE_FAILURES_MAX: u32 = 2;
@@ -220,7 +221,7 @@
         tokio::time::sleep(PROBE_INTERVAL).await;
         if !health.is_down() {
             probes.abort_all();
-            while probes.try_join_next().is_some() {}
+            reap("probe of the store", &mut probes);
             continue;
         }
         let platform = Arc::clone(&platform);
@@ -232,6 +233,6 @@
                 health.record_response();
             }
         });
-        while probes.try_join_next().is_some() {}
+        reap("probe of the store", &mut probes);
     }
 }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -53,6 +53,7 @@
 use crate::platform::Table;
 use crate::store_watcher::StoreWatcher;
 use crate::submissions::Submissions;
+use crate::tasks::reap;
 use crate::telemetry::Cycle;
 use crate::telemetry::CycleTimes;
 use crate::telemetry::count_event;
@@ -208,7 +209,12 @@
                 }
                 self.execute_effect(effect, &pool, &executors, &inbox_sender, &writer, &mut tasks);
             }
-            while tasks.try_join_next().is_some() {}
+            if reap("leader", &mut tasks) {
+                // A partition whose write never ends, or a list that is no longer followed, would
+                // stay so for as long as this daemon leads.
+                tracing::error!(epoch, "giving up the leadership after a panic");
+                return;
+            }
             cycle_times.add(&Cycle {
                 messages: first_messages + budget.handled(),
                 requests,
--- a/crates/node/src/manifest/watch.rs
+++ b/crates/node/src/manifest/watch.rs
@@ -17,6 +17,7 @@
 use crate::platform::Confirmation;
 use crate::platform::Platform;
 use crate::platform::StoreError;
+use crate::tasks::reap;
 
 /// Number of polls in the time in which a new manifest has to be in force. If the response to
 /// one of them is lost, the next one still brings the manifest in time.
@@ -161,7 +162,7 @@
     let mut requested_ms = 0;
     loop {
         sleep(CONFIRM_INTERVAL).await;
-        while confirmations.try_join_next().is_some() {}
+        reap("confirmation of the manifest", &mut confirmations);
         let now_ms = steady_ms();
         let age_ms = current.relayed_proof(now_ms).age_ms;
         metrics::gauge!("stoatwell_manifest_proof_age_ms").set(age_ms as f64);
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -356,3 +356,16 @@
     assert_eq!(scheduler_state(&leader, JobId(7)).await, Some(JobState::Queued));
     assert_eq!(scheduler_state(&leader, JobId(8)).await, Some(JobState::Cancelled));
 }
+
+/// Guards against an accepted job that never starts because the task that writes its partition
+/// panicked: everything behind that write waited for as long as the daemon led.
+#[tokio::test]
+async fn a_write_that_panics_does_not_block_its_partition() {
+    let store = Arc::new(FakePlatform::with_worker());
+    let node = start("a", &store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    store.set_behavior(StoreBehavior::PanicsInOneJobWrite);
+    let accepted = node.gateway().submit(JobId(7), &job(), deadline_in(5_000)).await;
+    assert_eq!(accepted, Accepted::Yes, "the daemon writes it itself");
+    wait_until("the start", 10_000, || store.first_starts_received() > 0).await;
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -66,6 +66,8 @@
     /// It carries out writes of jobs only once they are released, whether or not the caller
     /// still waits, and is normal otherwise.
     DelaysJobWrites,
+    /// The client panics in the next write of jobs, and is normal afterwards.
+    PanicsInOneJobWrite,
     /// It refuses reads of the leader lease and is normal otherwise.
     HidesLeaderLease,
     /// It refuses polls for changes to jobs and cancellations and is normal otherwise.
@@ -249,6 +251,7 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
+            | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => None,
         }
     }
@@ -323,6 +326,13 @@
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs => self.write(transaction),
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
+            StoreBehavior::PanicsInOneJobWrite => {
+                if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
+                    self.set_behavior(StoreBehavior::Normal);
+                    panic!("a fault of the client");
+                }
+                self.write(transaction)
+            }
             StoreBehavior::DelaysJobWrites => {
                 if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
                     return self.write_when_released(transaction).await;
@@ -420,6 +430,7 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
+            | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => {
                 let newest = self.newest_manifest();
                 let changed = newest.filter(|newest| newest.row_version != row_version);
@@ -448,6 +459,7 @@
                 | StoreBehavior::LosesOneResponse
                 | StoreBehavior::HidesLeaderLease
                 | StoreBehavior::HidesChangesOfJobs
+                | StoreBehavior::PanicsInOneJobWrite
                 | StoreBehavior::DelaysJobWrites => {}
             }
             if let Some(newer) =
