A burst delays the rows of all partitions alike

What callers see: while more rows wait than fit into a batch, jobs whose number falls into the last partitions are neither accepted nor started, for as long as the burst lasts.

Cause: every batch was filled from the first partition on.

--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -61,6 +61,8 @@
     /// The number of the newest batch.
     last_batch: u64,
     partitions: Vec<Partition>,
+    /// The partition that the next batch begins with.
+    first_partition: usize,
     /// Moving average of the time from sending a batch until it is durable.
     mean_batch_ms: u64,
 }
@@ -158,7 +160,7 @@
 impl Default for Commits {
     fn default() -> Self {
         let partitions = std::iter::repeat_with(Partition::default).take(PARTITIONS).collect();
-        Self { last_batch: 0, partitions, mean_batch_ms: 0 }
+        Self { last_batch: 0, partitions, first_partition: 0, mean_batch_ms: 0 }
     }
 }
 
@@ -334,6 +336,9 @@
     }
 
     /// Sends the batches that are due.
+    ///
+    /// If not all due rows fit into a batch, the next one begins with the partition that was
+    /// left out. Otherwise the first partitions would take all batches while a burst lasts.
     pub(crate) fn commit(&mut self) {
         let now_ms = self.now_ms;
         let slow = self.commits.is_slow(now_ms);
@@ -341,11 +346,16 @@
             return;
         }
         let mut batch = Batch::default();
-        for partition in 0..PARTITIONS {
+        let first_partition = self.commits.first_partition;
+        for offset in 0..PARTITIONS {
+            let partition = (first_partition + offset) % PARTITIONS;
             if slow {
                 batch = Batch::default();
             }
-            if batch.writes.len() >= PARTITIONS_PER_BATCH_MAX {
+            if batch.writes.len() >= PARTITIONS_PER_BATCH_MAX
+                || batch.is_full(self.limits.batch_bytes_max)
+            {
+                self.commits.first_partition = partition;
                 break;
             }
             self.fill_batch(partition, &mut batch);
@@ -374,8 +384,7 @@
         };
         let mut deferred = VecDeque::new();
         while let Some(id) = pending.order.pop_front() {
-            let full = batch.entries + ENTRIES_PER_JOB_MAX > ENTRIES_MAX
-                || batch.bytes > self.limits.batch_bytes_max;
+            let full = batch.is_full(self.limits.batch_bytes_max);
             let due = pending.dirty.get(&id).is_some_and(|dirty| dirty.due_ms <= now_ms);
             if full || !due {
                 deferred.push_back(id);
@@ -477,3 +486,10 @@
     entries: usize,
     bytes: usize,
 }
+
+impl Batch {
+    /// Whether the rows of another job may not fit.
+    fn is_full(&self, bytes_max: usize) -> bool {
+        self.entries + ENTRIES_PER_JOB_MAX > ENTRIES_MAX || self.bytes > bytes_max
+    }
+}
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -2,10 +2,12 @@
 
 mod world;
 
+use rand::RngExt;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobState;
+use stoatwell_pool::PARTITIONS;
 
 use self::world::Faults;
 use self::world::World;
@@ -198,3 +200,27 @@
     let oldest_write_ms = world.counts().oldest_write_ms;
     assert!((900..=1_000).contains(&oldest_write_ms), "{oldest_write_ms} ms");
 }
+
+/// Guards against callers who wait for as long as a burst lasts because of the numbers of their
+/// jobs: with more to write than fits, the first partitions were served again and again.
+#[test]
+fn a_burst_delays_the_submissions_of_all_partitions_alike() {
+    let mut world = World::new(11, 200, Faults::default());
+    world.run(200);
+    world.commit_ms = 40;
+    let burst = |world: &mut World, ms: u64| {
+        for _ in 0..ms / 5 {
+            for _ in 0..6 {
+                let number = 1_000_000 + world.rng.random_range(0..1_000_000_000);
+                world.submit_via_scheduler(number, short_job());
+            }
+            world.run(5);
+        }
+    };
+    burst(&mut world, 300);
+    let in_last_partition = |number: &u64| JobId(*number).partition() == PARTITIONS - 1;
+    let id = (1..).find(in_last_partition).expect("an ID");
+    world.submit_via_scheduler(id, short_job());
+    burst(&mut world, 1_000);
+    assert_eq!(world.submission_result(id), Some(Accepted::Yes));
+}
