Logs tell how many waiting jobs a daemon reported, and which states came from the store

Each answer now has a line with the count, the epoch of the leader and whether this daemon leads, and each state that was not the leader's has one with its source. No behaviour changes.

--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -310,9 +310,16 @@
             return visible_state(&view, caller);
         }
         // The leader is unavailable, or has not received a job that was just accepted.
+        let epoch = self.leader.borrow().epoch();
         match self.read_state(job).await {
-            Ok(Some(view)) => visible_state(&view, caller),
-            Ok(None) => JobLookup::NoJob,
+            Ok(Some(view)) => {
+                tracing::info!(%job, epoch, state = %view.state, "state read from the store");
+                visible_state(&view, caller)
+            }
+            Ok(None) => {
+                tracing::info!(%job, epoch, "the store has no such job");
+                JobLookup::NoJob
+            }
             Err(error) => {
                 tracing::warn!(%job, %error, "reading a job's state from the store failed; reporting it as unknown");
                 JobLookup::Unknown
@@ -322,10 +329,17 @@
 
     /// Number of jobs of a queue for which nothing has started; `None` if no leader answers.
     pub async fn pending(&self, queue: &str) -> Option<u64> {
-        match self.call_leader(DaemonCall::Pending(queue.to_owned())).await {
+        let asked_ms = steady_ms();
+        let reply = self.call_leader(DaemonCall::Pending(queue.to_owned())).await;
+        let count = match reply {
             Some(DaemonReply::Pending(count)) => Some(count),
             _ => None,
-        }
+        };
+        let view = self.leader.borrow();
+        let (epoch, is_leader) = (view.epoch(), matches!(view.route(), Route::Local(_)));
+        let took_ms = steady_ms() - asked_ms;
+        tracing::info!(queue, count, epoch, is_leader, took_ms, "waiting jobs reported");
+        count
     }
 
     async fn read_state(&self, job: JobId) -> Result<Option<JobView>, StoreError> {
