Notifications of durable writes back off, and reach a new leader spread over time

A leader that is behind acknowledged no notification within its 400 ms, and each gateway repeated each one every 600 ms for ten seconds; a new leader got all of them at one moment. Work that grows while the leader falls behind keeps it behind. The delays between repetitions double now (five at the most), and the job's number spreads the notifications of a new leader over half a second.

That the repetitions were the cause is not shown. a_leader_is_told_of_durable_writes_once_it_is_found passes as before.

--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -59,8 +59,11 @@
 /// How long a durable write is reported to leaders. A change of leader and the reading of its
 /// state fit into it.
 const NOTIFICATION_PERIOD: Duration = Duration::from_secs(10);
-/// Delay before a notification without an acknowledgement is repeated.
-const NOTIFICATION_RETRY_DELAY: Duration = Duration::from_millis(200);
+/// Half of the delay before the first repetition of a notification without an acknowledgement;
+/// doubled with each further one.
+const NOTIFICATION_RETRY_DELAY: Duration = Duration::from_millis(150);
+/// The notifications of a new leader are spread over this time.
+const NOTIFICATION_SPREAD_MS: u64 = 500;
 
 /// Maximum time for another daemon to make a cancellation durable.
 const PEER_CANCEL_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -274,26 +277,32 @@
     /// later if the store is slow or has dropped its history.
     ///
     /// The notification is repeated until a leader acknowledges it, and for each leader that is
-    /// elected soon after: one that was just elected may have read the job's rows before.
+    /// elected soon after: one that was just elected may have read the job's rows before. A
+    /// leader that is behind must not be kept so by repetitions, and a new one not by all
+    /// notifications at one moment, so the delays grow and differ from job to job.
     fn notify_leader(self: &Arc<Self>, job: JobId, call: DaemonCall) {
         let gateway = Arc::clone(self);
         tokio::spawn(async move {
             let end = Instant::now() + NOTIFICATION_PERIOD;
-            let mut notified_epoch = None;
+            let spread = Duration::from_millis(job.0 % NOTIFICATION_SPREAD_MS);
+            let mut is_notified = false;
+            let mut retry_delay = NOTIFICATION_RETRY_DELAY;
             let mut view = gateway.leader.subscribe();
             while Instant::now() < end {
                 let epoch = view.borrow_and_update().epoch();
-                if gateway.call_leader(call.clone()).await.is_none() {
-                    tokio::time::sleep(NOTIFICATION_RETRY_DELAY).await;
-                    continue;
-                }
-                notified_epoch = Some(epoch);
+                let next_try = if gateway.call_leader(call.clone()).await.is_some() {
+                    is_notified = true;
+                    end
+                } else {
+                    retry_delay *= 2;
+                    end.min(Instant::now() + retry_delay)
+                };
                 let elected = view.wait_for(|view| view.epoch() > epoch);
-                if timeout_at(end, elected).await.is_err() {
-                    return;
+                if timeout_at(next_try, elected).await.is_ok() {
+                    tokio::time::sleep(spread).await;
                 }
             }
-            if notified_epoch.is_none() {
+            if !is_notified {
                 tracing::warn!(
                     %job,
                     "no leader was notified of a durable write; the store's change feed will deliver it"
