--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -229,6 +229,8 @@
     ) -> Option<Accepted> {
         let known = self.state(job, caller).await;
         if known == JobLookup::NoJob {
+            let epoch = self.leader.borrow().epoch();
+            tracing::info!(%job, epoch, "cancellation answered: no such job");
             return None;
         }
         let accepted = match known {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -520,13 +520,15 @@
 
     fn on_cancelled(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
+            tracing::info!(job = %id, "cancellation of a job that is not known yet");
             self.early_cancels.insert(id);
             return;
         };
-        if job.outcome.is_some() {
+        if let Some(outcome) = job.outcome {
+            tracing::debug!(job = %id, %outcome, "cancellation ignored: the job has ended");
             return;
         }
-        tracing::info!(job = %id, "job cancelled");
+        tracing::info!(job = %id, durable = job.durable, "job cancelled");
         self.finish(id, Outcome::Cancelled);
     }
 
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -81,6 +81,7 @@
         if !known_not_durable || !self.commits.withdraw(id) {
             return false;
         }
+        tracing::info!(job = %id, partition = id.partition(), "submission given up: its partition is stuck");
         self.drop_submission(id);
         true
     }
@@ -105,6 +106,7 @@
             self.commits.write_again(id);
             return;
         }
+        tracing::info!(job = %id, ?accepted, "submission given up: its write was rejected");
         self.drop_submission(id);
         self.commits.drop_rejected(id);
         self.effects.push(Effect::Answer { job: id, accepted });
