The scheduler keeps cancellations apart from the jobs that they concern

Callers were told that their jobs are cancelled, and tasks of them started seconds later. Cause: a cancellation that came before its job was handed to the job when the job arrived, and went with it when the submission was given up (stuck partition, or write refused by the store). The row that a gateway had written then arrived as a new job, and ran.

Cancellations have a table of their own now, which outlives submissions and is consulted whenever a job arrives. An entry goes with the rows of its job, or after the retention of finished jobs if no job came; before, entries of jobs that never came stayed for ever. A cancellation names who asked for it, so that one can be kept for a job whose owner is not known yet. The dump counts them.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -9,6 +9,7 @@
 use stoatwell_pool::Accepted;
 use stoatwell_pool::Event;
 use stoatwell_pool::PartitionWrite;
+use stoatwell_pool::Removal;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -270,9 +271,15 @@
                     transaction.put.push((Table::Progress, key, encode(progress)));
                 }
             }
-            for job in &write.removes {
-                for table in [Table::Jobs, Table::Progress, Table::Cancels] {
-                    transaction.remove.push((table, job.to_string()));
+            for removal in &write.removes {
+                let (job, tables) = match removal {
+                    Removal::Job(job) => {
+                        (job, [Table::Jobs, Table::Progress, Table::Cancels].as_slice())
+                    }
+                    Removal::Cancellation(job) => (job, [Table::Cancels].as_slice()),
+                };
+                for table in tables {
+                    transaction.remove.push((*table, job.to_string()));
                 }
             }
         }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -11,6 +11,7 @@
 
 use stoatwell_peer::Peers;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::Cancellation;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -42,6 +43,7 @@
 use crate::inbox::InboxSender;
 use crate::inbox::MessageBudget;
 use crate::inbox::inbox;
+use crate::job_rows::read_cancellation;
 use crate::job_rows::read_row;
 use crate::manifest::CurrentManifest;
 use crate::manifest::Manifest;
@@ -330,8 +332,8 @@
             pool.restore(id, Arc::new(spec), progress);
         }
         for row in &cancels.rows {
-            if let Ok(job) = row.key.parse() {
-                pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
+            if let Some((job, cancellation)) = read_cancellation(row) {
+                pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job, cancellation });
             }
         }
         let version = workers.version;
@@ -558,7 +560,8 @@
             true
         }
         SchedulerRequest::Cancelled(job) => {
-            pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
+            let cancellation = Cancellation::ByOwner;
+            pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job, cancellation });
             true
         }
         SchedulerRequest::State(job, reply_sender) => reply_sender.send(pool.view(job)).is_ok(),
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -16,6 +16,7 @@
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
 use crate::inbox::InboxSender;
+use crate::job_rows::read_cancellation;
 use crate::job_rows::read_row;
 use crate::peers::DaemonCall;
 use crate::platform::Platform;
@@ -132,8 +133,8 @@
                 self.inbox_sender.notify(Event::Accepted { job, spec: Arc::new(spec) });
             }
             Table::Cancels => {
-                let Ok(job) = row.key.parse() else { return };
-                self.inbox_sender.notify(Event::Cancelled { job });
+                let Some((job, cancellation)) = read_cancellation(row) else { return };
+                self.inbox_sender.notify(Event::Cancelled { job, cancellation });
             }
             Table::Progress | Table::Duty | Table::Daemons | Table::Fences => {}
         }
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -75,7 +75,7 @@
     /// order: in the order of the jobs' ids, jobs with high ids would starve whenever more
     /// jobs are dirty than fit into a batch.
     order: VecDeque<JobId>,
-    removes: Vec<JobId>,
+    removes: Vec<Removal>,
     in_flight: Option<InFlight>,
 }
 
@@ -105,8 +105,17 @@
     pub partition: usize,
     /// The rows to be written, at most one entry for each job.
     pub puts: Vec<Put>,
-    /// Jobs whose rows are all to be removed.
-    pub removes: Vec<JobId>,
+    /// The rows to be removed.
+    pub removes: Vec<Removal>,
+}
+
+/// Rows that are not needed any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// All rows of a job.
+    Job(JobId),
+    /// The cancellation of a job that has never been submitted.
+    Cancellation(JobId),
 }
 
 /// The rows of one job that have to be written.
@@ -195,9 +204,10 @@
         self.mark_dirty(job, AfterCommit::ReportOutcome(job));
     }
 
-    /// Requests that all rows of a job are removed.
-    pub fn remove(&mut self, job: JobId) {
-        self.partitions[job.partition()].removes.push(job);
+    /// Requests that rows are removed.
+    pub fn remove(&mut self, removal: Removal) {
+        let (Removal::Job(job) | Removal::Cancellation(job)) = removal;
+        self.partitions[job.partition()].removes.push(removal);
     }
 
     /// Drops a job's row that waits to be written; `false` if it is being written already.
@@ -476,7 +486,7 @@
 
 /// Most entries that the rows of one job need in a transaction.
 const ENTRIES_PER_JOB_MAX: usize = 4;
-/// Entries that the removal of one job needs in a transaction.
+/// Most entries that a removal needs in a transaction.
 const ENTRIES_PER_REMOVAL: usize = 3;
 
 /// Writes that are sent to the store together, in one [`Effect::Commit`].
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -20,6 +20,8 @@
     pub jobs: BTreeMap<String, usize>,
     /// The number of steps in the queue, which have tasks to place.
     pub queued_steps: usize,
+    /// The number of known cancellations, with those of jobs that are not known yet.
+    pub cancellations: usize,
     /// The age of the view of the list of workers, in milliseconds.
     pub workers_age_ms: u64,
     /// Tasks that wait for something that will not happen, each with the reason. Empty
@@ -115,6 +117,7 @@
             epoch: self.election.epoch,
             jobs,
             queued_steps: self.queue.len(),
+            cancellations: self.cancellations.len(),
             workers_age_ms: self.workers_age_ms(),
             tasks_without_wakeup: self.tasks_without_wakeup(),
             customers: self.customers(),
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -12,6 +12,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
+use crate::cancellation::Cancellation;
 use crate::commit::PartitionWrite;
 use crate::customers::CustomerLimits;
 use crate::id::JobId;
@@ -34,6 +35,8 @@
     Cancelled {
         /// The job to cancel.
         job: JobId,
+        /// Who cancelled it.
+        cancellation: Cancellation,
     },
     /// A worker was added to the list of workers that the scheduler is given, or its entry
     /// in this list changed.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -26,6 +26,7 @@
 //!   worker's lease has certainly expired.
 
 mod advise;
+mod cancellation;
 mod candidates;
 mod commit;
 mod customers;
@@ -57,10 +58,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
+use crate::cancellation::Cancellations;
 use crate::commit::Commits;
 use crate::customers::Customers;
 use crate::estimates::Estimates;
@@ -74,8 +77,10 @@
 
 pub use crate::advise::LONG_QUERY_MS;
 pub use crate::advise::long_queries_max;
+pub use crate::cancellation::Cancellation;
 pub use crate::commit::PartitionWrite;
 pub use crate::commit::Put;
+pub use crate::commit::Removal;
 pub use crate::customers::CustomerLimits;
 pub use crate::dump::Counts;
 pub use crate::dump::CustomerDump;
@@ -167,8 +172,9 @@
     turn: u64,
     jobs: BTreeMap<JobId, Job>,
     job_index: JobIndex,
-    /// Cancellations of jobs that are not known yet.
-    early_cancels: BTreeSet<JobId>,
+    /// All known cancellations. They are kept apart from the jobs, since a cancellation may come
+    /// before its job, and a submission that was given up may come back from the store.
+    cancellations: Cancellations,
     customers: Customers,
     workers: BTreeMap<WorkerId, Worker>,
     /// All changes to the list of workers before this time are known.
@@ -239,7 +245,7 @@
             turn: 1,
             jobs: BTreeMap::new(),
             job_index: JobIndex::default(),
-            early_cancels: BTreeSet::new(),
+            cancellations: Cancellations::default(),
             customers: Customers::default(),
             workers: BTreeMap::new(),
             workers_as_of_ms: now_ms,
@@ -332,7 +338,7 @@
         }
         match event {
             Event::Accepted { job, spec } => self.on_accepted(job, spec),
-            Event::Cancelled { job } => self.on_cancelled(job),
+            Event::Cancelled { job, cancellation } => self.on_cancelled(job, cancellation),
             Event::Listed(update) => self.on_listed(update),
             Event::Unlisted { worker } => self.on_unlisted(&worker),
             Event::WorkersRead { as_of_ms } => self.workers_as_of_ms = as_of_ms,
@@ -452,9 +458,7 @@
         tracing::info!(job = %id, queue = spec.queue.name, "job accepted");
         let job = self.new_job(id, spec);
         self.admit(job);
-        if self.early_cancels.remove(&id) {
-            self.on_cancelled(id);
-        }
+        self.cancel_if_requested(id);
     }
 
     fn new_job(&mut self, id: JobId, spec: Arc<JobSpec>) -> Job {
@@ -518,16 +522,27 @@
         self.cycle_due = true;
     }
 
-    fn on_cancelled(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else {
+    fn on_cancelled(&mut self, id: JobId, cancellation: Cancellation) {
+        if !self.jobs.contains_key(&id) {
             tracing::info!(job = %id, "cancellation of a job that is not known yet");
-            self.early_cancels.insert(id);
-            return;
-        };
+        }
+        self.cancellations.record(id, cancellation, self.unix_ms);
+        self.cancel_if_requested(id);
+    }
+
+    /// Ends a job if its owner has cancelled it, possibly before the job was known.
+    fn cancel_if_requested(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(cancellation) = self.cancellations.get(id) else { return };
+        let owner = job.spec.customer.as_ref().map(|customer| &customer.name);
         if let Some(outcome) = job.outcome {
             tracing::debug!(job = %id, %outcome, "cancellation ignored: the job has ended");
             return;
         }
+        if !cancellation.applies_to(owner) {
+            tracing::info!(job = %id, owner = owner.map(CustomerName::as_str), "cancellation ignored: it is not by the owner");
+            return;
+        }
         tracing::info!(job = %id, durable = job.durable, "job cancelled");
         self.finish(id, Outcome::Cancelled);
     }
@@ -595,7 +610,14 @@
             if let Some(mut job) = self.jobs.remove(&id) {
                 self.job_index.remove(&mut job);
             }
-            self.commits.remove(id);
+            self.cancellations.remove(id);
+            self.commits.remove(Removal::Job(id));
+        }
+        for id in self.cancellations.recorded_before(expiry_unix_ms) {
+            if !self.jobs.contains_key(&id) {
+                self.cancellations.remove(id);
+                self.commits.remove(Removal::Cancellation(id));
+            }
         }
     }
 }
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -69,9 +69,7 @@
         job.durable = false;
         self.admit(job);
         self.schedule_submission_write(id);
-        if self.early_cancels.remove(&id) {
-            self.on_cancelled(id);
-        }
+        self.cancel_if_requested(id);
         None
     }
 
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -26,6 +26,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::CallError;
+use stoatwell_pool::Cancellation;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -39,6 +40,7 @@
 use stoatwell_pool::PartitionWrite;
 use stoatwell_pool::Pool;
 use stoatwell_pool::Progress;
+use stoatwell_pool::Removal;
 use stoatwell_pool::SilentLease;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::TaskId;
@@ -216,7 +218,7 @@
 
     pub fn cancel(&mut self, id: u64) {
         self.cancelled.insert(JobId(id), self.now_ms);
-        self.notify(Event::Cancelled { job: JobId(id) });
+        self.notify(Event::Cancelled { job: JobId(id), cancellation: Cancellation::ByOwner });
     }
 
     /// The state that callers see; `None` if the scheduler does not know the job.
@@ -339,7 +341,7 @@
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
         }
         for job in self.cancelled.keys().copied().collect::<Vec<_>>() {
-            self.notify(Event::Cancelled { job });
+            self.notify(Event::Cancelled { job, cancellation: Cancellation::ByOwner });
         }
         self.list_all();
     }
@@ -611,7 +613,8 @@
                 self.progress.insert(put.job, progress);
             }
         }
-        for job in write.removes {
+        for removal in write.removes {
+            let Removal::Job(job) = removal else { continue };
             self.progress.remove(&job);
             self.jobs.remove(&job);
         }
