No start follows a cancellation that is durable, whatever the scheduler knows of it

Callers were told that their jobs are cancelled, and tasks of them started seconds later. Nothing but its own knowledge kept it from recording a start and sending it.

The write of a start's row is now conditional on the absence of the row of the job's cancellation, which lies in the same partition, so that the store decides. A conflict tells the scheduler of the cancellation before the write succeeds; the next attempt expects the version that was seen, so a cancellation by someone who does not own the job holds up nothing. What was true when the row was written must still be so when the start goes out: a start is void 1.5 s after the write of its row was sent, at the scheduler, on the way to an executor and there; the scheduler writes a row that is older than 1 s again instead of sending its start. Outcomes of writes pass the backlog of replies, so that a row does not grow old in the inbox.

Weighed: asking the store before each start (a read may be stale), the age of the change feed (it stands still while the store drops its history), a version in the progress row that each cancellation raises (every write of progress would conflict). The cost is one entry of a transaction for each job with starts.

The tests of the inbox use another event as the ordinary one, since outcomes of writes are none any more.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -4,7 +4,6 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
-use std::time::Instant;
 
 use stoatwell_pool::Accepted;
 use stoatwell_pool::Event;
@@ -15,11 +14,13 @@
 use tokio::time::timeout;
 
 use crate::accept::existing_job_outcome;
+use crate::clock::steady_ms;
 use crate::commit::encode;
 use crate::commit::fences::Fence;
 use crate::commit::fences::read_fence;
 use crate::health::StoreHealth;
 use crate::inbox::InboxSender;
+use crate::job_rows::read_cancellation;
 use crate::platform::Platform;
 use crate::platform::Row;
 use crate::platform::StoreError;
@@ -30,7 +31,7 @@
 /// Delay before a write that the store refused or did not answer is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Writes that take longer are logged; usually they take 10 to 40 ms.
-const SLOW_WRITE: Duration = Duration::from_millis(100);
+const SLOW_WRITE_MS: u64 = 100;
 /// Submissions that the store refused this often are rejected, while their callers still
 /// have time to retry.
 const REFUSALS_MAX: u32 = 4;
@@ -52,7 +53,10 @@
 
 /// The outcome of one attempt to write.
 enum WriteOutcome {
-    Done,
+    /// The write that was sent at this time succeeded.
+    Done {
+        sent_ms: u64,
+    },
     /// A conflict was resolved; the write can be retried at once.
     Retry,
     Refused,
@@ -65,9 +69,9 @@
     pub async fn write(self: Arc<Self>, batch: u64, mut writes: Vec<PartitionWrite>) {
         loop {
             match self.try_write(&mut writes, false).await {
-                WriteOutcome::Done => {
+                WriteOutcome::Done { sent_ms } => {
                     for write in &writes {
-                        self.notify_committed(batch, write.partition);
+                        self.notify_committed(batch, write.partition, sent_ms);
                     }
                     return;
                 }
@@ -108,7 +112,9 @@
         loop {
             sleep(RETRY_DELAY).await;
             match self.try_write(&mut writes, in_doubt).await {
-                WriteOutcome::Done => return self.notify_committed(batch, partition),
+                WriteOutcome::Done { sent_ms } => {
+                    return self.notify_committed(batch, partition, sent_ms);
+                }
                 WriteOutcome::Retry => {}
                 WriteOutcome::LeadershipLost => return self.notify_leadership_lost(),
                 WriteOutcome::InDoubt => {
@@ -130,7 +136,7 @@
 
     async fn try_write(&self, writes: &mut [PartitionWrite], rewrite_fences: bool) -> WriteOutcome {
         let transaction = self.transaction(writes, rewrite_fences);
-        let sent_at = Instant::now();
+        let sent_ms = steady_ms();
         let write = async {
             let limit = self.health.write_timeout();
             let result = timeout(limit, self.platform.transact(&transaction)).await;
@@ -138,16 +144,16 @@
         };
         match self.health.track_write(write).await {
             Ok(version) => {
-                let elapsed = sent_at.elapsed();
-                metrics::histogram!("stoatwell_commit_ms").record(elapsed.as_millis() as f64);
-                if elapsed > SLOW_WRITE {
-                    let (took_ms, rows) = (elapsed.as_millis() as u64, transaction.put.len());
+                let took_ms = steady_ms() - sent_ms;
+                metrics::histogram!("stoatwell_commit_ms").record(took_ms as f64);
+                if took_ms > SLOW_WRITE_MS {
+                    let rows = transaction.put.len();
                     tracing::info!(took_ms, rows, parts = writes.len(), "slow write of the leader");
                 }
                 if rewrite_fences {
                     self.record_fence_versions(writes, version);
                 }
-                WriteOutcome::Done
+                WriteOutcome::Done { sent_ms }
             }
             Err(StoreError::Conflict(rows)) => {
                 let part = writes.first().map(|write| write.partition);
@@ -181,7 +187,8 @@
     ///
     /// A fence may have been rewritten by this leader itself, with a write whose response was
     /// lost. Later writes then expect its new version. A submitted job may exist already; its
-    /// submission is removed from the write.
+    /// submission is removed from the write. A job may be cancelled; the scheduler learns of it
+    /// before the write succeeds, and withdraws the starts that would follow.
     fn resolve(&self, writes: &mut [PartitionWrite], rows: &[(Table, Row)]) -> WriteOutcome {
         for (table, row) in rows {
             if *table == Table::Fences {
@@ -205,6 +212,7 @@
                 }
             }
         }
+        self.resolve_cancellations(writes, rows);
         for write in writes {
             write.puts.retain_mut(|put| {
                 let Some(spec) = &put.submission else { return true };
@@ -226,6 +234,22 @@
         WriteOutcome::Retry
     }
 
+    /// Notifies the scheduler of cancellations that it may not know of. The next attempt expects
+    /// them: the scheduler drops those that are not by the owner of the job.
+    fn resolve_cancellations(&self, writes: &mut [PartitionWrite], rows: &[(Table, Row)]) {
+        let cancels =
+            rows.iter().filter(|(table, row)| *table == Table::Cancels && row.version > 0);
+        for (_, row) in cancels {
+            let mut puts = writes.iter_mut().flat_map(|write| &mut write.puts);
+            let Some(put) = puts.find(|put| put.job.to_string() == row.key) else { continue };
+            put.cancel_version = put.cancel_version.map(|_| row.version);
+            if let Some((job, cancellation)) = read_cancellation(row) {
+                tracing::info!(%job, "no start follows a write: its job is cancelled");
+                self.inbox_sender.notify(Event::Cancelled { job, cancellation });
+            }
+        }
+    }
+
     /// Tells callers that the outcome is not known yet, while they have time to ask again.
     fn notify_in_doubt(&self, writes: &[PartitionWrite]) {
         let puts = writes.iter().flat_map(|write| &write.puts);
@@ -267,6 +291,9 @@
                     transaction.expect.push((Table::Jobs, key.clone(), 0));
                     transaction.put.push((Table::Jobs, key.clone(), encode(spec.as_ref())));
                 }
+                if let Some(version) = put.cancel_version {
+                    transaction.expect.push((Table::Cancels, key.clone(), version));
+                }
                 if let Some(progress) = &put.progress {
                     transaction.put.push((Table::Progress, key, encode(progress)));
                 }
@@ -299,8 +326,8 @@
         self.fence_versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn notify_committed(&self, batch: u64, partition: usize) {
-        self.inbox_sender.notify(Event::Committed { batch, partition });
+    fn notify_committed(&self, batch: u64, partition: usize, sent_ms: u64) {
+        self.inbox_sender.notify(Event::Committed { batch, partition, sent_ms });
     }
 
     fn notify_leadership_lost(&self) {
--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -235,13 +235,15 @@
         let (clock_ms, received_ms) = state.clock?;
         let (sendable, expired): (Vec<_>, Vec<_>) = std::mem::take(&mut state.queue)
             .into_iter()
-            .partition(|(_, enqueued_ms, _)| *enqueued_ms + CALL_AGE_MAX_MS > now_ms);
+            .partition(|(_, enqueued_ms, call)| expiry_ms(*enqueued_ms, call) > now_ms);
         drop(state);
         let expired: Vec<u64> = expired.into_iter().map(|(number, ..)| number).collect();
         self.fail_calls(&expired, CallError::NotSent, on_reply);
         let numbers: Vec<u64> = sendable.iter().map(|(number, ..)| *number).collect();
+        let expiries = sendable.iter().map(|(_, _, call)| expiry_ms(now_ms, call));
+        let valid_ms = expiries.min().unwrap_or(now_ms) - now_ms;
         let calls = sendable.into_iter().map(|(number, _, call)| (number, call)).collect();
-        let expires_ms = clock_ms + now_ms.saturating_sub(received_ms) + CALL_AGE_MAX_MS;
+        let expires_ms = clock_ms + now_ms.saturating_sub(received_ms) + valid_ms;
         let batch = Batch::new(calls, expires_ms);
         (!batch.is_empty()).then_some((batch, numbers))
     }
@@ -281,3 +283,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// When a call that was queued or sent at this time is too old.
+fn expiry_ms(since_ms: u64, call: &WorkerCall) -> u64 {
+    let expiry_ms = since_ms + CALL_AGE_MAX_MS;
+    match call {
+        WorkerCall::Start(start) => expiry_ms.min(start.void_ms()),
+        WorkerCall::Hold(_) | WorkerCall::Stop(_) | WorkerCall::Pace(_) => expiry_ms,
+    }
+}
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -26,6 +26,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_peer::Peers;
+use stoatwell_pool::CallError;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -38,6 +39,7 @@
 use self::plan::executors_wanted;
 use self::plan::is_busy;
 use self::plan::needs_executors;
+use crate::clock::steady_ms;
 use crate::daemons::DaemonInfo;
 use crate::inbox::InboxSender;
 use crate::platform::Platform;
@@ -169,7 +171,12 @@
         let state = Arc::clone(&self.state);
         let pending = call.pending();
         self.spawn(async move {
-            let reply = call.perform(&*platform).await;
+            let is_void = matches!(&call, WorkerCall::Start(start) if start.is_void(steady_ms()));
+            let reply = if is_void {
+                WorkerReply::Failed(CallError::NotSent)
+            } else {
+                call.perform(&*platform).await
+            };
             if reply.is_unanswered() {
                 lock(&state).direct_workers.remove(pending.worker());
             }
--- a/crates/node/src/executors/session.rs
+++ b/crates/node/src/executors/session.rs
@@ -63,7 +63,7 @@
             let platform = Arc::clone(&self.platform);
             tokio::spawn(async move {
                 // A start that was delayed on its way may come from a leader that has been
-                // replaced meanwhile.
+                // replaced meanwhile, or its job may have been cancelled.
                 let is_expired = matches!(call, WorkerCall::Start(_)) && steady_ms() > expires_ms;
                 let reply = if is_expired {
                     WorkerReply::Failed(CallError::NotSent)
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -2,7 +2,8 @@
 //!
 //! An overloaded leader falls behind with the replies of workers and the advisor. Control
 //! messages, which change what it may do at all, are not queued behind them: workers that
-//! leave, cancellations, customers' limits, a new leader.
+//! leave, cancellations, customers' limits, a new leader. Neither are the outcomes of its
+//! writes: starts and answers to callers wait for them, and a start is void after a while.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -128,6 +129,9 @@
                 | Event::WorkersRead { .. }
                 | Event::Cancelled { .. }
                 | Event::Customers { .. }
+                | Event::Committed { .. }
+                | Event::InDoubt { .. }
+                | Event::Rejected { .. }
         );
         let message = Message::Event(event);
         let is_sent = if is_control {
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -357,6 +357,22 @@
     assert_eq!(scheduler_state(&leader, JobId(8)).await, Some(JobState::Cancelled));
 }
 
+/// The leader gets no changes from the store, and no daemon tells it of a cancellation. Guards
+/// against a task that starts after the cancellation of its job has become durable.
+#[tokio::test]
+async fn no_task_starts_after_a_cancellation_that_the_leader_was_not_told_of() {
+    let store = Arc::new(FakePlatform::with_worker());
+    let node = start("a", &store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    store.set_behavior(StoreBehavior::HidesChangesOfJobs);
+    let put = vec![(Table::Cancels, JobId(7).to_string(), Vec::new())];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    assert_eq!(node.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await, Accepted::Yes);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(store.first_starts_received(), 0);
+    assert_eq!(scheduler_state(&node, JobId(7)).await, Some(JobState::Cancelled));
+}
+
 /// Guards against an accepted job that never starts because the task that writes its partition
 /// panicked: everything behind that write waited for as long as the daemon led.
 #[tokio::test]
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -63,7 +63,7 @@
         until_ms: 9_000,
         checkpoint: String::new(),
         ticket: None,
-        made_ms: 1,
+        written_ms: NEVER_EXPIRES_MS,
     })
 }
 
--- a/crates/node/tests/inbox.rs
+++ b/crates/node/tests/inbox.rs
@@ -7,6 +7,7 @@
 use stoatwell_node::Message;
 use stoatwell_node::MessageBudget;
 use stoatwell_node::inbox;
+use stoatwell_pool::Accepted;
 use stoatwell_pool::Cancellation;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
@@ -15,7 +16,7 @@
 const BACKLOG: usize = 20_000;
 
 fn ordinary_event() -> Event {
-    Event::Committed { batch: 1, partition: 0 }
+    Event::Advisors { count: 1 }
 }
 
 fn receive_burst(inbox: &mut Inbox, budget: &mut MessageBudget) -> Vec<Message> {
@@ -42,6 +43,22 @@
     assert!(matches!(first[3], Message::LeadershipLost), "{first:?}");
 }
 
+/// Guards against starts and answers to callers that wait, after their rows are durable, behind a
+/// backlog of replies.
+#[test]
+fn outcomes_of_writes_do_not_wait_behind_a_backlog() {
+    let (senders, mut inbox) = inbox();
+    for _ in 0..BACKLOG {
+        senders.notify(ordinary_event());
+    }
+    senders.notify(Event::Rejected { job: JobId(1), accepted: Accepted::No });
+    senders.notify(Event::Committed { batch: 1, partition: 0, sent_ms: 0 });
+    let mut budget = MessageBudget::for_cycle(Duration::ZERO);
+    let first: Vec<Message> = receive_burst(&mut inbox, &mut budget).into_iter().take(2).collect();
+    assert!(matches!(first[0], Message::Event(Event::Rejected { .. })), "{first:?}");
+    assert!(matches!(first[1], Message::Event(Event::Committed { .. })), "{first:?}");
+}
+
 /// Guards against a leader that makes decisions all the time and handles a few hundred
 /// messages per decision, so that its backlog grows for as long as the load lasts.
 #[test]
@@ -80,7 +97,7 @@
 async fn both_kinds_of_message_wake_an_idle_leader() {
     let (senders, mut inbox) = inbox();
     senders.notify(ordinary_event());
-    assert!(matches!(inbox.recv().await, Some(Message::Event(Event::Committed { .. }))));
+    assert!(matches!(inbox.recv().await, Some(Message::Event(Event::Advisors { .. }))));
     senders.notify_leadership_lost();
     assert!(matches!(inbox.recv().await, Some(Message::LeadershipLost)));
 }
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -246,7 +246,7 @@
             until_ms: 9_000,
             checkpoint: String::new(),
             ticket: ticket.map(str::to_owned),
-            made_ms: 1,
+            written_ms: 1,
         })
     };
     let calls = vec![
--- a/crates/node/tests/overload.rs
+++ b/crates/node/tests/overload.rs
@@ -31,9 +31,9 @@
 #[test]
 fn the_inbox_tells_how_long_messages_wait() {
     let (senders, mut inbox) = inbox();
-    senders.notify(Event::Committed { batch: 1, partition: 0 });
+    senders.notify(Event::Advisors { count: 1 });
     std::thread::sleep(Duration::from_millis(30));
-    senders.notify(Event::Committed { batch: 2, partition: 0 });
+    senders.notify(Event::Advisors { count: 2 });
     let mut budget = MessageBudget::for_cycle(Duration::ZERO);
     assert!(inbox.try_recv(&mut budget).is_some());
     assert!(inbox.delay() >= Duration::from_millis(30));
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -127,6 +127,10 @@
     pub submission: Option<Arc<JobSpec>>,
     /// The progress, if any task was ever sent to a worker or the job has ended.
     pub progress: Option<Progress>,
+    /// If starts follow, the version that the row of the job's cancellation must have; 0 if
+    /// there must be none. So no start follows a cancellation that is durable already, whether
+    /// the scheduler knows of it or not.
+    pub cancel_version: Option<u64>,
 }
 
 /// An action to be taken once a job's row is durable.
@@ -164,6 +168,10 @@
             Self::Forget { .. } => None,
         }
     }
+
+    fn is_start(&self) -> bool {
+        matches!(self, Self::Start { .. })
+    }
 }
 
 impl Default for Commits {
@@ -409,13 +417,15 @@
             let progress = job.progress(&self.workers);
             let has_progress = !progress.tasks.is_empty() || progress.outcome.is_some();
             let submission = (!job.durable).then(|| Arc::clone(&job.spec));
-            batch.entries += 1 + 2 * usize::from(submission.is_some());
+            let starts = job.outcome.is_none() && dirty.actions.iter().any(AfterCommit::is_start);
+            batch.entries += 1 + 2 * usize::from(submission.is_some()) + usize::from(starts);
             batch.bytes += ROW_BYTES + progress.tasks.len() * TASK_BYTES;
             if submission.is_some() {
                 batch.bytes += job.payload.len() + job.spec.steps.len() * STEP_BYTES;
             }
             let progress = has_progress.then_some(progress);
-            write.puts.push(Put { job: id, submission, progress });
+            let cancel_version = starts.then_some(0);
+            write.puts.push(Put { job: id, submission, progress, cancel_version });
             in_flight.jobs.push(id);
             in_flight.actions.extend(dirty.actions);
         }
@@ -446,7 +456,7 @@
         self.effects.push(Effect::Commit { batch, writes: new_batch.writes });
     }
 
-    pub(crate) fn on_committed(&mut self, batch: u64, partition: usize) {
+    pub(crate) fn on_committed(&mut self, batch: u64, partition: usize, sent_ms: u64) {
         let Some(partition) = self.commits.partitions.get_mut(partition) else { return };
         let Some(written) = partition.in_flight.take_if(|sent| sent.batch == batch) else {
             tracing::warn!(batch, "the end of an unknown batch is ignored");
@@ -457,7 +467,7 @@
         for action in written.actions {
             match action {
                 AfterCommit::Accept(job) => self.on_accept_durable(job),
-                AfterCommit::Start { task, run } => self.send_start(task, run),
+                AfterCommit::Start { task, run } => self.send_start(task, run, sent_ms),
                 AfterCommit::Forget { worker, incarnation, number } => {
                     let Some(worker) = self.workers.get_mut(&worker) else { continue };
                     if worker.info.incarnation != incarnation {
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -18,6 +18,7 @@
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
+use crate::runs::START_VALIDITY_MS;
 use crate::spec::JobSpec;
 use crate::submit::Accepted;
 
@@ -124,6 +125,8 @@
         batch: u64,
         /// The partition whose writes are durable.
         partition: usize,
+        /// When the write that succeeded was sent, by the monotonic clock.
+        sent_ms: u64,
     },
     /// It will not be known for some time whether the store has a submission.
     InDoubt {
@@ -402,8 +405,20 @@
     pub checkpoint: String,
     /// The advisor's ticket; `None` if the queue has no advisor.
     pub ticket: Option<String>,
-    /// When the call was made. It must not be sent much later.
-    pub made_ms: u64,
+    /// When the write of the start's row was sent, by the monotonic clock.
+    pub written_ms: u64,
+}
+
+impl StartCall {
+    /// From when on the start must not be sent to the worker any more, by the monotonic clock.
+    pub fn void_ms(&self) -> u64 {
+        self.written_ms + START_VALIDITY_MS
+    }
+
+    /// Whether the start must not be sent to the worker any more.
+    pub fn is_void(&self, now_ms: u64) -> bool {
+        now_ms >= self.void_ms()
+    }
 }
 
 /// The payload of a job, shared by its starts.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -112,6 +112,7 @@
 pub use crate::record::Outcome;
 pub use crate::record::Progress;
 pub use crate::record::TaskProgress;
+pub use crate::runs::START_VALIDITY_MS;
 pub use crate::silent::SilentLease;
 pub use crate::silent::SilentLeases;
 pub use crate::spec::AdviceSpec;
@@ -357,7 +358,9 @@
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
-            Event::Committed { batch, partition } => self.on_committed(batch, partition),
+            Event::Committed { batch, partition, sent_ms } => {
+                self.on_committed(batch, partition, sent_ms);
+            }
             Event::InDoubt { job } => {
                 self.effects.push(Effect::Answer { job, accepted: Accepted::Unknown });
             }
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -27,6 +27,13 @@
 use crate::record::Outcome;
 use crate::worker::Worker;
 
+/// How long a start may be sent to its worker after the write of its row was sent. The write
+/// fails if the job is cancelled, so no start is sent later than this after a cancellation has
+/// become durable.
+pub const START_VALIDITY_MS: u64 = 1_500;
+/// The part of [`START_VALIDITY_MS`] after which the scheduler passes no start on. The rest is
+/// for the way through an executor.
+const START_AGE_MAX_MS: u64 = 1_000;
 /// The time that a start needs to reach its worker.
 const START_LATENCY_MS: u64 = 15;
 /// How long a worker gets no new tasks after it refused a start because it had no capacity
@@ -34,8 +41,8 @@
 const REFUSED_START_PAUSE_MS: u64 = 500;
 
 impl Pool {
-    /// Sends a start whose row has become durable.
-    pub(crate) fn send_start(&mut self, id: TaskId, run: u32) {
+    /// Sends a start whose row has become durable; the write was sent at `written_ms`.
+    pub(crate) fn send_start(&mut self, id: TaskId, run: u32, written_ms: u64) {
         let now_ms = self.now_ms;
         let lease_ms = self.limits.lease_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
@@ -49,6 +56,13 @@
             tracing::info!(task = %id, run, newest_run, ?phase, "start not sent: its placement was withdrawn");
             return;
         }
+        if now_ms > written_ms + START_AGE_MAX_MS {
+            // The job may have been cancelled since.
+            let age_ms = now_ms - written_ms;
+            tracing::info!(task = %id, run, age_ms, "start not sent: its row was written too long ago and is written again");
+            self.commits.mark_dirty(id.step.job, AfterCommit::Start { task: id, run });
+            return;
+        }
         let Some(name) = task.worker.clone() else { return };
         let Some(worker) = self.workers.get_mut(&name) else { return };
         let may_start = worker.held && !worker.info.draining && worker.silent.is_none();
@@ -84,7 +98,7 @@
             until_ms,
             checkpoint,
             ticket,
-            made_ms: now_ms,
+            written_ms,
         }));
     }
 
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -79,7 +79,7 @@
                 }
                 Effect::Commit { batch, writes } => {
                     let partition = writes[0].partition;
-                    Event::Committed { batch, partition }
+                    Event::Committed { batch, partition, sent_ms: now_ms }
                 }
                 Effect::Start(_) => {
                     starts += 1;
@@ -143,7 +143,7 @@
             for write in writes {
                 written_rows += write.puts.len();
                 let partition = write.partition;
-                let event = Event::Committed { batch, partition };
+                let event = Event::Committed { batch, partition, sent_ms: now_ms };
                 pool.handle(now_ms, now_ms, event);
             }
         }
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -8,6 +8,7 @@
 use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
+use stoatwell_pool::START_VALIDITY_MS;
 use stoatwell_pool::TaskId;
 
 use super::World;
@@ -28,15 +29,19 @@
         }
         let job = start.task.step.job;
         if self.cancelled.get(&job).is_some_and(|cancelled_ms| cancelled_ms + 3_000 < self.now_ms)
-            && start.made_ms + 1_000 > self.now_ms
+            && start.written_ms + START_VALIDITY_MS > self.now_ms
         {
             self.violations.push(format!("{}: started long after it was cancelled", start.task));
         }
+        if self.cancelled.get(&job).is_some_and(|cancelled_ms| *cancelled_ms < start.written_ms) {
+            self.violations
+                .push(format!("{}: its start was written after the job was cancelled", start.task));
+        }
         let Some(spec) = self.jobs.get(&job).cloned() else { return };
         if !self.is_recorded(start.task, start.run) {
             self.violations.push(format!("{}: started before its row was written", start.task));
         }
-        self.check_cap(start.task, start.made_ms);
+        self.check_cap(start.task, start.written_ms);
         let step = &spec.steps[start.task.step.step as usize];
         for dependency in &step.after {
             let indices = 0..spec.steps[*dependency as usize].tasks;
@@ -81,9 +86,9 @@
 
     /// Checks that a start does not take its customer above the highest cap that was in
     /// force since the run was placed.
-    fn check_cap(&mut self, task: TaskId, made_ms: u64) {
+    fn check_cap(&mut self, task: TaskId, written_ms: u64) {
         let Some(customer) = self.customer_of(task) else { return };
-        let Some(cap) = self.highest_cap(&customer, made_ms.saturating_sub(PLACEMENT_LAG_MS))
+        let Some(cap) = self.highest_cap(&customer, written_ms.saturating_sub(PLACEMENT_LAG_MS))
         else {
             return;
         };
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -92,6 +92,8 @@
     pub can_renew_lease: bool,
     /// Whether the store refuses rows of submissions; the rest of their batch is written late.
     pub refuses_submissions: bool,
+    /// Whether the scheduler is notified of cancellations.
+    pub notifies_cancellations: bool,
     /// Partitions of the store that never answer.
     pub stuck_partitions: BTreeSet<usize>,
     /// The number of batches sent to the store.
@@ -150,6 +152,7 @@
             bad_tickets: 0,
             can_renew_lease: true,
             refuses_submissions: false,
+            notifies_cancellations: true,
             stuck_partitions: BTreeSet::new(),
             batches: 0,
             silent_leases: BTreeMap::new(),
@@ -216,8 +219,12 @@
         self.submission_results.get(&JobId(id)).copied()
     }
 
+    /// Cancels a job, durably from now on.
     pub fn cancel(&mut self, id: u64) {
-        self.cancelled.insert(JobId(id), self.now_ms);
+        self.cancelled.entry(JobId(id)).or_insert(self.now_ms);
+        if !self.notifies_cancellations {
+            return;
+        }
         self.notify(Event::Cancelled { job: JobId(id), cancellation: Cancellation::ByOwner });
     }
 
@@ -556,7 +563,12 @@
         for effect in self.pool.poll_effects(self.now_ms, self.now_ms) {
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
-                Effect::Start(call) => self.send(Call::Start(call)),
+                Effect::Start(call) => {
+                    if call.is_void(self.now_ms) {
+                        self.violations.push(format!("{}: sent although it is void", call.task));
+                    }
+                    self.send(Call::Start(call));
+                }
                 Effect::Stop(call) => self.send(Call::Stop(call)),
                 Effect::Pace(call) => self.send(Call::Pace(call)),
                 Effect::Advise { step, workers, cost_ms, .. } => {
@@ -600,10 +612,16 @@
         }
         let mut write_ms = self.commit_ms;
         for put in write.puts {
+            if put.cancel_version.is_some() && self.cancelled.contains_key(&put.job) {
+                // The write is repeated after the conflict.
+                let event = Event::Cancelled { job: put.job, cancellation: Cancellation::ByOwner };
+                self.schedule(self.commit_ms, TimedEvent::Event(self.epoch, event));
+                write_ms = write_ms.max(2 * self.commit_ms);
+            }
             if put.submission.is_some() && self.refuses_submissions {
                 let event = Event::Rejected { job: put.job, accepted: Accepted::No };
                 self.schedule(self.commit_ms, TimedEvent::Event(self.epoch, event));
-                write_ms = self.commit_ms + REFUSED_BATCH_MS;
+                write_ms = write_ms.max(self.commit_ms + REFUSED_BATCH_MS);
                 continue;
             }
             if let Some(spec) = put.submission {
@@ -618,7 +636,7 @@
             self.progress.remove(&job);
             self.jobs.remove(&job);
         }
-        let event = Event::Committed { batch, partition: write.partition };
+        let event = Event::Committed { batch, partition: write.partition, sent_ms: self.now_ms };
         self.schedule(write_ms, TimedEvent::Event(self.epoch, event));
     }
 
