A job that is not found is cancelled durably before its caller is told so

Callers that cancelled a job were told "no such job" (410) without any write when the lookup found none. They take that as the acknowledgement. The job may exist all the same: its submission is on its way, or the store answered the lookup from the past, as its reads may. It then runs.

Such a cancellation is now made durable first, in a transaction that is conditional on the absence of the job and on the version of the row of its cancellation. It names the customer that asked, and is merged with those of others, so that it takes effect if the job turns out to be that customer's and otherwise has none: before a job exists nobody can tell whose it will be. If the job exists, the conflict shows its owner, and the cancellation is decided as that of a known job: 200 for the owner, 410 without a write for anybody else. If the store cannot be written, the answer claims nothing; a daemon whose writes are refused has the leader write, by a new call. The new messages stand at the end of their enums; a daemon that does not know one answers it with an empty reply, which counts as no answer.

A state that is read from the store counts a cancellation only if it names the owner.

The limit of a batch counts entries now, since such a cancellation takes three.

Ruled out: a row by the caller without a condition, which would let one customer cancel the job of another; a read before the write, which may be stale as well.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -4,7 +4,12 @@
 //! into the next one. A write that got no response may have been applied, or may be applied
 //! later, so its callers are told neither "accepted" nor "not run" until a retry has shown
 //! which. The write is conditional on the row's absence, which makes the retry idempotent.
+//!
+//! A job that was not found may exist all the same: its submission is on its way, or the lookup
+//! was answered from the past. Its cancellation is therefore conditional on the absence of the
+//! job, and names who asked for it. The conflict that a job causes tells who owns it.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +17,7 @@
 use serde::Serialize;
 use stoatwell_model::CustomerName;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::Cancellation;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::PARTITIONS;
@@ -21,7 +27,9 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::commit::encode;
 use crate::health::StoreHealth;
+use crate::job_rows::read_cancellation;
 use crate::platform::Platform;
 use crate::platform::Row;
 use crate::platform::Shard;
@@ -30,9 +38,10 @@
 use crate::platform::Transaction;
 use crate::platform::shard;
 
-/// Maximum requests per transaction. The store accepts 100 entries, and a submission
-/// takes two: its row and the condition that the row does not exist yet.
-const BATCH_REQUESTS_MAX: usize = 48;
+/// Maximum entries of the requests in a transaction. The store accepts 100.
+const BATCH_ENTRIES_MAX: usize = 96;
+/// Maximum entries of one request: a row, and conditions on two.
+const ENTRIES_PER_REQUEST_MAX: usize = 3;
 /// Maximum row bytes per transaction. The store accepts 1 MB, and the rest is left for
 /// encoding overhead.
 const BATCH_BYTES_MAX: usize = 600_000;
@@ -52,15 +61,31 @@
 pub enum WriteRequest {
     /// Submits a job; the bytes are its encoded row.
     Submit(JobId, Vec<u8>),
-    /// Cancels a job.
+    /// Cancels a job that the caller owns.
     Cancel(JobId),
+    /// Cancels a job that was not found, for this caller.
+    CancelUnknown(JobId, Option<CustomerName>),
+}
+
+/// The outcome of a write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WriteReply {
+    /// Whether the write is durable; [`Accepted::Taken`] if the job belongs to another customer.
+    pub accepted: Accepted,
+    /// Whether the job exists, as far as the write has shown.
+    pub job_exists: bool,
 }
 
 #[derive(Debug)]
 struct PendingRequest {
     request: WriteRequest,
-    reply: oneshot::Sender<Accepted>,
+    reply: oneshot::Sender<WriteReply>,
     deadline: Instant,
+    /// Whether a conflict showed that the job exists.
+    job_exists: bool,
+    /// The version of the row of the job's cancellation, as a conflict showed it, and the
+    /// cancellation if it can be parsed.
+    stored_cancellation: Option<(u64, Option<Cancellation>)>,
     in_doubt: bool,
     refusals: u32,
 }
@@ -89,21 +114,27 @@
     /// down or the queue is full, and [`Accepted::Unknown`] if no result came before the
     /// deadline.
     pub async fn accept(&self, request: WriteRequest, deadline: Instant) -> Accepted {
+        self.write(request, deadline).await.accepted
+    }
+
+    /// Makes one request durable like [`Self::accept`], and also tells whether the job exists.
+    pub async fn write(&self, request: WriteRequest, deadline: Instant) -> WriteReply {
+        let failed = |accepted| WriteReply { accepted, job_exists: false };
         if self.health.is_down() {
-            return Accepted::No;
+            return failed(Accepted::No);
         }
         let (reply, replied) = oneshot::channel();
-        let pending = PendingRequest { request, reply, deadline, in_doubt: false, refusals: 0 };
+        let pending = PendingRequest::new(request, reply, deadline);
         let requests = match shard(Table::Jobs, &pending.request.job().to_string()) {
             Shard::Jobs(partition) => self.writers.get(partition),
             Shard::Control | Shard::Daemons => None,
         };
         if requests.is_none_or(|requests| requests.try_send(pending).is_err()) {
-            return Accepted::No;
+            return failed(Accepted::No);
         }
         match timeout_at(deadline, replied).await {
-            Ok(reply) => reply.unwrap_or(Accepted::Unknown),
-            Err(_) => Accepted::Unknown,
+            Ok(Ok(reply)) => reply,
+            Ok(Err(_)) | Err(_) => failed(Accepted::Unknown),
         }
     }
 }
@@ -137,23 +168,11 @@
                 }
             }
             Err(StoreError::Conflict(rows)) => {
-                // The conflicting jobs are durable already; the rest is retried without them.
-                let exists = |pending: &PendingRequest| match pending.request {
-                    WriteRequest::Submit(id, _) => rows.iter().any(|(table, row)| {
-                        *table == Table::Jobs && row.version > 0 && row.key == id.to_string()
-                    }),
-                    WriteRequest::Cancel(_) => false,
-                };
-                let (existing, remaining): (Vec<PendingRequest>, Vec<PendingRequest>) =
-                    batch.drain(..).partition(exists);
-                batch = remaining;
-                for pending in existing {
-                    let reply = match &pending.request {
-                        WriteRequest::Submit(job, row) => existing_job_outcome(*job, row, &rows),
-                        WriteRequest::Cancel(_) => Accepted::Yes,
-                    };
-                    complete(pending, reply);
-                }
+                // The rest is retried without the requests that the conflict decides.
+                batch = batch
+                    .drain(..)
+                    .filter_map(|pending| resolve_conflict(pending, &rows))
+                    .collect();
             }
             Err(StoreError::NoAnswer) => {
                 handle_no_answer(&mut batch);
@@ -168,6 +187,39 @@
     }
 }
 
+/// Resolves a conflict for one request. Returns it if it has to be written again.
+fn resolve_conflict(mut pending: PendingRequest, rows: &[(Table, Row)]) -> Option<PendingRequest> {
+    let key = pending.request.job().to_string();
+    let find = |table: Table| {
+        let is_stored = |row: &Row| row.key == key && row.version > 0;
+        rows.iter().find(|(other, row)| *other == table && is_stored(row)).map(|(_, row)| row)
+    };
+    let job_row = find(Table::Jobs);
+    pending.job_exists |= job_row.is_some();
+    let outcome = match (&pending.request, job_row) {
+        (WriteRequest::Submit(job, row), Some(_)) => Some(existing_job_outcome(*job, row, rows)),
+        (WriteRequest::CancelUnknown(job, caller), Some(existing)) => {
+            if existing.value.as_ref().is_some_and(|row| customer_of(row) == *caller) {
+                pending.request = WriteRequest::Cancel(*job);
+                None
+            } else {
+                Some(Accepted::Taken)
+            }
+        }
+        (WriteRequest::CancelUnknown(_, caller), None) => {
+            let stored = find(Table::Cancels);
+            let cancellation = stored.and_then(read_cancellation).map(|(_, stored)| stored);
+            let is_known = cancellation.as_ref().is_some_and(|it| it.applies_to(caller.as_ref()));
+            pending.stored_cancellation = stored.map(|row| (row.version, cancellation));
+            is_known.then_some(Accepted::Yes)
+        }
+        (WriteRequest::Submit(..), None) | (WriteRequest::Cancel(_), _) => None,
+    };
+    let Some(outcome) = outcome else { return Some(pending) };
+    complete(pending, outcome);
+    None
+}
+
 /// The outcome of submitting a job ID that is already stored: a repeat of the same
 /// submission is accepted, unless the stored job belongs to another customer.
 pub(crate) fn existing_job_outcome(
@@ -201,40 +253,72 @@
     health: &StoreHealth,
 ) {
     let mut bytes: usize = batch.iter().map(|pending| pending.request.bytes()).sum();
-    while batch.len() < BATCH_REQUESTS_MAX && bytes < BATCH_BYTES_MAX {
+    let mut entries: usize = batch.iter().map(|pending| pending.request.entries()).sum();
+    while entries + ENTRIES_PER_REQUEST_MAX <= BATCH_ENTRIES_MAX && bytes < BATCH_BYTES_MAX {
         let Ok(next) = queue.try_recv() else { return };
         if health.is_down() {
             complete(next, Accepted::No);
             continue;
         }
         bytes += next.request.bytes();
+        entries += next.request.entries();
         batch.push(next);
     }
 }
 
-/// Builds the transaction, with one entry per job even if the batch has the same job twice.
+/// Builds the transaction, with one entry of each kind per job even if the batch has the same job
+/// several times.
 fn build_transaction(batch: &[PendingRequest]) -> Transaction {
     let mut transaction = Transaction::default();
-    let mut seen = std::collections::BTreeSet::new();
+    let mut submissions: BTreeMap<JobId, &[u8]> = BTreeMap::new();
+    let mut absent_jobs = BTreeMap::new();
+    let mut cancellations: BTreeMap<JobId, Cancellation> = BTreeMap::new();
+    let mut add_cancellation = |job: JobId, cancellation: Cancellation| {
+        let merged = cancellations.entry(job).or_insert_with(|| cancellation.clone());
+        merged.merge(cancellation);
+    };
     for pending in batch {
         match &pending.request {
-            WriteRequest::Submit(id, row) => {
-                if !seen.insert((true, *id)) {
-                    continue;
-                }
-                transaction.expect.push((Table::Jobs, id.to_string(), 0));
-                transaction.put.push((Table::Jobs, id.to_string(), row.clone()));
+            WriteRequest::Submit(job, row) => {
+                submissions.entry(*job).or_insert(row);
             }
-            WriteRequest::Cancel(id) => {
-                if seen.insert((false, *id)) {
-                    transaction.put.push((Table::Cancels, id.to_string(), Vec::new()));
+            WriteRequest::Cancel(job) => add_cancellation(*job, Cancellation::ByOwner),
+            WriteRequest::CancelUnknown(job, caller) => {
+                let stored_version = absent_jobs.entry(*job).or_insert(0);
+                if let Some((version, stored)) = &pending.stored_cancellation {
+                    *stored_version = (*stored_version).max(*version);
+                    if let Some(stored) = stored {
+                        add_cancellation(*job, stored.clone());
+                    }
                 }
+                add_cancellation(*job, Cancellation::by(caller.as_ref()));
             }
         }
     }
+    for (job, row) in submissions {
+        if !absent_jobs.contains_key(&job) {
+            transaction.expect.push((Table::Jobs, job.to_string(), 0));
+        }
+        transaction.put.push((Table::Jobs, job.to_string(), row.to_vec()));
+    }
+    for (job, stored_version) in absent_jobs {
+        transaction.expect.push((Table::Jobs, job.to_string(), 0));
+        transaction.expect.push((Table::Cancels, job.to_string(), stored_version));
+    }
+    for (job, cancellation) in cancellations {
+        transaction.put.push((Table::Cancels, job.to_string(), cancellation_row(&cancellation)));
+    }
     transaction
 }
 
+/// The value of a cancellation's row.
+fn cancellation_row(cancellation: &Cancellation) -> Vec<u8> {
+    match cancellation {
+        Cancellation::ByOwner => Vec::new(),
+        Cancellation::By(_) => encode(cancellation),
+    }
+}
+
 fn reject_expired(batch: &mut Vec<PendingRequest>) {
     let now = Instant::now();
     let (expired, remaining): (Vec<PendingRequest>, Vec<PendingRequest>) =
@@ -278,22 +362,47 @@
 }
 
 fn complete(pending: PendingRequest, outcome: Accepted) {
-    if pending.reply.send(outcome).is_err() {
+    let reply = WriteReply { accepted: outcome, job_exists: pending.job_exists };
+    if pending.reply.send(reply).is_err() {
         tracing::debug!(item = ?pending.request.job(), "caller disconnected before the store responded");
     }
 }
 
+impl PendingRequest {
+    fn new(request: WriteRequest, reply: oneshot::Sender<WriteReply>, deadline: Instant) -> Self {
+        Self {
+            request,
+            reply,
+            deadline,
+            job_exists: false,
+            stored_cancellation: None,
+            in_doubt: false,
+            refusals: 0,
+        }
+    }
+}
+
 impl WriteRequest {
     fn bytes(&self) -> usize {
         match self {
             Self::Submit(_, row) => row.len(),
-            Self::Cancel(_) => 0,
+            Self::Cancel(_) | Self::CancelUnknown(..) => 0,
+        }
+    }
+
+    /// The number of entries in a transaction: rows, and conditions.
+    fn entries(&self) -> usize {
+        match self {
+            Self::Submit(..) => 2,
+            Self::Cancel(_) => 1,
+            Self::CancelUnknown(..) => ENTRIES_PER_REQUEST_MAX,
         }
     }
 
-    fn job(&self) -> JobId {
+    /// The job that the request is about.
+    pub fn job(&self) -> JobId {
         match self {
-            Self::Submit(id, _) | Self::Cancel(id) => *id,
+            Self::Submit(job, _) | Self::Cancel(job) | Self::CancelUnknown(job, _) => *job,
         }
     }
 }
--- a/crates/node/src/gateway/local.rs
+++ b/crates/node/src/gateway/local.rs
@@ -1,5 +1,6 @@
 //! Calls to the scheduler on this daemon.
 
+use stoatwell_pool::Cancellation;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -40,8 +41,15 @@
         DaemonCall::Accepted { job, row } => {
             notify(requests, SchedulerRequest::Accepted(job, row)).await
         }
-        DaemonCall::Cancelled(job) => notify(requests, SchedulerRequest::Cancelled(job)).await,
+        DaemonCall::Cancelled(job) => {
+            notify(requests, SchedulerRequest::Cancelled(job, Cancellation::ByOwner)).await
+        }
+        DaemonCall::CancelledUnknown { job, customer } => {
+            let cancellation = Cancellation::by(customer.as_ref());
+            notify(requests, SchedulerRequest::Cancelled(job, cancellation)).await
+        }
         DaemonCall::Cancel { .. }
+        | DaemonCall::CancelUnknown { .. }
         | DaemonCall::Manifest
         | DaemonCall::Advise { .. }
         | DaemonCall::Alive
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -1,8 +1,9 @@
 //! Serves callers on every daemon, and answers calls from other daemons.
 //!
-//! [`submission`] makes jobs durable, [`serve`] handles the calls of other daemons, and [`local`]
+//! [`submission`] makes jobs durable, [`cancellation`] cancels them, [`serve`] handles the calls of other daemons, and [`local`]
 //! reaches the scheduler if it runs on this daemon.
 
+mod cancellation;
 mod local;
 mod serve;
 mod submission;
@@ -15,8 +16,6 @@
 use stoatwell_customers::FreshnessProof;
 use stoatwell_model::CustomerName;
 use stoatwell_peer::Peers;
-use stoatwell_peer::client::PeerError;
-use stoatwell_pool::Accepted;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
@@ -29,13 +28,13 @@
 use tokio::time::timeout_at;
 
 use crate::accept::Acceptor;
-use crate::accept::WriteRequest;
 use crate::clock::steady_ms;
 use crate::executors;
 use crate::executors::session::Executor;
 use crate::gateway::local::LocalReply;
 use crate::gateway::local::call_local;
 use crate::health::StoreHealth;
+use crate::job_rows::read_cancellation;
 use crate::job_rows::read_row;
 use crate::leader_view::LeaderView;
 use crate::leader_view::Route;
@@ -65,9 +64,6 @@
 /// The notifications of a new leader are spread over this time.
 const NOTIFICATION_SPREAD_MS: u64 = 500;
 
-/// Maximum time for another daemon to make a cancellation durable.
-const PEER_CANCEL_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// If at least this many daemons are fit to lead, the other daemons poll the lease of a healthy
 /// leader less often. It is more than one because several may be lost at once.
 const CANDIDATES_MIN: u32 = 4;
@@ -219,54 +215,6 @@
         &self.manifest
     }
 
-    /// Cancels a job and makes the cancellation durable. The outcome is [`Accepted::Yes`] also
-    /// for a job that has ended already, and `None` if the caller has no such job.
-    pub async fn cancel(
-        self: &Arc<Self>,
-        job: JobId,
-        caller: Option<&CustomerName>,
-        deadline: Instant,
-    ) -> Option<Accepted> {
-        let known = self.state(job, caller).await;
-        if known == JobLookup::NoJob {
-            let epoch = self.leader.borrow().epoch();
-            tracing::info!(%job, epoch, "cancellation answered: no such job");
-            return None;
-        }
-        let accepted = match known {
-            JobLookup::State(JobState::Completed | JobState::Failed | JobState::Cancelled) => {
-                Accepted::Yes
-            }
-            JobLookup::Unknown => Accepted::Unknown,
-            _ => self.make_cancel_durable(job, deadline).await,
-        };
-        if accepted == Accepted::Yes {
-            self.notify_leader(job, DaemonCall::Cancelled(job));
-        }
-        tracing::info!(%job, ?known, ?accepted, "cancellation answered");
-        Some(accepted)
-    }
-
-    /// Makes a cancellation durable from this daemon or, if the store rejects this daemon,
-    /// through the leader, which could not lead without reaching the store.
-    async fn make_cancel_durable(&self, job: JobId, deadline: Instant) -> Accepted {
-        let local = self.acceptor.accept(WriteRequest::Cancel(job), deadline).await;
-        if local != Accepted::No {
-            return local;
-        }
-        let Some(address) = self.remote_leader() else { return local };
-        let limit = PEER_CANCEL_TIMEOUT.min(deadline.saturating_duration_since(Instant::now()));
-        let call = DaemonCall::Cancel { job, limit_ms: limit.as_millis() as u64 };
-        match self.peers.call::<DaemonReply>(&address, &call, limit).await {
-            Ok(DaemonReply::Submitted(accepted)) => accepted,
-            Ok(_) | Err(PeerError::NotSent(_)) => Accepted::No,
-            Err(PeerError::NoAnswer(error)) => {
-                tracing::warn!(%job, address, error, "leader did not answer a cancellation; its outcome is unknown");
-                Accepted::Unknown
-            }
-        }
-    }
-
     fn remote_leader(&self) -> Option<String> {
         match self.route() {
             Route::Remote(address) => Some(address),
@@ -358,14 +306,16 @@
         let row = self.platform.read(Table::Jobs, &key).await?;
         let Some((_, spec)) = row.as_ref().and_then(read_row::<JobSpec>) else { return Ok(None) };
         let customer = spec.customer.map(|customer| customer.name);
-        let view = |state| Some(JobView { state, customer });
+        let view = |state| Some(JobView { state, customer: customer.clone() });
         let progress = self.platform.read(Table::Progress, &key).await?;
         let progress = progress.as_ref().and_then(read_row::<Progress>);
         let progress = progress.map(|(_, progress)| progress).unwrap_or_default();
-        if progress.outcome.is_none_or(|outcome| outcome == Outcome::Cancelled)
-            && self.platform.read(Table::Cancels, &key).await?.is_some()
-        {
-            return Ok(view(JobState::Cancelled));
+        if progress.outcome.is_none_or(|outcome| outcome == Outcome::Cancelled) {
+            let cancellation = self.platform.read(Table::Cancels, &key).await?;
+            let cancellation = cancellation.as_ref().and_then(read_cancellation);
+            if cancellation.is_some_and(|(_, it)| it.applies_to(customer.as_ref())) {
+                return Ok(view(JobState::Cancelled));
+            }
         }
         Ok(view(progress.state()))
     }
--- a/crates/node/src/gateway/serve.rs
+++ b/crates/node/src/gateway/serve.rs
@@ -1,11 +1,6 @@
 //! Answers calls from other daemons.
 
 use std::sync::atomic::Ordering;
-use std::time::Duration;
-
-use stoatwell_pool::Accepted;
-use stoatwell_pool::JobId;
-use tokio::time::Instant;
 
 use crate::accept::WriteRequest;
 use crate::clock::steady_ms;
@@ -30,7 +25,12 @@
             );
         }
         if let DaemonCall::Cancel { job, limit_ms } = call {
-            return DaemonReply::Submitted(self.cancel_for_peer(job, limit_ms).await);
+            let reply = self.cancel_for_peer(WriteRequest::Cancel(job), limit_ms).await;
+            return DaemonReply::Submitted(reply.accepted);
+        }
+        if let DaemonCall::CancelUnknown { job, customer, limit_ms } = call {
+            let request = WriteRequest::CancelUnknown(job, customer);
+            return DaemonReply::Cancelled(self.cancel_for_peer(request, limit_ms).await);
         }
         if let DaemonCall::Leads { epoch, address } = call {
             self.observe_leader(epoch, Some(address));
@@ -75,23 +75,4 @@
             LocalReply::NotTaken | LocalReply::Dropped => DaemonReply::NotScheduler,
         }
     }
-
-    /// Makes a cancellation durable for a daemon that the store rejects. If this daemon
-    /// leads, its scheduler is notified before the other daemon replies to its caller: the
-    /// store's change feed is slower, and the other daemon cannot read the store.
-    async fn cancel_for_peer(&self, job: JobId, limit_ms: u64) -> Accepted {
-        let deadline = Instant::now() + Duration::from_millis(limit_ms);
-        let accepted = self.acceptor.accept(WriteRequest::Cancel(job), deadline).await;
-        if let (Accepted::Yes, Route::Local(requests)) = (accepted, self.route())
-            && !matches!(
-                call_local(&requests, DaemonCall::Cancelled(job)).await,
-                LocalReply::Reply(_)
-            )
-        {
-            tracing::debug!(
-                "scheduler stopped before it was notified of a cancellation; the store's change feed will deliver it"
-            );
-        }
-        accepted
-    }
 }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -11,7 +11,6 @@
 
 use stoatwell_peer::Peers;
 use stoatwell_pool::Accepted;
-use stoatwell_pool::Cancellation;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -559,8 +558,7 @@
             }
             true
         }
-        SchedulerRequest::Cancelled(job) => {
-            let cancellation = Cancellation::ByOwner;
+        SchedulerRequest::Cancelled(job, cancellation) => {
             pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job, cancellation });
             true
         }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -59,6 +59,7 @@
 use crate::elector::LeaderElector;
 use crate::health::StoreHealth;
 
+pub use crate::accept::WriteReply;
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
 pub use crate::announce::announce_delay;
 pub use crate::daemons::DaemonInfo;
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages to the scheduler.
 
 use stoatwell_pool::Accepted;
+use stoatwell_pool::Cancellation;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobView;
@@ -20,7 +21,7 @@
     /// Notifies that a job, given with its encoded row, is durable.
     Accepted(JobId, Vec<u8>),
     /// Notifies that the cancellation of a job is durable.
-    Cancelled(JobId),
+    Cancelled(JobId, Cancellation),
     /// Asks for a dump of the scheduler's state.
     Dump(oneshot::Sender<PoolDump>),
     /// Asks why a job is in its present state; the reply has one line per step.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,12 +2,14 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_model::CustomerName;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobView;
 use stoatwell_pool::StepId;
 
+use crate::accept::WriteReply;
 use crate::executors::session::SessionId;
 use crate::manifest::RelayedProof;
 
@@ -76,6 +78,24 @@
         /// How long the executor waits for the first reply.
         wait_ms: u64,
     },
+    /// To the leader: notifies that a customer's cancellation of a job that was not found is
+    /// durable.
+    CancelledUnknown {
+        /// The cancelled job.
+        job: JobId,
+        /// The customer that cancelled it.
+        customer: Option<CustomerName>,
+    },
+    /// To a daemon that may reach the store: makes a customer's cancellation of a job that was not
+    /// found durable.
+    CancelUnknown {
+        /// The job to cancel.
+        job: JobId,
+        /// The customer that cancels it.
+        customer: Option<CustomerName>,
+        /// Maximum time until the reply.
+        limit_ms: u64,
+    },
 }
 
 /// A daemon's reply to a call.
@@ -122,4 +142,6 @@
     },
     /// The scheduler took a submission and ended before its outcome was known.
     SubmissionInDoubt,
+    /// The outcome of the cancellation of a job that was not found.
+    Cancelled(WriteReply),
 }
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -353,7 +353,8 @@
         if let Some(error) = self.read_error() {
             return Err(error);
         }
-        Ok(self.rows(table).into_iter().find(|row| row.key == key))
+        let rows = self.stale_read(table).map_or_else(|| self.rows(table), |stale| stale.rows);
+        Ok(rows.into_iter().find(|row| row.key == key))
     }
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -22,6 +22,7 @@
 use stoatwell_node::Manifest;
 use stoatwell_node::Queue;
 use stoatwell_node::RelayedProof;
+use stoatwell_node::WriteReply;
 use stoatwell_node::executors::call::Batch;
 use stoatwell_node::executors::call::Replies;
 use stoatwell_node::executors::call::WorkerCall;
@@ -109,7 +110,9 @@
         | DaemonCall::Leads { .. }
         | DaemonCall::Advise { .. }
         | DaemonCall::Execute { .. }
-        | DaemonCall::Collect { .. } => 12,
+        | DaemonCall::Collect { .. }
+        | DaemonCall::CancelledUnknown { .. }
+        | DaemonCall::CancelUnknown { .. } => 14,
     }
 }
 
@@ -125,7 +128,8 @@
         | DaemonReply::Noted
         | DaemonReply::NotScheduler
         | DaemonReply::Collected { .. }
-        | DaemonReply::SubmissionInDoubt => 10,
+        | DaemonReply::SubmissionInDoubt
+        | DaemonReply::Cancelled(_) => 11,
     }
 }
 
@@ -146,6 +150,14 @@
         DaemonCall::Advise { step: step(), workers: vec![WorkerId::new("w")], limit_ms: 1 },
         DaemonCall::Execute { session: SESSION, batch: vec![1] },
         DaemonCall::Collect { session: SESSION, wait_ms: 5 },
+        DaemonCall::CancelledUnknown { job: JobId(7), customer: None },
+        DaemonCall::CancelledUnknown { job: JobId(7), customer: Some(CustomerName::new("a")) },
+        DaemonCall::CancelUnknown { job: JobId(7), customer: None, limit_ms: 900 },
+        DaemonCall::CancelUnknown {
+            job: JobId(7),
+            customer: Some(CustomerName::new("a")),
+            limit_ms: 900,
+        },
     ];
     assert_eq!(variants(&calls), daemon_call_variants(&calls[0]));
     assert_carried(&calls);
@@ -176,6 +188,8 @@
         DaemonReply::NotScheduler,
         DaemonReply::Collected { clock_ms: 1, replies: Vec::new() },
         DaemonReply::SubmissionInDoubt,
+        DaemonReply::Cancelled(WriteReply { accepted: Accepted::Yes, job_exists: false }),
+        DaemonReply::Cancelled(WriteReply { accepted: Accepted::Taken, job_exists: true }),
     ];
     assert_eq!(variants(&replies), daemon_reply_variants(&replies[0]));
     assert_carried(&replies);
