A cancellation is acknowledged once no start of its job can follow

Callers were told that their jobs are cancelled as soon as the cancellation was durable. No start is written after that, but one that was written before may still be sent until it is void, 1.5 s after its write: by a leader that does not know of the cancellation yet, or by one that was replaced.

The caller is now told once (i) the leader has handled the cancellation and has no start of the job on its way, or (ii) such starts are void, with 0.5 s for the way to a worker. That also holds for a job that was found cancelled. If the caller's time ends before, the outcome is unknown and it asks again. A job that has completed or failed is answered at once, and the leader is not told.

The scheduler replies to the notification instead of acknowledging that it is queued. It sends no reply while a start is neither answered nor listed by its worker, nor followed by an answered stop; the notification is then repeated, as by a leader that is behind, so there are no calls that there were not before. A leader whose lease was not renewed for as long as it takes to be replaced sends none either: its successor may have written a start. Replies and calls between daemons are those of before, so that daemons of two versions understand each other.

Ruled out: a fixed wait for all, which makes the usual case slow; the age of the leader lease that callers' counts of waiting jobs need (1.6 s), since a leader that answers no probes is replaced after 0.6 s; a list of callers at the leader, which costs it work in each cycle.

a_leader_is_told_of_durable_writes_once_it_is_found expected the answer to a cancellation before the leader is found. It now checks in the store that the cancellation is durable by then, that the leader does not know of it, and the answer at the end.

--- a/crates/node/src/gateway/local.rs
+++ b/crates/node/src/gateway/local.rs
@@ -1,6 +1,7 @@
 //! Calls to the scheduler on this daemon.
 
 use stoatwell_pool::Cancellation;
+use stoatwell_pool::JobId;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -41,12 +42,10 @@
         DaemonCall::Accepted { job, row } => {
             notify(requests, SchedulerRequest::Accepted(job, row)).await
         }
-        DaemonCall::Cancelled(job) => {
-            notify(requests, SchedulerRequest::Cancelled(job, Cancellation::ByOwner)).await
-        }
+        DaemonCall::Cancelled(job) => notify_cancelled(requests, job, Cancellation::ByOwner).await,
         DaemonCall::CancelledUnknown { job, customer } => {
             let cancellation = Cancellation::by(customer.as_ref());
-            notify(requests, SchedulerRequest::Cancelled(job, cancellation)).await
+            notify_cancelled(requests, job, cancellation).await
         }
         DaemonCall::Cancel { .. }
         | DaemonCall::CancelUnknown { .. }
@@ -74,6 +73,16 @@
     }
 }
 
+async fn notify_cancelled(
+    requests: &mpsc::Sender<SchedulerRequest>,
+    job: JobId,
+    cancellation: Cancellation,
+) -> LocalReply {
+    let (reply_sender, reply) = oneshot::channel();
+    let request = SchedulerRequest::Cancelled(job, cancellation, reply_sender);
+    request_reply(requests, request, reply, |()| DaemonReply::Noted).await
+}
+
 async fn notify(
     requests: &mpsc::Sender<SchedulerRequest>,
     notification: SchedulerRequest,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 use stoatwell_pool::Outcome;
 use stoatwell_pool::Progress;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
@@ -222,16 +223,18 @@
         }
     }
 
-    /// Notifies the leader of a durable write of a job, without waiting for its reply. The
-    /// store's change feed delivers the write too, but a quarter of a second later, and much
-    /// later if the store is slow or has dropped its history.
+    /// Notifies the leader of a durable write of a job. The receiver gets a message once a leader
+    /// has acknowledged it. The store's change feed delivers the write too, but a quarter of a
+    /// second later, and much later if the store is slow or has dropped its history.
     ///
     /// The notification is repeated until a leader acknowledges it, and for each leader that is
     /// elected soon after: one that was just elected may have read the job's rows before. A
     /// leader that is behind must not be kept so by repetitions, and a new one not by all
     /// notifications at one moment, so the delays grow and differ from job to job.
-    fn notify_leader(self: &Arc<Self>, job: JobId, call: DaemonCall) {
+    fn notify_leader(self: &Arc<Self>, job: JobId, call: DaemonCall) -> oneshot::Receiver<()> {
         let gateway = Arc::clone(self);
+        let (acknowledgement, acknowledged) = oneshot::channel();
+        let mut acknowledgement = Some(acknowledgement);
         tokio::spawn(async move {
             let end = Instant::now() + NOTIFICATION_PERIOD;
             let spread = Duration::from_millis(job.0 % NOTIFICATION_SPREAD_MS);
@@ -242,6 +245,10 @@
                 let epoch = view.borrow_and_update().epoch();
                 let next_try = if gateway.call_leader(call.clone()).await.is_some() {
                     is_notified = true;
+                    let sender = acknowledgement.take();
+                    if sender.is_some_and(|sender| sender.send(()).is_err()) {
+                        tracing::trace!(%job, "nobody waits for a notification any more");
+                    }
                     end
                 } else {
                     retry_delay *= 2;
@@ -259,6 +266,7 @@
                 );
             }
         });
+        acknowledged
     }
 
     /// Looks up a job's state. A job of another customer is reported as absent, so that the
--- a/crates/node/src/gateway/submission.rs
+++ b/crates/node/src/gateway/submission.rs
@@ -138,7 +138,7 @@
     ) -> Accepted {
         let accepted = self.acceptor.accept(WriteRequest::Submit(job, row.clone()), deadline).await;
         if accepted == Accepted::Yes {
-            self.notify_leader(job, DaemonCall::Accepted { job, row });
+            drop(self.notify_leader(job, DaemonCall::Accepted { job, row }));
         }
         accepted
     }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -33,6 +33,7 @@
 use crate::commit::claim_fences;
 use crate::commit::renew_lease;
 use crate::daemons::DaemonInfo;
+use crate::election::FAILED_LEADER_TIMEOUT_MS;
 use crate::election::LEADER_LEASE_MS;
 use crate::executors::Executors;
 use crate::executors::call::WorkerCall;
@@ -151,7 +152,6 @@
             let cycle_started = Instant::now();
             let mut yield_time = Duration::ZERO;
             let first_messages = usize::from(first_message.is_some());
-            let has_fresh_lease = is_lease_fresh(&renewal);
             let mut budget = MessageBudget::for_cycle(decision_time);
             if !handle_all(
                 &mut pool,
@@ -159,7 +159,7 @@
                 first_message,
                 &mut inbox,
                 &mut budget,
-                has_fresh_lease,
+                &renewal,
             ) {
                 return;
             }
@@ -167,14 +167,8 @@
                 let yielded_at = Instant::now();
                 tokio::task::yield_now().await;
                 yield_time += yielded_at.elapsed();
-                if !handle_all(
-                    &mut pool,
-                    &mut submissions,
-                    None,
-                    &mut inbox,
-                    &mut budget,
-                    has_fresh_lease,
-                ) {
+                if !handle_all(&mut pool, &mut submissions, None, &mut inbox, &mut budget, &renewal)
+                {
                     return;
                 }
             }
@@ -185,7 +179,7 @@
             {
                 requests += 1;
                 if let Some(request) = refuse_if_behind(request, inbox.delay()) {
-                    handle_request(&mut pool, &mut submissions, request, has_fresh_lease);
+                    handle_request(&mut pool, &mut submissions, request, &renewal);
                 }
                 yield_time += yielder.checkpoint().await;
             }
@@ -489,7 +483,7 @@
     first_message: Option<Message>,
     inbox: &mut Inbox,
     budget: &mut MessageBudget,
-    has_fresh_lease: bool,
+    renewal: &RenewalState,
 ) -> bool {
     let queued = std::iter::from_fn(|| inbox.try_recv(budget));
     for message in first_message.into_iter().chain(queued) {
@@ -500,7 +494,7 @@
                 pool.handle(steady_ms(), unix_ms(), event);
             }
             Message::Request(request) => {
-                handle_request(pool, submissions, request, has_fresh_lease);
+                handle_request(pool, submissions, request, renewal);
             }
         }
     }
@@ -522,20 +516,26 @@
     None
 }
 
-/// Whether the leader lease was renewed within its duration. A leader that is cut off from
-/// the store may have been replaced without knowing it. It keeps extending its workers'
-/// leases until it learns so, but does not report the number of pending jobs.
-fn is_lease_fresh(renewal: &RenewalState) -> bool {
-    steady_ms().saturating_sub(renewal.renewed_ms()) < LEADER_LEASE_MS
+/// The time since the last successful renewal of the leader lease was sent. A leader that is cut
+/// off from the store may have been replaced without knowing it. It keeps extending its workers'
+/// leases until it learns so, but does not report what a successor may know better.
+fn lease_age_ms(renewal: &RenewalState) -> u64 {
+    steady_ms().saturating_sub(renewal.renewed_ms())
+}
+
+/// Whether no start of a cancelled job can follow: this leader has none on its way, and there is no
+/// other leader. The lease cannot have been claimed before [`FAILED_LEADER_TIMEOUT_MS`].
+fn no_start_follows(pool: &Pool, job: JobId, renewal: &RenewalState) -> bool {
+    !pool.has_start_in_flight(job) && lease_age_ms(renewal) < FAILED_LEADER_TIMEOUT_MS
 }
 
 /// Handles a request, and replies if it asks for a reply. A number of pending jobs is not
-/// reported without a fresh lease.
+/// reported once the lease has expired.
 fn handle_request(
     pool: &mut Pool,
     submissions: &mut Submissions,
     request: SchedulerRequest,
-    has_fresh_lease: bool,
+    renewal: &RenewalState,
 ) {
     // `false` only if a reply could not be sent.
     let is_handled = match request {
@@ -558,12 +558,12 @@
             }
             true
         }
-        SchedulerRequest::Cancelled(job, cancellation) => {
+        SchedulerRequest::Cancelled(job, cancellation, reply_sender) => {
             pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job, cancellation });
-            true
+            !no_start_follows(pool, job, renewal) || reply_sender.send(()).is_ok()
         }
         SchedulerRequest::State(job, reply_sender) => reply_sender.send(pool.view(job)).is_ok(),
-        SchedulerRequest::Pending(_, _) if !has_fresh_lease => true,
+        SchedulerRequest::Pending(_, _) if lease_age_ms(renewal) >= LEADER_LEASE_MS => true,
         SchedulerRequest::Pending(queue, reply_sender) => {
             reply_sender.send(pool.pending(&queue) as u64).is_ok()
         }
--- a/crates/node/src/message.rs
+++ b/crates/node/src/message.rs
@@ -20,8 +20,9 @@
     Submit(JobId, Vec<u8>, oneshot::Sender<Accepted>),
     /// Notifies that a job, given with its encoded row, is durable.
     Accepted(JobId, Vec<u8>),
-    /// Notifies that the cancellation of a job is durable.
-    Cancelled(JobId, Cancellation),
+    /// Notifies that the cancellation of a job is durable. The reply says that no task of it starts
+    /// any more; there is none while that is not certain.
+    Cancelled(JobId, Cancellation, oneshot::Sender<()>),
     /// Asks for a dump of the scheduler's state.
     Dump(oneshot::Sender<PoolDump>),
     /// Asks why a job is in its present state; the reply has one line per step.
--- a/crates/node/tests/cancellations.rs
+++ b/crates/node/tests/cancellations.rs
@@ -3,6 +3,7 @@
 mod fake;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stoatwell_model::CustomerName;
@@ -15,6 +16,9 @@
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
+use stoatwell_pool::QueueSpec;
+use stoatwell_pool::START_VALIDITY_MS;
+use tokio::time::Instant;
 
 use self::fake::FakePlatform;
 use self::fake::StoreBehavior;
@@ -22,10 +26,13 @@
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
+use self::fake::leader::FakeLeader;
 
 const JOB: JobId = JobId(7);
 /// A caller's usual time.
 const CALLER_MS: u64 = 3_000;
+/// No start of a job reaches a worker later than this after a cancellation became durable.
+const STARTS_VOID: Duration = Duration::from_millis(START_VALIDITY_MS + 500);
 /// A start of a job that may run is sent within this time.
 const START_TIME: Duration = Duration::from_millis(800);
 
@@ -161,3 +168,103 @@
     assert_eq!(cancel(&node, JOB, None).await, None);
     assert_eq!(store.rows(Table::Cancels).len(), 1);
 }
+
+/// A daemon whose leader is a fake one, and that leader.
+async fn daemon_with_fake_leader() -> (Node<FakePlatform>, Arc<FakeLeader>) {
+    let store = Arc::new(FakePlatform::default());
+    let leader = FakeLeader::start(&store).await;
+    let node = start("b", &store).await;
+    wait_until("the leader", 2_000, || node.gateway().leader_reaches_store()).await;
+    (node, leader)
+}
+
+/// Guards against a caller that is told "cancelled" while the leader does not know it, and so may
+/// still send a start whose row was written before.
+#[tokio::test]
+async fn a_cancellation_is_answered_once_the_leader_has_handled_it() {
+    let (node, leader) = daemon_with_fake_leader().await;
+    submit(&node, JOB, &job()).await;
+    let began = Instant::now();
+    let gateway = Arc::clone(node.gateway());
+    let answer =
+        tokio::spawn(async move { gateway.cancel(JOB, None, deadline_in(CALLER_MS)).await });
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert!(!answer.is_finished(), "answered while the leader does not know");
+    leader.acknowledges.store(true, Ordering::Relaxed);
+    assert_eq!(answer.await.expect("no panic"), Some(Accepted::Yes));
+    assert!(began.elapsed() < STARTS_VOID, "{:?}", began.elapsed());
+    let began = Instant::now();
+    assert_eq!(cancel(&node, JobId(8), None).await, None);
+    assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+}
+
+/// Guards against a caller that is told "cancelled" while a leader that this daemon does not know
+/// may still send a start whose row was written before.
+#[tokio::test]
+async fn without_a_leader_a_cancellation_is_answered_once_earlier_starts_are_void() {
+    let store = Arc::new(FakePlatform::default());
+    store.set_behavior(StoreBehavior::HidesLeaderLease);
+    let node = start("b", &store).await;
+    submit(&node, JOB, &job()).await;
+    for (job, answer) in [(JOB, Some(Accepted::Yes)), (JobId(8), None)] {
+        let early = node.gateway().cancel(job, None, deadline_in(1_000)).await;
+        assert_eq!(early, Some(Accepted::Unknown));
+        let began = Instant::now();
+        assert_eq!(cancel(&node, job, None).await, answer);
+        assert!(began.elapsed() >= STARTS_VOID, "{:?}", began.elapsed());
+    }
+}
+
+/// Guards against a caller that is told "cancelled" while a start is on its way to a worker.
+#[tokio::test]
+async fn a_cancellation_is_not_answered_while_a_start_is_on_its_way() {
+    let (store, node) = leader_with_worker().await;
+    submit(&node, JOB, &job()).await;
+    wait_until("the start", 2_000, || store.first_starts_received() == 1).await;
+    let began = Instant::now();
+    assert_eq!(cancel(&node, JOB, None).await, Some(Accepted::Yes));
+    assert!(began.elapsed() >= STARTS_VOID, "{:?}", began.elapsed());
+}
+
+/// Guards against callers that wait although nothing can start any more: the usual case, and a
+/// job that has ended.
+#[tokio::test]
+async fn a_cancellation_is_answered_at_once_if_no_start_is_on_its_way() {
+    let (store, node) = leader_with_worker().await;
+    store.answer_first_starts();
+    submit(&node, JOB, &job()).await;
+    while node.gateway().state(JOB, None).await != JobLookup::State(JobState::Completed) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let no_worker =
+        JobSpec { queue: QueueSpec { service: "x".to_owned(), ..job().queue }, ..job() };
+    submit(&node, JobId(8), &no_worker).await;
+    for job in [JOB, JobId(8), JobId(8)] {
+        let began = Instant::now();
+        assert_eq!(cancel(&node, job, None).await, Some(Accepted::Yes));
+        assert!(began.elapsed() < Duration::from_millis(500), "{:?}", began.elapsed());
+    }
+}
+
+/// Guards against a wave of cancellations that keeps a leader behind: each one costs it few calls,
+/// whether it acknowledges them or not.
+#[tokio::test]
+async fn a_wave_of_cancellations_costs_the_leader_few_calls() {
+    const WAVE: usize = 500;
+    for (acknowledges, calls_each_max) in [(true, 1), (false, 3)] {
+        let (node, leader) = daemon_with_fake_leader().await;
+        leader.acknowledges.store(acknowledges, Ordering::Relaxed);
+        let cancels = (0..WAVE).map(|number| {
+            let gateway = Arc::clone(node.gateway());
+            tokio::spawn(async move {
+                gateway.cancel(JobId(number as u64), None, deadline_in(CALLER_MS)).await
+            })
+        });
+        for answer in cancels.collect::<Vec<_>>() {
+            assert_eq!(answer.await.expect("no panic"), None);
+        }
+        let notifications = leader.cancellations.load(Ordering::Relaxed);
+        assert!((WAVE..=WAVE * calls_each_max).contains(&notifications), "{notifications}");
+        assert_eq!(leader.other_calls.load(Ordering::Relaxed), WAVE);
+    }
+}
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use stoatwell_model::WorkerId;
+use stoatwell_node::FAILED_LEADER_TIMEOUT_MS;
 use stoatwell_node::JobLookup;
 use stoatwell_node::LeaderLease;
 use stoatwell_node::Node;
@@ -16,6 +17,7 @@
 use stoatwell_node::Table;
 use stoatwell_node::Transaction;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::Cancellation;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
@@ -344,10 +346,13 @@
     let gateway = start("b", &gateway_store).await;
     let accepted = gateway.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await;
     assert_eq!(accepted, Accepted::Yes);
-    let cancelled = gateway.gateway().cancel(JobId(8), None, deadline_in(2_000)).await;
-    assert_eq!(cancelled, Some(Accepted::Yes));
+    let cancelling = Arc::clone(gateway.gateway());
+    let cancelled =
+        tokio::spawn(async move { cancelling.cancel(JobId(8), None, deadline_in(3_000)).await });
     tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(gateway_store.rows(Table::Cancels).len(), 1);
     assert_eq!(scheduler_state(&leader, JobId(7)).await, None);
+    assert_eq!(scheduler_state(&leader, JobId(8)).await, Some(JobState::Queued));
     gateway_store.set_behavior(StoreBehavior::Normal);
     let deadline = deadline_in(3_000);
     while Instant::now() < deadline && scheduler_state(&leader, JobId(7)).await.is_none() {
@@ -355,6 +360,7 @@
     }
     assert_eq!(scheduler_state(&leader, JobId(7)).await, Some(JobState::Queued));
     assert_eq!(scheduler_state(&leader, JobId(8)).await, Some(JobState::Cancelled));
+    assert_eq!(cancelled.await.expect("no panic"), Some(Accepted::Yes));
 }
 
 /// The leader gets no changes from the store, and no daemon tells it of a cancellation. Guards
@@ -373,6 +379,24 @@
     assert_eq!(scheduler_state(&node, JobId(7)).await, Some(JobState::Cancelled));
 }
 
+/// Guards against a cancellation that is acknowledged by a leader that may have been replaced: its
+/// successor may send a start that was written before.
+#[tokio::test]
+async fn a_leader_that_cannot_renew_its_lease_acknowledges_no_cancellation() {
+    let store = Arc::new(FakePlatform::default());
+    let node = start("a", &store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    let scheduler = node.scheduler().expect("it leads");
+    for is_acknowledged in [true, false] {
+        let (reply_sender, reply) = tokio::sync::oneshot::channel();
+        let request = SchedulerRequest::Cancelled(JobId(7), Cancellation::ByOwner, reply_sender);
+        scheduler.send(request).await.expect("it runs");
+        assert_eq!(reply.await.is_ok(), is_acknowledged);
+        store.set_behavior(StoreBehavior::RefusesAll);
+        tokio::time::sleep(Duration::from_millis(FAILED_LEADER_TIMEOUT_MS)).await;
+    }
+}
+
 /// Guards against an accepted job that never starts because the task that writes its partition
 /// panicked: everything behind that write waited for as long as the daemon led.
 #[tokio::test]
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fake")]
 
 pub mod daemon;
+pub mod leader;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/job.rs
@@ -93,6 +93,21 @@
         self.pace_percent.is_some_and(|percent| percent < FULL_PACE)
     }
 
+    /// Whether a start was sent that may still reach the worker: the worker has neither answered
+    /// it nor listed the run, nor answered a later stop, after which it refuses the start.
+    pub fn has_start_in_flight(&self) -> bool {
+        let is_unanswered = match self.phase {
+            Phase::Sent | Phase::Adopted | Phase::Stopping { answered_turn: None, .. } => true,
+            Phase::Waiting
+            | Phase::Reserved
+            | Phase::Recorded
+            | Phase::Running { .. }
+            | Phase::Stopping { answered_turn: Some(_), .. }
+            | Phase::Done => false,
+        };
+        is_unanswered && self.running_since_ms == 0 && !self.listed_by_worker
+    }
+
     /// Whether the task needs no further run.
     pub fn is_done(&self) -> bool {
         self.other_run_done || self.phase == Phase::Done
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -70,6 +70,7 @@
 use crate::hold_timers::HoldTimers;
 use crate::job::Job;
 use crate::job::Phase;
+use crate::job::Task;
 use crate::job_index::JobIndex;
 use crate::waiting::WaitReason;
 use crate::worker::Worker;
@@ -422,6 +423,13 @@
         self.job_index.pending(queue)
     }
 
+    /// Whether a start of one of the job's tasks was sent and may still reach its worker.
+    pub fn has_start_in_flight(&self, job: JobId) -> bool {
+        let Some(job) = self.jobs.get(&job) else { return false };
+        let mut tasks = job.step_states.iter().flat_map(|step_state| &step_state.tasks);
+        tasks.any(Task::has_start_in_flight)
+    }
+
     /// The jobs whose outcome is not durable, or that may still have tasks on workers.
     pub(crate) fn jobs_in_progress(&self) -> impl Iterator<Item = &Job> {
         self.job_index.in_progress().filter_map(|id| self.jobs.get(&id))
