--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the fake")]
 
 pub mod daemon;
+pub mod leader;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -353,7 +354,8 @@
         if let Some(error) = self.read_error() {
             return Err(error);
         }
-        Ok(self.rows(table).into_iter().find(|row| row.key == key))
+        let rows = self.stale_read(table).map_or_else(|| self.rows(table), |stale| stale.rows);
+        Ok(rows.into_iter().find(|row| row.key == key))
     }
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
