Confirmations of the manifest keep a distance that the store's answers set

What callers saw: with 298 daemons, up to 172 of them at once refused all callers with 503 for the 27 s from their start to the next restart of all ("the caller is not admitted: whether the key is still good is not known here", 3,833 lines, nearly all in the four zones that are far from the store), while the store refused writes of the leader and two renewals of its lease.

Cause: all daemons confirm one row, and the store processes the transactions on its partition one after another, 300 a second; up to a second of them waits, more is refused. A daemon whose proof is due sent a confirmation each 200 ms, whether or not the last one was answered, and gave each up after a second. Once answers take longer than 200 ms, the repetitions of some hundred daemons exceed what the partition processes; the wait grows to its limit of a second, and then each answer to a far daemon, and to the leader if it is busy, comes after the daemon has given up. The work is done for nothing and asked for again: the state keeps itself up until the daemons restart.

Now a confirmation without an answer is repeated after 200, 400 and then 800 ms, after an answer that took long at twice its time, but not later than the proof has to be renewed, and the timeout exceeds the second for which the store lets transactions wait. The leader, whose proof serves all others, asks twice a second as before. 300 daemons then send at most some 200 a second however late the answers are (1,500 ms at `revoke_ms` 5,000), and each of the answers counts.

The test fails without the change: 13 confirmations in six seconds where six are allowed, also with the longer timeout alone.

--- a/crates/node/src/manifest/current.rs
+++ b/crates/node/src/manifest/current.rs
@@ -160,6 +160,11 @@
         view.manifest.customers.is_some() && view.proof.needs_renewal(now_ms, &limits)
     }
 
+    /// The age at which a proof has to be renewed; the maximum if proofs are not needed.
+    pub(crate) fn renew_age_ms(&self) -> u64 {
+        self.limits.map_or(u64::MAX, |limits| limits.renew_age_ms)
+    }
+
     /// Waits for a manifest newer than this version.
     pub(crate) async fn wait_for_newer(&self, version: u64) -> Arc<Manifest> {
         let mut view = self.view.subscribe();
--- a/crates/node/src/manifest/mod.rs
+++ b/crates/node/src/manifest/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod current;
 mod lookup;
+mod pace;
 mod watch;
 
 use serde::Deserialize;
--- a/crates/node/src/manifest/watch.rs
+++ b/crates/node/src/manifest/watch.rs
@@ -14,6 +14,7 @@
 use crate::manifest::CurrentManifest;
 use crate::manifest::Manifest;
 use crate::manifest::ManifestSource;
+use crate::manifest::pace::ConfirmationPace;
 use crate::platform::Confirmation;
 use crate::platform::Platform;
 use crate::platform::StoreError;
@@ -33,10 +34,11 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How often the leader asks the store for a proof, which it relays to the other daemons.
 const LEADER_CONFIRM_INTERVAL: Duration = Duration::from_millis(500);
-/// How often a daemon whose proof needs renewal asks for one.
+/// How often a daemon checks whether its proof needs renewal.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(200);
-/// Timeout of a confirmation; a slow store still responds in time.
-const CONFIRM_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of a confirmation. A store that lets transactions wait for up to a second before it
+/// refuses any still responds in time.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// A read or poll of the manifest, with its result.
 struct Poll {
@@ -152,13 +154,14 @@
 ///
 /// Reads and change feeds may lag behind while the store drops its history; a transaction
 /// that is conditional on the row being unchanged does not. Confirmations overlap, because
-/// one that was sent during an outage gets no response.
+/// one that was sent during an outage gets no response; [`ConfirmationPace`] bounds how many.
 pub(crate) async fn confirm<P: Platform>(
     platform: Arc<P>,
     current: Arc<CurrentManifest>,
     is_leader: impl Fn() -> bool,
 ) {
     let mut confirmations = JoinSet::new();
+    let pace = Arc::new(ConfirmationPace::new(current.renew_age_ms()));
     let mut requested_ms = 0;
     loop {
         sleep(CONFIRM_INTERVAL).await;
@@ -168,20 +171,29 @@
         metrics::gauge!("stoatwell_manifest_proof_age_ms").set(age_ms as f64);
         let contact_age_ms = current.contact_age_ms(now_ms);
         metrics::gauge!("stoatwell_manifest_contact_age_ms").set(contact_age_ms as f64);
-        let is_leader_due =
-            is_leader() && now_ms >= requested_ms + LEADER_CONFIRM_INTERVAL.as_millis() as u64;
         let manifest = current.newest();
-        let confirm_as_leader = manifest.version > 0 && is_leader_due;
-        if !confirm_as_leader && !current.is_proof_due(now_ms) {
+        let is_due = if is_leader() {
+            let due_ms = requested_ms + LEADER_CONFIRM_INTERVAL.as_millis() as u64;
+            manifest.version > 0 && now_ms >= due_ms
+        } else {
+            current.is_proof_due(now_ms) && pace.may_send(now_ms)
+        };
+        if !is_due {
             continue;
         }
         requested_ms = now_ms;
+        pace.record_sent(now_ms);
+        let pace = Arc::clone(&pace);
         let platform = Arc::clone(&platform);
         let current = Arc::clone(&current);
         confirmations.spawn(async move {
             let sent_ms = steady_ms();
             let confirmation = platform.confirm_manifest(manifest.row_version);
-            match timeout(CONFIRM_TIMEOUT, confirmation).await {
+            let confirmed = timeout(CONFIRM_TIMEOUT, confirmation).await;
+            if let Ok(Ok(_)) = &confirmed {
+                pace.record_answered(sent_ms, steady_ms());
+            }
+            match confirmed {
                 Ok(Ok(Confirmation::Newest)) => {
                     current.record_proof(FreshnessProof::from_store(manifest.version, sent_ms));
                 }
--- a/crates/node/tests/customers.rs
+++ b/crates/node/tests/customers.rs
@@ -123,6 +123,26 @@
     wait_until("a new proof", 1_000, || matches!(admit(&node, "k1"), Ok(Some(_)))).await;
 }
 
+/// Guards against confirmations that are repeated before the answer of a busy store can come, and
+/// so keep it busy.
+#[tokio::test]
+async fn confirmations_that_a_busy_store_answers_late_are_not_repeated_at_once() {
+    let store = Arc::new(FakePlatform::default());
+    store.write_manifest(manifest(1, &[("a", "k1")]));
+    store.set_behavior(StoreBehavior::ConfirmsLate);
+    let node = start_with_revocation("a", &store, Some(5_000)).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = store.confirmations();
+    let end = deadline_in(6_000);
+    while tokio::time::Instant::now() < end {
+        assert!(admit(&node, "k1").is_ok());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let sent = store.confirmations() - before;
+    // Three hundred daemons may not ask for more than three hundred confirmations a second.
+    assert!((1..=6).contains(&sent), "{sent} confirmations in six seconds");
+}
+
 /// Guards against a customer that sees or cancels jobs of another one.
 #[tokio::test]
 async fn jobs_of_other_customers_are_hidden() {
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -44,6 +44,9 @@
 /// hold it open.
 const RESPONSE_TIMEOUT_MS: u64 = 1_500;
 
+/// How long the store takes for a confirmation while many others wait before it.
+const LATE_CONFIRMATION: Duration = Duration::from_secs(1);
+
 /// Most changes in a response of the store's change feed.
 const FEED_ROWS_MAX: u64 = 500;
 
@@ -72,6 +75,8 @@
     HidesLeaderLease,
     /// It refuses polls for changes to jobs and cancellations and is normal otherwise.
     HidesChangesOfJobs,
+    /// It refuses writes, and answers each confirmation of the manifest after a second.
+    ConfirmsLate,
 }
 
 /// The platform as one daemon sees it. The rows can be shared with other daemons.
@@ -80,6 +85,7 @@
     behavior: Mutex<StoreBehavior>,
     state: Arc<Mutex<State>>,
     job_writes_released: watch::Sender<bool>,
+    confirmations: AtomicUsize,
     worker: Option<FakeWorker>,
     worker_count: usize,
     heartbeats: Option<Heartbeats>,
@@ -211,6 +217,11 @@
         self.state.lock().expect("no panic").manifest_polls
     }
 
+    /// The number of confirmations of the manifest that this daemon asked for.
+    pub fn confirmations(&self) -> usize {
+        self.confirmations.load(Ordering::Relaxed)
+    }
+
     pub fn writes(&self) -> usize {
         self.state.lock().expect("no panic").writes
     }
@@ -251,6 +262,7 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
+            | StoreBehavior::ConfirmsLate
             | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => None,
         }
@@ -325,7 +337,9 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs => self.write(transaction),
-            StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
+            StoreBehavior::RefusesWrites
+            | StoreBehavior::RefusesAll
+            | StoreBehavior::ConfirmsLate => Err(StoreError::Refused),
             StoreBehavior::PanicsInOneJobWrite => {
                 if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
                     self.set_behavior(StoreBehavior::Normal);
@@ -422,6 +436,10 @@
     }
 
     async fn confirm_manifest(&self, row_version: u64) -> Result<Confirmation, StoreError> {
+        self.confirmations.fetch_add(1, Ordering::Relaxed);
+        if self.behavior() == StoreBehavior::ConfirmsLate {
+            tokio::time::sleep(LATE_CONFIRMATION).await;
+        }
         match self.behavior() {
             StoreBehavior::Unresponsive => call_without_response(0).await,
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
@@ -430,6 +448,7 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
+            | StoreBehavior::ConfirmsLate
             | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => {
                 let newest = self.newest_manifest();
@@ -459,6 +478,7 @@
                 | StoreBehavior::LosesOneResponse
                 | StoreBehavior::HidesLeaderLease
                 | StoreBehavior::HidesChangesOfJobs
+                | StoreBehavior::ConfirmsLate
                 | StoreBehavior::PanicsInOneJobWrite
                 | StoreBehavior::DelaysJobWrites => {}
             }
