Daemons of a large fleet rely on the leader's proofs of the manifest

Cause: the leader sends its proof with each answer to a probe, and a daemon with little processor time probes it each 2 s where the fleet has 200 daemons or more. A proof is due for renewal at 30% of the revocation time, 1.5 s of 5 s, so it was due before the next one came, and each of 300 daemons asked the store in between: for most of each period the store was asked for proofs that were about to arrive.

Now a daemon that probed the leader waits for the proof of the next probe, and asks the store once that is overdue by the probe's timeout, or once its own proof is older than 60% of the revocation time, which leaves 1.5 s of 5 s for answers. Where probes come more often than proofs are due, which is so in fleets of up to some 90 daemons, nothing changes. How long a proof admits callers is unchanged.

--- a/crates/customers/src/proof.rs
+++ b/crates/customers/src/proof.rs
@@ -13,6 +13,9 @@
 const VALID_PERCENT: u64 = 90;
 /// Age at which a new proof is requested, in hundredths of the same limit.
 const RENEW_PERCENT: u64 = 30;
+/// Age at which a new proof is requested although another daemon is about to send one, in
+/// hundredths of the same limit.
+const LATE_PERCENT: u64 = 60;
 
 /// Evidence that no version newer than this one had been acknowledged at a point in time.
 ///
@@ -33,6 +36,8 @@
     pub max_age_ms: u64,
     /// A new proof is requested when the current one reaches this age.
     pub renew_age_ms: u64,
+    /// A new proof is requested at this age even if another daemon is about to send one.
+    pub late_age_ms: u64,
 }
 
 impl FreshnessLimits {
@@ -41,6 +46,7 @@
         Self {
             max_age_ms: revoke_ms * VALID_PERCENT / 100,
             renew_age_ms: revoke_ms * RENEW_PERCENT / 100,
+            late_age_ms: revoke_ms * LATE_PERCENT / 100,
         }
     }
 }
--- a/crates/node/src/leader_probe.rs
+++ b/crates/node/src/leader_probe.rs
@@ -64,6 +64,8 @@
             interval = probe_interval(is_underprovisioned, *daemons);
             gateway.set_daemon_counts(*daemons, *fit);
             gateway.record_proof(&address, *manifest, sent_ms).await;
+            let overdue_ms = sent_ms + (interval + PROBE_TIMEOUT).as_millis() as u64;
+            gateway.manifest().expect_relayed_proof(overdue_ms);
         }
         let liveness = match reply {
             Ok(DaemonReply::Alive { reaches_store: true, .. }) => Some(Liveness::Healthy),
--- a/crates/node/src/manifest/current.rs
+++ b/crates/node/src/manifest/current.rs
@@ -45,6 +45,8 @@
 struct View {
     manifest: Arc<Manifest>,
     proof: FreshnessProof,
+    /// When the leader's next proof is overdue.
+    relay_overdue_ms: u64,
     /// The last time at which the store or the leader was in contact, so that a newer manifest
     /// would have arrived.
     contact_ms: u64,
@@ -153,11 +155,24 @@
         view.manifest.customers.is_none() || view.proof.is_valid(now_ms, &limits)
     }
 
-    /// Whether a new proof has to be requested.
+    /// Records that the leader's next proof will have come by this time.
+    pub(crate) fn expect_relayed_proof(&self, overdue_ms: u64) {
+        self.view.send_if_modified(|view| {
+            view.relay_overdue_ms = overdue_ms;
+            false
+        });
+    }
+
+    /// Whether a new proof has to be requested from the store. In a large fleet, that is not
+    /// while the leader is about to send one: the store processes the requests of all daemons
+    /// one after another.
     pub(crate) fn is_proof_due(&self, now_ms: u64) -> bool {
         let Some(limits) = self.limits else { return false };
         let view = self.view.borrow();
-        view.manifest.customers.is_some() && view.proof.needs_renewal(now_ms, &limits)
+        if view.manifest.customers.is_none() || !view.proof.needs_renewal(now_ms, &limits) {
+            return false;
+        }
+        now_ms >= view.relay_overdue_ms || view.proof.age_ms(now_ms) >= limits.late_age_ms
     }
 
     /// The age at which a proof has to be renewed; the maximum if proofs are not needed.
--- a/crates/node/tests/customers.rs
+++ b/crates/node/tests/customers.rs
@@ -26,6 +26,7 @@
 use self::fake::StoreBehavior;
 use self::fake::daemon::deadline_in;
 use self::fake::daemon::job;
+use self::fake::daemon::start_with_cores;
 use self::fake::daemon::start_with_revocation;
 use self::fake::daemon::wait_until;
 
@@ -123,8 +124,7 @@
     wait_until("a new proof", 1_000, || matches!(admit(&node, "k1"), Ok(Some(_)))).await;
 }
 
-/// Guards against confirmations that are repeated before the answer of a busy store can come, and
-/// so keep it busy.
+/// Guards against confirmations that are repeated before a busy store can answer, and keep it busy.
 #[tokio::test]
 async fn confirmations_that_a_busy_store_answers_late_are_not_repeated_at_once() {
     let store = Arc::new(FakePlatform::default());
@@ -143,6 +143,27 @@
     assert!((1..=6).contains(&sent), "{sent} confirmations in six seconds");
 }
 
+/// Guards against a store that hundreds of daemons ask for proofs that the leader sends anyway.
+#[tokio::test]
+async fn a_daemon_of_a_large_fleet_uses_the_leaders_proofs_only() {
+    let store = Arc::new(FakePlatform::default());
+    store.write_manifest(manifest(1, &[("a", "k1")]));
+    store.list_daemons(300);
+    let leader = start_with_revocation("a", &store, Some(5_000)).await;
+    wait_until("a leader", 3_000, || leader.scheduler().is_some()).await;
+    let other_store = Arc::new(store.for_other_daemon());
+    let other = start_with_cores("b", &other_store, Some(5_000), 0.12).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let before = other_store.confirmations();
+    let end = deadline_in(8_000);
+    while tokio::time::Instant::now() < end {
+        assert!(admit(&other, "k1").is_ok());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let sent = other_store.confirmations() - before;
+    assert!(sent <= 1, "{sent} confirmations in four intervals of the leader's proofs");
+}
+
 /// Guards against a customer that sees or cancels jobs of another one.
 #[tokio::test]
 async fn jobs_of_other_customers_are_hidden() {
--- a/crates/node/tests/fake/daemon.rs
+++ b/crates/node/tests/fake/daemon.rs
@@ -25,13 +25,23 @@
     name: &str,
     store: &Arc<FakePlatform>,
     revoke_ms: Option<u64>,
+) -> Node<FakePlatform> {
+    start_with_cores(name, store, revoke_ms, 0.5).await
+}
+
+/// Starts such a daemon on a machine with this processor capacity.
+pub async fn start_with_cores(
+    name: &str,
+    store: &Arc<FakePlatform>,
+    revoke_ms: Option<u64>,
+    cores: f64,
 ) -> Node<FakePlatform> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let settings = NodeSettings {
         name: name.to_owned(),
         address: listener.local_addr().expect("bound").to_string(),
         zone: ZoneName::new("z"),
-        cores: 0.5,
+        cores,
         link_mbps: 1_000.0,
         limits: Limits {
             lease_ms: 6_000,
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -17,6 +17,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_node::Confirmation;
+use stoatwell_node::DaemonInfo;
 use stoatwell_node::Manifest;
 use stoatwell_node::Platform;
 use stoatwell_node::Row;
@@ -178,6 +179,23 @@
         state.manifest = Some(Manifest { row_version, ..manifest });
     }
 
+    /// Adds this many daemons to the list, which answer no calls.
+    pub fn list_daemons(&self, count: usize) {
+        let row = |number: usize| {
+            let info = DaemonInfo {
+                address: format!("127.0.0.1:{}", number + 1),
+                zone: ZoneName::new("z"),
+                cores: 0.12,
+                link_mbps: 10.0,
+            };
+            let value = serde_json::to_vec(&info).expect("it can be encoded");
+            (Table::Daemons, format!("silent-{number}"), value)
+        };
+        let put = (0..count).map(row).collect();
+        let written = self.write(&Transaction { put, ..Transaction::default() });
+        written.expect("no conflict");
+    }
+
     fn newest_manifest(&self) -> Option<Manifest> {
         self.state.lock().expect("no panic").manifest.clone()
     }
