--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -18,6 +18,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_node::Confirmation;
+use stoatwell_node::DaemonInfo;
 use stoatwell_node::Manifest;
 use stoatwell_node::Platform;
 use stoatwell_node::Row;
@@ -45,6 +46,9 @@
 /// hold it open.
 const RESPONSE_TIMEOUT_MS: u64 = 1_500;
 
+/// How long the store takes for a confirmation while many others wait before it.
+const LATE_CONFIRMATION: Duration = Duration::from_secs(1);
+
 /// Most changes in a response of the store's change feed.
 const FEED_ROWS_MAX: u64 = 500;
 
@@ -73,6 +77,8 @@
     HidesLeaderLease,
     /// It refuses polls for changes to jobs and cancellations and is normal otherwise.
     HidesChangesOfJobs,
+    /// It refuses writes, and answers each confirmation of the manifest after a second.
+    ConfirmsLate,
 }
 
 /// The platform as one daemon sees it. The rows can be shared with other daemons.
@@ -81,6 +87,7 @@
     behavior: Mutex<StoreBehavior>,
     state: Arc<Mutex<State>>,
     job_writes_released: watch::Sender<bool>,
+    confirmations: AtomicUsize,
     worker: Option<FakeWorker>,
     worker_count: usize,
     heartbeats: Option<Heartbeats>,
@@ -173,6 +180,23 @@
         state.manifest = Some(Manifest { row_version, ..manifest });
     }
 
+    /// Adds this many daemons to the list, which answer no calls.
+    pub fn list_daemons(&self, count: usize) {
+        let row = |number: usize| {
+            let info = DaemonInfo {
+                address: format!("127.0.0.1:{}", number + 1),
+                zone: ZoneName::new("z"),
+                cores: 0.12,
+                link_mbps: 10.0,
+            };
+            let value = serde_json::to_vec(&info).expect("it can be encoded");
+            (Table::Daemons, format!("silent-{number}"), value)
+        };
+        let put = (0..count).map(row).collect();
+        let written = self.write(&Transaction { put, ..Transaction::default() });
+        written.expect("no conflict");
+    }
+
     fn newest_manifest(&self) -> Option<Manifest> {
         self.state.lock().expect("no panic").manifest.clone()
     }
@@ -212,6 +236,11 @@
         self.state.lock().expect("no panic").manifest_polls
     }
 
+    /// The number of confirmations of the manifest that this daemon asked for.
+    pub fn confirmations(&self) -> usize {
+        self.confirmations.load(Ordering::Relaxed)
+    }
+
     pub fn writes(&self) -> usize {
         self.state.lock().expect("no panic").writes
     }
@@ -252,6 +281,7 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
+            | StoreBehavior::ConfirmsLate
             | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => None,
         }
@@ -326,7 +356,9 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs => self.write(transaction),
-            StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
+            StoreBehavior::RefusesWrites
+            | StoreBehavior::RefusesAll
+            | StoreBehavior::ConfirmsLate => Err(StoreError::Refused),
             StoreBehavior::PanicsInOneJobWrite => {
                 if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
                     self.set_behavior(StoreBehavior::Normal);
@@ -424,6 +456,10 @@
     }
 
     async fn confirm_manifest(&self, row_version: u64) -> Result<Confirmation, StoreError> {
+        self.confirmations.fetch_add(1, Ordering::Relaxed);
+        if self.behavior() == StoreBehavior::ConfirmsLate {
+            tokio::time::sleep(LATE_CONFIRMATION).await;
+        }
         match self.behavior() {
             StoreBehavior::Unresponsive => call_without_response(0).await,
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
@@ -432,6 +468,7 @@
             | StoreBehavior::LosesOnePoll
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
+            | StoreBehavior::ConfirmsLate
             | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => {
                 let newest = self.newest_manifest();
@@ -461,6 +498,7 @@
                 | StoreBehavior::LosesOneResponse
                 | StoreBehavior::HidesLeaderLease
                 | StoreBehavior::HidesChangesOfJobs
+                | StoreBehavior::ConfirmsLate
                 | StoreBehavior::PanicsInOneJobWrite
                 | StoreBehavior::DelaysJobWrites => {}
             }
