--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -37,5 +37,10 @@
 pub use target::Target;
 pub use target::TargetState;
 
+/// Target of log lines about a change of what a daemon believes: who leads, whether a
+/// dependency answers, which jobs are cancelled or given up. They are kept when others are
+/// left out.
+pub const BELIEF_TARGET: &str = "stoatwell::belief";
+
 /// Milliseconds since the Unix epoch, or since the start of a test.
 pub type UnixMs = u64;
--- a/crates/node/src/commit/renew.rs
+++ b/crates/node/src/commit/renew.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::SilentLease;
 use stoatwell_pool::SilentLeases;
@@ -131,7 +132,7 @@
     }
     renewer.lease.row.released = true;
     let released = renewer.write().await;
-    tracing::info!(epoch = renewer.lease.row.epoch, released, "duty given up");
+    tracing::info!(target: BELIEF_TARGET, epoch = renewer.lease.row.epoch, released, "duty given up");
 }
 
 struct LeaseRenewer<P> {
--- a/crates/node/src/elector.rs
+++ b/crates/node/src/elector.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_peer::Peers;
 use tokio::sync::mpsc;
 
@@ -242,6 +243,7 @@
                 let earlier_extends_ms = row.earlier_extends_ms;
                 let silent_workers = row.silent_leases.len();
                 tracing::info!(
+                    target: BELIEF_TARGET,
                     epoch,
                     before,
                     silent_ms,
@@ -281,7 +283,7 @@
         self.local_scheduler.send_replace(None);
         self.gateway.observe_leader(epoch, None);
         self.gateway.set_local_leader(None);
-        tracing::info!(epoch, "duty ended");
+        tracing::info!(target: BELIEF_TARGET, epoch, "duty ended");
     }
 }
 
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stoatwell_model::BELIEF_TARGET;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::time::timeout;
@@ -164,7 +165,7 @@
         let silent_ms =
             now_ms.saturating_sub(self.last_response_ms.swap(now_ms, Ordering::Relaxed));
         if consecutive_failures >= CONSECUTIVE_FAILURES_MAX {
-            tracing::info!(dependency = "store", silent_ms, "regained");
+            tracing::info!(target: BELIEF_TARGET, dependency = "store", silent_ms, "regained");
         }
         if was_down && silent_ms >= OUTAGE_MS {
             self.unanswered_since_ms.store(0, Ordering::Relaxed);
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_peer::Peers;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::CustomerLimits;
@@ -133,7 +134,7 @@
         let Some((mut pool, writer)) = loaded else { return };
         let mut submissions = Submissions::default();
         executors.wait_until_open().await;
-        tracing::info!(epoch, took_ms = steady_ms() - started_ms, "scheduler ready");
+        tracing::info!(target: BELIEF_TARGET, epoch, took_ms = steady_ms() - started_ms, "scheduler ready");
         metrics::counter!("stoatwell_takeovers_total").increment(1);
         let mut gauges_updated_ms = 0;
         let mut cycle_times = CycleTimes::default();
--- a/crates/node/src/leader_view.rs
+++ b/crates/node/src/leader_view.rs
@@ -1,5 +1,6 @@
 //! What a daemon knows about the current leader.
 
+use stoatwell_model::BELIEF_TARGET;
 use tokio::sync::mpsc;
 
 use crate::liveness::Liveness;
@@ -64,6 +65,7 @@
             return false;
         }
         tracing::info!(
+            target: BELIEF_TARGET,
             epoch, address = self.address, before = %self.liveness, now = %liveness,
             "liveness of the leader changed"
         );
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -57,6 +57,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
@@ -520,7 +521,7 @@
 
     fn on_cancelled(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else {
-            tracing::info!(job = %id, "cancellation of a job that is not known yet");
+            tracing::info!(target: BELIEF_TARGET, job = %id, "cancellation of a job that is not known yet");
             self.early_cancels.insert(id);
             return;
         };
@@ -528,7 +529,7 @@
             tracing::debug!(job = %id, %outcome, "cancellation ignored: the job has ended");
             return;
         }
-        tracing::info!(job = %id, durable = job.durable, "job cancelled");
+        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, "job cancelled");
         self.finish(id, Outcome::Cancelled);
     }
 
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_model::BELIEF_TARGET;
 
 use crate::Pool;
 use crate::event::Effect;
@@ -81,7 +82,7 @@
         if !known_not_durable || !self.commits.withdraw(id) {
             return false;
         }
-        tracing::info!(job = %id, partition = id.partition(), "submission given up: its partition is stuck");
+        tracing::info!(target: BELIEF_TARGET, job = %id, partition = id.partition(), "submission given up: its partition is stuck");
         self.drop_submission(id);
         true
     }
@@ -102,11 +103,11 @@
         if job.durable {
             // A gateway made the submission durable meanwhile. What was placed since is in no
             // row yet.
-            tracing::info!(job = %id, "write of a submission refused after a gateway wrote it; its progress is written again");
+            tracing::info!(target: BELIEF_TARGET, job = %id, "write of a submission refused after a gateway wrote it; its progress is written again");
             self.commits.write_again(id);
             return;
         }
-        tracing::info!(job = %id, ?accepted, "submission given up: its write was rejected");
+        tracing::info!(target: BELIEF_TARGET, job = %id, ?accepted, "submission given up: its write was rejected");
         self.drop_submission(id);
         self.commits.drop_rejected(id);
         self.effects.push(Effect::Answer { job: id, accepted });
