Logs tell how a leader learned of a cancellation, and the age of each start

For a job that runs although it was cancelled, five hypotheses could not be told apart from the logs of several daemons. New, without a change of what is decided:

- a gateway: when a cancellation is asked for, and each row that it makes durable, with the store's version;
- the leader: from where it learned of a cancellation (a notification, the change feed, a whole read, or earlier than of the job), and that it came after the job had ended otherwise; whether a submission that is given up was cancelled; the jobs that it restores; each start that is sent, with the time since the write of its row was sent; the version of a whole read after the store lost its history;
- whoever makes a start: how long it was still allowed, what came of it, or that it was too old;

`stoatwell trace` also finds a job among the rows of a conflict, and shows whole reads of the state.

`the_progress_of_a_job_is_logged` was red on: "job cancelled" had the new field `durable` (left: {"durable", "job"}, right: {"job"}). It now holds all fields of that line.

--- a/crates/cli/src/trace.rs
+++ b/crates/cli/src/trace.rs
@@ -22,13 +22,16 @@
 
 /// Log messages that are shown for every request. They must match the messages that
 /// the daemons log.
-const CELL_WIDE_MESSAGES: [&str; 9] = [
+const CELL_WIDE_MESSAGES: [&str; 12] = [
     "daemon started",
     "daemon stops",
     "duty taken over",
     "duty given up",
     "duty ended",
+    "state restored from the store",
     "scheduler ready",
+    "store no longer has the change history; reading the whole table",
+    "whole table read",
     "lost",
     "lost: new jobs are refused until it answers",
     "regained",
@@ -81,7 +84,7 @@
             continue;
         };
         let message = fields.get("message").and_then(Value::as_str).unwrap_or_default();
-        let names_request = |value: &Value| value.as_str().is_some_and(|text| belongs_to(text, id));
+        let names_request = |value: &Value| value.as_str().is_some_and(|text| names(text, id));
         let mentions_id = fields.values().any(names_request);
         if !mentions_id && !CELL_WIDE_MESSAGES.contains(&message) {
             continue;
@@ -92,6 +95,11 @@
     Ok(())
 }
 
+/// Whether a field names the request: by itself, or among the keys of rows in a list.
+fn names(text: &str, id: &str) -> bool {
+    text.split(['"', '/']).any(|name| belongs_to(name, id))
+}
+
 /// Whether `name` is the id of the request or of one of its steps or tasks.
 fn belongs_to(name: &str, id: &str) -> bool {
     name.strip_prefix(id).is_some_and(|rest| rest.is_empty() || rest.starts_with('.'))
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::clock::steady_ms;
 use crate::health::StoreHealth;
 use crate::platform::Platform;
 use crate::platform::Row;
@@ -60,6 +61,7 @@
 struct PendingRequest {
     request: WriteRequest,
     reply: oneshot::Sender<Accepted>,
+    queued_ms: u64,
     deadline: Instant,
     in_doubt: bool,
     refusals: u32,
@@ -93,7 +95,9 @@
             return Accepted::No;
         }
         let (reply, replied) = oneshot::channel();
-        let pending = PendingRequest { request, reply, deadline, in_doubt: false, refusals: 0 };
+        let queued_ms = steady_ms();
+        let pending =
+            PendingRequest { request, reply, queued_ms, deadline, in_doubt: false, refusals: 0 };
         let requests = match shard(Table::Jobs, &pending.request.job().to_string()) {
             Shard::Jobs(partition) => self.writers.get(partition),
             Shard::Control | Shard::Daemons => None,
@@ -131,8 +135,11 @@
             result.unwrap_or(Err(StoreError::NoAnswer))
         };
         match health.track_write(write).await {
-            Ok(_) => {
+            Ok(version) => {
                 for pending in batch.drain(..) {
+                    let (job, content) = (pending.request.job(), pending.request.content());
+                    let took_ms = steady_ms().saturating_sub(pending.queued_ms);
+                    tracing::info!(%job, content, version, took_ms, "row written by a gateway");
                     complete(pending, Accepted::Yes);
                 }
             }
@@ -291,6 +298,14 @@
         }
     }
 
+    /// What the row says, for logs.
+    fn content(&self) -> &'static str {
+        match self {
+            Self::Submit(..) => "submission",
+            Self::Cancel(_) => "cancellation",
+        }
+    }
+
     fn job(&self) -> JobId {
         match self {
             Self::Submit(id, _) | Self::Cancel(id) => *id,
--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -17,6 +17,7 @@
 use stoatwell_pool::StopCall;
 use stoatwell_pool::TaskId;
 
+use crate::clock::steady_ms;
 use crate::platform::Platform;
 
 /// A call to a worker.
@@ -138,6 +139,28 @@
         }
     }
 
+    /// Logs what became of a start. `expires_ms` is when it would have been too old for this
+    /// daemon to make it.
+    pub fn log_start(
+        &self,
+        reply: &WorkerReply,
+        epoch: u64,
+        began_ms: u64,
+        expires_ms: Option<u64>,
+    ) {
+        let Self::Start(StartCall { to, task, run, .. }) = self else { return };
+        let worker = &to.worker;
+        let too_old_ms = expires_ms.map(|expires_ms| began_ms.saturating_sub(expires_ms));
+        if let (WorkerReply::Failed(CallError::NotSent), Some(too_old_ms)) = (reply, too_old_ms) {
+            metrics::counter!("stoatwell_starts_too_old_total").increment(1);
+            tracing::info!(%task, run, %worker, epoch, too_old_ms, "start not made: it is too old");
+            return;
+        }
+        let took_ms = steady_ms().saturating_sub(began_ms);
+        let left_ms = expires_ms.map(|expires_ms| expires_ms.saturating_sub(began_ms));
+        tracing::info!(%task, run, %worker, epoch, left_ms, took_ms, ?reply, "start made");
+    }
+
     /// Makes the call and waits for its outcome.
     pub async fn perform(&self, platform: &impl Platform) -> WorkerReply {
         match self {
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -38,6 +38,7 @@
 use self::plan::executors_wanted;
 use self::plan::is_busy;
 use self::plan::needs_executors;
+use crate::clock::steady_ms;
 use crate::daemons::DaemonInfo;
 use crate::inbox::InboxSender;
 use crate::platform::Platform;
@@ -168,8 +169,11 @@
         let inbox_sender = self.inbox_sender.clone();
         let state = Arc::clone(&self.state);
         let pending = call.pending();
+        let epoch = self.epoch;
         self.spawn(async move {
+            let began_ms = steady_ms();
             let reply = call.perform(&*platform).await;
+            call.log_start(&reply, epoch, began_ms, None);
             if reply.is_unanswered() {
                 lock(&state).direct_workers.remove(pending.worker());
             }
--- a/crates/node/src/executors/session.rs
+++ b/crates/node/src/executors/session.rs
@@ -64,12 +64,14 @@
             tokio::spawn(async move {
                 // A start that was delayed on its way may come from a leader that has been
                 // replaced meanwhile.
-                let is_expired = matches!(call, WorkerCall::Start(_)) && steady_ms() > expires_ms;
+                let began_ms = steady_ms();
+                let is_expired = matches!(call, WorkerCall::Start(_)) && began_ms > expires_ms;
                 let reply = if is_expired {
                     WorkerReply::Failed(CallError::NotSent)
                 } else {
                     call.perform(&*platform).await
                 };
+                call.log_start(&reply, id.epoch, began_ms, Some(expires_ms));
                 session.lock().push((number, reply));
                 session.replied.notify_one();
             });
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -305,8 +305,9 @@
                 }
             }
             if !is_notified {
+                let is_cancellation = matches!(call, DaemonCall::Cancelled(_));
                 tracing::warn!(
-                    %job,
+                    %job, is_cancellation,
                     "no leader was notified of a durable write; the store's change feed will deliver it"
                 );
             }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -12,6 +12,7 @@
 use stoatwell_model::BELIEF_TARGET;
 use stoatwell_peer::Peers;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -332,7 +333,8 @@
         }
         for row in &cancels.rows {
             if let Ok(job) = row.key.parse() {
-                pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
+                let event = Event::Cancelled { job, source: CancelSource::WholeRead };
+                pool.handle(steady_ms(), unix_ms(), event);
             }
         }
         let version = workers.version;
@@ -559,7 +561,8 @@
             true
         }
         SchedulerRequest::Cancelled(job) => {
-            pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job });
+            let event = Event::Cancelled { job, source: CancelSource::Notification };
+            pool.handle(steady_ms(), unix_ms(), event);
             true
         }
         SchedulerRequest::State(job, reply_sender) => reply_sender.send(pool.view(job)).is_ok(),
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stoatwell_model::BELIEF_TARGET;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobSpec;
 
@@ -97,14 +99,16 @@
     pub async fn watch_table(self: Arc<Self>, table: Table, mut after: u64) {
         loop {
             let poll = self.platform.poll_changes(table, after, POLL_WAIT_MS);
-            let rows = match self.health.track_read(poll).await {
-                Ok(rows) => rows,
+            let (rows, source) = match self.health.track_read(poll).await {
+                Ok(rows) => (rows, CancelSource::ChangeFeed),
                 Err(StoreError::HistoryLost) => {
                     // The table has the jobs of some minutes, and a store that drops its history
                     // may do so again and again.
                     tracing::warn!(%table, after, "store no longer has the change history; reading the whole table");
                     tokio::time::sleep(WHOLE_READ_DELAY).await;
-                    self.retry_until_ok(|| self.platform.read_all(table)).await
+                    let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
+                    tracing::info!(target: BELIEF_TARGET, %table, after, found = rows.version, "whole table read");
+                    (rows, CancelSource::WholeRead)
                 }
                 Err(error) => {
                     tracing::warn!(%table, %error, "polling a table for changes failed; retrying");
@@ -114,7 +118,7 @@
             };
             after = rows.version;
             for row in &rows.rows {
-                self.forward_row(table, row);
+                self.forward_row(table, row, source);
             }
             if !rows.has_more {
                 tokio::time::sleep(JOBS_POLL_INTERVAL).await;
@@ -122,7 +126,7 @@
         }
     }
 
-    fn forward_row(&self, table: Table, row: &Row) {
+    fn forward_row(&self, table: Table, row: &Row, source: CancelSource) {
         if row.value.is_none() {
             return;
         }
@@ -133,7 +137,7 @@
             }
             Table::Cancels => {
                 let Ok(job) = row.key.parse() else { return };
-                self.inbox_sender.notify(Event::Cancelled { job });
+                self.inbox_sender.notify(Event::Cancelled { job, source });
             }
             Table::Progress | Table::Duty | Table::Daemons | Table::Fences => {}
         }
--- a/crates/node/src/submissions.rs
+++ b/crates/node/src/submissions.rs
@@ -42,6 +42,9 @@
 
     /// Replies to all callers that wait for a submission.
     pub fn resolve(&mut self, job: JobId, accepted: Accepted) {
+        if accepted.is_refusal() {
+            metrics::counter!("stoatwell_submissions_given_up_total").increment(1);
+        }
         for caller in self.waiting.remove(&job).unwrap_or_default() {
             reply(job, caller, accepted);
         }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -12,7 +12,7 @@
 /// Maximum number of customers with gauges of their own; the state dump lists all of them.
 const CUSTOMERS_MEASURED_MAX: usize = 100;
 
-/// Counts the responses of workers and of the advisor.
+/// Counts the responses of workers and of the advisor, and cancellations by their source.
 pub(crate) fn count_event(event: &Event) {
     match event {
         Event::Held { reply, .. } => {
@@ -24,6 +24,10 @@
                 metrics::counter!("stoatwell_ends_listed_total", "end" => end).increment(1);
             }
         }
+        Event::Cancelled { source, .. } => {
+            metrics::counter!("stoatwell_cancellations_learned_total", "source" => source.to_string())
+                .increment(1);
+        }
         Event::Started { reply, .. } => {
             let outcome = reply.as_ref().map_or_else(CallError::to_string, StartReply::to_string);
             metrics::counter!("stoatwell_starts_total", "outcome" => outcome).increment(1);
--- a/crates/node/tests/inbox.rs
+++ b/crates/node/tests/inbox.rs
@@ -7,6 +7,7 @@
 use stoatwell_node::Message;
 use stoatwell_node::MessageBudget;
 use stoatwell_node::inbox;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
 
@@ -30,7 +31,7 @@
         senders.notify(ordinary_event());
     }
     senders.notify(Event::Unlisted { worker: WorkerId::new("w") });
-    senders.notify(Event::Cancelled { job: JobId(1) });
+    senders.notify(Event::Cancelled { job: JobId(1), source: CancelSource::Notification });
     senders.notify(Event::Customers { limits: Vec::new() });
     senders.notify_leadership_lost();
     let mut budget = MessageBudget::for_cycle(Duration::ZERO);
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -447,7 +447,7 @@
         for action in written.actions {
             match action {
                 AfterCommit::Accept(job) => self.on_accept_durable(job),
-                AfterCommit::Start { task, run } => self.send_start(task, run),
+                AfterCommit::Start { task, run } => self.send_start(task, run, written.since_ms),
                 AfterCommit::Forget { worker, incarnation, number } => {
                     let Some(worker) = self.workers.get_mut(&worker) else { continue };
                     if worker.info.incarnation != incarnation {
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -20,6 +20,19 @@
 use crate::spec::JobSpec;
 use crate::submit::Accepted;
 
+/// How the scheduler learned of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum CancelSource {
+    /// notification of a daemon
+    Notification,
+    /// the store's change feed
+    ChangeFeed,
+    /// read of the whole table
+    WholeRead,
+    /// known before the job
+    Early,
+}
+
 /// An input of [`Pool::handle`](crate::Pool::handle).
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -34,6 +47,8 @@
     Cancelled {
         /// The job to cancel.
         job: JobId,
+        /// How this scheduler learned of it.
+        source: CancelSource,
     },
     /// A worker was added to the list of workers that the scheduler is given, or its entry
     /// in this list changed.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -85,6 +85,7 @@
 pub use crate::event::ActiveRun;
 pub use crate::event::CallError;
 pub use crate::event::Callee;
+pub use crate::event::CancelSource;
 pub use crate::event::Effect;
 pub use crate::event::EndedRun;
 pub use crate::event::Event;
@@ -271,10 +272,12 @@
     pub fn restore(&mut self, id: JobId, spec: Arc<JobSpec>, progress: Option<&Progress>) {
         let mut job = self.new_job(id, spec);
         let Some(progress) = progress else {
+            tracing::info!(job = %id, "job restored");
             self.admit(job);
             return;
         };
         job.restore(progress);
+        tracing::info!(job = %id, state = %job.state(), "job restored");
         self.admit(job);
         for task in &progress.tasks {
             self.adopt(id, task);
@@ -333,7 +336,7 @@
         }
         match event {
             Event::Accepted { job, spec } => self.on_accepted(job, spec),
-            Event::Cancelled { job } => self.on_cancelled(job),
+            Event::Cancelled { job, source } => self.on_cancelled(job, source),
             Event::Listed(update) => self.on_listed(update),
             Event::Unlisted { worker } => self.on_unlisted(&worker),
             Event::WorkersRead { as_of_ms } => self.workers_as_of_ms = as_of_ms,
@@ -454,7 +457,7 @@
         let job = self.new_job(id, spec);
         self.admit(job);
         if self.early_cancels.remove(&id) {
-            self.on_cancelled(id);
+            self.on_cancelled(id, CancelSource::Early);
         }
     }
 
@@ -519,17 +522,20 @@
         self.cycle_due = true;
     }
 
-    fn on_cancelled(&mut self, id: JobId) {
+    fn on_cancelled(&mut self, id: JobId, source: CancelSource) {
         let Some(job) = self.jobs.get(&id) else {
-            tracing::info!(target: BELIEF_TARGET, job = %id, "cancellation of a job that is not known yet");
-            self.early_cancels.insert(id);
+            if self.early_cancels.insert(id) {
+                tracing::info!(target: BELIEF_TARGET, job = %id, %source, "cancellation of a job that is not known yet");
+            }
             return;
         };
         if let Some(outcome) = job.outcome {
-            tracing::debug!(job = %id, %outcome, "cancellation ignored: the job has ended");
+            if outcome != Outcome::Cancelled {
+                tracing::info!(target: BELIEF_TARGET, job = %id, %outcome, %source, "cancellation ignored: the job has ended");
+            }
             return;
         }
-        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, "job cancelled");
+        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, %source, "job cancelled");
         self.finish(id, Outcome::Cancelled);
     }
 
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -34,8 +34,9 @@
 const REFUSED_START_PAUSE_MS: u64 = 500;
 
 impl Pool {
-    /// Sends a start whose row has become durable.
-    pub(crate) fn send_start(&mut self, id: TaskId, run: u32) {
+    /// Sends a start whose row has become durable. `written_ms` is when the write of the row was
+    /// sent.
+    pub(crate) fn send_start(&mut self, id: TaskId, run: u32, written_ms: u64) {
         let now_ms = self.now_ms;
         let lease_ms = self.limits.lease_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
@@ -76,6 +77,8 @@
         let to = callee(self.election.epoch, &self.workers, &name);
         let Some(to) = to else { return };
         let checkpoint = task.checkpoint.clone();
+        let row_age_ms = now_ms.saturating_sub(written_ms);
+        tracing::info!(task = %id, run, worker = %name, row_age_ms, "start sent");
         self.effects.push(Effect::Start(StartCall {
             to,
             task: id,
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -11,9 +11,11 @@
 use stoatwell_model::BELIEF_TARGET;
 
 use crate::Pool;
+use crate::event::CancelSource;
 use crate::event::Effect;
 use crate::id::JobId;
 use crate::id::TaskId;
+use crate::record::Outcome;
 use crate::spec::JobSpec;
 
 /// The outcome of a submission or cancellation.
@@ -71,18 +73,19 @@
         self.admit(job);
         self.schedule_submission_write(id);
         if self.early_cancels.remove(&id) {
-            self.on_cancelled(id);
+            self.on_cancelled(id, CancelSource::Early);
         }
         None
     }
 
     /// Withdraws a submission that is not durable; `false` if it may be durable already.
     pub fn withdraw(&mut self, id: JobId) -> bool {
-        let known_not_durable = self.jobs.get(&id).is_some_and(|job| !job.durable);
-        if !known_not_durable || !self.commits.withdraw(id) {
+        let Some(job) = self.jobs.get(&id) else { return false };
+        let cancelled = job.outcome == Some(Outcome::Cancelled);
+        if job.durable || !self.commits.withdraw(id) {
             return false;
         }
-        tracing::info!(target: BELIEF_TARGET, job = %id, partition = id.partition(), "submission given up: its partition is stuck");
+        tracing::info!(target: BELIEF_TARGET, job = %id, partition = id.partition(), cancelled, "submission given up: its partition is stuck");
         self.drop_submission(id);
         true
     }
@@ -100,14 +103,15 @@
     /// customer's job has the number.
     pub(crate) fn on_rejected(&mut self, id: JobId, accepted: Accepted) {
         let Some(job) = self.jobs.get(&id) else { return };
+        let cancelled = job.outcome == Some(Outcome::Cancelled);
         if job.durable {
             // A gateway made the submission durable meanwhile. What was placed since is in no
             // row yet.
-            tracing::info!(target: BELIEF_TARGET, job = %id, "write of a submission refused after a gateway wrote it; its progress is written again");
+            tracing::info!(target: BELIEF_TARGET, job = %id, cancelled, "write of a submission refused after a gateway wrote it; its progress is written again");
             self.commits.write_again(id);
             return;
         }
-        tracing::info!(target: BELIEF_TARGET, job = %id, ?accepted, "submission given up: its write was rejected");
+        tracing::info!(target: BELIEF_TARGET, job = %id, ?accepted, cancelled, "submission given up: its write was rejected");
         self.drop_submission(id);
         self.commits.drop_rejected(id);
         self.effects.push(Effect::Answer { job: id, accepted });
--- a/crates/pool/tests/log_lines.rs
+++ b/crates/pool/tests/log_lines.rs
@@ -86,7 +86,39 @@
     assert_fields(&lines, "run ended", &["task", "run", "worker", "end", "took_ms"]);
     let finished_fields = ["job", "queue", "outcome", "took_ms", "allowed_ms"];
     assert_fields(&lines, "job finished", &finished_fields);
-    assert_fields(&lines, "job cancelled", &["job"]);
+    assert_fields(&lines, "start sent", &["task", "run", "worker", "row_age_ms"]);
+    assert_fields(&lines, "job cancelled", &["job", "durable", "source"]);
+}
+
+/// Guards against a cancelled job that runs and whose logs do not tell whether its submission
+/// was given up, or how and when the leader learned of the cancellation.
+#[test]
+fn what_is_known_of_a_cancelled_job_is_logged() {
+    let lines = log_lines(|| {
+        let mut world = World::new(4, 3, Faults::default());
+        world.run(200);
+        world.submit(1, job(queue(1), vec![step(1, 500, 100)]));
+        world.run(2_000);
+        world.cancel(1);
+        world.refuses_submissions = true;
+        world.cancel(2);
+        world.cancel(2);
+        world.submit_via_scheduler(2, job(queue(1), vec![step(1, 2_000, 300)]));
+        world.run(600);
+        world.fail_over();
+        world.run(200);
+    });
+    let early = "cancellation of a job that is not known yet";
+    assert_fields(&lines, early, &["job", "source"]);
+    let sources = lines.iter().filter(|line| line["message"] == early).map(|line| &line["source"]);
+    let sources: Vec<&Value> = sources.collect();
+    assert_eq!(sources, ["notification of a daemon", "read of the whole table"]);
+    let given_up = "submission given up: its write was rejected";
+    assert_fields(&lines, given_up, &["job", "accepted", "cancelled"]);
+    assert!(lines.iter().any(|line| line["message"] == given_up && line["cancelled"] == true));
+    let late = "cancellation ignored: the job has ended";
+    assert_fields(&lines, late, &["job", "outcome", "source"]);
+    assert_fields(&lines, "job restored", &["job", "state"]);
 }
 
 /// Guards against a missing field in the lines about workers, which give the cause when a
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
@@ -112,7 +113,11 @@
 #[test]
 fn a_job_that_was_cancelled_early_is_not_pending() {
     let mut pool = pool_with_jobs(0, 0);
-    pool.handle(NOW_MS, NOW_MS, Event::Cancelled { job: JobId(1) });
+    pool.handle(
+        NOW_MS,
+        NOW_MS,
+        Event::Cancelled { job: JobId(1), source: CancelSource::Notification },
+    );
     let spec = Arc::new(job(queue(0), vec![step(1, 1_000, 500)]));
     pool.handle(NOW_MS, NOW_MS, Event::Accepted { job: JobId(1), spec });
     assert_eq!(pool.pending(&queue(0).name), 0);
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -6,6 +6,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_pool::CallError;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
@@ -129,7 +130,11 @@
     for number in 0..20 {
         let spec = Arc::new(spec.clone());
         pool.handle(1_000, 1_000, Event::Accepted { job: JobId(number), spec });
-        pool.handle(1_000, 1_000, Event::Cancelled { job: JobId(number) });
+        pool.handle(
+            1_000,
+            1_000,
+            Event::Cancelled { job: JobId(number), source: CancelSource::Notification },
+        );
     }
     let mut written_rows = 0;
     let mut batches = 0;
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -26,6 +26,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::CallError;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -216,7 +217,7 @@
 
     pub fn cancel(&mut self, id: u64) {
         self.cancelled.insert(JobId(id), self.now_ms);
-        self.notify(Event::Cancelled { job: JobId(id) });
+        self.notify(Event::Cancelled { job: JobId(id), source: CancelSource::Notification });
     }
 
     /// The state that callers see; `None` if the scheduler does not know the job.
@@ -339,7 +340,7 @@
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
         }
         for job in self.cancelled.keys().copied().collect::<Vec<_>>() {
-            self.notify(Event::Cancelled { job });
+            self.notify(Event::Cancelled { job, source: CancelSource::WholeRead });
         }
         self.list_all();
     }
