--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -140,6 +140,11 @@
         self.leader.send_modify(|view| view.set_local(requests));
     }
 
+    /// The epoch of the newest leader that this daemon knows of.
+    pub fn leader_epoch(&self) -> u64 {
+        self.leader.borrow().epoch()
+    }
+
     /// Records the liveness of the leader of an epoch.
     pub(crate) fn record_liveness(&self, epoch: u64, liveness: Liveness) {
         self.leader.send_if_modified(|view| view.record_liveness(epoch, liveness));
