--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -27,6 +27,7 @@
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 
+use crate::clock::steady_ms;
 use crate::commit::encode;
 use crate::health::StoreHealth;
 use crate::job_rows::read_cancellation;
@@ -80,6 +81,7 @@
 struct PendingRequest {
     request: WriteRequest,
     reply: oneshot::Sender<WriteReply>,
+    queued_ms: u64,
     deadline: Instant,
     /// Whether a conflict showed that the job exists.
     job_exists: bool,
@@ -162,8 +164,11 @@
             result.unwrap_or(Err(StoreError::NoAnswer))
         };
         match health.track_write(write).await {
-            Ok(_) => {
+            Ok(version) => {
                 for pending in batch.drain(..) {
+                    let (job, content) = (pending.request.job(), pending.request.content());
+                    let took_ms = steady_ms().saturating_sub(pending.queued_ms);
+                    tracing::info!(%job, content, version, took_ms, "row written by a gateway");
                     complete(pending, Accepted::Yes);
                 }
             }
@@ -373,6 +378,7 @@
         Self {
             request,
             reply,
+            queued_ms: steady_ms(),
             deadline,
             job_exists: false,
             stored_cancellation: None,
@@ -390,6 +396,15 @@
         }
     }
 
+    /// What the row says, for logs.
+    fn content(&self) -> &'static str {
+        match self {
+            Self::Submit(..) => "submission",
+            Self::Cancel(_) => "cancellation",
+            Self::CancelUnknown(..) => "cancellation of a job that was not found",
+        }
+    }
+
     /// The number of entries in a transaction: rows, and conditions.
     fn entries(&self) -> usize {
         match self {
--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use stoatwell_pool::Accepted;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Event;
 use stoatwell_pool::PartitionWrite;
 use stoatwell_pool::Removal;
@@ -245,7 +246,8 @@
             put.cancel_version = put.cancel_version.map(|_| row.version);
             if let Some((job, cancellation)) = read_cancellation(row) {
                 tracing::info!(%job, "no start follows a write: its job is cancelled");
-                self.inbox_sender.notify(Event::Cancelled { job, cancellation });
+                let source = CancelSource::Conflict;
+                self.inbox_sender.notify(Event::Cancelled { job, cancellation, source });
             }
         }
     }
--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -287,8 +287,5 @@
 /// When a call that was queued or sent at this time is too old.
 fn expiry_ms(since_ms: u64, call: &WorkerCall) -> u64 {
     let expiry_ms = since_ms + CALL_AGE_MAX_MS;
-    match call {
-        WorkerCall::Start(start) => expiry_ms.min(start.void_ms()),
-        WorkerCall::Hold(_) | WorkerCall::Stop(_) | WorkerCall::Pace(_) => expiry_ms,
-    }
+    call.void_ms().map_or(expiry_ms, |void_ms| expiry_ms.min(void_ms))
 }
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -170,13 +170,16 @@
         let inbox_sender = self.inbox_sender.clone();
         let state = Arc::clone(&self.state);
         let pending = call.pending();
+        let epoch = self.epoch;
         self.spawn(async move {
-            let is_void = matches!(&call, WorkerCall::Start(start) if start.is_void(steady_ms()));
-            let reply = if is_void {
+            let began_ms = steady_ms();
+            let void_ms = call.void_ms();
+            let reply = if void_ms.is_some_and(|void_ms| began_ms >= void_ms) {
                 WorkerReply::Failed(CallError::NotSent)
             } else {
                 call.perform(&*platform).await
             };
+            call.log_start(&reply, epoch, began_ms, void_ms);
             if reply.is_unanswered() {
                 lock(&state).direct_workers.remove(pending.worker());
             }
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -9,8 +9,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_peer::Peers;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
@@ -135,7 +137,7 @@
         let Some((mut pool, writer)) = loaded else { return };
         let mut submissions = Submissions::default();
         executors.wait_until_open().await;
-        tracing::info!(epoch, took_ms = steady_ms() - started_ms, "scheduler ready");
+        tracing::info!(target: BELIEF_TARGET, epoch, took_ms = steady_ms() - started_ms, "scheduler ready");
         metrics::counter!("stoatwell_takeovers_total").increment(1);
         let mut gauges_updated_ms = 0;
         let mut cycle_times = CycleTimes::default();
@@ -326,7 +328,9 @@
         }
         for row in &cancels.rows {
             if let Some((job, cancellation)) = read_cancellation(row) {
-                pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job, cancellation });
+                let source = CancelSource::WholeRead;
+                let event = Event::Cancelled { job, cancellation, source };
+                pool.handle(steady_ms(), unix_ms(), event);
             }
         }
         let version = workers.version;
@@ -559,7 +563,9 @@
             true
         }
         SchedulerRequest::Cancelled(job, cancellation, reply_sender) => {
-            pool.handle(steady_ms(), unix_ms(), Event::Cancelled { job, cancellation });
+            let source = CancelSource::Notification;
+            let event = Event::Cancelled { job, cancellation, source };
+            pool.handle(steady_ms(), unix_ms(), event);
             !no_start_follows(pool, job, renewal) || reply_sender.send(()).is_ok()
         }
         SchedulerRequest::State(job, reply_sender) => reply_sender.send(pool.view(job)).is_ok(),
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -22,6 +22,19 @@
 use crate::spec::JobSpec;
 use crate::submit::Accepted;
 
+/// How the scheduler learned of a cancellation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
+pub enum CancelSource {
+    /// notification of a daemon
+    Notification,
+    /// the store's change feed
+    ChangeFeed,
+    /// read of the whole table
+    WholeRead,
+    /// conflict of the scheduler's own write
+    Conflict,
+}
+
 /// An input of [`Pool::handle`](crate::Pool::handle).
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -38,6 +51,8 @@
         job: JobId,
         /// Who cancelled it.
         cancellation: Cancellation,
+        /// How this scheduler learned of it.
+        source: CancelSource,
     },
     /// A worker was added to the list of workers that the scheduler is given, or its entry
     /// in this list changed.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -58,6 +58,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
@@ -90,6 +91,7 @@
 pub use crate::event::ActiveRun;
 pub use crate::event::CallError;
 pub use crate::event::Callee;
+pub use crate::event::CancelSource;
 pub use crate::event::Effect;
 pub use crate::event::EndedRun;
 pub use crate::event::Event;
@@ -278,10 +280,12 @@
     pub fn restore(&mut self, id: JobId, spec: Arc<JobSpec>, progress: Option<&Progress>) {
         let mut job = self.new_job(id, spec);
         let Some(progress) = progress else {
+            tracing::info!(job = %id, "job restored");
             self.admit(job);
             return;
         };
         job.restore(progress);
+        tracing::info!(job = %id, state = %job.state(), "job restored");
         self.admit(job);
         for task in &progress.tasks {
             self.adopt(id, task);
@@ -340,7 +344,9 @@
         }
         match event {
             Event::Accepted { job, spec } => self.on_accepted(job, spec),
-            Event::Cancelled { job, cancellation } => self.on_cancelled(job, cancellation),
+            Event::Cancelled { job, cancellation, source } => {
+                self.on_cancelled(job, cancellation, source);
+            }
             Event::Listed(update) => self.on_listed(update),
             Event::Unlisted { worker } => self.on_unlisted(&worker),
             Event::WorkersRead { as_of_ms } => self.workers_as_of_ms = as_of_ms,
@@ -533,9 +539,10 @@
         self.cycle_due = true;
     }
 
-    fn on_cancelled(&mut self, id: JobId, cancellation: Cancellation) {
-        if !self.jobs.contains_key(&id) {
-            tracing::info!(job = %id, "cancellation of a job that is not known yet");
+    fn on_cancelled(&mut self, id: JobId, cancellation: Cancellation, source: CancelSource) {
+        if self.cancellations.get(id).is_none() {
+            let is_known = self.jobs.contains_key(&id);
+            tracing::info!(target: BELIEF_TARGET, job = %id, %source, is_known, "cancellation received");
         }
         self.cancellations.record(id, cancellation, self.unix_ms);
         self.cancel_if_requested(id);
@@ -547,14 +554,16 @@
         let Some(cancellation) = self.cancellations.get(id) else { return };
         let owner = job.spec.customer.as_ref().map(|customer| &customer.name);
         if let Some(outcome) = job.outcome {
-            tracing::debug!(job = %id, %outcome, "cancellation ignored: the job has ended");
+            if outcome != Outcome::Cancelled {
+                tracing::info!(target: BELIEF_TARGET, job = %id, %outcome, "cancellation ignored: the job has ended");
+            }
             return;
         }
         if !cancellation.applies_to(owner) {
-            tracing::info!(job = %id, owner = owner.map(CustomerName::as_str), "cancellation ignored: it is not by the owner");
+            tracing::info!(target: BELIEF_TARGET, job = %id, owner = owner.map(CustomerName::as_str), "cancellation ignored: it is not by the owner");
             return;
         }
-        tracing::info!(job = %id, durable = job.durable, "job cancelled");
+        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, "job cancelled");
         self.finish(id, Outcome::Cancelled);
     }
 
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs.rs
@@ -91,6 +91,8 @@
         let to = callee(self.election.epoch, &self.workers, &name);
         let Some(to) = to else { return };
         let checkpoint = task.checkpoint.clone();
+        let row_age_ms = now_ms.saturating_sub(written_ms);
+        tracing::info!(task = %id, run, worker = %name, row_age_ms, "start sent");
         self.effects.push(Effect::Start(StartCall {
             to,
             task: id,
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
@@ -116,7 +117,11 @@
     pool.handle(
         NOW_MS,
         NOW_MS,
-        Event::Cancelled { job: JobId(1), cancellation: Cancellation::ByOwner },
+        Event::Cancelled {
+            job: JobId(1),
+            cancellation: Cancellation::ByOwner,
+            source: CancelSource::Notification,
+        },
     );
     let spec = Arc::new(job(queue(0), vec![step(1, 1_000, 500)]));
     pool.handle(NOW_MS, NOW_MS, Event::Accepted { job: JobId(1), spec });
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -26,6 +26,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::CallError;
+use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::Effect;
@@ -225,7 +226,7 @@
         if !self.notifies_cancellations {
             return;
         }
-        self.notify(Event::Cancelled { job: JobId(id), cancellation: Cancellation::ByOwner });
+        self.notify(cancelled(JobId(id), CancelSource::Notification));
     }
 
     /// The state that callers see; `None` if the scheduler does not know the job.
@@ -348,7 +349,7 @@
             self.pool.restore(*job, Arc::clone(spec), self.progress.get(job));
         }
         for job in self.cancelled.keys().copied().collect::<Vec<_>>() {
-            self.notify(Event::Cancelled { job, cancellation: Cancellation::ByOwner });
+            self.notify(cancelled(job, CancelSource::WholeRead));
         }
         self.list_all();
     }
@@ -614,7 +615,7 @@
         for put in write.puts {
             if put.cancel_version.is_some() && self.cancelled.contains_key(&put.job) {
                 // The write is repeated after the conflict.
-                let event = Event::Cancelled { job: put.job, cancellation: Cancellation::ByOwner };
+                let event = cancelled(put.job, CancelSource::Conflict);
                 self.schedule(self.commit_ms, TimedEvent::Event(self.epoch, event));
                 write_ms = write_ms.max(2 * self.commit_ms);
             }
@@ -667,6 +668,10 @@
     }
 }
 
+fn cancelled(job: JobId, source: CancelSource) -> Event {
+    Event::Cancelled { job, cancellation: Cancellation::ByOwner, source }
+}
+
 /// Whether the advisor lets a worker run a step: about `of_five` of five workers, chosen
 /// by a hash of the step and the worker.
 fn is_granted(step: stoatwell_pool::StepId, worker: &WorkerId, of_five: u64) -> bool {
