The leader lease is renewed from a thread of its own

Callers saw jobs wait for seconds while the leadership changed between daemons that were all alive. Each change came 680, 681 and 716 ms after the last renewal that the candidate saw, and each former holder still reached the store: a-1 and a-2 logged "another daemon holds it" 360 and 640 ms later.

Cause: the renewal was a task beside the scheduler on the daemon's only thread. Every step of it (timer, sending, reading the answer) waited behind all other ready tasks. Renewals that are due every 500 ms came more than 600 ms apart, and since no probe was answered in time either, the leader counted as gone.

The renewal now runs on a thread with its own connections to the store, for as long as the daemon leads. A long queue of tasks cannot delay it.

Ruled out: slow candidates. A candidate that sees a renewal late claims later, and a claim of a row that was renewed meanwhile is a conflict.

--- a/crates/node/src/commit/renew.rs
+++ b/crates/node/src/commit/renew.rs
@@ -1,4 +1,8 @@
 //! Renewal of the leader lease.
+//!
+//! A leader that is behind with its work still has to renew its lease in time, or else load alone
+//! would replace it. Its tasks wait for each other in one queue, so the renewal runs on a thread
+//! of its own, with its own connections to the store.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -7,12 +11,15 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::thread;
 use std::time::Duration;
 
 use stoatwell_model::WorkerId;
 use stoatwell_pool::SilentLease;
 use stoatwell_pool::SilentLeases;
+use tokio::runtime::Builder;
 use tokio::sync::Notify;
+use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
@@ -106,8 +113,42 @@
     }
 }
 
-/// Renews the lease until another daemon holds it or `stop` fires. On `stop` it is released.
+/// Renews the lease, from another thread, until another daemon holds it or `stop` fires. On `stop`
+/// it is released. The thread ends if this future is dropped.
 pub(crate) async fn renew_lease<P: Platform>(
+    platform: &Arc<P>,
+    lease: HeldLease,
+    health: Arc<StoreHealth>,
+    stop: watch::Receiver<bool>,
+    state: Arc<RenewalState>,
+) {
+    let platform = platform.with_own_connections();
+    let (mut ended_sender, ended) = oneshot::channel::<()>();
+    let spawned = thread::Builder::new().name("lease-renewal".to_owned()).spawn(move || {
+        let runtime = match Builder::new_current_thread().enable_all().build() {
+            Ok(runtime) => runtime,
+            Err(error) => {
+                tracing::error!(%error, "cannot renew the leader lease: no runtime");
+                return;
+            }
+        };
+        runtime.block_on(async {
+            tokio::select! {
+                biased;
+                () = ended_sender.closed() => {}
+                () = renew_until_lost(platform, lease, health, stop, state) => {}
+            }
+        });
+    });
+    if let Err(error) = spawned {
+        tracing::error!(%error, "cannot renew the leader lease: no thread");
+        return;
+    }
+    // The sender is dropped when the thread ends, even by a panic.
+    let _closed = ended.await;
+}
+
+async fn renew_until_lost<P: Platform>(
     platform: Arc<P>,
     lease: HeldLease,
     health: Arc<StoreHealth>,
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -476,7 +476,7 @@
     stop: tokio::sync::watch::Receiver<bool>,
     renewal: Arc<RenewalState>,
 ) {
-    renew_lease(platform, lease, health, stop, renewal).await;
+    renew_lease(&platform, lease, health, stop, renewal).await;
     inbox_sender.notify_leadership_lost();
 }
 
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -4,6 +4,8 @@
 //! that are conditional on row versions; the workers, which run tasks; and the advisor, which
 //! decides which workers may run a step and grants a ticket for each of them.
 
+use std::sync::Arc;
+
 use stoatwell_model::WorkerId;
 use stoatwell_pool::CallError;
 use stoatwell_pool::Grant;
@@ -133,6 +135,10 @@
 
 /// The store, the workers and the advisor that a daemon uses.
 pub trait Platform: Send + Sync + 'static {
+    /// The same platform, over connections that are not shared with this one. Work on another
+    /// runtime needs them: a connection makes progress only on the runtime that opened it.
+    fn with_own_connections(self: &Arc<Self>) -> Arc<Self>;
+
     /// Executes a transaction; returns the version of the rows that it wrote.
     fn transact(
         &self,
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -319,6 +319,10 @@
 }
 
 impl Platform for FakePlatform {
+    fn with_own_connections(self: &Arc<Self>) -> Arc<Self> {
+        Arc::clone(self)
+    }
+
     async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         match self.behavior() {
             StoreBehavior::Normal
