Probes without an answer do not show that a leader is gone

Under load all daemons' probes of the leader go unanswered for seconds, and each of them counted it as gone. That cut the time after which its lease may be claimed to 600 ms and two response times of the store: less than two renewals, so one renewal that is 100 ms late cost a live leader its lease.

Now only evidence counts: a refused connection, or a daemon that answers that it does not lead. A silent leader is "unresponsive". It is replaced once its row is unchanged for twice the longest time between two renewals that was seen lately, at most for the whole lease. A refused connection is remembered for as long as the address is not dialled again; before, a second probe within that time failed without being sent, and counted as a second miss.

What it costs: a leader whose connections are refused is replaced as fast as before. A frozen or cut-off one is replaced 0.4 s later than before on a calm pool (after 1.0 s without a renewal instead of 0.6 s), and 1.0 s later at most. `LEADER_LEASE_MS`, and so all formulas that rest on it, are as before.

--- a/crates/daemon/src/engine_actor.rs
+++ b/crates/daemon/src/engine_actor.rs
@@ -196,7 +196,7 @@
 
 fn call_error(error: PeerError) -> CallError {
     match error {
-        PeerError::NotSent(reason) => CallError::NotSent(reason),
+        PeerError::NotSent(error) => CallError::NotSent(error.to_string()),
         PeerError::NoAnswer(reason) => CallError::NoAnswer(reason),
     }
 }
--- a/crates/node/src/election.rs
+++ b/crates/node/src/election.rs
@@ -26,12 +26,19 @@
 /// A leader whose row is unchanged for this long has lost its lease. Renewals still
 /// arrive in time while the store answers fifty times slower than usual.
 pub const LEADER_LEASE_MS: u64 = 1_600;
-/// Replaces [`LEADER_LEASE_MS`] for a leader that does not answer probes, or reports that
-/// it cannot reach the store. It is longer than the renewal interval, since a leader that
-/// is only unreachable from other daemons still renews its row.
+/// Replaces [`LEADER_LEASE_MS`] for a leader whose process is gone, or which reports that it
+/// cannot reach the store. It is longer than the renewal interval, since a leader that only
+/// seems to be so still renews its row.
 pub const FAILED_LEADER_TIMEOUT_MS: u64 = RENEW_INTERVAL_MS + 100;
 /// Multiple of the store's usual response time that is added to [`FAILED_LEADER_TIMEOUT_MS`].
 const FAILED_LEADER_LATENCY_FACTOR: u64 = 2;
+/// A leader that does not answer probes is replaced once its row is unchanged for this multiple of
+/// the longest time that a renewal took lately, so that one late or lost renewal does not cost a
+/// busy leader its lease.
+const UNRESPONSIVE_LEADER_GAPS: u64 = 2;
+/// The longest time between renewals falls by one over this share of its distance to each shorter
+/// one.
+const RENEWAL_GAP_SMOOTHING: u64 = 8;
 /// Other daemons may see a renewal before the leader gets the response to its write. This is
 /// the longest time in between: several response times of a slow store.
 const RENEWAL_LAG_MS: u64 = 400;
@@ -92,6 +99,8 @@
     pub row: Option<(LeaderLease, u64)>,
     /// When the row was last seen to change.
     pub changed_ms: u64,
+    /// The longest time that the holder took lately for one renewal.
+    pub renewal_gap_ms: u64,
     /// Since when the row can be read and written, as far as this daemon knows. While the row
     /// cannot be written, the holder of the lease cannot renew the lease.
     pub store_available_since_ms: u64,
@@ -132,7 +141,12 @@
 impl LeaderLeaseView {
     /// The view of a daemon that has not read the row yet.
     pub fn new(now_ms: u64) -> Self {
-        Self { row: None, changed_ms: now_ms, store_available_since_ms: now_ms }
+        Self {
+            row: None,
+            changed_ms: now_ms,
+            renewal_gap_ms: RENEW_INTERVAL_MS,
+            store_available_since_ms: now_ms,
+        }
     }
 
     /// Records that the store failed: the row could not be read, or a claim could not be
@@ -147,10 +161,29 @@
         if version(&row) == version(&self.row) {
             return;
         }
+        self.observe_renewal_gap(row.as_ref().map(|(row, _)| row), now_ms);
         self.row = row;
         self.changed_ms = now_ms;
     }
 
+    fn observe_renewal_gap(&mut self, renewed: Option<&LeaderLease>, now_ms: u64) {
+        let previous = self.row.as_ref().map(|(row, _)| row);
+        let (Some(renewed), Some(previous)) = (renewed, previous) else { return };
+        if renewed.epoch != previous.epoch {
+            self.renewal_gap_ms = RENEW_INTERVAL_MS;
+            return;
+        }
+        if self.store_available_since_ms > self.changed_ms {
+            return;
+        }
+        // A daemon that polls rarely misses some renewals.
+        let renewals = renewed.beat.saturating_sub(previous.beat).max(1);
+        let gap_ms = now_ms.saturating_sub(self.changed_ms) / renewals;
+        let excess_ms = self.renewal_gap_ms.saturating_sub(gap_ms);
+        self.renewal_gap_ms = gap_ms + excess_ms - excess_ms.div_ceil(RENEWAL_GAP_SMOOTHING);
+        self.renewal_gap_ms = self.renewal_gap_ms.max(RENEW_INTERVAL_MS);
+    }
+
     /// The earliest time at which this daemon may claim the lease, if the row stays unchanged.
     pub fn claim_due_ms(&self, candidate: &Candidate, holder: Liveness) -> u64 {
         let is_free = self.row.as_ref().is_none_or(|(row, _)| row.released);
@@ -165,10 +198,11 @@
         if is_free {
             return since_ms + candidate.claim_delay_ms();
         }
+        let failed_ms =
+            FAILED_LEADER_TIMEOUT_MS + candidate.store_latency_ms * FAILED_LEADER_LATENCY_FACTOR;
         let timeout_ms = match holder {
-            Liveness::Gone | Liveness::Isolated => {
-                FAILED_LEADER_TIMEOUT_MS + candidate.store_latency_ms * FAILED_LEADER_LATENCY_FACTOR
-            }
+            Liveness::Gone | Liveness::Isolated => failed_ms,
+            Liveness::Unresponsive => failed_ms.max(self.renewal_gap_ms * UNRESPONSIVE_LEADER_GAPS),
             Liveness::Healthy | Liveness::Unknown => LEADER_LEASE_MS,
         };
         since_ms + timeout_ms.min(LEADER_LEASE_MS) + candidate.claim_delay_ms()
--- a/crates/node/src/leader_probe.rs
+++ b/crates/node/src/leader_probe.rs
@@ -15,7 +15,8 @@
 use crate::clock::steady_ms;
 use crate::gateway::Gateway;
 use crate::leader_view::LeaderView;
-use crate::liveness::Liveness;
+use crate::liveness::LivenessDetector;
+use crate::liveness::ProbeResult;
 use crate::peers::DaemonCall;
 use crate::peers::DaemonReply;
 use crate::platform::Platform;
@@ -23,9 +24,6 @@
 /// Time limit for the response to a probe: some round trips between regions, and a
 /// scheduling cycle over a long queue.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Consecutive probes without a response after which the leader counts as gone. The first
-/// one may have been sent over a dead connection to a live daemon.
-const MISSES_MAX: u32 = 2;
 /// Probe interval of a daemon that could lead itself.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
 /// Probe interval of the other daemons, for each daemon of the pool. It is the mean time
@@ -33,7 +31,7 @@
 const PROBE_INTERVAL_PER_DAEMON: Duration = Duration::from_millis(10);
 /// Maximum probe interval of any daemon.
 const PROBE_INTERVAL_MAX: Duration = Duration::from_secs(2);
-/// Delay before the second probe, after the first one without a response.
+/// Delay before the second probe, after the first one that did not reach the leader.
 const REPROBE_DELAY: Duration = Duration::from_millis(30);
 
 /// Probes the leader's liveness for as long as this daemon runs.
@@ -44,12 +42,12 @@
 ) {
     let mut view = gateway.subscribe_leader();
     let mut probed = None;
-    let mut misses = 0;
+    let mut detector = LivenessDetector::default();
     let mut interval = PROBE_INTERVAL;
     loop {
         let leader = view.borrow_and_update().remote_leader();
         if leader != probed {
-            misses = 0;
+            detector = LivenessDetector::default();
             probed.clone_from(&leader);
         }
         let Some((epoch, address)) = leader else {
@@ -65,17 +63,19 @@
             gateway.set_daemon_counts(*daemons, *fit);
             gateway.record_proof(&address, *manifest, sent_ms).await;
         }
-        let liveness = match reply {
-            Ok(DaemonReply::Alive { reaches_store: true, .. }) => Some(Liveness::Healthy),
-            Ok(DaemonReply::Alive { reaches_store: false, .. }) => Some(Liveness::Isolated),
-            Ok(_) | Err(_) => None,
+        let result = match &reply {
+            Ok(DaemonReply::Alive { reaches_store, .. }) => {
+                ProbeResult::Leads { reaches_store: *reaches_store }
+            }
+            Ok(_) => ProbeResult::DoesNotLead,
+            Err(error) if error.is_refused() => ProbeResult::Refused,
+            Err(_) => ProbeResult::NoAnswer,
         };
-        misses = if liveness.is_some() { 0 } else { misses + 1 };
-        let liveness = liveness.or_else(|| (misses >= MISSES_MAX).then_some(Liveness::Gone));
+        let liveness = detector.record(result);
         if let Some(liveness) = liveness {
             gateway.record_liveness(epoch, liveness);
         }
-        let delay = if misses == 1 { REPROBE_DELAY } else { interval };
+        let delay = if detector.is_in_doubt() { REPROBE_DELAY } else { interval };
         wait_for_next_probe(&mut view, probed.as_ref(), delay).await;
     }
 }
--- a/crates/node/src/leader_view.rs
+++ b/crates/node/src/leader_view.rs
@@ -8,7 +8,7 @@
 /// How to reach the leader.
 #[derive(Clone, Debug)]
 pub(crate) enum Route {
-    /// No leader is known, or it is gone.
+    /// No leader is known, or it does not answer.
     None,
     /// This daemon is the leader.
     Local(mpsc::Sender<SchedulerRequest>),
@@ -53,7 +53,7 @@
             return Route::Local(requests.clone());
         }
         match &self.address {
-            Some(address) if self.liveness != Liveness::Gone => Route::Remote(address.clone()),
+            Some(address) if self.is_responsive() => Route::Remote(address.clone()),
             _ => Route::None,
         }
     }
@@ -89,7 +89,11 @@
     /// Whether there is no leader that could make anything durable.
     pub fn is_unavailable(&self) -> bool {
         let has_leader = self.requests.is_some() || self.address.is_some();
-        !has_leader || matches!(self.liveness, Liveness::Gone | Liveness::Isolated)
+        !has_leader || !self.is_responsive() || self.liveness == Liveness::Isolated
+    }
+
+    fn is_responsive(&self) -> bool {
+        !matches!(self.liveness, Liveness::Unresponsive | Liveness::Gone)
     }
 
     /// Epoch and address of the leader to probe; `None` if this daemon leads or none is known.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -76,6 +76,8 @@
 pub use crate::inbox::inbox;
 pub use crate::leader_probe::probe_interval;
 pub use crate::liveness::Liveness;
+pub use crate::liveness::LivenessDetector;
+pub use crate::liveness::ProbeResult;
 pub use crate::manifest::CurrentManifest;
 pub use crate::manifest::Denied;
 pub use crate::manifest::Manifest;
--- a/crates/node/tests/election.rs
+++ b/crates/node/tests/election.rs
@@ -9,6 +9,9 @@
 use stoatwell_node::LeaderLease;
 use stoatwell_node::LeaderLeaseView;
 use stoatwell_node::Liveness;
+use stoatwell_node::LivenessDetector;
+use stoatwell_node::ProbeResult;
+use stoatwell_node::RENEW_INTERVAL_MS;
 use stoatwell_node::probe_interval;
 use stoatwell_pool::EXTENSION_WINDOW_MS;
 
@@ -186,3 +189,147 @@
     let read: LeaderLease = serde_json::from_str(&row).expect("the same row");
     assert_eq!(read, lease_row("other"));
 }
+
+const ANSWERED: ProbeResult = ProbeResult::Leads { reaches_store: true };
+/// When the load of [`Play`] begins.
+const LOAD_AT_MS: u64 = 8_000;
+const PLAY_END_MS: u64 = 40_000;
+
+/// A leader and a candidate in virtual time, from when the leader has acquired the lease.
+struct Play {
+    random: u64,
+    view: LeaderLeaseView,
+    detector: LivenessDetector,
+    liveness: Liveness,
+}
+
+impl Play {
+    fn new(seed: u64) -> Self {
+        let random = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        let view = LeaderLeaseView::new(0);
+        Self { random, view, detector: LivenessDetector::default(), liveness: Liveness::Unknown }
+    }
+
+    fn up_to(&mut self, max: u64) -> u64 {
+        self.random ^= self.random << 13;
+        self.random ^= self.random >> 7;
+        self.random ^= self.random << 17;
+        self.random % (max + 1)
+    }
+
+    /// Renews until `end_ms`; the candidate probes after each renewal. Returns when the candidate
+    /// saw the last renewal, or `Err` with the time at which it claimed the lease.
+    fn renew_until(
+        &mut self,
+        end_ms: u64,
+        candidate: &Candidate,
+        delays: impl Fn(&mut Self, u64) -> (u64, u64),
+        probe: impl Fn(u64) -> ProbeResult,
+    ) -> Result<u64, u64> {
+        let (mut written_ms, mut seen_ms, mut beat) = (0, 0, 0);
+        while written_ms < end_ms {
+            let (write_delay_ms, read_delay_ms) = delays(self, written_ms);
+            written_ms += RENEW_INTERVAL_MS + write_delay_ms;
+            let due_ms = self.view.claim_due_ms(candidate, self.liveness);
+            if beat > 0 && due_ms < written_ms {
+                return Err(due_ms);
+            }
+            beat += 1;
+            seen_ms = seen_ms.max(written_ms + read_delay_ms);
+            self.view.observe(Some((LeaderLease { beat, ..lease_row("other") }, beat)), seen_ms);
+            for _ in 0..3 {
+                self.probe(probe(written_ms));
+            }
+        }
+        Ok(seen_ms)
+    }
+
+    fn probe(&mut self, result: ProbeResult) {
+        self.liveness = self.detector.record(result).unwrap_or(self.liveness);
+    }
+}
+
+/// Guards against a change of leader by load alone: from one moment on, the leader answers no
+/// probe and its renewals are late, up to the time in which another one would be due.
+#[test]
+fn a_leader_that_is_slow_of_a_sudden_is_not_replaced() {
+    for seed in 1..=200 {
+        let mut play = Play::new(seed);
+        let latency_ms = 5 + play.up_to(25);
+        let candidate = candidate("me", latency_ms);
+        let delays = |play: &mut Play, at_ms: u64| match at_ms {
+            0..LOAD_AT_MS => (2 * latency_ms, play.up_to(2 * latency_ms)),
+            _ => (2 * latency_ms + play.up_to(450), play.up_to(450)),
+        };
+        let probe = |at_ms| if at_ms < LOAD_AT_MS { ANSWERED } else { ProbeResult::NoAnswer };
+        let kept = play.renew_until(PLAY_END_MS, &candidate, delays, probe);
+        assert!(kept.is_ok(), "seed {seed}: claimed at {kept:?}");
+        assert_eq!(play.liveness, Liveness::Unresponsive);
+    }
+}
+
+/// Guards against a change of leader by load that grows: the renewals take longer and longer, and
+/// no probe is answered.
+#[test]
+fn the_time_out_of_a_slow_leader_follows_its_renewals() {
+    for seed in 1..=200 {
+        let mut play = Play::new(seed);
+        let candidate = candidate("me", 10);
+        let delays = |play: &mut Play, at_ms: u64| {
+            let late_ms = at_ms.saturating_sub(LOAD_AT_MS) / 40;
+            (late_ms + play.up_to(late_ms / 4), play.up_to(50))
+        };
+        let probe = |at_ms| if at_ms < LOAD_AT_MS { ANSWERED } else { ProbeResult::NoAnswer };
+        let kept = play.renew_until(PLAY_END_MS, &candidate, delays, probe);
+        assert!(kept.is_ok(), "seed {seed}: claimed at {kept:?}");
+    }
+}
+
+/// Guards against jobs that wait longer for the successor of a leader that is gone or silent than
+/// its lease demands, however slow it was before.
+#[test]
+fn a_dead_leader_is_replaced_in_bounded_time() {
+    for seed in 1..=200 {
+        let mut play = Play::new(seed);
+        let latency_ms = 5 + play.up_to(5);
+        let candidate = candidate("me", latency_ms);
+        let is_loaded = seed % 2 == 0;
+        let delays = |play: &mut Play, _| {
+            if is_loaded {
+                return (play.up_to(1_000), play.up_to(50));
+            }
+            (2 * latency_ms, play.up_to(20))
+        };
+        let seen_ms = play
+            .renew_until(LOAD_AT_MS, &candidate, delays, |_| ANSWERED)
+            .unwrap_or_else(|at_ms| panic!("seed {seed}: claimed at {at_ms}"));
+        let delay_ms = candidate.claim_delay_ms();
+        for _ in 0..2 {
+            play.probe(ProbeResult::NoAnswer);
+        }
+        let silent_ms = play.view.claim_due_ms(&candidate, play.liveness) - seen_ms - delay_ms;
+        let silent_max_ms = if is_loaded { LEADER_LEASE_MS } else { 1_150 };
+        assert!(silent_ms <= silent_max_ms, "seed {seed}: {silent_ms}");
+        play.probe(ProbeResult::Refused);
+        let gone_ms = play.view.claim_due_ms(&candidate, play.liveness) - seen_ms - delay_ms;
+        assert_eq!(gone_ms, FAILED_LEADER_TIMEOUT_MS + 2 * latency_ms, "seed {seed}");
+    }
+}
+
+/// Guards against a live leader that counts as gone by probes that it did not answer in time, and
+/// against a killed one that does not.
+#[test]
+fn only_evidence_shows_that_a_leader_is_gone() {
+    let last = |results: &[ProbeResult]| {
+        let mut detector = LivenessDetector::default();
+        results.iter().filter_map(|result| detector.record(*result)).last()
+    };
+    let (unanswered, refused) = (ProbeResult::NoAnswer, ProbeResult::Refused);
+    assert_eq!(last(&[unanswered]), None);
+    assert_eq!(last(&[unanswered; 100]), Some(Liveness::Unresponsive));
+    assert_eq!(last(&[unanswered, ANSWERED, unanswered]), Some(Liveness::Healthy));
+    assert_eq!(last(&[unanswered, refused]), Some(Liveness::Gone));
+    assert_eq!(last(&[unanswered, unanswered, refused]), Some(Liveness::Gone));
+    assert_eq!(last(&[ProbeResult::DoesNotLead; 2]), Some(Liveness::Gone));
+    assert_eq!(last(&[ProbeResult::DoesNotLead, ANSWERED]), Some(Liveness::Healthy));
+}
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,6 +6,7 @@
 //! be answered.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -36,13 +37,46 @@
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 pub enum PeerError {
     /// no connection was made, so nothing was sent: {0}
-    NotSent(String),
+    NotSent(ConnectError),
     /// no answer came, so it may have taken effect: {0}
     NoAnswer(String),
 }
 
 impl std::error::Error for PeerError {}
 
+impl PeerError {
+    /// Whether the machine answered that nothing listens at the address: the process is gone. A
+    /// process that is only slow refuses no connections.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::NotSent(error) if error.kind == io::ErrorKind::ConnectionRefused)
+    }
+}
+
+/// Why no connection was made.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConnectError {
+    kind: io::ErrorKind,
+    message: String,
+}
+
+impl ConnectError {
+    fn new(kind: io::ErrorKind, message: impl ToString) -> Self {
+        Self { kind, message: message.to_string() }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        Self::new(error.kind(), error)
+    }
+}
+
+impl fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.message)
+    }
+}
+
 /// Connections to other daemons, by address.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -60,7 +94,7 @@
 struct Connection {
     client: Option<PeerServiceClient>,
     generation: u64,
-    last_failed_dial: Option<Instant>,
+    last_failed_dial: Option<(Instant, ConnectError)>,
 }
 
 impl Peers {
@@ -77,14 +111,20 @@
         call: &impl Serialize,
         time_limit: Duration,
     ) -> Result<R, PeerError> {
-        let encoded =
-            bincode::serialize(call).map_err(|error| PeerError::NotSent(error.to_string()))?;
+        let encoded = bincode::serialize(call).map_err(|error| {
+            PeerError::NotSent(ConnectError::new(io::ErrorKind::InvalidData, error))
+        })?;
         let slot = self.slot(address);
         let connected = timeout(time_limit, self.connect(address, &slot)).await;
         let (client, generation) = match connected {
             Ok(Ok(connected)) => connected,
-            Ok(Err(error)) => return Err(PeerError::NotSent(error.to_string())),
-            Err(elapsed) => return Err(PeerError::NotSent(elapsed.to_string())),
+            Ok(Err(error)) => return Err(PeerError::NotSent(error)),
+            Err(elapsed) => {
+                return Err(PeerError::NotSent(ConnectError::new(
+                    io::ErrorKind::TimedOut,
+                    elapsed,
+                )));
+            }
         };
         let mut context = context::current();
         context.deadline = Instant::now() + time_limit;
@@ -107,16 +147,19 @@
         Arc::clone(slots.entry(address.to_owned()).or_default())
     }
 
-    async fn connect(&self, address: &str, slot: &Slot) -> io::Result<(PeerServiceClient, u64)> {
+    async fn connect(
+        &self,
+        address: &str,
+        slot: &Slot,
+    ) -> Result<(PeerServiceClient, u64), ConnectError> {
         let mut connection = slot.state.lock().await;
         if let Some(client) = &connection.client {
             return Ok((client.clone(), connection.generation));
         }
-        if connection.last_failed_dial.is_some_and(|failed| failed.elapsed() < DIAL_BACKOFF) {
-            return Err(io::Error::new(
-                io::ErrorKind::NotConnected,
-                "the last dial failed just now",
-            ));
+        if let Some((failed, error)) = &connection.last_failed_dial
+            && failed.elapsed() < DIAL_BACKOFF
+        {
+            return Err(error.clone());
         }
         match self.dial(address).await {
             Ok(client) => {
@@ -126,7 +169,8 @@
                 Ok((client, connection.generation))
             }
             Err(error) => {
-                connection.last_failed_dial = Some(Instant::now());
+                let error = ConnectError::from(error);
+                connection.last_failed_dial = Some((Instant::now(), error.clone()));
                 Err(error)
             }
         }
--- a/crates/peer/tests/connections.rs
+++ b/crates/peer/tests/connections.rs
@@ -116,4 +116,23 @@
     let peers = Peers::new(KEY, Traffic::default());
     let result = peers.call::<PeerReply>(&address, &sample_call(), TIME_LIMIT).await;
     assert!(matches!(result, Err(PeerError::NotSent(_))), "{result:?}");
+    let again = peers.call::<PeerReply>(&address, &sample_call(), TIME_LIMIT).await;
+    for result in [result, again] {
+        assert!(result.as_ref().is_err_and(PeerError::is_refused), "{result:?}");
+    }
+}
+
+/// Guards against a peer that is taken for dead because it is slow to accept connections.
+#[tokio::test]
+async fn slow_handshake_is_no_refusal() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let peers = Peers::new(KEY, Traffic::default());
+    for _ in 0..2 {
+        let limit = Duration::from_millis(100);
+        let result = peers.call::<PeerReply>(&address, &sample_call(), limit).await;
+        assert!(matches!(result, Err(PeerError::NotSent(_))), "{result:?}");
+        assert!(!result.as_ref().is_err_and(PeerError::is_refused), "{result:?}");
+    }
+    drop(listener);
 }
