A leader whose tasks stand still stops renewing its lease

Since the lease is renewed from a thread of its own, a daemon whose other tasks hang while its process runs would keep the lease for ever, and no job would start. The task that waits for the thread now counts each of its turns, and the thread renews no more once ten renewal intervals passed without one. Intervals are counted, not time, so a process that was suspended and resumes keeps its lease if nobody has claimed it. The lease is not released: the scheduler may run again, and extend leases of workers for `EXTENSION_WINDOW_MS` after the last renewal, which the successor allows for.

`a_hanging_leader_is_replaced` fails without the limit (no leader within 9 s) and passes with it.

For the next such case, `duty taken over` tells the liveness of the previous leader and the longest interval between its renewals, and a leader that renews late says so.

--- a/crates/node/src/commit/renew.rs
+++ b/crates/node/src/commit/renew.rs
@@ -2,7 +2,8 @@
 //!
 //! A leader that is behind with its work still has to renew its lease in time, or else load alone
 //! would replace it. Its tasks wait for each other in one queue, so the renewal runs on a thread
-//! of its own, with its own connections to the store.
+//! of its own, with its own connections to the store. It ends if the daemon's other tasks stand
+//! still altogether, since a scheduler that never runs again must not keep the lease.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 
 use crate::clock::steady_ms;
 use crate::commit::encode;
+use crate::election::FAILED_LEADER_TIMEOUT_MS;
 use crate::election::LeaderLease;
 use crate::election::RENEW_INTERVAL_MS;
 use crate::health::StoreHealth;
@@ -39,6 +41,12 @@
 /// Delay before a write that the store refused or did not answer is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How often the daemon's tasks show that they still run.
+const PROGRESS_INTERVAL: Duration = Duration::from_millis(500);
+/// Renewal intervals without any progress of the daemon's tasks after which the lease is no
+/// longer renewed. Time in which the whole process stands still does not count.
+const STALLED_INTERVALS_MAX: u32 = 10;
+
 /// The leader lease, as held by this daemon.
 #[derive(Clone, Debug)]
 pub(crate) struct HeldLease {
@@ -55,6 +63,8 @@
 pub(crate) struct RenewalState {
     /// When the newest successful renewal was sent.
     renewed_ms: AtomicU64,
+    /// Rises while the daemon's other tasks make progress.
+    progress: AtomicU64,
     /// The silent workers that the next row names.
     silent_leases: Mutex<SilentLeases>,
     /// Notified when that list changes. A worker that answers again keeps its runs only if its
@@ -74,6 +84,7 @@
         let leases = lease.row.silent_leases.iter().map(inherited).collect();
         Self {
             renewed_ms: AtomicU64::new(lease.acquired_ms),
+            progress: AtomicU64::new(0),
             silent_leases: Mutex::new(SilentLeases { generation: 0, leases }),
             list_changed: Notify::new(),
             written_generation: AtomicU64::new(0),
@@ -85,6 +96,14 @@
         self.renewed_ms.load(Ordering::Relaxed)
     }
 
+    fn progress(&self) -> u64 {
+        self.progress.load(Ordering::Relaxed)
+    }
+
+    fn record_progress(&self) {
+        self.progress.fetch_add(1, Ordering::Relaxed);
+    }
+
     /// The generation of the list of silent workers in the newest durable row.
     pub fn written_generation(&self) -> u64 {
         self.written_generation.load(Ordering::Relaxed)
@@ -123,7 +142,8 @@
     state: Arc<RenewalState>,
 ) {
     let platform = platform.with_own_connections();
-    let (mut ended_sender, ended) = oneshot::channel::<()>();
+    let (mut ended_sender, mut ended) = oneshot::channel::<()>();
+    let renewal_state = Arc::clone(&state);
     let spawned = thread::Builder::new().name("lease-renewal".to_owned()).spawn(move || {
         let runtime = match Builder::new_current_thread().enable_all().build() {
             Ok(runtime) => runtime,
@@ -136,7 +156,7 @@
             tokio::select! {
                 biased;
                 () = ended_sender.closed() => {}
-                () = renew_until_lost(platform, lease, health, stop, state) => {}
+                () = renew_until_lost(platform, lease, health, stop, renewal_state) => {}
             }
         });
     });
@@ -145,7 +165,9 @@
         return;
     }
     // The sender is dropped when the thread ends, even by a panic.
-    let _closed = ended.await;
+    while tokio::time::timeout(PROGRESS_INTERVAL, &mut ended).await.is_err() {
+        state.record_progress();
+    }
 }
 
 async fn renew_until_lost<P: Platform>(
@@ -157,15 +179,26 @@
 ) {
     let mut renewer = LeaseRenewer { platform, lease, health, state };
     let mut renew_at = Instant::now();
+    let mut progress = 0;
+    let mut stalled_intervals = 0;
     loop {
         renew_at += Duration::from_millis(RENEW_INTERVAL_MS);
         renew_at = renew_at.max(Instant::now());
         tokio::select! {
             biased;
             _ = stop.wait_for(|stop| *stop) => break,
-            () = tokio::time::sleep_until(renew_at) => {}
+            () = tokio::time::sleep_until(renew_at) => stalled_intervals += 1,
             () = renewer.state.list_changed.notified() => renew_at = Instant::now(),
         }
+        let previous = std::mem::replace(&mut progress, renewer.state.progress());
+        if progress != previous {
+            stalled_intervals = 0;
+        }
+        if stalled_intervals > STALLED_INTERVALS_MAX {
+            let epoch = renewer.lease.row.epoch;
+            tracing::error!(epoch, "giving up the leadership: the daemon's tasks stand still");
+            return;
+        }
         if !renewer.write().await {
             return;
         }
@@ -191,6 +224,11 @@
             let sent_ms = steady_ms();
             match self.health.track_write(self.platform.transact(&transaction)).await {
                 Ok(version) => {
+                    let gap_ms = sent_ms.saturating_sub(self.state.renewed_ms());
+                    if gap_ms > FAILED_LEADER_TIMEOUT_MS {
+                        let epoch = self.lease.row.epoch;
+                        tracing::info!(epoch, gap_ms, "leader lease renewed late");
+                    }
                     // Others may have seen the row change at any time since it was sent.
                     self.state.renewed_ms.store(sent_ms, Ordering::Relaxed);
                     self.state.written_generation.store(generation, Ordering::Relaxed);
--- a/crates/node/src/elector.rs
+++ b/crates/node/src/elector.rs
@@ -239,12 +239,16 @@
                 // The previous holder; the name is the key in the log line.
                 let before = view.row.as_ref().map(|(row, _)| row.holder.as_str());
                 let silent_ms = steady_ms().saturating_sub(view.changed_ms);
+                let liveness = self.gateway.leader_liveness(view.epoch());
+                let renewal_gap_ms = view.renewal_gap_ms;
                 let earlier_extends_ms = row.earlier_extends_ms;
                 let silent_workers = row.silent_leases.len();
                 tracing::info!(
                     epoch,
                     before,
                     silent_ms,
+                    %liveness,
+                    renewal_gap_ms,
                     earlier_extends_ms,
                     silent_workers,
                     "duty taken over"
--- a/crates/node/tests/leader_load.rs
+++ b/crates/node/tests/leader_load.rs
@@ -92,3 +92,15 @@
     wait_until("the next leader", 1_000, || other.scheduler().is_some()).await;
     println!("replaced after {} ms", killed.elapsed().as_millis());
 }
+
+/// Guards against a pool without a leader for as long as a leader's process hangs: its renewals
+/// do not depend on its other tasks, and have to end with them.
+#[tokio::test]
+async fn a_hanging_leader_is_replaced() {
+    let store = Arc::new(FakePlatform::default());
+    let leader = OtherProcess::lead(&store, Duration::from_secs(12));
+    let other = start("b", &store).await;
+    wait_until("the next leader", 9_000, || other.scheduler().is_some()).await;
+    assert_eq!(epoch(&store), 2);
+    leader.kill();
+}
