--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -33,6 +33,8 @@
     WholeRead,
     /// conflict of the scheduler's own write
     Conflict,
+    /// known before the job
+    Early,
 }
 
 /// An input of [`Pool::handle`](crate::Pool::handle).
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -475,7 +475,7 @@
         tracing::info!(job = %id, queue = spec.queue.name, "job accepted");
         let job = self.new_job(id, spec);
         self.admit(job);
-        self.cancel_if_requested(id);
+        self.cancel_if_requested(id, CancelSource::Early);
     }
 
     fn new_job(&mut self, id: JobId, spec: Arc<JobSpec>) -> Job {
@@ -540,22 +540,21 @@
     }
 
     fn on_cancelled(&mut self, id: JobId, cancellation: Cancellation, source: CancelSource) {
-        if self.cancellations.get(id).is_none() {
-            let is_known = self.jobs.contains_key(&id);
-            tracing::info!(target: BELIEF_TARGET, job = %id, %source, is_known, "cancellation received");
+        if !self.jobs.contains_key(&id) && self.cancellations.get(id).is_none() {
+            tracing::info!(target: BELIEF_TARGET, job = %id, %source, "cancellation of a job that is not known yet");
         }
         self.cancellations.record(id, cancellation, self.unix_ms);
-        self.cancel_if_requested(id);
+        self.cancel_if_requested(id, source);
     }
 
     /// Ends a job if its owner has cancelled it, possibly before the job was known.
-    fn cancel_if_requested(&mut self, id: JobId) {
+    fn cancel_if_requested(&mut self, id: JobId, source: CancelSource) {
         let Some(job) = self.jobs.get(&id) else { return };
         let Some(cancellation) = self.cancellations.get(id) else { return };
         let owner = job.spec.customer.as_ref().map(|customer| &customer.name);
         if let Some(outcome) = job.outcome {
             if outcome != Outcome::Cancelled {
-                tracing::info!(target: BELIEF_TARGET, job = %id, %outcome, "cancellation ignored: the job has ended");
+                tracing::info!(target: BELIEF_TARGET, job = %id, %outcome, %source, "cancellation ignored: the job has ended");
             }
             return;
         }
@@ -563,7 +562,7 @@
             tracing::info!(target: BELIEF_TARGET, job = %id, owner = owner.map(CustomerName::as_str), "cancellation ignored: it is not by the owner");
             return;
         }
-        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, "job cancelled");
+        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, %source, "job cancelled");
         self.finish(id, Outcome::Cancelled);
     }
 
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -11,6 +11,7 @@
 use stoatwell_model::BELIEF_TARGET;
 
 use crate::Pool;
+use crate::event::CancelSource;
 use crate::event::Effect;
 use crate::id::JobId;
 use crate::id::TaskId;
@@ -71,7 +72,7 @@
         job.durable = false;
         self.admit(job);
         self.schedule_submission_write(id);
-        self.cancel_if_requested(id);
+        self.cancel_if_requested(id, CancelSource::Early);
         None
     }
 
