The leader's write gets over a cancellation whose row was removed

A cancellation by someone who does not own the job is expected, with its version, by the next attempt of the leader's write. If the row was removed by then, the conflict named version 0, which was not taken over: the write was repeated at once and without end, and nothing else of its partition was written. A row is removed with its retention, in a batch whose response may have been lost; that is rare, and shown here only with a fake store.

Red before: a_job_starts_after_a_cancellation_that_its_write_expected_was_removed.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -236,11 +236,10 @@
     }
 
     /// Notifies the scheduler of cancellations that it may not know of. The next attempt expects
-    /// them: the scheduler drops those that are not by the owner of the job.
+    /// them: the scheduler drops those that are not by the owner of the job. A row that an earlier
+    /// attempt expected may also have been removed.
     fn resolve_cancellations(&self, writes: &mut [PartitionWrite], rows: &[(Table, Row)]) {
-        let cancels =
-            rows.iter().filter(|(table, row)| *table == Table::Cancels && row.version > 0);
-        for (_, row) in cancels {
+        for (_, row) in rows.iter().filter(|(table, _)| *table == Table::Cancels) {
             let mut puts = writes.iter_mut().flat_map(|write| &mut write.puts);
             let Some(put) = puts.find(|put| put.job.to_string() == row.key) else { continue };
             put.cancel_version = put.cancel_version.map(|_| row.version);
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stoatwell_model::CustomerName;
 use stoatwell_model::WorkerId;
 use stoatwell_node::FAILED_LEADER_TIMEOUT_MS;
 use stoatwell_node::JobLookup;
@@ -397,6 +398,23 @@
     }
 }
 
+/// Guards against a partition whose writes repeat for ever: they expect the cancellation of a job
+/// by someone who does not own it, and its row was removed between two attempts.
+#[tokio::test]
+async fn a_job_starts_after_a_cancellation_that_its_write_expected_was_removed() {
+    let store = Arc::new(FakePlatform::with_worker());
+    let node = start("a", &store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    let cancellation = Cancellation::by(Some(&CustomerName::new("other")));
+    let row = serde_json::to_vec(&cancellation).expect("encoded");
+    let put = vec![(Table::Cancels, JobId(7).to_string(), row)];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    store.set_behavior(StoreBehavior::RemovesConflictingCancellation);
+    assert_eq!(node.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await, Accepted::Yes);
+    wait_until("a start", 2_000, || store.first_starts_received() == 1).await;
+    assert_eq!(store.rows(Table::Cancels), Vec::new());
+}
+
 /// Guards against an accepted job that never starts because the task that writes its partition
 /// panicked: everything behind that write waited for as long as the daemon led.
 #[tokio::test]
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -79,6 +79,8 @@
     HidesChangesOfJobs,
     /// It refuses writes, and answers each confirmation of the manifest after a second.
     ConfirmsLate,
+    /// It removes a cancellation that it has reported as a conflict, and is normal afterwards.
+    RemovesConflictingCancellation,
 }
 
 /// The platform as one daemon sees it. The rows can be shared with other daemons.
@@ -282,6 +284,7 @@
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
             | StoreBehavior::ConfirmsLate
+            | StoreBehavior::RemovesConflictingCancellation
             | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => None,
         }
@@ -363,6 +366,20 @@
             StoreBehavior::RefusesWrites
             | StoreBehavior::RefusesAll
             | StoreBehavior::ConfirmsLate => Err(StoreError::Refused),
+            StoreBehavior::RemovesConflictingCancellation => {
+                let result = self.write(transaction);
+                if let Err(StoreError::Conflict(rows)) = &result {
+                    let is_cancellation = |(table, _): &&(Table, Row)| *table == Table::Cancels;
+                    let reported = rows.iter().filter(is_cancellation);
+                    let remove: Vec<_> =
+                        reported.map(|(table, row)| (*table, row.key.clone())).collect();
+                    if !remove.is_empty() {
+                        self.set_behavior(StoreBehavior::Normal);
+                        self.write(&Transaction { remove, ..Transaction::default() })?;
+                    }
+                }
+                result
+            }
             StoreBehavior::PanicsInOneJobWrite => {
                 if transaction.put.iter().any(|(table, ..)| *table == Table::Jobs) {
                     self.set_behavior(StoreBehavior::Normal);
@@ -473,6 +490,7 @@
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
             | StoreBehavior::ConfirmsLate
+            | StoreBehavior::RemovesConflictingCancellation
             | StoreBehavior::PanicsInOneJobWrite
             | StoreBehavior::DelaysJobWrites => {
                 let newest = self.newest_manifest();
@@ -503,6 +521,7 @@
                 | StoreBehavior::HidesLeaderLease
                 | StoreBehavior::HidesChangesOfJobs
                 | StoreBehavior::ConfirmsLate
+                | StoreBehavior::RemovesConflictingCancellation
                 | StoreBehavior::PanicsInOneJobWrite
                 | StoreBehavior::DelaysJobWrites => {}
             }
