A submission does not pass for another customer's job with its number

Two customers submit jobs with one number: one through the leader, and the other's row is written by a gateway. The gateway's notice of its durable row marked the leader's submission as durable. The first caller was told that its job is accepted, although the store has none of it, and its work ran under the other customer's number; that customer's job did not run until the next leader.

The notice is now compared with the submission by its owner, as the scheduler and the store do in all other ways that a number is used twice. A submission of another customer is given up and answered as taken, and the stored job takes its place. Nothing of it was sent: starts wait for its row, whose write then fails.

Red before: the_job_that_the_store_has_runs_although_another_customers_submission_came_first (the scheduler had the job of the late customer).

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -467,10 +467,13 @@
     }
 
     fn on_accepted(&mut self, id: JobId, spec: Arc<JobSpec>) {
-        if self.jobs.contains_key(&id) {
-            // A gateway wrote the submission itself while its commit was in flight here.
-            self.on_accept_durable(id);
-            return;
+        if let Some(known) = self.jobs.get(&id) {
+            if known.durable || known.spec.has_same_owner(&spec) {
+                // A gateway wrote the submission itself while its commit was in flight here.
+                self.on_accept_durable(id);
+                return;
+            }
+            self.give_up_taken_submission(id);
         }
         tracing::info!(job = %id, queue = spec.queue.name, "job accepted");
         let job = self.new_job(id, spec);
--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/spec.rs
@@ -150,6 +150,12 @@
 impl std::error::Error for SpecError {}
 
 impl JobSpec {
+    /// Whether both jobs belong to the same customer.
+    pub(crate) fn has_same_owner(&self, other: &Self) -> bool {
+        let owner = |spec: &Self| spec.customer.as_ref().map(|customer| customer.name.clone());
+        owner(self) == owner(other)
+    }
+
     /// Returns the first problem that makes the job impossible to run.
     pub fn check(&self) -> Result<(), SpecError> {
         if self.payload.len() > PAYLOAD_BYTES_MAX {
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -58,9 +58,7 @@
         self.now_ms = self.now_ms.max(now_ms);
         self.unix_ms = unix_ms;
         if let Some(job) = self.jobs.get(&id) {
-            let name =
-                |spec: &JobSpec| spec.customer.as_ref().map(|customer| customer.name.clone());
-            if name(&job.spec) != name(&spec) {
+            if !job.spec.has_same_owner(&spec) {
                 return Some(Accepted::Taken);
             }
             return job.durable.then_some(Accepted::Yes);
@@ -115,6 +113,14 @@
         self.effects.push(Effect::Answer { job: id, accepted });
     }
 
+    /// Gives up a submission whose number has become that of another customer's job.
+    pub(crate) fn give_up_taken_submission(&mut self, id: JobId) {
+        tracing::info!(job = %id, "submission given up: a job of another customer has its number");
+        self.drop_submission(id);
+        self.commits.drop_rejected(id);
+        self.effects.push(Effect::Answer { job: id, accepted: Accepted::Taken });
+    }
+
     /// Removes a submission. None of its tasks was sent to a worker.
     fn drop_submission(&mut self, id: JobId) {
         let Some(job) = self.jobs.get(&id) else { return };
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -3,9 +3,13 @@
 mod world;
 
 use rand::RngExt;
+use stoatwell_model::CustomerName;
+use stoatwell_model::Resources;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::AdviceSpec;
+use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::PARTITIONS;
 
@@ -190,6 +194,27 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// Guards against a job that runs as the work of another customer: two customers used one number,
+/// and the scheduler took the other one's durable row for that of the submission it was writing.
+#[test]
+fn the_job_that_the_store_has_runs_although_another_customers_submission_came_first() {
+    let mut world = ready_world(12);
+    let by = |name: &str| {
+        let cap = Resources::ZERO;
+        let customer = CustomerLimits { name: CustomerName::new(name), weight: 10.0, cap };
+        JobSpec { customer: Some(customer), ..short_job() }
+    };
+    world.commit_ms = 60;
+    world.submit_via_scheduler(1, by("late"));
+    world.submit(1, by("first"));
+    assert_eq!(world.owner(1), Some(CustomerName::new("first")));
+    world.run(5);
+    assert_eq!(world.submission_result(1), Some(Accepted::Taken));
+    world.run(2_000);
+    assert_eq!(world.state(1), Some(JobState::Completed));
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against a batch that never becomes durable and that no figure shows.
 #[test]
 fn the_age_of_a_batch_that_is_not_durable_is_counted() {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -234,6 +234,11 @@
         self.pool.state(JobId(id))
     }
 
+    /// The customer that owns a job in the scheduler's view.
+    pub fn owner(&self, id: u64) -> Option<CustomerName> {
+        self.pool.view(JobId(id))?.customer
+    }
+
     /// The jobs that are neither completed, failed nor cancelled.
     pub fn open_jobs(&self) -> Vec<JobId> {
         let is_finished = |job: &&JobId| {
