A refused submission gives its customer's arrival token back

A customer's share of a full pool is counted in tokens, one for each job that arrives. The token of a submission that the store refused, or whose partition was stuck, stayed spent, and each further try of its caller took another one. So a customer within its share was put behind the others for as long as the store refused its work, and for a while after.

Red before: a_refused_submission_takes_nothing_of_its_customers_share: after four refused tries, a customer with tokens for two jobs had none left for the fifth, which was accepted.

--- a/crates/pool/src/customers.rs
+++ b/crates/pool/src/customers.rs
@@ -107,6 +107,12 @@
         true
     }
 
+    /// Returns the token of a job that was given up before it was accepted.
+    pub fn return_arrival_token(&mut self, id: CustomerId) {
+        let account = &mut self.accounts[id.0];
+        account.tokens = (account.tokens + 1.0).min(account.limits.weight * BURST_S);
+    }
+
     pub fn get(&self, id: CustomerId) -> &Account {
         &self.accounts[id.0]
     }
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/submit.rs
@@ -137,6 +137,9 @@
         }
         if let Some(mut job) = self.jobs.remove(&id) {
             self.job_index.remove(&mut job);
+            if let Some(customer) = job.customer.filter(|_| !job.over_fair_share) {
+                self.customers.return_arrival_token(customer);
+            }
         }
     }
 }
--- a/crates/pool/tests/submissions.rs
+++ b/crates/pool/tests/submissions.rs
@@ -215,6 +215,26 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// Guards against a customer that falls behind others because the store refuses its submissions:
+/// each try took a part of its share.
+#[test]
+fn a_refused_submission_takes_nothing_of_its_customers_share() {
+    let mut world = ready_world(13);
+    let customer =
+        CustomerLimits { name: CustomerName::new("a"), weight: 1.0, cap: Resources::ZERO };
+    let spec = JobSpec { customer: Some(customer), ..short_job() };
+    world.refuses_submissions = true;
+    for number in 1..=4 {
+        world.submit_via_scheduler(number, spec.clone());
+        world.run(400);
+        assert_eq!(world.submission_result(number), Some(Accepted::No));
+    }
+    world.refuses_submissions = false;
+    world.submit_via_scheduler(5, spec);
+    let explanation = world.explain(JobId(5));
+    assert!(explanation.contains("beyond it false"), "{explanation}");
+}
+
 /// Guards against a batch that never becomes durable and that no figure shows.
 #[test]
 fn the_age_of_a_batch_that_is_not_durable_is_counted() {
