A longer wait for a cancellation costs a leader no further call

Since a start is void only after 2 s, callers whose leader acknowledges nothing wait 2.5 s, and a fourth notification of each cancellation fell into that time: 2,000 calls of 500 cancellations. The first repetition now comes after 400 ms instead of 300, and the third call is the last one within the wait.

--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -61,7 +61,7 @@
 const NOTIFICATION_PERIOD: Duration = Duration::from_secs(10);
 /// Half of the delay before the first repetition of a notification without an acknowledgement;
 /// doubled with each further one.
-const NOTIFICATION_RETRY_DELAY: Duration = Duration::from_millis(150);
+const NOTIFICATION_RETRY_DELAY: Duration = Duration::from_millis(200);
 /// The notifications of a new leader are spread over this time.
 const NOTIFICATION_SPREAD_MS: u64 = 500;
 
