Cancellations of unknown jobs do not conflict in turn for ever

A daemon writes cancellations of unknown jobs together, and each expects the version of the row that someone else's cancellation of the same job has. What a conflict showed of a row was forgotten with the next conflict, of another row: a conflict names only rows that are not as expected. Two requests that joined the batch at different times so conflicted in turn, without a pause, until their callers' deadlines; nobody in the batch got an answer but "unknown", and the partition of this daemon accepted nothing meanwhile. A customer could cause it with guessed numbers.

A request now forgets what it knows of a row only if the conflict names the row.

--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -212,10 +212,14 @@
             }
         }
         (WriteRequest::CancelUnknown(_, caller), None) => {
-            let stored = find(Table::Cancels);
-            let cancellation = stored.and_then(read_cancellation).map(|(_, stored)| stored);
-            let is_known = cancellation.as_ref().is_some_and(|it| it.applies_to(caller.as_ref()));
-            pending.stored_cancellation = stored.map(|row| (row.version, cancellation));
+            // A row that is as expected is not among the conflicting ones.
+            if rows.iter().any(|(table, row)| *table == Table::Cancels && row.key == key) {
+                let stored = find(Table::Cancels);
+                let cancellation = stored.and_then(read_cancellation).map(|(_, stored)| stored);
+                pending.stored_cancellation = stored.map(|row| (row.version, cancellation));
+            }
+            let stored = pending.stored_cancellation.as_ref().and_then(|(_, it)| it.as_ref());
+            let is_known = stored.is_some_and(|it| it.applies_to(caller.as_ref()));
             is_known.then_some(Accepted::Yes)
         }
         (WriteRequest::Submit(..), None) | (WriteRequest::Cancel(_), _) => None,
--- a/crates/node/tests/cancellations.rs
+++ b/crates/node/tests/cancellations.rs
@@ -10,14 +10,18 @@
 use stoatwell_model::Resources;
 use stoatwell_node::JobLookup;
 use stoatwell_node::Node;
+use stoatwell_node::Platform;
 use stoatwell_node::Table;
+use stoatwell_node::Transaction;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::Cancellation;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::QueueSpec;
 use stoatwell_pool::START_VALIDITY_MS;
+use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 use self::fake::FakePlatform;
@@ -29,6 +33,8 @@
 use self::fake::leader::FakeLeader;
 
 const JOB: JobId = JobId(7);
+/// The most cancellations of unknown jobs that a daemon writes in one transaction.
+const REQUESTS_PER_WRITE: usize = 32;
 /// A caller's usual time.
 const CALLER_MS: u64 = 3_000;
 /// No start of a job reaches a worker later than this after a cancellation became durable.
@@ -133,6 +139,32 @@
     }
 }
 
+/// Guards against writes that conflict in turn until their callers give up: what one conflict had
+/// shown of a cancellation's row was forgotten with the next conflict, of another row.
+#[tokio::test]
+async fn cancellations_of_unknown_jobs_that_others_cancelled_are_written_together() {
+    let (store, node) = leader_with_worker().await;
+    let [caller, other] = ["a", "b"].map(CustomerName::new);
+    let is_in_partition = |number: &u64| JobId(*number).partition() == JOB.partition();
+    let jobs: Vec<JobId> =
+        (1..).filter(is_in_partition).map(JobId).take(REQUESTS_PER_WRITE + 1).collect();
+    let [first, second, .., last] = jobs[..] else { panic!("more jobs") };
+    for (job, customer) in [(first, &other), (second, &caller), (last, &other)] {
+        let row = serde_json::to_vec(&Cancellation::by(Some(customer))).expect("encoded");
+        let put = vec![(Table::Cancels, job.to_string(), row)];
+        store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    }
+    let mut answers = JoinSet::new();
+    for job in jobs {
+        let gateway = Arc::clone(node.gateway());
+        let caller = caller.clone();
+        answers
+            .spawn(async move { gateway.cancel(job, Some(&caller), deadline_in(CALLER_MS)).await });
+    }
+    assert!(answers.join_all().await.iter().all(Option::is_none));
+    assert_eq!(store.rows(Table::Cancels).len(), REQUESTS_PER_WRITE + 1);
+}
+
 /// Guards against "no such job" from a daemon that could write no cancellation: the caller takes it
 /// as the acknowledgement.
 #[tokio::test]
