A removed job does not come back from a stale read

A job's rows and its cancellation are removed together after the retention of finished jobs. When the store has lost the history of its changes, the leader reads the whole table of jobs, and the store may answer from some seconds before: every job that was removed meanwhile came back as a new one and ran, whether it had been completed, had failed or was cancelled. The condition on the cancellation's row does not help, since that row is gone as well.

The whole read is now repeated, once a second, until it is as new as the last change that the leader saw, as at a takeover.

Red before: a_removed_job_does_not_come_back_from_a_stale_read (the job was queued).

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -55,6 +55,7 @@
 use crate::peers::DaemonCall;
 use crate::platform::Platform;
 use crate::platform::Table;
+use crate::store_watcher::RETRY_DELAY;
 use crate::store_watcher::StoreWatcher;
 use crate::submissions::Submissions;
 use crate::tasks::reap;
@@ -281,9 +282,9 @@
         let tables = async {
             tokio::join!(
                 store_watcher.load_workers_and_executors(executors),
-                store_watcher.read_at_least(Table::Jobs, claimed_version),
-                store_watcher.read_at_least(Table::Cancels, claimed_version),
-                store_watcher.read_at_least(Table::Progress, claimed_version),
+                store_watcher.read_at_least(Table::Jobs, claimed_version, RETRY_DELAY),
+                store_watcher.read_at_least(Table::Cancels, claimed_version, RETRY_DELAY),
+                store_watcher.read_at_least(Table::Progress, claimed_version, RETRY_DELAY),
             )
         };
         let (workers, jobs, cancels, progress) = tokio::select! {
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -32,7 +32,7 @@
 /// How long the store holds a poll for changes open when there are none.
 const POLL_WAIT_MS: u64 = 1_500;
 /// Delay before a failed read or poll is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay between two polls for changes to jobs. Daemons notify the leader of the jobs they
 /// accept; the store's change feed only has to deliver those whose notification was lost,
 /// and each call to it has a price.
@@ -84,14 +84,15 @@
     /// A store that lags behind may return the state from before this daemon claimed the
     /// leader lease. The previous leader wrote until then. If a start that it recorded were
     /// missing from the state read, the start would be repeated.
-    pub async fn read_at_least(&self, table: Table, version: u64) -> Rows {
+    /// Jobs whose rows were removed since would come back, too.
+    pub async fn read_at_least(&self, table: Table, version: u64, retry_delay: Duration) -> Rows {
         loop {
             let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
             if rows.version >= version {
                 return rows;
             }
             tracing::warn!(%table, version, found = rows.version, "store returned a stale table; reading again");
-            tokio::time::sleep(RETRY_DELAY).await;
+            tokio::time::sleep(retry_delay).await;
         }
     }
 
@@ -107,7 +108,7 @@
                     // may do so again and again.
                     tracing::warn!(%table, after, "store no longer has the change history; reading the whole table");
                     tokio::time::sleep(WHOLE_READ_DELAY).await;
-                    let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
+                    let rows = self.read_at_least(table, after, WHOLE_READ_DELAY).await;
                     tracing::info!(target: BELIEF_TARGET, %table, after, found = rows.version, "whole table read");
                     (rows, CancelSource::WholeRead)
                 }
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -415,6 +415,29 @@
     assert_eq!(store.rows(Table::Cancels), Vec::new());
 }
 
+/// The store has lost its history, and answers the leader's read of all jobs from the past. Guards
+/// against a job that runs again, or although it was cancelled, after its rows were removed.
+#[tokio::test]
+async fn a_removed_job_does_not_come_back_from_a_stale_read() {
+    let store = Arc::new(FakePlatform::default());
+    let node = start("a", &store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    store.set_behavior(StoreBehavior::HidesChangesOfJobs);
+    let row = serde_json::to_vec(&job()).expect("a row");
+    let put = vec![(Table::Jobs, JobId(9).to_string(), row)];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    store.save_snapshot_of(Table::Jobs);
+    let remove = vec![(Table::Jobs, JobId(9).to_string())];
+    store.transact(&Transaction { remove, ..Transaction::default() }).await.expect("removed");
+    // The leader learns of a later version before the store loses its history.
+    store.set_behavior(StoreBehavior::Normal);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    store.serve_snapshot(1, Table::Jobs);
+    store.set_behavior(StoreBehavior::LosesHistoryOfJobs);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(scheduler_state(&node, JobId(9)).await, None);
+}
+
 /// Guards against an accepted job that never starts because the task that writes its partition
 /// panicked: everything behind that write waited for as long as the daemon led.
 #[tokio::test]
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -73,6 +73,8 @@
     DelaysJobWrites,
     /// The client panics in the next write of jobs, and is normal afterwards.
     PanicsInOneJobWrite,
+    /// It has lost the history of changes to jobs at the next poll, and is normal afterwards.
+    LosesHistoryOfJobs,
     /// It refuses reads of the leader lease and is normal otherwise.
     HidesLeaderLease,
     /// It refuses polls for changes to jobs and cancellations and is normal otherwise.
@@ -169,7 +171,14 @@
         state.snapshot = Rows { version: state.version, ..Rows::default() };
     }
 
-    /// Answers the next `count` reads of a table with the snapshot, which is empty.
+    /// Keeps the present version and the rows of a table, for [`Self::serve_snapshot`].
+    pub fn save_snapshot_of(&self, table: Table) {
+        let rows = self.rows(table);
+        let mut state = self.state.lock().expect("no panic");
+        state.snapshot = Rows { rows, version: state.version, has_more: false };
+    }
+
+    /// Answers the next `count` reads of a table with the snapshot.
     pub fn serve_snapshot(&self, count: usize, table: Table) {
         self.state.lock().expect("no panic").stale_reads = Some((count, table));
     }
@@ -281,6 +290,7 @@
             | StoreBehavior::RefusesWrites
             | StoreBehavior::LosesOneResponse
             | StoreBehavior::LosesOnePoll
+            | StoreBehavior::LosesHistoryOfJobs
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
             | StoreBehavior::ConfirmsLate
@@ -361,6 +371,7 @@
         match self.behavior() {
             StoreBehavior::Normal
             | StoreBehavior::LosesOnePoll
+            | StoreBehavior::LosesHistoryOfJobs
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs => self.write(transaction),
             StoreBehavior::RefusesWrites
@@ -432,6 +443,10 @@
     ) -> Result<Rows, StoreError> {
         let rounds = wait_ms / 20 + 1;
         for _ in 0..rounds {
+            if self.behavior() == StoreBehavior::LosesHistoryOfJobs && table == Table::Jobs {
+                self.set_behavior(StoreBehavior::Normal);
+                return Err(StoreError::HistoryLost);
+            }
             if self.behavior() == StoreBehavior::RefusesAll || self.hides(table) {
                 return Err(StoreError::Refused);
             }
@@ -487,6 +502,7 @@
             StoreBehavior::Normal
             | StoreBehavior::LosesOneResponse
             | StoreBehavior::LosesOnePoll
+            | StoreBehavior::LosesHistoryOfJobs
             | StoreBehavior::HidesLeaderLease
             | StoreBehavior::HidesChangesOfJobs
             | StoreBehavior::ConfirmsLate
@@ -518,6 +534,7 @@
                 StoreBehavior::Normal
                 | StoreBehavior::RefusesWrites
                 | StoreBehavior::LosesOneResponse
+                | StoreBehavior::LosesHistoryOfJobs
                 | StoreBehavior::HidesLeaderLease
                 | StoreBehavior::HidesChangesOfJobs
                 | StoreBehavior::ConfirmsLate
