The log tells notifications of cancellations from others also for jobs that were not found

The line that no leader was notified of a durable write says whether it was a cancellation; one of a job that was not found counted as a submission.

--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! Serves callers on every daemon, and answers calls from other daemons.
 //!
-//! [`submission`] makes jobs durable, [`cancellation`] cancels them, [`serve`] handles the calls of other daemons, and [`local`]
-//! reaches the scheduler if it runs on this daemon.
+//! [`submission`] makes jobs durable, [`cancellation`] cancels them, [`serve`] handles the calls
+//! of other daemons, and [`local`] reaches the scheduler if it runs on this daemon.
 
 mod cancellation;
 mod local;
@@ -265,7 +265,8 @@
                 }
             }
             if !is_notified {
-                let is_cancellation = matches!(call, DaemonCall::Cancelled(_));
+                let is_cancellation =
+                    matches!(call, DaemonCall::Cancelled(_) | DaemonCall::CancelledUnknown { .. });
                 tracing::warn!(
                     %job, is_cancellation,
                     "no leader was notified of a durable write; the store's change feed will deliver it"
