--- /dev/null
+++ b/crates/pool/src/advice/mod.rs
@@ -0,0 +1,4 @@
+//! Queries to the advisor, which decides on which workers a step may run.
+
+pub(crate) mod query;
+pub(crate) mod selection;
--- a/crates/pool/src/advise.rs
+++ b/crates/pool/src/advice/query.rs
@@ -17,10 +17,10 @@
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
-use crate::job::Phase;
-use crate::job::Ticket;
-use crate::spec::AdviceSpec;
-use crate::spec::QueueSpec;
+use crate::jobs::job::Phase;
+use crate::jobs::job::Ticket;
+use crate::jobs::spec::AdviceSpec;
+use crate::jobs::spec::QueueSpec;
 
 /// Part of a ticket's validity that is set aside for sending a start and for the
 /// worker's answer to it.
--- a/crates/pool/src/request.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -6,15 +6,15 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Pool;
-use crate::advise::SUFFICIENT_PLACES_FACTOR;
-use crate::candidates::Cycle;
-use crate::candidates::WorkerView;
-use crate::candidates::places_in;
+use crate::advice::query::SUFFICIENT_PLACES_FACTOR;
 use crate::id::StepId;
-use crate::spec::AdviceSpec;
-use crate::spec::StepSpec;
-use crate::waiting::QueryBlock;
-use crate::worker::WorkerIndex;
+use crate::jobs::spec::AdviceSpec;
+use crate::jobs::spec::StepSpec;
+use crate::placement::candidates::Cycle;
+use crate::placement::candidates::WorkerView;
+use crate::placement::candidates::places_in;
+use crate::placement::waiting::QueryBlock;
+use crate::workers::worker::WorkerIndex;
 
 /// A step that was granted enough workers queries about others only if at least this many
 /// of them have free capacity.
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -23,9 +23,9 @@
 use crate::id::JobId;
 use crate::id::PARTITIONS;
 use crate::id::TaskId;
-use crate::record::Progress;
-use crate::spec::JobSpec;
-use crate::submit::Accepted;
+use crate::jobs::record::Progress;
+use crate::jobs::spec::JobSpec;
+use crate::jobs::submit::Accepted;
 
 /// Most entries of one transaction; the store accepts 100. A row is one entry, a
 /// submission two, and each partition has one for its fence.
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -7,9 +7,9 @@
 use stoatwell_model::Resources;
 
 use crate::Pool;
-use crate::customers::CustomerLimits;
 use crate::id::JobId;
-use crate::record::JobState;
+use crate::jobs::customers::CustomerLimits;
+use crate::jobs::record::JobState;
 
 /// A snapshot of the scheduler's state.
 #[derive(Clone, Debug, Serialize)]
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -12,15 +12,15 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
-use crate::cancellation::Cancellation;
 use crate::commit::PartitionWrite;
-use crate::customers::CustomerLimits;
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
-use crate::runs::START_VALIDITY_MS;
-use crate::spec::JobSpec;
-use crate::submit::Accepted;
+use crate::jobs::cancellation::Cancellation;
+use crate::jobs::customers::CustomerLimits;
+use crate::jobs::spec::JobSpec;
+use crate::jobs::submit::Accepted;
+use crate::runs::run::START_VALIDITY_MS;
 
 /// How the scheduler learned of a cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, displaydoc::Display)]
--- a/crates/pool/src/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -14,8 +14,8 @@
 use stoatwell_model::Resources;
 
 use crate::Pool;
-use crate::candidates::Cycle;
 use crate::id::StepId;
+use crate::placement::candidates::Cycle;
 
 /// Size of a customer's token bucket for arriving jobs, in seconds of its weight.
 const BURST_S: f64 = 2.0;
--- a/crates/pool/src/job_index.rs
+++ b/crates/pool/src/jobs/index.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 
 use crate::id::JobId;
-use crate::job::Job;
+use crate::jobs::job::Job;
 
 /// Which jobs are in progress, which wait for their first run, and when the others expire.
 #[derive(Debug, Default)]
--- a/crates/pool/src/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -10,21 +10,21 @@
 
 use stoatwell_model::WorkerId;
 
-use crate::customers::CustomerId;
 use crate::id::JobId;
 use crate::id::StepId;
 use crate::id::TaskId;
-use crate::record::JobState;
-use crate::record::Outcome;
-use crate::record::Progress;
-use crate::record::TaskProgress;
-use crate::spec::JobSpec;
-use crate::spec::StepSpec;
-use crate::waiting::WaitReason;
-use crate::worker::Allocation;
-use crate::worker::FULL_PACE;
-use crate::worker::Worker;
-use crate::worker::WorkerIndex;
+use crate::jobs::customers::CustomerId;
+use crate::jobs::record::JobState;
+use crate::jobs::record::Outcome;
+use crate::jobs::record::Progress;
+use crate::jobs::record::TaskProgress;
+use crate::jobs::spec::JobSpec;
+use crate::jobs::spec::StepSpec;
+use crate::placement::waiting::WaitReason;
+use crate::workers::worker::Allocation;
+use crate::workers::worker::FULL_PACE;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerIndex;
 
 /// The phase of a task's newest run. [`Pool::explain`](crate::Pool::explain) prints its
 /// `Debug` form.
@@ -198,7 +198,7 @@
     pub start_sent: bool,
     /// Whether a worker has confirmed that it started one of its tasks.
     pub start_confirmed: bool,
-    /// Whether the job is counted as pending in the [`JobIndex`](crate::job_index::JobIndex).
+    /// Whether the job is counted as pending in the [`JobIndex`](crate::jobs::index::JobIndex).
     pub is_counted_pending: bool,
 }
 
--- a/crates/pool/src/spec.rs
+++ b/crates/pool/src/jobs/spec.rs
@@ -4,7 +4,7 @@
 use serde::Serialize;
 use stoatwell_model::Resources;
 
-use crate::customers::CustomerLimits;
+use crate::jobs::customers::CustomerLimits;
 
 /// Largest number of tasks in all steps and occurrences of one job. It keeps the record of
 /// a job within one row of the store.
--- a/crates/pool/src/submit.rs
+++ b/crates/pool/src/jobs/submit.rs
@@ -15,8 +15,8 @@
 use crate::event::Effect;
 use crate::id::JobId;
 use crate::id::TaskId;
-use crate::record::Outcome;
-use crate::spec::JobSpec;
+use crate::jobs::record::Outcome;
+use crate::jobs::spec::JobSpec;
 
 /// The outcome of a submission or cancellation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -25,65 +25,41 @@
 //!   after the stop was answered and a later hold does not list the run, or after the
 //!   worker's lease has certainly expired.
 
-mod advise;
-mod cancellation;
-mod candidates;
+mod advice;
 mod commit;
-mod customers;
 mod dump;
-mod estimates;
 mod event;
-mod hold_timers;
-mod holds;
 mod id;
-mod job;
-mod job_index;
-mod pace;
-mod place;
-mod record;
-mod request;
-mod reserve;
+mod jobs;
+mod placement;
 mod runs;
-mod silent;
-mod spec;
-mod speed;
-mod stalled;
-mod submit;
-mod waiting;
-mod wakeup;
-mod worker;
+mod workers;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use stoatwell_model::BELIEF_TARGET;
-use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
-use crate::cancellation::Cancellations;
 use crate::commit::Commits;
-use crate::customers::Customers;
-use crate::estimates::Estimates;
-use crate::hold_timers::HoldTimers;
-use crate::job::Job;
-use crate::job::Phase;
-use crate::job::Task;
-use crate::job_index::JobIndex;
-use crate::waiting::WaitReason;
-use crate::worker::Worker;
-use crate::worker::WorkerIndex;
-
-pub use crate::advise::LONG_QUERY_MS;
-pub use crate::advise::long_queries_max;
-pub use crate::cancellation::Cancellation;
+use crate::jobs::cancellation::Cancellations;
+use crate::jobs::customers::Customers;
+use crate::jobs::estimates::Estimates;
+use crate::jobs::index::JobIndex;
+use crate::jobs::job::Job;
+use crate::jobs::job::Task;
+use crate::workers::hold_timers::HoldTimers;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerIndex;
+
+pub use crate::advice::query::LONG_QUERY_MS;
+pub use crate::advice::query::long_queries_max;
 pub use crate::commit::PartitionWrite;
 pub use crate::commit::Put;
 pub use crate::commit::Removal;
-pub use crate::customers::CustomerLimits;
 pub use crate::dump::Counts;
 pub use crate::dump::CustomerDump;
 pub use crate::dump::PoolDump;
@@ -104,27 +80,29 @@
 pub use crate::event::StartReply;
 pub use crate::event::StopCall;
 pub use crate::event::WorkerUpdate;
-pub use crate::holds::EXTENSION_WINDOW_MS;
 pub use crate::id::IdError;
 pub use crate::id::JobId;
 pub use crate::id::PARTITIONS;
 pub use crate::id::StepId;
 pub use crate::id::TaskId;
-pub use crate::record::JobState;
-pub use crate::record::JobView;
-pub use crate::record::Outcome;
-pub use crate::record::Progress;
-pub use crate::record::TaskProgress;
-pub use crate::runs::START_VALIDITY_MS;
-pub use crate::silent::SilentLease;
-pub use crate::silent::SilentLeases;
-pub use crate::spec::AdviceSpec;
-pub use crate::spec::JobSpec;
-pub use crate::spec::QueueSpec;
-pub use crate::spec::Repeat;
-pub use crate::spec::SpecError;
-pub use crate::spec::StepSpec;
-pub use crate::submit::Accepted;
+pub use crate::jobs::cancellation::Cancellation;
+pub use crate::jobs::customers::CustomerLimits;
+pub use crate::jobs::record::JobState;
+pub use crate::jobs::record::JobView;
+pub use crate::jobs::record::Outcome;
+pub use crate::jobs::record::Progress;
+pub use crate::jobs::record::TaskProgress;
+pub use crate::jobs::spec::AdviceSpec;
+pub use crate::jobs::spec::JobSpec;
+pub use crate::jobs::spec::QueueSpec;
+pub use crate::jobs::spec::Repeat;
+pub use crate::jobs::spec::SpecError;
+pub use crate::jobs::spec::StepSpec;
+pub use crate::jobs::submit::Accepted;
+pub use crate::runs::run::START_VALIDITY_MS;
+pub use crate::workers::holds::EXTENSION_WINDOW_MS;
+pub use crate::workers::silent::SilentLease;
+pub use crate::workers::silent::SilentLeases;
 
 /// Number of low bits of a fencing token that count a worker's incarnations; the epoch
 /// is above them.
@@ -466,124 +444,6 @@
         self.commits.has_pending_writes()
     }
 
-    fn on_accepted(&mut self, id: JobId, spec: Arc<JobSpec>) {
-        if let Some(known) = self.jobs.get(&id) {
-            if known.durable || known.spec.has_same_owner(&spec) {
-                // A gateway wrote the submission itself while its commit was in flight here.
-                self.on_accept_durable(id);
-                return;
-            }
-            self.give_up_taken_submission(id);
-        }
-        tracing::info!(job = %id, queue = spec.queue.name, "job accepted");
-        let job = self.new_job(id, spec);
-        self.admit(job);
-        self.cancel_if_requested(id, CancelSource::Early);
-    }
-
-    fn new_job(&mut self, id: JobId, spec: Arc<JobSpec>) -> Job {
-        let customer = spec.customer.as_ref().map(|limits| self.customers.id_of(limits));
-        let accepted_ms = spec.accepted_unix_ms;
-        let within_fair_share =
-            customer.is_none_or(|id| self.customers.take_arrival_token(id, accepted_ms));
-        Job { over_fair_share: !within_fair_share, ..Job::new(id, spec, customer) }
-    }
-
-    fn on_customers(&mut self, limits: Vec<CustomerLimits>) {
-        self.customers.update(limits);
-        self.cycle_due = true;
-    }
-
-    fn admit(&mut self, mut job: Job) {
-        let id = job.id;
-        let step_count = job.step_states.len();
-        let job_ended = job.outcome.is_some();
-        self.job_index.insert(&mut job);
-        self.jobs.insert(id, job);
-        if job_ended {
-            return;
-        }
-        for step_index in 0..step_count {
-            self.enqueue_if_ready(id, step_index);
-        }
-        self.cycle_due = true;
-    }
-
-    /// Puts a step into the queue if it has tasks to place and all steps that it depends
-    /// on are done. A step that is not due yet is queued once it is due.
-    fn enqueue_if_ready(&mut self, id: JobId, step_index: usize) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        if job.outcome.is_some() || job.step_states[step_index].queued || !job.is_ready(step_index)
-        {
-            return;
-        }
-        if job.step_states[step_index].waiting_tasks().next().is_none() {
-            return;
-        }
-        let step = job.step_states[step_index].id;
-        let due_unix_ms = job.spec.due_unix_ms(step.occurrence);
-        if due_unix_ms > self.unix_ms {
-            self.not_due.insert((due_unix_ms, step));
-            return;
-        }
-        job.step_states[step_index].queued = true;
-        job.step_states[step_index].queued_ms = self.now_ms;
-        job.step_states[step_index].wait_reason = WaitReason::default();
-        let job_deadline_unix_ms =
-            job.spec.accepted_unix_ms.max(due_unix_ms) + job.spec.allowed_ms();
-        let key = QueueKey {
-            priority: job.spec.queue.priority,
-            over_fair_share: job.over_fair_share,
-            deadline_unix_ms: job_deadline_unix_ms,
-            arrival: self.arrivals,
-        };
-        self.arrivals += 1;
-        self.queue.insert(key, step);
-        self.cycle_due = true;
-    }
-
-    fn on_cancelled(&mut self, id: JobId, cancellation: Cancellation, source: CancelSource) {
-        if !self.jobs.contains_key(&id) && self.cancellations.get(id).is_none() {
-            tracing::info!(target: BELIEF_TARGET, job = %id, %source, "cancellation of a job that is not known yet");
-        }
-        self.cancellations.record(id, cancellation, self.unix_ms);
-        self.cancel_if_requested(id, source);
-    }
-
-    /// Ends a job if its owner has cancelled it, possibly before the job was known.
-    fn cancel_if_requested(&mut self, id: JobId, source: CancelSource) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let Some(cancellation) = self.cancellations.get(id) else { return };
-        let owner = job.spec.customer.as_ref().map(|customer| &customer.name);
-        if let Some(outcome) = job.outcome {
-            if outcome != Outcome::Cancelled {
-                tracing::info!(target: BELIEF_TARGET, job = %id, %outcome, %source, "cancellation ignored: the job has ended");
-            }
-            return;
-        }
-        if !cancellation.applies_to(owner) {
-            tracing::info!(target: BELIEF_TARGET, job = %id, owner = owner.map(CustomerName::as_str), "cancellation ignored: it is not by the owner");
-            return;
-        }
-        tracing::info!(target: BELIEF_TARGET, job = %id, durable = job.durable, %source, "job cancelled");
-        self.finish(id, Outcome::Cancelled);
-    }
-
-    /// Ends a job: none of its tasks is started any more, and those that run are stopped.
-    fn finish(&mut self, id: JobId, outcome: Outcome) {
-        let unix_ms = self.unix_ms;
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        job.outcome = Some(outcome);
-        job.finished_unix_ms = unix_ms;
-        self.job_index.update_pending(job);
-        let tasks: Vec<TaskId> = placed_tasks(job);
-        for task in tasks {
-            self.stop(task);
-        }
-        self.commits.record_outcome(id);
-        self.cycle_due = true;
-    }
-
     /// Handles what becomes due by time alone: occurrences, expired leases, unanswered
     /// stops, stalled tasks, submissions that wait for a stuck partition, and jobs whose
     /// retention is over.
@@ -622,37 +482,4 @@
             self.estimates.record_usage(service, &by_priority);
         }
     }
-
-    fn remove_expired_jobs(&mut self) {
-        let expiry_unix_ms = self.unix_ms.saturating_sub(self.limits.job_retention_ms);
-        let is_gone = |id: &JobId| self.jobs.get(id).is_none_or(|job| !job.has_placed_tasks());
-        let expired: Vec<JobId> =
-            self.job_index.finished_before(expiry_unix_ms).filter(is_gone).collect();
-        for id in expired {
-            if let Some(mut job) = self.jobs.remove(&id) {
-                self.job_index.remove(&mut job);
-            }
-            self.cancellations.remove(id);
-            self.commits.remove(Removal::Job(id));
-        }
-        for id in self.cancellations.recorded_before(expiry_unix_ms) {
-            if !self.jobs.contains_key(&id) {
-                self.cancellations.remove(id);
-                self.commits.remove(Removal::Cancellation(id));
-            }
-        }
-    }
-}
-
-/// The tasks that may run on a worker and are not done.
-fn placed_tasks(job: &Job) -> Vec<TaskId> {
-    let mut tasks = Vec::new();
-    for step_state in &job.step_states {
-        for (index, task) in step_state.tasks.iter().enumerate() {
-            if task.worker.is_some() && task.phase != Phase::Done {
-                tasks.push(TaskId { step: step_state.id, index: index as u32 });
-            }
-        }
-    }
-    tasks
 }
--- a/crates/pool/src/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -8,10 +8,10 @@
 use crate::Pool;
 use crate::QueueKey;
 use crate::id::StepId;
-use crate::spec::StepSpec;
-use crate::spec::TASKS_MAX;
-use crate::worker::Worker;
-use crate::worker::WorkerIndex;
+use crate::jobs::spec::StepSpec;
+use crate::jobs::spec::TASKS_MAX;
+use crate::workers::worker::Worker;
+use crate::workers::worker::WorkerIndex;
 
 /// Capacity that other work leaves free for urgent work, in percent of the moving average of
 /// what urgent work uses. This is enough to place twice the usual arrivals at once, because
@@ -34,7 +34,7 @@
     /// Indices into `workers` by [`WorkerIndex`]; `None` for workers that take no tasks.
     view_indices: Vec<Option<u32>>,
     services: Vec<Service>,
-    /// What each customer uses, by [`CustomerId`](crate::customers::CustomerId).
+    /// What each customer uses, by [`CustomerId`](crate::jobs::customers::CustomerId).
     pub customers: Vec<Resources>,
 }
 
--- /dev/null
+++ b/crates/pool/src/placement/mod.rs
@@ -0,0 +1,6 @@
+//! Placement of waiting tasks on workers.
+
+pub(crate) mod candidates;
+pub(crate) mod place;
+pub(crate) mod reserve;
+pub(crate) mod waiting;
--- a/crates/pool/src/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -14,18 +14,18 @@
 
 use crate::Pool;
 use crate::QueueKey;
-use crate::candidates::Cycle;
-use crate::candidates::EligibleWorker;
-use crate::candidates::PlacementRequest;
-use crate::candidates::WorkerView;
 use crate::id::StepId;
 use crate::id::TaskId;
-use crate::job::Phase;
-use crate::spec::AdviceSpec;
-use crate::spec::StepSpec;
-use crate::waiting::PlacementBlock;
-use crate::waiting::QueryBlock;
-use crate::waiting::WaitReason;
+use crate::jobs::job::Phase;
+use crate::jobs::spec::AdviceSpec;
+use crate::jobs::spec::StepSpec;
+use crate::placement::candidates::Cycle;
+use crate::placement::candidates::EligibleWorker;
+use crate::placement::candidates::PlacementRequest;
+use crate::placement::candidates::WorkerView;
+use crate::placement::waiting::PlacementBlock;
+use crate::placement::waiting::QueryBlock;
+use crate::placement::waiting::WaitReason;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
--- a/crates/pool/src/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -14,13 +14,13 @@
 use stoatwell_model::Resources;
 
 use crate::Pool;
-use crate::candidates::Cycle;
-use crate::candidates::EligibleWorker;
-use crate::candidates::Reservation;
-use crate::candidates::places_in;
 use crate::id::StepId;
 use crate::id::TaskId;
-use crate::worker::WorkerIndex;
+use crate::placement::candidates::Cycle;
+use crate::placement::candidates::EligibleWorker;
+use crate::placement::candidates::Reservation;
+use crate::placement::candidates::places_in;
+use crate::workers::worker::WorkerIndex;
 
 /// Size of a gang below which it needs no reservation, in percent of the places that the
 /// eligible workers have when they are empty. Fewer places than that come free at one moment
--- a/crates/pool/src/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -6,8 +6,8 @@
 
 use crate::Pool;
 use crate::id::StepId;
-use crate::job::Job;
-use crate::worker::Worker;
+use crate::jobs::job::Job;
+use crate::workers::worker::Worker;
 
 /// How long a step may wait in the queue before its reason is logged.
 const LONG_WAIT_MS: u64 = 1_000;
--- /dev/null
+++ b/crates/pool/src/runs/mod.rs
@@ -0,0 +1,5 @@
+//! Runs: attempts to execute tasks on workers.
+
+pub(crate) mod run;
+pub(crate) mod stalled;
+pub(crate) mod wakeup;
--- a/crates/pool/src/runs.rs
+++ b/crates/pool/src/runs/run.rs
@@ -21,11 +21,11 @@
 use crate::event::StartReply;
 use crate::event::StopCall;
 use crate::id::TaskId;
-use crate::job::Advice;
-use crate::job::Phase;
-use crate::job::Task;
-use crate::record::Outcome;
-use crate::worker::Worker;
+use crate::jobs::job::Advice;
+use crate::jobs::job::Phase;
+use crate::jobs::job::Task;
+use crate::jobs::record::Outcome;
+use crate::workers::worker::Worker;
 
 /// How long a start may be sent to its worker after the write of its row was sent. The write
 /// fails if the job is cancelled, so no start is sent later than this after a cancellation has
--- a/crates/pool/src/stalled.rs
+++ b/crates/pool/src/runs/stalled.rs
@@ -2,8 +2,8 @@
 
 use crate::Pool;
 use crate::id::TaskId;
-use crate::job::Phase;
-use crate::job::Task;
+use crate::jobs::job::Phase;
+use crate::jobs::job::Task;
 
 /// Time after which an unanswered stop is sent again; a few round trips.
 const STOP_RETRY_MS: u64 = 600;
--- a/crates/pool/src/wakeup.rs
+++ b/crates/pool/src/runs/wakeup.rs
@@ -9,9 +9,9 @@
 
 use crate::Pool;
 use crate::id::StepId;
-use crate::job::Job;
-use crate::job::Phase;
-use crate::job::Task;
+use crate::jobs::job::Job;
+use crate::jobs::job::Phase;
+use crate::jobs::job::Task;
 
 impl Pool {
     /// Tasks that no pending event will advance, each with the reason.
--- a/crates/pool/src/hold_timers.rs
+++ b/crates/pool/src/workers/hold_timers.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::worker::WorkerIndex;
+use crate::workers::worker::WorkerIndex;
 
 /// Workers to be examined for a due hold.
 #[derive(Debug, Default)]
--- a/crates/pool/src/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -18,10 +18,10 @@
 use crate::event::StopCall;
 use crate::event::WorkerUpdate;
 use crate::id::TaskId;
-use crate::job::Phase;
-use crate::job::Task;
-use crate::runs::callee;
-use crate::worker::Worker;
+use crate::jobs::job::Phase;
+use crate::jobs::job::Task;
+use crate::runs::run::callee;
+use crate::workers::worker::Worker;
 
 /// How long a worker may delay the answer to a hold until a run ends. An idle worker costs
 /// two calls a second. Each answer also reports the progress of the active runs, so tasks
--- a/crates/pool/src/pace.rs
+++ b/crates/pool/src/workers/pace.rs
@@ -17,8 +17,8 @@
 use crate::event::HoldReply;
 use crate::event::PaceCall;
 use crate::id::TaskId;
-use crate::runs::callee;
-use crate::worker::FULL_PACE;
+use crate::runs::run::callee;
+use crate::workers::worker::FULL_PACE;
 
 /// Response time in percent of its target above which the pace is cut. Reports are half a
 /// second old, and users must not notice a slowdown first.
--- a/crates/pool/src/silent.rs
+++ b/crates/pool/src/workers/silent.rs
@@ -13,7 +13,7 @@
 use stoatwell_model::WorkerId;
 
 use crate::Pool;
-use crate::worker::Worker;
+use crate::workers::worker::Worker;
 
 /// How long a worker is silent before the leader lease names it. A worker that answers again
 /// gets no new tasks until the next renewal of the leader lease, so short silence is left out.
--- a/crates/pool/src/speed.rs
+++ b/crates/pool/src/workers/speed.rs
@@ -9,7 +9,7 @@
 
 use crate::Pool;
 use crate::id::TaskId;
-use crate::job::Phase;
+use crate::jobs::job::Phase;
 
 /// Run time from which on a task is taken into account. In less time its progress, which
 /// is reported in percent, is too coarse.
--- a/crates/pool/src/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -8,10 +8,10 @@
 
 use stoatwell_model::Resources;
 
-use crate::customers::CustomerId;
 use crate::event::WorkerUpdate;
 use crate::id::TaskId;
-use crate::silent::SilentMark;
+use crate::jobs::customers::CustomerId;
+use crate::workers::silent::SilentMark;
 
 /// The largest rate at which a worker's clock may fall behind.
 const SLOW_CLOCK_PERMILLE: u64 = 20;
