Measure the work of scheduling cycles

Cause: the leader's deciding time grows with the queued steps, and no test shows it.

Change: `CycleWork` counts the workers read, steps visited, attempts and pairs of a step and a worker. The measurement `curve` keeps a number of steps queued in a full pool of 350 workers, with and without advice, with gangs, caps and arrivals.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -51,6 +51,7 @@
 use crate::jobs::index::JobIndex;
 use crate::jobs::job::Job;
 use crate::jobs::job::Task;
+use crate::placement::work::PairCount;
 use crate::workers::hold_timers::HoldTimers;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
@@ -99,6 +100,7 @@
 pub use crate::jobs::spec::SpecError;
 pub use crate::jobs::spec::StepSpec;
 pub use crate::jobs::submit::Accepted;
+pub use crate::placement::work::CycleWork;
 pub use crate::runs::run::START_VALIDITY_MS;
 pub use crate::workers::holds::EXTENSION_WINDOW_MS;
 pub use crate::workers::silent::SilentLease;
@@ -190,6 +192,8 @@
     /// Steps that have waited for long although a worker has free capacity for them, at the
     /// last report.
     steps_waiting_with_room: usize,
+    cycle_work: CycleWork,
+    pair_count: PairCount,
 }
 
 /// The sort key of a step in the queue.
@@ -250,6 +254,8 @@
             silent_leases: SilentLeases::default(),
             silent_leases_written: 0,
             steps_waiting_with_room: 0,
+            cycle_work: CycleWork::default(),
+            pair_count: PairCount::default(),
         }
     }
 
--- a/crates/pool/src/placement/mod.rs
+++ b/crates/pool/src/placement/mod.rs
@@ -4,3 +4,4 @@
 pub(crate) mod place;
 pub(crate) mod reserve;
 pub(crate) mod waiting;
+pub(crate) mod work;
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -26,6 +26,7 @@
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
+use crate::placement::work::CycleWork;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
@@ -63,6 +64,9 @@
             return;
         }
         let mut cycle = self.begin_cycle();
+        self.cycle_work.cycles += 1;
+        self.cycle_work.workers_read += self.workers.len() as u64;
+        self.cycle_work.steps_visited += self.queue.len().min(STEPS_PER_CYCLE) as u64;
         let reserved_max = cycle.workers.len() * RESERVED_PERCENT / 100;
         let may_reserve = |reserved: usize| {
             if reserved == 0 { usize::MAX } else { reserved_max.saturating_sub(reserved) }
@@ -112,6 +116,7 @@
                 }
                 continue;
             }
+            self.cycle_work.attempts += 1;
             let attempt = self.place_step(step, step_index, key, &mut cycle);
             self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
             match attempt {
@@ -148,6 +153,11 @@
         }
     }
 
+    /// The work of all scheduling cycles so far.
+    pub fn cycle_work(&self) -> CycleWork {
+        CycleWork { pairs: self.pair_count.get(), ..self.cycle_work }
+    }
+
     /// The number of pairs of a step and a worker that the next scheduling cycle may compare.
     pub fn step_worker_pairs(&self) -> usize {
         self.queue.len().min(STEPS_PER_CYCLE) * self.workers.len()
@@ -373,6 +383,7 @@
 
     /// Whether a worker belongs to the service and has the label that the step requires.
     pub(crate) fn is_eligible(&self, service: usize, spec: &StepSpec, view: &WorkerView) -> bool {
+        self.pair_count.add_one();
         let has_label = |label| {
             let worker = self.worker_at(view.worker_index);
             worker.is_some_and(|worker| worker.info.labels.contains(label))
--- /dev/null
+++ b/crates/pool/tests/cycle_cost.rs
@@ -0,0 +1,92 @@
+//! The cost of scheduling cycles in a full pool, with few and with many queued steps.
+
+mod world;
+
+use std::time::Duration;
+
+use stoatwell_model::CustomerName;
+use stoatwell_model::Resources;
+use stoatwell_pool::AdviceSpec;
+use stoatwell_pool::CustomerLimits;
+use stoatwell_pool::CycleWork;
+use stoatwell_pool::JobSpec;
+
+use self::world::Faults;
+use self::world::World;
+use self::world::job;
+use self::world::queue;
+use self::world::step;
+
+const WORKERS: usize = 350;
+const CUSTOMERS: u64 = 20;
+/// Time in which the pool fills up and the first queries are answered.
+const WARM_UP_MS: u64 = 2_000;
+const MEASURED_MS: u64 = 2_000;
+
+/// What one measurement found.
+struct Measured {
+    work: CycleWork,
+    deciding: Duration,
+    starts: u64,
+}
+
+/// A batch job that can wait; one in eight is a gang, and one in four needs no tickets.
+fn waiting_job(number: u64) -> JobSpec {
+    let gang = number.is_multiple_of(8);
+    let mut rules = queue(if gang { 1 } else { 2 });
+    if number % 4 != 1 {
+        rules.advice = Some(AdviceSpec { decide_ms: 120.0, each_ms: 1.8, valid_ms: 2_000 });
+    }
+    let mut step = if gang { step(20, 4_500, 3_400) } else { step(25, 1_700, 1_900) };
+    step.gang = gang;
+    let name = CustomerName::new(format!("c{}", number % CUSTOMERS));
+    // One customer in five has a cap that its jobs reach.
+    let cpu_millis = if number.is_multiple_of(5) { 200_000 } else { 0 };
+    let cap = Resources { cpu_millis, ..Resources::ZERO };
+    let customer = Some(CustomerLimits { name, weight: 10.0, cap });
+    JobSpec { customer, ..job(rules, vec![step]) }
+}
+
+fn urgent_job() -> JobSpec {
+    let mut rules = queue(0);
+    rules.advice = Some(AdviceSpec { decide_ms: 50.0, each_ms: 0.2, valid_ms: 2_000 });
+    job(rules, vec![step(3, 2_500, 850)])
+}
+
+/// Keeps `queued` steps queued in a full pool while urgent jobs arrive and tasks end.
+fn measure(queued: usize) -> Measured {
+    let mut world = World::new(61, WORKERS, Faults::default());
+    world.set_advisor_daemons(32);
+    world.run(300);
+    let mut next_job = 0;
+    let mut run = |world: &mut World, for_ms: u64| {
+        for _ in 0..for_ms / 20 {
+            next_job += 1;
+            world.submit(1_000_000 + next_job, urgent_job());
+            for _ in world.counts().queued_steps..queued {
+                next_job += 1;
+                let spec = JobSpec { accepted_unix_ms: world.now_ms, ..waiting_job(next_job) };
+                world.submit(next_job, spec);
+            }
+            world.run(20);
+        }
+    };
+    run(&mut world, WARM_UP_MS);
+    let (before, starts) = (world.cycle_work(), world.starts);
+    world.deciding = Duration::ZERO;
+    run(&mut world, MEASURED_MS);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+    let work = world.cycle_work().since(before);
+    Measured { work, deciding: world.deciding, starts: world.starts - starts }
+}
+
+/// Prints the curve of the cost; see `docs/design/cycle-cost.md`.
+#[test]
+#[ignore = "a measurement"]
+fn curve() {
+    for queued in [50, 300, 600, 3_000] {
+        let Measured { work, deciding, starts } = measure(queued);
+        let deciding_ms = deciding.as_millis() as u64 * 1_000 / MEASURED_MS;
+        println!("{queued} steps: {deciding_ms} ms of a second, {starts} starts, {work:?}");
+    }
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -17,6 +17,8 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -73,6 +75,8 @@
     pub workers: BTreeMap<WorkerId, Worker>,
     pub violations: Vec<String>,
     pub starts: u64,
+    /// Time that the scheduler has spent in `poll_effects`, by the machine's clock.
+    pub deciding: Duration,
     /// Workers that are up but missing from the list that the scheduler gets.
     pub unlisted: BTreeSet<WorkerId>,
     /// The advisor grants about this many of five workers.
@@ -143,6 +147,7 @@
             workers: BTreeMap::new(),
             violations: Vec::new(),
             starts: 0,
+            deciding: Duration::ZERO,
             unlisted: BTreeSet::new(),
             granted_of_five: 3,
             last_query_workers: 0,
@@ -255,6 +260,11 @@
         self.pool.counts()
     }
 
+    /// The work of all scheduling cycles of the present scheduler.
+    pub fn cycle_work(&self) -> stoatwell_pool::CycleWork {
+        self.pool.cycle_work()
+    }
+
     /// Whether the store has the row of a job.
     pub fn is_stored(&self, id: u64) -> bool {
         self.jobs.contains_key(&JobId(id))
@@ -566,7 +576,10 @@
         if self.can_renew_lease {
             self.pool.on_leader_lease_renewed(self.now_ms);
         }
-        for effect in self.pool.poll_effects(self.now_ms, self.now_ms) {
+        let began = Instant::now();
+        let effects = self.pool.poll_effects(self.now_ms, self.now_ms);
+        self.deciding += began.elapsed();
+        for effect in effects {
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
                 Effect::Start(call) => {
