Keep the state of a scheduling cycle for the next one

Cause: each cycle read all workers, three times over for the quarantine, and summed up the usage of all customers from them.

Change: `WorkerMap` marks each worker that is accessed mutably, and a cycle reads only the marked ones again. The views, the free capacity of each service, the numbers that decide whether a quarantine is enforced and the usage of customers are kept. `cycle_state_faults` compares them with the workers; the simulation calls it every 100 ms.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -51,8 +51,10 @@
 use crate::jobs::index::JobIndex;
 use crate::jobs::job::Job;
 use crate::jobs::job::Task;
+use crate::placement::candidates::Cycle;
 use crate::placement::work::PairCount;
 use crate::workers::hold_timers::HoldTimers;
+use crate::workers::map::WorkerMap;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
@@ -160,7 +162,7 @@
     /// before its job, and a submission that was given up may come back from the store.
     cancellations: Cancellations,
     customers: Customers,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: WorkerMap,
     /// All changes to the list of workers before this time are known.
     workers_as_of_ms: u64,
     hold_timers: HoldTimers,
@@ -192,6 +194,8 @@
     /// Steps that have waited for long although a worker has free capacity for them, at the
     /// last report.
     steps_waiting_with_room: usize,
+    /// The state of the latest scheduling cycle, which the next one takes over.
+    cycle: Cycle,
     cycle_work: CycleWork,
     pair_count: PairCount,
 }
@@ -233,7 +237,7 @@
             job_index: JobIndex::default(),
             cancellations: Cancellations::default(),
             customers: Customers::default(),
-            workers: BTreeMap::new(),
+            workers: WorkerMap::default(),
             workers_as_of_ms: now_ms,
             hold_timers: HoldTimers::default(),
             worker_names: Vec::new(),
@@ -254,6 +258,7 @@
             silent_leases: SilentLeases::default(),
             silent_leases_written: 0,
             steps_waiting_with_room: 0,
+            cycle: Cycle::default(),
             cycle_work: CycleWork::default(),
             pair_count: PairCount::default(),
         }
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -10,6 +10,9 @@
 use crate::id::StepId;
 use crate::jobs::spec::StepSpec;
 use crate::jobs::spec::TASKS_MAX;
+use crate::placement::cycle_state::CountedWorker;
+use crate::placement::rooms::Rooms;
+use crate::placement::rooms::WorkerSet;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
@@ -27,23 +30,52 @@
 const SLACK_HEADROOM_PERCENT: u64 = 20;
 
 /// The state of one scheduling cycle: the workers that may get tasks, with the capacity
-/// that the cycle has not allocated yet.
+/// that the cycle has not allocated yet. The next cycle takes it over; see
+/// [`Pool::begin_cycle`].
 #[derive(Debug, Default)]
 pub(crate) struct Cycle {
     pub workers: Vec<WorkerView>,
     /// Indices into `workers` by [`WorkerIndex`]; `None` for workers that take no tasks.
-    view_indices: Vec<Option<u32>>,
-    services: Vec<Service>,
-    /// What each customer uses, by [`CustomerId`](crate::jobs::customers::CustomerId).
+    pub view_indices: Vec<Option<u32>>,
+    pub services: Vec<Service>,
+    /// What each customer uses or has reserved in this cycle, by
+    /// [`CustomerId`](crate::jobs::customers::CustomerId).
     pub customers: Vec<Resources>,
+    /// What each customer uses on all workers, as of the start of the cycle.
+    pub usage: Vec<Resources>,
+    /// What the sums contain of each worker, by [`WorkerIndex`].
+    pub counted: Vec<CountedWorker>,
+    /// The workers with room for each demand that waits.
+    pub rooms: Rooms,
+    /// The workers in `workers`.
+    pub open: WorkerSet,
+    /// Changes whenever a worker is added to `workers` or removed, or its capacity changes.
+    pub capacity_version: u64,
+    /// Views that have a reservation in this cycle.
+    pub reserved_views: Vec<usize>,
+    /// When time alone may open or close a worker next.
+    pub next_time_change_ms: u64,
 }
 
 /// A service during one scheduling cycle.
-#[derive(Debug)]
-struct Service {
-    name: String,
+#[derive(Debug, Default)]
+pub(crate) struct Service {
+    pub name: String,
     /// Free capacity of its workers in this cycle together.
-    free: Resources,
+    pub free: Resources,
+    /// Number of its workers that may get tasks in this cycle.
+    pub views: usize,
+    /// Number of its open workers.
+    pub open_workers: usize,
+    /// Number of its workers in quarantine for failed runs.
+    pub quarantined_workers: usize,
+}
+
+impl Service {
+    /// Whether a worker with failed runs stays in quarantine.
+    pub fn enforces_quarantine(&self) -> bool {
+        self.quarantined_workers <= self.open_workers
+    }
 }
 
 /// A worker during one scheduling cycle.
@@ -54,7 +86,7 @@
     pub service: usize,
     pub incarnation: u64,
     /// See [`Worker::has_recent_failures`].
-    has_recent_failures: bool,
+    pub has_recent_failures: bool,
     pub free: Resources,
     pub capacity: Resources,
     /// The waiting gang that the worker is reserved for. While it is reserved, the worker
@@ -129,7 +161,7 @@
 impl Cycle {
     /// The index of a service; `None` if none of its workers takes tasks in this cycle.
     pub fn service_index(&self, name: &str) -> Option<usize> {
-        self.services.iter().position(|service| service.name == name)
+        self.services.iter().position(|service| service.views > 0 && service.name == name)
     }
 
     /// The index of a worker in `workers`; `None` if it takes no tasks in this cycle.
@@ -147,15 +179,46 @@
     }
 
     fn allocate(&mut self, view_index: usize, demand: &Resources) {
-        self.workers[view_index].free = self.workers[view_index].free.minus(demand);
-        let sum = &mut self.services[self.workers[view_index].service].free;
-        *sum = sum.minus(demand);
+        let free = self.workers[view_index].free.minus(demand);
+        self.set_free(view_index, free);
     }
 
     pub fn deallocate(&mut self, view_index: usize, demand: &Resources) {
-        self.workers[view_index].free = self.workers[view_index].free.plus(demand);
-        let sum = &mut self.services[self.workers[view_index].service].free;
-        *sum = sum.plus(demand);
+        let free = self.workers[view_index].free.plus(demand);
+        self.set_free(view_index, free);
+    }
+
+    fn set_free(&mut self, view_index: usize, free: Resources) {
+        let view = &mut self.workers[view_index];
+        let sum = &mut self.services[view.service].free;
+        *sum = sum.minus(&view.free).plus(&free);
+        view.free = free;
+        self.rooms.update(view.worker_index, Some((view.service, &free)));
+    }
+
+    /// Reserves a worker for the rest of the cycle.
+    pub fn reserve(&mut self, view_index: usize, reservation: Reservation) {
+        self.workers[view_index].reserved_for = Some(reservation);
+        self.reserved_views.push(view_index);
+    }
+
+    /// Keeps the workers of a service with room for this demand up to date from now on; `false`
+    /// if there are too many demands.
+    pub fn keep_room(&mut self, service: usize, demand: &Resources, now_ms: u64) -> bool {
+        if self.rooms.mark_used(service, demand, now_ms) {
+            return true;
+        }
+        let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
+        let workers = self.workers.iter().filter(has_room).map(|view| view.worker_index).collect();
+        self.rooms.add(service, *demand, workers, now_ms)
+    }
+
+    /// Whether a worker of the service has free capacity for this demand.
+    pub fn has_room(&self, service: usize, demand: &Resources) -> bool {
+        self.rooms.get(service, demand).map_or_else(
+            || self.workers.iter().any(|view| view.service == service && view.free.holds(demand)),
+            |workers| !workers.is_empty(),
+        )
     }
 
     /// Picks workers for as many of the waiting tasks as possible and allocates the
@@ -209,73 +272,6 @@
 }
 
 impl Pool {
-    /// Starts a scheduling cycle with the workers that take tasks now.
-    ///
-    /// These are the open workers. Workers that are closed only by a quarantine for failed
-    /// runs are added if their service is not in [`Pool::services_enforcing_quarantine`].
-    pub(crate) fn begin_cycle(&self) -> Cycle {
-        let mut cycle = Cycle { customers: self.customer_usage(), ..Cycle::default() };
-        cycle.workers.reserve(self.workers.len());
-        cycle.view_indices.resize(self.worker_names.len(), None);
-        let enforcing_services = self.services_enforcing_quarantine();
-        for worker in self.workers.values() {
-            let quarantine_waived = worker.is_quarantined_for_failures(self.now_ms)
-                && !enforcing_services.contains(&worker.info.service.as_str());
-            if !worker.is_open(self.now_ms) && !quarantine_waived {
-                continue;
-            }
-            let free = worker.free();
-            let service = cycle.service_index(&worker.info.service).unwrap_or_else(|| {
-                let name = worker.info.service.clone();
-                cycle.services.push(Service { name, free: Resources::ZERO });
-                cycle.services.len() - 1
-            });
-            let sum = &mut cycle.services[service].free;
-            *sum = sum.plus(&free);
-            cycle.view_indices[worker.index.0] = Some(cycle.workers.len() as u32);
-            cycle.workers.push(WorkerView {
-                worker_index: worker.index,
-                service,
-                incarnation: worker.info.incarnation,
-                has_recent_failures: worker.has_recent_failures(),
-                free,
-                capacity: worker.info.capacity,
-                reserved_for: None,
-            });
-        }
-        cycle
-    }
-
-    /// The worker with this index; `None` if it has been removed.
-    pub(crate) fn worker_at(&self, worker_index: WorkerIndex) -> Option<&Worker> {
-        self.workers.get(self.worker_names.get(worker_index.0)?)
-    }
-
-    /// Services in which a worker with failed runs stays in quarantine.
-    ///
-    /// Elsewhere, more workers are in quarantine for failed runs than are open. If runs fail
-    /// on most workers of a service, the tasks themselves are presumably at fault, and if all
-    /// of these workers stayed in quarantine, no task of the service would run.
-    fn services_enforcing_quarantine(&self) -> Vec<&str> {
-        // Service, open workers, workers in quarantine for failed runs. A list is enough
-        // since there are few services.
-        let mut counts: Vec<(&str, usize, usize)> = Vec::new();
-        for worker in self.workers.values() {
-            let service = worker.info.service.as_str();
-            let known = counts.iter().position(|(name, ..)| *name == service);
-            let index = known.unwrap_or_else(|| {
-                counts.push((service, 0, 0));
-                counts.len() - 1
-            });
-            let (_, open, quarantined) = &mut counts[index];
-            *open += usize::from(worker.is_open(self.now_ms));
-            *quarantined += usize::from(worker.is_quarantined_for_failures(self.now_ms));
-        }
-        let enforces_quarantine =
-            |(_, open, quarantined): &(&str, usize, usize)| quarantined <= open;
-        counts.into_iter().filter(enforces_quarantine).map(|(service, ..)| service).collect()
-    }
-
     /// The eligible workers with free capacity for a task, each with a penalty for being
     /// outside the rack of the data, for recent failures and for lacking a fresh ticket.
     pub(crate) fn candidates(
--- a/crates/pool/src/placement/mod.rs
+++ b/crates/pool/src/placement/mod.rs
@@ -1,7 +1,9 @@
 //! Placement of waiting tasks on workers.
 
 pub(crate) mod candidates;
+pub(crate) mod cycle_state;
 pub(crate) mod place;
 pub(crate) mod reserve;
+pub(crate) mod rooms;
 pub(crate) mod waiting;
 pub(crate) mod work;
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -65,7 +65,6 @@
         }
         let mut cycle = self.begin_cycle();
         self.cycle_work.cycles += 1;
-        self.cycle_work.workers_read += self.workers.len() as u64;
         self.cycle_work.steps_visited += self.queue.len().min(STEPS_PER_CYCLE) as u64;
         let reserved_max = cycle.workers.len() * RESERVED_PERCENT / 100;
         let may_reserve = |reserved: usize| {
@@ -144,13 +143,13 @@
                     let urgent = key.priority == 0;
                     let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
                     self.back_off(step, step_index, base_ms);
-                    let mut workers = cycle.workers.iter().filter(|view| view.service == service);
-                    if !workers.any(|view| view.free.holds(&demand)) {
+                    if !cycle.has_room(service, &demand) {
                         infeasible_demands.push((service, demand));
                     }
                 }
             }
         }
+        self.cycle = cycle;
     }
 
     /// The work of all scheduling cycles so far.
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -85,7 +85,7 @@
             if chosen_workers.len() >= workers_max {
                 break;
             }
-            cycle.workers[view_index].reserved_for = Some(Reservation { priority, step, until_ms });
+            cycle.reserve(view_index, Reservation { priority, step, until_ms });
             chosen_workers.push(cycle.workers[view_index].worker_index);
         }
         let reserved = chosen_workers.len();
@@ -113,8 +113,7 @@
         for worker_index in job.step_states[step_index].reserved.iter().take(workers_max) {
             let Some(view_index) = cycle.view_index_of(*worker_index) else { continue };
             if cycle.workers[view_index].reservation_permits(step, priority) {
-                cycle.workers[view_index].reserved_for =
-                    Some(Reservation { priority, step, until_ms });
+                cycle.reserve(view_index, Reservation { priority, step, until_ms });
                 reserved += 1;
             }
         }
--- a/crates/pool/src/workers/mod.rs
+++ b/crates/pool/src/workers/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod hold_timers;
 pub(crate) mod holds;
+pub(crate) mod map;
 pub(crate) mod pace;
 pub(crate) mod silent;
 pub(crate) mod speed;
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -201,6 +201,13 @@
             && self.answered_ms + ANSWER_AGE_MAX_MS > now_ms
     }
 
+    /// When time alone may next change whether the worker is open.
+    pub fn open_until_ms(&self, now_ms: u64) -> u64 {
+        let answer_too_old_ms = self.answered_ms + ANSWER_AGE_MAX_MS;
+        let changes_ms = [answer_too_old_ms, self.quarantine_until_ms];
+        changes_ms.into_iter().filter(|at_ms| *at_ms > now_ms).min().unwrap_or(u64::MAX)
+    }
+
     /// Whether a run has failed or stalled here since the last successful one.
     pub fn has_recent_failures(&self) -> bool {
         self.failures > 0
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -330,6 +330,7 @@
             self.check_invariants();
             if self.now_ms.is_multiple_of(100) {
                 self.violations.extend(self.pool.tasks_without_wakeup());
+                self.violations.extend(self.pool.cycle_state_faults());
             }
         }
     }
