Skip attempts that would neither place a task nor query the advisor

Cause: a step that could not be placed was tried again every 40 ms times the backlog. Each attempt went through its granted workers and, every 150 ms, through all others for a query about further ones. Each cycle looked at all queued steps to find those not in backoff.

Change: `DueSteps` parks a step until its next attempt, or, if no worker has room for its demand, until one does; then the first steps in the order of the queue are due. An answer of the advisor makes its step due. Before an attempt, `futile_attempt` compares the workers with room for the demand and those that the step was granted or queried about, as sets of bits. A query about further workers of a step with enough granted ones goes through the workers with room instead of all. Views are sorted by name, so equal candidates are tried in the same order as before.

--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -18,22 +18,22 @@
 
 /// A step that was granted enough workers queries about others only if at least this many
 /// of them have free capacity.
-const FURTHER_WORKERS_MIN: usize = 4;
+pub(crate) const FURTHER_WORKERS_MIN: usize = 4;
 /// A step that has waited for this long queries about any worker with free capacity, while
 /// daemons are idle that could send the query.
-const FURTHER_QUERY_WAIT_MS: u64 = 1_000;
+pub(crate) const FURTHER_QUERY_WAIT_MS: u64 = 1_000;
 /// The selection of further workers for a step is repeated after this. It examines every
 /// worker for each waiting step.
-const SELECTION_INTERVAL_MS: u64 = 150;
+pub(crate) const SELECTION_INTERVAL_MS: u64 = 150;
 /// Fewest workers that a selection examines, so that it has a choice of the emptiest ones.
-const EXAMINED_WORKERS_MIN: usize = 512;
+pub(crate) const EXAMINED_WORKERS_MIN: usize = 512;
 /// A selection ends once the free places that it found are this many times those that the step
 /// would query about.
 const EXAMINED_PLACES_FACTOR: u64 = 8;
 /// A gang queries about so many workers that the free places that are expected to be granted
 /// are this many times the places that it still needs. Which workers are granted varies, and
 /// some of the free capacity is allocated before the answer arrives.
-const FREE_FACTOR: f64 = 4.0;
+pub(crate) const FREE_FACTOR: f64 = 4.0;
 
 impl Pool {
     /// Requests new tickets for all workers that were granted to a step, if one of them has
@@ -145,7 +145,12 @@
         let mut candidates: Vec<(Reverse<u64>, u64, usize)> = Vec::new();
         // Steps arrive with the size of the pool. If each one examined all workers, the cost would
         // grow with its square.
-        for (examined, view_index) in rotated_indices(step, cycle.workers.len()).enumerate() {
+        let with_room = cycle.rooms.get(service, &need).filter(|_| !include_full);
+        let indices: Vec<usize> = match with_room {
+            Some(room) => room.iter().filter_map(|index| cycle.view_index_of(index)).collect(),
+            None => rotated_indices(step, cycle.workers.len()).collect(),
+        };
+        for (examined, view_index) in indices.into_iter().enumerate() {
             if examined >= EXAMINED_WORKERS_MIN && free_places_found >= free_places_enough {
                 break;
             }
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -20,6 +20,7 @@
 use crate::jobs::record::TaskProgress;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::StepSpec;
+use crate::placement::futile::AdviceSets;
 use crate::placement::waiting::WaitReason;
 use crate::workers::worker::Allocation;
 use crate::workers::worker::FULL_PACE;
@@ -154,6 +155,7 @@
     pub id: StepId,
     pub tasks: Vec<Task>,
     pub advice: Advice,
+    pub advice_sets: AdviceSets,
     /// The number of tasks that are not done.
     pub remaining_tasks: u32,
     /// Whether it is in the queue.
@@ -296,6 +298,7 @@
         self.spec = Arc::new(spec);
         for step_state in &mut self.step_states {
             step_state.advice = Advice::default();
+            step_state.advice_sets = AdviceSets::default();
         }
     }
 
@@ -374,6 +377,7 @@
             id,
             tasks: vec![Task::default(); tasks as usize],
             advice: Advice::default(),
+            advice_sets: AdviceSets::default(),
             remaining_tasks: tasks,
             queued: false,
             queued_ms: 0,
--- a/crates/pool/src/jobs/lifecycle.rs
+++ b/crates/pool/src/jobs/lifecycle.rs
@@ -93,6 +93,7 @@
         };
         self.arrivals += 1;
         self.queue.insert(key, step);
+        self.due_steps.insert(key, step);
         self.cycle_due = true;
     }
 
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -52,6 +52,7 @@
 use crate::jobs::job::Job;
 use crate::jobs::job::Task;
 use crate::placement::candidates::Cycle;
+use crate::placement::due::DueSteps;
 use crate::placement::work::PairCount;
 use crate::workers::hold_timers::HoldTimers;
 use crate::workers::map::WorkerMap;
@@ -170,6 +171,8 @@
     worker_names: Vec<WorkerId>,
     /// Steps with tasks to place, by priority, fair share, deadline and arrival.
     queue: BTreeMap<QueueKey, StepId>,
+    /// The steps of `queue` by what they wait for.
+    due_steps: DueSteps,
     /// Steps of occurrences that are not due yet, by due time.
     not_due: BTreeSet<(u64, StepId)>,
     arrivals: u64,
@@ -196,6 +199,9 @@
     steps_waiting_with_room: usize,
     /// The state of the latest scheduling cycle, which the next one takes over.
     cycle: Cycle,
+    /// The first step that is behind the front of the queue, which cycles consider.
+    front_end: Option<QueueKey>,
+    next_front_ms: u64,
     cycle_work: CycleWork,
     pair_count: PairCount,
 }
@@ -212,6 +218,12 @@
     arrival: u64,
 }
 
+impl QueueKey {
+    /// A key that is before all others.
+    const FIRST: Self =
+        Self { priority: 0, over_fair_share: false, deadline_unix_ms: 0, arrival: 0 };
+}
+
 /// Interval of the sweep, which handles what no event announces.
 const SWEEP_INTERVAL_MS: u64 = 100;
 
@@ -242,6 +254,7 @@
             hold_timers: HoldTimers::default(),
             worker_names: Vec::new(),
             queue: BTreeMap::new(),
+            due_steps: DueSteps::default(),
             not_due: BTreeSet::new(),
             arrivals: 0,
             commits: Commits::default(),
@@ -259,6 +272,8 @@
             silent_leases_written: 0,
             steps_waiting_with_room: 0,
             cycle: Cycle::default(),
+            front_end: None,
+            next_front_ms: 0,
             cycle_work: CycleWork::default(),
             pair_count: PairCount::default(),
         }
@@ -351,6 +366,7 @@
             }
             Event::Advised { step, asked, cost_ms, granted, received_ms } => {
                 self.on_advised(step, &asked, cost_ms, granted, received_ms);
+                self.due_steps.wake(step);
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -51,6 +51,8 @@
     pub open: WorkerSet,
     /// Changes whenever a worker is added to `workers` or removed, or its capacity changes.
     pub capacity_version: u64,
+    /// Whether `workers` is in the order of their names.
+    pub is_sorted: bool,
     /// Views that have a reservation in this cycle.
     pub reserved_views: Vec<usize>,
     /// When time alone may open or close a worker next.
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -17,6 +17,9 @@
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
+/// If more than one in this many workers changed, all are passed over to find them.
+const READ_ALL_DIVISOR: usize = 4;
+
 /// What the sums of a cycle contain of one worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CountedWorker {
@@ -45,6 +48,14 @@
         self.services.len() - 1
     }
 
+    /// Reads a worker again; `None` if it was removed.
+    fn read(&mut self, index: WorkerIndex, worker: Option<&Worker>, now_ms: u64) {
+        let time_change_ms = worker.map_or(u64::MAX, |worker| worker.open_until_ms(now_ms));
+        self.next_time_change_ms = self.next_time_change_ms.min(time_change_ms);
+        self.count(index, worker, now_ms);
+        self.update_view(index, worker);
+    }
+
     /// Counts a worker, or no longer counts it if it is `None`, in the usage of customers and in
     /// the numbers of open and of quarantined workers.
     fn count(&mut self, index: WorkerIndex, worker: Option<&Worker>, now_ms: u64) {
@@ -125,6 +136,7 @@
             self.workers.push(view);
             self.services[service].views += 1;
             self.capacity_version += 1;
+            self.is_sorted = false;
             self.open.set(index, true);
         }
         let sum = &mut self.services[service].free;
@@ -132,6 +144,18 @@
         self.rooms.update(index, Some((service, &free)));
     }
 
+    /// Sorts the views by name, so that equal candidates are tried in the same order whatever
+    /// opened and closed before.
+    fn sort_views(&mut self, names: &[WorkerId]) {
+        if std::mem::replace(&mut self.is_sorted, true) {
+            return;
+        }
+        self.workers.sort_by(|a, b| names[a.worker_index.0].cmp(&names[b.worker_index.0]));
+        for (view_index, view) in self.workers.iter().enumerate() {
+            self.view_indices[view.worker_index.0] = Some(view_index as u32);
+        }
+    }
+
     fn remove_view(&mut self, index: WorkerIndex, view_index: usize) {
         let removed = self.workers.swap_remove(view_index);
         let service = &mut self.services[removed.service];
@@ -142,6 +166,7 @@
             self.view_indices[moved.worker_index.0] = Some(view_index as u32);
         }
         self.capacity_version += 1;
+        self.is_sorted = false;
         self.open.set(index, false);
         self.rooms.update(index, None);
     }
@@ -166,23 +191,29 @@
         self.cycle_work.workers_read += changed.len() as u64;
         let enforcing: Vec<bool> =
             cycle.services.iter().map(Service::enforces_quarantine).collect();
-        for index in &changed {
-            let worker = self.worker_at(*index);
-            let time_change_ms = worker.map_or(u64::MAX, |worker| worker.open_until_ms(now_ms));
-            cycle.next_time_change_ms = cycle.next_time_change_ms.min(time_change_ms);
-            cycle.count(*index, worker, now_ms);
+        // Looking a worker up by its name costs more than passing over some that did not change.
+        let read_all = changed.len() * READ_ALL_DIVISOR > self.workers.len();
+        if read_all {
+            for worker in self.workers.values() {
+                if changed.remove(&worker.index) {
+                    cycle.read(worker.index, Some(worker), now_ms);
+                }
+            }
+        }
+        for index in changed {
+            cycle.read(index, self.worker_at(index), now_ms);
         }
         // A quarantine that begins or ends to be enforced concerns all workers of its service.
         for (service, was_enforcing) in enforcing.into_iter().enumerate() {
             if cycle.services[service].enforces_quarantine() != was_enforcing {
-                let counted = cycle.counted.iter().enumerate();
-                let of_service = counted.filter(|(_, counted)| counted.service == Some(service));
-                changed.extend(of_service.map(|(index, _)| WorkerIndex(index)));
+                for worker in self.workers.values() {
+                    if cycle.counted[worker.index.0].service == Some(service) {
+                        cycle.update_view(worker.index, Some(worker));
+                    }
+                }
             }
         }
-        for index in &changed {
-            cycle.update_view(*index, self.worker_at(*index));
-        }
+        cycle.sort_views(&self.worker_names);
         cycle.usage.resize(self.customers.len(), Resources::ZERO);
         cycle.customers.clone_from(&cycle.usage);
         cycle
--- /dev/null
+++ b/crates/pool/src/placement/futile.rs
@@ -0,0 +1,327 @@
+//! Attempts that can neither place a task nor query the advisor.
+//!
+//! Most queued steps wait for capacity on the workers that were granted to them. An attempt goes
+//! through all of these workers, and through all others for a query about further ones. Sets of
+//! workers tell beforehand that it would find nothing. The check may miss such an attempt, which
+//! is then made, but never rejects one that would place a task or send a query.
+
+use stoatwell_model::Resources;
+
+use crate::Pool;
+use crate::QueueKey;
+use crate::advice::query::SUFFICIENT_PLACES_FACTOR;
+use crate::advice::selection::EXAMINED_WORKERS_MIN;
+use crate::advice::selection::FREE_FACTOR;
+use crate::advice::selection::FURTHER_QUERY_WAIT_MS;
+use crate::advice::selection::FURTHER_WORKERS_MIN;
+use crate::advice::selection::SELECTION_INTERVAL_MS;
+use crate::id::StepId;
+use crate::jobs::job::Advice;
+use crate::jobs::job::Job;
+use crate::jobs::job::StepState;
+use crate::jobs::spec::AdviceSpec;
+use crate::placement::candidates::Cycle;
+use crate::placement::candidates::WorkerView;
+use crate::placement::candidates::places_in;
+use crate::placement::rooms::WorkerSet;
+use crate::placement::waiting::PlacementBlock;
+use crate::placement::waiting::QueryBlock;
+use crate::placement::waiting::WaitReason;
+
+/// The workers that the advisor has answered about, as sets.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AdviceSets {
+    granted: WorkerSet,
+    queried: WorkerSet,
+    /// Numbers of workers in [`Advice`] when the sets were made. The advisor's answers only add
+    /// workers, so equal numbers mean equal sets.
+    counts: (usize, usize),
+    /// The places that the open granted workers have when they are empty.
+    places: u64,
+    /// See [`Cycle::capacity_version`].
+    capacity_version: u64,
+    /// The open workers whose capacity would hold a task and that the advisor was not queried
+    /// about: their number and how many tasks they hold on average. `None` until needed.
+    unqueried: Option<(usize, u64)>,
+}
+
+impl AdviceSets {
+    fn is_current(&self, advice: &Advice, cycle: &Cycle) -> bool {
+        self.counts == (advice.granted.len(), advice.queried.len())
+            && self.capacity_version == cycle.capacity_version
+    }
+
+    fn of(advice: &Advice, demand: &Resources, cycle: &Cycle) -> Self {
+        let granted = advice.granted.keys().filter_map(|index| cycle.view_index_of(*index));
+        Self {
+            granted: advice.granted.keys().copied().collect(),
+            queried: advice.queried.iter().copied().collect(),
+            counts: (advice.granted.len(), advice.queried.len()),
+            places: granted.map(|index| places_in(&cycle.workers[index].capacity, demand)).sum(),
+            capacity_version: cycle.capacity_version,
+            unqueried: None,
+        }
+    }
+
+    fn count_unqueried(&mut self, service: usize, demand: &Resources, cycle: &Cycle) {
+        let is_capable = |view: &&WorkerView| {
+            view.service == service
+                && view.capacity.holds(demand)
+                && !self.queried.contains(view.worker_index)
+        };
+        let (mut workers, mut places) = (0, 0);
+        for view in cycle.workers.iter().filter(is_capable) {
+            workers += 1;
+            places += places_in(&view.capacity, demand);
+        }
+        self.unqueried = Some((workers, places / (workers as u64).max(1)));
+    }
+
+    /// Whether the granted workers are so few that a query may name workers without room.
+    fn include_full(&self, tasks: u32) -> bool {
+        self.counts.1 == 0 || self.places < u64::from(tasks) * SUFFICIENT_PLACES_FACTOR
+    }
+}
+
+impl Pool {
+    /// Why an attempt to place a step would neither place a task nor query the advisor; `None` if
+    /// it might, or if the attempt itself finds out at little cost.
+    pub(crate) fn futile_attempt(
+        &mut self,
+        step: StepId,
+        step_index: usize,
+        key: QueueKey,
+        service: usize,
+        cycle: &mut Cycle,
+    ) -> Option<WaitReason> {
+        let now_ms = self.now_ms;
+        let job = self.jobs.get(&step.job)?;
+        let step_state = &job.step_states[step_index];
+        let spec = job.step_spec(step_index);
+        let (gang, demand) = (spec.gang, spec.worker_demand());
+        let previous = step_state.wait_reason.placement;
+        if spec.label.is_some() && previous == PlacementBlock::NotTried {
+            return None;
+        }
+        let waiting = step_state.waiting_tasks().count();
+        let advice = job.spec.queue.advice;
+        if gang && (waiting < step_state.tasks.len() || step_state.advice.queries > 0) {
+            return None;
+        }
+        if !cycle.keep_room(service, &demand, now_ms) {
+            return None;
+        }
+        let needs_sets =
+            self.may_select(&step_state.advice) || !cycle.rooms.get(service, &demand)?.is_empty();
+        if advice.is_some() && needs_sets {
+            self.update_advice_sets(step, step_index, service, cycle);
+        }
+        let job = self.jobs.get(&step.job)?;
+        let spec = job.step_spec(step_index);
+        let fit_under_cap = self.tasks_under_cap(job.customer, &cycle.customers, &spec.demand);
+        if fit_under_cap == 0 || (gang && fit_under_cap < waiting as u64) {
+            return None;
+        }
+        let sets = advice.map(|_| &job.step_states[step_index].advice_sets);
+        let room = cycle.rooms.get(service, &demand)?;
+        let has_room = sets.map_or(!room.is_empty(), |sets| room.intersects(&sets.granted));
+        let headroom = self.headroom(step, key);
+        let needed = demand.times(if gang { waiting as u64 } else { 1 }).plus(&headroom);
+        let placement = if !has_room {
+            let none_granted = sets.is_some_and(|sets| sets.counts.0 == 0);
+            let is_unchanged = previous == PlacementBlock::NoEligibleWorker;
+            if none_granted || is_unchanged {
+                PlacementBlock::NoEligibleWorker
+            } else {
+                PlacementBlock::NoCapacity
+            }
+        } else if !headroom.is_zero() && !cycle.services[service].free.holds(&needed) {
+            if !gang && advice.is_some_and(|rule| self.may_send_renewal(job, step_index, rule)) {
+                return None;
+            }
+            PlacementBlock::Headroom
+        } else if gang && self.free_places(room, sets, &demand, cycle, waiting) < waiting as u64 {
+            PlacementBlock::NotEnough
+        } else {
+            return None;
+        };
+        let Some(rule) = advice else {
+            return Some(WaitReason { placement, query: QueryBlock::NotNeeded });
+        };
+        // An attempt then ends before it selects workers, so the next selection is not delayed.
+        if !self.may_query(rule, 0) {
+            let placement = PlacementBlock::QueryLimit;
+            return Some(WaitReason { placement, query: QueryBlock::NotNeeded });
+        }
+        let (query, is_selection) = self.futile_query(job, step_index, rule, room, cycle)?;
+        if is_selection {
+            // The selection is not repeated sooner than after one that was made.
+            let job = self.jobs.get_mut(&step.job)?;
+            job.step_states[step_index].advice.retry_at_ms = now_ms + SELECTION_INTERVAL_MS;
+        }
+        Some(WaitReason { placement, query })
+    }
+
+    /// Whether neither a query nor a delay keeps a step from selecting further workers.
+    fn may_select(&self, advice: &Advice) -> bool {
+        advice.queries == 0
+            && advice.pause_until_ms <= self.now_ms
+            && advice.retry_at_ms <= self.now_ms
+    }
+
+    /// Brings the sets of a step up to date.
+    fn update_advice_sets(
+        &mut self,
+        step: StepId,
+        step_index: usize,
+        service: usize,
+        cycle: &Cycle,
+    ) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let (spec, step_state) = (job.step_spec(step_index), &job.step_states[step_index]);
+        let demand = spec.worker_demand();
+        let tasks = spec.tasks;
+        // A query names no more workers than this.
+        let workers_max = self.limits.advice_workers_max;
+        let rule = job.spec.queue.advice;
+        let may_be_limited = self.may_select(&step_state.advice)
+            && rule.is_some_and(|rule| !self.may_query(rule, workers_max));
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let StepState { advice, advice_sets: sets, .. } = &mut job.step_states[step_index];
+        if !sets.is_current(advice, cycle) {
+            self.pair_count.add(advice.granted.len() + advice.queried.len());
+            *sets = AdviceSets::of(advice, &demand, cycle);
+        }
+        if may_be_limited && sets.unqueried.is_none() && sets.include_full(tasks) {
+            self.pair_count.add(cycle.workers.len());
+            sets.count_unqueried(service, &demand, cycle);
+        }
+    }
+
+    /// Whether no worker has room for a task of a step that may run there, as of the last cycle.
+    /// `false` if that is not known at little cost.
+    pub(crate) fn is_without_room(&self, job: &Job, step_index: usize) -> bool {
+        let service = self.cycle.service_index(&job.spec.queue.service);
+        let demand = job.step_spec(step_index).worker_demand();
+        let room = service.and_then(|service| self.cycle.rooms.get(service, &demand));
+        let Some(room) = room else { return false };
+        let StepState { advice, advice_sets: sets, .. } = &job.step_states[step_index];
+        let needs_ticket = job.spec.queue.advice.is_some();
+        room.is_empty()
+            || (needs_ticket
+                && sets.is_current(advice, &self.cycle)
+                && !room.intersects(&sets.granted))
+    }
+
+    /// Whether a step with room on granted workers might request new tickets for them.
+    fn may_send_renewal(&self, job: &Job, step_index: usize, rule: AdviceSpec) -> bool {
+        let advice = &job.step_states[step_index].advice;
+        if advice.queries > 0 || advice.pause_until_ms > self.now_ms {
+            return false;
+        }
+        let arrival_ms = self.start_arrival_ms(job.id, Some(rule));
+        self.pair_count.add(advice.granted.len());
+        let is_fresh =
+            |(index, ticket): (&crate::workers::worker::WorkerIndex, &crate::jobs::job::Ticket)| {
+                self.worker_at(*index)
+                    .is_none_or(|worker| ticket.is_fresh(worker.info.incarnation, arrival_ms))
+            };
+        !advice.granted.iter().all(is_fresh)
+    }
+
+    /// The free places of granted workers with room, as far as `enough`.
+    fn free_places(
+        &self,
+        room: &WorkerSet,
+        sets: Option<&AdviceSets>,
+        demand: &Resources,
+        cycle: &Cycle,
+        enough: usize,
+    ) -> u64 {
+        let mut places = 0;
+        for index in room.iter() {
+            if places >= enough as u64 {
+                break;
+            }
+            if sets.is_some_and(|sets| !sets.granted.contains(index)) {
+                continue;
+            }
+            self.pair_count.add(1);
+            let Some(view_index) = cycle.view_index_of(index) else { continue };
+            places += places_in(&cycle.workers[view_index].free, demand);
+        }
+        places
+    }
+
+    /// Why no query about further workers would be sent, and whether a selection would find that
+    /// out; `None` if one might be sent. See [`Pool::query_more_workers`].
+    fn futile_query(
+        &self,
+        job: &Job,
+        step_index: usize,
+        rule: AdviceSpec,
+        room: &WorkerSet,
+        cycle: &Cycle,
+    ) -> Option<(QueryBlock, bool)> {
+        let step_state = &job.step_states[step_index];
+        let spec = job.step_spec(step_index);
+        let (advice, sets) = (&step_state.advice, &step_state.advice_sets);
+        if advice.queries > 0 {
+            return Some((QueryBlock::Pending, false));
+        }
+        if advice.pause_until_ms > self.now_ms {
+            return Some((QueryBlock::Paused, false));
+        }
+        if advice.retry_at_ms > self.now_ms {
+            return Some((QueryBlock::SelectedRecently, false));
+        }
+        if cycle.open.count_without(&sets.queried) == 0 {
+            return Some((QueryBlock::AllQueried, true));
+        }
+        if !self.may_query(rule, 1) {
+            return Some((QueryBlock::LimitReached, true));
+        }
+        if sets.include_full(spec.tasks) {
+            let (workers, mean_places) = sets.unqueried?;
+            let queue = &job.spec.queue;
+            let named = self.query_workers_max(queue, u64::from(spec.tasks), mean_places);
+            // A selection in a larger pool may not examine all workers.
+            let is_limited = cycle.workers.len() <= EXAMINED_WORKERS_MIN
+                && spec.label.is_none()
+                && workers > 0
+                && !self.may_query(rule, named.min(workers));
+            return is_limited.then_some((QueryBlock::LimitReached, true));
+        }
+        let with_room = room.count_without(&sets.queried);
+        if with_room == 0 {
+            return Some((QueryBlock::AllQueried, true));
+        }
+        let waited_ms = self.now_ms.saturating_sub(step_state.queued_ms);
+        if waited_ms >= FURTHER_QUERY_WAIT_MS && self.queries < self.advisor_daemons {
+            return None;
+        }
+        if with_room < FURTHER_WORKERS_MIN {
+            return Some((QueryBlock::FewLeft, true));
+        }
+        if !spec.gang {
+            return None;
+        }
+        let demand = spec.worker_demand();
+        let mut free_granted = 0;
+        let mut free_unqueried = 0;
+        for index in room.iter() {
+            self.pair_count.add(1);
+            let Some(view_index) = cycle.view_index_of(index) else { continue };
+            let places = places_in(&cycle.workers[view_index].free, &demand);
+            if sets.granted.contains(index) {
+                free_granted += places;
+            } else if !sets.queried.contains(index) {
+                free_unqueried += places;
+            }
+        }
+        let missing = u64::from(spec.tasks).saturating_sub(free_granted);
+        let granted_share = self.estimates.granted_share(&job.spec.queue.name);
+        let is_worthwhile = free_unqueried as f64 * granted_share >= missing as f64 * FREE_FACTOR;
+        (!is_worthwhile).then_some((QueryBlock::NotWorthwhile, true))
+    }
+}
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -30,6 +30,8 @@
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
+/// Interval at which the end of the front of the queue is determined.
+const FRONT_INTERVAL_MS: u64 = 250;
 /// Percentage of the workers that may be reserved for waiting gangs. The first gang
 /// reserves all that it needs: a gang that needs more than this share would never start.
 const RESERVED_PERCENT: usize = 35;
@@ -65,16 +67,20 @@
         }
         let mut cycle = self.begin_cycle();
         self.cycle_work.cycles += 1;
-        self.cycle_work.steps_visited += self.queue.len().min(STEPS_PER_CYCLE) as u64;
+        self.update_front();
+        self.due_steps.wake_due(&cycle, self.now_ms);
         let reserved_max = cycle.workers.len() * RESERVED_PERCENT / 100;
         let may_reserve = |reserved: usize| {
             if reserved == 0 { usize::MAX } else { reserved_max.saturating_sub(reserved) }
         };
         let mut reserved = 0;
         let mut infeasible_demands: Vec<(usize, Resources)> = Vec::new();
-        for (key, step) in self.ordered_steps() {
+        let visited = self.ordered_steps();
+        self.cycle_work.steps_visited += visited.len() as u64;
+        for (key, step) in visited.iter().copied() {
             let Some(job) = self.jobs.get(&step.job) else {
                 self.queue.remove(&key);
+                self.due_steps.remove(key, step);
                 continue;
             };
             let Some(step_index) = job.step_index(step) else { continue };
@@ -109,14 +115,22 @@
                 if !in_backoff {
                     let placement = PlacementBlock::DemandInfeasible;
                     self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                    if cycle.keep_room(service, &demand, self.now_ms) {
+                        self.due_steps.park_for_room(key, step, (service, demand), self.now_ms);
+                    }
                 }
                 if self.blocked_by_cap(step, step_index) {
                     self.reserve_cap(step, step_index, &mut cycle);
                 }
                 continue;
             }
-            self.cycle_work.attempts += 1;
-            let attempt = self.place_step(step, step_index, key, &mut cycle);
+            let attempt = match self.futile_attempt(step, step_index, key, service, &mut cycle) {
+                Some(reason) => Attempt::Waits(reason),
+                None => {
+                    self.cycle_work.attempts += 1;
+                    self.place_step(step, step_index, key, &mut cycle)
+                }
+            };
             self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
             match attempt {
                 Attempt::Placed => self.dequeue(key, step),
@@ -149,9 +163,37 @@
                 }
             }
         }
+        for (key, step) in visited {
+            if self.is_in_backoff(step) {
+                self.park(key, step);
+            }
+        }
         self.cycle = cycle;
     }
 
+    /// Parks a queued step until its next attempt.
+    fn park(&mut self, key: QueueKey, step: StepId) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(step_index) = job.step_index(step) else { return };
+        let step_state = &job.step_states[step_index];
+        if step_state.queued {
+            self.due_steps.park(key, step, step_state.retry_at_ms);
+        }
+    }
+
+    /// Determines how far cycles go into the queue.
+    fn update_front(&mut self) {
+        if self.now_ms < self.next_front_ms {
+            return;
+        }
+        self.next_front_ms = self.now_ms + FRONT_INTERVAL_MS;
+        self.front_end = None;
+        if self.queue.len() > STEPS_PER_CYCLE {
+            self.cycle_work.steps_visited += STEPS_PER_CYCLE as u64;
+            self.front_end = self.queue.keys().nth(STEPS_PER_CYCLE).copied();
+        }
+    }
+
     /// The work of all scheduling cycles so far.
     pub fn cycle_work(&self) -> CycleWork {
         CycleWork { pairs: self.pair_count.get(), ..self.cycle_work }
@@ -182,14 +224,13 @@
     fn ordered_steps(&self) -> Vec<(QueueKey, StepId)> {
         let mut in_time = Vec::new();
         let mut late = Vec::new();
-        for (key, step) in self.queue.iter().take(STEPS_PER_CYCLE) {
-            if self.is_in_backoff(*step) {
-                continue;
-            }
-            if self.slack_ms(*key, *step) < 0 {
-                late.push((*key, *step));
+        let is_in_front =
+            |(key, _): &(QueueKey, StepId)| self.front_end.is_none_or(|end| *key < end);
+        for (key, step) in self.due_steps.iter().take_while(is_in_front).take(STEPS_PER_CYCLE) {
+            if self.slack_ms(key, step) < 0 {
+                late.push((key, step));
             } else {
-                in_time.push((*key, *step));
+                in_time.push((key, step));
             }
         }
         in_time.append(&mut late);
@@ -228,6 +269,7 @@
 
     fn dequeue(&mut self, key: QueueKey, step: StepId) {
         self.queue.remove(&key);
+        self.due_steps.remove(key, step);
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(step_index) = job.step_index(step) else { return };
         job.step_states[step_index].queued = false;
@@ -382,7 +424,7 @@
 
     /// Whether a worker belongs to the service and has the label that the step requires.
     pub(crate) fn is_eligible(&self, service: usize, spec: &StepSpec, view: &WorkerView) -> bool {
-        self.pair_count.add_one();
+        self.pair_count.add(1);
         let has_label = |label| {
             let worker = self.worker_at(view.worker_index);
             worker.is_some_and(|worker| worker.info.labels.contains(label))
--- a/crates/pool/src/placement/rooms.rs
+++ b/crates/pool/src/placement/rooms.rs
@@ -38,6 +38,11 @@
         self.words.iter().all(|word| *word == 0)
     }
 
+    /// The number of members.
+    pub fn count(&self) -> usize {
+        self.words.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
     pub fn intersects(&self, other: &Self) -> bool {
         self.words.iter().zip(&other.words).any(|(own, other)| own & other != 0)
     }
--- a/crates/pool/src/placement/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -101,7 +101,7 @@
             let Some(step_index) = job.step_index(*step) else { continue };
             let step_state = &job.step_states[step_index];
             let waited_ms = self.now_ms.saturating_sub(step_state.queued_ms);
-            if waited_ms < LONG_WAIT_MS {
+            if waited_ms < LONG_WAIT_MS || self.is_without_room(job, step_index) {
                 continue;
             }
             let room_on = self.workers_with_room(job, step_index);
--- a/crates/pool/src/placement/work.rs
+++ b/crates/pool/src/placement/work.rs
@@ -44,8 +44,8 @@
 pub(crate) struct PairCount(AtomicU64);
 
 impl PairCount {
-    pub fn add_one(&self) {
-        self.0.fetch_add(1, Ordering::Relaxed);
+    pub fn add(&self, pairs: usize) {
+        self.0.fetch_add(pairs as u64, Ordering::Relaxed);
     }
 
     pub fn get(&self) -> u64 {
