--- a/crates/pool/src/placement/due.rs
+++ b/crates/pool/src/placement/due.rs
@@ -11,6 +11,7 @@
 use crate::QueueKey;
 use crate::id::StepId;
 use crate::placement::candidates::Cycle;
+use crate::placement::rooms::WorkerSet;
 
 /// Time after which a step that waits for room is due in any case. It bounds the delay if the
 /// room is dropped or a wake-up is missed.
@@ -43,14 +44,17 @@
 impl DueSteps {
     /// Adds a step that is due.
     pub fn insert(&mut self, key: QueueKey, step: StepId) {
-        self.unpark(step);
+        self.wake(step);
         self.due.insert(key, step);
     }
 
-    /// Removes a step that left the queue.
+    /// Removes an entry that left the queue.
+    ///
+    /// A submission that was dropped and came again has an entry of each time for a while. The
+    /// other entry becomes due, so that a cycle finds and removes it.
     pub fn remove(&mut self, key: QueueKey, step: StepId) {
+        self.wake(step);
         self.due.remove(&key);
-        self.unpark(step);
     }
 
     /// Parks a step until a time.
@@ -114,7 +118,7 @@
                 memory_bytes: *memory_bytes,
                 accelerators: *accelerators,
             };
-            let workers = cycle.rooms.get(*service, &demand).map_or(0, |workers| workers.count());
+            let workers = cycle.rooms.get(*service, &demand).map_or(0, WorkerSet::count);
             let count = 1 + workers * STEPS_PER_WORKER_WITH_ROOM;
             woken.extend(steps.values().take(count));
         }
--- a/crates/pool/src/placement/futile.rs
+++ b/crates/pool/src/placement/futile.rs
@@ -19,6 +19,7 @@
 use crate::jobs::job::Advice;
 use crate::jobs::job::Job;
 use crate::jobs::job::StepState;
+use crate::jobs::job::Ticket;
 use crate::jobs::spec::AdviceSpec;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::WorkerView;
@@ -27,6 +28,7 @@
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
+use crate::workers::worker::WorkerIndex;
 
 /// The workers that the advisor has answered about, as sets.
 #[derive(Clone, Debug, Default)]
@@ -221,11 +223,10 @@
         }
         let arrival_ms = self.start_arrival_ms(job.id, Some(rule));
         self.pair_count.add(advice.granted.len());
-        let is_fresh =
-            |(index, ticket): (&crate::workers::worker::WorkerIndex, &crate::jobs::job::Ticket)| {
-                self.worker_at(*index)
-                    .is_none_or(|worker| ticket.is_fresh(worker.info.incarnation, arrival_ms))
-            };
+        let is_fresh = |(index, ticket): (&WorkerIndex, &Ticket)| {
+            self.worker_at(*index)
+                .is_none_or(|worker| ticket.is_fresh(worker.info.incarnation, arrival_ms))
+        };
         !advice.granted.iter().all(is_fresh)
     }
 
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -124,12 +124,12 @@
                 }
                 continue;
             }
-            let attempt = match self.futile_attempt(step, step_index, key, service, &mut cycle) {
-                Some(reason) => Attempt::Waits(reason),
-                None => {
-                    self.cycle_work.attempts += 1;
-                    self.place_step(step, step_index, key, &mut cycle)
-                }
+            let futile = self.futile_attempt(step, step_index, key, service, &mut cycle);
+            let attempt = if let Some(reason) = futile {
+                Attempt::Waits(reason)
+            } else {
+                self.cycle_work.attempts += 1;
+                self.place_step(step, step_index, key, &mut cycle)
             };
             self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
             match attempt {
--- a/crates/pool/src/placement/rooms.rs
+++ b/crates/pool/src/placement/rooms.rs
@@ -74,9 +74,9 @@
 }
 
 impl FromIterator<WorkerIndex> for WorkerSet {
-    fn from_iter<I: IntoIterator<Item = WorkerIndex>>(indices: I) -> Self {
+    fn from_iter<I: IntoIterator<Item = WorkerIndex>>(iter: I) -> Self {
         let mut set = Self::default();
-        for index in indices {
+        for index in iter {
             set.set(index, true);
         }
         set
--- a/crates/pool/tests/cycle_cost.rs
+++ b/crates/pool/tests/cycle_cost.rs
@@ -90,3 +90,42 @@
         println!("{queued} steps: {deciding_ms} ms of a second, {starts} starts, {work:?}");
     }
 }
+
+/// Guards against cycles whose cost grows with the steps that wait: each of them was tried again
+/// several times a second although nothing had changed for it. Counts are compared, since a busy
+/// machine makes times useless.
+#[test]
+fn many_queued_steps_cost_at_most_twice_what_few_cost() {
+    let few = measure(50);
+    let many = measure(576);
+    assert!(many.starts * 10 > few.starts * 9, "{} and {}", many.starts, few.starts);
+    let (few, many) = (few.work, many.work);
+    assert!(many.total() <= few.total() * 2, "{many:?} and {few:?}");
+}
+
+/// Guards against a cost that grows again in a queue of thousands of steps.
+#[test]
+fn thousands_of_queued_steps_cost_at_most_twice_what_few_cost() {
+    let (few, many) = (measure(50).work, measure(3_000).work);
+    assert!(many.total() <= few.total() * 2, "{many:?} and {few:?}");
+}
+
+/// Whole workers come free one after another while dozens of steps wait for one. Guards against a
+/// missed wake-up, after which a worker would stay idle until the fallback a second later.
+#[test]
+fn capacity_that_comes_free_is_used_soon() {
+    let mut world = World::new(67, 4, Faults::default());
+    world.run(100);
+    for number in 0..80 {
+        world.submit(number, job(queue(1), vec![step(1, 16_000, 200)]));
+    }
+    let mut ran_ms = 0;
+    while !world.open_jobs().is_empty() && ran_ms < 20_000 {
+        world.run(100);
+        ran_ms += 100;
+    }
+    // 20 tasks one after another on each worker, each with at most 200 ms of overhead: the write
+    // of its row, its start, the report of its end and a cycle.
+    assert!(ran_ms <= 8_000, "{ran_ms}");
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
