--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -51,7 +51,11 @@
 use crate::jobs::index::JobIndex;
 use crate::jobs::job::Job;
 use crate::jobs::job::Task;
+use crate::placement::candidates::Cycle;
+use crate::placement::due::DueSteps;
+use crate::placement::work::PairCount;
 use crate::workers::hold_timers::HoldTimers;
+use crate::workers::map::WorkerMap;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
@@ -99,6 +103,7 @@
 pub use crate::jobs::spec::SpecError;
 pub use crate::jobs::spec::StepSpec;
 pub use crate::jobs::submit::Accepted;
+pub use crate::placement::work::CycleWork;
 pub use crate::runs::run::START_VALIDITY_MS;
 pub use crate::workers::holds::EXTENSION_WINDOW_MS;
 pub use crate::workers::silent::SilentLease;
@@ -158,7 +163,7 @@
     /// before its job, and a submission that was given up may come back from the store.
     cancellations: Cancellations,
     customers: Customers,
-    workers: BTreeMap<WorkerId, Worker>,
+    workers: WorkerMap,
     /// All changes to the list of workers before this time are known.
     workers_as_of_ms: u64,
     hold_timers: HoldTimers,
@@ -166,6 +171,8 @@
     worker_names: Vec<WorkerId>,
     /// Steps with tasks to place, by priority, fair share, deadline and arrival.
     queue: BTreeMap<QueueKey, StepId>,
+    /// The steps of `queue` by what they wait for.
+    due_steps: DueSteps,
     /// Steps of occurrences that are not due yet, by due time.
     not_due: BTreeSet<(u64, StepId)>,
     arrivals: u64,
@@ -190,6 +197,13 @@
     /// Steps that have waited for long although a worker has free capacity for them, at the
     /// last report.
     steps_waiting_with_room: usize,
+    /// The state of the latest scheduling cycle, which the next one takes over.
+    cycle: Cycle,
+    /// The first step that is behind the front of the queue, which cycles consider.
+    front_end: Option<QueueKey>,
+    next_front_ms: u64,
+    cycle_work: CycleWork,
+    pair_count: PairCount,
 }
 
 /// The sort key of a step in the queue.
@@ -204,6 +218,12 @@
     arrival: u64,
 }
 
+impl QueueKey {
+    /// A key that is before all others.
+    const FIRST: Self =
+        Self { priority: 0, over_fair_share: false, deadline_unix_ms: 0, arrival: 0 };
+}
+
 /// Interval of the sweep, which handles what no event announces.
 const SWEEP_INTERVAL_MS: u64 = 100;
 
@@ -229,11 +249,12 @@
             job_index: JobIndex::default(),
             cancellations: Cancellations::default(),
             customers: Customers::default(),
-            workers: BTreeMap::new(),
+            workers: WorkerMap::default(),
             workers_as_of_ms: now_ms,
             hold_timers: HoldTimers::default(),
             worker_names: Vec::new(),
             queue: BTreeMap::new(),
+            due_steps: DueSteps::default(),
             not_due: BTreeSet::new(),
             arrivals: 0,
             commits: Commits::default(),
@@ -250,6 +271,11 @@
             silent_leases: SilentLeases::default(),
             silent_leases_written: 0,
             steps_waiting_with_room: 0,
+            cycle: Cycle::default(),
+            front_end: None,
+            next_front_ms: 0,
+            cycle_work: CycleWork::default(),
+            pair_count: PairCount::default(),
         }
     }
 
@@ -340,6 +366,7 @@
             }
             Event::Advised { step, asked, cost_ms, granted, received_ms } => {
                 self.on_advised(step, &asked, cost_ms, granted, received_ms);
+                self.due_steps.wake(step);
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
