Relay calls to the store through another daemon

Cause: the store answers some daemons with 429, resets their connections or does not answer, and serves the others.

Change: RelayedStore wraps the platform of each daemon. relay::path decides, without I/O and clock, whether a call takes the own path or goes through another daemon by DaemonCall::Store. A path counts as failed only if calls in a row fail and a probe fails as well, or if it is silent while the store answers another daemon. A write is sent again or reported as refused only if no attempt of it may take effect. The renewal of the lease has connections of its own for relayed calls, too. New variants are at the end of the enums; an old daemon answers them with an empty reply, and no write goes through a daemon that has not answered a small read.

--- a/crates/node/src/gateway/local.rs
+++ b/crates/node/src/gateway/local.rs
@@ -54,7 +54,9 @@
         | DaemonCall::Alive
         | DaemonCall::Leads { .. }
         | DaemonCall::Execute { .. }
-        | DaemonCall::Collect { .. } => LocalReply::NotTaken,
+        | DaemonCall::Collect { .. }
+        | DaemonCall::Store { .. }
+        | DaemonCall::Daemons => LocalReply::NotTaken,
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -40,6 +40,7 @@
 mod peers;
 mod platform;
 mod recent_submissions;
+pub mod relay;
 mod store_watcher;
 mod submissions;
 mod tasks;
@@ -58,6 +59,7 @@
 use crate::accept::Acceptor;
 use crate::elector::LeaderElector;
 use crate::health::StoreHealth;
+use crate::relay::RelayState;
 
 pub use crate::accept::WriteReply;
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
@@ -101,6 +103,7 @@
 pub use crate::platform::Transaction;
 pub use crate::platform::WorkerChanges;
 pub use crate::platform::shard;
+pub use crate::relay::RelayedStore;
 pub use crate::worker_list::WorkerList;
 
 /// Identity and settings of a daemon.
@@ -142,7 +145,7 @@
 /// A running daemon.
 #[derive(Debug)]
 pub struct Node<P> {
-    gateway: Arc<Gateway<P>>,
+    gateway: Arc<Gateway<RelayedStore<P>>>,
     manifest: Arc<CurrentManifest>,
     stop: tokio::sync::watch::Sender<bool>,
     stopped: tokio::sync::watch::Receiver<bool>,
@@ -156,8 +159,11 @@
         let health = Arc::new(StoreHealth::default());
         let limits = settings.revoke_ms.map(FreshnessLimits::new);
         let manifest = Arc::new(CurrentManifest::new(limits, settings.manifest_apply_ms));
-        let acceptor = Acceptor::start(Arc::clone(&platform), Arc::clone(&health));
         let peers = Peers::new(&settings.peer_key, Traffic::default());
+        let (local_scheduler_sender, local_scheduler) = tokio::sync::watch::channel(None);
+        let relay_state = Arc::new(RelayState::new(settings, local_scheduler.clone()));
+        let platform = Arc::new(RelayedStore::new(platform, peers.clone(), relay_state));
+        let acceptor = Acceptor::start(Arc::clone(&platform), Arc::clone(&health));
         let gateway = Arc::new(Gateway::new(
             Arc::clone(&platform),
             acceptor,
@@ -167,7 +173,7 @@
         ));
         let (stop, stop_receiver) = tokio::sync::watch::channel(false);
         let (stopped_sender, stopped) = tokio::sync::watch::channel(false);
-        let (local_scheduler_sender, local_scheduler) = tokio::sync::watch::channel(None);
+        tokio::spawn(relay::watch_own_path(Arc::clone(&platform), gateway.subscribe_leader()));
         tokio::spawn(manifest::watch(
             Arc::clone(&platform),
             Arc::clone(&health),
@@ -178,7 +184,12 @@
         tokio::spawn(manifest::confirm(Arc::clone(&platform), Arc::clone(&manifest), move || {
             local_scheduler_receiver.borrow().is_some()
         }));
-        tokio::spawn(serve_peers(listener, settings.peer_key.clone(), Arc::clone(&gateway)));
+        tokio::spawn(serve_peers(
+            listener,
+            settings.peer_key.clone(),
+            Arc::clone(&gateway),
+            Arc::clone(&platform),
+        ));
         tokio::spawn(health::probe(Arc::clone(&platform), Arc::clone(&health)));
         tokio::spawn(leader_probe::probe_leader(
             Arc::clone(&gateway),
@@ -210,7 +221,7 @@
     }
 
     /// The gateway that answers callers.
-    pub fn gateway(&self) -> &Arc<Gateway<P>> {
+    pub fn gateway(&self) -> &Arc<Gateway<RelayedStore<P>>> {
         &self.gateway
     }
 
@@ -238,10 +249,26 @@
     }
 }
 
-async fn serve_peers<P: Platform>(listener: TcpListener, key: String, gateway: Arc<Gateway<P>>) {
+async fn serve_peers<P: Platform>(
+    listener: TcpListener,
+    key: String,
+    gateway: Arc<Gateway<RelayedStore<P>>>,
+    store: Arc<RelayedStore<P>>,
+) {
     let handler = move |call| {
-        let gateway = Arc::clone(&gateway);
-        async move { gateway.answer(call).await }
+        let (gateway, store) = (Arc::clone(&gateway), Arc::clone(&store));
+        async move {
+            if let DaemonCall::Leads { address, .. } = &call {
+                store.record_leader(address);
+            }
+            match call {
+                DaemonCall::Store { caller, call, limit_ms } => {
+                    store.answer(&caller, &call, limit_ms).await
+                }
+                DaemonCall::Daemons => store.known_daemons(),
+                call => gateway.answer(call).await,
+            }
+        }
     };
     if let Err(error) = stoatwell_peer::serve(listener, key, Traffic::default(), handler).await {
         tracing::error!(%error, "the peer listener failed; other daemons can no longer connect");
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -96,6 +96,18 @@
         /// Maximum time until the reply.
         limit_ms: u64,
     },
+    /// To a daemon that may reach the store: makes a call to the store for a daemon whose own
+    /// path to it fails.
+    Store {
+        /// Name of the calling daemon, for the log.
+        caller: String,
+        /// An encoded [`StoreCall`](crate::relay::StoreCall).
+        call: Vec<u8>,
+        /// Maximum time until the reply.
+        limit_ms: u64,
+    },
+    /// To any daemon: returns the list of daemons as it last read it.
+    Daemons,
 }
 
 /// A daemon's reply to a call.
@@ -144,4 +156,12 @@
     SubmissionInDoubt,
     /// The outcome of the cancellation of a job that was not found.
     Cancelled(WriteReply),
+    /// The encoded result of a call to the store, a
+    /// [`StoreReply`](crate::relay::StoreReply) or a [`StoreError`](crate::StoreError).
+    Store(Vec<u8>),
+    /// The call to the store was not sent: this daemon has no working path to the store itself,
+    /// or makes as many calls for others as it may.
+    StoreDeclined,
+    /// An encoded list of [`DaemonInfo`](crate::DaemonInfo).
+    Daemons(Vec<u8>),
 }
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -6,6 +6,8 @@
 
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::CallError;
 use stoatwell_pool::Grant;
@@ -22,7 +24,7 @@
 use crate::manifest::Manifest;
 
 /// A table of the store. Its `Display` text is the name under which it is stored.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, displaydoc::Display)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, displaydoc::Display)]
 pub enum Table {
     /// jobs
     Jobs,
@@ -65,7 +67,7 @@
 }
 
 /// A row of a table, as it is stored.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// The key, unique within the table.
     pub key: String,
@@ -76,7 +78,7 @@
 }
 
 /// Rows, and the version of the store at which they were read.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Rows {
     /// The rows, ordered by key, or by version if they are changes.
     pub rows: Vec<Row>,
@@ -87,7 +89,7 @@
 }
 
 /// Changes that are applied atomically.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Transaction {
     /// Versions that rows must have for the transaction to be applied; 0 if the row must not
     /// exist.
@@ -99,7 +101,7 @@
 }
 
 /// Why a call to the store failed.
-#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, displaydoc::Display)]
 pub enum StoreError {
     /// the store refused and did nothing
     Refused,
@@ -112,7 +114,7 @@
 }
 
 /// The store's answer to whether a version of the manifest is the newest.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Confirmation {
     /// The version is the newest.
     Newest,
@@ -121,7 +123,7 @@
 }
 
 /// Changes to the list of workers.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerChanges {
     /// Workers that were added or whose entry changed.
     pub listed: Vec<WorkerUpdate>,
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -183,7 +183,7 @@
 }
 
 /// A worker's entry in the list of workers, from which the scheduler learns of workers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct WorkerUpdate {
     /// The worker's name.
     pub worker: WorkerId,
