--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -17,11 +17,20 @@
 use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
+use stoatwell_model::ZoneName;
+use stoatwell_node::Confirmation;
 use stoatwell_node::DaemonCall;
+use stoatwell_node::DaemonInfo;
 use stoatwell_node::DaemonReply;
 use stoatwell_node::Manifest;
 use stoatwell_node::Queue;
 use stoatwell_node::RelayedProof;
+use stoatwell_node::Row;
+use stoatwell_node::Rows;
+use stoatwell_node::StoreError;
+use stoatwell_node::Table;
+use stoatwell_node::Transaction;
+use stoatwell_node::WorkerChanges;
 use stoatwell_node::WriteReply;
 use stoatwell_node::executors::call::Batch;
 use stoatwell_node::executors::call::Replies;
@@ -30,6 +39,8 @@
 use stoatwell_node::executors::call::decode;
 use stoatwell_node::executors::call::encode;
 use stoatwell_node::executors::session::SessionId;
+use stoatwell_node::relay::StoreCall;
+use stoatwell_node::relay::StoreReply;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::ActiveRun;
 use stoatwell_pool::AdviceSpec;
@@ -49,6 +60,7 @@
 use stoatwell_pool::StepId;
 use stoatwell_pool::StopCall;
 use stoatwell_pool::TaskId;
+use stoatwell_pool::WorkerUpdate;
 
 const SESSION: SessionId = SessionId { epoch: 3, number: 4 };
 const CALL_ERRORS: [CallError; 6] = [
@@ -112,7 +124,9 @@
         | DaemonCall::Execute { .. }
         | DaemonCall::Collect { .. }
         | DaemonCall::CancelledUnknown { .. }
-        | DaemonCall::CancelUnknown { .. } => 14,
+        | DaemonCall::CancelUnknown { .. }
+        | DaemonCall::Store { .. }
+        | DaemonCall::Daemons => 16,
     }
 }
 
@@ -129,7 +143,10 @@
         | DaemonReply::NotScheduler
         | DaemonReply::Collected { .. }
         | DaemonReply::SubmissionInDoubt
-        | DaemonReply::Cancelled(_) => 11,
+        | DaemonReply::Cancelled(_)
+        | DaemonReply::Store(_)
+        | DaemonReply::StoreDeclined
+        | DaemonReply::Daemons(_) => 14,
     }
 }
 
@@ -158,6 +175,8 @@
             customer: Some(CustomerName::new("a")),
             limit_ms: 900,
         },
+        DaemonCall::Store { caller: "a".to_owned(), call: vec![1], limit_ms: 500 },
+        DaemonCall::Daemons,
     ];
     assert_eq!(variants(&calls), daemon_call_variants(&calls[0]));
     assert_carried(&calls);
@@ -190,11 +209,83 @@
         DaemonReply::SubmissionInDoubt,
         DaemonReply::Cancelled(WriteReply { accepted: Accepted::Yes, job_exists: false }),
         DaemonReply::Cancelled(WriteReply { accepted: Accepted::Taken, job_exists: true }),
+        DaemonReply::Store(vec![1]),
+        DaemonReply::StoreDeclined,
+        DaemonReply::Daemons(Vec::new()),
     ];
     assert_eq!(variants(&replies), daemon_reply_variants(&replies[0]));
     assert_carried(&replies);
 }
 
+/// Guards against a relayed call to the store, or its result, that the other daemon cannot decode.
+#[test]
+fn relayed_calls_are_decoded_as_encoded() {
+    let expect = vec![(Table::Fences, "3".to_owned(), 9)];
+    let put = vec![(Table::Jobs, "k".to_owned(), vec![0, 255])];
+    let remove = vec![(Table::Cancels, "k".to_owned())];
+    let calls = [
+        StoreCall::Transact(Transaction::default()),
+        StoreCall::Transact(Transaction { expect, put, remove }),
+        StoreCall::Read(Table::Duty, "k".to_owned()),
+        StoreCall::ReadAll(Table::Progress),
+        StoreCall::PollChanges { table: Table::Daemons, after: 1, wait_ms: 2 },
+        StoreCall::Workers,
+        StoreCall::PollWorkerChanges { after: 1, wait_ms: 2 },
+        StoreCall::Manifest,
+        StoreCall::PollManifest { after: 1, wait_ms: 2 },
+        StoreCall::ConfirmManifest(u64::MAX),
+    ];
+    for call in calls {
+        assert_eq!(decode("call", &encode(&call)), Some(call));
+    }
+    let row = |value| Row { key: "k".to_owned(), value, version: 4 };
+    let worker = |remaining_ms| WorkerUpdate {
+        worker: WorkerId::new("w"),
+        address: "10.0.0.1:1".to_owned(),
+        service: "s".to_owned(),
+        zone: ZoneName::new("z"),
+        capacity: Resources { cpu_millis: 1, memory_bytes: u64::MAX, accelerators: 0 },
+        labels: vec!["l".to_owned()],
+        draining: true,
+        remaining_ms,
+        incarnation: 5,
+    };
+    let changes = WorkerChanges {
+        listed: vec![worker(None), worker(Some(7))],
+        unlisted: vec![WorkerId::new("v")],
+        version: 8,
+        has_more: true,
+    };
+    let rows = Rows { rows: vec![row(None), row(Some(vec![1]))], version: 5, has_more: true };
+    let conflict = vec![(Table::Duty, row(None)), (Table::Fences, row(Some(Vec::new())))];
+    let results = [
+        Ok(StoreReply::Written(3)),
+        Ok(StoreReply::Row(None)),
+        Ok(StoreReply::Row(Some(row(Some(vec![1]))))),
+        Ok(StoreReply::Rows(rows)),
+        Ok(StoreReply::Workers(changes)),
+        Ok(StoreReply::Manifest(None, 3)),
+        Ok(StoreReply::Manifest(Some(Manifest::default()), 3)),
+        Ok(StoreReply::Confirmation(Confirmation::Newest)),
+        Ok(StoreReply::Confirmation(Confirmation::Replaced(None))),
+        Ok(StoreReply::Confirmation(Confirmation::Replaced(Some(Manifest::default())))),
+        Err(StoreError::Refused),
+        Err(StoreError::NoAnswer),
+        Err(StoreError::Conflict(conflict)),
+        Err(StoreError::HistoryLost),
+    ];
+    for result in results {
+        assert_eq!(decode("result", &encode(&result)), Some(result));
+    }
+    let info = DaemonInfo {
+        address: "10.0.0.1:1".to_owned(),
+        zone: ZoneName::new("z"),
+        cores: 0.5,
+        link_mbps: 10.0,
+    };
+    assert_eq!(decode("daemons", &encode(&vec![info.clone()])), Some(vec![info]));
+}
+
 /// Guards against a manifest that only some daemons can decode: one with queues without an
 /// advisor, or without customers.
 #[test]
