Find daemons that relay ahead of the calls, and ask the leader for their list

Cause: a rejected daemon that does not lead knew no other daemon but the leader, and a daemon that searches while a call waits tries one other daemon after the other.

Change: while its own path is suspect or has failed, a daemon asks the leader for the list every 5 s, and the task that probes the path asks three daemons at once.

--- a/crates/node/src/relay/path.rs
+++ b/crates/node/src/relay/path.rs
@@ -221,11 +221,6 @@
         }
     }
 
-    /// Whether another daemon is known.
-    pub fn knows_daemons(&self) -> bool {
-        !self.relays.is_empty()
-    }
-
     /// Whether the own path has failed.
     pub fn has_failed(&self) -> bool {
         matches!(self.own, OwnState::Failed { .. })
@@ -236,6 +231,12 @@
         self.own != OwnState::Works
     }
 
+    /// Whether to search a daemon that relays, ahead of the next call.
+    pub fn needs_relay(&self, now_ms: u64) -> bool {
+        let has_relay = self.relays.iter().any(|relay| relay.works);
+        self.has_failed() && !has_relay && now_ms >= self.next_search_ms
+    }
+
     /// Addresses of daemons that may be asked now whether the store answers them.
     pub fn witnesses(&self, now_ms: u64, count: usize) -> Vec<String> {
         let usable = self.relays.iter().filter(|relay| relay.works || relay.retry_ms <= now_ms);
--- a/crates/node/src/relay/probe.rs
+++ b/crates/node/src/relay/probe.rs
@@ -34,6 +34,9 @@
 const GRACE_MIN: Duration = Duration::from_millis(50);
 /// The same time as a multiple of that daemon's response time.
 const GRACE_FACTOR: u32 = 2;
+/// How often a daemon that does not lead reads the list of daemons from the leader, while its own
+/// path is suspect or has failed.
+const LIST_INTERVAL: Duration = Duration::from_secs(5);
 /// Daemons that are asked whether the store answers them.
 const WITNESSES: usize = 3;
 
@@ -43,17 +46,19 @@
     leader: watch::Receiver<LeaderView>,
 ) {
     metrics::gauge!("stoatwell_store_relaying").set(0.0);
+    let mut listed: Option<Instant> = None;
     loop {
         store.state.suspected.notified().await;
         loop {
-            let (needs_probe, has_failed, knows_daemons) = {
+            let (needs_probe, has_failed) = {
                 let paths = store.state.paths();
-                (paths.needs_probe(), paths.has_failed(), paths.knows_daemons())
+                (paths.needs_probe(), paths.has_failed())
             };
             if !needs_probe {
                 break;
             }
-            if !knows_daemons {
+            if listed.is_none_or(|listed| listed.elapsed() >= LIST_INTERVAL) {
+                listed = Some(Instant::now());
                 fetch_daemons(&store, &leader).await;
             }
             let (outcome, others_answered) = probe(&store, has_failed).await;
@@ -62,12 +67,16 @@
             if let Some(change) = change {
                 report(&store, change, outcome);
             }
+            if store.state.paths().needs_relay(steady_ms()) {
+                store_answers_others(&store).await;
+            }
             tokio::time::sleep(PROBE_INTERVAL).await;
         }
     }
 }
 
-/// Reads the list of daemons from the leader. Only the leader reads it from the store.
+/// Reads the list of daemons from the leader, unless this daemon leads: only the leader reads it
+/// from the store.
 async fn fetch_daemons<P: Platform>(store: &RelayedStore<P>, leader: &watch::Receiver<LeaderView>) {
     let Some((_, address)) = leader.borrow().remote_leader() else { return };
     let limit = Duration::from_millis(PROBE_LIMIT_MS);
@@ -108,6 +117,8 @@
     }
 }
 
+/// Asks some daemons whether the store answers them, and records which of them relay calls. Returns
+/// whether one of them does, as soon as that is known.
 async fn store_answers_others<P: Platform>(store: &Arc<RelayedStore<P>>) -> bool {
     let addresses = store.state.paths().witnesses(steady_ms(), WITNESSES);
     let mut probes = JoinSet::new();
@@ -121,6 +132,8 @@
     }
     while let Some(outcome) = probes.join_next().await {
         if matches!(outcome, Ok(RelayOutcome::Answered)) {
+            // The others may relay calls as well, and take part of them if there are many.
+            probes.detach_all();
             return true;
         }
     }
--- a/crates/node/src/relay/serve.rs
+++ b/crates/node/src/relay/serve.rs
@@ -58,17 +58,14 @@
         self.record_served(caller);
         let limit = Duration::from_millis(limit_ms.saturating_sub(REPLY_MARGIN_MS));
         let made = timeout(limit, call.make(self.own.as_ref())).await;
-        let result: Result<StoreReply, StoreError> = match made {
-            Ok(result) => {
-                self.state.record_own(own_outcome(&result));
-                result
-            }
-            Err(_) => {
-                let mut paths = self.state.paths();
-                paths.record_overdue(steady_ms());
-                self.state.notify_if_suspect(&paths);
-                Err(StoreError::NoAnswer)
-            }
+        let result: Result<StoreReply, StoreError> = if let Ok(result) = made {
+            self.state.record_own(own_outcome(&result));
+            result
+        } else {
+            let mut paths = self.state.paths();
+            paths.record_overdue(steady_ms());
+            self.state.notify_if_suspect(&paths);
+            Err(StoreError::NoAnswer)
         };
         count(match &result {
             Ok(_) => "done",
