Test a rejected leader and a rejected daemon with the fake platform

Cause: the paths of calls were tested without connections only.

The fake store can reset and be silent for one daemon.

--- a/crates/node/tests/fake/leader.rs
+++ b/crates/node/tests/fake/leader.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use stoatwell_node::DaemonCall;
+use stoatwell_node::DaemonInfo;
 use stoatwell_node::DaemonReply;
 use stoatwell_node::LeaderLease;
 use stoatwell_node::Platform;
@@ -14,6 +15,7 @@
 use stoatwell_node::RelayedProof;
 use stoatwell_node::Table;
 use stoatwell_node::Transaction;
+use stoatwell_node::executors::call::encode;
 use stoatwell_peer::Traffic;
 use tokio::net::TcpListener;
 
@@ -28,12 +30,14 @@
     pub cancellations: AtomicUsize,
     /// The other calls about jobs that it received.
     pub other_calls: AtomicUsize,
+    /// The store, whose list of daemons it tells.
+    store: Arc<FakePlatform>,
 }
 
 impl FakeLeader {
     /// Starts a leader that holds the leader lease for as long as the test lasts.
     pub async fn start(store: &Arc<FakePlatform>) -> Arc<Self> {
-        let leader = Arc::new(Self::default());
+        let leader = Arc::new(Self { store: Arc::clone(store), ..Self::default() });
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("bound").to_string();
         let answering = Arc::clone(&leader);
@@ -71,6 +75,13 @@
                     DaemonReply::NotScheduler
                 }
             }
+            DaemonCall::Daemons => {
+                let rows = self.store.rows(Table::Daemons);
+                let values = rows.iter().filter_map(|row| row.value.as_ref());
+                let daemons: Vec<DaemonInfo> =
+                    values.map(|value| serde_json::from_slice(value).expect("a daemon")).collect();
+                DaemonReply::Daemons(encode(&daemons))
+            }
             DaemonCall::State(_) => {
                 self.other_calls.fetch_add(1, Ordering::Relaxed);
                 DaemonReply::State(None)
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -81,6 +81,10 @@
     HidesChangesOfJobs,
     /// It refuses writes, and answers each confirmation of the manifest after a second.
     ConfirmsLate,
+    /// It closes this daemon's connections without an answer.
+    Resets,
+    /// It carries out nothing and answers nothing on this daemon's connections.
+    Silent,
     /// It removes a cancellation that it has reported as a conflict, and is normal afterwards.
     RemovesConflictingCancellation,
 }
@@ -284,7 +288,9 @@
     /// The error with which reads fail; `None` if they are answered.
     fn read_error(&self) -> Option<StoreError> {
         match self.behavior() {
-            StoreBehavior::Unresponsive => Some(StoreError::NoAnswer),
+            StoreBehavior::Unresponsive | StoreBehavior::Silent | StoreBehavior::Resets => {
+                Some(StoreError::NoAnswer)
+            }
             StoreBehavior::RefusesAll => Some(StoreError::Refused),
             StoreBehavior::Normal
             | StoreBehavior::RefusesWrites
@@ -300,6 +306,14 @@
         }
     }
 
+    async fn hang_if_silent(&self) -> Result<(), StoreError> {
+        if self.behavior() == StoreBehavior::Silent {
+            call_without_response(0).await
+        } else {
+            Ok(())
+        }
+    }
+
     /// Whether reads of whole tables and polls for changes are refused for this table.
     fn hides(&self, table: Table) -> bool {
         match self.behavior() {
@@ -377,6 +391,7 @@
             StoreBehavior::RefusesWrites
             | StoreBehavior::RefusesAll
             | StoreBehavior::ConfirmsLate => Err(StoreError::Refused),
+            StoreBehavior::Resets => Err(StoreError::NoAnswer),
             StoreBehavior::RemovesConflictingCancellation => {
                 let result = self.write(transaction);
                 if let Err(StoreError::Conflict(rows)) = &result {
@@ -404,7 +419,7 @@
                 }
                 self.write(transaction)
             }
-            StoreBehavior::Unresponsive => call_without_response(0).await,
+            StoreBehavior::Unresponsive | StoreBehavior::Silent => call_without_response(0).await,
             StoreBehavior::LosesOneResponse => {
                 self.set_behavior(StoreBehavior::Normal);
                 let done = self.write(transaction);
@@ -415,6 +430,7 @@
     }
 
     async fn read(&self, table: Table, key: &str) -> Result<Option<Row>, StoreError> {
+        self.hang_if_silent().await?;
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -423,6 +439,7 @@
     }
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
+        self.hang_if_silent().await?;
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -443,10 +460,14 @@
     ) -> Result<Rows, StoreError> {
         let rounds = wait_ms / 20 + 1;
         for _ in 0..rounds {
+            self.hang_if_silent().await?;
             if self.behavior() == StoreBehavior::LosesHistoryOfJobs && table == Table::Jobs {
                 self.set_behavior(StoreBehavior::Normal);
                 return Err(StoreError::HistoryLost);
             }
+            if self.behavior() == StoreBehavior::Resets {
+                return Err(StoreError::NoAnswer);
+            }
             if self.behavior() == StoreBehavior::RefusesAll || self.hides(table) {
                 return Err(StoreError::Refused);
             }
@@ -483,6 +504,7 @@
     }
 
     async fn manifest(&self) -> Result<(Option<Manifest>, u64), StoreError> {
+        self.hang_if_silent().await?;
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -497,8 +519,9 @@
             tokio::time::sleep(LATE_CONFIRMATION).await;
         }
         match self.behavior() {
-            StoreBehavior::Unresponsive => call_without_response(0).await,
+            StoreBehavior::Unresponsive | StoreBehavior::Silent => call_without_response(0).await,
             StoreBehavior::RefusesWrites | StoreBehavior::RefusesAll => Err(StoreError::Refused),
+            StoreBehavior::Resets => Err(StoreError::NoAnswer),
             StoreBehavior::Normal
             | StoreBehavior::LosesOneResponse
             | StoreBehavior::LosesOnePoll
@@ -525,12 +548,15 @@
         self.state.lock().expect("no panic").manifest_polls += 1;
         for _ in 0..=wait_ms / 20 {
             match self.behavior() {
-                StoreBehavior::Unresponsive => return call_without_response(wait_ms).await,
+                StoreBehavior::Unresponsive | StoreBehavior::Silent => {
+                    return call_without_response(wait_ms).await;
+                }
                 StoreBehavior::LosesOnePoll => {
                     self.set_behavior(StoreBehavior::Normal);
                     return call_without_response(wait_ms).await;
                 }
                 StoreBehavior::RefusesAll => return Err(StoreError::Refused),
+                StoreBehavior::Resets => return Err(StoreError::NoAnswer),
                 StoreBehavior::Normal
                 | StoreBehavior::RefusesWrites
                 | StoreBehavior::LosesOneResponse
--- a/crates/node/tests/store_relay_model.rs
+++ b/crates/node/tests/store_relay_model.rs
@@ -83,7 +83,7 @@
     Done(u64),
     Conflict,
     Refused,
-    NoAnswer,
+    Unknown,
 }
 
 /// The store and the writes that may still reach it.
@@ -226,7 +226,7 @@
                 }
                 Step::ReturnLast => return last,
                 Step::ReturnRefused => return Answer::Refused,
-                Step::ReturnNoAnswer => return Answer::NoAnswer,
+                Step::ReturnNoAnswer => return Answer::Unknown,
             };
         }
     }
@@ -264,7 +264,7 @@
             Answer::Conflict if model.store.taken_over => break,
             Answer::Conflict => expected = model.store.version,
             Answer::Done(version) => expected = version,
-            Answer::Refused | Answer::NoAnswer => {}
+            Answer::Refused | Answer::Unknown => {}
         }
     }
     let mut store = model.store;
