Takeover: read back on a thread of its own, stale tables by their changes

Cause: a new leader fenced and read the store among all other tasks of its daemon. Each of the calls, many of them one after another, waited for the whole queue of ready tasks. A stale table was read as a whole again until the store had caught up.

Change: fences, tables and the restoring of the pool run on a thread with a runtime and connections of its own (takeover.rs). The lists of workers and daemons need no fence and are read meanwhile. A stale table is completed by the changes that follow. A whole read follows only if the history is lost or the changes do not reach the version. The fake store reports removals as changes, as the real one does. 'state restored from the store' says how long each phase took.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -4,12 +4,14 @@
 //! handles those that are queued, within a time budget. Another task renews the leader lease.
 //! Batches are written under fences, so that no write of an earlier leader can take effect.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::time::Duration;
 use std::time::Instant;
 
 use stoatwell_model::BELIEF_TARGET;
+use stoatwell_model::ZoneName;
 use stoatwell_peer::Peers;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::CancelSource;
@@ -18,11 +20,11 @@
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::JobId;
-use stoatwell_pool::JobSpec;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Pool;
-use stoatwell_pool::Progress;
+use stoatwell_pool::WorkerUpdate;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::task::JoinSet;
 
 use crate::advisor_dispatcher::AdvisorDispatcher;
@@ -32,7 +34,6 @@
 use crate::commit::HeldLease;
 use crate::commit::RenewalState;
 use crate::commit::Writer;
-use crate::commit::claim_fences;
 use crate::commit::renew_lease;
 use crate::daemons::DaemonInfo;
 use crate::election::FAILED_LEADER_TIMEOUT_MS;
@@ -45,8 +46,6 @@
 use crate::inbox::InboxSender;
 use crate::inbox::MessageBudget;
 use crate::inbox::inbox;
-use crate::job_rows::read_cancellation;
-use crate::job_rows::read_row;
 use crate::manifest::CurrentManifest;
 use crate::manifest::Manifest;
 use crate::message::Message;
@@ -55,9 +54,10 @@
 use crate::peers::DaemonCall;
 use crate::platform::Platform;
 use crate::platform::Table;
-use crate::store_watcher::RETRY_DELAY;
 use crate::store_watcher::StoreWatcher;
 use crate::submissions::Submissions;
+use crate::takeover::Lists;
+use crate::takeover::Takeover;
 use crate::tasks::reap;
 use crate::telemetry::Cycle;
 use crate::telemetry::CycleTimes;
@@ -261,93 +261,74 @@
         let row = &self.lease.row;
         let fence =
             Fence { holder: row.holder.clone(), incarnation: row.incarnation, epoch, beat: 0 };
-        let versions = tokio::select! {
-            versions = claim_fences(&self.platform, &self.health, &fence) => versions?,
-            () = wait_until_leadership_lost(inbox) => return None,
+        let election = Election {
+            epoch,
+            earlier_extends_ms: row.earlier_extends_ms,
+            silent_leases: row.silent_leases.clone(),
         };
-        let claimed_version = versions.iter().copied().max().unwrap_or(0).max(self.lease.version);
-        let writer = Arc::new(Writer {
+        let manifest = self.gateway.manifest().newest();
+        let store_watcher = Arc::new(StoreWatcher {
             platform: Arc::clone(&self.platform),
             health: Arc::clone(&self.health),
-            fence,
-            fence_versions: Mutex::new(versions),
             inbox_sender: inbox_sender.clone(),
         });
-        let store_watcher = Arc::new(StoreWatcher {
+        let takeover = Takeover {
             platform: Arc::clone(&self.platform),
             health: Arc::clone(&self.health),
             inbox_sender: inbox_sender.clone(),
-        });
+            fence: fence.clone(),
+            lease_version: self.lease.version,
+            election,
+            limits: self.limits,
+            customers: customer_limits(&manifest),
+        };
         let load_started_ms = steady_ms();
-        let tables = async {
-            tokio::join!(
-                store_watcher.load_workers_and_executors(executors),
-                store_watcher.read_at_least(Table::Jobs, claimed_version, RETRY_DELAY),
-                store_watcher.read_at_least(Table::Cancels, claimed_version, RETRY_DELAY),
-                store_watcher.read_at_least(Table::Progress, claimed_version, RETRY_DELAY),
-            )
+        let (lists_sender, lists) = oneshot::channel::<Lists>();
+        let open_executors = async {
+            let lists = lists.await.ok()?;
+            executors.update_daemons(lists.daemons);
+            executors.update_workers(workers_by_zone(&lists.workers.listed));
+            Some(lists.workers)
         };
-        let (workers, jobs, cancels, progress) = tokio::select! {
-            loaded = tables => loaded,
+        let (restored, workers) = tokio::select! {
+            (restored, workers) = async { tokio::join!(takeover.run(lists_sender), open_executors) } => {
+                (restored?, workers?)
+            }
             () = wait_until_leadership_lost(inbox) => return None,
         };
-        let earlier_extends_ms = self.lease.row.earlier_extends_ms;
-        let silent_leases = self.lease.row.silent_leases.clone();
-        let election = Election { epoch, earlier_extends_ms, silent_leases };
-        let mut pool = Pool::new(election, self.limits, steady_ms(), unix_ms());
-        let manifest = self.gateway.manifest().newest();
-        let limits = customer_limits(&manifest);
-        pool.handle(steady_ms(), unix_ms(), Event::Customers { limits });
+        let writer = Arc::new(Writer {
+            platform: Arc::clone(&self.platform),
+            health: Arc::clone(&self.health),
+            fence,
+            fence_versions: Mutex::new(restored.fence_versions),
+            inbox_sender: inbox_sender.clone(),
+        });
+        let mut pool = restored.pool;
         tasks.spawn(forward_customers(
             Arc::clone(self.gateway.manifest()),
             manifest.version,
             inbox_sender.clone(),
         ));
-        let mut progress_by_job = std::collections::HashMap::new();
-        let mut yielder = Yielder::default();
-        for row in &progress.rows {
-            yielder.checkpoint().await;
-            if let Some((id, value)) = read_row::<Progress>(row) {
-                progress_by_job.insert(id, value);
-            }
-        }
-        let (mut job_count, mut open) = (0, 0);
-        let mut specs: Vec<(JobId, JobSpec)> = Vec::with_capacity(jobs.rows.len());
-        for row in &jobs.rows {
-            yielder.checkpoint().await;
-            specs.extend(read_row(row));
-        }
-        // A customer's weight includes a rate of jobs. Which jobs exceed that rate depends on
-        // their order of arrival.
-        specs.sort_by_key(|(_, spec)| spec.accepted_unix_ms);
-        for (id, spec) in specs {
-            yielder.checkpoint().await;
-            let progress = progress_by_job.get(&id);
-            job_count += 1;
-            open += usize::from(progress.is_none_or(|progress| progress.outcome.is_none()));
-            pool.restore(id, Arc::new(spec), progress);
-        }
-        for row in &cancels.rows {
-            if let Some((job, cancellation)) = read_cancellation(row) {
-                let source = CancelSource::WholeRead;
-                let event = Event::Cancelled { job, cancellation, source };
-                pool.handle(steady_ms(), unix_ms(), event);
-            }
-        }
         let version = workers.version;
         let worker_list = WorkerList::new(&workers.listed, load_started_ms);
         tracing::info!(
             epoch,
-            jobs = job_count,
-            open,
+            jobs = restored.jobs,
+            open = restored.open,
             workers = workers.listed.len(),
+            fences_ms = restored.fences_ms,
+            read_ms = restored.read_ms,
+            restore_ms = restored.restore_ms,
             "state restored from the store"
         );
         for worker in workers.listed {
             pool.handle(steady_ms(), unix_ms(), Event::Listed(worker));
         }
-        tasks.spawn(Arc::clone(&store_watcher).watch_table(Table::Jobs, jobs.version));
-        tasks.spawn(Arc::clone(&store_watcher).watch_table(Table::Cancels, cancels.version));
+        let watched =
+            [(Table::Jobs, restored.jobs_version), (Table::Cancels, restored.cancels_version)];
+        for (table, version) in watched {
+            tasks.spawn(Arc::clone(&store_watcher).watch_table(table, version));
+        }
         tasks.spawn(Arc::clone(&store_watcher).watch_workers(worker_list, version));
         let leads_call = DaemonCall::Leads { epoch, address: self.lease.row.address.clone() };
         let (advisor_dispatcher, executors) =
@@ -460,6 +441,14 @@
     directory.customers().iter().map(CustomerLimits::of).collect()
 }
 
+fn workers_by_zone(workers: &[WorkerUpdate]) -> BTreeMap<ZoneName, usize> {
+    let mut counts = BTreeMap::new();
+    for worker in workers {
+        *counts.entry(worker.zone.clone()).or_default() += 1;
+    }
+    counts
+}
+
 async fn wait_until_leadership_lost(inbox: &mut Inbox) {
     while let Some(message) = inbox.recv_control().await {
         if matches!(message, Message::LeadershipLost) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -42,6 +42,7 @@
 mod recent_submissions;
 mod store_watcher;
 mod submissions;
+mod takeover;
 mod tasks;
 mod telemetry;
 mod worker_list;
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -12,6 +12,7 @@
 
 use crate::advisor_dispatcher::AdvisorDispatcher;
 use crate::clock::steady_ms;
+use crate::daemons::DaemonInfo;
 use crate::daemons::parse_daemons;
 use crate::election::is_underprovisioned;
 use crate::executors::Executors;
@@ -31,8 +32,10 @@
 
 /// How long the store holds a poll for changes open when there are none.
 const POLL_WAIT_MS: u64 = 1_500;
+/// How long the store holds such a poll open while a new leader waits for the rest of a table.
+const CATCH_UP_WAIT_MS: u64 = 100;
 /// Delay before a failed read or poll is retried.
-pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(100);
+const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay between two polls for changes to jobs. Daemons notify the leader of the jobs they
 /// accept; the store's change feed only has to deliver those whose notification was lost,
 /// and each call to it has a price.
@@ -65,18 +68,9 @@
         self.retry_until_ok(|| self.platform.workers()).await
     }
 
-    /// Reads the list of workers, and sets up the executors through which the leader reaches
-    /// workers that it does not call itself.
-    pub async fn load_workers_and_executors(&self, executors: &Executors<P>) -> WorkerChanges {
-        let daemons = self.retry_until_ok(|| self.platform.read_all(Table::Daemons));
-        let (workers, daemons) = tokio::join!(self.workers(), daemons);
-        let mut zones = BTreeMap::new();
-        for worker in &workers.listed {
-            *zones.entry(worker.zone.clone()).or_default() += 1;
-        }
-        executors.update_daemons(parse_daemons(&daemons.rows));
-        executors.update_workers(zones);
-        workers
+    /// Reads the list of daemons, retrying until the store answers.
+    pub async fn daemons(&self) -> Vec<DaemonInfo> {
+        parse_daemons(&self.retry_until_ok(|| self.platform.read_all(Table::Daemons)).await.rows)
     }
 
     /// Reads a table at a version or later.
@@ -85,7 +79,7 @@
     /// leader lease. The previous leader wrote until then. If a start that it recorded were
     /// missing from the state read, the start would be repeated.
     /// Jobs whose rows were removed since would come back, too.
-    pub async fn read_at_least(&self, table: Table, version: u64, retry_delay: Duration) -> Rows {
+    async fn read_at_least(&self, table: Table, version: u64, retry_delay: Duration) -> Rows {
         loop {
             let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
             if rows.version >= version {
@@ -96,6 +90,58 @@
         }
     }
 
+    /// Reads a table at a version or later, for the reasons of [`Self::read_at_least`]. A stale
+    /// table is completed by the changes that follow. It is read again only if they do not reach
+    /// the version.
+    pub async fn read_once_at_least(&self, table: Table, version: u64) -> Rows {
+        loop {
+            let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
+            if rows.version >= version {
+                return rows;
+            }
+            let found = rows.version;
+            if let Some(rows) = self.apply_changes(table, rows, version).await {
+                tracing::info!(%table, version, found, "stale table completed by its changes");
+                return rows;
+            }
+            tracing::warn!(%table, version, found, "store returned a stale table; reading again");
+        }
+    }
+
+    /// Applies the changes to a table that follow, until it has a version. `None` if the store has
+    /// lost their history, or returns no more changes: that does not prove that there are none,
+    /// since a store that lags behind does so, too.
+    async fn apply_changes(&self, table: Table, rows: Rows, version: u64) -> Option<Rows> {
+        let mut reached = rows.version;
+        let mut by_key: BTreeMap<String, Row> =
+            rows.rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+        while reached < version {
+            let poll = self.platform.poll_changes(table, reached, CATCH_UP_WAIT_MS);
+            let changes = match self.health.track_read(poll).await {
+                Ok(changes) => changes,
+                Err(error) => {
+                    tracing::warn!(%table, reached, %error, "polling a stale table for changes failed");
+                    tokio::time::sleep(RETRY_DELAY).await;
+                    return None;
+                }
+            };
+            if changes.version <= reached {
+                return None;
+            }
+            reached = changes.version;
+            for row in changes.rows {
+                // The read of a table is not atomic, so it may have newer rows than its version.
+                let is_older =
+                    by_key.get(&row.key).is_some_and(|known| known.version > row.version);
+                if !is_older {
+                    by_key.insert(row.key.clone(), row);
+                }
+            }
+        }
+        let rows = by_key.into_values().filter(|row| row.value.is_some()).collect();
+        Some(Rows { rows, version: reached, has_more: false })
+    }
+
     /// Polls a table for changes after a version, and forwards each new row to the leader's
     /// inbox.
     pub async fn watch_table(self: Arc<Self>, table: Table, mut after: u64) {
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -49,6 +49,9 @@
 /// How long the store takes for a confirmation while many others wait before it.
 const LATE_CONFIRMATION: Duration = Duration::from_secs(1);
 
+/// How long the store takes for one of several calls that read a table.
+const CALL_DURATION: Duration = Duration::from_millis(4);
+
 /// Most changes in a response of the store's change feed.
 const FEED_ROWS_MAX: u64 = 500;
 
@@ -95,6 +98,8 @@
     worker: Option<FakeWorker>,
     worker_count: usize,
     heartbeats: Option<Heartbeats>,
+    whole_reads: Mutex<BTreeMap<String, usize>>,
+    calls_per_read: AtomicUsize,
 }
 
 /// Entries in the list of workers that are rewritten in turn.
@@ -119,6 +124,8 @@
 struct State {
     version: u64,
     rows: BTreeMap<(String, String), (Vec<u8>, u64)>,
+    /// The versions at which rows were removed.
+    removed: BTreeMap<(String, String), u64>,
     writes: usize,
     manifest_polls: usize,
     advice_hangs: bool,
@@ -183,6 +190,34 @@
         self.state.lock().expect("no panic").stale_reads = Some((count, table));
     }
 
+    /// The rows of a table that were written or removed after a version.
+    fn changes_after(&self, table: Table, after: u64) -> Vec<Row> {
+        let rows = self.rows(table).into_iter();
+        let mut changes: Vec<Row> = rows.filter(|row| row.version > after).collect();
+        let state = self.state.lock().expect("no panic");
+        let removed = state.removed.iter().filter(|((name, _), _)| *name == table.to_string());
+        changes.extend(
+            removed.filter(|(_, version)| **version > after).map(|((_, key), version)| Row {
+                key: key.clone(),
+                value: None,
+                version: *version,
+            }),
+        );
+        changes.sort_by_key(|row| row.version);
+        changes
+    }
+
+    /// Makes each read of a whole table take this many calls, one after another.
+    pub fn set_calls_per_read(&self, calls: usize) {
+        self.calls_per_read.store(calls, Ordering::Relaxed);
+    }
+
+    /// The number of reads of a whole table by this daemon.
+    pub fn whole_reads(&self, table: Table) -> usize {
+        let counts = self.whole_reads.lock().expect("no panic");
+        counts.get(&table.to_string()).copied().unwrap_or(0)
+    }
+
     /// Stores a newer manifest.
     pub fn write_manifest(&self, manifest: Manifest) {
         let mut state = self.state.lock().expect("no panic");
@@ -347,10 +382,13 @@
     state.version += 1;
     let version = state.version;
     for (table, key, value) in &transaction.put {
+        state.removed.remove(&(table.to_string(), key.clone()));
         state.rows.insert((table.to_string(), key.clone()), (value.clone(), version));
     }
     for (table, key) in &transaction.remove {
-        state.rows.remove(&(table.to_string(), key.clone()));
+        if state.rows.remove(&(table.to_string(), key.clone())).is_some() {
+            state.removed.insert((table.to_string(), key.clone()), version);
+        }
     }
     Ok(version)
 }
@@ -423,6 +461,10 @@
     }
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
+        *self.whole_reads.lock().expect("no panic").entry(table.to_string()).or_default() += 1;
+        for _ in 0..self.calls_per_read.load(Ordering::Relaxed) {
+            tokio::time::sleep(CALL_DURATION).await;
+        }
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -450,8 +492,7 @@
             if self.behavior() == StoreBehavior::RefusesAll || self.hides(table) {
                 return Err(StoreError::Refused);
             }
-            let newer: Vec<Row> =
-                self.rows(table).into_iter().filter(|row| row.version > after).collect();
+            let newer = self.changes_after(table, after);
             if !newer.is_empty() {
                 return Ok(Rows { rows: newer, version: self.version(), has_more: false });
             }
--- /dev/null
+++ b/crates/node/tests/takeover.rs
@@ -0,0 +1,138 @@
+//! A new leader reads back the jobs of earlier ones.
+
+mod fake;
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use stoatwell_model::WorkerId;
+use stoatwell_node::Platform;
+use stoatwell_node::SchedulerRequest;
+use stoatwell_node::Table;
+use stoatwell_node::Transaction;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
+use stoatwell_pool::Outcome;
+use stoatwell_pool::Progress;
+use stoatwell_pool::StepSpec;
+use stoatwell_pool::TaskProgress;
+use tokio::sync::oneshot;
+
+use self::fake::FakePlatform;
+use self::fake::StoreBehavior;
+use self::fake::daemon::job;
+use self::fake::daemon::start;
+use self::fake::daemon::wait_until;
+
+const JOBS: u64 = 3_500;
+const OPEN_JOBS: u64 = 500;
+/// Calls to the store for one table, one after another: partitions and pages.
+const CALLS_PER_READ: usize = 12;
+/// Time for which one piece of work keeps a busy daemon from everything else.
+const WORK: Duration = Duration::from_millis(100);
+/// The longest takeover with that many jobs.
+const TAKEOVER_MAX: Duration = Duration::from_secs(1);
+
+/// Writes jobs of 20 tasks, most of them finished.
+async fn write_jobs(store: &FakePlatform) {
+    let step = StepSpec { tasks: 20, estimate_ms: 3_000, ..StepSpec::default() };
+    for id in 0..JOBS {
+        let spec = JobSpec { payload: "x".repeat(300), steps: vec![step.clone()], ..job() };
+        let mut progress = Progress::default();
+        if id < OPEN_JOBS {
+            let task = |index| TaskProgress {
+                index,
+                run: 1,
+                done: true,
+                worker: Some(WorkerId::new("w1")),
+                ..TaskProgress::default()
+            };
+            progress.tasks = (0..10).map(task).collect();
+        } else {
+            progress.outcome = Some(Outcome::Completed);
+            progress.finished_unix_ms = 2_000_000_000_000;
+        }
+        let key = JobId(id).to_string();
+        let put = vec![
+            (Table::Jobs, key.clone(), serde_json::to_vec(&spec).expect("a row")),
+            (Table::Progress, key, serde_json::to_vec(&progress).expect("a row")),
+        ];
+        store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    }
+}
+
+async fn measure_takeover(store: &Arc<FakePlatform>) -> Duration {
+    let node = start("a", store).await;
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    let began = Instant::now();
+    let (reply_sender, reply) = oneshot::channel();
+    let request = SchedulerRequest::State(JobId(0), reply_sender);
+    node.scheduler().expect("it leads").send(request).await.expect("it schedules");
+    let view = reply.await.expect("a reply").expect("the job is known");
+    assert_eq!(view.state, JobState::Running);
+    let took = began.elapsed();
+    node.stop().await;
+    took
+}
+
+/// Guards against a new leader that reads back jobs for many seconds: each of its calls to the
+/// store waited for all other tasks of an overloaded daemon.
+#[tokio::test]
+async fn reading_back_does_not_wait_for_other_tasks() {
+    let store = Arc::new(FakePlatform::default());
+    write_jobs(&store).await;
+    store.set_calls_per_read(CALLS_PER_READ);
+    let idle = measure_takeover(&store).await;
+    let busy = tokio::spawn(async {
+        loop {
+            std::thread::sleep(WORK);
+            tokio::task::yield_now().await;
+        }
+    });
+    let overloaded = measure_takeover(&store).await;
+    busy.abort();
+    println!("{} ms idle, {} ms overloaded", idle.as_millis(), overloaded.as_millis());
+    assert!(overloaded < TAKEOVER_MAX, "a takeover took {overloaded:?}");
+}
+
+/// Guards against a completed job that runs again, a removed one that comes back, and a read of
+/// the whole table for as long as the store lags behind.
+#[tokio::test]
+async fn a_stale_table_is_completed_by_its_changes() {
+    let store = Arc::new(FakePlatform::with_worker());
+    let (kept, removed) = (JobId(1), JobId(2));
+    let row = serde_json::to_vec(&job()).expect("a row");
+    let put = [kept, removed].map(|id| (Table::Jobs, id.to_string(), row.clone())).to_vec();
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    store.save_snapshot_of(Table::Jobs);
+    let remove = vec![(Table::Jobs, removed.to_string())];
+    store.transact(&Transaction { remove, ..Transaction::default() }).await.expect("removed");
+    let put = vec![(Table::Jobs, JobId(3).to_string(), row)];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    store.serve_snapshot(100, Table::Jobs);
+    let node = start("a", &store).await;
+    wait_until("the starts", 3_000, || store.first_starts_received() == 2).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(store.first_starts_received(), 2);
+    assert_eq!(store.whole_reads(Table::Jobs), 1);
+    node.stop().await;
+}
+
+/// Guards against a new leader that never starts because the store has lost the history of the
+/// changes that a stale table lacks, or that takes the stale table for complete.
+#[tokio::test]
+async fn a_stale_table_without_history_is_read_again() {
+    let store = Arc::new(FakePlatform::with_worker());
+    store.save_snapshot();
+    let row = serde_json::to_vec(&job()).expect("a row");
+    let put = vec![(Table::Jobs, JobId(1).to_string(), row)];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    store.serve_snapshot(1, Table::Jobs);
+    store.set_behavior(StoreBehavior::LosesHistoryOfJobs);
+    let node = start("a", &store).await;
+    wait_until("the start", 3_000, || store.first_starts_received() == 1).await;
+    assert_eq!(store.whole_reads(Table::Jobs), 2);
+    node.stop().await;
+}
