Pool: test recovery from overload with a leader that is charged for its work

Cause: no test in virtual time charged the leader for its work, so accepted work that does not run after an overload did not show.

Change: the simulated world can charge the leader for queued steps, messages, calls and restored jobs.

The charge of a cycle is an upper bound: all queued steps.

--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -8,6 +8,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
+mod charge;
 mod checks;
 mod faults;
 mod jobs;
@@ -47,6 +48,8 @@
 use stoatwell_pool::TaskId;
 use stoatwell_pool::TaskProgress;
 
+pub use self::charge::Charge;
+use self::charge::LeaderTime;
 pub use self::faults::Faults;
 pub use self::jobs::job;
 pub use self::jobs::queue;
@@ -118,6 +121,9 @@
     acknowledged_done: BTreeSet<TaskId>,
     timeline: BTreeMap<(u64, u64), TimedEvent>,
     last_sequence: u64,
+    /// The time that the scheduler's work takes; `None` if it takes none.
+    pub charge: Option<Charge>,
+    leader_time: LeaderTime,
 }
 
 enum TimedEvent {
@@ -169,6 +175,8 @@
             acknowledged_done: BTreeSet::new(),
             timeline: BTreeMap::new(),
             last_sequence: 0,
+            charge: None,
+            leader_time: LeaderTime::default(),
         };
         for number in 0..workers {
             let name = WorkerId::new(format!("w{number:02}"));
@@ -203,7 +211,7 @@
     pub fn submit(&mut self, id: u64, spec: JobSpec) {
         let (job, spec) = (JobId(id), Arc::new(spec));
         self.jobs.insert(job, Arc::clone(&spec));
-        self.notify(Event::Accepted { job, spec });
+        self.receive(Event::Accepted { job, spec });
     }
 
     /// Submits a job through the scheduler, which has to make it durable.
@@ -309,7 +317,10 @@
                 self.inject_faults();
             }
             self.advance_workers();
-            self.apply_effects();
+            if !self.is_leader_busy() {
+                self.handle_inbox();
+                self.apply_effects();
+            }
             let generation = self.pool.silent_leases().generation;
             if self.now_ms.is_multiple_of(RENEW_INTERVAL_MS)
                 || generation != self.renewed_generation
@@ -357,6 +368,7 @@
             self.notify(cancelled(job, CancelSource::WholeRead));
         }
         self.list_all();
+        self.charge_restore();
     }
 
     /// Crashes a worker, which loses its state and is listed as a new incarnation after 1.5 s.
@@ -459,7 +471,7 @@
 
     fn process(&mut self, item: TimedEvent) {
         match item {
-            TimedEvent::Event(epoch, event) if epoch == self.epoch => self.notify(event),
+            TimedEvent::Event(epoch, event) if epoch == self.epoch => self.receive(event),
             TimedEvent::Event(..) => {}
             TimedEvent::Reachable(name) => {
                 if let Some(worker) = self.workers.get_mut(&name) {
@@ -566,7 +578,9 @@
         if self.can_renew_lease {
             self.pool.on_leader_lease_renewed(self.now_ms);
         }
-        for effect in self.pool.poll_effects(self.now_ms, self.now_ms) {
+        let effects = self.pool.poll_effects(self.now_ms, self.now_ms);
+        self.charge_cycle(effects.len());
+        for effect in effects {
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
                 Effect::Start(call) => {
@@ -642,12 +656,13 @@
             self.progress.remove(&job);
             self.jobs.remove(&job);
         }
+        write_ms += self.leader_remaining_ms();
         let event = Event::Committed { batch, partition: write.partition, sent_ms: self.now_ms };
         self.schedule(write_ms, TimedEvent::Event(self.epoch, event));
     }
 
     fn send(&mut self, call: Call) {
-        let delay_ms = self.rng.random_range(1..15);
+        let delay_ms = self.rng.random_range(1..15) + self.leader_remaining_ms();
         let epoch = self.epoch;
         let incarnation = self.workers.get(call.worker()).map_or(0, |worker| worker.incarnation);
         if self.chance(self.faults.lost_calls) {
