Takeover: read only stale partitions again

Cause: the version of a table is that of its oldest partition, so one partition that lagged behind made a new leader read all 32 of them again. The changes that follow do not help if the table has had none since the claim: a poll without rows proves nothing.

--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -156,6 +156,16 @@
     /// change is either in the rows or returned by a poll from that version.
     fn read_all(&self, table: Table) -> impl Future<Output = Result<Rows, StoreError>> + Send;
 
+    /// Reads a whole table like [`Self::read_all`], preferably at this version or later. A store with
+    /// partitions may read only those again that are older. The result may be older all the same.
+    fn read_all_at_least(
+        &self,
+        table: Table,
+        _version: u64,
+    ) -> impl Future<Output = Result<Rows, StoreError>> + Send {
+        self.read_all(table)
+    }
+
     /// Returns the changes to a table after a version, waiting up to `wait_ms` for the first.
     /// One response may hold only a part of them, the oldest first.
     fn poll_changes(
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -95,7 +95,8 @@
     /// the version.
     pub async fn read_once_at_least(&self, table: Table, version: u64) -> Rows {
         loop {
-            let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
+            let rows =
+                self.retry_until_ok(|| self.platform.read_all_at_least(table, version)).await;
             if rows.version >= version {
                 return rows;
             }
