Node tests: wait until a leader has restored its state before the store fails

Cause: cancellations::a_job_that_a_stale_read_did_not_show_is_cancelled hung with the takeover on its own thread. Tests let the store refuse reads as soon as a daemon leads, and relied on the takeover being done by then; with the in-memory store it was, in the same turn of the runtime.

Change: these tests wait until the scheduler answers a request. What they assert is unchanged. A leader whose store refuses reads during its takeover retries, as before.

--- a/crates/node/tests/cancellations.rs
+++ b/crates/node/tests/cancellations.rs
@@ -30,6 +30,7 @@
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
+use self::fake::daemon::wait_until_ready;
 use self::fake::leader::FakeLeader;
 
 const JOB: JobId = JobId(7);
@@ -51,7 +52,7 @@
 async fn leader_with_worker() -> (Arc<FakePlatform>, Node<FakePlatform>) {
     let store = Arc::new(FakePlatform::with_worker());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     (store, node)
 }
 
--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -34,6 +34,7 @@
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
+use self::fake::daemon::wait_until_ready;
 
 fn job_view(state: JobState) -> JobView {
     JobView { state, customer: None }
@@ -46,7 +47,7 @@
 async fn a_job_is_accepted_when_the_stores_response_is_lost() {
     let store = Arc::new(FakePlatform::default());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     store.set_behavior(StoreBehavior::LosesOneResponse);
     let accepted = node.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await;
     assert_eq!(accepted, Accepted::Yes);
@@ -70,7 +71,7 @@
 async fn jobs_are_refused_while_the_store_refuses_writes() {
     let store = Arc::new(FakePlatform::default());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     store.set_behavior(StoreBehavior::RefusesWrites);
     let began = Instant::now();
     assert_eq!(node.gateway().submit(JobId(7), &job(), deadline_in(3_000)).await, Accepted::No);
@@ -85,7 +86,7 @@
 async fn an_unresponsive_store_does_not_block_callers() {
     let store = Arc::new(FakePlatform::default());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     store.set_behavior(StoreBehavior::Unresponsive);
     let gateway = Arc::clone(node.gateway());
     let first =
@@ -191,7 +192,7 @@
 async fn the_recovery_of_an_unresponsive_store_is_noticed_at_once() {
     let store = Arc::new(FakePlatform::default());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     let other = start("b", &store).await;
     store.set_behavior(StoreBehavior::Unresponsive);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
@@ -339,7 +340,7 @@
 async fn a_leader_is_told_of_durable_writes_once_it_is_found() {
     let leader_store = Arc::new(FakePlatform::default());
     let leader = start("a", &leader_store).await;
-    wait_until("a leader", 3_000, || leader.scheduler().is_some()).await;
+    wait_until_ready(&leader).await;
     assert_eq!(leader.gateway().submit(JobId(8), &job(), deadline_in(2_000)).await, Accepted::Yes);
     leader_store.set_behavior(StoreBehavior::HidesChangesOfJobs);
     let gateway_store = Arc::new(leader_store.for_other_daemon());
@@ -370,7 +371,7 @@
 async fn no_task_starts_after_a_cancellation_that_the_leader_was_not_told_of() {
     let store = Arc::new(FakePlatform::with_worker());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     store.set_behavior(StoreBehavior::HidesChangesOfJobs);
     let put = vec![(Table::Cancels, JobId(7).to_string(), Vec::new())];
     store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
@@ -421,7 +422,7 @@
 async fn a_removed_job_does_not_come_back_from_a_stale_read() {
     let store = Arc::new(FakePlatform::default());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     store.set_behavior(StoreBehavior::HidesChangesOfJobs);
     let row = serde_json::to_vec(&job()).expect("a row");
     let put = vec![(Table::Jobs, JobId(9).to_string(), row)];
@@ -444,7 +445,7 @@
 async fn a_write_that_panics_does_not_block_its_partition() {
     let store = Arc::new(FakePlatform::with_worker());
     let node = start("a", &store).await;
-    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    wait_until_ready(&node).await;
     store.set_behavior(StoreBehavior::PanicsInOneJobWrite);
     let accepted = node.gateway().submit(JobId(7), &job(), deadline_in(5_000)).await;
     assert_eq!(accepted, Accepted::Yes, "the daemon writes it itself");
--- a/crates/node/tests/fake/daemon.rs
+++ b/crates/node/tests/fake/daemon.rs
@@ -6,6 +6,8 @@
 use stoatwell_model::ZoneName;
 use stoatwell_node::Node;
 use stoatwell_node::NodeSettings;
+use stoatwell_node::SchedulerRequest;
+use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::Limits;
 use stoatwell_pool::QueueSpec;
@@ -90,3 +92,14 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
 }
+
+/// Waits until a daemon leads and its scheduler has restored its state, so that it answers requests.
+/// A fault of the store that begins earlier would be one of the takeover.
+pub async fn wait_until_ready(node: &Node<FakePlatform>) {
+    wait_until("a leader", 3_000, || node.scheduler().is_some()).await;
+    let (reply_sender, reply) = tokio::sync::oneshot::channel();
+    let request = SchedulerRequest::State(JobId(0), reply_sender);
+    node.scheduler().expect("it leads").send(request).await.expect("it schedules");
+    let reply = tokio::time::timeout(Duration::from_secs(3), reply).await;
+    reply.expect("the scheduler is ready in time").expect("a reply");
+}
