--- a/crates/pool/tests/recovery.rs
+++ b/crates/pool/tests/recovery.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::time::Duration;
+
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::QueueSpec;
@@ -27,11 +29,16 @@
 const RECOVERY_MS: u64 = 5_000;
 /// On half a core, a leader spends 316 ms of a second on 63 cycles over 576 queued steps, that is
 /// 8.7 us a step. The time for a message is an assumption. A takeover with the 396 jobs here takes the 1 s that one with 3,500 may take.
-const CALM: Charge = Charge { step_us: 9, message_us: 50, restore_us: 2_500 };
+const CALM: Charge = Charge {
+    step: Duration::from_micros(9),
+    message: Duration::from_micros(50),
+    restore: Duration::from_micros(2_500),
+};
 /// A leader that makes 2 to 5 turns a second, as was observed: each takes forty times as long.
-const OVERLOAD: Charge = Charge { step_us: 360, message_us: 2_000, ..CALM };
+const OVERLOAD: Charge =
+    Charge { step: Duration::from_micros(360), message: Duration::from_micros(2_000), ..CALM };
 /// A takeover of 6.8 s, the shortest one that was observed in an overload.
-const SLOW_TAKEOVER: Charge = Charge { restore_us: 17_000, ..OVERLOAD };
+const SLOW_TAKEOVER: Charge = Charge { restore: Duration::from_micros(17_000), ..OVERLOAD };
 
 /// Runs the overload and the calm after it. Returns the number of jobs of which no task has
 /// started, and of steps with tasks that wait.
--- a/crates/pool/tests/world/charge.rs
+++ b/crates/pool/tests/world/charge.rs
@@ -1,6 +1,8 @@
 //! The time that the scheduler's work takes. Messages wait while it works, and calls are sent once
 //! it is done.
 
+use std::time::Duration;
+
 use stoatwell_pool::Event;
 
 use super::World;
@@ -8,15 +10,15 @@
 /// The most messages that the scheduler handles before it decides.
 const CYCLE_MESSAGES_MAX: usize = 256;
 
-/// The time that each part of the scheduler's work takes, in microseconds.
+/// The time that each part of the scheduler's work takes.
 #[derive(Clone, Copy, Debug)]
 pub struct Charge {
     /// For each queued step in a cycle.
-    pub step_us: u64,
+    pub step: Duration,
     /// For each message handled, and for each call made.
-    pub message_us: u64,
+    pub message: Duration,
     /// For each job that a new scheduler restores.
-    pub restore_us: u64,
+    pub restore: Duration,
 }
 
 /// How long the scheduler is busy, and what waits for it.
@@ -43,8 +45,8 @@
         for event in events {
             self.notify(event);
         }
-        let message_us = self.charge.map_or(0, |charge| charge.message_us);
-        self.charge_us(count as u64 * message_us);
+        let message = self.charge.map_or(Duration::ZERO, |charge| charge.message);
+        self.spend(message * count as u32);
     }
 
     /// Charges a cycle that has just ended for the steps that it may have examined, and for its
@@ -52,7 +54,7 @@
     pub(super) fn charge_cycle(&mut self, calls: usize) {
         let Some(charge) = self.charge else { return };
         let steps = self.pool.step_worker_pairs() / self.workers.len().max(1);
-        self.charge_us(steps as u64 * charge.step_us + calls as u64 * charge.message_us);
+        self.spend(charge.step * steps as u32 + charge.message * calls as u32);
     }
 
     /// Charges a new scheduler for the jobs that it has restored. Messages to the former one are
@@ -60,7 +62,7 @@
     pub(super) fn charge_restore(&mut self) {
         self.leader_time = LeaderTime::default();
         let Some(charge) = self.charge else { return };
-        self.charge_us(self.jobs.len() as u64 * charge.restore_us);
+        self.spend(charge.restore * self.jobs.len() as u32);
     }
 
     pub(super) fn is_leader_busy(&self) -> bool {
@@ -72,8 +74,9 @@
         (self.leader_time.busy_until_us / 1_000).saturating_sub(self.now_ms)
     }
 
-    fn charge_us(&mut self, us: u64) {
+    fn spend(&mut self, time: Duration) {
         let now_us = self.now_ms * 1_000;
-        self.leader_time.busy_until_us = self.leader_time.busy_until_us.max(now_us) + us;
+        self.leader_time.busy_until_us =
+            self.leader_time.busy_until_us.max(now_us) + time.as_micros() as u64;
     }
 }
