--- a/crates/pool/tests/recovery.rs
+++ b/crates/pool/tests/recovery.rs
@@ -36,9 +36,9 @@
 };
 /// A leader that makes 2 to 5 turns a second, as was observed: each takes forty times as long.
 const OVERLOAD: Charge =
-    Charge { step: Duration::from_micros(360), message: Duration::from_micros(2_000), ..CALM };
+    Charge { step: Duration::from_micros(360), message: Duration::from_millis(2), ..CALM };
 /// A takeover of 6.8 s, the shortest one that was observed in an overload.
-const SLOW_TAKEOVER: Charge = Charge { restore: Duration::from_micros(17_000), ..OVERLOAD };
+const SLOW_TAKEOVER: Charge = Charge { restore: Duration::from_millis(17), ..OVERLOAD };
 
 /// Runs the overload and the calm after it. Returns the number of jobs of which no task has
 /// started, and of steps with tasks that wait.
