--- a/crates/node/src/relay/store.rs
+++ b/crates/node/src/relay/store.rs
@@ -255,6 +255,12 @@
         result
     }
 
+    async fn read_all_at_least(&self, table: Table, version: u64) -> Result<Rows, StoreError> {
+        let own = || self.own.read_all_at_least(table, version);
+        let call = || StoreCall::ReadAll(table);
+        self.call(self.leader_read_call(), 0, own, call, rows).await
+    }
+
     async fn poll_changes(
         &self,
         table: Table,
