Node tests: a job that finished a moment ago, not in 1970

a_new_leader_ignores_stale_reads failed in each run of the merged code (twice in the whole file): the new leader answered that it does not know the job. Until now the request was handled before the first decision; with the takeover on a thread of its own it comes later.

--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use stoatwell_model::CustomerName;
 use stoatwell_model::WorkerId;
@@ -143,7 +145,11 @@
     wait_until("a leader", 3_000, || first.scheduler().is_some()).await;
     assert_eq!(first.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await, Accepted::Yes);
     store.save_snapshot();
-    let done = Progress { outcome: Some(Outcome::Completed), ..Progress::default() };
+    // A job that finished long ago is forgotten by the first sweep.
+    let finished_unix_ms =
+        SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+    let done =
+        Progress { outcome: Some(Outcome::Completed), finished_unix_ms, ..Progress::default() };
     let value = serde_json::to_vec(&done).expect("a row");
     let put = vec![(Table::Progress, JobId(7).to_string(), value)];
     store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
