Renew only the tickets of chosen workers, and plan the queue of queries

Each waiting step renewed the tickets of all its granted workers as soon as one of them had free capacity, so many steps paid for capacity that one of them got, and queries waited seconds at the leader.

A step of independent tasks now allocates its chosen workers while their tickets are renewed, as a gang does. Free capacity that a pending query is about is not counted for other steps. Steps far behind in the queue do not query while no daemon is idle. Queries are bounded by what the daemons answer in half a second, are ordered by priority, held capacity and time, and are withdrawn when their step has started or ended, or when they are too old. The new crate stoatwell-advice has the budget and the plan of dispatch. Renewals no longer count in the granted share, which they biased towards 1.

--- a/crates/node/src/advisor_dispatcher.rs
+++ b/crates/node/src/advisor_dispatcher.rs
@@ -5,23 +5,27 @@
 //!
 //! The advisor serves one query at a time for each daemon, and a query can take
 //! most of a second. If the leader sent them all, the advisor would be its
-//! bottleneck. So each daemon acts as a proxy of the advisor, and queries are sent
-//! through the proxies in order of priority.
+//! bottleneck. So each daemon acts as a proxy of the advisor. [`DispatchPlan`] decides
+//! which query is sent next and through which proxy. Queries wait at the leader, so that those
+//! that are not needed any more can be withdrawn.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use stoatwell_advice::DaemonShare;
+use stoatwell_advice::DispatchPlan;
+use stoatwell_advice::Outcome;
+use stoatwell_advice::Purpose;
+use stoatwell_advice::QueryId;
+use stoatwell_advice::QueuedQuery;
 use stoatwell_model::WorkerId;
 use stoatwell_peer::Peers;
 use stoatwell_pool::Grant;
-use stoatwell_pool::LONG_QUERY_MS;
 use stoatwell_pool::StepId;
-use stoatwell_pool::long_queries_max;
 use tokio::sync::oneshot;
 
 use crate::clock::steady_ms;
@@ -33,21 +37,11 @@
 /// How much longer a response may take than the advisor's own time for the query. This covers
 /// queries that are ahead of it, and some round trips between regions.
 const TIMEOUT_MARGIN_MS: u64 = 600;
-/// Initial backoff of a proxy through which a query failed; doubled with each further
-/// failure. Without a backoff, a leader that is cut off from many daemons would lose queries
-/// through them again and again.
-const BACKOFF_MS: u64 = 2_000;
-/// Maximum number of doublings, which makes half a minute.
-const BACKOFF_DOUBLINGS_MAX: u32 = 4;
-
 /// A failed query is retried through another proxy at once if it took no longer than this,
 /// as with a proxy that is down or unreachable, or a short query.
 const RETRY_ELAPSED_MAX_MS: u64 = 1_000;
 /// Maximum attempts for one query; more than a few daemons rarely stop together.
 const ATTEMPTS_MAX: u32 = 4;
-/// A proxy is given further queries while the advisor has less work than this left for it.
-/// This covers the round trip between regions, during which the advisor would be idle.
-const PIPELINE_MS: u64 = 30;
 /// Time limit for the notification of another daemon.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -62,49 +56,82 @@
 
 #[derive(Debug, Default)]
 struct State {
-    proxies: BTreeMap<String, Proxy>,
-    /// Queries that wait for a proxy, by priority and arrival.
-    queue: BTreeMap<(u32, u64), QueuedQuery>,
-    arrivals: u64,
-}
-
-#[derive(Debug, Default)]
-struct Proxy {
-    /// The advisor's expected time for all unanswered queries through this proxy.
-    pending_ms: u64,
-    long_queries: usize,
-    backoff_until_ms: u64,
-    /// Consecutive queries without an answer.
-    failures: u32,
+    plan: DispatchPlan,
+    waiting: BTreeMap<QueryId, WaitingQuery>,
+    /// Queries that were sent, each with what tells it that its proxy is gone.
+    sent: BTreeMap<QueryId, oneshot::Sender<()>>,
 }
 
 #[derive(Debug)]
-struct QueuedQuery {
-    cost_ms: u64,
+struct WaitingQuery {
+    step: StepId,
     permit: oneshot::Sender<Permit>,
 }
 
+/// A query to the advisor.
+#[derive(Clone, Copy, Debug)]
+pub struct AdvisorQuery<'a> {
+    /// The step to be run.
+    pub step: StepId,
+    /// The workers to decide about.
+    pub workers: &'a [WorkerId],
+    /// The priority of the step's queue; 0 is the most urgent.
+    pub priority: u32,
+    /// The time that the advisor is expected to take.
+    pub cost_ms: u64,
+    /// Why the advisor is queried.
+    pub purpose: Purpose,
+    /// When the step has to start, by the monotonic clock.
+    pub needed_by_ms: u64,
+    /// The query is withdrawn if no proxy was free for it in this time.
+    pub withdraw_after_ms: u64,
+}
+
 impl<P: Platform> AdvisorDispatcher<P> {
     /// A dispatcher that uses only this daemon, until others are known.
     pub fn new(platform: Arc<P>, peers: Peers, own_address: String) -> Self {
-        let proxies = BTreeMap::from([(own_address.clone(), Proxy::default())]);
-        let state = State { proxies, ..State::default() };
+        let mut state = State::default();
+        state.plan.update_daemons(&[DaemonShare { address: own_address.clone(), cpu_millis: 0 }]);
         Self { platform, peers, own_address, state: Arc::new(Mutex::new(state)) }
     }
 
-    /// Updates the list of daemons. Returns the addresses of all proxies, including daemons
-    /// that have left but still have queries pending.
+    /// Updates the list of daemons. Queries through daemons that are gone are sent again through
+    /// others. Returns the addresses of all daemons.
     pub fn update_daemons(&self, daemons: &[DaemonInfo]) -> Vec<String> {
-        let mut addresses = BTreeSet::from([self.own_address.clone()]);
-        addresses.extend(daemons.iter().map(|daemon| daemon.address.clone()));
+        let mut shares: Vec<DaemonShare> = daemons
+            .iter()
+            .map(|daemon| DaemonShare {
+                address: daemon.address.clone(),
+                cpu_millis: (daemon.cores * 1_000.0) as u64,
+            })
+            .collect();
+        if shares.iter().all(|daemon| daemon.address != self.own_address) {
+            shares.push(DaemonShare { address: self.own_address.clone(), cpu_millis: 0 });
+        }
         let mut state = self.lock();
-        state.proxies.retain(|address, proxy| addresses.contains(address) || proxy.pending_ms > 0);
-        for address in addresses {
-            state.proxies.entry(address).or_default();
+        let lost = state.plan.update_daemons(&shares);
+        if !lost.is_empty() {
+            tracing::info!(queries = lost.len(), "daemons are gone; their queries are sent again");
+        }
+        for query in lost {
+            // Its receiver is told by the drop of the sender.
+            state.sent.remove(&query);
         }
         // Queued queries may find a proxy now.
         state.assign(&self.state);
-        state.proxies.keys().cloned().collect()
+        state.plan.addresses().cloned().collect()
+    }
+
+    /// Drops the queries of a step that were not sent yet.
+    pub fn withdraw(&self, step: StepId) {
+        let mut state = self.lock();
+        let of_step = |(_, waiting): &(&QueryId, &WaitingQuery)| waiting.step == step;
+        let ids: Vec<QueryId> = state.waiting.iter().filter(of_step).map(|(id, _)| *id).collect();
+        for id in ids {
+            state.waiting.remove(&id);
+            state.plan.withdraw(id);
+            count_withdrawn("not needed");
+        }
     }
 
     /// Sends a call to another daemon without waiting for the reply; does nothing for this one.
@@ -122,42 +149,50 @@
 
     /// Asks the advisor which of these workers may run a step, once a proxy is free for the
     /// query. Returns the workers that it allows, with their tickets; `None` if no answer came.
-    pub async fn query(
-        &self,
-        step: StepId,
-        workers: &[WorkerId],
-        priority: u32,
-        cost_ms: u64,
-    ) -> Option<Vec<Grant>> {
-        let enqueued_ms = steady_ms();
+    pub async fn query(&self, query: AdvisorQuery<'_>) -> Option<Vec<Grant>> {
+        let AdvisorQuery { step, workers, cost_ms, purpose, .. } = query;
+        let mut waited_ms = 0;
         for _ in 0..ATTEMPTS_MAX {
-            let mut permit = self.acquire_permit(priority, cost_ms).await?;
+            let enqueued_ms = steady_ms();
+            let wait_ms = query.withdraw_after_ms.saturating_sub(waited_ms);
+            let mut permit = self.acquire_permit(query, wait_ms).await?;
             let address = permit.address.clone();
             let sent_ms = steady_ms();
+            waited_ms += sent_ms - enqueued_ms;
+            metrics::histogram!("stoatwell_advice_wait_seconds").record(waited_ms as f64 / 1_000.0);
             let limit_ms = cost_ms + TIMEOUT_MARGIN_MS;
-            let granted = if address == self.own_address {
-                self.platform.advise(step, workers, limit_ms).await
-            } else {
-                self.query_peer(&address, step, workers, limit_ms).await
+            let answer = async {
+                if address == self.own_address {
+                    self.platform.advise(step, workers, limit_ms).await
+                } else {
+                    self.query_peer(&address, step, workers, limit_ms).await
+                }
             };
-            permit.outcome =
-                if granted.is_some() { QueryOutcome::Answered } else { QueryOutcome::NoAnswer };
+            let mut is_proxy_gone = false;
+            let granted = tokio::select! {
+                granted = answer => granted,
+                _ = &mut permit.revoked => {
+                    is_proxy_gone = true;
+                    None
+                }
+            };
+            permit.outcome = if granted.is_some() { Outcome::Answered } else { Outcome::NoAnswer };
             drop(permit);
             let asked = workers.len();
             let took_ms = steady_ms() - sent_ms;
             let Some(granted) = granted else {
                 tracing::warn!(
-                    %step, through = address, asked, took_ms,
+                    %step, through = address, asked, took_ms, is_proxy_gone,
                     "no answer from the advisor"
                 );
-                if took_ms > RETRY_ELAPSED_MAX_MS {
+                if took_ms > RETRY_ELAPSED_MAX_MS && !is_proxy_gone {
                     return None;
                 }
                 continue;
             };
-            let waited_ms = sent_ms - enqueued_ms;
             tracing::info!(
-                %step, through = address, asked, granted = granted.len(), cost_ms, waited_ms, took_ms,
+                %step, through = address, %purpose, asked, granted = granted.len(), cost_ms,
+                waited_ms, took_ms,
                 "advisor answered"
             );
             return Some(granted);
@@ -165,10 +200,37 @@
         None
     }
 
-    async fn acquire_permit(&self, priority: u32, cost_ms: u64) -> Option<Permit> {
+    /// Waits until the query is to be sent; `None` if it is withdrawn before.
+    async fn acquire_permit(&self, query: AdvisorQuery<'_>, wait_ms: u64) -> Option<Permit> {
         let (permit, permit_receiver) = oneshot::channel();
-        self.lock().enqueue(&self.state, priority, QueuedQuery { cost_ms, permit });
-        permit_receiver.await.ok()
+        let queued = QueuedQuery {
+            priority: query.priority,
+            holds_capacity: query.purpose == Purpose::Renewal,
+            needed_by_ms: query.needed_by_ms,
+            cost_ms: query.cost_ms,
+        };
+        let id = {
+            let mut state = self.lock();
+            let id = state.plan.enqueue(queued);
+            state.waiting.insert(id, WaitingQuery { step: query.step, permit });
+            state.assign(&self.state);
+            id
+        };
+        let queue_place = QueuePlace { state: Arc::clone(&self.state), id };
+        let limit = Duration::from_millis(wait_ms);
+        let permit = match tokio::time::timeout(limit, permit_receiver).await {
+            Ok(permit) => permit.ok(),
+            Err(_) => {
+                count_withdrawn("too late");
+                tracing::info!(
+                    step = %query.step, purpose = %query.purpose, cost_ms = query.cost_ms, wait_ms,
+                    "query withdrawn: no daemon was free for it in time"
+                );
+                None
+            }
+        };
+        drop(queue_place);
+        permit
     }
 
     async fn query_peer(
@@ -198,14 +260,24 @@
     }
 }
 
-/// The outcome of a query.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum QueryOutcome {
-    Answered,
-    /// No answer came through the proxy.
-    NoAnswer,
-    /// The query was dropped, which says nothing about the proxy.
-    Abandoned,
+fn count_withdrawn(reason: &'static str) {
+    metrics::counter!("stoatwell_advice_withdrawn_total", "reason" => reason).increment(1);
+}
+
+/// The place of a query in the queue. It is given up on drop, so also when a leader that lost its
+/// lease cancels the query.
+#[derive(Debug)]
+struct QueuePlace {
+    state: Arc<Mutex<State>>,
+    id: QueryId,
+}
+
+impl Drop for QueuePlace {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.waiting.remove(&self.id);
+        state.plan.withdraw(self.id);
+    }
 }
 
 /// Permission to send one query through a proxy.
@@ -217,92 +289,59 @@
 struct Permit {
     state: Arc<Mutex<State>>,
     address: String,
-    cost_ms: u64,
-    outcome: QueryOutcome,
-    /// Whether the query is included in the proxy's counts.
-    is_counted: bool,
+    id: QueryId,
+    outcome: Outcome,
+    /// Ends when the proxy is gone.
+    revoked: oneshot::Receiver<()>,
+    is_released: bool,
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        if !self.is_counted {
+        if self.is_released {
             return;
         }
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        state.release(&self.state, &self.address, self.cost_ms, self.outcome);
+        state.release(self);
+        state.assign(&self.state);
     }
 }
 
 impl State {
-    fn enqueue(&mut self, shared: &Arc<Mutex<Self>>, priority: u32, queued: QueuedQuery) {
-        self.queue.insert((priority, self.arrivals), queued);
-        self.arrivals += 1;
-        self.assign(shared);
-    }
-
-    /// Assigns queued queries to proxies that have capacity for them.
+    /// Assigns queued queries to proxies that are free for them.
     fn assign(&mut self, shared: &Arc<Mutex<Self>>) {
-        let now_ms = steady_ms();
-        let long_queries_max = long_queries_max(self.proxies.len());
-        let mut long_queries: usize = self.proxies.values().map(|proxy| proxy.long_queries).sum();
-        let mut still_queued = BTreeMap::new();
-        while let Some((key, queued)) = self.queue.pop_first() {
-            let is_long = queued.cost_ms >= LONG_QUERY_MS;
-            let all_in_backoff = self.proxies.values().all(|proxy| proxy.backoff_until_ms > now_ms);
-            let available = self.proxies.iter_mut().filter(|(_, proxy)| {
-                proxy.pending_ms < PIPELINE_MS
-                    && (all_in_backoff || proxy.backoff_until_ms <= now_ms)
-            });
-            let best = available.min_by_key(|(_, proxy)| proxy.pending_ms);
-            let Some((address, proxy)) =
-                best.filter(|_| !is_long || long_queries < long_queries_max)
-            else {
-                still_queued.insert(key, queued);
-                if is_long {
-                    continue;
-                }
-                break;
-            };
+        let mut is_any_dropped = false;
+        for assignment in self.plan.assign(steady_ms()) {
+            let id = assignment.query;
+            let (proxy_known, revoked) = oneshot::channel();
+            self.sent.insert(id, proxy_known);
             let permit = Permit {
                 state: Arc::clone(shared),
-                address: address.clone(),
-                cost_ms: queued.cost_ms,
-                outcome: QueryOutcome::Abandoned,
-                is_counted: true,
+                address: assignment.address,
+                id,
+                outcome: Outcome::Abandoned,
+                revoked,
+                is_released: false,
             };
-            if let Err(mut permit) = queued.permit.send(permit) {
-                // The query was dropped while it was queued.
-                permit.is_counted = false;
-                continue;
+            let sent = match self.waiting.remove(&id) {
+                Some(waiting) => waiting.permit.send(permit),
+                None => Err(permit),
+            };
+            if let Err(mut permit) = sent {
+                // The query was dropped while it was queued. The lock is held, so the permit is
+                // released here.
+                permit.is_released = true;
+                self.release(&permit);
+                is_any_dropped = true;
             }
-            proxy.pending_ms += queued.cost_ms;
-            proxy.long_queries += usize::from(is_long);
-            long_queries += usize::from(is_long);
         }
-        self.queue.append(&mut still_queued);
+        if is_any_dropped {
+            self.assign(shared);
+        }
     }
 
-    fn release(
-        &mut self,
-        shared: &Arc<Mutex<Self>>,
-        address: &str,
-        cost_ms: u64,
-        outcome: QueryOutcome,
-    ) {
-        if let Some(proxy) = self.proxies.get_mut(address) {
-            proxy.pending_ms = proxy.pending_ms.saturating_sub(cost_ms);
-            proxy.long_queries =
-                proxy.long_queries.saturating_sub(usize::from(cost_ms >= LONG_QUERY_MS));
-            match outcome {
-                QueryOutcome::Answered => proxy.failures = 0,
-                QueryOutcome::NoAnswer => {
-                    let backoff_ms = BACKOFF_MS << proxy.failures.min(BACKOFF_DOUBLINGS_MAX);
-                    proxy.backoff_until_ms = steady_ms() + backoff_ms;
-                    proxy.failures += 1;
-                }
-                QueryOutcome::Abandoned => {}
-            }
-        }
-        self.assign(shared);
+    fn release(&mut self, permit: &Permit) {
+        self.sent.remove(&permit.id);
+        self.plan.record(&permit.address, permit.id, permit.outcome, steady_ms());
     }
 }
--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use stoatwell_advice::Purpose;
 use stoatwell_node::AdvisorDispatcher;
+use stoatwell_node::AdvisorQuery;
 use stoatwell_peer::Peers;
 use stoatwell_peer::Traffic;
 use stoatwell_pool::JobId;
@@ -17,6 +19,16 @@
 /// The expected time that the advisor takes for a long query.
 const LONG_QUERY_COST_MS: u64 = 650;
 
+const LONG_QUERY: AdvisorQuery<'_> = AdvisorQuery {
+    step: STEP,
+    workers: &[],
+    priority: 1,
+    cost_ms: LONG_QUERY_COST_MS,
+    purpose: Purpose::First,
+    needed_by_ms: 0,
+    withdraw_after_ms: 1_000,
+};
+
 /// A daemon loses the leader lease while long queries are in flight and acquires it again
 /// later. Guards against queries of the former term that still count against the limit of
 /// long queries: no gang would ever start again, although all workers are free.
@@ -28,13 +40,12 @@
     platform.set_advice_hangs(true);
     for _ in 0..4 {
         let dispatcher = Arc::clone(&advisors);
-        let query =
-            tokio::spawn(async move { dispatcher.query(STEP, &[], 1, LONG_QUERY_COST_MS).await });
+        let query = tokio::spawn(async move { dispatcher.query(LONG_QUERY).await });
         tokio::time::sleep(Duration::from_millis(20)).await;
         query.abort();
     }
     platform.set_advice_hangs(false);
-    let answer = advisors.query(STEP, &[], 1, LONG_QUERY_COST_MS);
+    let answer = advisors.query(LONG_QUERY);
     let answer = tokio::time::timeout(Duration::from_millis(500), answer).await;
     assert_eq!(answer, Ok(Some(Vec::new())));
 }
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -9,6 +9,10 @@
 //! start it queries about the few chosen workers again if a ticket of theirs is too old.
 //! The tasks keep their allocations on these workers until the answer arrives.
 
+use stoatwell_advice::Purpose;
+use stoatwell_advice::budget::LONG_QUERY_MS;
+use stoatwell_advice::budget::long_queries_max;
+use stoatwell_advice::budget::withdraw_after_ms;
 use stoatwell_model::WorkerId;
 
 use crate::Pool;
@@ -18,6 +22,7 @@
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
+use crate::jobs::job::Query;
 use crate::jobs::job::Ticket;
 use crate::jobs::spec::AdviceSpec;
 use crate::jobs::spec::QueueSpec;
@@ -28,18 +33,9 @@
 /// Upper bound of the part that is set aside including the store writes before the
 /// start, in percent of the validity.
 const TICKET_MARGIN_PERCENT: u64 = 85;
-/// Time that the per-worker cost of a query may add to its fixed cost.
-const PER_WORKER_BUDGET_MS: f64 = 200.0;
 /// Pending queries per daemon above which queries are kept short. It exceeds the two
 /// that a daemon needs: one in progress and the next one.
 const PENDING_QUERIES_PER_DAEMON_MAX: usize = 4;
-/// Expected duration from which on a query counts as long.
-pub const LONG_QUERY_MS: u64 = 200;
-/// One daemon in this many is reserved for short queries, which urgent work waits for.
-const SHORT_ONLY_DIVISOR: usize = 5;
-/// Minimum number of daemons reserved for short queries, but never more than half of
-/// the daemons.
-const SHORT_ONLY_MIN: usize = 8;
 /// Lower bound of the limit on concurrent queries of one gang. It applies even if no more
 /// long queries may be sent. Sent one after another, the queries of a gang would take most
 /// of a second each, and other work would take the capacity meanwhile.
@@ -61,30 +57,29 @@
 
 impl Pool {
     /// How many workers one query of a step may name: as many as fit the time budget,
-    /// or as many as the step needs to have a choice, whichever is more. While queries
-    /// queue up, only the latter counts: with few daemons left, long queries would let
-    /// few jobs through.
+    /// or as many as the step needs to have a choice, whichever is more. The budget is smaller
+    /// while queries queue up: with few daemons left, long queries would let few jobs through.
     pub(crate) fn query_workers_max(
         &self,
         queue: &QueueSpec,
         tasks: u64,
         places_each: u64,
     ) -> usize {
-        let each_ms = queue.advice.map_or(0.0, |rule| rule.each_ms);
-        let overloaded = self.queries > self.advisor_daemons * PENDING_QUERIES_PER_DAEMON_MAX;
-        let affordable = match each_ms {
-            _ if overloaded => 0,
-            each_ms if each_ms > 0.0 => (PER_WORKER_BUDGET_MS / each_ms) as usize,
-            _ => usize::MAX,
-        };
+        let load = self.query_load(queue.priority);
+        let affordable = queue.advice.map_or(usize::MAX, |rule| {
+            rule.cost().affordable_workers(&load, PENDING_QUERIES_PER_DAEMON_MAX)
+        });
         let places_each = places_each.max(1) as f64 * self.estimates.granted_share(&queue.name);
         let needed = ((tasks * SUFFICIENT_PLACES_FACTOR) as f64 / places_each).ceil() as usize;
         affordable.max(needed).clamp(QUERY_WORKERS_MIN, self.limits.advice_workers_max)
     }
 
-    /// Whether a query about this many workers may be sent now.
-    pub(crate) fn may_query(&self, rule: AdviceSpec, workers: usize) -> bool {
-        query_cost_ms(rule, workers) < LONG_QUERY_MS || self.free_long_queries() > 0
+    /// Whether a query about this many workers may be sent now. Urgent work is only kept from
+    /// long queries; the queries of other work have to be answered before they are of no use.
+    pub(crate) fn may_query(&self, rule: AdviceSpec, priority: u32, workers: usize) -> bool {
+        let cost_ms = rule.cost().of(workers);
+        (cost_ms < LONG_QUERY_MS || self.free_long_queries() > 0)
+            && (priority == 0 || self.query_load(priority).admits(cost_ms))
     }
 
     /// How many queries of one gang may be pending at the same time.
@@ -111,20 +106,30 @@
     }
 
     /// Queries the advisor about these workers, split into as many queries as needed.
-    pub(crate) fn query_advisor(&mut self, step: StepId, workers: &[WorkerId]) {
+    pub(crate) fn query_advisor(&mut self, step: StepId, workers: &[WorkerId], purpose: Purpose) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(step_index) = job.step_index(step) else { return };
         let Some(rule) = job.spec.queue.advice else { return };
         let priority = job.spec.queue.priority;
+        let withdraw_after_ms = withdraw_after_ms(rule.valid_ms);
+        let needed_by_ms = job.step_states[step_index].queued_ms + job.spec.queue.target_ms;
         let queries = self.query_count(rule, workers.len());
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         for chunk in workers.chunks(workers.len().div_ceil(queries).max(1)) {
-            let cost_ms = query_cost_ms(rule, chunk.len());
+            let cost_ms = rule.cost().of(chunk.len());
             job.step_states[step_index].advice.queries += 1;
             self.queries += 1;
             self.long_queries += usize::from(cost_ms >= LONG_QUERY_MS);
-            let workers = chunk.to_vec();
-            self.effects.push(Effect::Advise { step, workers, priority, cost_ms });
+            self.pending_queries.add(step, priority, cost_ms);
+            self.effects.push(Effect::Advise {
+                step,
+                workers: chunk.to_vec(),
+                priority,
+                cost_ms,
+                purpose,
+                needed_by_ms,
+                withdraw_after_ms,
+            });
         }
     }
 
@@ -133,11 +138,13 @@
         step: StepId,
         queried: &[WorkerId],
         cost_ms: u64,
+        purpose: Purpose,
         granted: Option<Vec<Grant>>,
         received_ms: u64,
     ) {
         let now_ms = self.now_ms;
         self.queries = self.queries.saturating_sub(1);
+        self.pending_queries.remove(step, cost_ms);
         if cost_ms >= LONG_QUERY_MS {
             self.long_queries = self.long_queries.saturating_sub(1);
         }
@@ -148,8 +155,8 @@
         let advice = &mut job.step_states[step_index].advice;
         advice.queries = advice.queries.saturating_sub(1);
         advice.retry_at_ms = 0;
-        if let Some(granted) = &granted {
-            self.estimates.record_grants(&job.spec.queue.name, queried.len(), granted.len());
+        if granted.is_some() {
+            self.pending_queries.record_answer(purpose, cost_ms);
         }
         match granted {
             None => advice.pause_until_ms = now_ms + RETRY_DELAY_MS,
@@ -157,12 +164,22 @@
                 tracing::debug!(%step, asked = queried.len(), granted = granted.len(), "advisor answered");
                 let worker_index =
                     |name: &WorkerId| self.workers.get(name).map(|worker| worker.index);
+                if purpose != Purpose::Renewal {
+                    // A renewal names workers that were granted before.
+                    let queue = &job.spec.queue.name;
+                    self.estimates.record_grants(queue, queried.len(), granted.len());
+                }
                 advice.queried.extend(queried.iter().filter_map(worker_index));
+                let query = advice.answers.len() as u32;
+                advice.answers.push(Query { purpose, cost_ms, is_used: false });
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
                     let expires_ms = received_ms.min(now_ms) + rule.valid_ms;
                     let incarnation = worker.info.incarnation;
-                    let ticket = Ticket { text: grant.ticket, incarnation, expires_ms };
+                    let earlier = advice.granted.get(&worker.index);
+                    let found_by = earlier.map_or(query, |ticket| ticket.found_by);
+                    let text = grant.ticket;
+                    let ticket = Ticket { text, incarnation, expires_ms, query, found_by };
                     advice.granted.insert(worker.index, ticket);
                 }
             }
@@ -243,6 +260,24 @@
         self.now_ms + margin_ms
     }
 
+    /// Records that the queries which led to the start of a task were of use.
+    pub(crate) fn record_ticket_use(&mut self, id: TaskId) {
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        let Some(step_index) = job.step_index(id.step) else { return };
+        let step_state = &mut job.step_states[step_index];
+        let name = step_state.tasks.get(id.index as usize).and_then(|task| task.worker.as_ref());
+        let Some(worker) = name.and_then(|name| self.workers.get(name)) else { return };
+        let advice = &mut step_state.advice;
+        let Some(ticket) = advice.granted.get(&worker.index) else { return };
+        for query in [ticket.query, ticket.found_by] {
+            let Some(query) = advice.answers.get_mut(query as usize) else { continue };
+            if !query.is_used {
+                query.is_used = true;
+                self.pending_queries.record_use(query.purpose, query.cost_ms);
+            }
+        }
+    }
+
     /// Expires a ticket that a worker refused, so that the next start queries a new one.
     pub(crate) fn invalidate_ticket(&mut self, id: TaskId, name: &WorkerId) {
         let Some(worker) = self.workers.get(name) else { return };
@@ -253,14 +288,3 @@
         }
     }
 }
-
-/// How many long queries may be pending with this many daemons. With more, queries
-/// would wait for each other until the first tickets have expired again.
-pub fn long_queries_max(daemons: usize) -> usize {
-    daemons - (daemons / SHORT_ONLY_DIVISOR).max(SHORT_ONLY_MIN.min(daemons / 2))
-}
-
-/// Expected duration of a query at the advisor.
-fn query_cost_ms(rule: AdviceSpec, workers: usize) -> u64 {
-    (rule.decide_ms + rule.each_ms * workers as f64) as u64 + 1
-}
--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -2,10 +2,12 @@
 
 use std::cmp::Reverse;
 
+use stoatwell_advice::Purpose;
 use stoatwell_model::WorkerId;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::Pool;
+use crate::QueueKey;
 use crate::advice::query::SUFFICIENT_PLACES_FACTOR;
 use crate::id::StepId;
 use crate::jobs::spec::AdviceSpec;
@@ -34,48 +36,39 @@
 /// are this many times the places that it still needs. Which workers are granted varies, and
 /// some of the free capacity is allocated before the answer arrives.
 const FREE_FACTOR: f64 = 4.0;
+/// Workers that a renewal names in reserve for each task that still waits.
+const RESERVE_WORKERS_PER_TASK: usize = 2;
 
 impl Pool {
-    /// Requests new tickets for all workers that were granted to a step, if one of them has
-    /// free capacity. Returns what the step waits for; `None` if it may query about further
-    /// workers.
-    ///
-    /// The advisor takes nearly as long for one worker as for all of them, and with valid
-    /// tickets any capacity that becomes free is used at once. Requesting a ticket only once
-    /// capacity is found leaves that capacity idle until the answer.
+    /// Requests new tickets for workers on which capacity is allocated for a step. If some of its
+    /// tasks still wait, the query also names those workers that are most likely to be used next,
+    /// as far as they add little to its cost: the advisor takes nearly as long for one worker.
     pub(crate) fn renew_tickets(
         &mut self,
         step: StepId,
         step_index: usize,
-        spec: &StepSpec,
+        mut view_indices: Vec<usize>,
         cycle: &Cycle,
-    ) -> Option<QueryBlock> {
-        let job = self.jobs.get(&step.job)?;
-        let advice = &job.step_states[step_index].advice;
-        if advice.queries > 0 {
-            return Some(QueryBlock::Pending);
-        }
-        if advice.pause_until_ms > self.now_ms {
-            return Some(QueryBlock::Paused);
-        }
-        let need = spec.worker_demand();
-        let mut names = Vec::new();
-        let mut has_capacity = false;
-        for eligible in self.eligible_workers(step, step_index, spec, cycle) {
-            let view = &cycle.workers[eligible.view_index];
-            has_capacity |= view.free.holds(&need);
-            names.push(self.name_of(view).clone());
-        }
-        names.truncate(self.limits.advice_workers_max);
-        let rule = job.spec.queue.advice?;
-        if !has_capacity {
-            return None;
-        }
-        if !self.may_query(rule, names.len()) {
-            return Some(QueryBlock::LimitReached);
+    ) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(rule) = job.spec.queue.advice else { return };
+        let spec = job.step_spec(step_index);
+        let waiting = job.step_states[step_index].waiting_tasks().count();
+        let reserve = rule.cost().renewal_reserve().min(waiting * RESERVE_WORKERS_PER_TASK);
+        let mut others: Vec<(f64, usize)> = Vec::new();
+        if !spec.gang && reserve > 0 {
+            for eligible in self.eligible_workers(step, step_index, spec, cycle) {
+                if !eligible.needs_no_new_ticket && !view_indices.contains(&eligible.view_index) {
+                    let view = &cycle.workers[eligible.view_index];
+                    others.push((-view.free.dominant_share(&view.capacity), eligible.view_index));
+                }
+            }
+            others.sort_by(|a, b| a.0.total_cmp(&b.0));
         }
-        self.query_advisor(step, &names);
-        Some(QueryBlock::Pending)
+        view_indices.extend(others.into_iter().take(reserve).map(|(_, view_index)| view_index));
+        let name = |view_index: &usize| self.name_of(&cycle.workers[*view_index]).clone();
+        let names: Vec<WorkerId> = view_indices.iter().map(name).collect();
+        self.query_advisor(step, &names, Purpose::Renewal);
     }
 
     /// Queries the advisor about open workers that it was not queried about yet, those with
@@ -100,9 +93,10 @@
         step_index: usize,
         spec: &StepSpec,
         rule: AdviceSpec,
-        priority: u32,
+        key: QueueKey,
         cycle: &Cycle,
     ) -> QueryBlock {
+        let priority = key.priority;
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&step.job) else { return QueryBlock::NotNeeded };
         let advice = &mut job.step_states[step_index].advice;
@@ -116,6 +110,9 @@
             return QueryBlock::SelectedRecently;
         }
         advice.retry_at_ms = now_ms + SELECTION_INTERVAL_MS;
+        if !self.is_within_query_horizon(step, key) {
+            return QueryBlock::BeyondHorizon;
+        }
         let Some(job) = self.jobs.get(&step.job) else { return QueryBlock::NotNeeded };
         let Some(service) = cycle.service_index(&job.spec.queue.service) else {
             return QueryBlock::NotNeeded;
@@ -134,7 +131,11 @@
         let is_first_query = advice.queried.is_empty();
         let include_full = is_first_query || !has_enough;
         let free_places = |view: &WorkerView| {
-            if view.reservation_permits(step, priority) { places_in(&view.free, &need) } else { 0 }
+            if view.reservation_permits(step, priority) {
+                places_in(&self.pending_queries.unclaimed(priority, view), &need)
+            } else {
+                0
+            }
         };
         let granted_share = self.estimates.granted_share(&job.spec.queue.name);
         let places_wanted =
@@ -196,14 +197,23 @@
                 None => workers_max = named_max,
             }
         }
-        let selected = candidates.into_iter().take(workers_max);
+        let selected: Vec<(u64, usize)> = candidates
+            .into_iter()
+            .take(workers_max)
+            .map(|(free, _, view_index)| (free.0, view_index))
+            .collect();
         let names: Vec<WorkerId> = selected
-            .map(|(.., view_index)| self.name_of(&cycle.workers[view_index]).clone())
+            .iter()
+            .map(|(_, view_index)| self.name_of(&cycle.workers[*view_index]).clone())
             .collect();
-        if !self.may_query(rule, names.len()) {
+        if !self.may_query(rule, priority, names.len()) {
             return QueryBlock::LimitReached;
         }
-        self.query_advisor(step, &names);
+        let waiting = job.step_states[step_index].waiting_tasks().count();
+        let places_claimed = (waiting as f64 / granted_share).ceil() as u64;
+        let purpose = if is_first_query { Purpose::First } else { Purpose::Further };
+        self.query_advisor(step, &names, purpose);
+        self.claim_free_capacity(step, &need, places_claimed, &selected, cycle);
         QueryBlock::Pending
     }
 }
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_advice::Purpose;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
@@ -119,6 +120,8 @@
         asked: Vec<WorkerId>,
         /// The time that the advisor was expected to take, as in [`Effect::Advise`].
         cost_ms: u64,
+        /// Why the query was sent, as in [`Effect::Advise`].
+        purpose: Purpose,
         /// The workers that may run the step; `None` if the advisor refused or did
         /// not answer.
         granted: Option<Vec<Grant>>,
@@ -354,6 +357,17 @@
         priority: u32,
         /// The time that the advisor is expected to take.
         cost_ms: u64,
+        /// Why the advisor is queried.
+        purpose: Purpose,
+        /// When the step has to start, by the monotonic clock.
+        needed_by_ms: u64,
+        /// If the query has not been sent by then, it fails.
+        withdraw_after_ms: u64,
+    },
+    /// Drop the queries of a step that were not sent yet. Each of them fails.
+    WithdrawAdvice {
+        /// The step, which has started or ended.
+        step: StepId,
     },
     /// Make rows durable, on the condition that this daemon is still the leader.
     Commit {
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use stoatwell_advice::Purpose;
 use stoatwell_model::WorkerId;
 
 use crate::id::JobId;
@@ -121,6 +122,19 @@
     pub text: String,
     pub incarnation: u64,
     pub expires_ms: u64,
+    /// The index in [`Advice::answers`] of the query that issued the ticket.
+    pub query: u32,
+    /// The index of the query that first granted the worker.
+    pub found_by: u32,
+}
+
+/// An answered query.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Query {
+    pub purpose: Purpose,
+    pub cost_ms: u64,
+    /// Whether it led to a start.
+    pub is_used: bool,
 }
 
 impl Ticket {
@@ -139,6 +153,8 @@
     pub granted: BTreeMap<WorkerIndex, Ticket>,
     /// Workers that the advisor has answered about, granted or not.
     pub queried: BTreeSet<WorkerIndex>,
+    /// The queries that were answered.
+    pub answers: Vec<Query>,
     /// Queries that are not answered yet.
     pub queries: u32,
     /// The advisor is not queried again before this.
--- a/crates/pool/src/jobs/spec.rs
+++ b/crates/pool/src/jobs/spec.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use stoatwell_advice::budget::QueryCost;
 use stoatwell_model::Resources;
 
 use crate::jobs::customers::CustomerLimits;
@@ -68,6 +69,12 @@
     pub valid_ms: u64,
 }
 
+impl AdviceSpec {
+    pub(crate) fn cost(&self) -> QueryCost {
+        QueryCost { decide_ms: self.decide_ms, each_ms: self.each_ms }
+    }
+}
+
 /// Due times of a repeated job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Repeat {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -44,6 +44,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 
+use crate::advice::pending::PendingQueries;
 use crate::commit::Commits;
 use crate::jobs::cancellation::Cancellations;
 use crate::jobs::customers::Customers;
@@ -55,8 +56,7 @@
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
-pub use crate::advice::query::LONG_QUERY_MS;
-pub use crate::advice::query::long_queries_max;
+pub use crate::advice::pending::AdviceTime;
 pub use crate::commit::PartitionWrite;
 pub use crate::commit::Put;
 pub use crate::commit::Removal;
@@ -175,6 +175,7 @@
     queries: usize,
     /// Those of them that are expected to take long.
     long_queries: usize,
+    pending_queries: PendingQueries,
     /// Number of daemons that can forward queries to the advisor.
     advisor_daemons: usize,
     cycle_due: bool,
@@ -240,6 +241,7 @@
             estimates: Estimates::default(),
             queries: 0,
             long_queries: 0,
+            pending_queries: PendingQueries::default(),
             advisor_daemons: 1,
             cycle_due: true,
             effects: Vec::new(),
@@ -338,8 +340,8 @@
             Event::Paced { task, run, worker, reply } => {
                 self.on_paced(task, run, &worker, reply);
             }
-            Event::Advised { step, asked, cost_ms, granted, received_ms } => {
-                self.on_advised(step, &asked, cost_ms, granted, received_ms);
+            Event::Advised { step, asked, cost_ms, purpose, granted, received_ms } => {
+                self.on_advised(step, &asked, cost_ms, purpose, granted, received_ms);
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
@@ -368,6 +370,7 @@
             self.next_cycle_ms = self.now_ms + self.cycle_interval_ms();
             self.place();
         }
+        self.withdraw_queries();
         self.commit();
         self.send_due_holds(is_sweep);
         if self.superseded {
@@ -462,6 +465,7 @@
         self.update_silent_leases();
         self.sweep_runs();
         self.sample_usage();
+        self.update_query_horizons();
         self.reject_stuck_submissions();
         self.remove_expired_jobs();
         self.report_waiting_steps();
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -200,7 +200,8 @@
         view.free.minus(demand).dominant_share(&view.capacity) + candidate.penalty
     }
 
-    fn leaves_headroom(&self, request: &PlacementRequest<'_>, demand: &Resources) -> bool {
+    /// Whether this much more demand leaves the headroom of the request free.
+    pub fn leaves_headroom(&self, request: &PlacementRequest<'_>, demand: &Resources) -> bool {
         if request.headroom.is_zero() {
             return true;
         }
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -258,7 +258,10 @@
         }
         let mut eligible = self.eligible_workers(step, step_index, &spec, cycle);
         let eligible_count = eligible.len();
-        if advice.is_some() && !spec.gang {
+        if let Some(rule) = advice
+            && !spec.gang
+            && !self.may_renew_some(step_index, step, rule, priority)
+        {
             eligible.retain(|worker| worker.needs_no_new_ticket);
         }
         let candidates = self.candidates(step, step_index, &spec, &eligible, cycle);
@@ -276,7 +279,7 @@
         };
         let all_placed = chosen.len() == waiting_count;
         let may_start = all_placed || !spec.gang;
-        let may_query = self.may_renew(step, advice, &chosen, cycle);
+        let may_query = !spec.gang || self.may_renew(step, advice, priority, &chosen, cycle);
         if !chosen.is_empty() && may_start && may_query {
             for (task_index, view_index) in &chosen {
                 let name = self.worker_names[cycle.workers[*view_index].worker_index.0].clone();
@@ -311,23 +314,38 @@
         let Some(advice) = advice.filter(|_| may_query) else {
             return waits(placement, QueryBlock::NotNeeded);
         };
-        let has_stale_tickets = eligible_count > eligible.len();
-        let renewal = if has_stale_tickets {
-            self.renew_tickets(step, step_index, &spec, cycle)
-        } else {
-            None
-        };
-        let query = renewal.unwrap_or_else(|| {
-            self.query_more_workers(step, step_index, &spec, advice, priority, cycle)
-        });
+        // Other workers do not help while the whole service has too little free capacity.
+        let missing = if spec.gang { waiting_count } else { 1 };
+        let demand = spec.worker_demand().times(missing as u64);
+        if eligible_count > 0 && !cycle.leaves_headroom(&request, &demand) {
+            return waits(placement, QueryBlock::NotWorthwhile);
+        }
+        let query = self.query_more_workers(step, step_index, &spec, advice, key, cycle);
         waits(placement, query)
     }
 
+    /// Whether a step of independent tasks may use workers whose tickets have to be renewed. Their
+    /// capacity is allocated during the query, so there is one query at a time.
+    fn may_renew_some(
+        &self,
+        step_index: usize,
+        step: StepId,
+        rule: AdviceSpec,
+        priority: u32,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let advice = &job.step_states[step_index].advice;
+        advice.queries == 0
+            && advice.pause_until_ms <= self.now_ms
+            && self.may_query(rule, priority, 1)
+    }
+
     /// Whether the chosen workers have fresh tickets, or new ones can be queried now.
     fn may_renew(
         &self,
         step: StepId,
         advice: Option<AdviceSpec>,
+        priority: u32,
         chosen: &[(u32, usize)],
         cycle: &Cycle,
     ) -> bool {
@@ -335,7 +353,8 @@
         let fresh = |(_, view_index): &(u32, usize)| {
             self.has_fresh_ticket(step, self.name_of(&cycle.workers[*view_index]))
         };
-        (!chosen.is_empty() && chosen.iter().all(fresh)) || self.may_query(rule, chosen.len())
+        (!chosen.is_empty() && chosen.iter().all(fresh))
+            || self.may_query(rule, priority, chosen.len())
     }
 
     /// The workers that may run a step, whether or not they have free capacity.
@@ -397,26 +416,31 @@
         }
     }
 
-    /// Records the starts of chosen tasks, or queries tickets first if one is not fresh.
+    /// Records the starts of chosen tasks whose tickets are fresh, and queries tickets for the
+    /// others. A gang starts whole, so one ticket that is not fresh makes all its tasks wait.
     fn start_or_query(&mut self, step: StepId, chosen: &[(u32, usize)], cycle: &Cycle) {
         let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(step_index) = job.step_index(step) else { return };
         let needs_tickets = job.spec.queue.advice.is_some();
-        let mut names: Vec<WorkerId> = Vec::new();
-        let mut stale = false;
-        let mut ready = Vec::new();
-        for (task_index, view_index) in chosen {
-            let name = self.name_of(&cycle.workers[*view_index]);
-            if !names.contains(name) {
-                names.push(name.clone());
-            }
-            stale |= needs_tickets && !self.has_fresh_ticket(step, name);
-            ready.push(TaskId { step, index: *task_index });
-        }
-        if stale {
+        let gang = job.step_spec(step_index).gang;
+        let is_fresh = |(_, view_index): &&(u32, usize)| {
+            !needs_tickets || self.has_fresh_ticket(step, self.name_of(&cycle.workers[*view_index]))
+        };
+        let (mut fresh, mut stale): (Vec<&(u32, usize)>, Vec<&(u32, usize)>) =
+            chosen.iter().partition(is_fresh);
+        if gang && !stale.is_empty() {
             // The query names all of them: tickets that are fresh now may be too old when
             // the answer arrives, and a single one keeps a gang from starting.
-            self.query_advisor(step, &names);
-            return;
+            stale.append(&mut fresh);
+        }
+        let ready: Vec<TaskId> =
+            fresh.iter().map(|(task_index, _)| TaskId { step, index: *task_index }).collect();
+        let mut view_indices: Vec<usize> =
+            stale.iter().map(|(_, view_index)| *view_index).collect();
+        view_indices.sort_unstable();
+        view_indices.dedup();
+        if !view_indices.is_empty() {
+            self.renew_tickets(step, step_index, view_indices, cycle);
         }
         self.record_starts(step, &ready);
     }
@@ -442,6 +466,7 @@
                     task.checkpoint.clone_from(&checkpoint);
                 }
             }
+            self.record_ticket_use(*id);
             self.record_start(*id, next_run);
         }
     }
--- a/crates/pool/src/placement/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -62,8 +62,10 @@
     FewLeft,
     /// not enough free capacity is left to query about
     NotWorthwhile,
-    /// too many long queries are pending
+    /// too many queries are pending
     LimitReached,
+    /// the work ahead in the queue takes what comes free while a ticket is valid
+    BeyondHorizon,
 }
 
 /// Why a step waits.
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -577,7 +577,7 @@
                 }
                 Effect::Stop(call) => self.send(Call::Stop(call)),
                 Effect::Pace(call) => self.send(Call::Pace(call)),
-                Effect::Advise { step, workers, cost_ms, .. } => {
+                Effect::Advise { step, workers, cost_ms, purpose, .. } => {
                     self.last_query_workers = workers.len();
                     let lost = self.chance(self.faults.lost_advice);
                     // The advisor issues the tickets when it answers.
@@ -590,8 +590,9 @@
                     let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
                     let granted = (!lost).then(|| granted.map(grant).collect());
                     let received_ms = issued_ms;
+                    let asked = workers;
                     let event =
-                        Event::Advised { step, asked: workers, cost_ms, granted, received_ms };
+                        Event::Advised { step, asked, cost_ms, purpose, granted, received_ms };
                     let handled_ms = self.advice_ms + self.backlog_ms;
                     self.schedule(handled_ms, TimedEvent::Event(self.epoch, event));
                 }
@@ -606,7 +607,7 @@
                 Effect::Answer { job, accepted } => {
                     self.submission_results.insert(job, accepted);
                 }
-                Effect::StepDown => {}
+                Effect::WithdrawAdvice { .. } | Effect::StepDown => {}
             }
         }
     }
