Test scarce advisors, and query less while the advisor is scarce

The first measurement under scarce advisors showed daemons that were idle while queries were refused: each pending gang query counted with all its time against the bound. It counts with at most the bound now, and an idle daemon always gets a query.

--- a/crates/advice/src/budget.rs
+++ b/crates/advice/src/budget.rs
@@ -37,7 +37,8 @@
     pub daemons: usize,
     /// Number of unanswered queries.
     pub queries: usize,
-    /// Expected duration of those that a new query would wait for.
+    /// Time of the daemons that the queries take which a new one would wait for, see
+    /// [`busy_ms`].
     pub ahead_ms: u64,
 }
 
@@ -47,15 +48,16 @@
         (self.decide_ms + self.each_ms * workers as f64) as u64 + 1
     }
 
-    /// How many workers a query may name so that their cost stays in proportion.
-    pub fn affordable_workers(&self, load: &Load, per_daemon_max: usize) -> usize {
-        let overloaded = load.queries > load.daemons * per_daemon_max;
-        let budget_ms = if overloaded {
-            (self.decide_ms * BUSY_PER_WORKER_PERCENT / 100.0).min(PER_WORKER_BUDGET_MS)
-        } else {
-            PER_WORKER_BUDGET_MS
-        };
-        self.workers_within(budget_ms)
+    /// How many workers a query may name so that their cost stays in proportion. If the advisor is
+    /// scarce, a query that would be short without them stays short.
+    pub fn affordable_workers(&self, is_scarce: bool) -> usize {
+        if !is_scarce {
+            return self.workers_within(PER_WORKER_BUDGET_MS);
+        }
+        let budget_ms =
+            (self.decide_ms * BUSY_PER_WORKER_PERCENT / 100.0).min(PER_WORKER_BUDGET_MS);
+        let short_ms = LONG_QUERY_MS as f64 - 2.0 - self.decide_ms;
+        self.workers_within(if short_ms > 0.0 { budget_ms.min(short_ms) } else { budget_ms })
     }
 
     /// How many workers a renewal may name besides those that are about to be used.
@@ -74,13 +76,19 @@
         self.queries < self.daemons
     }
 
-    /// Whether one more query of this cost is answered in time. The daemons can always be given
-    /// one query, however long it takes.
+    /// Whether one more query is sent in time.
     pub fn admits(&self, cost_ms: u64) -> bool {
-        self.ahead_ms == 0 || self.ahead_ms + cost_ms <= WAIT_MAX_MS * self.daemons as u64
+        self.has_idle_daemon()
+            || self.ahead_ms + busy_ms(cost_ms) <= WAIT_MAX_MS * self.daemons as u64
     }
 }
 
+/// The part of a query's time that counts for those behind it. They wait for at most
+/// [`WAIT_MAX_MS`], and a longer query keeps only its own daemon busy.
+pub fn busy_ms(cost_ms: u64) -> u64 {
+    cost_ms.min(WAIT_MAX_MS)
+}
+
 /// How long a query may wait for a daemon before it is withdrawn.
 pub fn withdraw_after_ms(valid_ms: u64) -> u64 {
     valid_ms * WITHDRAW_PERCENT / 100
--- a/crates/pool/src/advice/pending.rs
+++ b/crates/pool/src/advice/pending.rs
@@ -5,6 +5,7 @@
 
 use stoatwell_advice::Purpose;
 use stoatwell_advice::budget::Load;
+use stoatwell_advice::budget::busy_ms;
 use stoatwell_model::Resources;
 
 use crate::Pool;
@@ -16,8 +17,8 @@
 use crate::placement::candidates::WorkerView;
 use crate::workers::worker::WorkerIndex;
 
-/// Steps query the advisor if the work ahead of them in the queue needs at most this share of its
-/// service's capacity, in percent, while no daemon is idle. About as much comes free while a
+/// A step is near to the front of the queue if the work ahead of it needs at most this share of its
+/// service's capacity, in percent. About as much comes free while a
 /// ticket is valid; what is behind would have to renew its tickets before it can use them.
 const HORIZON_CAPACITY_PERCENT: u64 = 50;
 /// Steps examined for that, the first ones of the queue.
@@ -27,12 +28,12 @@
 #[derive(Debug, Default)]
 pub(crate) struct PendingQueries {
     steps: BTreeMap<StepId, StepQueries>,
-    /// Expected duration of the unanswered queries of each priority.
-    cost_ms: BTreeMap<u32, u64>,
+    /// Time of the daemons that the unanswered queries of each priority take.
+    busy_ms: BTreeMap<u32, u64>,
     /// The capacity of each worker that is claimed for steps of each priority.
     claimed: BTreeMap<u32, HashMap<WorkerIndex, Resources>>,
-    /// The last step of each service that may query while no daemon is idle, by whether it is
-    /// late and by its place in the queue. Services without an entry have no such limit.
+    /// The first step of each service that is not near to the front of the queue, by whether it is
+    /// late and by its place. If there is none, the service has no entry.
     horizons: HashMap<String, (bool, QueueKey)>,
     time: AdviceTime,
 }
@@ -77,15 +78,15 @@
             claims: Vec::new(),
         });
         queries.count += 1;
-        *self.cost_ms.entry(priority).or_default() += cost_ms;
+        *self.busy_ms.entry(priority).or_default() += busy_ms(cost_ms);
     }
 
     /// Records that a query was answered or failed.
     pub fn remove(&mut self, step: StepId, cost_ms: u64) {
         let Some(queries) = self.steps.get_mut(&step) else { return };
         queries.count = queries.count.saturating_sub(1);
-        if let Some(pending_ms) = self.cost_ms.get_mut(&queries.priority) {
-            *pending_ms = pending_ms.saturating_sub(cost_ms);
+        if let Some(pending_ms) = self.busy_ms.get_mut(&queries.priority) {
+            *pending_ms = pending_ms.saturating_sub(busy_ms(cost_ms));
         }
         if queries.count > 0 {
             return;
@@ -142,27 +143,29 @@
         Load {
             daemons: self.advisor_daemons,
             queries: self.queries,
-            ahead_ms: self.pending_queries.cost_ms.range(..=priority).map(|(_, ms)| ms).sum(),
+            ahead_ms: self.pending_queries.busy_ms.range(..=priority).map(|(_, ms)| ms).sum(),
         }
     }
 
+    /// Whether more is waiting than the advisor can answer about at the same time.
+    pub(crate) fn is_advisor_scarce(&self) -> bool {
+        self.queries >= self.advisor_daemons || self.queue.len() > self.advisor_daemons
+    }
+
     /// Whether a step is so near to the front of the queue that an answer would be used before
     /// its tickets expire.
     pub(crate) fn is_within_query_horizon(&self, step: StepId, key: QueueKey) -> bool {
-        if key.priority == 0 || self.query_load(key.priority).has_idle_daemon() {
+        if key.priority == 0 {
             return true;
         }
         let Some(job) = self.jobs.get(&step.job) else { return false };
         let horizon = self.pending_queries.horizons.get(&job.spec.queue.service);
-        horizon.is_none_or(|last| (self.slack_ms(key, step) < 0, key) <= *last)
+        horizon.is_none_or(|last| (self.slack_ms(key, step) < 0, key) < *last)
     }
 
-    /// Finds for each service the last step that may query while no daemon is idle.
+    /// Finds for each service the first step that is not near to the front of the queue.
     pub(crate) fn update_query_horizons(&mut self) {
         self.pending_queries.horizons.clear();
-        if self.queries < self.advisor_daemons {
-            return;
-        }
         let mut room: HashMap<&str, Resources> = HashMap::new();
         for worker in self.workers.values() {
             let sum = room.entry(&worker.info.service).or_insert(Resources::ZERO);
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -33,9 +33,6 @@
 /// Upper bound of the part that is set aside including the store writes before the
 /// start, in percent of the validity.
 const TICKET_MARGIN_PERCENT: u64 = 85;
-/// Pending queries per daemon above which queries are kept short. It exceeds the two
-/// that a daemon needs: one in progress and the next one.
-const PENDING_QUERIES_PER_DAEMON_MAX: usize = 4;
 /// Lower bound of the limit on concurrent queries of one gang. It applies even if no more
 /// long queries may be sent. Sent one after another, the queries of a gang would take most
 /// of a second each, and other work would take the capacity meanwhile.
@@ -58,17 +55,16 @@
 impl Pool {
     /// How many workers one query of a step may name: as many as fit the time budget,
     /// or as many as the step needs to have a choice, whichever is more. The budget is smaller
-    /// while queries queue up: with few daemons left, long queries would let few jobs through.
+    /// while the advisor is scarce: with few daemons left, long queries would let few jobs through.
     pub(crate) fn query_workers_max(
         &self,
         queue: &QueueSpec,
         tasks: u64,
         places_each: u64,
     ) -> usize {
-        let load = self.query_load(queue.priority);
-        let affordable = queue.advice.map_or(usize::MAX, |rule| {
-            rule.cost().affordable_workers(&load, PENDING_QUERIES_PER_DAEMON_MAX)
-        });
+        let is_scarce = self.is_advisor_scarce();
+        let affordable =
+            queue.advice.map_or(usize::MAX, |rule| rule.cost().affordable_workers(is_scarce));
         let places_each = places_each.max(1) as f64 * self.estimates.granted_share(&queue.name);
         let needed = ((tasks * SUFFICIENT_PLACES_FACTOR) as f64 / places_each).ceil() as usize;
         affordable.max(needed).clamp(QUERY_WORKERS_MIN, self.limits.advice_workers_max)
--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -36,6 +36,9 @@
 /// are this many times the places that it still needs. Which workers are granted varies, and
 /// some of the free capacity is allocated before the answer arrives.
 const FREE_FACTOR: f64 = 4.0;
+/// While the advisor is scarce, a step that was granted enough workers queries about others only
+/// if one in this many of its waiting tasks is expected to find a place there.
+const SCARCE_TASKS_DIVISOR: f64 = 2.0;
 /// Workers that a renewal names in reserve for each task that still waits.
 const RESERVE_WORKERS_PER_TASK: usize = 2;
 
@@ -110,9 +113,6 @@
             return QueryBlock::SelectedRecently;
         }
         advice.retry_at_ms = now_ms + SELECTION_INTERVAL_MS;
-        if !self.is_within_query_horizon(step, key) {
-            return QueryBlock::BeyondHorizon;
-        }
         let Some(job) = self.jobs.get(&step.job) else { return QueryBlock::NotNeeded };
         let Some(service) = cycle.service_index(&job.spec.queue.service) else {
             return QueryBlock::NotNeeded;
@@ -125,11 +125,16 @@
         };
         let places: u64 = advice.granted.keys().filter_map(granted_view).map(places_of).sum();
         let waited_ms = now_ms.saturating_sub(job.step_states[step_index].queued_ms);
-        let may_ask_about_any =
-            waited_ms >= FURTHER_QUERY_WAIT_MS && self.queries < self.advisor_daemons;
+        let is_scarce = self.is_advisor_scarce();
+        let may_ask_about_any = waited_ms >= FURTHER_QUERY_WAIT_MS && !is_scarce;
         let has_enough = places >= u64::from(spec.tasks) * SUFFICIENT_PLACES_FACTOR;
         let is_first_query = advice.queried.is_empty();
         let include_full = is_first_query || !has_enough;
+        // A step needs its first answer in any case, and may have it early from an idle daemon.
+        let has_idle_daemon = self.query_load(priority).has_idle_daemon();
+        if !(is_first_query && has_idle_daemon || self.is_within_query_horizon(step, key)) {
+            return QueryBlock::BeyondHorizon;
+        }
         let free_places = |view: &WorkerView| {
             if view.reservation_permits(step, priority) {
                 places_in(&self.pending_queries.unclaimed(priority, view), &need)
@@ -180,6 +185,11 @@
             candidates.truncate(named_max);
         }
         candidates.sort_unstable();
+        let waiting = job.step_states[step_index].waiting_tasks().count();
+        let places_expected = free_total as f64 * granted_share;
+        if is_scarce && has_enough && places_expected * SCARCE_TASKS_DIVISOR < waiting as f64 {
+            return QueryBlock::NotWorthwhile;
+        }
         if spec.gang {
             let granted = advice.granted.keys().filter_map(granted_view);
             let free_granted: u64 = granted.map(free_places).sum();
@@ -194,6 +204,8 @@
                 {
                     return QueryBlock::NotWorthwhile;
                 }
+                // One query about as many workers as it may name is the cheapest for each.
+                None if is_scarce => workers_max = self.limits.advice_workers_max,
                 None => workers_max = named_max,
             }
         }
@@ -209,7 +221,6 @@
         if !self.may_query(rule, priority, names.len()) {
             return QueryBlock::LimitReached;
         }
-        let waiting = job.step_states[step_index].waiting_tasks().count();
         let places_claimed = (waiting as f64 / granted_share).ceil() as u64;
         let purpose = if is_first_query { Purpose::First } else { Purpose::Further };
         self.query_advisor(step, &names, purpose);
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -8,6 +8,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
+mod advisors;
 mod checks;
 mod faults;
 mod jobs;
@@ -47,6 +48,8 @@
 use stoatwell_pool::TaskId;
 use stoatwell_pool::TaskProgress;
 
+pub use self::advisors::Advisors;
+use self::advisors::Query;
 pub use self::faults::Faults;
 pub use self::jobs::job;
 pub use self::jobs::queue;
@@ -81,6 +84,9 @@
     pub last_query_workers: usize,
     /// How long the advisor takes to answer a query.
     pub advice_ms: u64,
+    /// The daemons that send the queries; `None` if each query is answered after
+    /// [`Self::advice_ms`].
+    pub advisors: Option<Advisors>,
     /// How long the advisor's answers wait before the scheduler handles them.
     pub backlog_ms: u64,
     /// How long the store takes to write a batch.
@@ -147,6 +153,7 @@
             granted_of_five: 3,
             last_query_workers: 0,
             advice_ms: 80,
+            advisors: None,
             backlog_ms: 0,
             commit_ms: 12,
             tickets_expire: false,
@@ -250,6 +257,11 @@
         self.jobs.keys().filter(|job| !is_finished(job)).copied().collect()
     }
 
+    /// The advisor's time for answered queries.
+    pub fn advice_time(&self) -> stoatwell_pool::AdviceTime {
+        self.pool.advice_time().clone()
+    }
+
     /// The current totals of the scheduler.
     pub fn counts(&self) -> stoatwell_pool::Counts {
         self.pool.counts()
@@ -309,6 +321,11 @@
                 self.inject_faults();
             }
             self.advance_workers();
+            let advisors = self.advisors.as_mut();
+            let ended = advisors.map_or(Vec::new(), |advisors| advisors.advance(self.now_ms));
+            for (query, is_answered) in ended {
+                self.answer_query(query, is_answered, 0);
+            }
             self.apply_effects();
             let generation = self.pool.silent_leases().generation;
             if self.now_ms.is_multiple_of(RENEW_INTERVAL_MS)
@@ -577,24 +594,36 @@
                 }
                 Effect::Stop(call) => self.send(Call::Stop(call)),
                 Effect::Pace(call) => self.send(Call::Pace(call)),
-                Effect::Advise { step, workers, cost_ms, purpose, .. } => {
+                Effect::Advise {
+                    step,
+                    workers,
+                    priority,
+                    cost_ms,
+                    purpose,
+                    needed_by_ms,
+                    withdraw_after_ms,
+                } => {
                     self.last_query_workers = workers.len();
-                    let lost = self.chance(self.faults.lost_advice);
-                    // The advisor issues the tickets when it answers.
-                    let issued_ms = self.now_ms + self.advice_ms;
-                    let grant = |worker: &WorkerId| Grant {
-                        worker: worker.clone(),
-                        ticket: issued_ms.to_string(),
+                    let query = Query {
+                        step,
+                        workers,
+                        priority,
+                        cost_ms,
+                        purpose,
+                        needed_by_ms,
+                        withdraw_after_ms,
                     };
-                    let of_five = self.granted_of_five;
-                    let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
-                    let granted = (!lost).then(|| granted.map(grant).collect());
-                    let received_ms = issued_ms;
-                    let asked = workers;
-                    let event =
-                        Event::Advised { step, asked, cost_ms, purpose, granted, received_ms };
-                    let handled_ms = self.advice_ms + self.backlog_ms;
-                    self.schedule(handled_ms, TimedEvent::Event(self.epoch, event));
+                    match &mut self.advisors {
+                        Some(advisors) => advisors.enqueue(query, self.now_ms),
+                        None => self.answer_query(query, true, self.advice_ms),
+                    }
+                }
+                Effect::WithdrawAdvice { step } => {
+                    let advisors = self.advisors.as_mut();
+                    let queries = advisors.map_or(Vec::new(), |advisors| advisors.withdraw(step));
+                    for query in queries {
+                        self.answer_query(query, false, 0);
+                    }
                 }
                 // Nothing can be written without the leader lease.
                 Effect::Commit { .. } if !self.can_renew_lease => {}
@@ -607,11 +636,26 @@
                 Effect::Answer { job, accepted } => {
                     self.submission_results.insert(job, accepted);
                 }
-                Effect::WithdrawAdvice { .. } | Effect::StepDown => {}
+                Effect::StepDown => {}
             }
         }
     }
 
+    /// Gives the scheduler the advisor's answer to a query; the advisor issues the tickets when
+    /// it answers.
+    fn answer_query(&mut self, query: Query, is_answered: bool, in_ms: u64) {
+        let Query { step, workers: asked, cost_ms, purpose, .. } = query;
+        let lost = self.chance(self.faults.lost_advice);
+        let received_ms = self.now_ms + in_ms;
+        let grant =
+            |worker: &WorkerId| Grant { worker: worker.clone(), ticket: received_ms.to_string() };
+        let of_five = self.granted_of_five;
+        let granted = asked.iter().filter(|name| is_granted(step, name, of_five));
+        let granted = (is_answered && !lost).then(|| granted.map(grant).collect());
+        let event = Event::Advised { step, asked, cost_ms, purpose, granted, received_ms };
+        self.schedule(in_ms + self.backlog_ms, TimedEvent::Event(self.epoch, event));
+    }
+
     /// Makes the writes of a batch to one partition durable.
     fn write(&mut self, batch: u64, write: PartitionWrite) {
         if self.stuck_partitions.contains(&write.partition) {
