--- a/crates/node/src/advisor_dispatcher.rs
+++ b/crates/node/src/advisor_dispatcher.rs
@@ -19,11 +19,10 @@
 use stoatwell_advice::DaemonShare;
 use stoatwell_advice::DispatchPlan;
 use stoatwell_advice::Outcome;
-use stoatwell_advice::Purpose;
 use stoatwell_advice::QueryId;
-use stoatwell_advice::QueuedQuery;
 use stoatwell_model::WorkerId;
 use stoatwell_peer::Peers;
+use stoatwell_pool::AdviseCall;
 use stoatwell_pool::Grant;
 use stoatwell_pool::StepId;
 use tokio::sync::oneshot;
@@ -68,25 +67,6 @@
     permit: oneshot::Sender<Permit>,
 }
 
-/// A query to the advisor.
-#[derive(Clone, Copy, Debug)]
-pub struct AdvisorQuery<'a> {
-    /// The step to be run.
-    pub step: StepId,
-    /// The workers to decide about.
-    pub workers: &'a [WorkerId],
-    /// The priority of the step's queue; 0 is the most urgent.
-    pub priority: u32,
-    /// The time that the advisor is expected to take.
-    pub cost_ms: u64,
-    /// Why the advisor is queried.
-    pub purpose: Purpose,
-    /// When the step has to start, by the monotonic clock.
-    pub needed_by_ms: u64,
-    /// The query is withdrawn if no proxy was free for it in this time.
-    pub withdraw_after_ms: u64,
-}
-
 impl<P: Platform> AdvisorDispatcher<P> {
     /// A dispatcher that uses only this daemon, until others are known.
     pub fn new(platform: Arc<P>, peers: Peers, own_address: String) -> Self {
@@ -149,17 +129,18 @@
 
     /// Asks the advisor which of these workers may run a step, once a proxy is free for the
     /// query. Returns the workers that it allows, with their tickets; `None` if no answer came.
-    pub async fn query(&self, query: AdvisorQuery<'_>) -> Option<Vec<Grant>> {
-        let AdvisorQuery { step, workers, cost_ms, purpose, .. } = query;
+    pub async fn query(&self, call: &AdviseCall) -> Option<Vec<Grant>> {
+        let AdviseCall { step, workers, cost_ms, purpose, .. } = call;
+        let (step, cost_ms) = (*step, *cost_ms);
         let mut waited_ms = 0;
         for _ in 0..ATTEMPTS_MAX {
             let enqueued_ms = steady_ms();
-            let wait_ms = query.withdraw_after_ms.saturating_sub(waited_ms);
-            let mut permit = self.acquire_permit(query, wait_ms).await?;
+            let wait_ms = call.withdraw_after_ms.saturating_sub(waited_ms);
+            let mut permit = self.acquire_permit(call, wait_ms).await?;
             let address = permit.address.clone();
             let sent_ms = steady_ms();
             waited_ms += sent_ms - enqueued_ms;
-            metrics::histogram!("stoatwell_advice_wait_seconds").record(waited_ms as f64 / 1_000.0);
+            metrics::histogram!("stoatwell_advice_wait_ms").record(waited_ms as f64);
             let limit_ms = cost_ms + TIMEOUT_MARGIN_MS;
             let answer = async {
                 if address == self.own_address {
@@ -201,36 +182,27 @@
     }
 
     /// Waits until the query is to be sent; `None` if it is withdrawn before.
-    async fn acquire_permit(&self, query: AdvisorQuery<'_>, wait_ms: u64) -> Option<Permit> {
+    async fn acquire_permit(&self, call: &AdviseCall, wait_ms: u64) -> Option<Permit> {
         let (permit, permit_receiver) = oneshot::channel();
-        let queued = QueuedQuery {
-            priority: query.priority,
-            holds_capacity: query.purpose == Purpose::Renewal,
-            needed_by_ms: query.needed_by_ms,
-            cost_ms: query.cost_ms,
-        };
         let id = {
             let mut state = self.lock();
-            let id = state.plan.enqueue(queued);
-            state.waiting.insert(id, WaitingQuery { step: query.step, permit });
+            let id = state.plan.enqueue(call.queued());
+            state.waiting.insert(id, WaitingQuery { step: call.step, permit });
             state.assign(&self.state);
             id
         };
         let queue_place = QueuePlace { state: Arc::clone(&self.state), id };
         let limit = Duration::from_millis(wait_ms);
-        let permit = match tokio::time::timeout(limit, permit_receiver).await {
-            Ok(permit) => permit.ok(),
-            Err(_) => {
-                count_withdrawn("too late");
-                tracing::info!(
-                    step = %query.step, purpose = %query.purpose, cost_ms = query.cost_ms, wait_ms,
-                    "query withdrawn: no daemon was free for it in time"
-                );
-                None
-            }
-        };
+        let permit = tokio::time::timeout(limit, permit_receiver).await;
+        if permit.is_err() {
+            count_withdrawn("too late");
+            tracing::info!(
+                step = %call.step, purpose = %call.purpose, cost_ms = call.cost_ms, wait_ms,
+                "query withdrawn: no daemon was free for it in time"
+            );
+        }
         drop(queue_place);
-        permit
+        permit.ok()?.ok()
     }
 
     async fn query_peer(
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -26,7 +26,6 @@
 use tokio::task::JoinSet;
 
 use crate::advisor_dispatcher::AdvisorDispatcher;
-use crate::advisor_dispatcher::AdvisorQuery;
 use crate::clock::steady_ms;
 use crate::clock::unix_ms;
 use crate::commit::Fence;
@@ -378,38 +377,13 @@
             Effect::Start(start) => call(WorkerCall::Start(start)),
             Effect::Stop(stop) => call(WorkerCall::Stop(stop)),
             Effect::Pace(pace) => call(WorkerCall::Pace(pace)),
-            Effect::Advise {
-                step,
-                workers,
-                priority,
-                cost_ms,
-                purpose,
-                needed_by_ms,
-                withdraw_after_ms,
-            } => {
+            Effect::Advise(call) => {
                 let advisor_dispatcher = Arc::clone(&self.advisor_dispatcher);
                 let inbox_sender = inbox_sender.clone();
                 tasks.spawn(async move {
-                    let query = AdvisorQuery {
-                        step,
-                        workers: &workers,
-                        priority,
-                        cost_ms,
-                        purpose,
-                        needed_by_ms,
-                        withdraw_after_ms,
-                    };
-                    let granted = advisor_dispatcher.query(query).await;
+                    let granted = advisor_dispatcher.query(&call).await;
                     let received_ms = steady_ms();
-                    let asked = workers;
-                    inbox_sender.notify(Event::Advised {
-                        step,
-                        asked,
-                        cost_ms,
-                        purpose,
-                        granted,
-                        received_ms,
-                    });
+                    inbox_sender.notify(Event::Advised { call, granted, received_ms });
                 });
             }
             Effect::WithdrawAdvice { step } => self.advisor_dispatcher.withdraw(step),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -61,7 +61,6 @@
 
 pub use crate::accept::WriteReply;
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
-pub use crate::advisor_dispatcher::AdvisorQuery;
 pub use crate::announce::announce_delay;
 pub use crate::daemons::DaemonInfo;
 pub use crate::election::Candidate;
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use stoatwell_advice::Purpose;
 use stoatwell_pool::CallError;
 use stoatwell_pool::Event;
 use stoatwell_pool::Pool;
@@ -107,6 +108,7 @@
         silent_workers = counts.silent_workers,
         free_cpu_millis = counts.free_cpu_millis,
         used_cpu_millis = counts.used_cpu_millis,
+        advice_used_percent = (pool.advice_time().used_share() * 100.0) as u64,
         turns = cycle_times.cycles,
         messages = cycle_times.messages,
         requests = cycle_times.requests,
@@ -125,6 +127,7 @@
         metrics::gauge!("stoatwell_customer_cap_cpu_millis", "customer" => customer)
             .set(usage.cap.cpu_millis as f64);
     }
+    publish_advice_time(pool);
     let stalled = pool.tasks_without_wakeup();
     if let Some(first) = stalled.first() {
         tracing::error!(count = stalled.len(), first, "tasks without a pending wake-up");
@@ -143,3 +146,15 @@
     metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
     metrics::gauge!("stoatwell_used_cpu_millis").set(counts.used_cpu_millis as f64);
 }
+
+/// Sets the gauges of the advisor's time under this leader: by purpose what led to a start, and
+/// what did not.
+fn publish_advice_time(pool: &Pool) {
+    let time = pool.advice_time();
+    for purpose in Purpose::ALL {
+        let used_ms = time.used_ms.get(&purpose).copied().unwrap_or(0);
+        metrics::gauge!("stoatwell_advice_ms", "purpose" => purpose.to_string())
+            .set(used_ms as f64);
+    }
+    metrics::gauge!("stoatwell_advice_ms", "purpose" => "unused").set(time.unused_ms() as f64);
+}
--- a/crates/pool/src/advice/pending.rs
+++ b/crates/pool/src/advice/pending.rs
@@ -60,11 +60,16 @@
 }
 
 impl AdviceTime {
+    /// The time that led to no start so far.
+    pub fn unused_ms(&self) -> u64 {
+        let sum = |times: &BTreeMap<Purpose, u64>| times.values().sum::<u64>();
+        sum(&self.total_ms).saturating_sub(sum(&self.used_ms))
+    }
+
     /// The share of the time that led to a start, between 0 and 1; 1 if no time was spent.
     pub fn used_share(&self) -> f64 {
         let total_ms: u64 = self.total_ms.values().sum();
-        let used_ms: u64 = self.used_ms.values().sum();
-        if total_ms == 0 { 1.0 } else { used_ms as f64 / total_ms as f64 }
+        if total_ms == 0 { 1.0 } else { 1.0 - self.unused_ms() as f64 / total_ms as f64 }
     }
 }
 
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -16,6 +16,7 @@
 use stoatwell_model::WorkerId;
 
 use crate::Pool;
+use crate::event::AdviseCall;
 use crate::event::Effect;
 use crate::event::Grant;
 use crate::id::JobId;
@@ -117,7 +118,7 @@
             self.queries += 1;
             self.long_queries += usize::from(cost_ms >= LONG_QUERY_MS);
             self.pending_queries.add(step, priority, cost_ms);
-            self.effects.push(Effect::Advise {
+            self.effects.push(Effect::Advise(AdviseCall {
                 step,
                 workers: chunk.to_vec(),
                 priority,
@@ -125,19 +126,18 @@
                 purpose,
                 needed_by_ms,
                 withdraw_after_ms,
-            });
+            }));
         }
     }
 
     pub(crate) fn on_advised(
         &mut self,
-        step: StepId,
-        queried: &[WorkerId],
-        cost_ms: u64,
-        purpose: Purpose,
+        call: &AdviseCall,
         granted: Option<Vec<Grant>>,
         received_ms: u64,
     ) {
+        let AdviseCall { step, workers: queried, cost_ms, purpose, .. } = call;
+        let (step, cost_ms, purpose) = (*step, *cost_ms, *purpose);
         let now_ms = self.now_ms;
         self.queries = self.queries.saturating_sub(1);
         self.pending_queries.remove(step, cost_ms);
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use stoatwell_advice::Purpose;
+use stoatwell_advice::QueuedQuery;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
@@ -112,16 +113,10 @@
         /// Whether the worker received the new pace.
         reply: Result<(), CallError>,
     },
-    /// A query to the advisor was answered or failed.
+    /// A query to the advisor was answered, failed or was withdrawn.
     Advised {
-        /// The step that the query was about.
-        step: StepId,
-        /// The workers that the query named.
-        asked: Vec<WorkerId>,
-        /// The time that the advisor was expected to take, as in [`Effect::Advise`].
-        cost_ms: u64,
-        /// Why the query was sent, as in [`Effect::Advise`].
-        purpose: Purpose,
+        /// The query.
+        call: AdviseCall,
         /// The workers that may run the step; `None` if the advisor refused or did
         /// not answer.
         granted: Option<Vec<Grant>>,
@@ -336,6 +331,37 @@
     pub ticket: String,
 }
 
+/// A query to the advisor: which of these workers may run a step.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdviseCall {
+    /// The step to be run.
+    pub step: StepId,
+    /// The workers to decide about.
+    pub workers: Vec<WorkerId>,
+    /// The priority of the step's queue; 0 is the most urgent.
+    pub priority: u32,
+    /// The time that the advisor is expected to take.
+    pub cost_ms: u64,
+    /// Why the advisor is queried.
+    pub purpose: Purpose,
+    /// When the step has to start, by the monotonic clock.
+    pub needed_by_ms: u64,
+    /// The query fails if it was not sent in this time.
+    pub withdraw_after_ms: u64,
+}
+
+impl AdviseCall {
+    /// The query as the dispatcher orders it.
+    pub fn queued(&self) -> QueuedQuery {
+        QueuedQuery {
+            priority: self.priority,
+            holds_capacity: self.purpose == Purpose::Renewal,
+            needed_by_ms: self.needed_by_ms,
+            cost_ms: self.cost_ms,
+        }
+    }
+}
+
 /// An output of [`Pool::poll_effects`](crate::Pool::poll_effects).
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
@@ -348,22 +374,7 @@
     /// Set the pace (speed limit) of a run.
     Pace(PaceCall),
     /// Ask the advisor which workers may run a step.
-    Advise {
-        /// The step to be run.
-        step: StepId,
-        /// The workers to decide about.
-        workers: Vec<WorkerId>,
-        /// The priority of the step's queue; 0 is the most urgent.
-        priority: u32,
-        /// The time that the advisor is expected to take.
-        cost_ms: u64,
-        /// Why the advisor is queried.
-        purpose: Purpose,
-        /// When the step has to start, by the monotonic clock.
-        needed_by_ms: u64,
-        /// If the query has not been sent by then, it fails.
-        withdraw_after_ms: u64,
-    },
+    Advise(AdviseCall),
     /// Drop the queries of a step that were not sent yet. Each of them fails.
     WithdrawAdvice {
         /// The step, which has started or ended.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -65,6 +65,7 @@
 pub use crate::dump::PoolDump;
 pub use crate::dump::WorkerDump;
 pub use crate::event::ActiveRun;
+pub use crate::event::AdviseCall;
 pub use crate::event::CallError;
 pub use crate::event::Callee;
 pub use crate::event::CancelSource;
@@ -340,8 +341,8 @@
             Event::Paced { task, run, worker, reply } => {
                 self.on_paced(task, run, &worker, reply);
             }
-            Event::Advised { step, asked, cost_ms, purpose, granted, received_ms } => {
-                self.on_advised(step, &asked, cost_ms, purpose, granted, received_ms);
+            Event::Advised { call, granted, received_ms } => {
+                self.on_advised(&call, granted, received_ms);
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -426,8 +426,7 @@
         let is_fresh = |(_, view_index): &&(u32, usize)| {
             !needs_tickets || self.has_fresh_ticket(step, self.name_of(&cycle.workers[*view_index]))
         };
-        let (mut fresh, mut stale): (Vec<&(u32, usize)>, Vec<&(u32, usize)>) =
-            chosen.iter().partition(is_fresh);
+        let (mut fresh, mut stale): (Vec<_>, Vec<_>) = chosen.iter().partition(is_fresh);
         if gang && !stale.is_empty() {
             // The query names all of them: tickets that are fresh now may be too old when
             // the answer arrives, and a single one keeps a gang from starting.
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -26,6 +26,7 @@
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_pool::Accepted;
+use stoatwell_pool::AdviseCall;
 use stoatwell_pool::CallError;
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
@@ -49,7 +50,6 @@
 use stoatwell_pool::TaskProgress;
 
 pub use self::advisors::Advisors;
-use self::advisors::Query;
 pub use self::faults::Faults;
 pub use self::jobs::job;
 pub use self::jobs::queue;
@@ -594,28 +594,11 @@
                 }
                 Effect::Stop(call) => self.send(Call::Stop(call)),
                 Effect::Pace(call) => self.send(Call::Pace(call)),
-                Effect::Advise {
-                    step,
-                    workers,
-                    priority,
-                    cost_ms,
-                    purpose,
-                    needed_by_ms,
-                    withdraw_after_ms,
-                } => {
-                    self.last_query_workers = workers.len();
-                    let query = Query {
-                        step,
-                        workers,
-                        priority,
-                        cost_ms,
-                        purpose,
-                        needed_by_ms,
-                        withdraw_after_ms,
-                    };
+                Effect::Advise(call) => {
+                    self.last_query_workers = call.workers.len();
                     match &mut self.advisors {
-                        Some(advisors) => advisors.enqueue(query, self.now_ms),
-                        None => self.answer_query(query, true, self.advice_ms),
+                        Some(advisors) => advisors.enqueue(call, self.now_ms),
+                        None => self.answer_query(call, true, self.advice_ms),
                     }
                 }
                 Effect::WithdrawAdvice { step } => {
@@ -643,16 +626,15 @@
 
     /// Gives the scheduler the advisor's answer to a query; the advisor issues the tickets when
     /// it answers.
-    fn answer_query(&mut self, query: Query, is_answered: bool, in_ms: u64) {
-        let Query { step, workers: asked, cost_ms, purpose, .. } = query;
+    fn answer_query(&mut self, call: AdviseCall, is_answered: bool, in_ms: u64) {
         let lost = self.chance(self.faults.lost_advice);
         let received_ms = self.now_ms + in_ms;
         let grant =
             |worker: &WorkerId| Grant { worker: worker.clone(), ticket: received_ms.to_string() };
         let of_five = self.granted_of_five;
-        let granted = asked.iter().filter(|name| is_granted(step, name, of_five));
+        let granted = call.workers.iter().filter(|name| is_granted(call.step, name, of_five));
         let granted = (is_answered && !lost).then(|| granted.map(grant).collect());
-        let event = Event::Advised { step, asked, cost_ms, purpose, granted, received_ms };
+        let event = Event::Advised { call, granted, received_ms };
         self.schedule(in_ms + self.backlog_ms, TimedEvent::Event(self.epoch, event));
     }
 
