Count only steps that need tickets as waiting for the advisor

Steps without an advisor made it count as scarce, and steps whose customer is at its cap counted as ahead of others, although they take no capacity.

--- a/crates/pool/src/advice/pending.rs
+++ b/crates/pool/src/advice/pending.rs
@@ -15,6 +15,7 @@
 use crate::jobs::job::Phase;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::WorkerView;
+use crate::placement::waiting::PlacementBlock;
 use crate::workers::worker::WorkerIndex;
 
 /// A step is near to the front of the queue if the work ahead of it needs at most this share of its
@@ -35,6 +36,8 @@
     /// The first step of each service that is not near to the front of the queue, by whether it is
     /// late and by its place. If there is none, the service has no entry.
     horizons: HashMap<String, (bool, QueueKey)>,
+    /// Number of queued steps that need tickets, at the last sweep.
+    waiting_steps: usize,
     time: AdviceTime,
 }
 
@@ -154,7 +157,8 @@
 
     /// Whether more is waiting than the advisor can answer about at the same time.
     pub(crate) fn is_advisor_scarce(&self) -> bool {
-        self.queries >= self.advisor_daemons || self.queue.len() > self.advisor_daemons
+        self.queries >= self.advisor_daemons
+            || self.pending_queries.waiting_steps > self.advisor_daemons
     }
 
     /// Whether a step is so near to the front of the queue that an answer would be used before
@@ -171,6 +175,15 @@
     /// Finds for each service the first step that is not near to the front of the queue.
     pub(crate) fn update_query_horizons(&mut self) {
         self.pending_queries.horizons.clear();
+        let needs_tickets = |step: &&StepId| {
+            self.jobs.get(&step.job).is_some_and(|job| job.spec.queue.advice.is_some())
+        };
+        let waiting_steps =
+            self.queue.values().take(HORIZON_STEPS_MAX).filter(needs_tickets).count();
+        self.pending_queries.waiting_steps = waiting_steps;
+        if waiting_steps == 0 {
+            return;
+        }
         let mut room: HashMap<&str, Resources> = HashMap::new();
         for worker in self.workers.values() {
             let sum = room.entry(&worker.info.service).or_insert(Resources::ZERO);
@@ -189,7 +202,9 @@
             let Some(step_index) = job.step_index(step) else { continue };
             let service = job.spec.queue.service.as_str();
             let Some(left) = room.get_mut(service) else { continue };
-            if horizons.contains_key(service) {
+            let is_capped =
+                job.step_states[step_index].wait_reason.placement == PlacementBlock::Capped;
+            if is_capped || horizons.contains_key(service) {
                 continue;
             }
             let tasks = job.step_states[step_index].waiting_tasks().count();
--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -132,7 +132,8 @@
         let include_full = is_first_query || !has_enough;
         // A step needs its first answer in any case, and may have it early from an idle daemon.
         let has_idle_daemon = self.query_load(priority).has_idle_daemon();
-        if !(is_first_query && has_idle_daemon || self.is_within_query_horizon(step, key)) {
+        let may_query_early = may_ask_about_any || (is_first_query && has_idle_daemon);
+        if !may_query_early && !self.is_within_query_horizon(step, key) {
             return QueryBlock::BeyondHorizon;
         }
         let free_places = |view: &WorkerView| {
