Let customers of a weight below 0.5 have jobs within it

Cause: the token bucket of a customer holds two seconds of its weight. With a weight below 0.5 it never held a whole token, so none of the customer's jobs counted as within its weight, however few it sent.

Change: the bucket holds at least one token if the weight is above 0.

--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -64,8 +64,16 @@
 
 impl Account {
     fn new(limits: CustomerLimits) -> Self {
-        let tokens = limits.weight * BURST_S;
-        Self { limits, tokens, refilled_unix_ms: 0 }
+        let mut account = Self { limits, tokens: 0.0, refilled_unix_ms: 0 };
+        account.tokens = account.tokens_max();
+        account
+    }
+
+    /// The size of the bucket. A customer with a low weight can save up for one job, or none of
+    /// its jobs would ever be within the weight.
+    fn tokens_max(&self) -> f64 {
+        let weight = self.limits.weight;
+        if weight > 0.0 { (weight * BURST_S).max(1.0) } else { 0.0 }
     }
 }
 
@@ -98,7 +106,7 @@
         let weight = account.limits.weight;
         let elapsed_ms = accepted_unix_ms.saturating_sub(account.refilled_unix_ms);
         let refill = weight * elapsed_ms as f64 / 1_000.0;
-        account.tokens = (account.tokens + refill).min(weight * BURST_S);
+        account.tokens = (account.tokens + refill).min(account.tokens_max());
         account.refilled_unix_ms = account.refilled_unix_ms.max(accepted_unix_ms);
         if account.tokens < 1.0 {
             return false;
@@ -110,7 +118,7 @@
     /// Returns the token of a job that was given up before it was accepted.
     pub fn return_arrival_token(&mut self, id: CustomerId) {
         let account = &mut self.accounts[id.0];
-        account.tokens = (account.tokens + 1.0).min(account.limits.weight * BURST_S);
+        account.tokens = (account.tokens + 1.0).min(account.tokens_max());
     }
 
     pub fn get(&self, id: CustomerId) -> &Account {
