Refuse hopeless work beyond a weight, and order a full pool by shares

Cause: one customer's burst was accepted as a whole. Its batches waited for tens of seconds, work of other customers was late, and the capacity that is kept free for urgent work grew with the flood.

Usage beyond a share does not count for the urgent headroom, and such work leaves room for waiting gangs of others.

--- a/crates/admission/tests/verdicts.rs
+++ b/crates/admission/tests/verdicts.rs
@@ -59,10 +59,7 @@
 }
 
 fn retry_after_s(verdict: Verdict) -> Option<u32> {
-    match verdict {
-        Verdict::Admit => None,
-        Verdict::Refuse(refusal) => Some(refusal.retry_after_s),
-    }
+    if let Verdict::Refuse(refusal) = verdict { Some(refusal.retry_after_s) } else { None }
 }
 
 /// Guards against hopeless work that is taken, and against a refusal whose inputs do not explain
@@ -91,22 +88,16 @@
     assert!(admits(&flooded(), 4_000, &job));
     assert!(admits(&flooded(), 10_000, &Arrival { allowed_ms: 15_000, ..job }));
     assert!(admits(&Sample { free_millis: 520_000, ..flooded() }, 10_000, &job));
+    // Capacity that is kept free for urgent work is room only for that.
+    let headroom = Sample { free_millis: 520_000, headroom_millis: 520_000, ..flooded() };
+    assert!(!admits(&headroom, 10_000, &job));
+    assert!(admits(&headroom, 10_000, &Arrival { priority: 0, ..job }));
     let mut alone = flooded();
     alone.waiting.remove(&(OTHER, BATCH));
     assert!(admits(&alone, 10_000, &job));
     assert_eq!(Admission::default().judge(10_000, &job), Verdict::Admit);
 }
 
-/// Guards against free capacity that is kept for urgent work and counts as room for batches.
-#[test]
-fn headroom_is_no_room_for_less_urgent_work() {
-    let sample = Sample { free_millis: 520_000, headroom_millis: 520_000, ..flooded() };
-    let mut admission = accounts(&sample, 10_000);
-    assert!(retry_after_s(admission.judge(10_000, &arrival(1, FLOODING))).is_some());
-    let urgent = Arrival { priority: 0, ..arrival(2, FLOODING) };
-    assert_eq!(retry_after_s(admission.judge(10_000, &urgent)), None);
-}
-
 /// Guards against callers that all return at the same moment, or out of order, and against one
 /// that is refused again when it returns as it was asked to.
 #[test]
--- a/crates/pool/src/jobs/lifecycle.rs
+++ b/crates/pool/src/jobs/lifecycle.rs
@@ -44,6 +44,7 @@
     }
 
     pub(crate) fn on_customers(&mut self, limits: Vec<CustomerLimits>) {
+        self.shares.set_active(limits.iter().any(|limits| limits.weight > 0.0));
         self.customers.update(limits);
         self.cycle_due = true;
     }
--- a/crates/pool/src/jobs/mod.rs
+++ b/crates/pool/src/jobs/mod.rs
@@ -1,5 +1,6 @@
 //! Jobs: their specification, progress, owners and durations.
 
+pub(crate) mod admission;
 pub(crate) mod cancellation;
 pub(crate) mod customers;
 pub(crate) mod estimates;
--- a/crates/pool/src/jobs/submit.rs
+++ b/crates/pool/src/jobs/submit.rs
@@ -29,7 +29,8 @@
     Taken,
     /// It could not be determined in time whether it is durable.
     Unknown,
-    /// It was not taken, since the scheduler is too far behind to answer in time.
+    /// It was not taken, since the scheduler is too far behind to answer in time, or since the
+    /// job is beyond its customer's weight and would end far too late.
     Overloaded {
         /// When the caller may try again.
         retry_after_s: u32,
@@ -67,6 +68,9 @@
             return Some(Accepted::No);
         }
         let mut job = self.new_job(id, spec);
+        if let Some(retry_after_s) = self.refuse_by_share(&job) {
+            return Some(Accepted::Overloaded { retry_after_s });
+        }
         job.durable = false;
         self.admit(job);
         self.schedule_submission_write(id);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -45,6 +45,7 @@
 use stoatwell_model::ZoneName;
 
 use crate::commit::Commits;
+use crate::jobs::admission::Shares;
 use crate::jobs::cancellation::Cancellations;
 use crate::jobs::customers::Customers;
 use crate::jobs::estimates::Estimates;
@@ -158,6 +159,7 @@
     /// before its job, and a submission that was given up may come back from the store.
     cancellations: Cancellations,
     customers: Customers,
+    shares: Shares,
     workers: BTreeMap<WorkerId, Worker>,
     /// All changes to the list of workers before this time are known.
     workers_as_of_ms: u64,
@@ -229,6 +231,7 @@
             job_index: JobIndex::default(),
             cancellations: Cancellations::default(),
             customers: Customers::default(),
+            shares: Shares::default(),
             workers: BTreeMap::new(),
             workers_as_of_ms: now_ms,
             hold_timers: HoldTimers::default(),
@@ -462,20 +465,22 @@
         self.update_silent_leases();
         self.sweep_runs();
         self.sample_usage();
+        self.sample_shares();
         self.reject_stuck_submissions();
         self.remove_expired_jobs();
         self.report_waiting_steps();
         self.cycle_due = true;
     }
 
-    /// Records how much capacity the tasks of each priority use on each service's workers.
+    /// Records how much capacity the tasks of each priority use on each service's workers. What
+    /// customers use beyond their share counts as nothing: no capacity is kept free for it.
     fn sample_usage(&mut self) {
         let mut used: HashMap<&str, BTreeMap<u32, Resources>> = HashMap::new();
         for worker in self.workers.values() {
             let by_priority = used.entry(&worker.info.service).or_default();
             for allocation in worker.tasks.values() {
                 let sum = by_priority.entry(allocation.priority).or_default();
-                *sum = sum.plus(&allocation.worker_demand);
+                *sum = sum.plus(&self.demand_within_share(&worker.info.service, allocation));
             }
         }
         for (service, by_priority) in used {
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -359,7 +359,8 @@
             return Resources::ZERO;
         };
         let service = &job.spec.queue.service;
-        let urgent = self.estimates.mean_usage(service, 0..1).share(HEADROOM_PERCENT, 100);
+        let urgent =
+            self.urgent_headroom(service).plus(&self.headroom_for_gangs(step, key.priority));
         if self.slack_ms(key, step) < self.expected_task_ms(step) as i64 {
             return urgent;
         }
@@ -367,6 +368,11 @@
         urgent.plus(&between.share(SLACK_HEADROOM_PERCENT, 100))
     }
 
+    /// Capacity of a service that work below the highest priority leaves free.
+    pub(crate) fn urgent_headroom(&self, service: &str) -> Resources {
+        self.estimates.mean_usage(service, 0..1).share(HEADROOM_PERCENT, 100)
+    }
+
     /// How many tasks of the step each worker has; empty if the step sets no limit.
     fn tasks_by_worker(
         &self,
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -2,7 +2,8 @@
 //!
 //! Steps are considered by priority, then by the time after which their job is
 //! late. Steps that are late even if they start now come last, since serving them
-//! first would only make others late too. A gang is placed whole or not at all.
+//! first would only make others late too. In a full pool, customers beyond their share wait
+//! for others; see [`crate::jobs::admission`]. A gang is placed whole or not at all.
 //! While a gang waits, some of the workers that may run it are reserved, or small
 //! tasks would take each bit of capacity as it comes free and the gang would never
 //! start. Work below the highest priority leaves capacity free for urgent work that
@@ -183,6 +184,9 @@
                 in_time.push((*key, *step));
             }
         }
+        if self.shares.is_active() {
+            return self.order_by_share(in_time, late);
+        }
         in_time.append(&mut late);
         in_time
     }
