Check refusals against the store, and count admissions by outcome

Cause: another daemon may have written a job's row for an earlier try of which the leader has not learned. A refusal of the next try would then be untrue.

Change: before a daemon tells a caller that the leader refused its job, it reads the job's row, for at most 100 ms, and answers what is stored. The leader counts submissions by what it decided in stoatwell_admissions_total.

--- a/crates/node/src/gateway/submission.rs
+++ b/crates/node/src/gateway/submission.rs
@@ -10,6 +10,7 @@
 use stoatwell_pool::JobSpec;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 
 use crate::accept::WriteRequest;
@@ -18,18 +19,24 @@
 use crate::gateway::Gateway;
 use crate::gateway::local::LocalReply;
 use crate::gateway::local::call_local;
+use crate::job_rows::read_row;
 use crate::leader_view::LeaderView;
 use crate::leader_view::Route;
 use crate::message::SchedulerRequest;
 use crate::peers::DaemonCall;
 use crate::peers::DaemonReply;
 use crate::platform::Platform;
+use crate::platform::Table;
 
 /// How long a leader that appears healthy may take to make a submission durable before this
 /// daemon writes it itself. With a slow store, two writers of the same row only delay each
 /// other.
 const LEADER_SUBMIT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Limit of the read that checks a refusal; many times the usual duration of a read. A refusal
+/// must not be delayed by a slow store.
+const REFUSAL_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The leader's reply to a submission.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaderReply {
@@ -63,6 +70,7 @@
         let row = encode(spec);
         let answer = self.make_submission_durable(job, row, deadline).await;
         let accepted = self.account_for_earlier_tries(job, answer.accepted);
+        let accepted = self.check_refusal(job, spec, accepted).await;
         let customer = spec.customer.as_ref().map(|customer| customer.name.as_str());
         let epoch = self.leader.borrow().epoch();
         let SubmissionAnswer { leader, local, .. } = answer;
@@ -88,6 +96,23 @@
         accepted
     }
 
+    /// Checks a refusal by the leader against the store. Another daemon may have written the job's
+    /// row for an earlier try, without the leader having learned of it yet.
+    async fn check_refusal(&self, job: JobId, spec: &JobSpec, accepted: Accepted) -> Accepted {
+        if !matches!(accepted, Accepted::Overloaded { .. }) || !self.reaches_store() {
+            return accepted;
+        }
+        let key = job.to_string();
+        let read = timeout(REFUSAL_CHECK_TIMEOUT, self.platform.read(Table::Jobs, &key)).await;
+        let Ok(Ok(Some(row))) = read else { return accepted };
+        let Some((_, stored)) = read_row::<JobSpec>(&row) else { return accepted };
+        let owner = |spec: &JobSpec| spec.customer.as_ref().map(|customer| customer.name.clone());
+        let is_same = owner(&stored) == owner(spec);
+        let accepted = if is_same { Accepted::Yes } else { Accepted::Taken };
+        tracing::info!(%job, ?accepted, "refusal replaced: the store has a row of the job");
+        self.account_for_earlier_tries(job, accepted)
+    }
+
     /// Makes a submission durable, through the leader if possible: the leader places the job
     /// meanwhile and batches many submissions into one write. If the leader does not respond,
     /// this daemon writes the row itself. Both writes are of the same row and conditional on
--- a/crates/node/src/submissions.rs
+++ b/crates/node/src/submissions.rs
@@ -34,7 +34,10 @@
                 return reply(job, caller, Accepted::No);
             }
         };
-        match pool.submit(steady_ms(), unix_ms(), job, Arc::new(spec)) {
+        let result = pool.submit(steady_ms(), unix_ms(), job, Arc::new(spec));
+        metrics::counter!("stoatwell_admissions_total", "outcome" => admission_outcome(result))
+            .increment(1);
+        match result {
             Some(accepted) => reply(job, caller, accepted),
             None => self.waiting.entry(job).or_default().push(caller),
         }
@@ -51,6 +54,16 @@
     }
 }
 
+/// What the pool decided about a submission when it arrived.
+fn admission_outcome(result: Option<Accepted>) -> &'static str {
+    match result {
+        None => "admitted",
+        Some(Accepted::Overloaded { .. }) => "too late",
+        Some(Accepted::Yes) => "known",
+        Some(Accepted::No | Accepted::Taken | Accepted::Unknown) => "not taken",
+    }
+}
+
 fn reply(job: JobId, caller: oneshot::Sender<Accepted>, accepted: Accepted) {
     if caller.send(accepted).is_err() {
         tracing::debug!(%job, ?accepted, "caller disconnected before its submission was resolved");
--- a/crates/node/tests/fake/leader.rs
+++ b/crates/node/tests/fake/leader.rs
@@ -1,4 +1,5 @@
-//! A leader that only answers calls of other daemons, counts them, and takes no submissions.
+//! A leader that only answers calls of other daemons, counts them, and takes no submissions; it
+//! can refuse them as an overloaded one does.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -15,6 +16,7 @@
 use stoatwell_node::Table;
 use stoatwell_node::Transaction;
 use stoatwell_peer::Traffic;
+use stoatwell_pool::Accepted;
 use tokio::net::TcpListener;
 
 use super::FakePlatform;
@@ -24,6 +26,8 @@
 pub struct FakeLeader {
     /// Whether it acknowledges cancellations.
     pub acknowledges: AtomicBool,
+    /// Whether it refuses submissions with a Retry-After of 3 s.
+    pub refuses_submissions: AtomicBool,
     /// The notifications of cancellations that it received.
     pub cancellations: AtomicUsize,
     /// The other calls about jobs that it received.
@@ -71,6 +75,9 @@
                     DaemonReply::NotScheduler
                 }
             }
+            DaemonCall::Submit { .. } if self.refuses_submissions.load(Ordering::Relaxed) => {
+                DaemonReply::Submitted(Accepted::Overloaded { retry_after_s: 3 })
+            }
             DaemonCall::State(_) => {
                 self.other_calls.fetch_add(1, Ordering::Relaxed);
                 DaemonReply::State(None)
--- a/crates/node/tests/refusals.rs
+++ b/crates/node/tests/refusals.rs
@@ -4,10 +4,13 @@
 mod fake;
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use stoatwell_node::Node;
+use stoatwell_node::Platform;
 use stoatwell_node::Table;
+use stoatwell_node::Transaction;
 use stoatwell_pool::Accepted;
 use stoatwell_pool::JobId;
 
@@ -17,6 +20,7 @@
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
+use self::fake::leader::FakeLeader;
 
 /// A leader, and another daemon that forwards submissions to it.
 struct TwoDaemons {
@@ -90,3 +94,23 @@
     let repeated = node.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await;
     assert!(matches!(repeated, Accepted::Yes | Accepted::Unknown), "{repeated:?}");
 }
+
+/// The leader refuses a job. Guards against a daemon that writes the row itself after that, and
+/// against a caller that is told "not run" of a job whose row another daemon has written for an
+/// earlier try.
+#[tokio::test]
+async fn a_refusal_by_the_leader_is_final_unless_the_store_has_the_job() {
+    let store = Arc::new(FakePlatform::default());
+    let leader = FakeLeader::start(&store).await;
+    leader.refuses_submissions.store(true, Ordering::Relaxed);
+    let node = start("b", &store).await;
+    wait_until("a probe of the leader", 3_000, || node.gateway().leader_reaches_store()).await;
+    let refused = node.gateway().submit(JobId(7), &job(), deadline_in(2_000)).await;
+    assert_eq!(refused, Accepted::Overloaded { retry_after_s: 3 });
+    assert!(store.rows(Table::Jobs).is_empty());
+    let row = serde_json::to_vec(&job()).expect("a row");
+    let put = vec![(Table::Jobs, JobId(8).to_string(), row)];
+    store.transact(&Transaction { put, ..Transaction::default() }).await.expect("written");
+    let repeated = node.gateway().submit(JobId(8), &job(), deadline_in(2_000)).await;
+    assert_eq!(repeated, Accepted::Yes);
+}
