--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -69,6 +69,8 @@
     RevisionConflict = 3001, 409, "read the current version, decide again, and send its ETag as If-Match";
     /// the target cannot make that change now
     BadTransition = 3002, 409, "look at the target's state with `stoatwell target list`";
+    /// the manifest has customers with invalid or conflicting values
+    InvalidManifest = 3003, 422, "mend each value that the log line names; the last valid manifest stays in force";
     /// no target can hold one task
     NeverFits = 4001, 422, "lower the task's demand or start a larger target for this owner";
     /// too much work of this entry waits already
