--- a/crates/admission/tests/verdicts.rs
+++ b/crates/admission/tests/verdicts.rs
@@ -111,7 +111,7 @@
     let shares = [CustomerShare { weight: 1.0, cap_millis: 0 }; 2];
     admission.record(early_ms, SERVICE, flooded(), &shares);
     assert!(retry_after_s(admission.judge(early_ms, &arrival(10, FLOODING))).is_some());
-    let due_ms = 10_000 + u64::from(times[0]) * 1_000;
+    let due_ms = early_ms + 4_000;
     assert_eq!(admission.judge(due_ms, &arrival(1, FLOODING)), Verdict::Admit);
 }
 
--- a/crates/node/tests/fake/leader.rs
+++ b/crates/node/tests/fake/leader.rs
@@ -1,5 +1,4 @@
-//! A leader that only answers calls of other daemons, counts them, and takes no submissions; it
-//! can refuse them as an overloaded one does.
+//! A leader that only answers calls of other daemons, counts them, and takes no submissions.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
--- a/crates/pool/tests/admission.rs
+++ b/crates/pool/tests/admission.rs
@@ -37,7 +37,6 @@
     spec: JobSpec,
     tries: u32,
     next_try_ms: Option<u64>,
-    is_refused: bool,
     ended_ms: Option<u64>,
 }
 
@@ -57,7 +56,7 @@
     let mut spec = JobSpec { customer: Some(limits), ..job(queue(priority), vec![step]) };
     spec.accepted_unix_ms = now_ms;
     let next_try_ms = Some(now_ms);
-    Submission { customer, spec, tries: 0, next_try_ms, is_refused: false, ended_ms: None }
+    Submission { customer, spec, tries: 0, next_try_ms, ended_ms: None }
 }
 
 fn name(customer: usize) -> CustomerName {
@@ -69,10 +68,8 @@
 fn simulate(seed: u64, with_weights: bool) -> Vec<Submission> {
     let mut world = World::new(seed, 24, Faults::default());
     world.run(100);
-    for customer in 0..CUSTOMERS {
-        if with_weights {
-            world.set_cap(&name(customer), WEIGHT, CAP);
-        }
+    for customer in (0..CUSTOMERS).filter(|_| with_weights) {
+        world.set_cap(&name(customer), WEIGHT, CAP);
     }
     let mut all: BTreeMap<u64, Submission> = BTreeMap::new();
     for tick in 0..DAY_TICKS {
@@ -94,15 +91,12 @@
             if it.next_try_ms.is_some_and(|try_ms| try_ms <= world.now_ms) {
                 it.tries += 1;
                 world.submit_via_scheduler(*number, it.spec.clone());
-                it.next_try_ms = match world.submission_result(*number) {
-                    Some(Accepted::Overloaded { retry_after_s }) if it.tries < TRIES_MAX => {
-                        Some(world.now_ms + u64::from(retry_after_s) * 1_000)
-                    }
-                    result => {
-                        it.is_refused = matches!(result, Some(Accepted::Overloaded { .. }));
-                        None
-                    }
-                };
+                it.next_try_ms = None;
+                if let Some(Accepted::Overloaded { retry_after_s }) =
+                    world.submission_result(*number)
+                {
+                    it.next_try_ms = Some(world.now_ms + u64::from(retry_after_s) * 1_000);
+                }
             }
             if it.ended_ms.is_none() && world.state(*number) == Some(JobState::Completed) {
                 it.ended_ms = Some(world.now_ms);
@@ -115,7 +109,7 @@
 }
 
 /// Guards against customers within their weight that pay for others beyond theirs, by refusals
-/// or by lateness, and against accepted jobs that never run. Prints the mean value and the share
+/// or by lateness, and against jobs that never run, also after four retries. Prints the mean value and the share
 /// in time without and with weights.
 #[test]
 fn customers_within_their_weight_are_served_beside_floods() {
@@ -138,16 +132,12 @@
             let flooding = summary(day, false, priorities.clone());
             println!("weights {with_weights}, {priorities:?}: {within:.3?} {flooding:.3?}");
         }
-        let is_lost = |it: &&Submission| !it.is_refused && it.ended_ms.is_none();
-        assert_eq!(day.iter().filter(is_lost).count(), 0);
+        assert!(day.iter().all(|it| it.ended_ms.is_some() && it.tries <= TRIES_MAX));
     }
     let [before, after] = &days;
     assert!(before.iter().all(|it| it.tries == 1));
     assert!(after.iter().filter(is_within).all(|it| it.tries == 1));
-    let refusals: u32 = after.iter().map(|it| it.tries - 1).sum();
-    let refused = after.iter().filter(|it| it.is_refused).count();
-    println!("{refusals} refusals, {refused} jobs refused for good");
-    assert!(refusals > 0);
+    assert!(after.iter().any(|it| it.tries > 1), "no job was refused");
     assert!(summary(after, true, 0..1).1 > 0.99);
     assert!(summary(after, true, 0..3).0 > summary(before, true, 0..3).0);
 }
