--- a/crates/admission/tests/verdicts.rs
+++ b/crates/admission/tests/verdicts.rs
@@ -14,6 +14,7 @@
 const FLOODING: CustomerId = CustomerId(0);
 const OTHER: CustomerId = CustomerId(1);
 const BATCH: u32 = 2;
+const SHARES: [CustomerShare; 2] = [CustomerShare { weight: 1.0, cap_millis: 0 }; 2];
 
 fn waiting(cores: u64, seconds: u64) -> Waiting {
     Waiting { work_core_ms: cores * seconds * 1_000, cpu_millis: cores * 1_000 }
@@ -35,10 +36,9 @@
 
 /// The accounts after `for_ms` in which each sample was the same.
 fn accounts(sample: &Sample, for_ms: u64) -> Admission {
-    let shares = [CustomerShare { weight: 1.0, cap_millis: 0 }; 2];
     let mut admission = Admission::default();
     for now_ms in (0..=for_ms).step_by(200) {
-        admission.record(now_ms, SERVICE, sample.clone(), &shares);
+        admission.record(now_ms, SERVICE, sample.clone(), &SHARES);
     }
     admission
 }
@@ -75,8 +75,8 @@
 }
 
 /// Guards against refusals without a reason for one: of a customer within its weight, by a new
-/// leader, of work that may still be in time, of work that has room, and of work that takes
-/// nothing from other customers.
+/// leader, of work that may still be in time, of work that has room (kept free for urgent work or
+/// not), and of work that takes nothing from other customers.
 #[test]
 fn in_doubt_work_is_admitted() {
     let admits = |sample: &Sample, for_ms: u64, arrival: &Arrival<'_>| {
@@ -88,7 +88,6 @@
     assert!(admits(&flooded(), 4_000, &job));
     assert!(admits(&flooded(), 10_000, &Arrival { allowed_ms: 15_000, ..job }));
     assert!(admits(&Sample { free_millis: 520_000, ..flooded() }, 10_000, &job));
-    // Capacity that is kept free for urgent work is room only for that.
     let headroom = Sample { free_millis: 520_000, headroom_millis: 520_000, ..flooded() };
     assert!(!admits(&headroom, 10_000, &job));
     assert!(admits(&headroom, 10_000, &Arrival { priority: 0, ..job }));
@@ -108,15 +107,12 @@
         .collect();
     assert!(times.len() == 10 && times.is_sorted() && times[0] < times[9], "{times:?}");
     let early_ms = 10_000 + u64::from(times[0] - 4) * 1_000;
-    let shares = [CustomerShare { weight: 1.0, cap_millis: 0 }; 2];
-    admission.record(early_ms, SERVICE, flooded(), &shares);
+    admission.record(early_ms, SERVICE, flooded(), &SHARES);
     assert!(retry_after_s(admission.judge(early_ms, &arrival(10, FLOODING))).is_some());
-    let due_ms = early_ms + 4_000;
-    assert_eq!(admission.judge(due_ms, &arrival(1, FLOODING)), Verdict::Admit);
+    assert_eq!(admission.judge(early_ms + 4_000, &arrival(1, FLOODING)), Verdict::Admit);
 }
 
-/// Guards against an order that changes across priorities for urgent work within the share, for
-/// others, or in a pool that is not full.
+/// Guards against work within a share, or in a pool that is not full, that has to wait.
 #[test]
 fn only_work_beyond_a_share_of_a_full_pool_waits() {
     let mut sample = flooded();
--- a/crates/pool/tests/admission.rs
+++ b/crates/pool/tests/admission.rs
@@ -1,5 +1,4 @@
-//! Twenty customers of equal weight, two of which send many times their usual number of jobs for
-//! a while, one of them with twice the batches.
+//! Twenty customers of equal weight, two of which flood, one of them with twice the batches.
 
 mod world;
 
@@ -50,13 +49,14 @@
 
 fn submission(customer: usize, priority: u32, now_ms: u64) -> Submission {
     let limits = CustomerLimits { name: name(customer), weight: WEIGHT, cap: CAP };
-    let work = [step(1, 2_500, 850), step(6, 2_000, 1_500), step(5, 1_700, 1_900)];
-    let mut step = work[priority as usize].clone();
-    step.gang = priority == 1;
-    let mut spec = JobSpec { customer: Some(limits), ..job(queue(priority), vec![step]) };
+    let mut steps = [step(1, 2_500, 850), step(6, 2_000, 1_500), step(5, 1_700, 1_900)];
+    steps[1].gang = true;
+    let mut spec = JobSpec {
+        customer: Some(limits),
+        ..job(queue(priority), vec![steps[priority as usize].clone()])
+    };
     spec.accepted_unix_ms = now_ms;
-    let next_try_ms = Some(now_ms);
-    Submission { customer, spec, tries: 0, next_try_ms, ended_ms: None }
+    Submission { customer, spec, tries: 0, next_try_ms: Some(now_ms), ended_ms: None }
 }
 
 fn name(customer: usize) -> CustomerName {
