--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -26,6 +26,7 @@
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
+use crate::placement::work::CycleWork;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
@@ -63,6 +64,8 @@
             return;
         }
         let mut cycle = self.begin_cycle();
+        self.cycle_work.cycles += 1;
+        self.cycle_work.steps_visited += self.queue.len().min(STEPS_PER_CYCLE) as u64;
         let reserved_max = cycle.workers.len() * RESERVED_PERCENT / 100;
         let may_reserve = |reserved: usize| {
             if reserved == 0 { usize::MAX } else { reserved_max.saturating_sub(reserved) }
@@ -112,6 +115,7 @@
                 }
                 continue;
             }
+            self.cycle_work.attempts += 1;
             let attempt = self.place_step(step, step_index, key, &mut cycle);
             self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
             match attempt {
@@ -139,13 +143,18 @@
                     let urgent = key.priority == 0;
                     let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
                     self.back_off(step, step_index, base_ms);
-                    let mut workers = cycle.workers.iter().filter(|view| view.service == service);
-                    if !workers.any(|view| view.free.holds(&demand)) {
+                    if !cycle.has_room(service, &demand) {
                         infeasible_demands.push((service, demand));
                     }
                 }
             }
         }
+        self.cycle = cycle;
+    }
+
+    /// The work of all scheduling cycles so far.
+    pub fn cycle_work(&self) -> CycleWork {
+        CycleWork { pairs: self.pair_count.get(), ..self.cycle_work }
     }
 
     /// The number of pairs of a step and a worker that the next scheduling cycle may compare.
@@ -373,6 +382,7 @@
 
     /// Whether a worker belongs to the service and has the label that the step requires.
     pub(crate) fn is_eligible(&self, service: usize, spec: &StepSpec, view: &WorkerView) -> bool {
+        self.pair_count.add_one();
         let has_label = |label| {
             let worker = self.worker_at(view.worker_index);
             worker.is_some_and(|worker| worker.info.labels.contains(label))
