--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -70,6 +70,7 @@
 pub use crate::dump::PoolDump;
 pub use crate::dump::WorkerDump;
 pub use crate::event::ActiveRun;
+pub use crate::event::AdviseCall;
 pub use crate::event::CallError;
 pub use crate::event::Callee;
 pub use crate::event::CancelSource;
@@ -369,8 +370,9 @@
             Event::Paced { task, run, worker, reply } => {
                 self.on_paced(task, run, &worker, reply);
             }
-            Event::Advised { step, asked, cost_ms, purpose, granted, received_ms } => {
-                self.on_advised(step, &asked, cost_ms, purpose, granted, received_ms);
+            Event::Advised { call, granted, received_ms } => {
+                let step = call.step;
+                self.on_advised(&call, granted, received_ms);
                 self.due_steps.wake(step);
             }
             Event::Customers { limits } => self.on_customers(limits),
