--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -9,6 +9,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the simulation")]
 
 mod advisors;
+mod charge;
 mod checks;
 mod faults;
 mod jobs;
@@ -52,6 +53,8 @@
 use stoatwell_pool::TaskProgress;
 
 pub use self::advisors::Advisors;
+pub use self::charge::Charge;
+use self::charge::LeaderTime;
 pub use self::faults::Faults;
 pub use self::jobs::job;
 pub use self::jobs::queue;
@@ -128,6 +131,9 @@
     acknowledged_done: BTreeSet<TaskId>,
     timeline: BTreeMap<(u64, u64), TimedEvent>,
     last_sequence: u64,
+    /// The time that the scheduler's work takes; `None` if it takes none.
+    pub charge: Option<Charge>,
+    leader_time: LeaderTime,
 }
 
 enum TimedEvent {
@@ -181,6 +187,8 @@
             acknowledged_done: BTreeSet::new(),
             timeline: BTreeMap::new(),
             last_sequence: 0,
+            charge: None,
+            leader_time: LeaderTime::default(),
         };
         for number in 0..workers {
             let name = WorkerId::new(format!("w{number:02}"));
@@ -215,7 +223,7 @@
     pub fn submit(&mut self, id: u64, spec: JobSpec) {
         let (job, spec) = (JobId(id), Arc::new(spec));
         self.jobs.insert(job, Arc::clone(&spec));
-        self.notify(Event::Accepted { job, spec });
+        self.receive(Event::Accepted { job, spec });
     }
 
     /// Submits a job through the scheduler, which has to make it durable.
@@ -336,7 +344,10 @@
             for (query, is_answered) in ended {
                 self.answer_query(query, is_answered, 0);
             }
-            self.apply_effects();
+            if !self.is_leader_busy() {
+                self.handle_inbox();
+                self.apply_effects();
+            }
             let generation = self.pool.silent_leases().generation;
             if self.now_ms.is_multiple_of(RENEW_INTERVAL_MS)
                 || generation != self.renewed_generation
@@ -385,6 +396,7 @@
             self.notify(cancelled(job, CancelSource::WholeRead));
         }
         self.list_all();
+        self.charge_restore();
     }
 
     /// Crashes a worker, which loses its state and is listed as a new incarnation after 1.5 s.
@@ -487,7 +499,7 @@
 
     fn process(&mut self, item: TimedEvent) {
         match item {
-            TimedEvent::Event(epoch, event) if epoch == self.epoch => self.notify(event),
+            TimedEvent::Event(epoch, event) if epoch == self.epoch => self.receive(event),
             TimedEvent::Event(..) => {}
             TimedEvent::Reachable(name) => {
                 if let Some(worker) = self.workers.get_mut(&name) {
@@ -597,6 +609,7 @@
         let began = Instant::now();
         let effects = self.pool.poll_effects(self.now_ms, self.now_ms);
         self.deciding += began.elapsed();
+        self.charge_cycle(effects.len());
         for effect in effects {
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
@@ -683,12 +696,13 @@
             self.progress.remove(&job);
             self.jobs.remove(&job);
         }
+        write_ms += self.leader_remaining_ms();
         let event = Event::Committed { batch, partition: write.partition, sent_ms: self.now_ms };
         self.schedule(write_ms, TimedEvent::Event(self.epoch, event));
     }
 
     fn send(&mut self, call: Call) {
-        let delay_ms = self.rng.random_range(1..15);
+        let delay_ms = self.rng.random_range(1..15) + self.leader_remaining_ms();
         let epoch = self.epoch;
         let incarnation = self.workers.get(call.worker()).map_or(0, |worker| worker.incarnation);
         if self.chance(self.faults.lost_calls) {
