--- a/crates/pool/src/jobs/admission.rs
+++ b/crates/pool/src/jobs/admission.rs
@@ -7,7 +7,7 @@
 //! - steps that were passed over for a long time, within a part of the capacity;
 //! - steps in time of customers within their share, or without a customer;
 //! - steps in time of customers beyond their share;
-//! - late steps, those first whose jobs need the least work to end.
+//! - late steps, those of customers within their share first.
 //!
 //! Inside each, the order of [`QueueKey`](crate::QueueKey) holds.
 //!
@@ -274,16 +274,12 @@
         late: Vec<(QueueKey, StepId)>,
     ) -> Vec<(QueueKey, StepId)> {
         let mut ranked = Vec::with_capacity(in_time.len() + late.len());
-        for (key, step) in in_time {
-            let is_passed_over = self.shares.promoted.contains(&step);
-            let is_beyond = self.is_beyond_share(step, key.priority);
-            ranked.push(((!is_passed_over, false, is_beyond, 0), key, step));
-        }
-        for (key, step) in late {
-            let is_passed_over = self.shares.promoted.contains(&step);
-            let is_beyond = self.is_beyond_share(step, key.priority);
-            let work_class = self.jobs.get(&step.job).map_or(0, |job| self.work_class(job));
-            ranked.push(((!is_passed_over, true, is_beyond, work_class), key, step));
+        for (steps, is_late) in [(in_time, false), (late, true)] {
+            for (key, step) in steps {
+                let is_passed_over = self.shares.promoted.contains(&step);
+                let is_beyond = self.is_beyond_share(step, key.priority);
+                ranked.push(((!is_passed_over, is_late, is_beyond), key, step));
+            }
         }
         ranked.sort_unstable();
         ranked.into_iter().map(|(_, key, step)| (key, step)).collect()
@@ -319,22 +315,6 @@
         job.customer.is_some_and(is_beyond)
     }
 
-    /// The order of magnitude, to the base of 2, of the work that a late job needs to end. All
-    /// late jobs are worth the same part of their value, so those that need less gain more for
-    /// the same capacity. `0` while the service is not full.
-    fn work_class(&self, job: &Job) -> u32 {
-        if !self.shares.admission.is_full(&job.spec.queue.service) {
-            return 0;
-        }
-        let mut core_ms = 0;
-        for (step_index, step_state) in job.step_states.iter().enumerate() {
-            let cpu_millis = job.step_spec(step_index).worker_demand().cpu_millis;
-            let each_core_ms = cpu_millis * self.expected_task_ms(step_state.id) / 1_000;
-            core_ms += each_core_ms * u64::from(step_state.remaining_tasks);
-        }
-        u64::BITS - core_ms.leading_zeros()
-    }
-
     /// The tasks of a step that wait for a worker.
     fn waiting_work(&self, job: &Job, step_index: usize) -> Waiting {
         let step_state = &job.step_states[step_index];
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -148,7 +148,7 @@
                     reserved += self.reserve_workers(
                         step,
                         step_index,
-                        key.priority,
+                        key,
                         &mut cycle,
                         may_reserve(reserved),
                     );
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -14,6 +14,7 @@
 use stoatwell_model::Resources;
 
 use crate::Pool;
+use crate::QueueKey;
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::placement::candidates::Cycle;
@@ -24,7 +25,9 @@
 
 /// Size of a gang below which it needs no reservation, in percent of the places that the
 /// eligible workers have when they are empty. Fewer places than that come free at one moment
-/// soon enough anyway.
+/// soon enough anyway, unless an advisor keeps the gang to a part of the workers: other steps
+/// renew their tickets for capacity as soon as it comes free. Such a gang reserves while its job
+/// can still be in time, since the capacity is idle only briefly compared with its own work.
 const RESERVATION_MIN_PERCENT: u64 = 30;
 /// How long a choice of workers is kept. Choosing anew goes through all tasks on all
 /// workers that the gang may use.
@@ -40,14 +43,16 @@
         &mut self,
         step: StepId,
         step_index: usize,
-        priority: u32,
+        key: QueueKey,
         cycle: &mut Cycle,
         workers_max: usize,
     ) -> usize {
         if workers_max == 0 {
             return 0;
         }
+        let priority = key.priority;
         let now_ms = self.now_ms;
+        let is_in_time = self.slack_ms(key, step) >= 0;
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         if now_ms < job.step_states[step_index].reserved_ms + RESERVATION_REFRESH_MS {
             return self.renew_reservation(step, step_index, priority, cycle, workers_max);
@@ -62,7 +67,8 @@
             places_in(&cycle.workers[worker.view_index].capacity, &demand)
         };
         let total_places: u64 = eligible.iter().map(places_when_empty).sum();
-        if tasks as u64 * 100 < total_places * RESERVATION_MIN_PERCENT {
+        let is_small = tasks as u64 * 100 < total_places * RESERVATION_MIN_PERCENT;
+        if is_small && !(is_in_time && job.spec.queue.advice.is_some()) {
             return 0;
         }
         for worker in eligible {
