--- a/review/standin/cell.rs
+++ b/review/standin/cell.rs
@@ -8,6 +8,8 @@
 use std::process::Command;
 use std::process::Stdio;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU16;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -111,7 +113,7 @@
             ("zone", text(ZONES[number % ZONES.len()])),
             ("callers", text(callers.to_string())),
             ("ready", text(ready.to_string())),
-            ("inner_port", num(u64::from(two_free_ports()))),
+            ("inner_port", num(u64::from(free_ports()))),
             ("store", text(store.to_string())),
             ("advisor", Json::Null),
             ("core_share", Json::Num(0.25)),
@@ -239,16 +241,21 @@
     ])
 }
 
+/// A free port below those that outgoing connections get, so that none of these takes it before
+/// the daemon listens.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("bound")
+    SocketAddr::from(([127, 0, 0, 1], free_ports()))
 }
 
 /// The first of two neighbouring ports that are both free.
-fn two_free_ports() -> u16 {
+fn free_ports() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let offset = (std::process::id() % 600) as u16 * 30;
     loop {
-        let port = free_address().port();
-        if port < u16::MAX && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
+        let step = NEXT.fetch_add(2, Ordering::Relaxed);
+        let port = 12_000 + (offset + step) % 18_000;
+        let is_free = |port: u16| TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if is_free(port) && is_free(port + 1) {
             return port;
         }
     }
