Review: the folders of review/ are the cases alone

The stand-ins that the cases share, and what showed once, lie in review/ itself. The stand-in builds as before; nothing that it does has changed.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2021 -O -o target/review/standin review/standin.rs
