Review, case 2: a gang that no longer fits keeps an idle service from all other work

Seen: 20 accepted jobs never begin, with 0 per cent of the processors in use (LOST). Order of events: one of eight minions is lost for good; a gang comes that needs all eight; `reserve_workers` reserves all that are left, as they have fewer places than the gang has tasks; work of its priority or below may not use them, also once all are late.

--- a/review/standin.rs
+++ b/review/standin.rs
@@ -7,6 +7,7 @@
 mod cell;
 #[path = "1/play.rs"]
 mod ends;
+#[path = "2/play.rs"]
 mod gang;
 mod http;
 mod json;
