--- a/review/standin.rs
+++ b/review/standin.rs
@@ -11,6 +11,7 @@
 mod gang;
 mod http;
 mod json;
+#[path = "3/play.rs"]
 mod lasting;
 mod minion;
 mod rowsize;
