Pool: a gang that cannot start reserves nothing

Cause: `reserve_workers` reserves the workers with the places that come free first, and never asks whether all places together are enough. Work of the same or a lower priority may use a reserved worker only if it ends before the gang could start, which on idle workers is now. Nothing ended this: the reservation was chosen again every 300 ms.

Now a gang reserves workers only if its tasks fit once all tasks but the long-running ones have ended, and no member is on a worker that does not answer. That is determined again every 300 ms, so a gang that fits again reserves again. A reservation whose places have all been free for 2.5 s is suspended for 5 s, whatever the gang waits for. The wait reason of a gang that does not fit is "the open workers are too few for the gang", and a line of the log tells when its reservation begins and ends. The cycle keeps what long-running tasks take, so that a reservation costs no further look at tasks.

In the simulation a long-running task now reports 100% from its start on, as workers do.

--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -108,7 +108,7 @@
                 open: worker.is_open(self.now_ms),
                 draining: worker.info.draining,
                 tasks: worker.tasks.len(),
-                used: worker.used,
+                used: worker.used.total,
                 capacity: worker.info.capacity,
                 silent_calls: worker.unanswered_calls,
             });
@@ -207,7 +207,7 @@
             counts.open_workers += usize::from(worker.is_open(self.now_ms));
             counts.silent_workers += usize::from(worker.unanswered_calls > 0);
             counts.free_cpu_millis += worker.free().cpu_millis;
-            counts.used_cpu_millis += worker.used.cpu_millis;
+            counts.used_cpu_millis += worker.used.total.cpu_millis;
         }
         counts
     }
--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -161,14 +161,19 @@
 
     /// Reserves what a waiting gang needs of its customer's cap against later work of the
     /// same customer, which would otherwise take each bit of the cap as it comes free.
+    ///
+    /// Nothing is reserved for a gang that could not start even then, which would be for ever.
     pub(crate) fn reserve_cap(&self, step: StepId, step_index: usize, cycle: &mut Cycle) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(customer) = job.customer else { return };
+        if !job.step_states[step_index].can_start_later {
+            return;
+        }
         let demand =
             job.step_spec(step_index).demand.times(job.step_states[step_index].tasks.len() as u64);
+        let long_running = cycle.usage[customer.0].long_running;
         let used = &mut cycle.customers[customer.0];
-        // A gang that exceeds the whole cap would reserve all of it for ever.
-        if remaining(&self.customers.get(customer).limits.cap, &Resources::ZERO).holds(&demand) {
+        if remaining(&self.customers.get(customer).limits.cap, &long_running).holds(&demand) {
             *used = used.plus(&demand);
         }
     }
@@ -178,7 +183,7 @@
         let mut used = vec![Resources::ZERO; self.customers.len()];
         for worker in self.workers.values() {
             for (id, worker_usage) in &worker.by_customer {
-                used[id.0] = used[id.0].plus(worker_usage);
+                used[id.0] = used[id.0].plus(&worker_usage.total);
             }
         }
         used
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -174,6 +174,14 @@
     pub reserved_ms: u64,
     /// When the reserved workers are expected to have free capacity for all tasks of the gang.
     pub reserved_until_ms: u64,
+    /// Since when all places that are reserved for the gang are free; `None` if some are not.
+    pub reserved_idle_since_ms: Option<u64>,
+    /// Until when nothing is reserved for the gang.
+    pub suspended_until_ms: u64,
+    /// Whether the gang can start once the tasks on the workers have ended, as far as is known.
+    pub can_start_later: bool,
+    /// When that was determined.
+    pub can_start_later_ms: u64,
 }
 
 /// A job and the state of its steps.
@@ -331,6 +339,7 @@
             demand: step.demand,
             customer: self.customer,
             priority: self.spec.queue.priority,
+            is_long_running: step.long_running,
         }
     }
 
@@ -387,6 +396,10 @@
             reserved: Vec::new(),
             reserved_ms: 0,
             reserved_until_ms: 0,
+            reserved_idle_since_ms: None,
+            suspended_until_ms: 0,
+            can_start_later: true,
+            can_start_later_ms: 0,
         }
     }
 
--- a/crates/pool/src/jobs/spec.rs
+++ b/crates/pool/src/jobs/spec.rs
@@ -218,6 +218,11 @@
         }
         self.demand
     }
+
+    /// How many tasks one worker may have that has this many places for them.
+    pub fn max_on_worker(&self, places: u64) -> u64 {
+        if self.per_worker_max == 0 { places } else { places.min(self.per_worker_max.into()) }
+    }
 }
 
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "the signature that serde asks for")]
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -13,6 +13,7 @@
 use crate::placement::cycle_state::CountedWorker;
 use crate::placement::rooms::Rooms;
 use crate::placement::rooms::WorkerSet;
+use crate::workers::worker::Usage;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
@@ -42,7 +43,7 @@
     /// [`CustomerId`](crate::jobs::customers::CustomerId).
     pub customers: Vec<Resources>,
     /// What each customer uses on all workers, as of the start of the cycle.
-    pub usage: Vec<Resources>,
+    pub usage: Vec<Usage>,
     /// What the sums contain of each worker, by [`WorkerIndex`].
     pub counted: Vec<CountedWorker>,
     /// The workers with room for each demand that waits.
@@ -91,6 +92,8 @@
     pub has_recent_failures: bool,
     pub free: Resources,
     pub capacity: Resources,
+    /// What long-running tasks take of it.
+    pub long_running: Resources,
     /// The waiting gang that the worker is reserved for. While it is reserved, the worker
     /// takes no other work except work of higher priority, and work that ends before the
     /// gang could start. Otherwise smaller gangs of the same priority would overtake a large
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -14,6 +14,7 @@
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::Service;
 use crate::placement::candidates::WorkerView;
+use crate::workers::worker::Usage;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
 
@@ -26,7 +27,7 @@
     service: Option<usize>,
     is_open: bool,
     is_quarantined: bool,
-    by_customer: BTreeMap<CustomerId, Resources>,
+    by_customer: BTreeMap<CustomerId, Usage>,
 }
 
 impl Cycle {
@@ -85,7 +86,7 @@
         counted.by_customer = worker.map(|worker| worker.by_customer.clone()).unwrap_or_default();
         for (id, used) in &counted.by_customer {
             if id.0 >= self.usage.len() {
-                self.usage.resize(id.0 + 1, Resources::ZERO);
+                self.usage.resize(id.0 + 1, Usage::default());
             }
             self.usage[id.0] = self.usage[id.0].plus(used);
         }
@@ -116,6 +117,7 @@
             has_recent_failures: worker.has_recent_failures(),
             free: worker.free(),
             capacity: worker.info.capacity,
+            long_running: worker.used.long_running,
             reserved_for: None,
         };
         let (free, capacity) = (view.free, view.capacity);
@@ -214,8 +216,9 @@
             }
         }
         cycle.sort_views(&self.worker_names);
-        cycle.usage.resize(self.customers.len(), Resources::ZERO);
-        cycle.customers.clone_from(&cycle.usage);
+        cycle.usage.resize(self.customers.len(), Usage::default());
+        cycle.customers.clear();
+        cycle.customers.extend(cycle.usage.iter().map(|usage| usage.total));
         cycle
     }
 
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -98,13 +98,8 @@
             };
             let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
             if gang && in_backoff {
-                reserved += self.renew_reservation(
-                    step,
-                    step_index,
-                    key.priority,
-                    &mut cycle,
-                    may_reserve(reserved),
-                );
+                let workers_max = may_reserve(reserved);
+                reserved += self.renew_reservation(step, step_index, key, &mut cycle, workers_max);
             }
             // If no worker of the service could fit a demand earlier in this cycle, none
             // can fit it or a larger one now.
@@ -139,18 +134,18 @@
                     self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
                     self.back_off(step, step_index, RETRY_BACKOFF_MS);
                     self.drop_reservation(step, step_index);
+                    if gang {
+                        self.update_can_start_later(step, step_index, key, &cycle);
+                    }
                     self.reserve_cap(step, step_index, &mut cycle);
                 }
                 Attempt::Waits(reason) if gang => {
                     self.set_wait_reason(step, reason);
                     self.back_off(step, step_index, self.gang_backoff_ms());
-                    reserved += self.reserve_workers(
-                        step,
-                        step_index,
-                        key.priority,
-                        &mut cycle,
-                        may_reserve(reserved),
-                    );
+                    self.update_can_start_later(step, step_index, key, &cycle);
+                    let workers_max = may_reserve(reserved);
+                    reserved +=
+                        self.reserve_workers(step, step_index, key, &mut cycle, workers_max);
                 }
                 Attempt::Waits(reason) => {
                     self.set_wait_reason(step, reason);
--- a/crates/pool/src/placement/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -29,6 +29,8 @@
     DemandInfeasible,
     /// members of the gang are still on workers
     GangIncomplete,
+    /// the open workers are too few for the gang
+    TooFewWorkers,
     /// the customer's cap leaves no capacity
     Capped,
     /// no open worker may run the step
@@ -80,6 +82,12 @@
 }
 
 impl Pool {
+    pub(crate) fn set_placement_block(&mut self, step: StepId, placement: PlacementBlock) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(step_index) = job.step_index(step) else { return };
+        job.step_states[step_index].wait_reason.placement = placement;
+    }
+
     pub(crate) fn set_wait_reason(&mut self, step: StepId, reason: WaitReason) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let Some(step_index) = job.step_index(step) else { return };
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -47,6 +47,39 @@
     pub customer: Option<CustomerId>,
     /// The priority of the task's queue.
     pub priority: u32,
+    /// Whether the run ends only when its job is cancelled.
+    pub is_long_running: bool,
+}
+
+/// Resources in use.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Usage {
+    pub total: Resources,
+    /// The part that long-running tasks take.
+    pub long_running: Resources,
+}
+
+impl Usage {
+    fn add(&mut self, demand: &Resources, is_long_running: bool) {
+        self.total = self.total.plus(demand);
+        if is_long_running {
+            self.long_running = self.long_running.plus(demand);
+        }
+    }
+
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            total: self.total.plus(&other.total),
+            long_running: self.long_running.plus(&other.long_running),
+        }
+    }
+
+    pub fn minus(&self, other: &Self) -> Self {
+        Self {
+            total: self.total.minus(&other.total),
+            long_running: self.long_running.minus(&other.long_running),
+        }
+    }
 }
 
 /// A worker.
@@ -91,9 +124,9 @@
     pub tasks: BTreeMap<TaskId, Allocation>,
     /// The resources of runs that the worker reported and the scheduler does not want.
     pub unwanted_allocations: Vec<Allocation>,
-    pub used: Resources,
+    pub used: Usage,
     /// What the runs of each customer count towards its cap.
-    pub by_customer: BTreeMap<CustomerId, Resources>,
+    pub by_customer: BTreeMap<CustomerId, Usage>,
     /// Failed or stalled runs since the last successful one; see [`Self::record_failure`].
     pub failures: u32,
     /// Quarantines since the last successful run.
@@ -142,7 +175,7 @@
             forgotten_end: 0,
             tasks: BTreeMap::new(),
             unwanted_allocations: Vec::new(),
-            used: Resources::ZERO,
+            used: Usage::default(),
             by_customer: BTreeMap::new(),
             failures: 0,
             quarantines: 0,
@@ -214,15 +247,15 @@
     }
 
     pub fn free(&self) -> Resources {
-        self.info.capacity.minus(&self.used)
+        self.info.capacity.minus(&self.used.total)
     }
 
     pub fn allocate(&mut self, task: TaskId, allocation: Allocation) {
         self.tasks.insert(task, allocation);
-        self.used = self.used.plus(&allocation.worker_demand);
+        self.used.add(&allocation.worker_demand, allocation.is_long_running);
         if let Some(customer) = allocation.customer {
             let sum = self.by_customer.entry(customer).or_default();
-            *sum = sum.plus(&allocation.demand);
+            sum.add(&allocation.demand, allocation.is_long_running);
         }
     }
 
@@ -234,13 +267,13 @@
 
     /// Sums up all allocations again.
     pub fn recompute_usage(&mut self) {
-        let mut used = Resources::ZERO;
-        let mut by_customer: BTreeMap<CustomerId, Resources> = BTreeMap::new();
+        let mut used = Usage::default();
+        let mut by_customer: BTreeMap<CustomerId, Usage> = BTreeMap::new();
         for allocation in self.tasks.values().chain(&self.unwanted_allocations) {
-            used = used.plus(&allocation.worker_demand);
+            used.add(&allocation.worker_demand, allocation.is_long_running);
             if let Some(customer) = allocation.customer {
                 let sum = by_customer.entry(customer).or_default();
-                *sum = sum.plus(&allocation.demand);
+                sum.add(&allocation.demand, allocation.is_long_running);
             }
         }
         self.used = used;
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -57,6 +57,7 @@
     gang: Option<u32>,
     worked_ms: u64,
     best_effort: bool,
+    long_running: bool,
     checkpoints: bool,
     /// In percent.
     pace: u64,
@@ -101,6 +102,11 @@
 }
 
 impl Run {
+    /// The progress in percent. A long-running task is at 100 from its start on.
+    fn percent(&self) -> u64 {
+        if self.long_running { 100 } else { self.worked_ms * 100 / self.duration_ms.max(1) }
+    }
+
     /// The saved checkpoint: the work done, rounded down to full 100 ms; empty if the step
     /// saves none.
     fn checkpoint(&self) -> String {
@@ -287,7 +293,7 @@
             task: *task,
             run: *run,
             checkpoint: running.checkpoint(),
-            percent: (running.worked_ms * 100 / running.duration_ms.max(1)) as u32,
+            percent: running.percent() as u32,
             load: if running.best_effort {
                 0
             } else {
@@ -343,6 +349,7 @@
             gang,
             worked_ms: call.checkpoint.parse().unwrap_or(0),
             best_effort: step.fills,
+            long_running: step.long_running,
             checkpoints: step.checkpoints,
             pace: 100,
             stop_due_ms: None,
@@ -352,8 +359,7 @@
 
     /// The progress of the most advanced run, in percent.
     pub fn furthest_percent(&self) -> u64 {
-        let percent = |run: &Run| run.worked_ms * 100 / run.duration_ms.max(1);
-        self.active.values().map(percent).max().unwrap_or(0)
+        self.active.values().map(Run::percent).max().unwrap_or(0)
     }
 
     /// The sum of the paces of the best-effort runs, in percent of one run at full pace.
