Pool: the end of a reservation does not move on

Cause: work that is expected to end before the last place of the gang comes free may use its reserved workers. That time was estimated anew every 300 ms, also from the tasks that had come in this way. Tasks that run longer than expected moved it on, and let others follow.

Now a reservation keeps the earliest end that it had. It is estimated anew only two seconds after it has passed, when it was wrong for another reason, such as the loss of a reserved worker. The test fails before and passes after.

--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -39,6 +39,8 @@
 /// How long a choice of workers is kept. Choosing anew goes through all tasks on all
 /// workers that the gang may use.
 const RESERVATION_REFRESH_MS: u64 = 300;
+/// How long the end of a reservation is kept after it has passed.
+const RESERVATION_OVERDUE_MAX_MS: u64 = 2_000;
 /// How long all reserved places may be free before the reservation is suspended.
 const IDLE_RESERVATION_MAX_MS: u64 = 2_500;
 /// How long a reservation is suspended. Other work takes the places meanwhile.
@@ -103,7 +105,7 @@
             self.drop_reservation(step, step_index);
             return 0;
         }
-        let until_ms = now_ms + wait_ms;
+        let until_ms = self.reservation_end_ms(step, step_index, now_ms + wait_ms);
         let mut chosen_workers: Vec<WorkerIndex> = Vec::new();
         for (_, view_index) in places {
             if cycle.workers[view_index].reserved_for.is_some_and(|reserved| reserved.step == step)
@@ -125,6 +127,21 @@
         reserved
     }
 
+    /// Until when other work may use the capacity that is reserved for a gang, given when the last
+    /// of its places is expected to be free now.
+    ///
+    /// It does not move on with that time. Short tasks that use the reserved capacity and run
+    /// longer than expected would otherwise let further ones in, and the gang would never start.
+    /// If it is exceeded by much, it was wrong: a reserved worker was lost, for example.
+    fn reservation_end_ms(&self, step: StepId, step_index: usize, expected_ms: u64) -> u64 {
+        let Some(job) = self.jobs.get(&step.job) else { return expected_ms };
+        let step_state = &job.step_states[step_index];
+        let before_ms = step_state.reserved_until_ms;
+        let is_kept =
+            !step_state.reserved.is_empty() && self.now_ms < before_ms + RESERVATION_OVERDUE_MAX_MS;
+        if is_kept { expected_ms.min(before_ms) } else { expected_ms }
+    }
+
     /// Reserves again the workers that were last chosen for a waiting gang, at most
     /// `workers_max`. Returns how many.
     pub(crate) fn renew_reservation(
--- a/crates/pool/tests/gangs.rs
+++ b/crates/pool/tests/gangs.rs
@@ -75,6 +75,31 @@
     assert_no_violations(&world);
 }
 
+/// Guards against a gang that reserves nothing any more once there are workers enough for it
+/// again, and is overtaken by smaller work for good.
+#[test]
+fn a_gang_that_fits_again_starts() {
+    let mut world = idle_world(4);
+    let name = first_worker(&world);
+    world.drain(&name);
+    let rules = QueueSpec { target_ms: 60_000, ..queue(1) };
+    world.submit(GANG, gang(rules, 8));
+    for number in 100..200 {
+        world.submit(number, job(queue(2), vec![step(1, 4_000, 600)]));
+        world.run(60);
+    }
+    assert_eq!(world.state(GANG), Some(JobState::Queued));
+    world.workers.get_mut(&name).expect("known").draining = false;
+    world.list_all();
+    for number in 200..300 {
+        world.submit(number, job(queue(2), vec![step(1, 4_000, 600)]));
+        world.run(60);
+    }
+    let explanation = world.explain(JobId(GANG));
+    assert!(world.state(GANG) != Some(JobState::Queued), "{explanation}");
+    assert_no_violations(&world);
+}
+
 /// Guards against places that a gang may not use: it takes at most one on each worker.
 #[test]
 fn a_gang_with_too_few_workers_for_its_limit_does_not_block_other_work() {
