Pool: a step does not keep workers while the advisor fails to answer

A gang whose tickets had expired kept its workers nearly all the time while queries to the advisor got no answer: 15 of the 16 cores of each worker in a simulation, for as long as that lasted, and other work ran on the rest (`a_gang_without_valid_tickets_does_not_block_other_work`).

Cause: the tasks of a step keep their workers while a query for new tickets is pending. After a query without an answer the pause before the next one held only for queries about further workers; the tasks were placed again at once, with the next query. Between two queries the gang's reservation kept the workers idle.

Now a step whose query got no answer is not placed without valid tickets during the pause, so other work can take the workers. The wait reason names the failed query. The test fails before (jobs still not done after 6 s) and passes after.

--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -56,7 +56,7 @@
 const SPLIT_GAIN_MIN_MS: f64 = 50.0;
 /// Minimum number of workers in a query, whatever the cost per worker.
 const QUERY_WORKERS_MIN: usize = 8;
-/// Delay before the next query after one that failed.
+/// Delay before the next query of a step after one that failed.
 const RETRY_DELAY_MS: u64 = 150;
 
 impl Pool {
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -322,7 +322,8 @@
         };
         let all_placed = chosen.len() == waiting_count;
         let may_start = all_placed || !spec.gang;
-        let may_query = self.may_renew(step, advice, &chosen, cycle);
+        let query_limit = self.query_limit(step, step_index, advice, &chosen, cycle);
+        let may_query = query_limit.is_none();
         if !chosen.is_empty() && may_start && may_query {
             for (task_index, view_index) in &chosen {
                 let name = self.worker_names[cycle.workers[*view_index].worker_index.0].clone();
@@ -341,8 +342,8 @@
                 cycle.deallocate(*view_index, &spec.worker_demand());
             }
         }
-        let placement = if !may_query {
-            PlacementBlock::QueryLimit
+        let placement = if let Some(limit) = query_limit {
+            limit
         } else if !chosen.is_empty() {
             PlacementBlock::NotEnough
         } else if may_use_any {
@@ -369,19 +370,32 @@
         waits(placement, query)
     }
 
-    /// Whether the chosen workers have fresh tickets, or new ones can be queried now.
-    fn may_renew(
+    /// Why no new tickets can be queried now for the chosen workers; `None` if they can, or if the
+    /// workers have fresh ones.
+    ///
+    /// The tasks keep their workers until the answer. While the advisor does not answer, they leave
+    /// them to other work in between.
+    fn query_limit(
         &self,
         step: StepId,
+        step_index: usize,
         advice: Option<AdviceSpec>,
         chosen: &[(u32, usize)],
         cycle: &Cycle,
-    ) -> bool {
-        let Some(rule) = advice else { return true };
+    ) -> Option<PlacementBlock> {
+        let rule = advice?;
         let fresh = |(_, view_index): &(u32, usize)| {
             self.has_fresh_ticket(step, self.name_of(&cycle.workers[*view_index]))
         };
-        (!chosen.is_empty() && chosen.iter().all(fresh)) || self.may_query(rule, chosen.len())
+        if !chosen.is_empty() && chosen.iter().all(fresh) {
+            return None;
+        }
+        if !self.may_query(rule, chosen.len()) {
+            return Some(PlacementBlock::QueryLimit);
+        }
+        let job = self.jobs.get(&step.job)?;
+        let is_paused = job.step_states[step_index].advice.pause_until_ms > self.now_ms;
+        (is_paused && !chosen.is_empty()).then_some(PlacementBlock::QueryFailed)
     }
 
     /// The workers that may run a step, whether or not they have free capacity.
--- a/crates/pool/src/placement/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -45,6 +45,8 @@
     NotEnough,
     /// too many long queries to the advisor are pending
     QueryLimit,
+    /// the last query to the advisor for new tickets got no answer
+    QueryFailed,
 }
 
 /// Why no query to the advisor was sent for a step, or that one was.
--- a/crates/pool/tests/gangs.rs
+++ b/crates/pool/tests/gangs.rs
@@ -220,3 +220,30 @@
     assert_eq!(world.state(GANG), Some(JobState::Queued));
     assert_no_violations(&world);
 }
+
+/// Guards against a gang that keeps its places idle for as long as the advisor does not answer,
+/// because its tickets have expired.
+#[test]
+fn a_gang_without_valid_tickets_does_not_block_other_work() {
+    let mut world = idle_world(4);
+    world.granted_of_five = 5;
+    world.tickets_expire = true;
+    world.submit(2, job(queue(2), vec![step(4, 16_000, 3_000)]));
+    world.run(300);
+    let rules = QueueSpec {
+        target_ms: 60_000,
+        advice: Some(AdviceSpec { decide_ms: 20.0, each_ms: 1.0, valid_ms: 1_000 }),
+        ..queue(1)
+    };
+    world.submit(GANG, gang(rules, 8));
+    world.run(1_000);
+    world.faults.lost_advice = 1_000;
+    world.run(6_000);
+    submit_batches(&mut world);
+    world.run(6_000);
+    assert_batches_are_done(&world);
+    world.faults.lost_advice = 0;
+    world.run(6_000);
+    assert_eq!(world.state(GANG), Some(JobState::Completed), "{}", world.explain(JobId(GANG)));
+    assert_no_violations(&world);
+}
