--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -98,8 +98,13 @@
             };
             let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
             if gang && in_backoff {
-                let workers_max = may_reserve(reserved);
-                reserved += self.renew_reservation(step, step_index, key, &mut cycle, workers_max);
+                reserved += self.renew_reservation(
+                    step,
+                    step_index,
+                    key.priority,
+                    &mut cycle,
+                    may_reserve(reserved),
+                );
             }
             // If no worker of the service could fit a demand earlier in this cycle, none
             // can fit it or a larger one now.
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -71,7 +71,7 @@
             return 0;
         }
         if now_ms < step_state.reserved_ms + RESERVATION_REFRESH_MS {
-            return self.renew_reservation(step, step_index, key, cycle, workers_max);
+            return self.renew_reservation(step, step_index, key.priority, cycle, workers_max);
         }
         let spec = job.step_spec(step_index);
         let demand = spec.worker_demand();
@@ -148,13 +148,12 @@
         &self,
         step: StepId,
         step_index: usize,
-        key: QueueKey,
+        priority: u32,
         cycle: &mut Cycle,
         workers_max: usize,
     ) -> usize {
         let Some(job) = self.jobs.get(&step.job) else { return 0 };
         let mut reserved = 0;
-        let priority = key.priority;
         let until_ms = job.step_states[step_index].reserved_until_ms;
         for worker_index in job.step_states[step_index].reserved.iter().take(workers_max) {
             let Some(view_index) = cycle.view_index_of(*worker_index) else { continue };
@@ -190,7 +189,7 @@
         if can_start_later != before {
             tracing::info!(
                 %step, can_start_later, is_unreachable, is_too_large,
-                "reservation of workers for a gang begins or ends"
+                "prospect of a waiting gang changed"
             );
         }
         if is_too_large {
@@ -201,8 +200,8 @@
         job.step_states[step_index].can_start_later_ms = now_ms;
     }
 
-    /// Whether a task of the step is on a worker that does not answer, and will not come back to
-    /// the queue before the worker's lease has expired.
+    /// Whether a member of the gang is on a worker that does not answer. It comes back to the queue
+    /// only when the lease of that worker has expired.
     fn has_unreachable_member(&self, job: &Job, step_index: usize) -> bool {
         let is_unreachable = |name: &WorkerId| {
             self.workers
