Pool: long-running tasks that were lost leave no headroom

Cause: work below the highest priority leaves 80% of the mean urgent usage free. With half of the service in urgent use and an eighth in long-running tasks, less than that is always free, so the lost tasks waited for as long as the urgent work went on.

The limit is for work that is about to take capacity; these tasks only take again what they had. Now tasks of a long-running step that have run before are placed without it, before and apart from those of the step that have not. `lost_long_running_tasks_start_again_beside_urgent_work` fails before (8 of 16 tasks active 9 s after the crash) and passes after.

--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -331,6 +331,14 @@
         &self.spec.steps[self.step_states[step_index].id.step as usize]
     }
 
+    /// The waiting tasks of a step that are long-running and have run before.
+    pub fn lost_long_running_tasks(&self, step_index: usize) -> impl Iterator<Item = u32> {
+        let step_state = &self.step_states[step_index];
+        let is_long_running = self.step_spec(step_index).long_running;
+        let has_run = move |index: &u32| step_state.tasks[*index as usize].run > 0;
+        step_state.waiting_tasks().filter(move |_| is_long_running).filter(has_run)
+    }
+
     /// The resources that a task of a step takes from its worker and its customer's cap.
     pub fn allocation(&self, step_index: usize) -> Allocation {
         let step = self.step_spec(step_index);
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -355,10 +355,17 @@
     }
 
     /// Capacity of the service that a step has to leave free for work of higher priority.
+    ///
+    /// A long-running task that was lost leaves none: it only takes again what it had, and might
+    /// wait for ever where the service is busy.
     pub(crate) fn headroom(&self, step: StepId, key: QueueKey) -> Resources {
         let Some(job) = self.jobs.get(&step.job).filter(|_| key.priority > 0) else {
             return Resources::ZERO;
         };
+        let is_restart = |step_index| job.lost_long_running_tasks(step_index).next().is_some();
+        if job.step_index(step).is_some_and(is_restart) {
+            return Resources::ZERO;
+        }
         let service = &job.spec.queue.service;
         let urgent = self.estimates.mean_usage(service, 0..1).share(HEADROOM_PERCENT, 100);
         if self.slack_ms(key, step) < self.expected_task_ms(step) as i64 {
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -298,6 +298,10 @@
         }
         let fit_under_cap = self.tasks_under_cap(customer, &cycle.customers, &spec.demand);
         let waiting_count = waiting.len();
+        if !spec.gang && job.lost_long_running_tasks(step_index).next().is_some() {
+            // The others have to leave headroom, so they are placed by a later attempt.
+            waiting = job.lost_long_running_tasks(step_index).collect();
+        }
         if fit_under_cap < waiting_count as u64 {
             if spec.gang || fit_under_cap == 0 {
                 return Attempt::Capped;
--- a/crates/pool/tests/features.rs
+++ b/crates/pool/tests/features.rs
@@ -103,3 +103,31 @@
     assert_eq!(world.state(1), Some(JobState::Completed));
     assert_no_violations(&world);
 }
+
+/// Guards against long-running tasks that were lost with their worker and wait for ever, behind
+/// the capacity that is kept free for urgent work.
+#[test]
+fn lost_long_running_tasks_start_again_beside_urgent_work() {
+    let mut world = World::new(17, 8, Faults::default());
+    world.run(100);
+    let mut service = job(queue(1), vec![step(16, 2_000, 600_000)]);
+    service.steps[0].long_running = true;
+    world.submit(1, service);
+    world.run(500);
+    let mut number = 1_000;
+    let mut run_beside_urgent_work = |world: &mut World, ticks: u64| {
+        for _ in 0..ticks {
+            number += 1;
+            world.submit(number, job(queue(0), vec![step(2, 1_400, 640)]));
+            world.run(30);
+        }
+    };
+    run_beside_urgent_work(&mut world, 400);
+    let busiest = world.workers.values().max_by_key(|worker| worker.active_tasks_of(1));
+    let name = busiest.map(|worker| worker.name.clone()).expect("a worker");
+    world.crash(&name);
+    run_beside_urgent_work(&mut world, 300);
+    let active: usize = world.workers.values().map(|worker| worker.active_tasks_of(1)).sum();
+    assert_eq!(active, 16, "{}", world.explain(stoatwell_pool::JobId(1)));
+    assert_no_violations(&world);
+}
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -357,6 +357,11 @@
         self.active.insert((call.task, call.run), run);
     }
 
+    /// The number of active tasks of a job.
+    pub fn active_tasks_of(&self, job: u64) -> usize {
+        self.active.keys().filter(|(task, _)| task.step.job.0 == job).count()
+    }
+
     /// The progress of the most advanced run, in percent.
     pub fn furthest_percent(&self) -> u64 {
         self.active.values().map(Run::percent).max().unwrap_or(0)
