Rows of jobs keep no checkpoints of done tasks, and a bounded length of others

Cause: the row of a job held the checkpoint of every task that ever ran. It outgrew what the store takes; the store refused the write, which was repeated for good, and its partition stood still.

A done task needs no checkpoint. Those of the others are bounded by 16 KiB a row: 2,000 finished tasks take some 40 KB of the 65,536 bytes. `a_row_of_many_tasks_with_checkpoints_is_bounded` fails before with 845,903 bytes and passes after.

--- a/crates/pool/src/jobs/record.rs
+++ b/crates/pool/src/jobs/record.rs
@@ -115,6 +115,11 @@
 /// The index of the task's worker in the list, [`NOWHERE`] or [`DONE`].
 type Place = i32;
 
+/// Most bytes of checkpoints in a row. The store refuses rows that are too long, and then the job
+/// and all others of its partition would make no progress. Without its checkpoint a task starts
+/// from the beginning, but only under a later leader.
+const CHECKPOINT_BYTES_MAX: usize = 16_384;
+
 const NOWHERE: Place = -1;
 const DONE: Place = -2;
 
@@ -122,7 +127,14 @@
     fn from(progress: Progress) -> Self {
         let mut workers: Vec<(WorkerId, String, u64)> = Vec::new();
         let mut tasks = Vec::with_capacity(progress.tasks.len());
-        for task in progress.tasks {
+        let mut checkpoint_bytes = 0;
+        for mut task in progress.tasks {
+            let bytes = checkpoint_bytes + task.checkpoint.len();
+            if task.done || bytes > CHECKPOINT_BYTES_MAX {
+                task.checkpoint.clear();
+            } else {
+                checkpoint_bytes = bytes;
+            }
             let mut place = if task.done { DONE } else { NOWHERE };
             if let Some(worker) = task.worker.filter(|_| !task.done) {
                 let is_same = |known: &(WorkerId, String, u64)| {
--- a/crates/pool/tests/record.rs
+++ b/crates/pool/tests/record.rs
@@ -56,3 +56,32 @@
     let finished = serde_json::to_string(&progress).expect("written").len();
     assert!(running < 1_800 && finished < 600, "{running} and {finished} bytes");
 }
+
+/// Guards against a row that the store refuses as too long, because it has the checkpoints of all
+/// tasks that ever ran: neither the job nor another one of its partition made progress then.
+#[test]
+fn a_row_of_many_tasks_with_checkpoints_is_bounded() {
+    let mut progress = Progress::default();
+    for index in 0..2_000 {
+        let is_done = index < 1_900;
+        let worker = Some(WorkerId::new(format!("i-22afcd81{:02}", index % 100)));
+        progress.tasks.push(TaskProgress {
+            done: is_done,
+            worker: worker.filter(|_| !is_done),
+            address: "10.128.0.19:8080".to_owned(),
+            incarnation: 1_722_480_104_000,
+            checkpoint: "c".repeat(400),
+            ..task(0, index)
+        });
+    }
+    let text = serde_json::to_string(&progress).expect("written");
+    assert!(text.len() < 65_536, "{} bytes", text.len());
+    let read: Progress = serde_json::from_str(&text).expect("read");
+    let kept: Vec<u32> = read
+        .tasks
+        .iter()
+        .filter(|task| !task.checkpoint.is_empty())
+        .map(|task| task.index)
+        .collect();
+    assert_eq!(kept.first(), Some(&1_900), "checkpoints of running tasks are kept");
+}
