--- a/crates/pool/tests/gangs.rs
+++ b/crates/pool/tests/gangs.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::ops::Range;
+
 use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
@@ -20,7 +22,7 @@
 
 /// The gang of the tests; batches have the numbers above it.
 const GANG: u64 = 1;
-const BATCHES: std::ops::Range<u64> = 10..14;
+const BATCHES: Range<u64> = 10..14;
 
 fn idle_world(workers: usize) -> World {
     let mut world = World::new(5, workers, Faults::default());
