--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -379,11 +379,10 @@
         waits(placement, query)
     }
 
-    /// Why no new tickets can be queried now for the chosen workers; `None` if they can, or if the
+    /// What keeps the step from a query for new tickets; `None` if nothing does, or if the chosen
     /// workers have fresh ones.
     ///
-    /// The tasks keep their workers until the answer. While the advisor does not answer, they leave
-    /// them to other work in between.
+    /// Tasks keep their workers until the answer, so a failed query is not repeated at once.
     fn query_limit(
         &self,
         step: StepId,
