Log lines and gauges of the advisor's proxies, of capacity that idles, and of pauses

What the leader logs does not tell whether queries fail, wait for a proxy, or were never sent, nor whether the capacity that it counts as used does anything.

The line `pool` now tells how many daemons queries can be sent through, how many are excluded, and how many queries wait for how long; and how much of the used capacity is allocated to tasks without a ticket, with an unconfirmed start, or being stopped. A query without an answer is logged with the reason. A daemon logs when its process did not run for 200 ms, since timeouts that end then look like faults of others. No decision changes.

--- a/crates/node/src/advisor_dispatcher.rs
+++ b/crates/node/src/advisor_dispatcher.rs
@@ -18,6 +18,7 @@
 
 use stoatwell_model::WorkerId;
 use stoatwell_peer::Peers;
+use stoatwell_peer::client::PeerError;
 use stoatwell_pool::Grant;
 use stoatwell_pool::LONG_QUERY_MS;
 use stoatwell_pool::StepId;
@@ -51,6 +52,19 @@
 /// Time limit for the notification of another daemon.
 const NOTIFY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The state of the proxies and of the queue, for metrics and the log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DispatcherCounts {
+    /// Daemons that queries can be sent through.
+    pub proxies: usize,
+    /// Those that get no queries for now because one through them failed.
+    pub excluded_proxies: usize,
+    /// Queries that wait for a proxy.
+    pub queued: usize,
+    /// How long the oldest of these has waited, in milliseconds.
+    pub queue_age_ms: u64,
+}
+
 /// Sends queries to the advisor through this daemon and others.
 #[derive(Debug)]
 pub struct AdvisorDispatcher<P> {
@@ -81,6 +95,7 @@
 #[derive(Debug)]
 struct QueuedQuery {
     cost_ms: u64,
+    enqueued_ms: u64,
     permit: oneshot::Sender<Permit>,
 }
 
@@ -92,6 +107,23 @@
         Self { platform, peers, own_address, state: Arc::new(Mutex::new(state)) }
     }
 
+    /// The current totals.
+    pub fn counts(&self) -> DispatcherCounts {
+        let now_ms = steady_ms();
+        let state = self.lock();
+        let oldest_ms = state.queue.values().map(|queued| queued.enqueued_ms).min();
+        DispatcherCounts {
+            proxies: state.proxies.len(),
+            excluded_proxies: state
+                .proxies
+                .values()
+                .filter(|proxy| proxy.backoff_until_ms > now_ms)
+                .count(),
+            queued: state.queue.len(),
+            queue_age_ms: oldest_ms.map_or(0, |oldest_ms| now_ms.saturating_sub(oldest_ms)),
+        }
+    }
+
     /// Updates the list of daemons. Returns the addresses of all proxies, including daemons
     /// that have left but still have queries pending.
     pub fn update_daemons(&self, daemons: &[DaemonInfo]) -> Vec<String> {
@@ -135,25 +167,32 @@
             let address = permit.address.clone();
             let sent_ms = steady_ms();
             let limit_ms = cost_ms + TIMEOUT_MARGIN_MS;
-            let granted = if address == self.own_address {
-                self.platform.advise(step, workers, limit_ms).await
+            let answer = if address == self.own_address {
+                let granted = self.platform.advise(step, workers, limit_ms).await;
+                granted.ok_or(QueryError::NoAdvice)
             } else {
                 self.query_peer(&address, step, workers, limit_ms).await
             };
             permit.outcome =
-                if granted.is_some() { QueryOutcome::Answered } else { QueryOutcome::NoAnswer };
+                if answer.is_ok() { QueryOutcome::Answered } else { QueryOutcome::NoAnswer };
             drop(permit);
             let asked = workers.len();
             let took_ms = steady_ms() - sent_ms;
-            let Some(granted) = granted else {
-                tracing::warn!(
-                    %step, through = address, asked, took_ms,
-                    "no answer from the advisor"
-                );
-                if took_ms > RETRY_ELAPSED_MAX_MS {
-                    return None;
+            let granted = match answer {
+                Ok(granted) => granted,
+                Err(error) => {
+                    tracing::warn!(
+                        %step, through = address, asked, cost_ms, took_ms, %error,
+                        "no answer from the advisor"
+                    );
+                    let reason = error.reason();
+                    metrics::counter!("stoatwell_advice_failures_total", "reason" => reason)
+                        .increment(1);
+                    if took_ms > RETRY_ELAPSED_MAX_MS {
+                        return None;
+                    }
+                    continue;
                 }
-                continue;
             };
             let waited_ms = sent_ms - enqueued_ms;
             tracing::info!(
@@ -167,7 +206,8 @@
 
     async fn acquire_permit(&self, priority: u32, cost_ms: u64) -> Option<Permit> {
         let (permit, permit_receiver) = oneshot::channel();
-        self.lock().enqueue(&self.state, priority, QueuedQuery { cost_ms, permit });
+        let queued = QueuedQuery { cost_ms, enqueued_ms: steady_ms(), permit };
+        self.lock().enqueue(&self.state, priority, queued);
         permit_receiver.await.ok()
     }
 
@@ -177,19 +217,16 @@
         step: StepId,
         workers: &[WorkerId],
         limit_ms: u64,
-    ) -> Option<Vec<Grant>> {
+    ) -> Result<Vec<Grant>, QueryError> {
         let call = DaemonCall::Advise { step, workers: workers.to_vec(), limit_ms };
         let limit = Duration::from_millis(limit_ms);
         match self.peers.call::<DaemonReply>(address, &call, limit).await {
-            Ok(DaemonReply::Advised(granted)) => {
+            Ok(DaemonReply::Advised(Some(granted))) => {
                 let grant = |(worker, ticket)| Grant { worker, ticket };
-                Some(granted?.into_iter().map(grant).collect())
-            }
-            Ok(_) => None,
-            Err(error) => {
-                tracing::debug!(address, %error, "cannot query the advisor through a daemon");
-                None
+                Ok(granted.into_iter().map(grant).collect())
             }
+            Ok(_) => Err(QueryError::NoAdvice),
+            Err(error) => Err(QueryError::NoReply(error)),
         }
     }
 
@@ -198,6 +235,26 @@
     }
 }
 
+/// Why a query has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+enum QueryError {
+    /// the daemon has no answer of the advisor
+    NoAdvice,
+    /// the daemon did not reply: {0}
+    NoReply(PeerError),
+}
+
+impl QueryError {
+    /// The label of the metric.
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::NoAdvice => "no advice",
+            Self::NoReply(PeerError::NotSent(_)) => "not sent",
+            Self::NoReply(PeerError::NoAnswer(_)) => "no reply",
+        }
+    }
+}
+
 /// The outcome of a query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum QueryOutcome {
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -240,7 +240,7 @@
                 tokio::task::yield_now().await;
                 let period_ms = steady_ms() - gauges_updated_ms;
                 gauges_updated_ms = steady_ms();
-                publish_gauges(&pool, &cycle_times, &inbox);
+                publish_gauges(&pool, &cycle_times, &inbox, self.advisor_dispatcher.counts());
                 executors.update_load(cycle_times.total().as_millis() as u64, period_ms);
                 cycle_times = CycleTimes::default();
                 executors.update_workers(pool.workers_by_zone());
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -64,6 +64,7 @@
 
 pub use crate::accept::WriteReply;
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
+pub use crate::advisor_dispatcher::DispatcherCounts;
 pub use crate::announce::announce_delay;
 pub use crate::daemons::DaemonInfo;
 pub use crate::election::Candidate;
@@ -191,6 +192,7 @@
             Arc::clone(&gateway),
             Arc::clone(&platform),
         ));
+        tokio::spawn(telemetry::watch_pauses());
         tokio::spawn(health::probe(Arc::clone(&platform), Arc::clone(&health)));
         tokio::spawn(leader_probe::probe_leader(
             Arc::clone(&gateway),
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -2,16 +2,42 @@
 
 use std::time::Duration;
 
+use stoatwell_model::BELIEF_TARGET;
 use stoatwell_pool::CallError;
 use stoatwell_pool::Event;
 use stoatwell_pool::Pool;
 use stoatwell_pool::StartReply;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
+use crate::advisor_dispatcher::DispatcherCounts;
 use crate::inbox::Inbox;
 
+/// Interval at which a daemon checks whether its process runs.
+const PAUSE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// A check that is later than this is logged: the process was suspended, its machine did not
+/// run it, or one of its tasks did not yield.
+const PAUSE_MIN: Duration = Duration::from_millis(200);
 /// Maximum number of customers with gauges of their own; the state dump lists all of them.
 const CUSTOMERS_MEASURED_MAX: usize = 100;
 
+/// Logs each time for which this process did not run. Timeouts that end then say nothing about
+/// other daemons.
+pub(crate) async fn watch_pauses() {
+    loop {
+        let due = Instant::now() + PAUSE_CHECK_INTERVAL;
+        sleep_until(due).await;
+        let late = due.elapsed();
+        if late < PAUSE_MIN {
+            continue;
+        }
+        let paused_ms = late.as_millis() as u64;
+        tracing::warn!(target: BELIEF_TARGET, paused_ms, "this process did not run");
+        metrics::counter!("stoatwell_pauses_total").increment(1);
+        metrics::counter!("stoatwell_paused_ms_total").increment(paused_ms);
+    }
+}
+
 /// Counts the responses of workers and of the advisor, and cancellations by their source.
 pub(crate) fn count_event(event: &Event) {
     match event {
@@ -95,7 +121,12 @@
 }
 
 /// Sets the gauges of the scheduler's view of the pool and logs its summary.
-pub(crate) fn publish_gauges(pool: &Pool, cycle_times: &CycleTimes, inbox: &Inbox) {
+pub(crate) fn publish_gauges(
+    pool: &Pool,
+    cycle_times: &CycleTimes,
+    inbox: &Inbox,
+    advisor: DispatcherCounts,
+) {
     let counts = pool.counts();
     let queued_messages = inbox.len();
     let inbox_delay_ms = cycle_times.inbox_delay_max.as_millis() as u64;
@@ -110,6 +141,13 @@
         silent_workers = counts.silent_workers,
         free_cpu_millis = counts.free_cpu_millis,
         used_cpu_millis = counts.used_cpu_millis,
+        ticketless_cpu_millis = counts.ticketless_cpu_millis,
+        unconfirmed_cpu_millis = counts.unconfirmed_cpu_millis,
+        stopping_cpu_millis = counts.stopping_cpu_millis,
+        advisor_proxies = advisor.proxies,
+        excluded_proxies = advisor.excluded_proxies,
+        queued_queries = advisor.queued,
+        query_queue_age_ms = advisor.queue_age_ms,
         turns = cycle_times.cycles,
         messages = cycle_times.messages,
         requests = cycle_times.requests,
@@ -145,4 +183,17 @@
     metrics::gauge!("stoatwell_workers_silent").set(counts.silent_workers as f64);
     metrics::gauge!("stoatwell_free_cpu_millis").set(counts.free_cpu_millis as f64);
     metrics::gauge!("stoatwell_used_cpu_millis").set(counts.used_cpu_millis as f64);
+    let by_phase = [
+        ("without ticket", counts.ticketless_cpu_millis),
+        ("unconfirmed", counts.unconfirmed_cpu_millis),
+        ("stopping", counts.stopping_cpu_millis),
+    ];
+    for (phase, cpu_millis) in by_phase {
+        metrics::gauge!("stoatwell_idle_allocated_cpu_millis", "phase" => phase)
+            .set(cpu_millis as f64);
+    }
+    metrics::gauge!("stoatwell_advisor_proxies").set(advisor.proxies as f64);
+    metrics::gauge!("stoatwell_advisor_proxies_excluded").set(advisor.excluded_proxies as f64);
+    metrics::gauge!("stoatwell_advisor_queue").set(advisor.queued as f64);
+    metrics::gauge!("stoatwell_advisor_queue_age_ms").set(advisor.queue_age_ms as f64);
 }
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -9,6 +9,8 @@
 use crate::Pool;
 use crate::id::JobId;
 use crate::jobs::customers::CustomerLimits;
+use crate::jobs::job::Job;
+use crate::jobs::job::Phase;
 use crate::jobs::record::JobState;
 
 /// A snapshot of the scheduler's state.
@@ -70,6 +72,12 @@
     pub free_cpu_millis: u64,
     /// CPU of all known workers that is allocated, in millicores.
     pub used_cpu_millis: u64,
+    /// The part of it that is allocated to tasks that wait for tickets of the advisor.
+    pub ticketless_cpu_millis: u64,
+    /// The part of it that is allocated to tasks whose start no worker has confirmed yet.
+    pub unconfirmed_cpu_millis: u64,
+    /// The part of it that is allocated to tasks that are being stopped.
+    pub stopping_cpu_millis: u64,
 }
 
 /// The state of a worker as the scheduler knows it.
@@ -202,6 +210,7 @@
                 JobState::Running => counts.running_jobs += 1,
                 JobState::Completed | JobState::Failed | JobState::Cancelled => {}
             }
+            counts.add_idle_allocations(job);
         }
         for worker in self.workers.values() {
             counts.open_workers += usize::from(worker.is_open(self.now_ms));
@@ -212,3 +221,23 @@
         counts
     }
 }
+
+impl Counts {
+    /// Adds the capacity of a job's tasks that are placed and not known to run.
+    fn add_idle_allocations(&mut self, job: &Job) {
+        for (step_index, step_state) in job.step_states.iter().enumerate() {
+            let cpu_millis = job.step_spec(step_index).worker_demand().cpu_millis;
+            for task in &step_state.tasks {
+                let sum = match task.phase {
+                    Phase::Reserved => &mut self.ticketless_cpu_millis,
+                    Phase::Recorded | Phase::Sent | Phase::Adopted => {
+                        &mut self.unconfirmed_cpu_millis
+                    }
+                    Phase::Stopping { .. } => &mut self.stopping_cpu_millis,
+                    Phase::Waiting | Phase::Running { .. } | Phase::Done => continue,
+                };
+                *sum += cpu_millis;
+            }
+        }
+    }
+}
