--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -3,19 +3,199 @@
 mod fake;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use stoatwell_model::ZoneName;
 use stoatwell_node::AdvisorDispatcher;
+use stoatwell_node::DaemonCall;
+use stoatwell_node::DaemonInfo;
+use stoatwell_node::DaemonReply;
 use stoatwell_peer::Peers;
 use stoatwell_peer::Traffic;
 use stoatwell_pool::JobId;
 use stoatwell_pool::StepId;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use self::fake::FakePlatform;
 
 const STEP: StepId = StepId { job: JobId(1), occurrence: 0, step: 0 };
 /// The expected time that the advisor takes for a long query.
 const LONG_QUERY_COST_MS: u64 = 650;
+/// The expected time that the advisor takes for a short query.
+const SHORT_QUERY_COST_MS: u64 = 100;
+
+/// How long daemons take to answer a query.
+const ANSWER_DELAY: Duration = Duration::from_millis(100);
+/// How long daemons, or the leader, stand still: longer than a query may take.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Daemons that answer queries on threads of their own, and can stand still together.
+struct Daemons {
+    addresses: Vec<String>,
+    paused: watch::Sender<bool>,
+    queries: Arc<AtomicUsize>,
+    runtime: Option<Runtime>,
+}
+
+impl Drop for Daemons {
+    fn drop(&mut self) {
+        self.close_connections();
+    }
+}
+
+impl Daemons {
+    async fn start(count: usize) -> Self {
+        let addresses = vec!["127.0.0.1:0".to_owned(); count];
+        let paused = watch::Sender::new(false);
+        let mut daemons = Self { addresses, paused, queries: Arc::default(), runtime: None };
+        daemons.listen().await;
+        daemons
+    }
+
+    /// Closes all connections at one moment and accepts new ones.
+    async fn break_connections(&mut self) {
+        self.close_connections();
+        self.listen().await;
+    }
+
+    fn close_connections(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+
+    async fn listen(&mut self) {
+        let runtime = Runtime::new().expect("threads");
+        for address in &mut self.addresses {
+            let listener = TcpListener::bind(&*address).await.expect("a free port");
+            *address = listener.local_addr().expect("bound").to_string();
+            let listener = listener.into_std().expect("a socket");
+            let (paused, queries) = (self.paused.subscribe(), Arc::clone(&self.queries));
+            let answer = move |call| answer(call, paused.clone(), Arc::clone(&queries));
+            runtime.spawn(async move {
+                let listener = TcpListener::from_std(listener).expect("a socket");
+                stoatwell_peer::serve(listener, "test".to_owned(), Traffic::default(), answer).await
+            });
+        }
+        self.runtime = Some(runtime);
+    }
+
+    fn infos(&self) -> Vec<DaemonInfo> {
+        let info = |address: &String| DaemonInfo {
+            address: address.clone(),
+            zone: ZoneName::new("z"),
+            cores: 0.5,
+            link_mbps: 200.0,
+        };
+        self.addresses.iter().map(info).collect()
+    }
+}
+
+async fn answer(
+    call: DaemonCall,
+    mut paused: watch::Receiver<bool>,
+    queries: Arc<AtomicUsize>,
+) -> DaemonReply {
+    let is_query = matches!(call, DaemonCall::Advise { .. });
+    if is_query {
+        queries.fetch_add(1, Ordering::Relaxed);
+        sleep(ANSWER_DELAY).await;
+    }
+    paused.wait_for(|paused| !paused).await.expect("the test runs");
+    if is_query { DaemonReply::Advised(Some(Vec::new())) } else { DaemonReply::NotScheduler }
+}
+
+/// A dispatcher whose own daemon gets no answer of the advisor, so that all depends on others.
+fn dispatcher(daemons: &[DaemonInfo]) -> Arc<AdvisorDispatcher<FakePlatform>> {
+    let platform = Arc::new(FakePlatform::default());
+    platform.set_advice_hangs(true);
+    let peers = Peers::new("test", Traffic::default());
+    let advisors = Arc::new(AdvisorDispatcher::new(platform, peers, "me".to_owned()));
+    advisors.update_daemons(daemons);
+    advisors
+}
+
+/// Sends queries at once; returns how many were answered within `limit`.
+async fn answered(
+    advisors: &Arc<AdvisorDispatcher<FakePlatform>>,
+    count: usize,
+    limit: Duration,
+) -> usize {
+    let mut queries = JoinSet::new();
+    for _ in 0..count {
+        let advisors = Arc::clone(advisors);
+        queries.spawn(async move {
+            let answer = advisors.query(STEP, &[], 1, SHORT_QUERY_COST_MS);
+            matches!(timeout(limit, answer).await, Ok(Some(_)))
+        });
+    }
+    queries.join_all().await.into_iter().filter(|answered| *answered).count()
+}
+
+/// Guards against daemons that are excluded for seconds because they stood still for one: the
+/// few others get all queries, which wait, and steps with them.
+#[tokio::test]
+async fn daemons_that_stood_still_get_queries_as_soon_as_they_reply() {
+    let daemons = Daemons::start(8).await;
+    let advisors = dispatcher(&daemons.infos());
+    daemons.paused.send_replace(true);
+    assert_eq!(answered(&advisors, 18, PAUSE).await, 0);
+    daemons.paused.send_replace(false);
+    assert_eq!(answered(&advisors, 16, PAUSE).await, 16);
+}
+
+/// Guards against daemons that are excluded because the leader lost its connections to all of them
+/// at one moment.
+#[tokio::test]
+async fn daemons_whose_connections_broke_get_queries_as_soon_as_they_reply() {
+    let mut daemons = Daemons::start(8).await;
+    let advisors = dispatcher(&daemons.infos());
+    let asking = Arc::clone(&advisors);
+    let first = tokio::spawn(async move { answered(&asking, 18, PAUSE).await });
+    sleep(ANSWER_DELAY / 2).await;
+    daemons.break_connections().await;
+    assert!(first.await.expect("no panic") >= 17);
+    assert_eq!(answered(&advisors, 18, PAUSE).await, 18);
+}
+
+/// Guards against a leader that excludes all daemons because it stood still itself.
+#[tokio::test]
+async fn a_leader_that_stood_still_blames_no_daemon() {
+    let daemons = Daemons::start(8).await;
+    let advisors = dispatcher(&daemons.infos());
+    let asking = Arc::clone(&advisors);
+    let first = tokio::spawn(async move { answered(&asking, 4, 2 * PAUSE).await });
+    sleep(ANSWER_DELAY / 2).await;
+    std::thread::sleep(PAUSE);
+    assert_eq!(first.await.expect("no panic"), 4);
+    assert!(daemons.queries.load(Ordering::Relaxed) <= 4, "queries were sent twice");
+    assert_eq!(answered(&advisors, 16, PAUSE).await, 16);
+}
+
+/// Guards against a query that fails, or waits for long, because one daemon stands still.
+#[tokio::test]
+async fn a_query_through_a_daemon_that_stands_still_is_answered_through_another() {
+    let still = Daemons::start(1).await;
+    let daemons = Daemons::start(2).await;
+    still.paused.send_replace(true);
+    let advisors = dispatcher(&still.infos());
+    let asking = Arc::clone(&advisors);
+    let began = Instant::now();
+    let first = tokio::spawn(async move { answered(&asking, 2, 2 * PAUSE).await });
+    sleep(ANSWER_DELAY).await;
+    advisors.update_daemons(&[still.infos(), daemons.infos()].concat());
+    assert_eq!(first.await.expect("no panic"), 2);
+    let limit = Duration::from_millis(SHORT_QUERY_COST_MS) + 2 * PAUSE / 3;
+    assert!(began.elapsed() < limit, "answered after {:?}", began.elapsed());
+}
 
 /// A daemon loses the leader lease while long queries are in flight and acquires it again
 /// later. Guards against queries of the former term that still count against the limit of
