Advisor: daemons are excluded on evidence, and overdue queries are hedged

Cause: a query to the advisor without an answer excluded its daemon for 2 s, doubled up to 32 s. That held whatever became of the daemon since, and whoever was at fault: when the leader's connections broke, or the leader had stood still, 25 to 35 of 38 daemons were excluded within 0.1 s. The exclusion was lifted early only if it met all of them, so one or two daemons carried all queries, 180 to 270 of which waited for 8 to 23 s. The limits on queries counted all daemons, the excluded ones included.

A daemon that lost a query is now probed at once and gets queries again with the first reply. Only one that replies that the advisor does not answer it backs off, for 1 to 8 s. A query that should have been answered is sent through another daemon as well, for at most one query in four daemons, and the first answer counts, also a late one; its tickets count from when they were due. A deadline that fires late, because the leader did not run, leaves time to read what came meanwhile. The pool's limits follow the number of usable daemons. A query ends after a bounded time, since its tasks keep their workers.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -338,6 +338,7 @@
             tasks.spawn(Arc::clone(&store_watcher).watch_table(table, version));
         }
         tasks.spawn(Arc::clone(&store_watcher).watch_workers(worker_list, version));
+        tasks.spawn(watch_proxies(Arc::clone(&self.advisor_dispatcher), inbox_sender.clone()));
         let leads_call = DaemonCall::Leads { epoch, address: self.lease.row.address.clone() };
         let (advisor_dispatcher, executors) =
             (Arc::clone(&self.advisor_dispatcher), Arc::clone(executors));
@@ -370,8 +371,9 @@
                 let advisor_dispatcher = Arc::clone(&self.advisor_dispatcher);
                 let inbox_sender = inbox_sender.clone();
                 tasks.spawn(async move {
-                    let granted = advisor_dispatcher.query(step, &workers, priority, cost_ms).await;
-                    let received_ms = steady_ms();
+                    let advice = advisor_dispatcher.query(step, &workers, priority, cost_ms).await;
+                    let received_ms = advice.as_ref().map_or_else(steady_ms, |it| it.issued_ms);
+                    let granted = advice.map(|advice| advice.granted);
                     let event =
                         Event::Advised { step, asked: workers, cost_ms, granted, received_ms };
                     inbox_sender.notify(event);
@@ -385,6 +387,15 @@
     }
 }
 
+/// Notifies the pool of how many daemons its queries can go through.
+async fn watch_proxies<P: Platform>(
+    advisor_dispatcher: Arc<AdvisorDispatcher<P>>,
+    inbox_sender: InboxSender,
+) {
+    let on_change = |count| inbox_sender.notify(Event::Advisors { count });
+    advisor_dispatcher.watch_proxies(on_change).await;
+}
+
 /// Makes a decision. A long one runs in a thread of its own, so that the daemon's other tasks
 /// go on: they answer probes and renew the lease. `None` if the decision panicked.
 async fn decide(mut pool: Pool, is_long: bool) -> Option<(Pool, Vec<Effect>)> {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -63,6 +63,7 @@
 use crate::relay::RelayState;
 
 pub use crate::accept::WriteReply;
+pub use crate::advisor_dispatcher::Advice;
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
 pub use crate::advisor_dispatcher::DispatcherCounts;
 pub use crate::announce::announce_delay;
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -273,7 +273,6 @@
                         daemons.iter().filter(|daemon| !is_underprovisioned(daemon.cores));
                     gateway.set_daemon_counts(addresses.len() as u32, candidates.count() as u32);
                     executors.update_daemons(daemons);
-                    self.inbox_sender.notify(Event::Advisors { count: addresses.len() });
                     for address in addresses {
                         if notified.insert(address.clone()) {
                             advisor_dispatcher.notify(address, leader_notice.clone());
--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -120,6 +120,8 @@
     let peers = Peers::new("test", Traffic::default());
     let advisors = Arc::new(AdvisorDispatcher::new(platform, peers, "me".to_owned()));
     advisors.update_daemons(daemons);
+    let watching = Arc::clone(&advisors);
+    tokio::spawn(async move { watching.watch_proxies(|_usable| {}).await });
     advisors
 }
 
@@ -216,5 +218,6 @@
     platform.set_advice_hangs(false);
     let answer = advisors.query(STEP, &[], 1, LONG_QUERY_COST_MS);
     let answer = tokio::time::timeout(Duration::from_millis(500), answer).await;
-    assert_eq!(answer, Ok(Some(Vec::new())));
+    let granted = answer.map(|advice| advice.map(|advice| advice.granted));
+    assert_eq!(granted, Ok(Some(Vec::new())));
 }
