Ask a worker about a start without an answer before undoing it

Cause: a start without an answer was stopped at once, though its worker had usually carried it out. When the leader stands still or its connections are reset, the answers to many starts are lost at one moment, and each of these runs was stopped, waited for and started again; a gang ended as a whole.

Change: such a start is in a phase of its own, `Unconfirmed`. Its worker gets a hold that it answers at once; holds stay immediate until one that was sent later has been answered. A listed run goes on. One that is in no list is stopped as before, since its start may still arrive. The phase keeps the allocation, ends with a restart of the worker as `Sent` does (adopted), with the expiry of the lease (lost) and with a cancellation (stopped). Nothing is sent that starts a run or extends a lease beyond what holds do anyway.

Ruled out: sending the start again at once. It needs a fresh row and ticket, and its refusal would not show that the first one had not been carried out.

--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -230,7 +230,7 @@
             for task in &step_state.tasks {
                 let sum = match task.phase {
                     Phase::Reserved => &mut self.ticketless_cpu_millis,
-                    Phase::Recorded | Phase::Sent | Phase::Adopted => {
+                    Phase::Recorded | Phase::Sent | Phase::Unconfirmed { .. } | Phase::Adopted => {
                         &mut self.unconfirmed_cpu_millis
                     }
                     Phase::Stopping { .. } => &mut self.stopping_cpu_millis,
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -39,6 +39,12 @@
     Recorded,
     /// The start was sent and is not answered yet.
     Sent,
+    /// The start got no answer, so the worker may have carried it out. The answer to a hold that
+    /// is sent in a later turn tells whether it has.
+    Unconfirmed {
+        /// The turn in which this became known.
+        since_turn: u64,
+    },
     /// Known to run.
     Running {
         /// The turn in which this became known (see [`Pool`](crate::Pool)'s turn counter). If
@@ -98,7 +104,10 @@
     /// it nor listed the run, nor answered a later stop, after which it refuses the start.
     pub fn has_start_in_flight(&self) -> bool {
         let is_unanswered = match self.phase {
-            Phase::Sent | Phase::Adopted | Phase::Stopping { answered_turn: None, .. } => true,
+            Phase::Sent
+            | Phase::Unconfirmed { .. }
+            | Phase::Adopted
+            | Phase::Stopping { answered_turn: None, .. } => true,
             Phase::Waiting
             | Phase::Reserved
             | Phase::Recorded
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -2,6 +2,10 @@
 //! confirmed by the worker's answer or by the answer to a hold; then the run ends or is
 //! stopped.
 //!
+//! A start without an answer may have been carried out, so its worker is asked for the list of
+//! its runs. If the run is not in that list, the start may still arrive; the run is stopped,
+//! after which the worker refuses the start.
+//!
 //! A speculative task may have several runs at the same time, of which the first one that
 //! succeeds counts. The scheduler itself tracks only the newest run of a task.
 
@@ -141,7 +145,15 @@
                 task.running_since_ms = now_ms;
                 self.mark_start_confirmed(id);
             }
-            Ok(StartReply::OldRun) | Err(CallError::NoAnswer) => {
+            Err(CallError::NoAnswer) => {
+                tracing::warn!(task = %id, run, worker = %from, "start not answered; its worker is asked whether it runs");
+                task.phase = Phase::Unconfirmed { since_turn: turn };
+                if let Some(worker) = self.workers.get_mut(from) {
+                    worker.unconfirmed_turn = Some(turn);
+                    worker.probe_due = true;
+                }
+            }
+            Ok(StartReply::OldRun) => {
                 tracing::warn!(task = %id, run, worker = %from, ?reply, "start not confirmed; the run is stopped");
                 self.stop(id);
             }
@@ -159,6 +171,19 @@
         }
     }
 
+    /// Handles that a worker does not list a run whose start it has not answered.
+    pub(crate) fn on_start_not_found(&mut self, id: TaskId, from: &WorkerId) {
+        let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+            return;
+        };
+        if !matches!(task.phase, Phase::Unconfirmed { .. }) {
+            return;
+        }
+        let (run, reply) = (task.run, CallError::NoAnswer);
+        tracing::warn!(task = %id, run, worker = %from, ?reply, "start not confirmed; the run is stopped");
+        self.stop(id);
+    }
+
     /// Records that a worker has confirmed the start of a task of the job.
     pub(crate) fn mark_start_confirmed(&mut self, id: TaskId) {
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
@@ -191,7 +216,7 @@
                 self.requeue(id);
                 return;
             }
-            Phase::Sent | Phase::Running { .. } | Phase::Adopted => {}
+            Phase::Sent | Phase::Unconfirmed { .. } | Phase::Running { .. } | Phase::Adopted => {}
         }
         task.phase = Phase::Stopping { answered_turn: None, sent_ms: now_ms };
         self.send_stop(id);
--- a/crates/pool/src/runs/wakeup.rs
+++ b/crates/pool/src/runs/wakeup.rs
@@ -58,7 +58,16 @@
                 Some("has room, and its row is not written")
             }
             Phase::Sent if self.is_start_lost(task) => Some("was sent, and no answer came"),
+            Phase::Unconfirmed { .. } if !self.is_asked_about(task) => {
+                Some("may run, and its worker is not asked")
+            }
             _ => None,
         }
     }
+
+    /// Whether holds find out if a task runs whose start got no answer.
+    fn is_asked_about(&self, task: &Task) -> bool {
+        let worker = task.worker.as_ref().and_then(|name| self.workers.get(name));
+        worker.is_some_and(|worker| worker.unconfirmed_turn.is_some())
+    }
 }
--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -120,7 +120,12 @@
             let task = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id));
             let Some(task) = task else { continue };
             match task.phase {
-                Phase::Sent | Phase::Running { .. } | Phase::Adopted if !task.listed_by_worker => {
+                Phase::Sent
+                | Phase::Unconfirmed { .. }
+                | Phase::Running { .. }
+                | Phase::Adopted
+                    if !task.listed_by_worker =>
+                {
                     task.phase = Phase::Adopted;
                 }
                 Phase::Stopping { .. } if !task.listed_by_worker => {
@@ -291,6 +296,7 @@
             reported.insert((active.task, active.run), active);
         }
         let mut gone = Vec::new();
+        let mut not_started = Vec::new();
         for id in placed {
             let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id))
             else {
@@ -301,14 +307,22 @@
                 self.mark_start_confirmed(id);
                 continue;
             }
-            if is_surely_gone(task, turn) {
-                gone.push(id);
+            match task.phase {
+                Phase::Unconfirmed { since_turn } if since_turn < turn => not_started.push(id),
+                _ if is_surely_gone(task, turn) => gone.push(id),
+                _ => {}
             }
         }
         gone.sort_unstable();
         if reply.may_have_more_ended {
+            gone.append(&mut not_started);
             self.keep_unreported_runs(name, &gone, reply.ended.len());
             gone.clear();
+        } else if let Some(worker) = self.workers.get_mut(name) {
+            worker.unconfirmed_turn.take_if(|since_turn| *since_turn < turn);
+        }
+        for id in not_started {
+            self.on_start_not_found(id, name);
         }
         for id in gone {
             tracing::warn!(task = %id, worker = %name, "run is missing from its worker's report");
@@ -419,7 +433,10 @@
                 && may_extend;
             let until_ms = worker.lease_end(now_ms, lease_ms).filter(|_| extends);
             worker.lease_end_max = worker.lease_end_max.max(until_ms.unwrap_or(0));
-            let at_once = probe || !worker.held || !worker.non_durable_ends.is_empty();
+            let at_once = probe
+                || !worker.held
+                || !worker.non_durable_ends.is_empty()
+                || worker.unconfirmed_turn.is_some();
             let wait_ms = if at_once { 0 } else { wait_ms };
             due.push((name, until_ms, forget, wait_ms));
         }
@@ -476,7 +493,7 @@
 
 /// Updates a task from the worker's report of its run.
 fn update_running_task(task: &mut Task, active: &crate::event::ActiveRun, now_ms: u64, turn: u64) {
-    if matches!(task.phase, Phase::Sent | Phase::Adopted) {
+    if matches!(task.phase, Phase::Sent | Phase::Unconfirmed { .. } | Phase::Adopted) {
         task.phase = Phase::Running { since_turn: turn };
         task.last_progress_ms = now_ms;
         task.running_since_ms = now_ms;
@@ -503,6 +520,7 @@
         | Phase::Waiting
         | Phase::Reserved
         | Phase::Recorded
-        | Phase::Sent => false,
+        | Phase::Sent
+        | Phase::Unconfirmed { .. } => false,
     }
 }
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -104,6 +104,9 @@
     /// Whether to send a probe: a hold that is sent and answered without delay, to learn
     /// whether a stopped run is gone.
     pub probe_due: bool,
+    /// The latest turn in which a start here got no answer; `None` once the answer to a hold
+    /// that was sent later has told what became of it. Until then holds are answered at once.
+    pub unconfirmed_turn: Option<u64>,
     /// The turn in which the current incarnation was discovered; 0 for the first one.
     pub incarnation_turn: u64,
     /// The time on the worker's clock and the local time of the answer that reported it;
@@ -166,6 +169,7 @@
             hold_forgets: 0,
             next_hold_ms: 0,
             probe_due: false,
+            unconfirmed_turn: None,
             incarnation_turn: 0,
             clock: None,
             lease_end_max: 0,
@@ -202,6 +206,7 @@
         self.held = false;
         self.hold_turn = None;
         self.next_hold_ms = 0;
+        self.unconfirmed_turn = None;
         self.clock = None;
         self.lease_end_max = 0;
         self.last_processed_end = 0;
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -1,5 +1,7 @@
 //! Calls to workers whose answers never reach the pool or name another worker.
 
+mod world;
+
 use std::sync::Arc;
 
 use stoatwell_model::Resources;
@@ -14,12 +16,18 @@
 use stoatwell_pool::HoldReply;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Pool;
 use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StepSpec;
 use stoatwell_pool::WorkerUpdate;
 
+use self::world::Faults;
+use self::world::World;
+use self::world::queue;
+use self::world::step;
+
 const LIMITS: Limits = Limits {
     lease_ms: 6_000,
     lease_max_ms: 6_000,
@@ -152,3 +160,45 @@
     assert_eq!(written_rows, 20);
     assert!(batches >= 2, "{batches} batches");
 }
+
+/// A world in which so many of the starts of job 1 have reached their workers.
+fn world_with_starts_sent(spec: JobSpec, arrived: u64) -> World {
+    let mut world = World::new(7, 12, Faults::default());
+    world.run(600);
+    world.submit(1, spec);
+    while world.starts < arrived {
+        world.run(5);
+    }
+    world
+}
+
+/// Runs until job 1 has completed, and asserts how many starts, stops and milliseconds that takes.
+fn assert_completes(world: &mut World, starts: u64, stops: u64, within_ms: u64) {
+    let began_ms = world.now_ms;
+    while world.state(1) != Some(JobState::Completed) && world.now_ms < began_ms + 20_000 {
+        world.run(5);
+    }
+    let took_ms = world.now_ms - began_ms;
+    assert_eq!((world.starts, world.stops), (starts, stops), "starts and stops; {took_ms} ms");
+    assert!(took_ms <= within_ms, "{took_ms} ms; {}", world.explain(JobId(1)));
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
+/// Guards against work that is thrown away because the answers to many starts are lost at one
+/// moment: the runs go on.
+#[test]
+fn runs_whose_starts_were_not_answered_go_on() {
+    let mut world = world_with_starts_sent(world::job(queue(1), vec![step(24, 2_000, 1_000)]), 24);
+    world.reset_connections();
+    assert_completes(&mut world, 24, 0, 2_100);
+}
+
+/// The same for a gang, all of whose members would end.
+#[test]
+fn a_gang_whose_starts_were_not_answered_goes_on() {
+    let mut spec = world::job(queue(1), vec![step(24, 2_000, 1_000)]);
+    spec.steps[0].gang = true;
+    let mut world = world_with_starts_sent(spec, 24);
+    world.reset_connections();
+    assert_completes(&mut world, 24, 0, 2_100);
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -78,6 +78,8 @@
     pub workers: BTreeMap<WorkerId, Worker>,
     pub violations: Vec<String>,
     pub starts: u64,
+    /// The number of stops that schedulers have sent.
+    pub stops: u64,
     /// Time that the scheduler has spent in `poll_effects`, by the machine's clock.
     pub deciding: Duration,
     /// Workers that are up but missing from the list that the scheduler gets.
@@ -153,6 +155,7 @@
             workers: BTreeMap::new(),
             violations: Vec::new(),
             starts: 0,
+            stops: 0,
             deciding: Duration::ZERO,
             unlisted: BTreeSet::new(),
             granted_of_five: 3,
@@ -431,6 +434,29 @@
         self.schedule(for_ms, TimedEvent::Reachable(name.clone()));
     }
 
+    /// Breaks all connections to workers: the calls in flight are carried out and get no answer.
+    pub fn reset_connections(&mut self) {
+        let reset_ms = self.now_ms + 1;
+        for (key, item) in std::mem::take(&mut self.timeline) {
+            let item = match item {
+                TimedEvent::CallArrives { epoch, incarnation, call, answered: true } => {
+                    let event = call.to_event(Err(CallError::NoAnswer));
+                    self.schedule(1, TimedEvent::Event(epoch, event));
+                    TimedEvent::CallArrives { epoch, incarnation, call, answered: false }
+                }
+                TimedEvent::Event(epoch, event) => match unanswered(&event) {
+                    Some(event) => {
+                        self.timeline.insert((reset_ms, key.1), TimedEvent::Event(epoch, event));
+                        continue;
+                    }
+                    None => TimedEvent::Event(epoch, event),
+                },
+                other => other,
+            };
+            self.timeline.insert(key, item);
+        }
+    }
+
     /// Lets a worker announce that it will leave.
     pub fn drain(&mut self, name: &WorkerId) {
         self.workers.get_mut(name).expect("known").draining = true;
@@ -602,7 +628,10 @@
                     }
                     self.send(Call::Start(call));
                 }
-                Effect::Stop(call) => self.send(Call::Stop(call)),
+                Effect::Stop(call) => {
+                    self.stops += 1;
+                    self.send(Call::Stop(call));
+                }
                 Effect::Pace(call) => self.send(Call::Pace(call)),
                 Effect::Advise { step, workers, cost_ms, .. } => {
                     self.last_query_workers = workers.len();
@@ -701,6 +730,26 @@
     }
 }
 
+/// The event in place of an answer that a worker has given; `None` if this event is no answer.
+fn unanswered(event: &Event) -> Option<Event> {
+    let worker = |worker: &WorkerId| worker.clone();
+    let event = match event {
+        Event::Held { worker: from, turn, reply: Ok(_) } => {
+            Event::Held { worker: worker(from), turn: *turn, reply: Err(CallError::NoAnswer) }
+        }
+        Event::Started { task, run, worker: from, reply: Ok(_) } => {
+            let reply = Err(CallError::NoAnswer);
+            Event::Started { task: *task, run: *run, worker: worker(from), reply }
+        }
+        Event::Stopped { task, run, worker: from, reply: Ok(()) } => {
+            let reply = Err(CallError::NoAnswer);
+            Event::Stopped { task: *task, run: *run, worker: worker(from), reply }
+        }
+        _ => return None,
+    };
+    Some(event)
+}
+
 fn cancelled(job: JobId, source: CancelSource) -> Event {
     Event::Cancelled { job, cancellation: Cancellation::ByOwner, source }
 }
