Send a start again that its worker has neither answered nor carried out

Cause: a worker that does not list a run whose start it has not answered may get that start later. The run was stopped therefore, and its task placed anew; one lost start ended a whole gang.

Change: the start is sent a second time, with the same run number, row and ticket, under the conditions of the first: the row is at most `START_AGE_MAX_MS` old, the worker is held, neither draining nor named as silent, and the ticket is fresh. It is sent only after the worker has answered a hold that was sent later, so its lease is extended for no worker that does not answer, and `void_ms` stays that of the row. Workers ignore the copy that comes second. Any refusal of the copy, `old` among them, shows nothing of the first one, so the run is stopped then.

--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -81,6 +81,10 @@
     pub last_progress_ms: u64,
     /// When the start of the newest run was recorded; 0 if this leader has recorded none.
     pub recorded_ms: u64,
+    /// When the write of the newest run's row was sent; 0 before its start is sent.
+    pub start_written_ms: u64,
+    /// How often the start of the newest run was sent.
+    pub starts_sent: u32,
     /// When the start of the newest run was first confirmed; 0 before.
     pub running_since_ms: u64,
     /// Whether a hold has listed the newest run, so that it is known which incarnation of the
@@ -439,6 +443,8 @@
             percent: 0,
             last_progress_ms: 0,
             recorded_ms: 0,
+            start_written_ms: 0,
+            starts_sent: 0,
             running_since_ms: 0,
             listed_by_worker: false,
             pace_percent: None,
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -3,8 +3,9 @@
 //! stopped.
 //!
 //! A start without an answer may have been carried out, so its worker is asked for the list of
-//! its runs. If the run is not in that list, the start may still arrive; the run is stopped,
-//! after which the worker refuses the start.
+//! its runs. If the run is not in that list, the start may still arrive. While its row is fresh,
+//! it is sent again, which has no effect on a run that exists. Otherwise the run is stopped, after
+//! which the worker refuses the start.
 //!
 //! A speculative task may have several runs at the same time, of which the first one that
 //! succeeds counts. The scheduler itself tracks only the newest run of a task.
@@ -39,62 +40,91 @@
 /// for the way through an executor. It exceeds the time after which a write is given up: in a
 /// store that takes that long, a row that is written again would be as old as before.
 const START_AGE_MAX_MS: u64 = 1_600;
+/// How often the start of a run is sent at most.
+const STARTS_SENT_MAX: u32 = 2;
 /// The time that a start needs to reach its worker.
 const START_LATENCY_MS: u64 = 15;
 /// How long a worker gets no new tasks after it refused a start because it had no capacity
 /// or answered [`StartReply::Unwell`]: it is overloaded or unavailable.
 const REFUSED_START_PAUSE_MS: u64 = 500;
 
+/// Why a start is not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum StartObstacle {
+    /// Its row was written so long ago that the job may have been cancelled since.
+    OldRow,
+    /// The worker has restarted, fallen silent or begun to drain.
+    ClosedWorker,
+    /// The ticket would be refused, as after a long outage of the store.
+    ExpiredTicket,
+}
+
 impl Pool {
     /// Sends a start whose row has become durable; the write was sent at `written_ms`.
     pub(crate) fn send_start(&mut self, id: TaskId, run: u32, written_ms: u64) {
-        let now_ms = self.now_ms;
-        let lease_ms = self.limits.lease_ms;
-        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
-        let payload = Arc::clone(&job.payload);
-        let needs_ticket = job.spec.queue.advice.is_some();
-        let Some(step_index) = job.step_index(id.step) else { return };
-        let step_state = &mut job.step_states[step_index];
-        let Some(task) = step_state.tasks.get_mut(id.index as usize) else { return };
+        let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+            return;
+        };
         if task.phase != Phase::Recorded || task.run != run {
             let (phase, newest_run) = (task.phase, task.run);
             tracing::info!(task = %id, run, newest_run, ?phase, "start not sent: its placement was withdrawn");
             return;
         }
+        let Some(worker) = task.worker.clone() else { return };
+        match self.try_send_start(id, written_ms) {
+            Ok(()) => {}
+            Err(StartObstacle::OldRow) => {
+                let age_ms = self.now_ms - written_ms;
+                tracing::info!(task = %id, run, age_ms, "start not sent: its row was written too long ago and is written again");
+                self.commits.mark_dirty(id.step.job, AfterCommit::Start { task: id, run });
+            }
+            Err(StartObstacle::ClosedWorker) => {
+                tracing::info!(task = %id, run, %worker, "start not sent: the worker takes none; the task is queued again");
+                self.requeue_unstarted(id);
+            }
+            Err(StartObstacle::ExpiredTicket) => {
+                tracing::info!(task = %id, run, %worker, "start not sent: its ticket expired; the task is queued again");
+                self.requeue_unstarted(id);
+            }
+        }
+    }
+
+    /// Sends the start of a task's newest run if its worker would accept it.
+    fn try_send_start(&mut self, id: TaskId, written_ms: u64) -> Result<(), StartObstacle> {
+        let now_ms = self.now_ms;
+        let lease_ms = self.limits.lease_ms;
         if now_ms > written_ms + START_AGE_MAX_MS {
-            // The job may have been cancelled since.
-            let age_ms = now_ms - written_ms;
-            tracing::info!(task = %id, run, age_ms, "start not sent: its row was written too long ago and is written again");
-            self.commits.mark_dirty(id.step.job, AfterCommit::Start { task: id, run });
-            return;
+            return Err(StartObstacle::OldRow);
         }
-        let Some(name) = task.worker.clone() else { return };
-        let Some(worker) = self.workers.get_mut(&name) else { return };
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return Ok(()) };
+        let payload = Arc::clone(&job.payload);
+        let needs_ticket = job.spec.queue.advice.is_some();
+        let Some(step_index) = job.step_index(id.step) else { return Ok(()) };
+        let step_state = &mut job.step_states[step_index];
+        let Some(task) = step_state.tasks.get_mut(id.index as usize) else { return Ok(()) };
+        let Some(name) = task.worker.clone() else { return Ok(()) };
+        let Some(worker) = self.workers.get_mut(&name) else { return Ok(()) };
         let may_start = worker.held && !worker.info.draining && worker.silent.is_none();
         let Some(until_ms) = worker.lease_end(now_ms, lease_ms).filter(|_| may_start) else {
-            // While the row was written, the worker restarted, fell silent or began to drain.
-            tracing::info!(task = %id, run, worker = %name, "start not sent: the worker takes none; the task is queued again");
-            self.requeue_unstarted(id);
-            return;
+            return Err(StartObstacle::ClosedWorker);
         };
         let ticket = step_state.advice.granted.get(&worker.index).filter(|_| needs_ticket);
         if ticket.is_some_and(|ticket| {
             !ticket.is_fresh(worker.info.incarnation, now_ms + START_LATENCY_MS)
         }) {
-            // Writing the row took longer than the ticket is valid, as in a store outage. The
-            // worker would refuse the start.
-            tracing::info!(task = %id, run, worker = %name, "start not sent: its ticket expired; the task is queued again");
-            self.requeue_unstarted(id);
-            return;
+            return Err(StartObstacle::ExpiredTicket);
         }
         let ticket = ticket.map(|ticket| ticket.text.clone());
         worker.lease_end_max = worker.lease_end_max.max(until_ms);
         task.phase = Phase::Sent;
         task.last_progress_ms = now_ms;
+        task.start_written_ms = written_ms;
+        task.starts_sent += 1;
+        let run = task.run;
+        let checkpoint = task.checkpoint.clone();
         job.start_sent = true;
         let to = callee(self.election.epoch, &self.workers, &name);
-        let Some(to) = to else { return };
-        let checkpoint = task.checkpoint.clone();
+        let Some(to) = to else { return Ok(()) };
         let row_age_ms = now_ms.saturating_sub(written_ms);
         tracing::info!(task = %id, run, worker = %name, row_age_ms, "start sent");
         self.effects.push(Effect::Start(StartCall {
@@ -107,6 +137,7 @@
             ticket,
             written_ms,
         }));
+        Ok(())
     }
 
     pub(crate) fn on_started(
@@ -138,6 +169,8 @@
             tracing::debug!(task = %id, run, worker = %from, phase = ?task.phase, ?reply, "answer to a start ignored");
             return;
         }
+        // An earlier copy of the start may still arrive after this answer.
+        let is_repeated = task.starts_sent > 1;
         match reply {
             Ok(StartReply::Started) => {
                 task.phase = Phase::Running { since_turn: turn };
@@ -153,17 +186,19 @@
                     worker.probe_due = true;
                 }
             }
-            Ok(StartReply::OldRun) => {
-                tracing::warn!(task = %id, run, worker = %from, ?reply, "start not confirmed; the run is stopped");
-                self.stop(id);
-            }
+            Ok(StartReply::OldRun) => self.stop_unconfirmed(id, from, reply),
             Ok(answer) => {
-                tracing::warn!(task = %id, run, worker = %from, %answer, "start refused by the worker; the task is queued again");
                 if answer == StartReply::BadTicket {
                     self.invalidate_ticket(id, from);
                 }
+                if is_repeated {
+                    self.stop_unconfirmed(id, from, reply);
+                    return;
+                }
+                tracing::warn!(task = %id, run, worker = %from, %answer, "start refused by the worker; the task is queued again");
                 self.requeue_unstarted(id);
             }
+            Err(_) if is_repeated => self.stop_unconfirmed(id, from, reply),
             Err(error) => {
                 tracing::warn!(task = %id, run, worker = %from, %error, "start not carried out; the task is queued again");
                 self.requeue_unstarted(id);
@@ -179,7 +214,24 @@
         if !matches!(task.phase, Phase::Unconfirmed { .. }) {
             return;
         }
-        let (run, reply) = (task.run, CallError::NoAnswer);
+        let (run, written_ms) = (task.run, task.start_written_ms);
+        if task.starts_sent < STARTS_SENT_MAX && self.try_send_start(id, written_ms).is_ok() {
+            tracing::info!(task = %id, run, worker = %from, "the worker does not list the run; its start is sent again");
+            return;
+        }
+        self.stop_unconfirmed(id, from, Err(CallError::NoAnswer));
+    }
+
+    fn stop_unconfirmed(
+        &mut self,
+        id: TaskId,
+        from: &WorkerId,
+        reply: Result<StartReply, CallError>,
+    ) {
+        let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id)) else {
+            return;
+        };
+        let run = task.run;
         tracing::warn!(task = %id, run, worker = %from, ?reply, "start not confirmed; the run is stopped");
         self.stop(id);
     }
@@ -456,6 +508,8 @@
         task.percent = 0;
         task.last_progress_ms = now_ms;
         task.recorded_ms = now_ms;
+        task.start_written_ms = 0;
+        task.starts_sent = 0;
         task.running_since_ms = 0;
         task.listed_by_worker = false;
         task.pace_percent = None;
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -193,6 +193,34 @@
     assert_completes(&mut world, 24, 0, 2_100);
 }
 
+/// Guards against a gang that ends because some of its starts are lost on their way: these are sent
+/// again while their rows are fresh.
+#[test]
+fn a_gang_some_of_whose_starts_were_lost_goes_on() {
+    let mut spec = world::job(queue(1), vec![step(24, 2_000, 1_000)]);
+    spec.steps[0].gang = true;
+    let mut world = World::new(7, 12, Faults::default());
+    world.run(600);
+    world.submit(1, spec);
+    world.run(10);
+    world.faults.lost_calls = 300;
+    world.run(50);
+    world.faults.lost_calls = 0;
+    let arrived = world.starts;
+    assert!(arrived > 0 && arrived < 24, "{arrived} starts arrived");
+    assert_completes(&mut world, 24, 0, 3_200);
+}
+
+/// A connection is reset while starts are on their way, and the workers list their runs before they
+/// carry these out. Guards against runs that are stopped, and against two runs of a task.
+#[test]
+fn starts_that_arrive_after_their_worker_was_asked_are_carried_out_once() {
+    let spec = world::job(queue(1), vec![step(24, 2_000, 1_000)]);
+    let mut world = world_with_starts_sent(spec, 1);
+    world.reset_connections();
+    assert_completes(&mut world, 24, 0, 2_100);
+}
+
 /// The same for a gang, all of whose members would end.
 #[test]
 fn a_gang_whose_starts_were_not_answered_goes_on() {
