Compare a run's progress with the time until its worker gave the answer

Cause: the speed of a worker was judged by the time at which its answer was handled. If the leader stands still for a second, answers wait as long: tasks of a second seem to have done a fraction of the work. Their worker was put into quarantine and they were moved, thrown away work of sound workers.

Change: a worker's clock, which each answer carries, bounds how much later than the one before it an answer was given. `Worker::as_of_ms` is that bound on the local clock, never above the time of handling, and the speed is judged as of it. Leases and silence use the time of handling as before.

--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -221,6 +221,7 @@
             // The answer was given to a token of the old incarnation.
             return;
         }
+        worker.as_of_ms = worker.latest_answer_ms(now_ms, reply.clock_ms);
         worker.answered_ms = now_ms;
         worker.unanswered_calls = 0;
         worker.forgotten_end = worker.forgotten_end.max(hold_forgets);
--- a/crates/pool/src/workers/speed.rs
+++ b/crates/pool/src/workers/speed.rs
@@ -2,7 +2,7 @@
 //!
 //! A slow worker answers every call in time; only the progress of its tasks shows that
 //! it is slow. Each answer to a hold is used to compare the work that its tasks have done
-//! with the time they had. A worker that is far behind gets no new tasks for a while, and
+//! with the time they had until the worker gave that answer. A worker that is far behind gets no new tasks for a while, and
 //! tasks that would finish sooner elsewhere are moved.
 
 use stoatwell_model::WorkerId;
@@ -42,7 +42,7 @@
             let Some(task) = job.step_states[step_index].tasks.get(id.index as usize) else {
                 continue;
             };
-            let elapsed_ms = now_ms.saturating_sub(task.running_since_ms);
+            let elapsed_ms = worker.as_of_ms.saturating_sub(task.running_since_ms);
             let running = matches!(task.phase, Phase::Running { .. }) && task.running_since_ms > 0;
             let not_comparable = step.long_running || step.gang || step.fills;
             if !running || not_comparable || elapsed_ms < TASK_TIME_MIN_MS {
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -139,6 +139,9 @@
     pub speed_percent: u64,
     /// When it last answered a hold.
     pub answered_ms: u64,
+    /// The latest time at which it can have given that answer, by the local clock. The answer may
+    /// have waited since, as while this process stood still.
+    pub as_of_ms: u64,
     /// Consecutive calls without an answer.
     pub unanswered_calls: u32,
     /// The pace (speed limit) of the best-effort tasks on this worker, in percent of their
@@ -186,6 +189,7 @@
             quarantine_until_ms: 0,
             speed_percent: 100,
             answered_ms: 0,
+            as_of_ms: 0,
             unanswered_calls: 0,
             pace_percent: FULL_PACE,
             pace_changed_ms: 0,
@@ -293,6 +297,15 @@
         Some(clock_ms + now_ms.saturating_sub(reported_ms) + lease_ms)
     }
 
+    /// The latest local time at which the worker can have given an answer that is handled now and
+    /// has this time of the worker's clock.
+    pub fn latest_answer_ms(&self, now_ms: u64, clock_ms: u64) -> u64 {
+        let Some((earlier_clock_ms, _)) = self.clock else { return now_ms };
+        let passed_ms = clock_ms.saturating_sub(earlier_clock_ms);
+        let passed_max_ms = passed_ms * 1_000 / (1_000 - SLOW_CLOCK_PERMILLE) + 1;
+        now_ms.min(self.as_of_ms + passed_max_ms)
+    }
+
     /// The local time after which every lease ever granted here has certainly expired.
     pub fn lease_expiry_ms(&self) -> u64 {
         let Some((clock_ms, reported_ms)) = self.clock else { return self.earlier_lease_expiry_ms };
--- /dev/null
+++ b/crates/pool/tests/pauses.rs
@@ -0,0 +1,33 @@
+//! A scheduler whose process stands still while its workers run on, in virtual time.
+
+mod world;
+
+use stoatwell_pool::JobState;
+
+use self::world::Faults;
+use self::world::World;
+use self::world::job;
+use self::world::queue;
+use self::world::step;
+
+/// Guards against runs that are stopped as too slow, because the reports of their progress are older
+/// than the scheduler takes them to be.
+#[test]
+fn workers_are_not_slow_because_the_scheduler_stood_still() {
+    let (mut stops, mut starts) = (0, 0);
+    for (pause_ms, estimate_ms) in [(900, 800), (1_200, 800), (1_200, 4_000), (2_000, 4_000)] {
+        for running_ms in (100..1_000).step_by(30) {
+            let mut world = World::new(7, 6, Faults::default());
+            world.run(600);
+            world.submit(1, job(queue(1), vec![step(36, 2_000, estimate_ms)]));
+            world.run(running_ms);
+            world.pause_leader(pause_ms);
+            world.run(pause_ms + 2 * estimate_ms);
+            assert_eq!(world.state(1), Some(JobState::Completed));
+            assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+            stops += world.stops;
+            starts += world.starts;
+        }
+    }
+    assert_eq!((starts, stops), (4 * 30 * 36, 0), "starts and stops");
+}
--- a/crates/pool/tests/world/charge.rs
+++ b/crates/pool/tests/world/charge.rs
@@ -31,7 +31,8 @@
 impl World {
     /// Handles an event, or keeps it until the scheduler's present work is done.
     pub(super) fn receive(&mut self, event: Event) {
-        if self.charge.is_some() {
+        let is_waiting = self.is_leader_busy() || !self.leader_time.inbox.is_empty();
+        if self.charge.is_some() || is_waiting {
             self.leader_time.inbox.push(event);
         } else {
             self.notify(event);
@@ -65,6 +66,11 @@
         self.spend(charge.restore * self.jobs.len() as u32);
     }
 
+    /// Stops the scheduler's process for a while. Messages to it wait.
+    pub fn pause_leader(&mut self, for_ms: u64) {
+        self.spend(Duration::from_millis(for_ms));
+    }
+
     pub(super) fn is_leader_busy(&self) -> bool {
         self.leader_time.busy_until_us > self.now_ms * 1_000
     }
