Take a run for stalled only by an answer given long after its last progress

Cause: a run counted as stalled if an answer was handled 1.1 s after its last progress. If the leader stands still, an answer that was given a moment after the one before, and shows the same percent, is handled that late. The run was stopped and the failure weighed on its worker.

Change: the answer has to be given (`Worker::as_of_ms`) when the run is already stalled. For gangs and runs estimated above 22 s that is their own longer time, not 1.1 s, so a stall there may be noticed by one hold later.

--- a/crates/pool/src/runs/stalled.rs
+++ b/crates/pool/src/runs/stalled.rs
@@ -64,7 +64,7 @@
                                 && !task.is_throttled()
                                 && progress_ms + stall_ms < self.now_ms =>
                         {
-                            stalled.push(id);
+                            stalled.push((id, progress_ms + stall_ms));
                         }
                         _ => {}
                     }
@@ -85,8 +85,8 @@
             tracing::error!(task = %id, "start brought neither an answer nor an error; stopping the run");
             self.stop(id);
         }
-        for id in stalled {
-            self.move_stalled(id);
+        for (id, stalled_from_ms) in stalled {
+            self.move_stalled(id, stalled_from_ms);
         }
     }
 
@@ -95,7 +95,7 @@
         task.phase == Phase::Sent && task.last_progress_ms + START_LOST_MS < self.now_ms
     }
 
-    fn move_stalled(&mut self, id: TaskId) {
+    fn move_stalled(&mut self, id: TaskId, stalled_from_ms: u64) {
         let now_ms = self.now_ms;
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
         let gang = job.step_index(id.step).is_some_and(|step_index| job.step_spec(step_index).gang);
@@ -105,9 +105,9 @@
         }
         let Some(name) = task.worker.clone() else { return };
         let Some(worker) = self.workers.get_mut(&name) else { return };
-        // If the worker has not answered since, the connection to it may have failed, and
-        // nothing is known about the task.
-        if worker.answered_ms < task.last_progress_ms.max(task.recorded_ms) + STALL_MS {
+        // If the worker has given no answer since, the connection to it may have failed, or this
+        // process stood still, and nothing is known about the task.
+        if worker.as_of_ms < stalled_from_ms.max(task.recorded_ms + STALL_MS) {
             return;
         }
         if gang {
--- a/crates/pool/tests/pauses.rs
+++ b/crates/pool/tests/pauses.rs
@@ -31,3 +31,23 @@
     }
     assert_eq!((starts, stops), (4 * 30 * 36, 0), "starts and stops");
 }
+
+/// Guards against runs that are stopped as stalled, because an answer that was given shortly after
+/// another one, and so shows the same progress, waited while the scheduler stood still.
+#[test]
+fn runs_are_not_stalled_because_the_scheduler_stood_still() {
+    let (mut stops, mut starts) = (0, 0);
+    for running_ms in (100..1_000).step_by(30) {
+        let mut world = World::new(7, 6, Faults::default());
+        world.run(600);
+        world.submit(1, job(queue(1), vec![step(6, 2_000, 15_000)]));
+        world.submit(2, job(queue(1), vec![step(36, 2_000, 400)]));
+        world.run(running_ms);
+        world.pause_leader(1_500);
+        world.run(4_000);
+        assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+        stops += world.stops;
+        starts += world.starts;
+    }
+    assert_eq!((starts, stops), (30 * 42, 0), "starts and stops");
+}
