--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -39,6 +39,12 @@
     Recorded,
     /// The start was sent and is not answered yet.
     Sent,
+    /// The start got no answer, so the worker may have carried it out. The answer to a hold that
+    /// is sent in a later turn tells whether it has.
+    Unconfirmed {
+        /// The turn in which this became known.
+        since_turn: u64,
+    },
     /// Known to run.
     Running {
         /// The turn in which this became known (see [`Pool`](crate::Pool)'s turn counter). If
@@ -75,6 +81,10 @@
     pub last_progress_ms: u64,
     /// When the start of the newest run was recorded; 0 if this leader has recorded none.
     pub recorded_ms: u64,
+    /// When the write of the newest run's row was sent; 0 before its start is sent.
+    pub start_written_ms: u64,
+    /// How often the start of the newest run was sent.
+    pub starts_sent: u32,
     /// When the start of the newest run was first confirmed; 0 before.
     pub running_since_ms: u64,
     /// Whether a hold has listed the newest run, so that it is known which incarnation of the
@@ -98,7 +108,10 @@
     /// it nor listed the run, nor answered a later stop, after which it refuses the start.
     pub fn has_start_in_flight(&self) -> bool {
         let is_unanswered = match self.phase {
-            Phase::Sent | Phase::Adopted | Phase::Stopping { answered_turn: None, .. } => true,
+            Phase::Sent
+            | Phase::Unconfirmed { .. }
+            | Phase::Adopted
+            | Phase::Stopping { answered_turn: None, .. } => true,
             Phase::Waiting
             | Phase::Reserved
             | Phase::Recorded
@@ -430,6 +443,8 @@
             percent: 0,
             last_progress_ms: 0,
             recorded_ms: 0,
+            start_written_ms: 0,
+            starts_sent: 0,
             running_since_ms: 0,
             listed_by_worker: false,
             pace_percent: None,
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -104,6 +104,9 @@
     /// Whether to send a probe: a hold that is sent and answered without delay, to learn
     /// whether a stopped run is gone.
     pub probe_due: bool,
+    /// The latest turn in which a start here got no answer; `None` once the answer to a hold
+    /// that was sent later has told what became of it. Until then holds are answered at once.
+    pub unconfirmed_turn: Option<u64>,
     /// The turn in which the current incarnation was discovered; 0 for the first one.
     pub incarnation_turn: u64,
     /// The time on the worker's clock and the local time of the answer that reported it;
@@ -136,6 +139,9 @@
     pub speed_percent: u64,
     /// When it last answered a hold.
     pub answered_ms: u64,
+    /// The latest time at which it can have given that answer, by the local clock. The answer may
+    /// have waited since, as while this process stood still.
+    pub as_of_ms: u64,
     /// Consecutive calls without an answer.
     pub unanswered_calls: u32,
     /// The pace (speed limit) of the best-effort tasks on this worker, in percent of their
@@ -166,6 +172,7 @@
             hold_forgets: 0,
             next_hold_ms: 0,
             probe_due: false,
+            unconfirmed_turn: None,
             incarnation_turn: 0,
             clock: None,
             lease_end_max: 0,
@@ -182,6 +189,7 @@
             quarantine_until_ms: 0,
             speed_percent: 100,
             answered_ms: 0,
+            as_of_ms: 0,
             unanswered_calls: 0,
             pace_percent: FULL_PACE,
             pace_changed_ms: 0,
@@ -202,6 +210,7 @@
         self.held = false;
         self.hold_turn = None;
         self.next_hold_ms = 0;
+        self.unconfirmed_turn = None;
         self.clock = None;
         self.lease_end_max = 0;
         self.last_processed_end = 0;
@@ -288,6 +297,15 @@
         Some(clock_ms + now_ms.saturating_sub(reported_ms) + lease_ms)
     }
 
+    /// The latest local time at which the worker can have given an answer that is handled now and
+    /// has this time of the worker's clock.
+    pub fn latest_answer_ms(&self, now_ms: u64, clock_ms: u64) -> u64 {
+        let Some((earlier_clock_ms, _)) = self.clock else { return now_ms };
+        let passed_ms = clock_ms.saturating_sub(earlier_clock_ms);
+        let passed_max_ms = passed_ms * 1_000 / (1_000 - SLOW_CLOCK_PERMILLE) + 1;
+        now_ms.min(self.as_of_ms + passed_max_ms)
+    }
+
     /// The local time after which every lease ever granted here has certainly expired.
     pub fn lease_expiry_ms(&self) -> u64 {
         let Some((clock_ms, reported_ms)) = self.clock else { return self.earlier_lease_expiry_ms };
