Tell why a session with an executor ended, and count what is lost with it

The line told the number of pending calls alone; the reason stood at debug level. It now tells the reason, the pending calls and the session's age, and counters and a gauge follow sessions, lost calls and workers that are called directly. No decision changes.

--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -47,6 +47,10 @@
 /// Maximum delay before a new session is opened.
 const REOPEN_DELAY_MAX: Duration = Duration::from_secs(8);
 
+/// Names of the calls to an executor, for the log.
+const COLLECT: &str = "collecting replies";
+const EXECUTE: &str = "sending a batch";
+
 /// The leader's link to one executor.
 #[derive(Debug)]
 pub struct Link {
@@ -78,6 +82,42 @@
     Failed,
 }
 
+/// Why a session ended, or could not be opened.
+#[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
+enum SessionEnd {
+    /// the executor rejected {0}
+    Rejected(&'static str),
+    /// {0} failed: {1}
+    CallFailed(&'static str, PeerError),
+    /// the replies cannot be decoded
+    Undecodable,
+    /// the task that sends a batch panicked
+    Panicked,
+}
+
+impl SessionEnd {
+    /// Its name in metrics.
+    fn reason(&self) -> &'static str {
+        match self {
+            Self::Rejected(_) => "rejected",
+            Self::CallFailed(_, PeerError::NotSent(_)) => "no connection",
+            Self::CallFailed(_, PeerError::NoAnswer(_)) => "no answer",
+            Self::Undecodable => "undecodable",
+            Self::Panicked => "panicked",
+        }
+    }
+
+    /// What became of the calls of a batch that ended the session.
+    fn call_error(&self) -> CallError {
+        match self {
+            Self::Rejected(_) | Self::CallFailed(_, PeerError::NotSent(_)) => CallError::NotSent,
+            Self::CallFailed(_, PeerError::NoAnswer(_)) | Self::Undecodable | Self::Panicked => {
+                CallError::NoAnswer
+            }
+        }
+    }
+}
+
 impl Link {
     /// A link without a session.
     pub fn new(address: String) -> Self {
@@ -121,9 +161,14 @@
         let mut delay = REOPEN_DELAY_MIN;
         loop {
             let session = next_session();
-            if self.collect(peers, session, 0, &on_reply).await {
+            let mut opened_ms = None;
+            let end = if let Err(end) = self.collect(peers, session, 0, &on_reply).await {
+                end
+            } else {
                 delay = REOPEN_DELAY_MIN;
+                opened_ms = Some(steady_ms());
                 self.lock().phase = Phase::Open;
+                metrics::counter!("stoatwell_sessions_opened_total").increment(1);
                 tracing::info!(
                     executor = self.address,
                     session = session.number,
@@ -131,11 +176,13 @@
                 );
                 on_change();
                 tokio::select! {
-                    () = self.collect_replies(peers, session, &on_reply) => {}
-                    () = self.send_batches(peers, session, &on_reply) => {}
+                    end = self.collect_replies(peers, session, &on_reply) => end,
+                    end = self.send_batches(peers, session, &on_reply) => end,
                 }
-            }
-            self.mark_failed(&on_reply);
+            };
+            metrics::counter!("stoatwell_sessions_ended_total", "reason" => end.reason())
+                .increment(1);
+            self.mark_failed(session, &end, opened_ms, &on_reply);
             on_change();
             sleep(delay).await;
             delay = (delay * 2).min(REOPEN_DELAY_MAX);
@@ -147,30 +194,33 @@
         peers: &Peers,
         session: SessionId,
         on_reply: &impl Fn(PendingCall, WorkerReply),
-    ) {
-        while self.collect(peers, session, COLLECT_WAIT_MS, on_reply).await {}
+    ) -> SessionEnd {
+        loop {
+            if let Err(end) = self.collect(peers, session, COLLECT_WAIT_MS, on_reply).await {
+                return end;
+            }
+        }
     }
 
-    /// Collects replies once; `false` if the executor did not respond or refused.
+    /// Collects replies once.
     async fn collect(
         &self,
         peers: &Peers,
         session: SessionId,
         wait_ms: u64,
         on_reply: &impl Fn(PendingCall, WorkerReply),
-    ) -> bool {
+    ) -> Result<(), SessionEnd> {
         let call = DaemonCall::Collect { session, wait_ms };
         let limit = Duration::from_millis(wait_ms) + COLLECT_MARGIN;
         let reply = peers.call::<DaemonReply>(&self.address, &call, limit).await;
-        let Ok(DaemonReply::Collected { clock_ms, replies }) = reply else {
-            tracing::debug!(
-                executor = self.address,
-                ?reply,
-                "cannot collect replies from an executor"
-            );
-            return false;
+        let (clock_ms, replies) = match reply {
+            Ok(DaemonReply::Collected { clock_ms, replies }) => (clock_ms, replies),
+            Ok(_) => return Err(SessionEnd::Rejected(COLLECT)),
+            Err(error) => return Err(SessionEnd::CallFailed(COLLECT, error)),
+        };
+        let Some(replies) = decode::<Replies>("replies", &replies) else {
+            return Err(SessionEnd::Undecodable);
         };
-        let Some(replies) = decode::<Replies>("replies", &replies) else { return false };
         let mut answered = Vec::with_capacity(replies.len());
         {
             let mut state = self.lock();
@@ -185,7 +235,7 @@
         for (pending, reply) in answered {
             on_reply(pending, reply);
         }
-        true
+        Ok(())
     }
 
     /// Sends queued calls in batches, until one is not accepted.
@@ -194,19 +244,19 @@
         peers: &Peers,
         session: SessionId,
         on_reply: &impl Fn(PendingCall, WorkerReply),
-    ) {
-        let mut in_flight: JoinSet<Result<(), (Vec<u64>, CallError)>> = JoinSet::new();
+    ) -> SessionEnd {
+        let mut in_flight: JoinSet<Result<(), (Vec<u64>, SessionEnd)>> = JoinSet::new();
         loop {
             tokio::select! {
                 () = self.queued.notified(), if in_flight.len() < BATCHES_IN_FLIGHT_MAX => {}
                 Some(accepted) = in_flight.join_next() => {
                     if log_panic("batch for an executor", &accepted) {
                         // Its calls are settled with the session.
-                        return;
+                        return SessionEnd::Panicked;
                     }
-                    let Ok(Err((numbers, error))) = accepted else { continue };
-                    self.fail_calls(&numbers, error, on_reply);
-                    return;
+                    let Ok(Err((numbers, end))) = accepted else { continue };
+                    self.fail_calls(&numbers, end.call_error(), on_reply);
+                    return end;
                 }
             }
             sleep(GATHER_DELAY).await;
@@ -217,8 +267,8 @@
             in_flight.spawn(async move {
                 match peers.call::<DaemonReply>(&address, &call, EXECUTE_TIMEOUT).await {
                     Ok(DaemonReply::Noted) => Ok(()),
-                    Ok(_) | Err(PeerError::NotSent(_)) => Err((numbers, CallError::NotSent)),
-                    Err(PeerError::NoAnswer(_)) => Err((numbers, CallError::NoAnswer)),
+                    Ok(_) => Err((numbers, SessionEnd::Rejected(EXECUTE))),
+                    Err(error) => Err((numbers, SessionEnd::CallFailed(EXECUTE, error))),
                 }
             });
         }
@@ -250,11 +300,27 @@
 
     /// Marks the link as failed and settles all its calls: those still queued as not sent,
     /// since they surely had no effect, those that were sent as unanswered.
-    fn mark_failed(&self, on_reply: &impl Fn(PendingCall, WorkerReply)) {
+    fn mark_failed(
+        &self,
+        session: SessionId,
+        end: &SessionEnd,
+        opened_ms: Option<u64>,
+        on_reply: &impl Fn(PendingCall, WorkerReply),
+    ) {
         let mut state = self.lock();
-        if state.phase == Phase::Open {
-            let pending = state.pending.len();
-            tracing::warn!(executor = self.address, pending, "session with an executor failed");
+        let pending = state.pending.len();
+        metrics::counter!("stoatwell_session_calls_lost_total").increment(pending as u64);
+        if let Some(opened_ms) = opened_ms {
+            tracing::warn!(
+                executor = self.address,
+                session = session.number,
+                pending,
+                age_ms = steady_ms().saturating_sub(opened_ms),
+                why = %end,
+                "session with an executor failed"
+            );
+        } else {
+            tracing::debug!(executor = self.address, why = %end, "cannot open a session");
         }
         state.phase = Phase::Failed;
         let queued: Vec<u64> = state.queue.drain(..).map(|(number, ..)| number).collect();
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -134,6 +134,8 @@
             );
         }
         state.busy = busy;
+        let direct_workers = if state.uses_executors() { state.direct_workers.len() } else { 0 };
+        metrics::gauge!("stoatwell_direct_workers").set(direct_workers as f64);
         drop(state);
         self.open_links();
     }
