A session with an executor survives lost messages

A call to an executor that was late or failed once ended the session, and each pending call of it counted as unanswered, although the executor had made the calls. Replies were handed over with their only copy, so one whose connection broke was lost for good.

Replies now stay at the executor until the next poll acknowledges them, batches carry numbers so that one that arrives again is not executed again, and a call that fails makes the link suspect: new calls take another way as soon as before, pending ones wait, and the call is repeated on a new connection. The session ends if the executor refuses connections, does not know the session (it is opened explicitly now), or attempts at a call were silent for 2 s. A start keeps the moment at which it expires. Time limits do not count time in which the leader's process does not run.

A batch that an executor rejects counts as not sent only if no earlier attempt may have arrived.

Tests with a proxy that stalls, resets or loses replies. Tests of the executor that opened a session implicitly open it explicitly now and assert the same.

--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -1,10 +1,19 @@
 //! Monotonic and wall-clock time.
 
+use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
+use tokio::time::sleep;
+
+/// A timer that fires later than this shows that the process did not run.
+const LATE_MS: u64 = 50;
+/// How long a process that did not run takes to read what arrived meanwhile.
+const CATCH_UP: Duration = Duration::from_millis(100);
+/// Maximum number of times that one sleep is extended.
+const CATCH_UPS_MAX: usize = 8;
 
 /// Milliseconds of a monotonic clock that keeps running while the machine is suspended.
 ///
@@ -20,3 +29,17 @@
 pub fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
+
+/// Sleeps for a time limit. If the process did not run when it ended, sleeps on for as long as it
+/// takes to read what arrived meanwhile, so that nobody else is blamed for the pause.
+pub async fn sleep_while_running(limit: Duration) {
+    let mut wait = limit;
+    for _ in 0..=CATCH_UPS_MAX {
+        let due_ms = steady_ms() + wait.as_millis() as u64;
+        sleep(wait).await;
+        if steady_ms() <= due_ms + LATE_MS {
+            return;
+        }
+        wait = CATCH_UP;
+    }
+}
--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -300,6 +300,11 @@
     })
 }
 
+/// The number of bytes of an encoded value.
+pub fn encoded_bytes(value: &impl Serialize) -> usize {
+    codec().serialized_size(value).map_or(0, |bytes| bytes as usize)
+}
+
 /// Decodes a batch, replies or a manifest. `content` names it in logs and metrics.
 pub fn decode<T: serde::de::DeserializeOwned>(content: &'static str, bytes: &[u8]) -> Option<T> {
     match codec().deserialize(bytes) {
--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -1,10 +1,13 @@
 //! The leader's link to one executor.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
+use std::time::Instant;
 
 use stoatwell_peer::Peers;
 use stoatwell_peer::client::PeerError;
@@ -21,7 +24,9 @@
 use super::call::WorkerReply;
 use super::call::decode;
 use super::call::encode;
+use super::session::BatchPosition;
 use super::session::SessionId;
+use crate::clock::sleep_while_running;
 use crate::clock::steady_ms;
 use crate::peers::DaemonCall;
 use crate::peers::DaemonReply;
@@ -33,6 +38,14 @@
 const COLLECT_MARGIN: Duration = Duration::from_millis(500);
 /// How long an executor may take to accept a batch.
 const EXECUTE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Delay before a call to an executor is repeated.
+const REPEAT_DELAY: Duration = Duration::from_millis(40);
+/// A session ends once an executor has answered none of the attempts at a call for this long. The
+/// longest hold and this time are together shorter than the time after which the pool takes a hold
+/// for lost.
+const SILENCE_MAX: Duration = Duration::from_secs(2);
+/// Added to time limits for the time in which this process does not run.
+const PAUSE_MAX: Duration = Duration::from_secs(10);
 /// How long calls are gathered for a batch.
 const GATHER_DELAY: Duration = Duration::from_millis(10);
 /// Maximum number of batches in flight. Further calls are queued for the next batch.
@@ -46,8 +59,8 @@
 const REOPEN_DELAY_MIN: Duration = Duration::from_millis(500);
 /// Maximum delay before a new session is opened.
 const REOPEN_DELAY_MAX: Duration = Duration::from_secs(8);
-
 /// Names of the calls to an executor, for the log.
+const OPEN: &str = "opening a session";
 const COLLECT: &str = "collecting replies";
 const EXECUTE: &str = "sending a batch";
 
@@ -71,6 +84,18 @@
     queue: Vec<(u64, u64, WorkerCall)>,
     pending: HashMap<u64, PendingCall>,
     last_number: u64,
+    /// Batches that the executor has not accepted yet, by number.
+    open_batches: BTreeMap<u64, OpenBatch>,
+    last_batch: u64,
+}
+
+/// A batch that the executor has not accepted yet.
+#[derive(Debug)]
+struct OpenBatch {
+    /// Numbers of its calls.
+    calls: Vec<u64>,
+    /// Whether it may have reached the executor.
+    may_be_sent: bool,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -79,42 +104,73 @@
     #[default]
     New,
     Open,
+    /// The last call to the executor failed and is repeated; new calls take another way.
+    Suspect,
     Failed,
 }
 
 /// Why a session ended, or could not be opened.
 #[derive(Clone, Debug, PartialEq, Eq, displaydoc::Display)]
 enum SessionEnd {
-    /// the executor rejected {0}
-    Rejected(&'static str),
-    /// {0} failed: {1}
-    CallFailed(&'static str, PeerError),
+    /// the executor does not know the session or the call ({0})
+    Unknown(&'static str),
+    /// the executor's process is gone ({0}): {1}
+    Gone(&'static str, PeerError),
+    /// the executor does not answer ({0}): {1}
+    Silent(&'static str, PeerError),
     /// the replies cannot be decoded
     Undecodable,
     /// the task that sends a batch panicked
     Panicked,
 }
 
+/// Attempts at a call to an executor since its last answer.
+#[derive(Debug)]
+struct Attempts {
+    call: &'static str,
+    silence: Duration,
+}
+
 impl SessionEnd {
     /// Its name in metrics.
     fn reason(&self) -> &'static str {
         match self {
-            Self::Rejected(_) => "rejected",
-            Self::CallFailed(_, PeerError::NotSent(_)) => "no connection",
-            Self::CallFailed(_, PeerError::NoAnswer(_)) => "no answer",
+            Self::Unknown(_) => "unknown session",
+            Self::Gone(..) => "refused",
+            Self::Silent(..) => "silent",
             Self::Undecodable => "undecodable",
             Self::Panicked => "panicked",
         }
     }
+}
+
+impl Attempts {
+    fn new(call: &'static str) -> Self {
+        Self { call, silence: Duration::ZERO }
+    }
 
-    /// What became of the calls of a batch that ended the session.
-    fn call_error(&self) -> CallError {
-        match self {
-            Self::Rejected(_) | Self::CallFailed(_, PeerError::NotSent(_)) => CallError::NotSent,
-            Self::CallFailed(_, PeerError::NoAnswer(_)) | Self::Undecodable | Self::Panicked => {
-                CallError::NoAnswer
-            }
+    /// The time limit of the next attempt.
+    fn limit(&self, limit: Duration) -> Duration {
+        limit.min(SILENCE_MAX.saturating_sub(self.silence))
+    }
+
+    /// Notes that an attempt with this limit got no answer.
+    fn note_failure(
+        &mut self,
+        error: PeerError,
+        took: Duration,
+        limit: Duration,
+    ) -> Result<(), SessionEnd> {
+        if error.is_refused() {
+            return Err(SessionEnd::Gone(self.call, error));
+        }
+        // What goes beyond the limit is time in which this process did not run.
+        self.silence += took.min(limit) + REPEAT_DELAY;
+        if self.silence >= SILENCE_MAX {
+            return Err(SessionEnd::Silent(self.call, error));
         }
+        tracing::debug!(call = self.call, %error, "a call to an executor failed; repeating it");
+        Ok(())
     }
 }
 
@@ -130,7 +186,7 @@
         self.lock().phase == Phase::Open
     }
 
-    /// Whether it accepts calls, or its first session is still being opened.
+    /// Whether it has a session, or its first session is still being opened.
     pub fn is_usable(&self) -> bool {
         self.lock().phase != Phase::Failed
     }
@@ -152,7 +208,7 @@
     /// Opens a session and, whenever one fails, the next one after a delay. `on_change` is
     /// called when the link opens or fails.
     pub async fn run(
-        &self,
+        self: &Arc<Self>,
         peers: &Peers,
         next_session: impl Fn() -> SessionId,
         on_reply: impl Fn(PendingCall, WorkerReply),
@@ -162,12 +218,11 @@
         loop {
             let session = next_session();
             let mut opened_ms = None;
-            let end = if let Err(end) = self.collect(peers, session, 0, &on_reply).await {
+            let end = if let Err(end) = self.open(peers, session).await {
                 end
             } else {
                 delay = REOPEN_DELAY_MIN;
                 opened_ms = Some(steady_ms());
-                self.lock().phase = Phase::Open;
                 metrics::counter!("stoatwell_sessions_opened_total").increment(1);
                 tracing::info!(
                     executor = self.address,
@@ -189,41 +244,72 @@
         }
     }
 
+    /// Opens a session, in one attempt.
+    async fn open(&self, peers: &Peers, session: SessionId) -> Result<(), SessionEnd> {
+        let call = DaemonCall::OpenSession(session);
+        match self.call(peers, &call, COLLECT_MARGIN).await {
+            Ok(DaemonReply::SessionOpened { clock_ms }) => {
+                let mut state = self.lock();
+                state.clock = Some((clock_ms, steady_ms()));
+                state.phase = Phase::Open;
+                Ok(())
+            }
+            Ok(_) => Err(SessionEnd::Unknown(OPEN)),
+            Err(error) if error.is_refused() => Err(SessionEnd::Gone(OPEN, error)),
+            Err(error) => Err(SessionEnd::Silent(OPEN, error)),
+        }
+    }
+
+    /// Collects replies, each until the executor knows that it arrived.
     async fn collect_replies(
         &self,
         peers: &Peers,
         session: SessionId,
         on_reply: &impl Fn(PendingCall, WorkerReply),
     ) -> SessionEnd {
+        let mut ack_cursor = 0;
+        let mut wait_ms = COLLECT_WAIT_MS;
+        let mut attempts = Attempts::new(COLLECT);
         loop {
-            if let Err(end) = self.collect(peers, session, COLLECT_WAIT_MS, on_reply).await {
-                return end;
-            }
+            let call = DaemonCall::Collect { session, ack_cursor, wait_ms };
+            let limit = attempts.limit(Duration::from_millis(wait_ms) + COLLECT_MARGIN);
+            let began = Instant::now();
+            let (clock_ms, cursor, replies) = match self.call(peers, &call, limit).await {
+                Ok(DaemonReply::Collected { clock_ms, cursor, replies }) => {
+                    (clock_ms, cursor, replies)
+                }
+                Ok(_) => return SessionEnd::Unknown(COLLECT),
+                Err(error) => {
+                    if let Err(end) = attempts.note_failure(error, began.elapsed(), limit) {
+                        return end;
+                    }
+                    self.suspect();
+                    wait_ms = 0;
+                    sleep(REPEAT_DELAY).await;
+                    continue;
+                }
+            };
+            let Some(replies) = decode::<Replies>("replies", &replies) else {
+                return SessionEnd::Undecodable;
+            };
+            ack_cursor = cursor;
+            wait_ms = COLLECT_WAIT_MS;
+            attempts = Attempts::new(COLLECT);
+            self.settle(clock_ms, replies, on_reply);
         }
     }
 
-    /// Collects replies once.
-    async fn collect(
+    /// Settles the calls that were replied to. The executor lives, so the link is open.
+    fn settle(
         &self,
-        peers: &Peers,
-        session: SessionId,
-        wait_ms: u64,
+        clock_ms: u64,
+        replies: Replies,
         on_reply: &impl Fn(PendingCall, WorkerReply),
-    ) -> Result<(), SessionEnd> {
-        let call = DaemonCall::Collect { session, wait_ms };
-        let limit = Duration::from_millis(wait_ms) + COLLECT_MARGIN;
-        let reply = peers.call::<DaemonReply>(&self.address, &call, limit).await;
-        let (clock_ms, replies) = match reply {
-            Ok(DaemonReply::Collected { clock_ms, replies }) => (clock_ms, replies),
-            Ok(_) => return Err(SessionEnd::Rejected(COLLECT)),
-            Err(error) => return Err(SessionEnd::CallFailed(COLLECT, error)),
-        };
-        let Some(replies) = decode::<Replies>("replies", &replies) else {
-            return Err(SessionEnd::Undecodable);
-        };
+    ) {
         let mut answered = Vec::with_capacity(replies.len());
         {
             let mut state = self.lock();
+            state.phase = Phase::Open;
             // The executor read its clock before this moment, so calls never expire late.
             state.clock = Some((clock_ms, steady_ms()));
             for (number, reply) in replies {
@@ -235,51 +321,104 @@
         for (pending, reply) in answered {
             on_reply(pending, reply);
         }
-        Ok(())
     }
 
-    /// Sends queued calls in batches, until one is not accepted.
+    /// Sends queued calls in batches.
     async fn send_batches(
-        &self,
+        self: &Arc<Self>,
         peers: &Peers,
         session: SessionId,
         on_reply: &impl Fn(PendingCall, WorkerReply),
     ) -> SessionEnd {
-        let mut in_flight: JoinSet<Result<(), (Vec<u64>, SessionEnd)>> = JoinSet::new();
+        let mut in_flight: JoinSet<Result<(), SessionEnd>> = JoinSet::new();
         loop {
             tokio::select! {
                 () = self.queued.notified(), if in_flight.len() < BATCHES_IN_FLIGHT_MAX => {}
                 Some(accepted) = in_flight.join_next() => {
                     if log_panic("batch for an executor", &accepted) {
-                        // Its calls are settled with the session.
                         return SessionEnd::Panicked;
                     }
-                    let Ok(Err((numbers, end))) = accepted else { continue };
-                    self.fail_calls(&numbers, end.call_error(), on_reply);
+                    let Ok(Err(end)) = accepted else { continue };
                     return end;
                 }
             }
             sleep(GATHER_DELAY).await;
-            let Some((batch, numbers)) = self.next_batch(on_reply) else { continue };
+            let Some((position, batch)) = self.next_batch(on_reply) else { continue };
+            let link = Arc::clone(self);
             let peers = peers.clone();
-            let address = self.address.clone();
-            let call = DaemonCall::Execute { session, batch: encode(&batch) };
-            in_flight.spawn(async move {
-                match peers.call::<DaemonReply>(&address, &call, EXECUTE_TIMEOUT).await {
-                    Ok(DaemonReply::Noted) => Ok(()),
-                    Ok(_) => Err((numbers, SessionEnd::Rejected(EXECUTE))),
-                    Err(error) => Err((numbers, SessionEnd::CallFailed(EXECUTE, error))),
+            let call = DaemonCall::Execute { session, position, batch: encode(&batch) };
+            in_flight.spawn(async move { link.send_batch(&peers, position.number, &call).await });
+        }
+    }
+
+    /// Sends a batch until the executor accepts it.
+    async fn send_batch(
+        &self,
+        peers: &Peers,
+        number: u64,
+        call: &DaemonCall,
+    ) -> Result<(), SessionEnd> {
+        let mut attempts = Attempts::new(EXECUTE);
+        let mut may_be_sent = false;
+        loop {
+            let limit = attempts.limit(EXECUTE_TIMEOUT);
+            let began = Instant::now();
+            if !self.note_batch(number, true) {
+                return Ok(());
+            }
+            match self.call(peers, call, limit).await {
+                Ok(DaemonReply::Noted) => {
+                    self.lock().open_batches.remove(&number);
+                    return Ok(());
+                }
+                Ok(_) => {
+                    self.note_batch(number, may_be_sent);
+                    return Err(SessionEnd::Unknown(EXECUTE));
                 }
-            });
+                Err(error) => {
+                    may_be_sent |= matches!(error, PeerError::NoAnswer(_));
+                    self.note_batch(number, may_be_sent);
+                    attempts.note_failure(error, began.elapsed(), limit)?;
+                }
+            }
+            self.suspect();
+            sleep(REPEAT_DELAY).await;
+        }
+    }
+
+    /// Notes whether a batch may have reached the executor; `false` if its session has ended.
+    fn note_batch(&self, number: u64, may_be_sent: bool) -> bool {
+        let mut state = self.lock();
+        let Some(batch) = state.open_batches.get_mut(&number) else { return false };
+        batch.may_be_sent = may_be_sent;
+        true
+    }
+
+    /// Calls the executor. Time in which this process does not run is not counted.
+    async fn call(
+        &self,
+        peers: &Peers,
+        call: &DaemonCall,
+        limit: Duration,
+    ) -> Result<DaemonReply, PeerError> {
+        let expired = sleep_while_running(limit);
+        peers.call_until(&self.address, call, limit + PAUSE_MAX, expired).await
+    }
+
+    fn suspect(&self) {
+        let mut state = self.lock();
+        if state.phase == Phase::Open {
+            state.phase = Phase::Suspect;
+            metrics::counter!("stoatwell_sessions_suspected_total").increment(1);
         }
     }
 
-    /// A batch of the queued calls and their numbers. Calls that are too old are settled as
+    /// A batch of the queued calls and its position. Calls that are too old are settled as
     /// not sent. `None` if nothing is left to send.
     fn next_batch(
         &self,
         on_reply: &impl Fn(PendingCall, WorkerReply),
-    ) -> Option<(Batch, Vec<u64>)> {
+    ) -> Option<(BatchPosition, Batch)> {
         let now_ms = steady_ms();
         let mut state = self.lock();
         let (clock_ms, received_ms) = state.clock?;
@@ -289,17 +428,25 @@
         drop(state);
         let expired: Vec<u64> = expired.into_iter().map(|(number, ..)| number).collect();
         self.fail_calls(&expired, CallError::NotSent, on_reply);
+        if sendable.is_empty() {
+            return None;
+        }
         let numbers: Vec<u64> = sendable.iter().map(|(number, ..)| *number).collect();
         let expiries = sendable.iter().map(|(_, _, call)| expiry_ms(now_ms, call));
         let valid_ms = expiries.min().unwrap_or(now_ms) - now_ms;
         let calls = sendable.into_iter().map(|(number, _, call)| (number, call)).collect();
         let expires_ms = clock_ms + now_ms.saturating_sub(received_ms) + valid_ms;
-        let batch = Batch::new(calls, expires_ms);
-        (!batch.is_empty()).then_some((batch, numbers))
+        let mut state = self.lock();
+        state.last_batch += 1;
+        let number = state.last_batch;
+        state.open_batches.insert(number, OpenBatch { calls: numbers, may_be_sent: false });
+        let first_open = state.open_batches.keys().next().copied().unwrap_or(number);
+        drop(state);
+        Some((BatchPosition { number, first_open }, Batch::new(calls, expires_ms)))
     }
 
-    /// Marks the link as failed and settles all its calls: those still queued as not sent,
-    /// since they surely had no effect, those that were sent as unanswered.
+    /// Marks the link as failed and settles all its calls: those that were surely not sent as
+    /// such, all others as unanswered.
     fn mark_failed(
         &self,
         session: SessionId,
@@ -323,9 +470,14 @@
             tracing::debug!(executor = self.address, why = %end, "cannot open a session");
         }
         state.phase = Phase::Failed;
-        let queued: Vec<u64> = state.queue.drain(..).map(|(number, ..)| number).collect();
+        let mut unsent: Vec<u64> = state.queue.drain(..).map(|(number, ..)| number).collect();
+        for batch in std::mem::take(&mut state.open_batches).into_values() {
+            if !batch.may_be_sent {
+                unsent.extend(batch.calls);
+            }
+        }
         drop(state);
-        self.fail_calls(&queued, CallError::NotSent, on_reply);
+        self.fail_calls(&unsent, CallError::NotSent, on_reply);
         let mut sent: Vec<u64> = self.lock().pending.keys().copied().collect();
         sent.sort_unstable();
         self.fail_calls(&sent, CallError::NoAnswer, on_reply);
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -8,7 +8,9 @@
 //! became of it.
 //!
 //! The leader has a *link* to each of its executors. Over a link it opens one *session*
-//! after another; a session ends with the first call to the executor that fails.
+//! after another. A call to the executor that fails is repeated, and nothing is lost: replies stay
+//! at the executor until the leader acknowledges them, and a batch that arrives again is not
+//! executed again. A session ends if the executor has lost its state or is silent for too long.
 
 pub mod call;
 mod link;
--- a/crates/node/src/executors/session.rs
+++ b/crates/node/src/executors/session.rs
@@ -1,6 +1,9 @@
 //! The executor's side: makes the leader's calls, and keeps the replies until the leader
-//! collects them.
+//! acknowledges them.
 
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,14 +21,19 @@
 use super::call::Replies;
 use super::call::WorkerCall;
 use super::call::WorkerReply;
+use super::call::encoded_bytes;
 use crate::clock::steady_ms;
 use crate::platform::Platform;
 
 /// How long to wait for further replies once there is one.
 const GATHER_DELAY: Duration = Duration::from_millis(12);
+/// Maximum number of bytes of the replies that are returned together, unless it is a single one.
+const COLLECTED_BYTES_MAX: usize = 1 << 20;
+/// A session that keeps more bytes of replies than this is given up.
+const KEPT_BYTES_MAX: usize = 16 << 20;
 
-/// Identifies a session: a leader's use of one executor, from its first call to the executor
-/// to the first that fails.
+/// Identifies a session: a leader's use of one executor, until one of them loses its state or
+/// cannot be reached for seconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct SessionId {
     /// Epoch of the leader that opened the session.
@@ -34,6 +42,24 @@
     pub number: u64,
 }
 
+/// Identifies a batch of a session, which may be sent more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BatchPosition {
+    /// Number of the batch; rises within the session.
+    pub number: u64,
+    /// The leader knows that all batches with lower numbers than this were accepted.
+    pub first_open: u64,
+}
+
+/// Replies that the leader has not acknowledged.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Collected {
+    /// The cursor of the last reply.
+    pub cursor: u64,
+    /// The replies, oldest first.
+    pub replies: Replies,
+}
+
 /// Makes the calls of the newest session.
 #[derive(Debug)]
 pub struct Executor<P> {
@@ -44,19 +70,52 @@
 #[derive(Debug)]
 struct Session {
     id: SessionId,
-    replies: Mutex<Replies>,
+    state: Mutex<SessionState>,
     replied: Notify,
 }
 
+#[derive(Debug, Default)]
+struct SessionState {
+    /// Replies after `ack_cursor`, with their encoded sizes.
+    replies: VecDeque<(u64, WorkerReply, usize)>,
+    ack_cursor: u64,
+    kept_bytes: usize,
+    /// Whether replies were dropped because too many were kept.
+    is_overflowing: bool,
+    /// Numbers of accepted batches, from `first_open` on.
+    accepted: BTreeSet<u64>,
+    first_open: u64,
+}
+
 impl<P: Platform> Executor<P> {
     /// An executor without a session.
     pub fn new(platform: Arc<P>) -> Self {
         Self { platform, current: Mutex::default() }
     }
 
-    /// Begins to make the calls of a batch; `false` if a newer session replaced this one.
-    pub fn execute(&self, id: SessionId, batch: Batch) -> bool {
+    /// Opens a session in place of an earlier one; `false` if there is this one or a newer one.
+    pub fn open(&self, id: SessionId) -> bool {
+        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        if current.as_ref().is_some_and(|session| session.id >= id) {
+            return false;
+        }
+        tracing::info!(
+            epoch = id.epoch,
+            number = id.number,
+            "new session: this daemon makes calls for a leader"
+        );
+        let session = Session { id, state: Mutex::default(), replied: Notify::new() };
+        *current = Some(Arc::new(session));
+        true
+    }
+
+    /// Begins to make the calls of a batch, unless it was accepted before; `false` if the session
+    /// is not known.
+    pub fn execute(&self, id: SessionId, position: BatchPosition, batch: Batch) -> bool {
         let Some(session) = self.session(id) else { return false };
+        if !session.lock().accept(position) {
+            return true;
+        }
         let expires_ms = batch.expires_ms;
         for (number, call) in batch.into_calls() {
             let session = Arc::clone(&session);
@@ -72,44 +131,84 @@
                     call.perform(&*platform).await
                 };
                 call.log_start(&reply, id.epoch, began_ms, Some(expires_ms));
-                session.lock().push((number, reply));
-                session.replied.notify_one();
+                session.lock().keep(number, reply);
+                session.replied.notify_waiters();
             });
         }
         true
     }
 
-    /// Waits for replies, at most `wait_ms` for the first one, and returns those there are.
-    /// `None` if a newer session replaced this one.
-    pub async fn collect(&self, id: SessionId, wait_ms: u64) -> Option<Replies> {
+    /// Forgets replies up to a cursor, waits for later ones, at most `wait_ms` for the first one,
+    /// and returns those there are. `None` if the session is not known.
+    pub async fn collect(&self, id: SessionId, ack_cursor: u64, wait_ms: u64) -> Option<Collected> {
         let session = self.session(id)?;
+        let mut replied = pin!(session.replied.notified());
+        replied.as_mut().enable();
+        session.lock().forget(ack_cursor);
         let wait = Duration::from_millis(wait_ms);
-        if session.lock().is_empty() && timeout(wait, session.replied.notified()).await.is_ok() {
+        if session.lock().replies.is_empty() && timeout(wait, replied).await.is_ok() {
             sleep(GATHER_DELAY).await;
         }
-        Some(std::mem::take(&mut *session.lock()))
+        session.lock().unacknowledged()
     }
 
+    /// The current session if it is this one and has all its replies.
     fn session(&self, id: SessionId) -> Option<Arc<Session>> {
-        let mut current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
-        let existing = current.as_ref().filter(|session| session.id >= id);
-        if let Some(session) = existing {
-            return (session.id == id).then(|| Arc::clone(session));
-        }
-        tracing::info!(
-            epoch = id.epoch,
-            number = id.number,
-            "new session: this daemon makes calls for a leader"
-        );
-        let replied = Notify::new();
-        let session = Arc::new(Session { id, replies: Mutex::default(), replied });
-        *current = Some(Arc::clone(&session));
-        Some(session)
+        let current = self.current.lock().unwrap_or_else(PoisonError::into_inner);
+        let session = current.as_ref().filter(|session| session.id == id)?;
+        (!session.lock().is_overflowing).then(|| Arc::clone(session))
     }
 }
 
 impl Session {
-    fn lock(&self) -> MutexGuard<'_, Replies> {
-        self.replies.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, SessionState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl SessionState {
+    /// Whether a batch is new; it counts as accepted from now on.
+    fn accept(&mut self, BatchPosition { number, first_open }: BatchPosition) -> bool {
+        if first_open > self.first_open {
+            self.first_open = first_open;
+            self.accepted = self.accepted.split_off(&first_open);
+        }
+        number >= self.first_open && self.accepted.insert(number)
+    }
+
+    fn keep(&mut self, number: u64, reply: WorkerReply) {
+        let bytes = encoded_bytes(&(number, &reply));
+        self.kept_bytes += bytes;
+        self.is_overflowing |= self.kept_bytes > KEPT_BYTES_MAX;
+        if self.is_overflowing {
+            self.replies.clear();
+            return;
+        }
+        self.replies.push_back((number, reply, bytes));
+    }
+
+    fn forget(&mut self, ack_cursor: u64) {
+        while self.ack_cursor < ack_cursor {
+            let Some((.., bytes)) = self.replies.pop_front() else { return };
+            self.kept_bytes -= bytes;
+            self.ack_cursor += 1;
+        }
+    }
+
+    fn unacknowledged(&self) -> Option<Collected> {
+        if self.is_overflowing {
+            return None;
+        }
+        let mut collected = Collected { cursor: self.ack_cursor, replies: Vec::new() };
+        let mut bytes_left = COLLECTED_BYTES_MAX;
+        for (number, reply, bytes) in &self.replies {
+            if *bytes > bytes_left && !collected.replies.is_empty() {
+                break;
+            }
+            bytes_left = bytes_left.saturating_sub(*bytes);
+            collected.cursor += 1;
+            collected.replies.push((*number, reply.clone()));
+        }
+        Some(collected)
     }
 }
--- a/crates/node/src/gateway/local.rs
+++ b/crates/node/src/gateway/local.rs
@@ -53,6 +53,7 @@
         | DaemonCall::Advise { .. }
         | DaemonCall::Alive
         | DaemonCall::Leads { .. }
+        | DaemonCall::OpenSession(_)
         | DaemonCall::Execute { .. }
         | DaemonCall::Collect { .. }
         | DaemonCall::Store { .. }
--- a/crates/node/src/gateway/serve.rs
+++ b/crates/node/src/gateway/serve.rs
@@ -36,17 +36,25 @@
             self.observe_leader(epoch, Some(address));
             return DaemonReply::Noted;
         }
-        if let DaemonCall::Execute { session, batch } = call {
+        if let DaemonCall::OpenSession(session) = call {
+            return if self.executor.open(session) {
+                DaemonReply::SessionOpened { clock_ms: steady_ms() }
+            } else {
+                DaemonReply::NotScheduler
+            };
+        }
+        if let DaemonCall::Execute { session, position, batch } = call {
             let accepted = executors::call::decode::<Batch>("batch", &batch)
-                .is_some_and(|batch| self.executor.execute(session, batch));
+                .is_some_and(|batch| self.executor.execute(session, position, batch));
             return if accepted { DaemonReply::Noted } else { DaemonReply::NotScheduler };
         }
-        if let DaemonCall::Collect { session, wait_ms } = call {
-            let Some(replies) = self.executor.collect(session, wait_ms).await else {
+        if let DaemonCall::Collect { session, ack_cursor, wait_ms } = call {
+            let Some(collected) = self.executor.collect(session, ack_cursor, wait_ms).await else {
                 return DaemonReply::NotScheduler;
             };
-            let replies = executors::call::encode(&replies);
-            return DaemonReply::Collected { clock_ms: steady_ms(), replies };
+            let replies = executors::call::encode(&collected.replies);
+            let cursor = collected.cursor;
+            return DaemonReply::Collected { clock_ms: steady_ms(), cursor, replies };
         }
         if call == DaemonCall::Manifest {
             let manifest = executors::call::encode(self.manifest.newest().as_ref());
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -10,6 +10,7 @@
 use stoatwell_pool::StepId;
 
 use crate::accept::WriteReply;
+use crate::executors::session::BatchPosition;
 use crate::executors::session::SessionId;
 use crate::manifest::RelayedProof;
 
@@ -64,10 +65,14 @@
         /// Maximum time until the reply.
         limit_ms: u64,
     },
-    /// To an executor: makes these calls to workers for the leader.
+    /// To an executor: opens a session, in place of any earlier one.
+    OpenSession(SessionId),
+    /// To an executor: makes these calls to workers for the leader, unless it has done so already.
     Execute {
         /// The leader's session with this executor.
         session: SessionId,
+        /// Which batch of the session it is.
+        position: BatchPosition,
         /// An encoded [`Batch`](crate::executors::call::Batch).
         batch: Vec<u8>,
     },
@@ -75,6 +80,8 @@
     Collect {
         /// The leader's session with this executor.
         session: SessionId,
+        /// The cursor up to which the leader has the replies; the executor forgets these.
+        ack_cursor: u64,
         /// How long the executor waits for the first reply.
         wait_ms: u64,
     },
@@ -142,13 +149,20 @@
     },
     /// Acknowledges a notification or a batch of calls.
     Noted,
-    /// This daemon does not do what the call asks: it does not lead, a newer session replaced
-    /// the caller's, or a batch could not be decoded.
+    /// This daemon does not do what the call asks: it does not lead, it does not know the caller's
+    /// session, or a batch could not be decoded.
     NotScheduler,
-    /// The replies of workers.
+    /// The session is open.
+    SessionOpened {
+        /// The executor's monotonic clock at the time of the reply.
+        clock_ms: u64,
+    },
+    /// The replies of workers after the caller's cursor.
     Collected {
         /// The executor's monotonic clock at the time of the reply.
         clock_ms: u64,
+        /// The cursor of the last of these replies.
+        cursor: u64,
         /// Encoded [`Replies`](crate::executors::call::Replies).
         replies: Vec<u8>,
     },
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
@@ -20,6 +21,8 @@
 use stoatwell_node::executors::call::decode;
 use stoatwell_node::executors::call::encode;
 use stoatwell_node::executors::plan;
+use stoatwell_node::executors::session::BatchPosition;
+use stoatwell_node::executors::session::Collected;
 use stoatwell_node::executors::session::Executor;
 use stoatwell_node::executors::session::SessionId;
 use stoatwell_node::inbox;
@@ -31,14 +34,18 @@
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::Limits;
 use stoatwell_pool::StartCall;
+use stoatwell_pool::StartReply;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::time::timeout;
 
 use self::fake::FakePlatform;
 use self::fake::StoreBehavior;
+use self::fake::proxy::Path;
+use self::fake::proxy::Proxy;
 
 const KEY: &str = "test";
+const FIRST_BATCH: BatchPosition = BatchPosition { number: 1, first_open: 1 };
 const NEVER_EXPIRES_MS: u64 = u64::MAX / 2;
 
 fn daemon(address: &str, zone: &str, cores: f64) -> DaemonInfo {
@@ -68,10 +75,16 @@
 }
 
 /// Starts a daemon in its own runtime, whose shutdown ends it with all its connections.
-fn start_executor(platform: FakePlatform) -> (Runtime, String) {
+fn start_executor(platform: impl Into<Arc<FakePlatform>>) -> (Runtime, String) {
+    start_executor_at(platform, "127.0.0.1:0")
+}
+
+/// The same at a certain address.
+fn start_executor_at(platform: impl Into<Arc<FakePlatform>>, address: &str) -> (Runtime, String) {
+    let platform = platform.into();
     platform.set_behavior(StoreBehavior::RefusesAll);
     let runtime = Runtime::new().expect("a runtime");
-    let listener = runtime.block_on(TcpListener::bind("127.0.0.1:0")).expect("a free port");
+    let listener = runtime.block_on(TcpListener::bind(address)).expect("a free port");
     let address = listener.local_addr().expect("bound").to_string();
     let settings = NodeSettings {
         name: "executor".to_owned(),
@@ -91,7 +104,7 @@
         revoke_ms: None,
     };
     let _entered = runtime.enter();
-    let _node = Node::start(&settings, Arc::new(platform), listener);
+    let _node = Node::start(&settings, platform, listener);
     (runtime, address)
 }
 
@@ -174,9 +187,11 @@
     let executor = Executor::new(Arc::clone(&platform));
     let session = SessionId { epoch: 1, number: 1 };
     let batch = Batch::new(vec![(5, start(0, &Arc::from("work")))], 0);
-    assert!(executor.execute(session, batch));
-    let replies = executor.collect(session, 1_000).await;
-    assert_eq!(replies, Some(vec![(5, WorkerReply::Failed(CallError::NotSent))]));
+    assert!(executor.open(session));
+    assert!(executor.execute(session, FIRST_BATCH, batch));
+    let replies = vec![(5, WorkerReply::Failed(CallError::NotSent))];
+    let collected = executor.collect(session, 0, 1_000).await;
+    assert_eq!(collected, Some(Collected { cursor: 1, replies }));
     assert_eq!(platform.first_starts_received(), 0);
 }
 
@@ -185,10 +200,61 @@
 async fn calls_of_a_replaced_leader_are_refused() {
     let executor = Executor::new(Arc::new(FakePlatform::with_worker()));
     let (former, current) = (SessionId { epoch: 1, number: 9 }, SessionId { epoch: 2, number: 1 });
-    assert_eq!(executor.collect(former, 0).await, Some(Vec::new()));
-    assert_eq!(executor.collect(current, 0).await, Some(Vec::new()));
-    assert!(!executor.execute(former, Batch::new(vec![(1, hold(1))], NEVER_EXPIRES_MS)));
-    assert_eq!(executor.collect(former, 0).await, None);
+    for session in [former, current] {
+        assert!(executor.open(session));
+        assert_eq!(executor.collect(session, 0, 0).await, Some(Collected::default()));
+    }
+    let batch = Batch::new(vec![(1, hold(1))], NEVER_EXPIRES_MS);
+    assert!(!executor.execute(former, FIRST_BATCH, batch));
+    assert_eq!(executor.collect(former, 0, 0).await, None);
+    assert!(!executor.open(former));
+}
+
+/// Guards against an executor without state that is taken for one that still has it.
+#[tokio::test]
+async fn calls_of_a_session_that_was_not_opened_are_refused() {
+    let executor = Executor::new(Arc::new(FakePlatform::with_worker()));
+    let session = SessionId { epoch: 1, number: 1 };
+    let batch = Batch::new(vec![(1, hold(1))], NEVER_EXPIRES_MS);
+    assert!(!executor.execute(session, FIRST_BATCH, batch));
+    assert_eq!(executor.collect(session, 0, 0).await, None);
+    assert_eq!(executor.collect(session, 3, 0).await, None);
+}
+
+/// Guards against replies that are lost with the answer that carried them, and against replies
+/// that are kept for ever.
+#[tokio::test]
+async fn replies_are_kept_until_they_are_acknowledged() {
+    let executor = Executor::new(Arc::new(FakePlatform::default()));
+    let session = SessionId { epoch: 1, number: 1 };
+    assert!(executor.open(session));
+    let batch = Batch::new(vec![(7, hold(1))], NEVER_EXPIRES_MS);
+    assert!(executor.execute(session, FIRST_BATCH, batch));
+    let replies = vec![(7, WorkerReply::Held(Err(CallError::Refused)))];
+    let collected = Some(Collected { cursor: 1, replies });
+    assert_eq!(executor.collect(session, 0, 1_000).await, collected);
+    assert_eq!(executor.collect(session, 0, 1_000).await, collected);
+    let nothing = Some(Collected { cursor: 1, replies: Vec::new() });
+    assert_eq!(executor.collect(session, 1, 0).await, nothing);
+    assert_eq!(executor.collect(session, 0, 0).await, nothing);
+}
+
+/// Guards against calls that are made twice since their batch was sent again, also when it
+/// arrives after later ones.
+#[tokio::test]
+async fn a_batch_that_arrives_again_is_not_executed_again() {
+    let executor = Executor::new(Arc::new(FakePlatform::default()));
+    let session = SessionId { epoch: 1, number: 1 };
+    assert!(executor.open(session));
+    for (number, first_open) in [(2, 1), (1, 1), (2, 1), (3, 3), (1, 1), (2, 1), (3, 2)] {
+        let batch = Batch::new(vec![(number, hold(1))], NEVER_EXPIRES_MS);
+        assert!(executor.execute(session, BatchPosition { number, first_open }, batch));
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let collected = executor.collect(session, 0, 0).await.expect("a known session");
+    let mut numbers: Vec<u64> = collected.replies.iter().map(|(number, _)| *number).collect();
+    numbers.sort_unstable();
+    assert_eq!(numbers, [1, 2, 3]);
 }
 
 /// Guards against a slow link that is saturated because the payload of a job is sent again
@@ -256,3 +322,199 @@
     assert_eq!(plan::executors_wanted(180), 2);
     assert_eq!(plan::executors_wanted(1_000), 5);
 }
+
+/// An executor with a worker, behind a proxy.
+fn executor_behind_proxy() -> (Arc<FakePlatform>, Runtime, Proxy) {
+    let platform = Arc::new(FakePlatform::with_worker());
+    let (executor, address) = start_executor(Arc::clone(&platform));
+    (platform, executor, Proxy::start(&address))
+}
+
+/// Waits until the worker has received this many first starts.
+async fn starts_received(platform: &FakePlatform, count: usize) {
+    let received = async {
+        while platform.first_starts_received() < count {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(Duration::from_secs(2), received).await.expect("the start is made");
+}
+
+fn assert_start_answered(event: &Event) {
+    let answered = Ok(StartReply::TooLate);
+    assert!(matches!(event, Event::Started { reply, .. } if *reply == answered), "{event:?}");
+}
+
+/// Guards against a reply that is lost for good with the connection that carried it.
+#[test]
+fn a_reply_that_is_lost_on_its_way_is_collected_again() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        proxy.set_path(Path::LosesReplies);
+        platform.answer_first_starts();
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        proxy.reset_connections();
+        proxy.set_path(Path::Open);
+        assert_start_answered(&next_event(&mut inbox).await);
+    });
+}
+
+/// Guards against calls that count as unanswered since a connection was reset.
+#[test]
+fn a_session_survives_a_reset_connection() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        for _ in 0..3 {
+            proxy.reset_connections();
+            tokio::time::sleep(Duration::from_millis(150)).await;
+        }
+        platform.answer_first_starts();
+        assert_start_answered(&next_event(&mut inbox).await);
+    });
+}
+
+/// Guards against calls that count as unanswered since their executor stood still for a second.
+#[test]
+fn a_session_survives_an_executor_that_stands_still_for_a_second() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        proxy.set_path(Path::Stalled);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        proxy.set_path(Path::Open);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        platform.answer_first_starts();
+        assert_start_answered(&next_event(&mut inbox).await);
+        // The link accepts calls again; the leader cannot reach the worker itself.
+        executors.call(Some(&ZoneName::new("z")), hold(8));
+        let event = next_event(&mut inbox).await;
+        assert!(matches!(event, Event::Held { reply: Ok(_), .. }), "{event:?}");
+    });
+}
+
+/// Guards against a leader that stood still itself and then blames its executors.
+#[test]
+fn a_leader_that_stood_still_ends_no_session() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    let leader_runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    leader_runtime.expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        for run_ms in [1, 30, 200, 250, 400] {
+            std::thread::sleep(Duration::from_millis(1_200));
+            tokio::time::sleep(Duration::from_millis(run_ms)).await;
+        }
+        platform.answer_first_starts();
+        assert_start_answered(&next_event(&mut inbox).await);
+    });
+}
+
+/// Guards against calls that wait for an executor that lost its state.
+#[test]
+fn a_restarted_executor_ends_its_session_at_once() {
+    let platform = Arc::new(FakePlatform::with_worker());
+    let (executor, address) = start_executor(Arc::clone(&platform));
+    let proxy = Proxy::start(&address);
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        executor.shutdown_background();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let restarted = Instant::now();
+        let (executor, _) = tokio::task::spawn_blocking(move || {
+            start_executor_at(FakePlatform::with_worker(), &address)
+        })
+        .await
+        .expect("it starts");
+        let event = next_event(&mut inbox).await;
+        let no_answer = Err(CallError::NoAnswer);
+        assert!(matches!(&event, Event::Started { reply, .. } if *reply == no_answer), "{event:?}");
+        assert!(restarted.elapsed() < Duration::from_millis(700), "{:?}", restarted.elapsed());
+        executor.shutdown_background();
+    });
+}
+
+/// Guards against new calls that wait for a dead executor, and against calls that wait for it
+/// without an end.
+#[test]
+fn a_silent_executor_gets_no_new_calls_and_loses_its_session() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        proxy.set_path(Path::Stalled);
+        let silent = Instant::now();
+        tokio::time::sleep(Duration::from_millis(750)).await;
+        // The refusal shows that the leader called the worker itself.
+        executors.call(Some(&ZoneName::new("z")), hold(8));
+        let event = next_event(&mut inbox).await;
+        let refused = Err(CallError::Refused);
+        let event = if matches!(event, Event::Held { .. }) {
+            assert!(matches!(&event, Event::Held { reply, .. } if *reply == refused), "{event:?}");
+            next_event(&mut inbox).await
+        } else {
+            event
+        };
+        let no_answer = Err(CallError::NoAnswer);
+        assert!(matches!(&event, Event::Started { reply, .. } if *reply == no_answer), "{event:?}");
+        assert!(silent.elapsed() < Duration::from_millis(2_500), "{:?}", silent.elapsed());
+    });
+}
+
+/// Guards against a start that is made twice since its batch was sent again.
+#[test]
+fn a_batch_whose_acceptance_is_lost_is_executed_once() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        proxy.set_path(Path::LosesReplies);
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        proxy.reset_connections();
+        proxy.set_path(Path::Open);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(platform.first_starts_received(), 1);
+        platform.answer_first_starts();
+        assert_start_answered(&next_event(&mut inbox).await);
+    });
+}
+
+/// Guards against a start that is made later than it may be since its batch was sent again.
+#[test]
+fn a_start_that_is_sent_again_expires_as_before() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        proxy.set_path(Path::Stalled);
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        proxy.set_path(Path::Open);
+        let event = next_event(&mut inbox).await;
+        let unmade = [Err(CallError::NotSent), Err(CallError::NoAnswer)];
+        assert!(
+            matches!(&event, Event::Started { reply, .. } if unmade.contains(reply)),
+            "{event:?}"
+        );
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        assert_eq!(platform.first_starts_received(), 0);
+    });
+}
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod daemon;
 pub mod leader;
+pub mod proxy;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -38,6 +38,7 @@
 use stoatwell_node::executors::call::WorkerReply;
 use stoatwell_node::executors::call::decode;
 use stoatwell_node::executors::call::encode;
+use stoatwell_node::executors::session::BatchPosition;
 use stoatwell_node::executors::session::SessionId;
 use stoatwell_node::relay::StoreCall;
 use stoatwell_node::relay::StoreReply;
@@ -121,12 +122,13 @@
         | DaemonCall::Manifest
         | DaemonCall::Leads { .. }
         | DaemonCall::Advise { .. }
+        | DaemonCall::OpenSession(_)
         | DaemonCall::Execute { .. }
         | DaemonCall::Collect { .. }
         | DaemonCall::CancelledUnknown { .. }
         | DaemonCall::CancelUnknown { .. }
         | DaemonCall::Store { .. }
-        | DaemonCall::Daemons => 16,
+        | DaemonCall::Daemons => 17,
     }
 }
 
@@ -141,18 +143,20 @@
         | DaemonReply::Manifest { .. }
         | DaemonReply::Noted
         | DaemonReply::NotScheduler
+        | DaemonReply::SessionOpened { .. }
         | DaemonReply::Collected { .. }
         | DaemonReply::SubmissionInDoubt
         | DaemonReply::Cancelled(_)
         | DaemonReply::Store(_)
         | DaemonReply::StoreDeclined
-        | DaemonReply::Daemons(_) => 14,
+        | DaemonReply::Daemons(_) => 15,
     }
 }
 
 /// Guards against a call to another daemon that this one cannot decode.
 #[test]
 fn calls_to_daemons_are_decoded_as_encoded() {
+    let position = BatchPosition { number: 9, first_open: 8 };
     let calls = [
         DaemonCall::State(JobId(7)),
         DaemonCall::Pending(String::new()),
@@ -165,8 +169,10 @@
         DaemonCall::Leads { epoch: 2, address: "10.0.0.1:1".to_owned() },
         DaemonCall::Advise { step: step(), workers: Vec::new(), limit_ms: 1 },
         DaemonCall::Advise { step: step(), workers: vec![WorkerId::new("w")], limit_ms: 1 },
-        DaemonCall::Execute { session: SESSION, batch: vec![1] },
-        DaemonCall::Collect { session: SESSION, wait_ms: 5 },
+        DaemonCall::OpenSession(SESSION),
+        DaemonCall::Execute { session: SESSION, position, batch: vec![1] },
+        DaemonCall::Collect { session: SESSION, ack_cursor: 0, wait_ms: 5 },
+        DaemonCall::Collect { session: SESSION, ack_cursor: u64::MAX, wait_ms: 0 },
         DaemonCall::CancelledUnknown { job: JobId(7), customer: None },
         DaemonCall::CancelledUnknown { job: JobId(7), customer: Some(CustomerName::new("a")) },
         DaemonCall::CancelUnknown { job: JobId(7), customer: None, limit_ms: 900 },
@@ -205,7 +211,9 @@
         DaemonReply::Manifest { manifest: vec![1], proof },
         DaemonReply::Noted,
         DaemonReply::NotScheduler,
-        DaemonReply::Collected { clock_ms: 1, replies: Vec::new() },
+        DaemonReply::SessionOpened { clock_ms: 1 },
+        DaemonReply::Collected { clock_ms: 1, cursor: 0, replies: Vec::new() },
+        DaemonReply::Collected { clock_ms: 1, cursor: u64::MAX, replies: vec![1] },
         DaemonReply::SubmissionInDoubt,
         DaemonReply::Cancelled(WriteReply { accepted: Accepted::Yes, job_exists: false }),
         DaemonReply::Cancelled(WriteReply { accepted: Accepted::Taken, job_exists: true }),
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -7,7 +7,9 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::future::pending;
 use std::io;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -63,6 +65,10 @@
     fn new(kind: io::ErrorKind, message: impl ToString) -> Self {
         Self { kind, message: message.to_string() }
     }
+
+    fn expired() -> Self {
+        Self::new(io::ErrorKind::TimedOut, "deadline has elapsed")
+    }
 }
 
 impl From<io::Error> for ConnectError {
@@ -110,25 +116,41 @@
         address: &str,
         call: &impl Serialize,
         time_limit: Duration,
+    ) -> Result<R, PeerError> {
+        self.call_until(address, call, time_limit, pending()).await
+    }
+
+    /// The same, but the call is also given up once `expired` is ready.
+    pub async fn call_until<R: DeserializeOwned>(
+        &self,
+        address: &str,
+        call: &impl Serialize,
+        time_limit: Duration,
+        expired: impl Future<Output = ()>,
     ) -> Result<R, PeerError> {
         let encoded = bincode::serialize(call).map_err(|error| {
             PeerError::NotSent(ConnectError::new(io::ErrorKind::InvalidData, error))
         })?;
         let slot = self.slot(address);
-        let connected = timeout(time_limit, self.connect(address, &slot)).await;
+        let mut expired = pin!(expired);
+        let connected = tokio::select! {
+            biased;
+            connected = timeout(time_limit, self.connect(address, &slot)) => connected,
+            () = &mut expired => return Err(PeerError::NotSent(ConnectError::expired())),
+        };
         let (client, generation) = match connected {
             Ok(Ok(connected)) => connected,
             Ok(Err(error)) => return Err(PeerError::NotSent(error)),
-            Err(elapsed) => {
-                return Err(PeerError::NotSent(ConnectError::new(
-                    io::ErrorKind::TimedOut,
-                    elapsed,
-                )));
-            }
+            Err(_) => return Err(PeerError::NotSent(ConnectError::expired())),
         };
         let mut context = context::current();
         context.deadline = Instant::now() + time_limit;
-        match client.call(context, encoded).await {
+        let reply = tokio::select! {
+            biased;
+            reply = client.call(context, encoded) => reply,
+            () = &mut expired => Err(RpcError::DeadlineExceeded),
+        };
+        match reply {
             Ok(reply) => {
                 bincode::deserialize(&reply).map_err(|error| PeerError::NoAnswer(error.to_string()))
             }
