--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -7,13 +7,14 @@
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 use tokio::time::Instant;
-use tokio::time::sleep;
 use tokio::time::sleep_until;
 
-/// A timer that fires this late shows that the process did not run meanwhile.
+/// A timer that fires this late shows that the process did not run.
 const LATE_TIMER: Duration = Duration::from_millis(50);
-/// How long a process that runs again needs to read what came meanwhile.
-const RESUME_GRACE: Duration = Duration::from_millis(100);
+/// How long a process that did not run takes to read what arrived meanwhile.
+const CATCH_UP: Duration = Duration::from_millis(100);
+/// Maximum number of times that one sleep is extended.
+const CATCH_UPS_MAX: usize = 8;
 
 /// Milliseconds of a monotonic clock that keeps running while the machine is suspended.
 ///
@@ -30,11 +31,15 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
 
-/// Sleeps until a deadline, and a little longer if the process did not run at that time: what
-/// the deadline is for may have come and is not read yet.
+/// Sleeps until a deadline. If the process did not run at that time, sleeps on for as long as it
+/// takes to read what arrived meanwhile, so that nobody else is blamed for the pause.
 pub async fn sleep_while_running(deadline: Instant) {
-    sleep_until(deadline).await;
-    if deadline.elapsed() > LATE_TIMER {
-        sleep(RESUME_GRACE).await;
+    let mut due = deadline;
+    for _ in 0..=CATCH_UPS_MAX {
+        sleep_until(due).await;
+        if due.elapsed() <= LATE_TIMER {
+            return;
+        }
+        due = Instant::now() + CATCH_UP;
     }
 }
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -8,7 +8,9 @@
 //! became of it.
 //!
 //! The leader has a *link* to each of its executors. Over a link it opens one *session*
-//! after another; a session ends with the first call to the executor that fails.
+//! after another. A call to the executor that fails is repeated, and nothing is lost: replies stay
+//! at the executor until the leader acknowledges them, and a batch that arrives again is not
+//! executed again. A session ends if the executor has lost its state or is silent for too long.
 
 pub mod call;
 mod link;
@@ -134,6 +136,8 @@
             );
         }
         state.busy = busy;
+        let direct_workers = if state.uses_executors() { state.direct_workers.len() } else { 0 };
+        metrics::gauge!("stoatwell_direct_workers").set(direct_workers as f64);
         drop(state);
         self.open_links();
     }
