Open sessions that fail early less and less often

The delay before the next session went back to its minimum as soon as one opened, and opening waits for nothing, so a session that opened and failed at once was opened again twice a second for ever. It goes back only after a session that lasted 10 s.

--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -24,6 +24,7 @@
 use super::call::WorkerReply;
 use super::call::decode;
 use super::call::encode;
+use super::plan::ReopenDelay;
 use super::session::BatchPosition;
 use super::session::SessionId;
 use crate::clock::sleep_while_running;
@@ -54,11 +55,6 @@
 /// that is older. Either the leader's process was suspended or the call was delayed, and the
 /// leader may have been replaced meanwhile.
 const CALL_AGE_MAX_MS: u64 = 700;
-/// Delay before a new session is opened after one that failed. It is doubled with each
-/// further failure, up to [`REOPEN_DELAY_MAX`].
-const REOPEN_DELAY_MIN: Duration = Duration::from_millis(500);
-/// Maximum delay before a new session is opened.
-const REOPEN_DELAY_MAX: Duration = Duration::from_secs(8);
 /// Names of the calls to an executor, for the log.
 const OPEN: &str = "opening a session";
 const COLLECT: &str = "collecting replies";
@@ -214,14 +210,13 @@
         on_reply: impl Fn(PendingCall, WorkerReply),
         on_change: impl Fn(),
     ) {
-        let mut delay = REOPEN_DELAY_MIN;
+        let mut delay = ReopenDelay::default();
         loop {
             let session = next_session();
             let mut opened_ms = None;
             let end = if let Err(end) = self.open(peers, session).await {
                 end
             } else {
-                delay = REOPEN_DELAY_MIN;
                 opened_ms = Some(steady_ms());
                 metrics::counter!("stoatwell_sessions_opened_total").increment(1);
                 tracing::info!(
@@ -239,8 +234,8 @@
                 .increment(1);
             self.mark_failed(session, &end, opened_ms, &on_reply);
             on_change();
-            sleep(delay).await;
-            delay = (delay * 2).min(REOPEN_DELAY_MAX);
+            let lasted_ms = opened_ms.map(|opened_ms| steady_ms().saturating_sub(opened_ms));
+            sleep(Duration::from_millis(delay.next_ms(lasted_ms))).await;
         }
     }
 
--- a/crates/node/src/executors/plan.rs
+++ b/crates/node/src/executors/plan.rs
@@ -14,6 +14,31 @@
 /// Minimum number of executors in a zone; with two, one can be lost.
 const EXECUTORS_MIN: usize = 2;
 
+/// Delay before a session is opened after one that failed. It is doubled with each further one
+/// that could not be opened or was short, up to [`REOPEN_DELAY_MAX_MS`].
+const REOPEN_DELAY_MIN_MS: u64 = 500;
+/// Maximum delay before a session is opened.
+const REOPEN_DELAY_MAX_MS: u64 = 8_000;
+/// A session that lasted this long worked.
+const LASTING_SESSION_MS: u64 = 10_000;
+
+/// The delay before the next session with an executor.
+#[derive(Debug, Default)]
+pub struct ReopenDelay {
+    last_ms: u64,
+}
+
+impl ReopenDelay {
+    /// The delay after a session that lasted this long, or that could not be opened (`None`).
+    pub fn next_ms(&mut self, lasted_ms: Option<u64>) -> u64 {
+        if lasted_ms.is_some_and(|lasted_ms| lasted_ms >= LASTING_SESSION_MS) {
+            self.last_ms = 0;
+        }
+        self.last_ms = (self.last_ms * 2).clamp(REOPEN_DELAY_MIN_MS, REOPEN_DELAY_MAX_MS);
+        self.last_ms
+    }
+}
+
 /// Whether a leader has more workers than it can call directly.
 pub fn needs_executors(workers: usize, leader: &DaemonInfo) -> bool {
     let core_limit = leader.cores * DIRECT_WORKERS_PER_CORE;
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -323,6 +323,19 @@
     assert_eq!(plan::executors_wanted(1_000), 5);
 }
 
+/// Guards against sessions that open, fail at once and are opened twice a second for ever.
+#[test]
+fn sessions_that_fail_at_once_are_opened_less_and_less_often() {
+    let mut delay = plan::ReopenDelay::default();
+    let delays = [Some(30), None, Some(2_000), Some(9_000), Some(0), None];
+    assert_eq!(
+        delays.map(|lasted_ms| delay.next_ms(lasted_ms)),
+        [500, 1_000, 2_000, 4_000, 8_000, 8_000]
+    );
+    assert_eq!(delay.next_ms(Some(10_000)), 500);
+    assert_eq!(delay.next_ms(None), 1_000);
+}
+
 /// An executor with a worker, behind a proxy.
 fn executor_behind_proxy() -> (Arc<FakePlatform>, Runtime, Proxy) {
     let platform = Arc::new(FakePlatform::with_worker());
