Give up executors whose successors are open

The link to an executor that failed was kept and opened again for ever beside its successor, so all daemons of a zone could end up as executors in turn. Once a zone has as many open links as it needs, the failed ones are given up; for 30 s their daemons come last in the choice of the next one.

--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -103,6 +103,8 @@
     /// The last call to the executor failed and is repeated; new calls take another way.
     Suspect,
     Failed,
+    /// Another executor has taken its place.
+    GivenUp,
 }
 
 /// Why a session ended, or could not be opened.
@@ -114,6 +116,8 @@
     Gone(&'static str, PeerError),
     /// the executor does not answer ({0}): {1}
     Silent(&'static str, PeerError),
+    /// another executor has taken its place
+    GivenUp,
     /// the replies cannot be decoded
     Undecodable,
     /// the task that sends a batch panicked
@@ -134,6 +138,7 @@
             Self::Unknown(_) => "unknown session",
             Self::Gone(..) => "refused",
             Self::Silent(..) => "silent",
+            Self::GivenUp => "given up",
             Self::Undecodable => "undecodable",
             Self::Panicked => "panicked",
         }
@@ -184,7 +189,21 @@
 
     /// Whether it has a session, or its first session is still being opened.
     pub fn is_usable(&self) -> bool {
-        self.lock().phase != Phase::Failed
+        !matches!(self.lock().phase, Phase::Failed | Phase::GivenUp)
+    }
+
+    /// Opens no further session if the last one failed; returns whether it did.
+    pub fn give_up(&self) -> bool {
+        let mut state = self.lock();
+        let has_failed = state.phase == Phase::Failed;
+        if has_failed {
+            state.phase = Phase::GivenUp;
+        }
+        has_failed
+    }
+
+    fn is_given_up(&self) -> bool {
+        self.lock().phase == Phase::GivenUp
     }
 
     /// Queues a call; returns it if the link is not open.
@@ -201,8 +220,8 @@
         None
     }
 
-    /// Opens a session and, whenever one fails, the next one after a delay. `on_change` is
-    /// called when the link opens or fails.
+    /// Opens a session and, whenever one fails, the next one after a delay, until the link is
+    /// given up. `on_change` is called when the link opens or fails.
     pub async fn run(
         self: &Arc<Self>,
         peers: &Peers,
@@ -211,7 +230,7 @@
         on_change: impl Fn(),
     ) {
         let mut delay = ReopenDelay::default();
-        loop {
+        while !self.is_given_up() {
             let session = next_session();
             let mut opened_ms = None;
             let end = if let Err(end) = self.open(peers, session).await {
@@ -232,6 +251,9 @@
             };
             metrics::counter!("stoatwell_sessions_ended_total", "reason" => end.reason())
                 .increment(1);
+            if self.is_given_up() {
+                return;
+            }
             self.mark_failed(session, &end, opened_ms, &on_reply);
             on_change();
             let lasted_ms = opened_ms.map(|opened_ms| steady_ms().saturating_sub(opened_ms));
@@ -245,6 +267,9 @@
         match self.call(peers, &call, COLLECT_MARGIN).await {
             Ok(DaemonReply::SessionOpened { clock_ms }) => {
                 let mut state = self.lock();
+                if state.phase == Phase::GivenUp {
+                    return Err(SessionEnd::GivenUp);
+                }
                 state.clock = Some((clock_ms, steady_ms()));
                 state.phase = Phase::Open;
                 Ok(())
@@ -464,7 +489,9 @@
         } else {
             tracing::debug!(executor = self.address, why = %end, "cannot open a session");
         }
-        state.phase = Phase::Failed;
+        if state.phase != Phase::GivenUp {
+            state.phase = Phase::Failed;
+        }
         let mut unsent: Vec<u64> = state.queue.drain(..).map(|(number, ..)| number).collect();
         for batch in std::mem::take(&mut state.open_batches).into_values() {
             if !batch.may_be_sent {
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -18,6 +18,7 @@
 pub mod session;
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -51,6 +52,9 @@
 /// where there is no executor.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long a daemon whose link was given up comes after others in the choice of executors.
+const FAILED_LATELY_MS: u64 = 30_000;
+
 /// Makes the leader's calls to workers, directly or through executors.
 #[derive(Debug)]
 pub struct Executors<P> {
@@ -77,6 +81,8 @@
     /// until a direct call fails as well.
     direct_workers: HashSet<WorkerId>,
     last_session: u64,
+    /// When links to daemons were given up, by address.
+    given_up_ms: HashMap<String, u64>,
 }
 
 impl<P: Platform> Executors<P> {
@@ -97,6 +103,7 @@
             busy: false,
             direct_workers: HashSet::new(),
             last_session: 0,
+            given_up_ms: HashMap::new(),
         };
         let state = Arc::new(Mutex::new(state));
         let tasks = Mutex::default();
@@ -191,17 +198,21 @@
         });
     }
 
-    /// Opens links to further executors in zones that have too few usable ones.
+    /// Opens links to further executors in zones that have too few usable ones, and gives up
+    /// those that failed where there are enough open ones.
     fn open_links(&self) {
         let mut state = self.lock();
         if !state.uses_executors() {
             return;
         }
         for (zone, workers) in state.workers.clone() {
-            for daemon in executor_candidates(&zone, &state.daemons, &state.leader) {
+            let wanted = executors_wanted(workers);
+            state.give_up_replaced(&zone, wanted);
+            let mut candidates = executor_candidates(&zone, &state.daemons, &state.leader);
+            candidates.sort_by_key(|daemon| state.has_failed_lately(&daemon.address));
+            for daemon in candidates {
                 let links = state.links.entry(zone.clone()).or_default();
-                if links.iter().filter(|link| link.is_usable()).count() >= executors_wanted(workers)
-                {
+                if links.iter().filter(|link| link.is_usable()).count() >= wanted {
                     break;
                 }
                 if links.iter().any(|link| link.address == daemon.address) {
@@ -214,6 +225,12 @@
         }
     }
 
+    /// Addresses of the daemons with which sessions are open or are being opened.
+    pub fn addresses(&self) -> Vec<String> {
+        let state = self.lock();
+        state.links.values().flatten().map(|link| link.address.clone()).collect()
+    }
+
     /// Keeps a session open with an executor for as long as this daemon leads.
     fn run_link(&self, link: Arc<Link>) {
         let peers = self.peers.clone();
@@ -280,6 +297,22 @@
         self.busy || needs_executors(self.workers.values().sum(), &self.leader)
     }
 
+    /// Gives up the failed links of a zone that has enough open ones.
+    fn give_up_replaced(&mut self, zone: &ZoneName, wanted: usize) {
+        let Some(links) = self.links.get_mut(zone) else { return };
+        if links.iter().filter(|link| link.is_open()).count() < wanted {
+            return;
+        }
+        let given_up = links.extract_if(.., |link| link.give_up());
+        self.given_up_ms.extend(given_up.map(|link| (link.address.clone(), steady_ms())));
+    }
+
+    /// Whether the link to a daemon was given up so lately that others come first.
+    fn has_failed_lately(&self, address: &str) -> bool {
+        let given_up_ms = self.given_up_ms.get(address);
+        given_up_ms.is_some_and(|given_up_ms| steady_ms() < given_up_ms + FAILED_LATELY_MS)
+    }
+
     /// The link to the executor for a worker: always the same one while it is open, so that
     /// connections to the worker are reused. `None` if the worker is called directly.
     fn route(&self, zone: &ZoneName, worker: &WorkerId) -> Option<Arc<Link>> {
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -336,6 +336,40 @@
     assert_eq!(delay.next_ms(None), 1_000);
 }
 
+/// Guards against a zone all of whose daemons become executors one after another.
+#[test]
+fn an_executor_whose_successor_is_open_is_given_up() {
+    let mut running: Vec<(Runtime, String)> =
+        (0..3).map(|_| start_executor(FakePlatform::with_worker())).collect();
+    let mut daemons = Vec::new();
+    for ((_, address), cores) in running.iter().zip([0.5, 0.4, 0.3]) {
+        daemons.push(daemon(address, "z", cores));
+    }
+    let addresses: Vec<String> = daemons.iter().map(|daemon| daemon.address.clone()).collect();
+    let (failed, _) = running.remove(0);
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, _inbox) = leader(FakePlatform::default(), &addresses[0]);
+        executors.update_daemons(daemons);
+        let replacing = executors.replace_failed();
+        let scenario = async {
+            executors.wait_until_open().await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!(executors.addresses(), addresses[..2]);
+            failed.shutdown_background();
+            let replaced = async {
+                while executors.addresses() != addresses[1..] {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            timeout(Duration::from_secs(2), replaced).await.expect("it is given up");
+        };
+        tokio::select! {
+            () = replacing => panic!("nothing is replaced any more"),
+            () = scenario => {}
+        }
+    });
+}
+
 /// An executor with a worker, behind a proxy.
 fn executor_behind_proxy() -> (Arc<FakePlatform>, Runtime, Proxy) {
     let platform = Arc::new(FakePlatform::with_worker());
