--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -24,6 +24,7 @@
 use super::call::WorkerReply;
 use super::call::decode;
 use super::call::encode;
+use super::plan::ReopenDelay;
 use super::session::BatchPosition;
 use super::session::SessionId;
 use crate::clock::sleep_while_running;
@@ -54,11 +55,6 @@
 /// that is older. Either the leader's process was suspended or the call was delayed, and the
 /// leader may have been replaced meanwhile.
 const CALL_AGE_MAX_MS: u64 = 700;
-/// Delay before a new session is opened after one that failed. It is doubled with each
-/// further failure, up to [`REOPEN_DELAY_MAX`].
-const REOPEN_DELAY_MIN: Duration = Duration::from_millis(500);
-/// Maximum delay before a new session is opened.
-const REOPEN_DELAY_MAX: Duration = Duration::from_secs(8);
 
 /// Names of the calls to an executor, for the log.
 const OPEN: &str = "opening a session";
@@ -108,6 +104,8 @@
     /// The last call to the executor failed and is repeated; new calls take another way.
     Suspect,
     Failed,
+    /// Another executor has taken its place.
+    GivenUp,
 }
 
 /// Why a session ended, or could not be opened.
@@ -119,6 +117,8 @@
     Gone(&'static str, PeerError),
     /// the executor does not answer ({0}): {1}
     Silent(&'static str, PeerError),
+    /// another executor has taken its place
+    GivenUp,
     /// the replies cannot be decoded
     Undecodable,
     /// the task that sends a batch panicked
@@ -139,6 +139,7 @@
             Self::Unknown(_) => "unknown session",
             Self::Gone(..) => "refused",
             Self::Silent(..) => "silent",
+            Self::GivenUp => "given up",
             Self::Undecodable => "undecodable",
             Self::Panicked => "panicked",
         }
@@ -189,7 +190,21 @@
 
     /// Whether it has a session, or its first session is still being opened.
     pub fn is_usable(&self) -> bool {
-        self.lock().phase != Phase::Failed
+        !matches!(self.lock().phase, Phase::Failed | Phase::GivenUp)
+    }
+
+    /// Opens no further session if the last one failed; returns whether it did.
+    pub fn give_up(&self) -> bool {
+        let mut state = self.lock();
+        let has_failed = state.phase == Phase::Failed;
+        if has_failed {
+            state.phase = Phase::GivenUp;
+        }
+        has_failed
+    }
+
+    fn is_given_up(&self) -> bool {
+        self.lock().phase == Phase::GivenUp
     }
 
     /// Queues a call; returns it if the link is not open.
@@ -206,8 +221,8 @@
         None
     }
 
-    /// Opens a session and, whenever one fails, the next one after a delay. `on_change` is
-    /// called when the link opens or fails.
+    /// Opens a session and, whenever one fails, the next one after a delay, until the link is
+    /// given up. `on_change` is called when the link opens or fails.
     pub async fn run(
         self: &Arc<Self>,
         peers: &Peers,
@@ -215,14 +230,13 @@
         on_reply: impl Fn(PendingCall, WorkerReply),
         on_change: impl Fn(),
     ) {
-        let mut delay = REOPEN_DELAY_MIN;
-        loop {
+        let mut delay = ReopenDelay::default();
+        while !self.is_given_up() {
             let session = next_session();
             let mut opened_ms = None;
             let end = if let Err(end) = self.open(peers, session).await {
                 end
             } else {
-                delay = REOPEN_DELAY_MIN;
                 opened_ms = Some(steady_ms());
                 metrics::counter!("stoatwell_sessions_opened_total").increment(1);
                 tracing::info!(
@@ -238,10 +252,13 @@
             };
             metrics::counter!("stoatwell_sessions_ended_total", "reason" => end.reason())
                 .increment(1);
+            if self.is_given_up() {
+                return;
+            }
             self.mark_failed(session, &end, opened_ms, &on_reply);
             on_change();
-            sleep(delay).await;
-            delay = (delay * 2).min(REOPEN_DELAY_MAX);
+            let lasted_ms = opened_ms.map(|opened_ms| steady_ms().saturating_sub(opened_ms));
+            sleep(Duration::from_millis(delay.next_ms(lasted_ms))).await;
         }
     }
 
@@ -251,6 +268,9 @@
         match self.call(peers, &call, COLLECT_MARGIN).await {
             Ok(DaemonReply::SessionOpened { clock_ms }) => {
                 let mut state = self.lock();
+                if state.phase == Phase::GivenUp {
+                    return Err(SessionEnd::GivenUp);
+                }
                 state.clock = Some((clock_ms, steady_ms()));
                 state.phase = Phase::Open;
                 Ok(())
@@ -470,7 +490,9 @@
         } else {
             tracing::debug!(executor = self.address, why = %end, "cannot open a session");
         }
-        state.phase = Phase::Failed;
+        if state.phase != Phase::GivenUp {
+            state.phase = Phase::Failed;
+        }
         let mut unsent: Vec<u64> = state.queue.drain(..).map(|(number, ..)| number).collect();
         for batch in std::mem::take(&mut state.open_batches).into_values() {
             if !batch.may_be_sent {
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -323,6 +323,53 @@
     assert_eq!(plan::executors_wanted(1_000), 5);
 }
 
+/// Guards against sessions that open, fail at once and are opened twice a second for ever.
+#[test]
+fn sessions_that_fail_at_once_are_opened_less_and_less_often() {
+    let mut delay = plan::ReopenDelay::default();
+    let delays = [Some(30), None, Some(2_000), Some(9_000), Some(0), None];
+    assert_eq!(
+        delays.map(|lasted_ms| delay.next_ms(lasted_ms)),
+        [500, 1_000, 2_000, 4_000, 8_000, 8_000]
+    );
+    assert_eq!(delay.next_ms(Some(10_000)), 500);
+    assert_eq!(delay.next_ms(None), 1_000);
+}
+
+/// Guards against a zone all of whose daemons become executors one after another.
+#[test]
+fn an_executor_whose_successor_is_open_is_given_up() {
+    let mut running: Vec<(Runtime, String)> =
+        (0..3).map(|_| start_executor(FakePlatform::with_worker())).collect();
+    let mut daemons = Vec::new();
+    for ((_, address), cores) in running.iter().zip([0.5, 0.4, 0.3]) {
+        daemons.push(daemon(address, "z", cores));
+    }
+    let addresses: Vec<String> = daemons.iter().map(|daemon| daemon.address.clone()).collect();
+    let (failed, _) = running.remove(0);
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, _inbox) = leader(FakePlatform::default(), &addresses[0]);
+        executors.update_daemons(daemons);
+        let replacing = executors.replace_failed();
+        let scenario = async {
+            executors.wait_until_open().await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!(executors.addresses(), addresses[..2]);
+            failed.shutdown_background();
+            let replaced = async {
+                while executors.addresses() != addresses[1..] {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            };
+            timeout(Duration::from_secs(2), replaced).await.expect("it is given up");
+        };
+        tokio::select! {
+            () = replacing => panic!("nothing is replaced any more"),
+            () = scenario => {}
+        }
+    });
+}
+
 /// An executor with a worker, behind a proxy.
 fn executor_behind_proxy() -> (Arc<FakePlatform>, Runtime, Proxy) {
     let platform = Arc::new(FakePlatform::with_worker());
