Simulation: members of a gang that start at different times end alike

Three of 3,000 seeds failed on (1183, 1453, 1935): a step started before all members of a gang were done. The trace: the start of one member was lost and sent again a second later; between the two, the simulation ended its faults, among them failing runs. The members share a seed, but it was compared with the share of failed runs at the start of each, so this one was done and the others failed, which workers do not do. Starts of one gang were never that far apart before.

The share that holds when the first member of a run starts now holds for all its members. The checks stay as they are.

--- a/crates/pool/tests/seeds.rs
+++ b/crates/pool/tests/seeds.rs
@@ -100,3 +100,12 @@
     let starts = World::check_seeds(SEEDS, simulate);
     assert!(starts > 0, "nothing was started");
 }
+
+/// Seeds in which the members of a gang start before and after the end of the faults. Guards against
+/// a gang of which some members complete and some fail.
+#[test]
+fn the_members_of_a_gang_end_alike() {
+    for seed in [1_183, 1_453, 1_935] {
+        assert_eq!(simulate(seed).err(), None, "SEED={seed}");
+    }
+}
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -55,7 +55,12 @@
                 }
             }
         }
-        // The members of a gang succeed or fail together, so they share a seed.
+        // The members of a gang succeed or fail together, so they share a seed and a share.
+        let mut failed_runs = self.faults.failed_runs;
+        if step.gang {
+            let gang_run = (start.task.step, start.run);
+            failed_runs = *self.gang_failures.entry(gang_run).or_insert(failed_runs);
+        }
         let gang_seed =
             start.task.step.job.0 ^ u64::from(start.task.step.step) << 32 ^ u64::from(start.run);
         let mut rng = if step.gang {
@@ -63,7 +68,7 @@
         } else {
             Pcg64::from_rng(&mut self.rng)
         };
-        let will_fail = rng.random_range(0..1_000) < self.faults.failed_runs;
+        let will_fail = rng.random_range(0..1_000) < failed_runs;
         let duration_ms = rng.random_range(step.estimate_ms / 2..=step.estimate_ms * 2);
         let gang = step.gang.then_some(step.tasks);
         let now_ms = self.now_ms;
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -47,6 +47,7 @@
 use stoatwell_pool::Removal;
 use stoatwell_pool::SilentLease;
 use stoatwell_pool::StartReply;
+use stoatwell_pool::StepId;
 use stoatwell_pool::TaskId;
 use stoatwell_pool::TaskProgress;
 
@@ -125,6 +126,8 @@
     cancelled: BTreeMap<JobId, u64>,
     /// Tasks whose completion the scheduler has acknowledged to their worker.
     acknowledged_done: BTreeSet<TaskId>,
+    /// The share of failed runs when the first member of each run of a gang started.
+    gang_failures: BTreeMap<(StepId, u32), u32>,
     timeline: BTreeMap<(u64, u64), TimedEvent>,
     last_sequence: u64,
     /// The time that the scheduler's work takes; `None` if it takes none.
@@ -181,6 +184,7 @@
             progress: BTreeMap::new(),
             cancelled: BTreeMap::new(),
             acknowledged_done: BTreeSet::new(),
+            gang_failures: BTreeMap::new(),
             timeline: BTreeMap::new(),
             last_sequence: 0,
             charge: None,
