Count silence of workers only from when the leader itself runs again

Cause: a worker whose call got no answer counts as silent once its last answer is 1.5 s old, also if the leader stood still for that time. All workers whose calls were lost meanwhile, up to 64, were named in the leader lease; a named worker gets no task and no extension of its lease until a later row is durable, though it answers the next hold.

Change: the pool notes when it is polled again after 500 ms or more. Silence counts from there. A worker is only named later than before, so the time that the row gives a successor is never too short; under pauses that repeat within 1.5 s a dead worker is not named, and a successor waits for the default lease.

--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -188,6 +188,10 @@
     effects: Vec<Effect>,
     /// Whether a worker has seen the token of a later leader.
     superseded: bool,
+    /// When the pool was last polled.
+    polled_ms: u64,
+    /// When the pool was first polled after it had stood still for [`STANDSTILL_MS`].
+    resumed_ms: u64,
     next_sweep_ms: u64,
     next_cycle_ms: u64,
     next_wait_report_ms: u64,
@@ -227,6 +231,9 @@
 /// Interval of the sweep, which handles what no event announces.
 const SWEEP_INTERVAL_MS: u64 = 100;
 
+/// Time between two polls from which on this process stood still.
+const STANDSTILL_MS: u64 = 500;
+
 /// Minimum time between two scheduling cycles. Otherwise each of the hundreds of run ends
 /// and arrivals a second would cost a cycle over all workers.
 const CYCLE_INTERVAL_MS: u64 = 8;
@@ -265,6 +272,8 @@
             cycle_due: true,
             effects: Vec::new(),
             superseded: false,
+            polled_ms: now_ms,
+            resumed_ms: 0,
             next_sweep_ms: 0,
             next_cycle_ms: 0,
             next_wait_report_ms: 0,
@@ -385,6 +394,10 @@
         self.now_ms = self.now_ms.max(now_ms);
         self.unix_ms = unix_ms;
         self.turn += 1;
+        if self.now_ms >= self.polled_ms + STANDSTILL_MS {
+            self.resumed_ms = self.now_ms;
+        }
+        self.polled_ms = self.now_ms;
         let is_sweep = self.now_ms >= self.next_sweep_ms;
         if is_sweep {
             self.next_sweep_ms = self.now_ms + SWEEP_INTERVAL_MS;
--- a/crates/pool/src/workers/silent.rs
+++ b/crates/pool/src/workers/silent.rs
@@ -9,6 +9,9 @@
 //! expired. While a worker is named there, its lease is not extended and nothing is started on
 //! it, also if it answers again: the time in the row would no longer hold. The worker is released
 //! once a later row that does not name it is durable.
+//!
+//! While this process stands still, answers wait or are lost, so only the time since then counts
+//! as silence.
 
 use stoatwell_model::WorkerId;
 
@@ -98,7 +101,8 @@
         let mut leases = Vec::new();
         let mut has_changed = false;
         for (name, worker) in &mut self.workers {
-            let is_named = leases.len() < SILENT_LEASES_MAX && is_silent(worker, self.now_ms);
+            let is_named =
+                leases.len() < SILENT_LEASES_MAX && is_silent(worker, self.now_ms, self.resumed_ms);
             if is_named {
                 let mark = worker.silent.get_or_insert_with(|| SilentMark::new(self.now_ms));
                 has_changed |= mark.dropped_in.take().is_some();
@@ -119,12 +123,13 @@
 
 /// Whether a worker with tasks has not answered for so long that its lease is to be named, or
 /// has not answered since it was.
-fn is_silent(worker: &Worker, now_ms: u64) -> bool {
+fn is_silent(worker: &Worker, now_ms: u64, resumed_ms: u64) -> bool {
     if worker.tasks.is_empty() {
         return false;
     }
-    match worker.silent {
-        Some(mark) => worker.answered_ms <= mark.since_ms,
-        None => worker.unanswered_calls > 0 && worker.answered_ms + SILENCE_MIN_MS < now_ms,
+    if let Some(mark) = worker.silent {
+        return worker.answered_ms <= mark.since_ms;
     }
+    let since_ms = worker.answered_ms.max(resumed_ms);
+    worker.unanswered_calls > 0 && since_ms + SILENCE_MIN_MS < now_ms
 }
--- a/crates/pool/tests/pauses.rs
+++ b/crates/pool/tests/pauses.rs
@@ -51,3 +51,20 @@
     }
     assert_eq!((starts, stops), (30 * 42, 0), "starts and stops");
 }
+
+/// Guards against sound workers that get no tasks, since their answers wait while the scheduler
+/// stands still, and the connections are reset.
+#[test]
+fn workers_are_not_silent_because_the_scheduler_stood_still() {
+    let mut world = World::new(7, 12, Faults::default());
+    world.run(600);
+    world.submit(1, job(queue(1), vec![step(48, 3_000, 20_000)]));
+    world.run(800);
+    world.reset_connections();
+    world.pause_leader(1_600);
+    world.run(1_620);
+    assert_eq!(world.silent_workers(), 0);
+    world.run(1_000);
+    assert_eq!(world.silent_workers(), 0);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -270,6 +270,11 @@
         self.jobs.keys().filter(|job| !is_finished(job)).copied().collect()
     }
 
+    /// The number of workers whose leases the leader lease has to name.
+    pub fn silent_workers(&self) -> usize {
+        self.pool.silent_leases().leases.len()
+    }
+
     /// The current totals of the scheduler.
     pub fn counts(&self) -> stoatwell_pool::Counts {
         self.pool.counts()
