Ask workers at once after a failed hold

Cause: after a hold without an answer the next one was delayed by 200 ms and was a long poll again. The worker counted as silent for up to a second more, without an extension of its lease, although one answer is enough to lift that; ends there were noticed later by the delay.

Change: the delay counts from when the failed hold was sent, so one that took longer to fail is repeated at once and one that is refused five times a second at most, as before. While a call to the worker is unanswered, its holds are answered at once. That costs one more hold for each failure.

--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -30,7 +30,7 @@
 /// Number of workers above which a hold waits twice as long. Holds that report nothing new
 /// would take much of the scheduler's CPU time.
 const LONG_WAIT_WORKERS: usize = 100;
-/// Delay before the next hold after one that failed.
+/// Delay between a hold that fails and the next one, counted from when the failed one was sent.
 const HOLD_RETRY_DELAY_MS: u64 = 200;
 /// Delay between the holds of a worker that is lost and still listed.
 const LOST_WORKER_HOLD_DELAY_MS: u64 = 1_000;
@@ -203,7 +203,7 @@
         let reply = match reply {
             Ok(reply) => reply,
             Err(error) => {
-                worker.next_hold_ms = now_ms + HOLD_RETRY_DELAY_MS;
+                worker.next_hold_ms = worker.hold_sent_ms + HOLD_RETRY_DELAY_MS;
                 self.on_hold_failed(name, error);
                 return;
             }
@@ -437,6 +437,7 @@
             let at_once = probe
                 || !worker.held
                 || !worker.non_durable_ends.is_empty()
+                || worker.unanswered_calls > 0
                 || worker.unconfirmed_turn.is_some();
             let wait_ms = if at_once { 0 } else { wait_ms };
             due.push((name, until_ms, forget, wait_ms));
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -230,3 +230,18 @@
     world.reset_connections();
     assert_completes(&mut world, 24, 0, 2_100);
 }
+
+/// Guards against workers whose leases are not extended, and whose ends are noticed late, for a
+/// second after a moment at which calls failed.
+#[test]
+fn workers_answer_soon_after_their_holds_failed() {
+    let mut world = World::new(7, 120, Faults::default());
+    world.run(1_400);
+    world.reset_connections();
+    world.run(5);
+    let silent_workers = world.counts().silent_workers;
+    assert!(silent_workers > 90, "{silent_workers} workers do not answer");
+    world.run(245);
+    let silent_workers = world.counts().silent_workers;
+    assert!(silent_workers < 20, "{silent_workers} workers do not answer");
+}
