Call workers through their executors again once these reach them

A worker whose call through an executor failed was called by the leader itself until a direct call failed as well, so a worker that stood still once stayed with the leader for ever. Once the link to its executor has worked for 5 s without suspicion, one hold is tried through it; an answer takes the worker off the list, a failure doubles the time, up to 60 s. Calls that were lost with a session put no worker on the list, neither before nor now.

--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -74,6 +74,8 @@
 #[derive(Debug, Default)]
 struct State {
     phase: Phase,
+    /// When it opened, or opened again after a suspicion.
+    open_since_ms: u64,
     /// The executor's clock, and the local time at which it was received.
     clock: Option<(u64, u64)>,
     /// Calls to send: the number, the time at which it was queued, and the call.
@@ -187,6 +189,11 @@
         self.lock().phase == Phase::Open
     }
 
+    /// Since when it has accepted calls.
+    pub fn open_since_ms(&self) -> u64 {
+        self.lock().open_since_ms
+    }
+
     /// Whether it has a session, or its first session is still being opened.
     pub fn is_usable(&self) -> bool {
         !matches!(self.lock().phase, Phase::Failed | Phase::GivenUp)
@@ -271,7 +278,7 @@
                     return Err(SessionEnd::GivenUp);
                 }
                 state.clock = Some((clock_ms, steady_ms()));
-                state.phase = Phase::Open;
+                state.open();
                 Ok(())
             }
             Ok(_) => Err(SessionEnd::Unknown(OPEN)),
@@ -329,7 +336,7 @@
         let mut answered = Vec::with_capacity(replies.len());
         {
             let mut state = self.lock();
-            state.phase = Phase::Open;
+            state.open();
             // The executor read its clock before this moment, so calls never expire late.
             state.clock = Some((clock_ms, steady_ms()));
             for (number, reply) in replies {
@@ -524,6 +531,15 @@
     }
 }
 
+impl State {
+    fn open(&mut self) {
+        if self.phase != Phase::Open {
+            self.phase = Phase::Open;
+            self.open_since_ms = steady_ms();
+        }
+    }
+}
+
 /// When a call that was queued or sent at this time is too old.
 fn expiry_ms(since_ms: u64, call: &WorkerCall) -> u64 {
     let expiry_ms = since_ms + CALL_AGE_MAX_MS;
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -13,20 +13,19 @@
 //! executed again. A session ends if the executor has lost its state or is silent for too long.
 
 pub mod call;
+pub mod direct;
 mod link;
 pub mod plan;
 pub mod session;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_peer::Peers;
 use stoatwell_pool::CallError;
@@ -35,8 +34,11 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::call::PendingCall;
 use self::call::WorkerCall;
 use self::call::WorkerReply;
+use self::direct::DirectWorkers;
+use self::direct::Way;
 use self::link::Link;
 use self::plan::executor_candidates;
 use self::plan::executors_wanted;
@@ -77,9 +79,8 @@
     links: BTreeMap<ZoneName, Vec<Arc<Link>>>,
     /// Whether the leader's decisions take up most of its processor time.
     busy: bool,
-    /// Workers whose last call through an executor failed. The leader calls them directly
-    /// until a direct call fails as well.
-    direct_workers: HashSet<WorkerId>,
+    /// Workers that the leader calls directly since a call through their executor failed.
+    direct_workers: DirectWorkers,
     last_session: u64,
     /// When links to daemons were given up, by address.
     given_up_ms: HashMap<String, u64>,
@@ -101,7 +102,7 @@
             workers: BTreeMap::new(),
             links: BTreeMap::new(),
             busy: false,
-            direct_workers: HashSet::new(),
+            direct_workers: DirectWorkers::default(),
             last_session: 0,
             given_up_ms: HashMap::new(),
         };
@@ -143,7 +144,7 @@
             );
         }
         state.busy = busy;
-        let direct_workers = if state.uses_executors() { state.direct_workers.len() } else { 0 };
+        let direct_workers = if state.uses_executors() { state.direct_workers.count() } else { 0 };
         metrics::gauge!("stoatwell_direct_workers").set(direct_workers as f64);
         drop(state);
         self.open_links();
@@ -164,14 +165,12 @@
     /// Makes a call to a worker, through an executor of its zone if there is one.
     pub fn call(&self, zone: Option<&ZoneName>, call: WorkerCall) {
         let link = {
-            let state = self.lock();
-            zone.and_then(|zone| state.route(zone, call.worker()))
+            let mut state = self.lock();
+            zone.and_then(|zone| state.route(zone, &call))
         };
-        let rejected_call = match link {
-            Some(link) => link.enqueue(call),
-            None => Some(call),
-        };
-        if let Some(call) = rejected_call {
+        let Some(link) = link else { return self.call_directly(call) };
+        if let Some(call) = link.enqueue(call) {
+            self.lock().direct_workers.note_loss(call.worker(), steady_ms());
             self.call_directly(call);
         }
     }
@@ -198,6 +197,11 @@
         });
     }
 
+    /// The number of workers that are called directly since a call through an executor failed.
+    pub fn direct_workers(&self) -> usize {
+        self.lock().direct_workers.count()
+    }
+
     /// Opens links to further executors in zones that have too few usable ones, and gives up
     /// those that failed where there are enough open ones.
     fn open_links(&self) {
@@ -238,10 +242,8 @@
         let shared = Arc::clone(&self.state);
         let changed = self.changed.clone();
         let epoch = self.epoch;
-        let on_reply = move |pending: call::PendingCall, reply: WorkerReply| {
-            if reply.is_unanswered() {
-                lock(&shared).direct_workers.insert(pending.worker().clone());
-            }
+        let on_reply = move |pending: PendingCall, reply: WorkerReply| {
+            note_reply(&mut lock(&shared).direct_workers, &pending, &reply);
             inbox_sender.notify(pending.into_event(reply));
         };
         let next_session = {
@@ -291,6 +293,17 @@
     state.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Notes what the outcome of a call through an executor tells of its worker.
+fn note_reply(direct_workers: &mut DirectWorkers, pending: &PendingCall, reply: &WorkerReply) {
+    let worker = pending.worker();
+    match reply {
+        WorkerReply::Failed(_) => direct_workers.note_loss(worker, steady_ms()),
+        _ if reply.is_unanswered() => direct_workers.note_failure(worker, steady_ms()),
+        WorkerReply::Held(_) => direct_workers.note_answer(worker),
+        WorkerReply::Started(_) | WorkerReply::Done(_) => {}
+    }
+}
+
 impl State {
     /// Whether calls currently go through executors.
     fn uses_executors(&self) -> bool {
@@ -315,13 +328,18 @@
 
     /// The link to the executor for a worker: always the same one while it is open, so that
     /// connections to the worker are reused. `None` if the worker is called directly.
-    fn route(&self, zone: &ZoneName, worker: &WorkerId) -> Option<Arc<Link>> {
-        if !self.uses_executors() || self.direct_workers.contains(worker) {
+    fn route(&mut self, zone: &ZoneName, call: &WorkerCall) -> Option<Arc<Link>> {
+        if !self.uses_executors() {
             return None;
         }
+        let worker = call.worker();
         let open = self.links.get(zone)?.iter().filter(|link| link.is_open());
         let chosen =
-            open.max_by_key(|link| xxh3_64_with_seed(worker.as_str().as_bytes(), link.seed));
-        chosen.cloned()
+            open.max_by_key(|link| xxh3_64_with_seed(worker.as_str().as_bytes(), link.seed))?;
+        let is_hold = matches!(call, WorkerCall::Hold(_));
+        match self.direct_workers.way(worker, is_hold, chosen.open_since_ms(), steady_ms()) {
+            Way::Executor => Some(Arc::clone(chosen)),
+            Way::Direct => None,
+        }
     }
 }
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -20,6 +20,8 @@
 use stoatwell_node::executors::call::WorkerReply;
 use stoatwell_node::executors::call::decode;
 use stoatwell_node::executors::call::encode;
+use stoatwell_node::executors::direct::DirectWorkers;
+use stoatwell_node::executors::direct::Way;
 use stoatwell_node::executors::plan;
 use stoatwell_node::executors::session::BatchPosition;
 use stoatwell_node::executors::session::Collected;
@@ -336,6 +338,66 @@
     assert_eq!(delay.next_ms(None), 1_000);
 }
 
+/// Guards against workers that the leader calls itself for ever, since its executor did not reach
+/// them once.
+#[test]
+fn a_worker_leaves_the_direct_calls_once_its_executor_reaches_it() {
+    let (worker, mut direct) = (WorkerId::new("w"), DirectWorkers::default());
+    let way = |direct: &mut DirectWorkers, is_hold, link_open_ms, now_ms| {
+        direct.way(&worker, is_hold, link_open_ms, now_ms)
+    };
+    assert_eq!(way(&mut direct, false, 0, 0), Way::Executor);
+    direct.note_failure(&worker, 1_000);
+    assert_eq!(way(&mut direct, true, 0, 5_900), Way::Direct);
+    // The link was suspect meanwhile.
+    assert_eq!(way(&mut direct, true, 3_000, 7_000), Way::Direct);
+    // A start is no trial, and a trial is one call.
+    assert_eq!(way(&mut direct, false, 3_000, 8_000), Way::Direct);
+    assert_eq!(way(&mut direct, true, 3_000, 8_000), Way::Executor);
+    assert_eq!(way(&mut direct, true, 3_000, 8_001), Way::Direct);
+    // A trial that fails is repeated later, one that is lost with its session as soon as before.
+    direct.note_failure(&worker, 9_000);
+    assert_eq!(way(&mut direct, true, 3_000, 18_900), Way::Direct);
+    assert_eq!(way(&mut direct, true, 3_000, 19_000), Way::Executor);
+    direct.note_loss(&worker, 20_000);
+    assert_eq!(way(&mut direct, true, 3_000, 29_900), Way::Direct);
+    assert_eq!(way(&mut direct, true, 3_000, 30_000), Way::Executor);
+    direct.note_answer(&worker);
+    assert_eq!(direct.count(), 0);
+    assert_eq!(way(&mut direct, false, 3_000, 30_001), Way::Executor);
+}
+
+/// Guards against the same with a whole link.
+#[test]
+fn calls_of_a_worker_go_through_its_executor_again() {
+    // The executor does not reach the worker, the leader does.
+    let (executor, address) = start_executor(FakePlatform::default());
+    let proxy = Proxy::start(&address);
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::with_worker(), &proxy.address);
+        executors.wait_until_open().await;
+        let zone = ZoneName::new("z");
+        executors.call(Some(&zone), hold(1));
+        let event = next_event(&mut inbox).await;
+        assert!(matches!(event, Event::Held { reply: Err(_), .. }), "{event:?}");
+        executor.shutdown_background();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let restarted = tokio::task::spawn_blocking(move || {
+            start_executor_at(FakePlatform::with_worker(), &address)
+        });
+        let (executor, _) = restarted.await.expect("it starts");
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        // Only the first hold and what follows it take the executor.
+        for turn in 2..4 {
+            executors.call(Some(&zone), hold(turn));
+            let event = next_event(&mut inbox).await;
+            assert!(matches!(event, Event::Held { reply: Ok(_), .. }), "{event:?}");
+        }
+        assert_eq!(executors.direct_workers(), 0);
+        executor.shutdown_background();
+    });
+}
+
 /// Guards against a zone all of whose daemons become executors one after another.
 #[test]
 fn an_executor_whose_successor_is_open_is_given_up() {
