Tests of queries that are lost to one daemon, and that wait as hedges, red

A hedge that is queued when the query's last attempt fails stays behind all other queries and below the limit on hedges.

--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -3,6 +3,7 @@
 mod fake;
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -42,6 +43,8 @@
     addresses: Vec<String>,
     paused: watch::Sender<bool>,
     queries: Arc<AtomicUsize>,
+    /// Whether the advisor answers them nothing.
+    unadvised: Arc<AtomicBool>,
     runtime: Option<Runtime>,
 }
 
@@ -55,7 +58,8 @@
     async fn start(count: usize) -> Self {
         let addresses = vec!["127.0.0.1:0".to_owned(); count];
         let paused = watch::Sender::new(false);
-        let mut daemons = Self { addresses, paused, queries: Arc::default(), runtime: None };
+        let (queries, unadvised) = (Arc::default(), Arc::default());
+        let mut daemons = Self { addresses, paused, queries, unadvised, runtime: None };
         daemons.listen().await;
         daemons
     }
@@ -79,7 +83,9 @@
             *address = listener.local_addr().expect("bound").to_string();
             let listener = listener.into_std().expect("a socket");
             let (paused, queries) = (self.paused.subscribe(), Arc::clone(&self.queries));
-            let answer = move |call| answer(call, paused.clone(), Arc::clone(&queries));
+            let unadvised = Arc::clone(&self.unadvised);
+            let answer =
+                move |call| answer(call, paused.clone(), Arc::clone(&queries), unadvised.clone());
             runtime.spawn(async move {
                 let listener = TcpListener::from_std(listener).expect("a socket");
                 stoatwell_peer::serve(listener, "test".to_owned(), Traffic::default(), answer).await
@@ -103,6 +109,7 @@
     call: DaemonCall,
     mut paused: watch::Receiver<bool>,
     queries: Arc<AtomicUsize>,
+    unadvised: Arc<AtomicBool>,
 ) -> DaemonReply {
     let is_query = matches!(call, DaemonCall::Advise { .. });
     if is_query {
@@ -110,7 +117,8 @@
         sleep(ANSWER_DELAY).await;
     }
     paused.wait_for(|paused| !paused).await.expect("the test runs");
-    if is_query { DaemonReply::Advised(Some(Vec::new())) } else { DaemonReply::NotScheduler }
+    let granted = (!unadvised.load(Ordering::Relaxed)).then(Vec::new);
+    if is_query { DaemonReply::Advised(granted) } else { DaemonReply::NotScheduler }
 }
 
 /// A dispatcher whose own daemon gets no answer of the advisor, so that all depends on others.
@@ -199,6 +207,48 @@
     assert!(began.elapsed() < limit, "answered after {:?}", began.elapsed());
 }
 
+/// Guards against a daemon that backed off once, is gone now, and loses all queries at once.
+#[tokio::test]
+async fn a_daemon_that_backed_off_and_is_gone_loses_no_further_queries() {
+    let mut gone = Daemons::start(1).await;
+    let daemons = Daemons::start(1).await;
+    gone.unadvised.store(true, Ordering::Relaxed);
+    let advisors = dispatcher(&[gone.infos(), daemons.infos()].concat());
+    assert!(answered(&advisors, 3, 2 * PAUSE).await >= 2);
+    // Its backoff is over.
+    sleep(PAUSE).await;
+    gone.close_connections();
+    assert_eq!(answered(&advisors, 8, PAUSE).await, 8);
+}
+
+/// Guards against a query that waits as a hedge although nothing of it is in flight any more.
+#[tokio::test]
+async fn a_queued_hedge_whose_first_attempt_failed_is_sent_as_any_query() {
+    let mut still = [Daemons::start(1).await, Daemons::start(1).await];
+    still.sort_by(|one, other| one.addresses.cmp(&other.addresses));
+    let (hedging, daemons) = (Daemons::start(1).await, Daemons::start(1).await);
+    for paused in still.iter().chain([&hedging]) {
+        paused.paused.send_replace(true);
+    }
+    let mut known = [still[0].infos(), still[1].infos()].concat();
+    let advisors = dispatcher(&known);
+    let mut queries = Vec::new();
+    // Through the first daemon that stands still, the second one, and the dispatcher's own.
+    for _ in 0..3 {
+        let asking = Arc::clone(&advisors);
+        queries.push(tokio::spawn(async move { answered(&asking, 1, PAUSE).await }));
+        sleep(ANSWER_DELAY / 5).await;
+    }
+    // The first query uses up the hedges; the second one's is queued.
+    known.extend(hedging.infos());
+    advisors.update_daemons(&known);
+    sleep(5 * ANSWER_DELAY).await;
+    known.extend(daemons.infos());
+    advisors.update_daemons(&known);
+    still[1].close_connections();
+    assert_eq!(queries.swap_remove(1).await.expect("no panic"), 1);
+}
+
 /// A daemon loses the leader lease while long queries are in flight and acquires it again
 /// later. Guards against queries of the former term that still count against the limit of
 /// long queries: no gang would ever start again, although all workers are free.
