A daemon that backed off and then loses a query is silent

Cause: a lost query made a daemon silent only if its health was good. One whose backoff had ended kept that state, which counts as usable, until it next answered. If its connections could not be opened, each attempt failed at once, so it was always the daemon with the least work, got all queued queries and lost all four attempts of each.

Change: a lost query makes it silent whatever its health was. The count of unanswered queries, which the next backoff depends on, is kept.

--- a/crates/node/src/advisor_dispatcher/proxies.rs
+++ b/crates/node/src/advisor_dispatcher/proxies.rs
@@ -201,10 +201,10 @@
                 proxy.health = Health::BackingOff { until_ms: now_ms + backoff_ms };
             }
             Outcome::NoReply => match proxy.health {
-                Health::Good => {
+                Health::Good | Health::BackingOff { .. } => {
                     proxy.health = Health::Silent { probes: 0, next_probe_ms: now_ms };
                 }
-                Health::Silent { .. } | Health::BackingOff { .. } => {}
+                Health::Silent { .. } => {}
             },
             Outcome::Abandoned => {}
         }
