A query with nothing in flight does not wait as a hedge

Cause: if the last attempt in flight failed while a hedge of the query was queued, the hedge stayed queued as one: behind all other queries, and below the limit of one hedge in flight for four usable daemons. With hedges in use by daemons that stand still, it waited beside idle ones until its end.

Change: the query is queued again as any other, by its arrival.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -235,11 +235,10 @@
                     }
                     if in_flight.is_empty() {
                         newest = None;
-                    }
-                    if in_flight.is_empty() && queued.is_none() {
                         if sent == ATTEMPTS_MAX {
                             return None;
                         }
+                        // In place of a hedge that is queued.
                         queued = Some(self.enqueue((priority, Attempt::Sole, arrival), cost_ms));
                     }
                 }
