Test that workers go through their executor again after a session ended

Whether a lost session leaves its workers to the leader's own calls was open. It does not: calls that are lost with a session are no evidence about a worker.

--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -478,6 +478,28 @@
     });
 }
 
+/// Guards against a leader that makes the calls of all workers itself, for the rest of its term,
+/// since a session with their executor ended once.
+#[test]
+fn workers_are_called_through_their_executor_again_once_it_has_a_session() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::with_worker(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        proxy.set_path(Path::Stalled);
+        let event = next_event(&mut inbox).await;
+        let no_answer = Err(CallError::NoAnswer);
+        assert!(matches!(&event, Event::Started { reply, .. } if *reply == no_answer), "{event:?}");
+        proxy.set_path(Path::Open);
+        // The next session opens.
+        tokio::time::sleep(Duration::from_secs(2)).await;
+        executors.call(Some(&ZoneName::new("z")), start(1, &Arc::from("work")));
+        starts_received(&platform, 2).await;
+    });
+}
+
 /// Guards against a start that is made twice since its batch was sent again.
 #[test]
 fn a_batch_whose_acceptance_is_lost_is_executed_once() {
