Test of daemons that are excluded for as long as a lost query may take, red

Replies of 8 daemons are lost for 0.5 s; their connections stay open. Each daemon with an overdue query is excluded until the query ends, 2 s after its expected time, and is not probed meanwhile, since its health is still good.

Not mended here: a daemon that replies to a probe may also have a query that the advisor still works on, and a further one would wait behind it.

--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -26,6 +26,8 @@
 use tokio::time::timeout;
 
 use self::fake::FakePlatform;
+use self::fake::proxy::Path;
+use self::fake::proxy::Proxy;
 
 const STEP: StepId = StepId { job: JobId(1), occurrence: 0, step: 0 };
 /// The expected time that the advisor takes for a long query.
@@ -249,6 +251,35 @@
     assert_eq!(queries.swap_remove(1).await.expect("no panic"), 1);
 }
 
+/// Guards against daemons that are excluded for as long as a lost query may take, although they
+/// reply to everything else.
+#[tokio::test]
+async fn daemons_that_reply_get_queries_although_earlier_ones_are_lost() {
+    let daemons = Daemons::start(8).await;
+    let addresses = daemons.addresses.clone();
+    let start = move || addresses.iter().map(|address| Proxy::start(address)).collect();
+    let proxies: Vec<Proxy> = tokio::task::spawn_blocking(start).await.expect("no panic");
+    let mut known = daemons.infos();
+    for (info, proxy) in known.iter_mut().zip(&proxies) {
+        info.address.clone_from(&proxy.address);
+    }
+    let advisors = dispatcher(&known);
+    assert!(answered(&advisors, 9, PAUSE).await >= 8);
+    for proxy in &proxies {
+        proxy.set_path(Path::LosesReplies);
+    }
+    let asking = Arc::clone(&advisors);
+    let _lost = tokio::spawn(async move { answered(&asking, 8, 2 * PAUSE).await });
+    sleep(5 * ANSWER_DELAY).await;
+    for proxy in &proxies {
+        proxy.set_path(Path::Open);
+    }
+    let began = Instant::now();
+    let count = answered(&advisors, 8, 10 * ANSWER_DELAY).await;
+    tokio::task::spawn_blocking(move || drop(proxies)).await.expect("no panic");
+    assert_eq!(count, 8, "in {:?}", began.elapsed());
+}
+
 /// A daemon loses the leader lease while long queries are in flight and acquires it again
 /// later. Guards against queries of the former term that still count against the limit of
 /// long queries: no gang would ever start again, although all workers are free.
