Test of a worker that the leader calls itself for ever, red

One call through an executor that got no answer puts its worker onto the leader's list of direct calls. Only a direct call that fails takes it off. So calls that executors lose when they stand still or their connections are reset move worker after worker to the leader, for the rest of its term, although a leader uses executors because it cannot make all these calls itself.

--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -500,6 +500,32 @@
     });
 }
 
+/// Guards against a leader that makes the calls of a worker itself, for the rest of its term, since
+/// one call through its executor got no answer.
+#[test]
+fn a_worker_is_called_through_its_executor_again_some_time_after_a_lost_call() {
+    let platform = Arc::new(FakePlatform::with_worker());
+    let (_executor, address) = start_executor(Arc::clone(&platform));
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::with_worker(), &address);
+        executors.wait_until_open().await;
+        let zone = ZoneName::new("z");
+        platform.set_loses_holds(true);
+        executors.call(Some(&zone), hold(1));
+        let event = next_event(&mut inbox).await;
+        assert!(matches!(event, Event::Held { reply: Err(_), .. }), "{event:?}");
+        platform.set_loses_holds(false);
+        for turn in 2..22 {
+            executors.call(Some(&zone), hold(turn));
+            let event = next_event(&mut inbox).await;
+            assert!(matches!(event, Event::Held { reply: Ok(_), .. }), "{event:?}");
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        executors.call(Some(&zone), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+    });
+}
+
 /// Guards against a start that is made twice since its batch was sent again.
 #[test]
 fn a_batch_whose_acceptance_is_lost_is_executed_once() {
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -134,6 +134,7 @@
     writes: usize,
     manifest_polls: usize,
     advice_hangs: bool,
+    loses_holds: bool,
     manifest: Option<Manifest>,
     snapshot: Rows,
     /// How many reads of a table are still answered with the snapshot.
@@ -252,6 +253,11 @@
         self.state.lock().expect("no panic").manifest.clone()
     }
 
+    /// Sets whether holds get no answer.
+    pub fn set_loses_holds(&self, loses: bool) {
+        self.state.lock().expect("no panic").loses_holds = loses;
+    }
+
     /// Sets whether the advisor never answers.
     pub fn set_advice_hangs(&self, hangs: bool) {
         self.state.lock().expect("no panic").advice_hangs = hangs;
@@ -623,6 +629,9 @@
 
     async fn hold(&self, call: &HoldCall) -> Result<HoldReply, CallError> {
         let Some(worker) = &self.worker else { return Err(CallError::Refused) };
+        if self.state.lock().expect("no panic").loses_holds {
+            return Err(CallError::NoAnswer);
+        }
         tokio::time::sleep(Duration::from_millis(call.wait_ms.min(50))).await;
         let mut ended = Vec::new();
         for (number, (task, run)) in worker.started.lock().expect("no panic").iter().enumerate() {
