Examine the proxies once for each kind of query that is full

Cause: each pass over the queue asked for every queued hedge or long query whether a proxy takes it, and each of these looks at all proxies twice. A pass runs 40 times a second and with each attempt that is queued or ends.

Change: once one query of a kind (attempt, and whether it is long) is not taken, the others of that kind are kept queued. Within a pass proxies only get more work, so the outcome is the same.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -27,6 +27,7 @@
 use stoatwell_peer::Peers;
 use stoatwell_peer::client::PeerError;
 use stoatwell_pool::Grant;
+use stoatwell_pool::LONG_QUERY_MS;
 use stoatwell_pool::StepId;
 use tokio::sync::oneshot;
 use tokio::task::JoinSet;
@@ -422,12 +423,19 @@
     fn assign(&mut self, shared: &Arc<Mutex<Self>>) {
         let now_ms = steady_ms();
         let mut still_queued = BTreeMap::new();
+        // Kinds of queries that no proxy takes. Each attempt to assign one examines all proxies.
+        let mut full_kinds = BTreeSet::new();
         while let Some((key, queued)) = self.queue.pop_first() {
             if queued.permit.is_closed() {
                 // The query was dropped or answered while this attempt was queued.
                 continue;
             }
             let (_, attempt, _) = key;
+            let kind = (attempt, queued.cost_ms >= LONG_QUERY_MS);
+            if full_kinds.contains(&kind) {
+                still_queued.insert(key, queued);
+                continue;
+            }
             match self.proxies.assign(queued.cost_ms, attempt, now_ms) {
                 Ok((id, address)) => {
                     let permit = Permit {
@@ -443,6 +451,7 @@
                     }
                 }
                 Err(Full::ForThisKind) => {
+                    full_kinds.insert(kind);
                     still_queued.insert(key, queued);
                 }
                 Err(Full::ForAll) => {
