--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -86,8 +86,9 @@
             let listener = listener.into_std().expect("a socket");
             let (paused, queries) = (self.paused.subscribe(), Arc::clone(&self.queries));
             let unadvised = Arc::clone(&self.unadvised);
-            let answer =
-                move |call| answer(call, paused.clone(), Arc::clone(&queries), unadvised.clone());
+            let answer = move |call| {
+                answer(call, paused.clone(), Arc::clone(&queries), Arc::clone(&unadvised))
+            };
             runtime.spawn(async move {
                 let listener = TcpListener::from_std(listener).expect("a socket");
                 stoatwell_peer::serve(listener, "test".to_owned(), Traffic::default(), answer).await
