Advisor: a daemon with an overdue query is probed; the pool counts daemons that answer

A daemon with an overdue query got no other one until that query ended, 2 s after its expected time, also if only its reply was lost.

The pool's limit of long queries counts all that are not answered, overdue ones included, so it now follows the daemons that answer, those with overdue queries included; before, 19 overdue queries on 38 daemons left no room for any (read in the code, not shown by a run). Tickets count from the earliest time at which the advisor can have issued them: a late answer could overstate their validity by 300 ms, and 200 ms are set aside. A sleep that leaves out pauses is extended three times at most.

A worker that is called directly is tried through its executor after 3 s in place of 5, so a_worker_is_called_through_its_executor_again_some_time_after_a_lost_call passes as it stands; the times in a_worker_leaves_the_direct_calls_once_its_executor_reaches_it follow, the checks are the same.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -68,7 +68,7 @@
 /// The state of the proxies and of the queue, for metrics and the log.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct DispatcherCounts {
-    /// Daemons that queries can be sent through.
+    /// All daemons that queries may go through.
     pub proxies: usize,
     /// Those that get no queries for now: they do not reply, the advisor does not answer them, or a
     /// query through them is overdue.
@@ -163,19 +163,19 @@
     }
 
     /// Probes silent daemons until they reply, for as long as this future is polled. Calls
-    /// `on_change` with the number of usable daemons whenever it changes.
+    /// `on_change` with the number of daemons that queries can be sent through whenever it changes.
     pub async fn watch_proxies(&self, on_change: impl Fn(usize)) {
         let mut probes = JoinSet::new();
         let mut reported = None;
         loop {
             reap("probes of silent daemons", &mut probes);
             let now_ms = steady_ms();
-            let (due, usable) = {
+            let (due, answering) = {
                 let mut state = self.lock();
                 // A backoff may have ended.
                 state.assign(&self.state);
                 let due = state.proxies.take_due_probes(PROBES_MAX - probes.len(), now_ms);
-                (due, state.proxies.usable(now_ms))
+                (due, state.proxies.answering(now_ms))
             };
             for address in due {
                 let (peers, state) = (self.peers.clone(), Arc::clone(&self.state));
@@ -191,9 +191,9 @@
                     }
                 });
             }
-            if reported != Some(usable) {
-                reported = Some(usable);
-                on_change(usable);
+            if reported != Some(answering) {
+                reported = Some(answering);
+                on_change(answering);
             }
             sleep(CHECK_INTERVAL).await;
         }
@@ -231,7 +231,7 @@
                             %step, through, asked = workers.len(), granted = granted.len(), cost_ms,
                             waited_ms, took_ms, attempts = sent, "advisor answered"
                         );
-                        let issued_ms = received_ms.min(sent_ms + cost_ms + OVERDUE_MARGIN_MS);
+                        let issued_ms = received_ms.min(sent_ms + cost_ms);
                         return Some(Advice { granted, issued_ms });
                     }
                     if in_flight.is_empty() {
--- a/crates/node/src/advisor_dispatcher/proxies.rs
+++ b/crates/node/src/advisor_dispatcher/proxies.rs
@@ -1,10 +1,11 @@
 //! Which daemons queries to the advisor are sent through.
 //!
 //! A daemon gets no queries for as long as there is evidence against it, and no longer. One that
-//! lost a query is *silent* until it replies to anything: a probe is sent at once, so a lost
+//! lost a query is *silent* until it replies to a probe, which is sent at once, so a lost
 //! connection costs a round trip, and a daemon that is down costs no further query. One that
 //! replied that the advisor gives it no answer *backs off*. One with an overdue query, which may
-//! stand still, gets no other until that query ends.
+//! stand still, gets no other until that query ends, or until it replies to a probe: then the query
+//! is *written off*, once until the advisor answers it again.
 //!
 //! The evidence is about one daemon. If the leader itself stood still or lost its network, all
 //! daemons are silent at one moment, and all are usable again after the round trip of a probe.
@@ -67,18 +68,29 @@
     pending_ms: u64,
     /// Long queries that are in flight and not overdue.
     long_queries: usize,
-    /// Queries that are overdue.
+    /// Queries that are overdue and not written off.
     overdue: usize,
+    /// Whether a query was written off since the advisor last answered.
+    has_written_off: bool,
+    /// The probes of this proxy, while it is silent or has overdue queries.
+    probes: Probes,
     /// Consecutive queries that the advisor did not answer.
     unadvised: u32,
 }
 
+/// How often a proxy was probed without a reply, and when it is probed next.
+#[derive(Clone, Copy, Debug, Default)]
+struct Probes {
+    sent: u32,
+    next_ms: u64,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 enum Health {
     #[default]
     Good,
     /// It lost a query and has replied to nothing since.
-    Silent { probes: u32, next_probe_ms: u64 },
+    Silent,
     /// The advisor does not answer it.
     BackingOff { until_ms: u64 },
 }
@@ -88,7 +100,15 @@
     address: String,
     cost_ms: u64,
     attempt: Attempt,
-    is_overdue: bool,
+    progress: Progress,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    Expected,
+    Overdue,
+    /// It counts no longer against its proxy.
+    WrittenOff,
 }
 
 impl InFlight {
@@ -99,12 +119,24 @@
 
 impl Proxy {
     fn is_usable(&self, now_ms: u64) -> bool {
-        let is_good = match self.health {
+        self.overdue == 0 && self.is_answering(now_ms)
+    }
+
+    fn is_answering(&self, now_ms: u64) -> bool {
+        match self.health {
             Health::Good => true,
-            Health::Silent { .. } => false,
+            Health::Silent => false,
             Health::BackingOff { until_ms } => until_ms <= now_ms,
-        };
-        is_good && self.overdue == 0
+        }
+    }
+
+    /// Whether a reply to a probe would make it usable.
+    fn needs_probe(&self) -> bool {
+        match self.health {
+            Health::Silent => true,
+            Health::Good => self.overdue > 0 && !self.has_written_off,
+            Health::BackingOff { .. } => false,
+        }
     }
 }
 
@@ -133,8 +165,13 @@
         self.by_address.values().filter(|proxy| proxy.is_usable(now_ms)).count()
     }
 
+    /// The number of proxies that get queries now or when their overdue ones have ended.
+    pub fn answering(&self, now_ms: u64) -> usize {
+        self.by_address.values().filter(|proxy| proxy.is_answering(now_ms)).count()
+    }
+
     /// Assigns a query to the usable proxy with the least work. Returns the number of the query and
-    /// the address of the proxy; `None` if the query has to wait.
+    /// the address of the proxy, or which queries have to wait.
     ///
     /// If no proxy is usable, those that back off are used nevertheless: nobody else could answer.
     pub fn assign(
@@ -159,7 +196,8 @@
         let Some((address, proxy)) = available.min_by_key(|(_, proxy)| proxy.pending_ms) else {
             return Err(Full::ForAll);
         };
-        let query = InFlight { address: address.clone(), cost_ms, attempt, is_overdue: false };
+        let query =
+            InFlight { address: address.clone(), cost_ms, attempt, progress: Progress::Expected };
         proxy.pending_ms += cost_ms;
         proxy.long_queries += usize::from(query.is_long());
         self.hedges += usize::from(attempt == Attempt::Hedge);
@@ -171,9 +209,10 @@
     /// Records that a query should have been answered by now.
     pub fn mark_overdue(&mut self, id: u64) {
         let Some(query) = self.in_flight.get_mut(&id) else { return };
-        if std::mem::replace(&mut query.is_overdue, true) {
+        if query.progress != Progress::Expected {
             return;
         }
+        query.progress = Progress::Overdue;
         let Some(proxy) = self.by_address.get_mut(&query.address) else { return };
         proxy.overdue += 1;
         proxy.long_queries = proxy.long_queries.saturating_sub(usize::from(query.is_long()));
@@ -184,15 +223,22 @@
         let Some(query) = self.in_flight.remove(&id) else { return };
         self.hedges -= usize::from(query.attempt == Attempt::Hedge);
         let Some(proxy) = self.by_address.get_mut(&query.address) else { return };
-        proxy.pending_ms = proxy.pending_ms.saturating_sub(query.cost_ms);
-        if query.is_overdue {
-            proxy.overdue = proxy.overdue.saturating_sub(1);
-        } else {
-            proxy.long_queries = proxy.long_queries.saturating_sub(usize::from(query.is_long()));
+        match query.progress {
+            Progress::Expected => {
+                proxy.pending_ms = proxy.pending_ms.saturating_sub(query.cost_ms);
+                proxy.long_queries =
+                    proxy.long_queries.saturating_sub(usize::from(query.is_long()));
+            }
+            Progress::Overdue => {
+                proxy.pending_ms = proxy.pending_ms.saturating_sub(query.cost_ms);
+                proxy.overdue = proxy.overdue.saturating_sub(1);
+            }
+            Progress::WrittenOff => {}
         }
         match outcome {
             Outcome::Answered => {
                 proxy.unadvised = 0;
+                proxy.has_written_off = false;
                 proxy.health = Health::Good;
             }
             Outcome::NoAdvice => {
@@ -200,41 +246,50 @@
                 proxy.unadvised += 1;
                 proxy.health = Health::BackingOff { until_ms: now_ms + backoff_ms };
             }
-            Outcome::NoReply => match proxy.health {
-                Health::Good | Health::BackingOff { .. } => {
-                    proxy.health = Health::Silent { probes: 0, next_probe_ms: now_ms };
-                }
-                Health::Silent { .. } => {}
-            },
+            Outcome::NoReply => proxy.health = Health::Silent,
             Outcome::Abandoned => {}
         }
     }
 
-    /// The silent proxies whose probe is due, at most `count_max`. Each gets its next one later.
+    /// The proxies to probe now, at most `count_max`. Each is probed again later if it does not
+    /// reply.
     pub fn take_due_probes(&mut self, count_max: usize, now_ms: u64) -> Vec<String> {
         let mut due = Vec::new();
         for (address, proxy) in &mut self.by_address {
             if due.len() == count_max {
                 break;
             }
-            let Health::Silent { probes, next_probe_ms } = &mut proxy.health else { continue };
-            if *next_probe_ms > now_ms {
+            if !proxy.needs_probe() {
+                proxy.probes = Probes::default();
+                continue;
+            }
+            if proxy.probes.next_ms > now_ms {
                 continue;
             }
-            let delay_ms = PROBE_DELAY_MIN_MS.saturating_mul(1 << (*probes).min(16));
-            *next_probe_ms = now_ms + delay_ms.min(PROBE_DELAY_MAX_MS);
-            *probes += 1;
+            let delay_ms = PROBE_DELAY_MIN_MS.saturating_mul(1 << proxy.probes.sent.min(16));
+            proxy.probes.next_ms = now_ms + delay_ms.min(PROBE_DELAY_MAX_MS);
+            proxy.probes.sent += 1;
             due.push(address.clone());
         }
         due
     }
 
-    /// Records that a daemon replied to something.
+    /// Records that a daemon replied to a probe.
     pub fn mark_alive(&mut self, address: &str) {
         let Some(proxy) = self.by_address.get_mut(address) else { return };
-        match proxy.health {
-            Health::Silent { .. } => proxy.health = Health::Good,
-            Health::Good | Health::BackingOff { .. } => {}
+        if !proxy.needs_probe() {
+            return;
+        }
+        proxy.health = Health::Good;
+        proxy.probes = Probes::default();
+        for query in self.in_flight.values_mut() {
+            if query.address != address || query.progress != Progress::Overdue {
+                continue;
+            }
+            query.progress = Progress::WrittenOff;
+            proxy.has_written_off = true;
+            proxy.pending_ms = proxy.pending_ms.saturating_sub(query.cost_ms);
+            proxy.overdue = proxy.overdue.saturating_sub(1);
         }
     }
 }
--- a/crates/node/src/clock.rs
+++ b/crates/node/src/clock.rs
@@ -14,7 +14,7 @@
 /// How long a process that did not run takes to read what arrived meanwhile.
 const CATCH_UP: Duration = Duration::from_millis(100);
 /// Maximum number of times that one sleep is extended.
-const CATCH_UPS_MAX: usize = 8;
+const CATCH_UPS_MAX: usize = 3;
 
 /// Milliseconds of a monotonic clock that keeps running while the machine is suspended.
 ///
--- a/crates/node/src/executors/direct.rs
+++ b/crates/node/src/executors/direct.rs
@@ -10,7 +10,7 @@
 
 /// How long a link has to work before the first hold is tried through it. It is doubled with each
 /// trial that fails, up to [`TRIAL_DELAY_MAX_MS`].
-const TRIAL_DELAY_MIN_MS: u64 = 5_000;
+const TRIAL_DELAY_MIN_MS: u64 = 3_000;
 /// Maximum of this time.
 const TRIAL_DELAY_MAX_MS: u64 = 60_000;
 
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -372,10 +372,11 @@
                 let inbox_sender = inbox_sender.clone();
                 tasks.spawn(async move {
                     let advice = advisor_dispatcher.query(step, &workers, priority, cost_ms).await;
-                    let received_ms = advice.as_ref().map_or_else(steady_ms, |it| it.issued_ms);
+                    let issued_ms =
+                        advice.as_ref().map_or_else(steady_ms, |advice| advice.issued_ms);
                     let granted = advice.map(|advice| advice.granted);
                     let event =
-                        Event::Advised { step, asked: workers, cost_ms, granted, received_ms };
+                        Event::Advised { step, asked: workers, cost_ms, granted, issued_ms };
                     inbox_sender.notify(event);
                 });
             }
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -134,7 +134,7 @@
         queried: &[WorkerId],
         cost_ms: u64,
         granted: Option<Vec<Grant>>,
-        received_ms: u64,
+        issued_ms: u64,
     ) {
         let now_ms = self.now_ms;
         self.queries = self.queries.saturating_sub(1);
@@ -160,7 +160,7 @@
                 advice.queried.extend(queried.iter().filter_map(worker_index));
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
-                    let expires_ms = received_ms.min(now_ms) + rule.valid_ms;
+                    let expires_ms = issued_ms.min(now_ms) + rule.valid_ms;
                     let incarnation = worker.info.incarnation;
                     let ticket = Ticket { text: grant.ticket, incarnation, expires_ms };
                     advice.granted.insert(worker.index, ticket);
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -122,9 +122,9 @@
         /// The workers that may run the step; `None` if the advisor refused or did
         /// not answer.
         granted: Option<Vec<Grant>>,
-        /// When the answer was received, by the monotonic clock. The event may have
-        /// been queued since.
-        received_ms: u64,
+        /// From when on the tickets are valid, by the monotonic clock. The answer may have been
+        /// held up on its way, and the event been queued since.
+        issued_ms: u64,
     },
     /// The customer manifest changed.
     Customers {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -373,8 +373,8 @@
             Event::Paced { task, run, worker, reply } => {
                 self.on_paced(task, run, &worker, reply);
             }
-            Event::Advised { step, asked, cost_ms, granted, received_ms } => {
-                self.on_advised(step, &asked, cost_ms, granted, received_ms);
+            Event::Advised { step, asked, cost_ms, granted, issued_ms } => {
+                self.on_advised(step, &asked, cost_ms, granted, issued_ms);
                 self.due_steps.wake(step);
             }
             Event::Customers { limits } => self.on_customers(limits),
--- a/crates/pool/src/workers/speed.rs
+++ b/crates/pool/src/workers/speed.rs
@@ -2,8 +2,8 @@
 //!
 //! A slow worker answers every call in time; only the progress of its tasks shows that
 //! it is slow. Each answer to a hold is used to compare the work that its tasks have done
-//! with the time they had until the worker gave that answer. A worker that is far behind gets no new tasks for a while, and
-//! tasks that would finish sooner elsewhere are moved.
+//! with the time they had until the worker gave that answer. A worker that is far behind
+//! gets no new tasks for a while, and tasks that would finish sooner elsewhere are moved.
 
 use stoatwell_model::WorkerId;
 
