Tell what the leader's decisions compare, and how long urgent steps wait

The line pool has the time that decisions take and nothing of what they spend it on, so that the three hypotheses of the incident look alike. A line decisions, once a second, counts the pairs of a step and a worker by purpose: to place, to find workers with room, to make the sets of granted workers, to select workers for the advisor and for gangs. The comparisons that find room were not counted at all until now. It also has the number of different demands in the queue, the longest decision, and how long the urgent step has waited that waits the longest. No decision changes.

--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -242,7 +242,7 @@
                 gauges_updated_ms = steady_ms();
                 publish_gauges(&pool, &cycle_times, &inbox, self.advisor_dispatcher.counts());
                 executors.update_load(cycle_times.total().as_millis() as u64, period_ms);
-                cycle_times = CycleTimes::default();
+                cycle_times = CycleTimes::starting_at(pool.cycle_work());
                 executors.update_workers(pool.workers_by_zone());
             }
         }
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -4,6 +4,8 @@
 
 use stoatwell_model::BELIEF_TARGET;
 use stoatwell_pool::CallError;
+use stoatwell_pool::Counts;
+use stoatwell_pool::CycleWork;
 use stoatwell_pool::Event;
 use stoatwell_pool::Pool;
 use stoatwell_pool::StartReply;
@@ -80,6 +82,9 @@
     yielded: Duration,
     deciding: Duration,
     calling: Duration,
+    deciding_max: Duration,
+    /// The scheduler's counts when these times began to be added up.
+    work_before: CycleWork,
 }
 
 /// What a scheduling cycle did, and how long each phase took.
@@ -102,6 +107,11 @@
 }
 
 impl CycleTimes {
+    /// No time yet, for a scheduler that has done this work.
+    pub fn starting_at(work_before: CycleWork) -> Self {
+        Self { work_before, ..Self::default() }
+    }
+
     /// Time spent in all phases.
     pub fn total(&self) -> Duration {
         self.handling + self.yielded + self.deciding + self.calling
@@ -116,10 +126,47 @@
         self.handling += cycle.handling;
         self.yielded += cycle.yielded;
         self.deciding += cycle.deciding;
+        self.deciding_max = self.deciding_max.max(cycle.deciding);
         self.calling += cycle.calling;
     }
 }
 
+/// Logs and counts what scheduling cycles looked at.
+fn publish_cycle_work(pool: &Pool, counts: &Counts, cycle_times: &CycleTimes) {
+    let CycleWork { cycles, workers_read, steps_visited, attempts, pairs } =
+        pool.cycle_work().since(cycle_times.work_before);
+    tracing::info!(
+        cycles,
+        steps_visited,
+        attempts,
+        workers_read,
+        placement_pairs = pairs.placement,
+        room_pairs = pairs.room,
+        advice_set_pairs = pairs.advice_sets,
+        selection_pairs = pairs.selection,
+        reservation_pairs = pairs.reservation,
+        queued_demands = counts.queued_demands,
+        urgent_steps = counts.urgent_steps,
+        urgent_wait_ms = counts.urgent_wait_ms,
+        deciding_max_ms = cycle_times.deciding_max.as_millis() as u64,
+        "decisions"
+    );
+    let work = [
+        ("workers read", workers_read),
+        ("steps visited", steps_visited),
+        ("placement", pairs.placement),
+        ("room", pairs.room),
+        ("advice sets", pairs.advice_sets),
+        ("selection", pairs.selection),
+        ("reservation", pairs.reservation),
+    ];
+    for (purpose, count) in work {
+        metrics::counter!("stoatwell_decision_work_total", "purpose" => purpose).increment(count);
+    }
+    metrics::gauge!("stoatwell_queued_demands").set(counts.queued_demands as f64);
+    metrics::gauge!("stoatwell_urgent_wait_ms").set(counts.urgent_wait_ms as f64);
+}
+
 /// Sets the gauges of the scheduler's view of the pool and logs its summary.
 pub(crate) fn publish_gauges(
     pool: &Pool,
@@ -159,6 +206,7 @@
         calling_ms = cycle_times.calling.as_millis() as u64,
         "pool"
     );
+    publish_cycle_work(pool, &counts, cycle_times);
     for usage in pool.customers().into_iter().take(CUSTOMERS_MEASURED_MAX) {
         let customer = usage.customer.to_string();
         metrics::gauge!("stoatwell_customer_used_cpu_millis", "customer" => customer.clone())
--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -14,6 +14,7 @@
 use crate::placement::candidates::WorkerView;
 use crate::placement::candidates::places_in;
 use crate::placement::waiting::QueryBlock;
+use crate::placement::work::Purpose;
 use crate::workers::worker::WorkerIndex;
 
 /// A step that was granted enough workers queries about others only if at least this many
@@ -61,7 +62,7 @@
         let need = spec.worker_demand();
         let mut names = Vec::new();
         let mut has_capacity = false;
-        for eligible in self.eligible_workers(step, step_index, spec, cycle) {
+        for eligible in self.eligible_workers(step, step_index, spec, cycle, Purpose::Selection) {
             let view = &cycle.workers[eligible.view_index];
             has_capacity |= view.free.holds(&need);
             names.push(self.name_of(view).clone());
@@ -155,7 +156,9 @@
                 break;
             }
             let view = &cycle.workers[view_index];
-            if !view.capacity.holds(&need) || !self.is_eligible(service, spec, view) {
+            if !view.capacity.holds(&need)
+                || !self.is_eligible(service, spec, view, Purpose::Selection)
+            {
                 continue;
             }
             let free = free_places(view);
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -1,6 +1,7 @@
 //! Snapshots of the pool's state for operators and metrics.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 
 use serde::Serialize;
 use stoatwell_model::CustomerName;
@@ -57,6 +58,13 @@
     pub running_jobs: usize,
     /// Steps in the queue, which have tasks to place.
     pub queued_steps: usize,
+    /// The urgent ones of them.
+    pub urgent_steps: usize,
+    /// How long the urgent step that has waited the longest is queued, in milliseconds; 0 if
+    /// there is none.
+    pub urgent_wait_ms: u64,
+    /// Different demands of the steps in the queue.
+    pub queued_demands: usize,
     /// The age of the view of the list of workers, in milliseconds.
     pub workers_age_ms: u64,
     /// Steps that have waited in the queue for more than a second although a worker has free
@@ -204,6 +212,7 @@
             oldest_write_ms: self.commits.oldest_batch_ms(self.now_ms),
             ..Counts::default()
         };
+        self.count_queued_steps(&mut counts);
         for job in self.jobs_in_progress() {
             match job.state() {
                 JobState::Queued => counts.queued_jobs += 1,
@@ -220,6 +229,22 @@
         }
         counts
     }
+
+    fn count_queued_steps(&self, counts: &mut Counts) {
+        let mut demands = HashSet::new();
+        for (key, step) in &self.queue {
+            let Some(job) = self.jobs.get(&step.job) else { continue };
+            let Some(step_index) = job.step_index(*step) else { continue };
+            demands.insert(job.step_spec(step_index).worker_demand());
+            if key.priority > 0 {
+                continue;
+            }
+            let wait_ms = self.now_ms.saturating_sub(job.step_states[step_index].queued_ms);
+            counts.urgent_steps += 1;
+            counts.urgent_wait_ms = counts.urgent_wait_ms.max(wait_ms);
+        }
+        counts.queued_demands = demands.len();
+    }
 }
 
 impl Counts {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -104,6 +104,7 @@
 pub use crate::jobs::spec::StepSpec;
 pub use crate::jobs::submit::Accepted;
 pub use crate::placement::work::CycleWork;
+pub use crate::placement::work::Pairs;
 pub use crate::runs::run::START_VALIDITY_MS;
 pub use crate::workers::holds::EXTENSION_WINDOW_MS;
 pub use crate::workers::silent::SilentLease;
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -13,6 +13,7 @@
 use crate::placement::cycle_state::CountedWorker;
 use crate::placement::rooms::Rooms;
 use crate::placement::rooms::WorkerSet;
+use crate::placement::work::Purpose;
 use crate::workers::worker::Usage;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
@@ -207,25 +208,6 @@
         self.reserved_views.push(view_index);
     }
 
-    /// Keeps the workers of a service with room for this demand up to date from now on; `false`
-    /// if there are too many demands.
-    pub fn keep_room(&mut self, service: usize, demand: &Resources, now_ms: u64) -> bool {
-        if self.rooms.mark_used(service, demand, now_ms) {
-            return true;
-        }
-        let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
-        let workers = self.workers.iter().filter(has_room).map(|view| view.worker_index).collect();
-        self.rooms.add(service, *demand, workers, now_ms)
-    }
-
-    /// Whether a worker of the service has free capacity for this demand.
-    pub fn has_room(&self, service: usize, demand: &Resources) -> bool {
-        self.rooms.get(service, demand).map_or_else(
-            || self.workers.iter().any(|view| view.service == service && view.free.holds(demand)),
-            |workers| !workers.is_empty(),
-        )
-    }
-
     /// Picks workers for as many of the waiting tasks as possible and allocates the
     /// capacity within this cycle. Returns pairs of a task's index and
     /// the index of its worker in [`Self::workers`].
@@ -277,6 +259,29 @@
 }
 
 impl Pool {
+    /// Keeps the workers of a service with room for this demand up to date from now on; `false`
+    /// if there are too many demands.
+    pub(crate) fn keep_room(&self, cycle: &mut Cycle, service: usize, demand: &Resources) -> bool {
+        if cycle.rooms.mark_used(service, demand, self.now_ms) {
+            return true;
+        }
+        self.pair_count.add(Purpose::Room, cycle.workers.len());
+        let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
+        let workers = cycle.workers.iter().filter(has_room).map(|view| view.worker_index).collect();
+        cycle.rooms.add(service, *demand, workers, self.now_ms)
+    }
+
+    /// Whether a worker of the service has free capacity for this demand.
+    pub(crate) fn has_room(&self, cycle: &Cycle, service: usize, demand: &Resources) -> bool {
+        if let Some(workers) = cycle.rooms.get(service, demand) {
+            return !workers.is_empty();
+        }
+        cycle.workers.iter().any(|view| {
+            self.pair_count.add(Purpose::Room, 1);
+            view.service == service && view.free.holds(demand)
+        })
+    }
+
     /// The eligible workers with free capacity for a task, each with a penalty for being
     /// outside the rack of the data, for recent failures and for lacking a fresh ticket.
     pub(crate) fn candidates(
--- a/crates/pool/src/placement/futile.rs
+++ b/crates/pool/src/placement/futile.rs
@@ -28,6 +28,7 @@
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
+use crate::placement::work::Purpose;
 use crate::workers::worker::WorkerIndex;
 
 /// The workers that the advisor has answered about, as sets.
@@ -110,7 +111,7 @@
         if gang && (waiting < step_state.tasks.len() || step_state.advice.queries > 0) {
             return None;
         }
-        if !cycle.keep_room(service, &demand, now_ms) {
+        if !self.keep_room(cycle, service, &demand) {
             return None;
         }
         let needs_sets =
@@ -191,11 +192,11 @@
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let StepState { advice, advice_sets: sets, .. } = &mut job.step_states[step_index];
         if !sets.is_current(advice, cycle) {
-            self.pair_count.add(advice.granted.len() + advice.queried.len());
+            self.pair_count.add(Purpose::AdviceSets, advice.granted.len() + advice.queried.len());
             *sets = AdviceSets::of(advice, &demand, cycle);
         }
         if may_be_limited && sets.unqueried.is_none() && sets.include_full(tasks) {
-            self.pair_count.add(cycle.workers.len());
+            self.pair_count.add(Purpose::Selection, cycle.workers.len());
             sets.count_unqueried(service, &demand, cycle);
         }
     }
@@ -222,7 +223,7 @@
             return false;
         }
         let arrival_ms = self.start_arrival_ms(job.id, Some(rule));
-        self.pair_count.add(advice.granted.len());
+        self.pair_count.add(Purpose::Placement, advice.granted.len());
         let is_fresh = |(index, ticket): (&WorkerIndex, &Ticket)| {
             self.worker_at(*index)
                 .is_none_or(|worker| ticket.is_fresh(worker.info.incarnation, arrival_ms))
@@ -247,7 +248,7 @@
             if sets.is_some_and(|sets| !sets.granted.contains(index)) {
                 continue;
             }
-            self.pair_count.add(1);
+            self.pair_count.add(Purpose::Placement, 1);
             let Some(view_index) = cycle.view_index_of(index) else { continue };
             places += places_in(&cycle.workers[view_index].free, demand);
         }
@@ -311,7 +312,7 @@
         let mut free_granted = 0;
         let mut free_unqueried = 0;
         for index in room.iter() {
-            self.pair_count.add(1);
+            self.pair_count.add(Purpose::Placement, 1);
             let Some(view_index) = cycle.view_index_of(index) else { continue };
             let places = places_in(&cycle.workers[view_index].free, &demand);
             if sets.granted.contains(index) {
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -27,6 +27,7 @@
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
 use crate::placement::work::CycleWork;
+use crate::placement::work::Purpose;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
@@ -115,7 +116,7 @@
                 if !in_backoff {
                     let placement = PlacementBlock::DemandInfeasible;
                     self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                    if cycle.keep_room(service, &demand, self.now_ms) {
+                    if self.keep_room(&mut cycle, service, &demand) {
                         self.due_steps.park_for_room(key, step, (service, demand), self.now_ms);
                     }
                 }
@@ -157,7 +158,7 @@
                     let urgent = key.priority == 0;
                     let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
                     self.back_off(step, step_index, base_ms);
-                    if !cycle.has_room(service, &demand) {
+                    if !self.has_room(&cycle, service, &demand) {
                         infeasible_demands.push((service, demand));
                     }
                 }
@@ -311,7 +312,8 @@
         if spec.gang && advice.is_some() && step_state.advice.queries > 0 {
             return waits(PlacementBlock::NoEligibleWorker, QueryBlock::Pending);
         }
-        let mut eligible = self.eligible_workers(step, step_index, &spec, cycle);
+        let mut eligible =
+            self.eligible_workers(step, step_index, &spec, cycle, Purpose::Placement);
         let eligible_count = eligible.len();
         if advice.is_some() && !spec.gang {
             eligible.retain(|worker| worker.needs_no_new_ticket);
@@ -413,13 +415,14 @@
         step_index: usize,
         spec: &StepSpec,
         cycle: &Cycle,
+        purpose: Purpose,
     ) -> Vec<EligibleWorker> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
         let Some(service) = cycle.service_index(&job.spec.queue.service) else { return Vec::new() };
         let mut eligible = Vec::new();
         if job.spec.queue.advice.is_none() {
             for (view_index, view) in cycle.workers.iter().enumerate() {
-                if self.is_eligible(service, spec, view) {
+                if self.is_eligible(service, spec, view, purpose) {
                     eligible.push(EligibleWorker { view_index, needs_no_new_ticket: true });
                 }
             }
@@ -429,7 +432,7 @@
         for (worker_index, ticket) in &job.step_states[step_index].advice.granted {
             let Some(view_index) = cycle.view_index_of(*worker_index) else { continue };
             let view = &cycle.workers[view_index];
-            if self.is_eligible(service, spec, view) {
+            if self.is_eligible(service, spec, view, purpose) {
                 eligible.push(EligibleWorker {
                     view_index,
                     needs_no_new_ticket: ticket.is_fresh(view.incarnation, arrival_ms),
@@ -440,8 +443,14 @@
     }
 
     /// Whether a worker belongs to the service and has the label that the step requires.
-    pub(crate) fn is_eligible(&self, service: usize, spec: &StepSpec, view: &WorkerView) -> bool {
-        self.pair_count.add(1);
+    pub(crate) fn is_eligible(
+        &self,
+        service: usize,
+        spec: &StepSpec,
+        view: &WorkerView,
+        purpose: Purpose,
+    ) -> bool {
+        self.pair_count.add(purpose, 1);
         let has_label = |label| {
             let worker = self.worker_at(view.worker_index);
             worker.is_some_and(|worker| worker.info.labels.contains(label))
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -30,6 +30,7 @@
 use crate::placement::candidates::WorkerView;
 use crate::placement::candidates::places_in;
 use crate::placement::waiting::PlacementBlock;
+use crate::placement::work::Purpose;
 use crate::workers::worker::WorkerIndex;
 
 /// Size of a gang below which it needs no reservation, in percent of the places that the
@@ -78,7 +79,7 @@
         let tasks = step_state.tasks.len();
         // For each place, the time until it is free and the index of its worker.
         let mut places: Vec<(u64, usize)> = Vec::new();
-        let eligible = self.eligible_workers(step, step_index, spec, cycle);
+        let eligible = self.eligible_workers(step, step_index, spec, cycle, Purpose::Reservation);
         let places_when_empty = eligible
             .iter()
             .map(|worker| places_in(&cycle.workers[worker.view_index].capacity, &demand));
@@ -231,13 +232,13 @@
         let places = |view: &WorkerView| {
             spec.max_on_worker(places_in(&view.capacity.minus(&view.long_running), &demand))
         };
-        let eligible = self.eligible_workers(step, step_index, spec, cycle);
+        let eligible = self.eligible_workers(step, step_index, spec, cycle, Purpose::Reservation);
         let granted_places: u64 =
             eligible.iter().map(|worker| places(&cycle.workers[worker.view_index])).sum();
         let advice = &job.step_states[step_index].advice;
         let may_be_granted = |view: &&WorkerView| {
             !advice.queried.contains(&view.worker_index)
-                && self.is_eligible(service, spec, view)
+                && self.is_eligible(service, spec, view, Purpose::Reservation)
                 && places(view) > 0
         };
         if granted_places < tasks {
--- a/crates/pool/src/placement/work.rs
+++ b/crates/pool/src/placement/work.rs
@@ -16,39 +16,98 @@
     pub steps_visited: u64,
     /// Attempts to place a step.
     pub attempts: u64,
-    /// Pairs of a step and a worker that an attempt or a selection for the advisor compared.
-    pub pairs: u64,
+    /// Pairs of a step and a worker that were compared.
+    pub pairs: Pairs,
+}
+
+/// Pairs of a step and a worker that were compared, by purpose.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Pairs {
+    /// To place the tasks of the step.
+    pub placement: u64,
+    /// To find the workers with room for a demand.
+    pub room: u64,
+    /// To make the sets of workers that were granted to the step and queried about.
+    pub advice_sets: u64,
+    /// To select workers for a query to the advisor.
+    pub selection: u64,
+    /// To reserve workers for a gang, or to find out whether it can start at all.
+    pub reservation: u64,
+}
+
+impl Pairs {
+    /// All pairs.
+    pub fn total(&self) -> u64 {
+        self.placement + self.room + self.advice_sets + self.selection + self.reservation
+    }
 }
 
 impl CycleWork {
     /// The work since an earlier reading.
     #[must_use]
     pub fn since(self, earlier: Self) -> Self {
+        let (pairs, before) = (self.pairs, earlier.pairs);
         Self {
             cycles: self.cycles - earlier.cycles,
             workers_read: self.workers_read - earlier.workers_read,
             steps_visited: self.steps_visited - earlier.steps_visited,
             attempts: self.attempts - earlier.attempts,
-            pairs: self.pairs - earlier.pairs,
+            pairs: Pairs {
+                placement: pairs.placement - before.placement,
+                room: pairs.room - before.room,
+                advice_sets: pairs.advice_sets - before.advice_sets,
+                selection: pairs.selection - before.selection,
+                reservation: pairs.reservation - before.reservation,
+            },
         }
     }
 
     /// All that was read or compared.
     pub fn total(&self) -> u64 {
-        self.workers_read + self.steps_visited + self.pairs
+        self.workers_read + self.steps_visited + self.pairs.total()
     }
 }
 
+/// What a step and a worker are compared for; see [`Pairs`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Purpose {
+    Placement,
+    Room,
+    AdviceSets,
+    Selection,
+    Reservation,
+}
+
 /// Counts pairs where only a shared reference to the pool is at hand.
 #[derive(Debug, Default)]
-pub(crate) struct PairCount(AtomicU64);
+pub(crate) struct PairCount {
+    placement: AtomicU64,
+    room: AtomicU64,
+    advice_sets: AtomicU64,
+    selection: AtomicU64,
+    reservation: AtomicU64,
+}
 
 impl PairCount {
-    pub fn add(&self, pairs: usize) {
-        self.0.fetch_add(pairs as u64, Ordering::Relaxed);
+    pub fn add(&self, purpose: Purpose, pairs: usize) {
+        let count = match purpose {
+            Purpose::Placement => &self.placement,
+            Purpose::Room => &self.room,
+            Purpose::AdviceSets => &self.advice_sets,
+            Purpose::Selection => &self.selection,
+            Purpose::Reservation => &self.reservation,
+        };
+        count.fetch_add(pairs as u64, Ordering::Relaxed);
     }
 
-    pub fn get(&self) -> u64 {
-        self.0.load(Ordering::Relaxed)
+    pub fn get(&self) -> Pairs {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Pairs {
+            placement: read(&self.placement),
+            room: read(&self.room),
+            advice_sets: read(&self.advice_sets),
+            selection: read(&self.selection),
+            reservation: read(&self.reservation),
+        }
     }
 }
