Test of steps whose demands all differ, red

The test keeps steps queued in a full pool, some of whose workers close and open, and counts what decisions compare in 2 s.

--- a/crates/pool/tests/cycle_cost.rs
+++ b/crates/pool/tests/cycle_cost.rs
@@ -6,6 +6,7 @@
 
 use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
+use stoatwell_model::WorkerId;
 use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::CycleWork;
@@ -18,10 +19,18 @@
 use self::world::step;
 
 const WORKERS: usize = 350;
+/// The workers of the largest deployment of one zone's leader, and those of the target.
+const MANY_WORKERS: [usize; 2] = [1_100, 3_000];
+/// One worker in this many refuses connections in each tick.
+const CLOSED_DIVISOR: usize = 500;
+/// How long it does.
+const CLOSED_MS: u64 = 150;
 const CUSTOMERS: u64 = 20;
 /// Time in which the pool fills up and the first queries are answered.
 const WARM_UP_MS: u64 = 2_000;
 const MEASURED_MS: u64 = 2_000;
+/// Interval of arrivals.
+const TICK_MS: u64 = 20;
 
 /// What one measurement found.
 struct Measured {
@@ -60,7 +69,7 @@
     world.run(300);
     let mut next_job = 0;
     let mut run = |world: &mut World, for_ms: u64| {
-        for _ in 0..for_ms / 20 {
+        for _ in 0..for_ms / TICK_MS {
             next_job += 1;
             world.submit(1_000_000 + next_job, urgent_job());
             for _ in world.counts().queued_steps..queued {
@@ -68,7 +77,7 @@
                 let spec = JobSpec { accepted_unix_ms: world.now_ms, ..waiting_job(next_job) };
                 world.submit(next_job, spec);
             }
-            world.run(20);
+            world.run(TICK_MS);
         }
     };
     run(&mut world, WARM_UP_MS);
@@ -80,6 +89,52 @@
     Measured { work, deciding: world.deciding, starts: world.starts - starts }
 }
 
+/// Scales a demand by 70 to 130%, for each job differently.
+fn vary_demand(number: u64, spec: JobSpec) -> JobSpec {
+    let share = |seed: u64| 700 + number.wrapping_mul(seed) % 601;
+    let mut steps = spec.steps.clone();
+    for step in &mut steps {
+        step.demand.cpu_millis = step.demand.cpu_millis * share(7_919) / 1_000;
+        step.demand.memory_bytes = (2 << 30) / 1_000 * share(104_729);
+    }
+    JobSpec { steps, ..spec }
+}
+
+/// Keeps steps queued that all have demands of their own, while all workers are full and some of
+/// them close and open again all the time.
+fn measure_waiting(workers: usize, queued: u64) -> Measured {
+    let mut world = World::new(63, workers, Faults::default());
+    world.set_advisor_daemons(workers / 8);
+    world.run(300);
+    for number in 0..workers as u64 {
+        world.submit(1_000_000 + number, job(queue(1), vec![step(1, 16_000, 60_000)]));
+    }
+    world.run(WARM_UP_MS);
+    for number in 0..queued {
+        let spec = vary_demand(number, waiting_job(number));
+        world.submit(number, JobSpec { accepted_unix_ms: world.now_ms, ..spec });
+    }
+    let names: Vec<WorkerId> = world.workers.keys().cloned().collect();
+    let mut closed = 0;
+    let mut run = |world: &mut World, for_ms: u64| {
+        for _ in 0..for_ms / TICK_MS {
+            for _ in 0..workers / CLOSED_DIVISOR {
+                closed += 37;
+                world.refuse_connections(&names[closed % workers], CLOSED_MS);
+            }
+            world.run(TICK_MS);
+        }
+    };
+    run(&mut world, WARM_UP_MS);
+    let (before, starts) = (world.cycle_work(), world.starts);
+    world.deciding = Duration::ZERO;
+    run(&mut world, MEASURED_MS);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+    assert_eq!(world.counts().queued_steps, queued as usize);
+    let work = world.cycle_work().since(before);
+    Measured { work, deciding: world.deciding, starts: world.starts - starts }
+}
+
 /// Prints the curve of the cost; see `docs/design/cycle-cost.md`.
 #[test]
 #[ignore = "a measurement"]
@@ -89,6 +144,13 @@
         let deciding_ms = deciding.as_millis() as u64 * 1_000 / MEASURED_MS;
         println!("{queued} steps: {deciding_ms} ms of a second, {starts} starts, {work:?}");
     }
+    for workers in MANY_WORKERS {
+        for queued in [30, 100, 300, 1_000] {
+            let Measured { work, deciding, .. } = measure_waiting(workers, queued);
+            let deciding_ms = deciding.as_millis() as u64 * 1_000 / MEASURED_MS;
+            println!("{workers} workers, {queued} steps: {deciding_ms} ms of a second, {work:?}");
+        }
+    }
 }
 
 /// Guards against cycles whose cost grows with the steps that wait: each of them was tried again
@@ -110,6 +172,17 @@
     assert!(many.total() <= few.total() * 2, "{many:?} and {few:?}");
 }
 
+/// Guards against steps that are compared with all workers again and again because their demands
+/// differ.
+#[test]
+fn ten_times_the_different_demands_cost_at_most_twice_as_much() {
+    for workers in MANY_WORKERS {
+        let few = measure_waiting(workers, 30).work;
+        let many = measure_waiting(workers, 300).work;
+        assert!(many.total() <= few.total() * 2, "{workers} workers: {many:?} and {few:?}");
+    }
+}
+
 /// Whole workers come free one after another while dozens of steps wait for one. Guards against a
 /// missed wake-up, after which a worker would stay idle until the fallback a second later.
 #[test]
