Find workers with room whatever the demands that wait

It kept the workers with room for 32 demands, of which each job has one of its own there. From the 33rd on each look at a step compared it with all workers to find that it cannot be kept, the check for vain attempts was left out, so that the attempt was made, and a selection for the advisor went through all workers again.

Nothing is kept for a demand any more. The workers are kept in sets by how much of each resource is free, in levels an eighth of a power of two apart; those with room for a demand are an intersection of sets, and only workers on the border of a level are compared. Steps that wait for room are grouped by level. A step that has not queried the advisor yet is no longer skipped because a smaller one found no room: with equal demands the first of them queried, with different ones none would.

--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -146,7 +146,7 @@
         let mut candidates: Vec<(Reverse<u64>, u64, usize)> = Vec::new();
         // Steps arrive with the size of the pool. If each one examined all workers, the cost would
         // grow with its square.
-        let with_room = cycle.rooms.get(service, &need).filter(|_| !include_full);
+        let with_room = (!include_full).then(|| self.room_for(cycle, service, &need));
         let indices: Vec<usize> = match with_room {
             Some(room) => room.iter().filter_map(|index| cycle.view_index_of(index)).collect(),
             None => rotated_indices(step, cycle.workers.len()).collect(),
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -47,7 +47,7 @@
     pub usage: Vec<Usage>,
     /// What the sums contain of each worker, by [`WorkerIndex`].
     pub counted: Vec<CountedWorker>,
-    /// The workers with room for each demand that waits.
+    /// The workers in `workers` by their free capacity.
     pub rooms: Rooms,
     /// The workers in `workers`.
     pub open: WorkerSet,
@@ -194,6 +194,15 @@
         self.set_free(view_index, free);
     }
 
+    /// The workers of a service with room for a task of this demand, and how many workers were
+    /// compared with it.
+    pub fn room_for(&self, service: usize, demand: &Resources) -> (WorkerSet, usize) {
+        self.rooms.with_room(service, demand, |index| {
+            let view = self.view_index_of(index).map(|view_index| &self.workers[view_index]);
+            view.is_some_and(|view| view.free.holds(demand))
+        })
+    }
+
     fn set_free(&mut self, view_index: usize, free: Resources) {
         let view = &mut self.workers[view_index];
         let sum = &mut self.services[view.service].free;
@@ -259,27 +268,11 @@
 }
 
 impl Pool {
-    /// Keeps the workers of a service with room for this demand up to date from now on; `false`
-    /// if there are too many demands.
-    pub(crate) fn keep_room(&self, cycle: &mut Cycle, service: usize, demand: &Resources) -> bool {
-        if cycle.rooms.mark_used(service, demand, self.now_ms) {
-            return true;
-        }
-        self.pair_count.add(Purpose::Room, cycle.workers.len());
-        let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
-        let workers = cycle.workers.iter().filter(has_room).map(|view| view.worker_index).collect();
-        cycle.rooms.add(service, *demand, workers, self.now_ms)
-    }
-
-    /// Whether a worker of the service has free capacity for this demand.
-    pub(crate) fn has_room(&self, cycle: &Cycle, service: usize, demand: &Resources) -> bool {
-        if let Some(workers) = cycle.rooms.get(service, demand) {
-            return !workers.is_empty();
-        }
-        cycle.workers.iter().any(|view| {
-            self.pair_count.add(Purpose::Room, 1);
-            view.service == service && view.free.holds(demand)
-        })
+    /// The workers of a service with room for a task of this demand.
+    pub(crate) fn room_for(&self, cycle: &Cycle, service: usize, demand: &Resources) -> WorkerSet {
+        let (workers, compared) = cycle.room_for(service, demand);
+        self.pair_count.add(Purpose::Room, compared);
+        workers
     }
 
     /// The eligible workers with free capacity for a task, each with a penalty for being
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -21,6 +21,9 @@
 /// If more than one in this many workers changed, all are passed over to find them.
 const READ_ALL_DIVISOR: usize = 4;
 
+/// Maximum queued steps whose demands [`Pool::cycle_state_faults`] checks.
+const CHECKED_DEMANDS_MAX: usize = 50;
+
 /// What the sums of a cycle contain of one worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CountedWorker {
@@ -228,6 +231,15 @@
         (worker.index == worker_index).then_some(worker)
     }
 
+    /// The services and demands of the steps in the queue.
+    fn queued_demands(&self) -> impl Iterator<Item = (usize, Resources)> {
+        self.queue.values().filter_map(|step| {
+            let job = self.jobs.get(&step.job)?;
+            let service = self.cycle.service_index(&job.spec.queue.service)?;
+            Some((service, job.step_spec(job.step_index(*step)?).worker_demand()))
+        })
+    }
+
     /// Differences between the state that the next cycle takes over and the workers, for tests.
     /// Empty unless the scheduler has a fault.
     pub fn cycle_state_faults(&self) -> Vec<String> {
@@ -242,10 +254,11 @@
                 faults.push(format!("service {}: {:?}, not {free:?}", service.name, service.free));
             }
         }
-        for (service, demand, workers) in cycle.rooms.iter() {
-            let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
+        for (service, demand) in self.queued_demands().take(CHECKED_DEMANDS_MAX) {
+            let has_room = |view: &&WorkerView| view.service == service && view.free.holds(&demand);
             let found = cycle.workers.iter().filter(has_room).map(|view| view.worker_index);
             let found: BTreeSet<WorkerIndex> = found.collect();
+            let (workers, _) = cycle.room_for(service, &demand);
             if found != workers.iter().collect() {
                 faults.push(format!("room for {demand:?}: {workers:?}, not {found:?}"));
             }
--- a/crates/pool/src/placement/due.rs
+++ b/crates/pool/src/placement/due.rs
@@ -11,7 +11,7 @@
 use crate::QueueKey;
 use crate::id::StepId;
 use crate::placement::candidates::Cycle;
-use crate::placement::rooms::WorkerSet;
+use crate::placement::rooms::DemandLevels;
 
 /// Time after which a step that waits for room is due in any case. It bounds the delay if the
 /// room is dropped or a wake-up is missed.
@@ -28,8 +28,9 @@
     room: Option<RoomKey>,
 }
 
-/// A service and a demand: CPU, memory and accelerators.
-type RoomKey = (usize, u64, u64, u64);
+/// A service and the levels of a demand. Demands of the same levels are nearly alike, and there
+/// are few levels.
+type RoomKey = (usize, DemandLevels);
 
 /// The queued steps by what they wait for.
 #[derive(Debug, Default)]
@@ -67,10 +68,10 @@
         &mut self,
         key: QueueKey,
         step: StepId,
-        (service, demand): (usize, Resources),
+        (service, demand): (usize, &Resources),
         now_ms: u64,
     ) {
-        let room = (service, demand.cpu_millis, demand.memory_bytes, demand.accelerators);
+        let room = (service, DemandLevels::of(demand));
         let until_ms = now_ms + ROOM_WAIT_MAX_MS;
         self.park_for(step, Parked { key, until_ms, room: Some(room) });
     }
@@ -108,17 +109,12 @@
     /// Makes the steps due whose time has come, and of those that wait for room the first ones
     /// in the order of the queue.
     ///
-    /// One step of each demand is due even without room: it may have to query the advisor.
+    /// One step of each such group is due even without room: it may have to query the advisor.
     pub fn wake_due(&mut self, cycle: &Cycle, now_ms: u64) {
         let timers = self.timers.range(..(now_ms + 1, QueueKey::FIRST));
         let mut woken: Vec<StepId> = timers.map(|(_, step)| *step).collect();
-        for ((service, cpu_millis, memory_bytes, accelerators), steps) in &self.by_room {
-            let demand = Resources {
-                cpu_millis: *cpu_millis,
-                memory_bytes: *memory_bytes,
-                accelerators: *accelerators,
-            };
-            let workers = cycle.rooms.get(*service, &demand).map_or(0, WorkerSet::count);
+        for ((service, levels), steps) in &self.by_room {
+            let workers = cycle.rooms.count_at_levels(*service, levels);
             let count = 1 + workers * STEPS_PER_WORKER_WITH_ROOM;
             woken.extend(steps.values().take(count));
         }
--- a/crates/pool/src/placement/futile.rs
+++ b/crates/pool/src/placement/futile.rs
@@ -39,33 +39,43 @@
     /// Numbers of workers in [`Advice`] when the sets were made. The advisor's answers only add
     /// workers, so equal numbers mean equal sets.
     counts: (usize, usize),
-    /// The places that the open granted workers have when they are empty.
-    places: u64,
+    /// What the open workers offer when they are empty. Made only when workers can be selected,
+    /// since workers open and close all the time.
+    capacity: EmptyCapacity,
+}
+
+/// Sums over the open workers of a step, as if no task were on them.
+#[derive(Clone, Debug, Default)]
+struct EmptyCapacity {
     /// See [`Cycle::capacity_version`].
-    capacity_version: u64,
-    /// The open workers whose capacity would hold a task and that the advisor was not queried
-    /// about: their number and how many tasks they hold on average. `None` until needed.
+    version: u64,
+    /// The places of the granted workers.
+    places: u64,
+    /// The workers whose capacity would hold a task and that the advisor was not queried about:
+    /// their number and how many tasks they hold on average. `None` until needed.
     unqueried: Option<(usize, u64)>,
 }
 
 impl AdviceSets {
-    fn is_current(&self, advice: &Advice, cycle: &Cycle) -> bool {
+    fn is_current(&self, advice: &Advice) -> bool {
         self.counts == (advice.granted.len(), advice.queried.len())
-            && self.capacity_version == cycle.capacity_version
     }
 
-    fn of(advice: &Advice, demand: &Resources, cycle: &Cycle) -> Self {
-        let granted = advice.granted.keys().filter_map(|index| cycle.view_index_of(*index));
+    fn of(advice: &Advice) -> Self {
         Self {
             granted: advice.granted.keys().copied().collect(),
             queried: advice.queried.iter().copied().collect(),
             counts: (advice.granted.len(), advice.queried.len()),
-            places: granted.map(|index| places_in(&cycle.workers[index].capacity, demand)).sum(),
-            capacity_version: cycle.capacity_version,
-            unqueried: None,
+            capacity: EmptyCapacity::default(),
         }
     }
 
+    fn sum_capacity(&mut self, advice: &Advice, demand: &Resources, cycle: &Cycle) {
+        let granted = advice.granted.keys().filter_map(|index| cycle.view_index_of(*index));
+        let places = granted.map(|index| places_in(&cycle.workers[index].capacity, demand)).sum();
+        self.capacity = EmptyCapacity { version: cycle.capacity_version, places, unqueried: None };
+    }
+
     fn count_unqueried(&mut self, service: usize, demand: &Resources, cycle: &Cycle) {
         let is_capable = |view: &&WorkerView| {
             view.service == service
@@ -77,12 +87,12 @@
             workers += 1;
             places += places_in(&view.capacity, demand);
         }
-        self.unqueried = Some((workers, places / (workers as u64).max(1)));
+        self.capacity.unqueried = Some((workers, places / (workers as u64).max(1)));
     }
 
     /// Whether the granted workers are so few that a query may name workers without room.
     fn include_full(&self, tasks: u32) -> bool {
-        self.counts.1 == 0 || self.places < u64::from(tasks) * SUFFICIENT_PLACES_FACTOR
+        self.counts.1 == 0 || self.capacity.places < u64::from(tasks) * SUFFICIENT_PLACES_FACTOR
     }
 }
 
@@ -95,7 +105,7 @@
         step_index: usize,
         key: QueueKey,
         service: usize,
-        cycle: &mut Cycle,
+        cycle: &Cycle,
     ) -> Option<WaitReason> {
         let now_ms = self.now_ms;
         let job = self.jobs.get(&step.job)?;
@@ -111,11 +121,8 @@
         if gang && (waiting < step_state.tasks.len() || step_state.advice.queries > 0) {
             return None;
         }
-        if !self.keep_room(cycle, service, &demand) {
-            return None;
-        }
-        let needs_sets =
-            self.may_select(&step_state.advice) || !cycle.rooms.get(service, &demand)?.is_empty();
+        let room = self.room_for(cycle, service, &demand);
+        let needs_sets = self.may_select(&step_state.advice) || !room.is_empty();
         if advice.is_some() && needs_sets {
             self.update_advice_sets(step, step_index, service, cycle);
         }
@@ -126,7 +133,6 @@
             return None;
         }
         let sets = advice.map(|_| &job.step_states[step_index].advice_sets);
-        let room = cycle.rooms.get(service, &demand)?;
         let has_room = sets.map_or(!room.is_empty(), |sets| room.intersects(&sets.granted));
         let headroom = self.headroom(step, key);
         let needed = demand.times(if gang { waiting as u64 } else { 1 }).plus(&headroom);
@@ -143,7 +149,7 @@
                 return None;
             }
             PlacementBlock::Headroom
-        } else if gang && self.free_places(room, sets, &demand, cycle, waiting) < waiting as u64 {
+        } else if gang && self.free_places(&room, sets, &demand, cycle, waiting) < waiting as u64 {
             PlacementBlock::NotEnough
         } else {
             return None;
@@ -156,7 +162,7 @@
             let placement = PlacementBlock::QueryLimit;
             return Some(WaitReason { placement, query: QueryBlock::NotNeeded });
         }
-        let (query, is_selection) = self.futile_query(job, step_index, rule, room, cycle)?;
+        let (query, is_selection) = self.futile_query(job, step_index, rule, &room, cycle)?;
         if is_selection {
             // The selection is not repeated sooner than after one that was made.
             let job = self.jobs.get_mut(&step.job)?;
@@ -187,15 +193,20 @@
         // A query names no more workers than this.
         let workers_max = self.limits.advice_workers_max;
         let rule = job.spec.queue.advice;
-        let may_be_limited = self.may_select(&step_state.advice)
-            && rule.is_some_and(|rule| !self.may_query(rule, workers_max));
+        let may_select = self.may_select(&step_state.advice);
+        let may_be_limited =
+            may_select && rule.is_some_and(|rule| !self.may_query(rule, workers_max));
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         let StepState { advice, advice_sets: sets, .. } = &mut job.step_states[step_index];
-        if !sets.is_current(advice, cycle) {
+        if !sets.is_current(advice) {
             self.pair_count.add(Purpose::AdviceSets, advice.granted.len() + advice.queried.len());
-            *sets = AdviceSets::of(advice, &demand, cycle);
+            *sets = AdviceSets::of(advice);
+        }
+        if may_select && sets.capacity.version != cycle.capacity_version {
+            self.pair_count.add(Purpose::AdviceSets, advice.granted.len());
+            sets.sum_capacity(advice, &demand, cycle);
         }
-        if may_be_limited && sets.unqueried.is_none() && sets.include_full(tasks) {
+        if may_be_limited && sets.capacity.unqueried.is_none() && sets.include_full(tasks) {
             self.pair_count.add(Purpose::Selection, cycle.workers.len());
             sets.count_unqueried(service, &demand, cycle);
         }
@@ -206,14 +217,12 @@
     pub(crate) fn is_without_room(&self, job: &Job, step_index: usize) -> bool {
         let service = self.cycle.service_index(&job.spec.queue.service);
         let demand = job.step_spec(step_index).worker_demand();
-        let room = service.and_then(|service| self.cycle.rooms.get(service, &demand));
-        let Some(room) = room else { return false };
+        let Some(service) = service else { return false };
+        let (room, _) = self.cycle.room_for(service, &demand);
         let StepState { advice, advice_sets: sets, .. } = &job.step_states[step_index];
         let needs_ticket = job.spec.queue.advice.is_some();
         room.is_empty()
-            || (needs_ticket
-                && sets.is_current(advice, &self.cycle)
-                && !room.intersects(&sets.granted))
+            || (needs_ticket && sets.is_current(advice) && !room.intersects(&sets.granted))
     }
 
     /// Whether a step with room on granted workers might request new tickets for them.
@@ -284,7 +293,7 @@
             return Some((QueryBlock::LimitReached, true));
         }
         if sets.include_full(spec.tasks) {
-            let (workers, mean_places) = sets.unqueried?;
+            let (workers, mean_places) = sets.capacity.unqueried?;
             let queue = &job.spec.queue;
             let named = self.query_workers_max(queue, u64::from(spec.tasks), mean_places);
             // A selection in a larger pool may not examine all workers.
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -108,24 +108,27 @@
                 );
             }
             // If no worker of the service could fit a demand earlier in this cycle, none
-            // can fit it or a larger one now.
-            let infeasible = infeasible_demands
-                .iter()
-                .any(|(other, least)| *other == service && demand.holds(least));
+            // can fit it or a larger one now. The advisor is queried meanwhile, so that the step
+            // may start once a worker has room.
+            let advice = &job.step_states[step_index].advice;
+            let needs_first_query =
+                job.spec.queue.advice.is_some() && advice.queries == 0 && advice.queried.is_empty();
+            let infeasible = !needs_first_query
+                && infeasible_demands
+                    .iter()
+                    .any(|(other, least)| *other == service && demand.holds(least));
             if in_backoff || (infeasible && !gang) {
                 if !in_backoff {
                     let placement = PlacementBlock::DemandInfeasible;
                     self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                    if self.keep_room(&mut cycle, service, &demand) {
-                        self.due_steps.park_for_room(key, step, (service, demand), self.now_ms);
-                    }
+                    self.due_steps.park_for_room(key, step, (service, &demand), self.now_ms);
                 }
                 if self.blocked_by_cap(step, step_index) {
                     self.reserve_cap(step, step_index, &mut cycle);
                 }
                 continue;
             }
-            let futile = self.futile_attempt(step, step_index, key, service, &mut cycle);
+            let futile = self.futile_attempt(step, step_index, key, service, &cycle);
             let attempt = if let Some(reason) = futile {
                 Attempt::Waits(reason)
             } else {
@@ -158,7 +161,10 @@
                     let urgent = key.priority == 0;
                     let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
                     self.back_off(step, step_index, base_ms);
-                    if !self.has_room(&cycle, service, &demand) {
+                    if self.room_for(&cycle, service, &demand).is_empty() {
+                        // Only the least of them are kept, since all demands may differ.
+                        infeasible_demands
+                            .retain(|(other, least)| *other != service || !least.holds(&demand));
                         infeasible_demands.push((service, demand));
                     }
                 }
--- a/crates/pool/src/placement/rooms.rs
+++ b/crates/pool/src/placement/rooms.rs
@@ -1,16 +1,19 @@
 //! Which workers have room for a task of a given demand.
 //!
-//! Many waiting steps have the same demand. The workers with room for it are kept as a set of
-//! bits, so that a step compares them with the workers that were granted to it a word at a time.
+//! The demands of queued steps may all differ, so nothing is kept for a single demand. The
+//! workers are kept in sets by how much of each resource they have free, in levels that are an
+//! eighth of a power of two apart. A set of bits per level is compared a word at a time, and only
+//! the workers whose level is the one of the demand are compared themselves. So neither a change of
+//! a worker nor the question who has room costs more when more steps wait.
 
 use stoatwell_model::Resources;
 
 use crate::workers::worker::WorkerIndex;
 
-/// Maximum demands for which rooms are kept. Each change of a worker updates all of them.
-const ROOMS_MAX: usize = 32;
-/// Rooms that were not used for this long are dropped once there are too many.
-const UNUSED_ROOM_MS: u64 = 1_000;
+/// Levels for each power of two, as an exponent of two.
+const LEVEL_BITS: u32 = 3;
+/// Free memory is compared in mebibytes until two workers have the same level.
+const MEMORY_UNIT_BITS: u32 = 20;
 
 /// A set of workers.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -38,11 +41,6 @@
         self.words.iter().all(|word| *word == 0)
     }
 
-    /// The number of members.
-    pub fn count(&self) -> usize {
-        self.words.iter().map(|word| word.count_ones() as usize).sum()
-    }
-
     pub fn intersects(&self, other: &Self) -> bool {
         self.words.iter().zip(&other.words).any(|(own, other)| own & other != 0)
     }
@@ -59,17 +57,7 @@
 
     /// The members in the order of their indices.
     pub fn iter(&self) -> impl Iterator<Item = WorkerIndex> {
-        self.words.iter().enumerate().flat_map(|(position, word)| {
-            let mut rest = *word;
-            std::iter::from_fn(move || {
-                if rest == 0 {
-                    return None;
-                }
-                let bit = rest.trailing_zeros() as usize;
-                rest &= rest - 1;
-                Some(WorkerIndex(position * 64 + bit))
-            })
-        })
+        self.words.iter().enumerate().flat_map(|(position, word)| bits(position, *word))
     }
 }
 
@@ -83,64 +71,156 @@
     }
 }
 
-/// The open workers of a service that have room for a task of one demand.
-#[derive(Debug)]
-struct Room {
-    service: usize,
-    demand: Resources,
-    workers: WorkerSet,
-    used_ms: u64,
+/// The members of a set that are in the word at a position.
+fn bits(position: usize, word: u64) -> impl Iterator<Item = WorkerIndex> {
+    let mut rest = word;
+    std::iter::from_fn(move || {
+        if rest == 0 {
+            return None;
+        }
+        let bit = rest.trailing_zeros() as usize;
+        rest &= rest - 1;
+        Some(WorkerIndex(position * 64 + bit))
+    })
+}
+
+/// The levels of an amount of CPU, memory and accelerators.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct DemandLevels([usize; 3]);
+
+impl DemandLevels {
+    pub fn of(amount: &Resources) -> Self {
+        let memory_units = amount.memory_bytes >> MEMORY_UNIT_BITS;
+        Self([level_of(amount.cpu_millis), level_of(memory_units), level_of(amount.accelerators)])
+    }
+}
+
+/// The level of an amount: itself if it is small, else its highest bits. Never less than that of
+/// a smaller amount.
+fn level_of(amount: u64) -> usize {
+    let shift = amount.checked_ilog2().unwrap_or(0).saturating_sub(LEVEL_BITS);
+    ((shift as usize) << LEVEL_BITS) + (amount >> shift) as usize
 }
 
-/// The workers with room, by service and demand.
+/// The workers by the level of one resource that they have free.
 #[derive(Debug, Default)]
-pub(crate) struct Rooms {
-    rooms: Vec<Room>,
+struct Levels {
+    /// The workers that have a level or a higher one, by level.
+    at_least: Vec<WorkerSet>,
 }
 
-impl Rooms {
-    /// Updates a worker: its service and free capacity, or `None` if it takes no tasks.
-    pub fn update(&mut self, index: WorkerIndex, open: Option<(usize, &Resources)>) {
-        for room in &mut self.rooms {
-            let has_room = open
-                .is_some_and(|(service, free)| service == room.service && free.holds(&room.demand));
-            room.workers.set(index, has_room);
+impl Levels {
+    /// Moves a worker from one level to another; `None` if it is in no set.
+    fn update(&mut self, index: WorkerIndex, from: Option<usize>, to: Option<usize>) {
+        let (from, to) = (from.map_or(0, |level| level + 1), to.map_or(0, |level| level + 1));
+        if to > self.at_least.len() {
+            self.at_least.resize_with(to, WorkerSet::default);
+        }
+        for level in to..from {
+            self.at_least[level].set(index, false);
+        }
+        for level in from..to {
+            self.at_least[level].set(index, true);
         }
     }
 
-    /// The workers of a service with room for this demand; `None` if they are not kept.
-    pub fn get(&self, service: usize, demand: &Resources) -> Option<&WorkerSet> {
-        let room = self.rooms.iter().find(|room| room.service == service && room.demand == *demand);
-        room.map(|room| &room.workers)
+    /// A word of the workers with a level or a higher one.
+    fn word(&self, level: usize, position: usize) -> u64 {
+        let word = self.at_least.get(level).and_then(|set| set.words.get(position));
+        word.copied().unwrap_or(0)
     }
+}
+
+/// The open workers of each service by their free capacity.
+#[derive(Debug, Default)]
+pub(crate) struct Rooms {
+    levels: [Levels; 3],
+    /// The open workers by service.
+    open: Vec<WorkerSet>,
+    /// The service and the levels of each worker, by index; `None` for one that takes no tasks.
+    workers: Vec<Option<(usize, DemandLevels)>>,
+}
 
-    /// Marks a room as used; `false` if it is not kept.
-    pub fn mark_used(&mut self, service: usize, demand: &Resources, now_ms: u64) -> bool {
-        let mut rooms = self.rooms.iter_mut();
-        let room = rooms.find(|room| room.service == service && room.demand == *demand);
-        room.map(|room| room.used_ms = now_ms).is_some()
+impl Rooms {
+    /// Updates a worker: its service and free capacity, or `None` if it takes no tasks.
+    pub fn update(&mut self, index: WorkerIndex, open: Option<(usize, &Resources)>) {
+        if index.0 >= self.workers.len() {
+            self.workers.resize(index.0 + 1, None);
+        }
+        let open = open.map(|(service, free)| (service, DemandLevels::of(free)));
+        let before = std::mem::replace(&mut self.workers[index.0], open);
+        if before == open {
+            return;
+        }
+        let service_before = before.map(|(service, _)| service);
+        let service = open.map(|(service, _)| service);
+        if service != service_before {
+            if let Some(service) = service_before {
+                self.open[service].set(index, false);
+            }
+            if let Some(service) = service {
+                if service >= self.open.len() {
+                    self.open.resize_with(service + 1, WorkerSet::default);
+                }
+                self.open[service].set(index, true);
+            }
+        }
+        for (resource, levels) in self.levels.iter_mut().enumerate() {
+            let level = |state: Option<(usize, DemandLevels)>| state.map(|(_, of)| of.0[resource]);
+            levels.update(index, level(before), level(open));
+        }
     }
 
-    /// Adds a room with its workers; `false` if there are too many in use.
-    pub fn add(
-        &mut self,
+    /// The open workers of a service whose free capacity, as `holds` tells, is enough for a
+    /// demand, and how many workers had to be asked for.
+    pub fn with_room(
+        &self,
         service: usize,
-        demand: Resources,
-        workers: WorkerSet,
-        now_ms: u64,
-    ) -> bool {
-        if self.rooms.len() >= ROOMS_MAX {
-            self.rooms.retain(|room| room.used_ms + UNUSED_ROOM_MS > now_ms);
-        }
-        let may_add = self.rooms.len() < ROOMS_MAX;
-        if may_add {
-            self.rooms.push(Room { service, demand, workers, used_ms: now_ms });
+        demand: &Resources,
+        holds: impl Fn(WorkerIndex) -> bool,
+    ) -> (WorkerSet, usize) {
+        let levels = DemandLevels::of(demand);
+        let needs_none =
+            [demand.cpu_millis, demand.memory_bytes, demand.accelerators].map(|a| a == 0);
+        let mut found = WorkerSet::default();
+        let mut compared = 0;
+        let Some(open) = self.open.get(service) else { return (found, compared) };
+        found.words.reserve_exact(open.words.len());
+        for (position, open) in open.words.iter().enumerate() {
+            let may_hold = open & self.word_at_levels(&levels, position);
+            let mut surely_holds = may_hold;
+            for (resource, of_resource) in self.levels.iter().enumerate() {
+                if !needs_none[resource] {
+                    surely_holds &= of_resource.word(levels.0[resource] + 1, position);
+                }
+            }
+            let mut word = surely_holds;
+            for index in bits(position, may_hold & !surely_holds) {
+                compared += 1;
+                if holds(index) {
+                    word |= 1 << (index.0 % 64);
+                }
+            }
+            found.words.push(word);
         }
-        may_add
+        (found, compared)
+    }
+
+    /// The number of open workers of a service whose free capacity has these levels or higher
+    /// ones.
+    pub fn count_at_levels(&self, service: usize, levels: &DemandLevels) -> usize {
+        let Some(open) = self.open.get(service) else { return 0 };
+        let words = open.words.iter().enumerate();
+        let count = |(position, open): (usize, &u64)| {
+            (open & self.word_at_levels(levels, position)).count_ones() as usize
+        };
+        words.map(count).sum()
     }
 
-    /// All rooms: service, demand and workers.
-    pub fn iter(&self) -> impl Iterator<Item = (usize, &Resources, &WorkerSet)> {
-        self.rooms.iter().map(|room| (room.service, &room.demand, &room.workers))
+    /// A word of the workers whose free capacity has these levels or higher ones.
+    fn word_at_levels(&self, levels: &DemandLevels, position: usize) -> u64 {
+        let words = self.levels.iter().zip(levels.0);
+        words
+            .fold(u64::MAX, |found, (of_resource, level)| found & of_resource.word(level, position))
     }
 }
