Keep the sets of granted workers as answers come, and sum up what changed

While workers open and close, each of hundreds of waiting steps made the sets of the workers that the advisor had granted and was queried about again, and summed up their places, also where nobody asked.

The sets are now what the answers are kept in, so that none is made from another. The places of granted workers are summed up only when workers can be selected, and then by the difference to the last sum. The number of capable workers that the advisor was not queried about, which each step counted over all workers, is an intersection of sets. The check for queries over the limit holds in large pools now, where it was left out because it did not tell what a selection among all workers would find.

--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -142,7 +142,7 @@
         workers_read,
         placement_pairs = pairs.placement,
         room_pairs = pairs.room,
-        advice_set_pairs = pairs.advice_sets,
+        granted_capacity_pairs = pairs.granted_capacity,
         selection_pairs = pairs.selection,
         reservation_pairs = pairs.reservation,
         queued_demands = counts.queued_demands,
@@ -156,7 +156,7 @@
         ("steps visited", steps_visited),
         ("placement", pairs.placement),
         ("room", pairs.room),
-        ("advice sets", pairs.advice_sets),
+        ("granted capacity", pairs.granted_capacity),
         ("selection", pairs.selection),
         ("reservation", pairs.reservation),
     ];
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -157,13 +157,15 @@
                 tracing::debug!(%step, asked = queried.len(), granted = granted.len(), "advisor answered");
                 let worker_index =
                     |name: &WorkerId| self.workers.get(name).map(|worker| worker.index);
-                advice.queried.extend(queried.iter().filter_map(worker_index));
+                for index in queried.iter().filter_map(worker_index) {
+                    advice.queried.set(index, true);
+                }
                 for grant in granted {
                     let Some(worker) = self.workers.get(&grant.worker) else { continue };
                     let expires_ms = issued_ms.min(now_ms) + rule.valid_ms;
                     let incarnation = worker.info.incarnation;
                     let ticket = Ticket { text: grant.ticket, incarnation, expires_ms };
-                    advice.granted.insert(worker.index, ticket);
+                    advice.grant(worker.index, ticket);
                 }
             }
         }
--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -162,7 +162,7 @@
                 continue;
             }
             let free = free_places(view);
-            if (free == 0 && !include_full) || advice.queried.contains(&view.worker_index) {
+            if (free == 0 && !include_full) || advice.queried.contains(view.worker_index) {
                 continue;
             }
             free_places_found += free;
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -173,7 +173,7 @@
         for (step_index, step_state) in job.step_states.iter().enumerate() {
             let waiting = step_state.waiting_tasks().count();
             let ready = job.is_ready(step_index);
-            let queried = step_state.advice.queried.len();
+            let queried = step_state.advice.queried.count();
             let granted = step_state.advice.granted.len();
             lines.push(format!(
                 "step {}: {} of {} tasks to do, {waiting} wait, ready {ready}, advisor granted {granted} of {queried} workers",
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -5,7 +5,6 @@
 //! [`Phase`].
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use stoatwell_model::WorkerId;
@@ -20,7 +19,8 @@
 use crate::jobs::record::TaskProgress;
 use crate::jobs::spec::JobSpec;
 use crate::jobs::spec::StepSpec;
-use crate::placement::futile::AdviceSets;
+use crate::placement::futile::GrantedCapacity;
+use crate::placement::rooms::WorkerSet;
 use crate::placement::waiting::WaitReason;
 use crate::workers::worker::Allocation;
 use crate::workers::worker::FULL_PACE;
@@ -151,8 +151,10 @@
 pub(crate) struct Advice {
     /// Workers that may run the step, with the newest ticket of each.
     pub granted: BTreeMap<WorkerIndex, Ticket>,
+    /// The workers in `granted`.
+    pub granted_set: WorkerSet,
     /// Workers that the advisor has answered about, granted or not.
-    pub queried: BTreeSet<WorkerIndex>,
+    pub queried: WorkerSet,
     /// Queries that are not answered yet.
     pub queries: u32,
     /// The advisor is not queried again before this.
@@ -162,13 +164,21 @@
     pub retry_at_ms: u64,
 }
 
+impl Advice {
+    /// Adds a worker that may run the step, or its newer ticket.
+    pub fn grant(&mut self, worker: WorkerIndex, ticket: Ticket) {
+        self.granted.insert(worker, ticket);
+        self.granted_set.set(worker, true);
+    }
+}
+
 /// The state of one step of one occurrence of a job. Each has its own place in the queue.
 #[derive(Clone, Debug)]
 pub(crate) struct StepState {
     pub id: StepId,
     pub tasks: Vec<Task>,
     pub advice: Advice,
-    pub advice_sets: AdviceSets,
+    pub granted_capacity: GrantedCapacity,
     /// The number of tasks that are not done.
     pub remaining_tasks: u32,
     /// Whether it is in the queue.
@@ -319,7 +329,7 @@
         self.spec = Arc::new(spec);
         for step_state in &mut self.step_states {
             step_state.advice = Advice::default();
-            step_state.advice_sets = AdviceSets::default();
+            step_state.granted_capacity = GrantedCapacity::default();
         }
     }
 
@@ -407,7 +417,7 @@
             id,
             tasks: vec![Task::default(); tasks as usize],
             advice: Advice::default(),
-            advice_sets: AdviceSets::default(),
+            granted_capacity: GrantedCapacity::default(),
             remaining_tasks: tasks,
             queued: false,
             queued_ms: 0,
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -49,9 +49,11 @@
     pub counted: Vec<CountedWorker>,
     /// The workers in `workers` by their free capacity.
     pub rooms: Rooms,
+    /// The workers in `workers` by their whole capacity.
+    pub capacities: Rooms,
     /// The workers in `workers`.
     pub open: WorkerSet,
-    /// Changes whenever a worker is added to `workers` or removed, or its capacity changes.
+    /// Changes whenever the capacity of a worker changes.
     pub capacity_version: u64,
     /// Whether `workers` is in the order of their names.
     pub is_sorted: bool,
@@ -67,6 +69,8 @@
     pub name: String,
     /// Free capacity of its workers in this cycle together.
     pub free: Resources,
+    /// The most of each resource that one of its workers has had.
+    pub largest: Resources,
     /// Number of its workers that may get tasks in this cycle.
     pub views: usize,
     /// Number of its open workers.
@@ -179,6 +183,11 @@
             .map(|view_index| view_index as usize)
     }
 
+    /// The capacity that a worker had when it last took tasks.
+    pub fn last_capacity(&self, worker_index: WorkerIndex) -> Resources {
+        self.counted.get(worker_index.0).map_or(Resources::ZERO, CountedWorker::capacity)
+    }
+
     /// Whether no reservation keeps the request from a candidate.
     pub fn may_start(&self, request: &PlacementRequest<'_>, candidate: &Candidate) -> bool {
         self.workers[candidate.view_index].may_start_here(request)
@@ -203,6 +212,15 @@
         })
     }
 
+    /// The workers of a service that could run a task of this demand if they were empty, and how
+    /// many workers were compared with it.
+    pub fn capable_of(&self, service: usize, demand: &Resources) -> (WorkerSet, usize) {
+        self.capacities.with_room(service, demand, |index| {
+            let view = self.view_index_of(index).map(|view_index| &self.workers[view_index]);
+            view.is_some_and(|view| view.capacity.holds(demand))
+        })
+    }
+
     fn set_free(&mut self, view_index: usize, free: Resources) {
         let view = &mut self.workers[view_index];
         let sum = &mut self.services[view.service].free;
@@ -275,6 +293,18 @@
         workers
     }
 
+    /// The workers of a service that could run a task of this demand if they were empty.
+    pub(crate) fn capable_of(
+        &self,
+        cycle: &Cycle,
+        service: usize,
+        demand: &Resources,
+    ) -> WorkerSet {
+        let (workers, compared) = cycle.capable_of(service, demand);
+        self.pair_count.add(Purpose::Selection, compared);
+        workers
+    }
+
     /// The eligible workers with free capacity for a task, each with a penalty for being
     /// outside the rack of the data, for recent failures and for lacking a fresh ticket.
     pub(crate) fn candidates(
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -30,9 +30,18 @@
     service: Option<usize>,
     is_open: bool,
     is_quarantined: bool,
+    /// Its capacity when it last took tasks.
+    capacity: Resources,
     by_customer: BTreeMap<CustomerId, Usage>,
 }
 
+impl CountedWorker {
+    /// Its capacity when it last took tasks.
+    pub fn capacity(&self) -> Resources {
+        self.capacity
+    }
+}
+
 impl Cycle {
     /// Removes what only concerned the previous cycle.
     fn reset(&mut self) {
@@ -128,11 +137,8 @@
             let previous = std::mem::replace(&mut self.workers[view_index], view);
             let sum = &mut self.services[previous.service].free;
             *sum = sum.minus(&previous.free);
-            if previous.capacity != capacity || previous.service != service {
-                self.capacity_version += 1;
-                self.services[previous.service].views -= 1;
-                self.services[service].views += 1;
-            }
+            self.services[previous.service].views -= 1;
+            self.services[service].views += 1;
         } else {
             if index.0 >= self.view_indices.len() {
                 self.view_indices.resize(index.0 + 1, None);
@@ -140,13 +146,19 @@
             self.view_indices[index.0] = Some(self.workers.len() as u32);
             self.workers.push(view);
             self.services[service].views += 1;
-            self.capacity_version += 1;
             self.is_sorted = false;
             self.open.set(index, true);
         }
         let sum = &mut self.services[service].free;
         *sum = sum.plus(&free);
         self.rooms.update(index, Some((service, &free)));
+        self.capacities.update(index, Some((service, &capacity)));
+        let largest = &mut self.services[service].largest;
+        *largest = largest.max(&capacity);
+        if self.counted[index.0].capacity != capacity {
+            self.counted[index.0].capacity = capacity;
+            self.capacity_version += 1;
+        }
     }
 
     /// Sorts the views by name, so that equal candidates are tried in the same order whatever
@@ -170,10 +182,10 @@
         if let Some(moved) = self.workers.get(view_index) {
             self.view_indices[moved.worker_index.0] = Some(view_index as u32);
         }
-        self.capacity_version += 1;
         self.is_sorted = false;
         self.open.set(index, false);
         self.rooms.update(index, None);
+        self.capacities.update(index, None);
     }
 }
 
@@ -262,6 +274,14 @@
             if found != workers.iter().collect() {
                 faults.push(format!("room for {demand:?}: {workers:?}, not {found:?}"));
             }
+            let is_capable =
+                |view: &&WorkerView| view.service == service && view.capacity.holds(&demand);
+            let found = cycle.workers.iter().filter(is_capable).map(|view| view.worker_index);
+            let found: BTreeSet<WorkerIndex> = found.collect();
+            let (workers, _) = cycle.capable_of(service, &demand);
+            if found != workers.iter().collect() {
+                faults.push(format!("capable of {demand:?}: {workers:?}, not {found:?}"));
+            }
         }
         let unchanged =
             |(_, worker): &(&WorkerId, &Worker)| !self.workers.has_changed(worker.index);
--- a/crates/pool/src/placement/futile.rs
+++ b/crates/pool/src/placement/futile.rs
@@ -10,7 +10,6 @@
 use crate::Pool;
 use crate::QueueKey;
 use crate::advice::query::SUFFICIENT_PLACES_FACTOR;
-use crate::advice::selection::EXAMINED_WORKERS_MIN;
 use crate::advice::selection::FREE_FACTOR;
 use crate::advice::selection::FURTHER_QUERY_WAIT_MS;
 use crate::advice::selection::FURTHER_WORKERS_MIN;
@@ -18,11 +17,9 @@
 use crate::id::StepId;
 use crate::jobs::job::Advice;
 use crate::jobs::job::Job;
-use crate::jobs::job::StepState;
 use crate::jobs::job::Ticket;
 use crate::jobs::spec::AdviceSpec;
 use crate::placement::candidates::Cycle;
-use crate::placement::candidates::WorkerView;
 use crate::placement::candidates::places_in;
 use crate::placement::rooms::WorkerSet;
 use crate::placement::waiting::PlacementBlock;
@@ -31,68 +28,41 @@
 use crate::placement::work::Purpose;
 use crate::workers::worker::WorkerIndex;
 
-/// The workers that the advisor has answered about, as sets.
+/// The places that the open workers of a step have when they are empty.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct AdviceSets {
-    granted: WorkerSet,
-    queried: WorkerSet,
-    /// Numbers of workers in [`Advice`] when the sets were made. The advisor's answers only add
-    /// workers, so equal numbers mean equal sets.
-    counts: (usize, usize),
-    /// What the open workers offer when they are empty. Made only when workers can be selected,
-    /// since workers open and close all the time.
-    capacity: EmptyCapacity,
-}
-
-/// Sums over the open workers of a step, as if no task were on them.
-#[derive(Clone, Debug, Default)]
-struct EmptyCapacity {
+pub(crate) struct GrantedCapacity {
+    /// The granted workers that were open when the places were summed up.
+    open: WorkerSet,
+    /// The sum of their places.
+    places: u64,
     /// See [`Cycle::capacity_version`].
     version: u64,
-    /// The places of the granted workers.
-    places: u64,
-    /// The workers whose capacity would hold a task and that the advisor was not queried about:
-    /// their number and how many tasks they hold on average. `None` until needed.
-    unqueried: Option<(usize, u64)>,
 }
 
-impl AdviceSets {
-    fn is_current(&self, advice: &Advice) -> bool {
-        self.counts == (advice.granted.len(), advice.queried.len())
-    }
-
-    fn of(advice: &Advice) -> Self {
-        Self {
-            granted: advice.granted.keys().copied().collect(),
-            queried: advice.queried.iter().copied().collect(),
-            counts: (advice.granted.len(), advice.queried.len()),
-            capacity: EmptyCapacity::default(),
+impl GrantedCapacity {
+    /// Brings the sum up to date; returns how many workers were looked at.
+    fn update(&mut self, advice: &Advice, demand: &Resources, cycle: &Cycle) -> usize {
+        if self.version != cycle.capacity_version {
+            *self = Self { version: cycle.capacity_version, ..Self::default() };
         }
-    }
-
-    fn sum_capacity(&mut self, advice: &Advice, demand: &Resources, cycle: &Cycle) {
-        let granted = advice.granted.keys().filter_map(|index| cycle.view_index_of(*index));
-        let places = granted.map(|index| places_in(&cycle.workers[index].capacity, demand)).sum();
-        self.capacity = EmptyCapacity { version: cycle.capacity_version, places, unqueried: None };
-    }
-
-    fn count_unqueried(&mut self, service: usize, demand: &Resources, cycle: &Cycle) {
-        let is_capable = |view: &&WorkerView| {
-            view.service == service
-                && view.capacity.holds(demand)
-                && !self.queried.contains(view.worker_index)
-        };
-        let (mut workers, mut places) = (0, 0);
-        for view in cycle.workers.iter().filter(is_capable) {
-            workers += 1;
-            places += places_in(&view.capacity, demand);
+        let open = advice.granted_set.intersection(&cycle.open);
+        let places_of = |index| places_in(&cycle.last_capacity(index), demand);
+        let mut changed = 0;
+        for index in open.symmetric_difference(&self.open) {
+            changed += 1;
+            if open.contains(index) {
+                self.places += places_of(index);
+            } else {
+                self.places -= places_of(index);
+            }
         }
-        self.capacity.unqueried = Some((workers, places / (workers as u64).max(1)));
+        self.open = open;
+        changed
     }
 
     /// Whether the granted workers are so few that a query may name workers without room.
-    fn include_full(&self, tasks: u32) -> bool {
-        self.counts.1 == 0 || self.capacity.places < u64::from(tasks) * SUFFICIENT_PLACES_FACTOR
+    fn include_full(&self, advice: &Advice, tasks: u32) -> bool {
+        advice.queried.is_empty() || self.places < u64::from(tasks) * SUFFICIENT_PLACES_FACTOR
     }
 }
 
@@ -122,9 +92,8 @@
             return None;
         }
         let room = self.room_for(cycle, service, &demand);
-        let needs_sets = self.may_select(&step_state.advice) || !room.is_empty();
-        if advice.is_some() && needs_sets {
-            self.update_advice_sets(step, step_index, service, cycle);
+        if advice.is_some() && self.may_select(&step_state.advice) {
+            self.update_granted_capacity(step, step_index, cycle);
         }
         let job = self.jobs.get(&step.job)?;
         let spec = job.step_spec(step_index);
@@ -132,12 +101,12 @@
         if fit_under_cap == 0 || (gang && fit_under_cap < waiting as u64) {
             return None;
         }
-        let sets = advice.map(|_| &job.step_states[step_index].advice_sets);
-        let has_room = sets.map_or(!room.is_empty(), |sets| room.intersects(&sets.granted));
+        let granted = advice.map(|_| &job.step_states[step_index].advice.granted_set);
+        let has_room = granted.map_or(!room.is_empty(), |granted| room.intersects(granted));
         let headroom = self.headroom(step, key);
         let needed = demand.times(if gang { waiting as u64 } else { 1 }).plus(&headroom);
         let placement = if !has_room {
-            let none_granted = sets.is_some_and(|sets| sets.counts.0 == 0);
+            let none_granted = granted.is_some_and(WorkerSet::is_empty);
             let is_unchanged = previous == PlacementBlock::NoEligibleWorker;
             if none_granted || is_unchanged {
                 PlacementBlock::NoEligibleWorker
@@ -149,7 +118,8 @@
                 return None;
             }
             PlacementBlock::Headroom
-        } else if gang && self.free_places(&room, sets, &demand, cycle, waiting) < waiting as u64 {
+        } else if gang && self.free_places(&room, granted, &demand, cycle, waiting) < waiting as u64
+        {
             PlacementBlock::NotEnough
         } else {
             return None;
@@ -162,7 +132,8 @@
             let placement = PlacementBlock::QueryLimit;
             return Some(WaitReason { placement, query: QueryBlock::NotNeeded });
         }
-        let (query, is_selection) = self.futile_query(job, step_index, rule, &room, cycle)?;
+        let (query, is_selection) =
+            self.futile_query(job, step_index, rule, service, &room, cycle)?;
         if is_selection {
             // The selection is not repeated sooner than after one that was made.
             let job = self.jobs.get_mut(&step.job)?;
@@ -178,38 +149,13 @@
             && advice.retry_at_ms <= self.now_ms
     }
 
-    /// Brings the sets of a step up to date.
-    fn update_advice_sets(
-        &mut self,
-        step: StepId,
-        step_index: usize,
-        service: usize,
-        cycle: &Cycle,
-    ) {
-        let Some(job) = self.jobs.get(&step.job) else { return };
-        let (spec, step_state) = (job.step_spec(step_index), &job.step_states[step_index]);
-        let demand = spec.worker_demand();
-        let tasks = spec.tasks;
-        // A query names no more workers than this.
-        let workers_max = self.limits.advice_workers_max;
-        let rule = job.spec.queue.advice;
-        let may_select = self.may_select(&step_state.advice);
-        let may_be_limited =
-            may_select && rule.is_some_and(|rule| !self.may_query(rule, workers_max));
+    /// Brings the places of the granted workers of a step up to date.
+    fn update_granted_capacity(&mut self, step: StepId, step_index: usize, cycle: &Cycle) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
-        let StepState { advice, advice_sets: sets, .. } = &mut job.step_states[step_index];
-        if !sets.is_current(advice) {
-            self.pair_count.add(Purpose::AdviceSets, advice.granted.len() + advice.queried.len());
-            *sets = AdviceSets::of(advice);
-        }
-        if may_select && sets.capacity.version != cycle.capacity_version {
-            self.pair_count.add(Purpose::AdviceSets, advice.granted.len());
-            sets.sum_capacity(advice, &demand, cycle);
-        }
-        if may_be_limited && sets.capacity.unqueried.is_none() && sets.include_full(tasks) {
-            self.pair_count.add(Purpose::Selection, cycle.workers.len());
-            sets.count_unqueried(service, &demand, cycle);
-        }
+        let demand = job.step_spec(step_index).worker_demand();
+        let step_state = &mut job.step_states[step_index];
+        let changed = step_state.granted_capacity.update(&step_state.advice, &demand, cycle);
+        self.pair_count.add(Purpose::GrantedCapacity, changed);
     }
 
     /// Whether no worker has room for a task of a step that may run there, as of the last cycle.
@@ -219,10 +165,9 @@
         let demand = job.step_spec(step_index).worker_demand();
         let Some(service) = service else { return false };
         let (room, _) = self.cycle.room_for(service, &demand);
-        let StepState { advice, advice_sets: sets, .. } = &job.step_states[step_index];
         let needs_ticket = job.spec.queue.advice.is_some();
-        room.is_empty()
-            || (needs_ticket && sets.is_current(advice) && !room.intersects(&sets.granted))
+        let granted = &job.step_states[step_index].advice.granted_set;
+        room.is_empty() || (needs_ticket && !room.intersects(granted))
     }
 
     /// Whether a step with room on granted workers might request new tickets for them.
@@ -244,7 +189,7 @@
     fn free_places(
         &self,
         room: &WorkerSet,
-        sets: Option<&AdviceSets>,
+        granted: Option<&WorkerSet>,
         demand: &Resources,
         cycle: &Cycle,
         enough: usize,
@@ -254,7 +199,7 @@
             if places >= enough as u64 {
                 break;
             }
-            if sets.is_some_and(|sets| !sets.granted.contains(index)) {
+            if granted.is_some_and(|granted| !granted.contains(index)) {
                 continue;
             }
             self.pair_count.add(Purpose::Placement, 1);
@@ -271,12 +216,13 @@
         job: &Job,
         step_index: usize,
         rule: AdviceSpec,
+        service: usize,
         room: &WorkerSet,
         cycle: &Cycle,
     ) -> Option<(QueryBlock, bool)> {
         let step_state = &job.step_states[step_index];
         let spec = job.step_spec(step_index);
-        let (advice, sets) = (&step_state.advice, &step_state.advice_sets);
+        let advice = &step_state.advice;
         if advice.queries > 0 {
             return Some((QueryBlock::Pending, false));
         }
@@ -286,24 +232,25 @@
         if advice.retry_at_ms > self.now_ms {
             return Some((QueryBlock::SelectedRecently, false));
         }
-        if cycle.open.count_without(&sets.queried) == 0 {
+        if cycle.open.count_without(&advice.queried) == 0 {
             return Some((QueryBlock::AllQueried, true));
         }
         if !self.may_query(rule, 1) {
             return Some((QueryBlock::LimitReached, true));
         }
-        if sets.include_full(spec.tasks) {
-            let (workers, mean_places) = sets.capacity.unqueried?;
+        if step_state.granted_capacity.include_full(advice, spec.tasks) {
+            let demand = spec.worker_demand();
+            let capable = self.capable_of(cycle, service, &demand).count_without(&advice.queried);
+            // A query names at least so many: workers that have more places are named in fewer
+            // queries.
+            let places_max = places_in(&cycle.services[service].largest, &demand);
             let queue = &job.spec.queue;
-            let named = self.query_workers_max(queue, u64::from(spec.tasks), mean_places);
-            // A selection in a larger pool may not examine all workers.
-            let is_limited = cycle.workers.len() <= EXAMINED_WORKERS_MIN
-                && spec.label.is_none()
-                && workers > 0
-                && !self.may_query(rule, named.min(workers));
+            let named = self.query_workers_max(queue, u64::from(spec.tasks), places_max);
+            let is_limited =
+                spec.label.is_none() && capable > 0 && !self.may_query(rule, named.min(capable));
             return is_limited.then_some((QueryBlock::LimitReached, true));
         }
-        let with_room = room.count_without(&sets.queried);
+        let with_room = room.count_without(&advice.queried);
         if with_room == 0 {
             return Some((QueryBlock::AllQueried, true));
         }
@@ -324,9 +271,9 @@
             self.pair_count.add(Purpose::Placement, 1);
             let Some(view_index) = cycle.view_index_of(index) else { continue };
             let places = places_in(&cycle.workers[view_index].free, &demand);
-            if sets.granted.contains(index) {
+            if advice.granted_set.contains(index) {
                 free_granted += places;
-            } else if !sets.queried.contains(index) {
+            } else if !advice.queried.contains(index) {
                 free_unqueried += places;
             }
         }
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -237,7 +237,7 @@
             eligible.iter().map(|worker| places(&cycle.workers[worker.view_index])).sum();
         let advice = &job.step_states[step_index].advice;
         let may_be_granted = |view: &&WorkerView| {
-            !advice.queried.contains(&view.worker_index)
+            !advice.queried.contains(view.worker_index)
                 && self.is_eligible(service, spec, view, Purpose::Reservation)
                 && places(view) > 0
         };
--- a/crates/pool/src/placement/rooms.rs
+++ b/crates/pool/src/placement/rooms.rs
@@ -41,6 +41,23 @@
         self.words.iter().all(|word| *word == 0)
     }
 
+    /// The number of members.
+    pub fn count(&self) -> usize {
+        self.words.iter().map(|word| word.count_ones() as usize).sum()
+    }
+
+    pub fn intersection(&self, other: &Self) -> Self {
+        let words = self.words.iter().zip(&other.words).map(|(own, other)| own & other).collect();
+        Self { words }
+    }
+
+    /// The members of one of two sets.
+    pub fn symmetric_difference(&self, other: &Self) -> impl Iterator<Item = WorkerIndex> {
+        let word = |set: &Self, position: usize| set.words.get(position).copied().unwrap_or(0);
+        (0..self.words.len().max(other.words.len()))
+            .flat_map(move |position| bits(position, word(self, position) ^ word(other, position)))
+    }
+
     pub fn intersects(&self, other: &Self) -> bool {
         self.words.iter().zip(&other.words).any(|(own, other)| own & other != 0)
     }
--- a/crates/pool/src/placement/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -126,7 +126,7 @@
             let WaitReason { placement, query } = step_state.wait_reason;
             let tasks = step_state.waiting_tasks().count();
             let (granted, asked) =
-                (step_state.advice.granted.len(), step_state.advice.queried.len());
+                (step_state.advice.granted.len(), step_state.advice.queried.count());
             tracing::info!(
                 %step, waited_ms, tasks, room_on, granted, asked, %placement, %query,
                 "step waits although workers have room"
--- a/crates/pool/src/placement/work.rs
+++ b/crates/pool/src/placement/work.rs
@@ -27,8 +27,8 @@
     pub placement: u64,
     /// To find the workers with room for a demand.
     pub room: u64,
-    /// To make the sets of workers that were granted to the step and queried about.
-    pub advice_sets: u64,
+    /// To sum up the capacity of the workers that were granted to the step.
+    pub granted_capacity: u64,
     /// To select workers for a query to the advisor.
     pub selection: u64,
     /// To reserve workers for a gang, or to find out whether it can start at all.
@@ -38,7 +38,7 @@
 impl Pairs {
     /// All pairs.
     pub fn total(&self) -> u64 {
-        self.placement + self.room + self.advice_sets + self.selection + self.reservation
+        self.placement + self.room + self.granted_capacity + self.selection + self.reservation
     }
 }
 
@@ -55,7 +55,7 @@
             pairs: Pairs {
                 placement: pairs.placement - before.placement,
                 room: pairs.room - before.room,
-                advice_sets: pairs.advice_sets - before.advice_sets,
+                granted_capacity: pairs.granted_capacity - before.granted_capacity,
                 selection: pairs.selection - before.selection,
                 reservation: pairs.reservation - before.reservation,
             },
@@ -73,7 +73,7 @@
 pub(crate) enum Purpose {
     Placement,
     Room,
-    AdviceSets,
+    GrantedCapacity,
     Selection,
     Reservation,
 }
@@ -83,7 +83,7 @@
 pub(crate) struct PairCount {
     placement: AtomicU64,
     room: AtomicU64,
-    advice_sets: AtomicU64,
+    granted_capacity: AtomicU64,
     selection: AtomicU64,
     reservation: AtomicU64,
 }
@@ -93,7 +93,7 @@
         let count = match purpose {
             Purpose::Placement => &self.placement,
             Purpose::Room => &self.room,
-            Purpose::AdviceSets => &self.advice_sets,
+            Purpose::GrantedCapacity => &self.granted_capacity,
             Purpose::Selection => &self.selection,
             Purpose::Reservation => &self.reservation,
         };
@@ -105,7 +105,7 @@
         Pairs {
             placement: read(&self.placement),
             room: read(&self.room),
-            advice_sets: read(&self.advice_sets),
+            granted_capacity: read(&self.granted_capacity),
             selection: read(&self.selection),
             reservation: read(&self.reservation),
         }
