Select workers for the advisor among those with room first

It examines the unqueried workers with room, and only as many full ones as a query may name. Queries name what they named before where workers have room; full ones are named in the order of their index from a place of the step's own.

--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -26,8 +26,8 @@
 /// The selection of further workers for a step is repeated after this. It examines every
 /// worker for each waiting step.
 pub(crate) const SELECTION_INTERVAL_MS: u64 = 150;
-/// Fewest workers that a selection examines, so that it has a choice of the emptiest ones.
-pub(crate) const EXAMINED_WORKERS_MIN: usize = 512;
+/// Fewest workers with room that a selection examines, so that it has a choice of the emptiest ones.
+const EXAMINED_WORKERS_MIN: usize = 512;
 /// A selection ends once the free places that it found are this many times those that the step
 /// would query about.
 const EXAMINED_PLACES_FACTOR: u64 = 8;
@@ -146,27 +146,40 @@
         let mut candidates: Vec<(Reverse<u64>, u64, usize)> = Vec::new();
         // Steps arrive with the size of the pool. If each one examined all workers, the cost would
         // grow with its square.
-        let with_room = (!include_full).then(|| self.room_for(cycle, service, &need));
-        let indices: Vec<usize> = match with_room {
-            Some(room) => room.iter().filter_map(|index| cycle.view_index_of(index)).collect(),
-            None => rotated_indices(step, cycle.workers.len()).collect(),
-        };
-        for (examined, view_index) in indices.into_iter().enumerate() {
+        let room = self.room_for(cycle, service, &need).without(&advice.queried);
+        let first = tie_break(step, WorkerIndex(0)) as usize % cycle.view_indices.len().max(1);
+        for (examined, worker_index) in room.iter_from(WorkerIndex(first)).enumerate() {
             if examined >= EXAMINED_WORKERS_MIN && free_places_found >= free_places_enough {
                 break;
             }
+            let Some(view_index) = cycle.view_index_of(worker_index) else { continue };
             let view = &cycle.workers[view_index];
-            if !view.capacity.holds(&need)
-                || !self.is_eligible(service, spec, view, Purpose::Selection)
-            {
+            if !self.is_eligible(service, spec, view, Purpose::Selection) {
                 continue;
             }
             let free = free_places(view);
-            if (free == 0 && !include_full) || advice.queried.contains(view.worker_index) {
+            if free == 0 && !include_full {
                 continue;
             }
             free_places_found += free;
-            candidates.push((Reverse(free), tie_break(step, view.worker_index), view_index));
+            candidates.push((Reverse(free), tie_break(step, worker_index), view_index));
+        }
+        // Queries name no more than this, so the rest needs no order.
+        let named_max = self.limits.advice_workers_max * self.gang_queries_max();
+        let enough = if spec.gang { named_max } else { self.limits.advice_workers_max };
+        if include_full && candidates.len() < enough {
+            let full = self.capable_of(cycle, service, &need).without(&advice.queried);
+            for worker_index in full.without(&room).iter_from(WorkerIndex(first)) {
+                let Some(view_index) = cycle.view_index_of(worker_index) else { continue };
+                if !self.is_eligible(service, spec, &cycle.workers[view_index], Purpose::Selection)
+                {
+                    continue;
+                }
+                candidates.push((Reverse(0), tie_break(step, worker_index), view_index));
+                if candidates.len() >= enough {
+                    break;
+                }
+            }
         }
         if candidates.is_empty() {
             return QueryBlock::AllQueried;
@@ -180,8 +193,6 @@
         let mut workers_max =
             self.query_workers_max(&job.spec.queue, u64::from(spec.tasks), mean_places);
         let free_total: u64 = candidates.iter().map(|(free, ..)| free.0).sum();
-        // Queries name no more than this, so the rest needs no order.
-        let named_max = self.limits.advice_workers_max * self.gang_queries_max();
         if candidates.len() > named_max {
             candidates.select_nth_unstable(named_max);
             candidates.truncate(named_max);
@@ -230,12 +241,6 @@
     (expected >= wanted).then_some(free.len())
 }
 
-/// All indices below `count`, from one on that differs between steps.
-fn rotated_indices(step: StepId, count: usize) -> impl Iterator<Item = usize> {
-    let first = if count == 0 { 0 } else { tie_break(step, WorkerIndex(0)) as usize % count };
-    (first..count).chain(0..first)
-}
-
 /// Orders workers with equally many free places, for each step differently, so that steps
 /// spread over the workers.
 fn tie_break(step: StepId, worker_index: WorkerIndex) -> u64 {
--- a/crates/pool/src/placement/rooms.rs
+++ b/crates/pool/src/placement/rooms.rs
@@ -58,6 +58,12 @@
             .flat_map(move |position| bits(position, word(self, position) ^ word(other, position)))
     }
 
+    /// The members that are not in another set.
+    pub fn without(&self, other: &Self) -> Self {
+        let others = other.words.iter().copied().chain(std::iter::repeat(0));
+        Self { words: self.words.iter().zip(others).map(|(own, other)| own & !other).collect() }
+    }
+
     pub fn intersects(&self, other: &Self) -> bool {
         self.words.iter().zip(&other.words).any(|(own, other)| own & other != 0)
     }
@@ -72,6 +78,15 @@
         self.words.get(index.0 / 64).is_some_and(|word| word & (1 << (index.0 % 64)) != 0)
     }
 
+    /// The members from the word of an index on, then those before it.
+    pub fn iter_from(&self, first: WorkerIndex) -> impl Iterator<Item = WorkerIndex> {
+        let position = (first.0 / 64).min(self.words.len());
+        let words = |range: std::ops::Range<usize>| {
+            range.flat_map(|position| bits(position, self.words[position]))
+        };
+        words(position..self.words.len()).chain(words(0..position))
+    }
+
     /// The members in the order of their indices.
     pub fn iter(&self) -> impl Iterator<Item = WorkerIndex> {
         self.words.iter().enumerate().flat_map(|(position, word)| bits(position, *word))
