Compare a step only with granted workers that have room

An attempt made a list of all workers that the advisor had granted, and dropped those without room from it; the check for vain attempts looked each of them up by its name to find an old ticket. Both now start from the granted workers that have room, and the check stops at the first old ticket. The counts of comparisons are no longer atomic, which a decision in one thread does not need.

--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -62,7 +62,9 @@
         let need = spec.worker_demand();
         let mut names = Vec::new();
         let mut has_capacity = false;
-        for eligible in self.eligible_workers(step, step_index, spec, cycle, Purpose::Selection) {
+        for eligible in
+            self.eligible_workers(step, step_index, spec, cycle, None, Purpose::Selection)
+        {
             let view = &cycle.workers[eligible.view_index];
             has_capacity |= view.free.holds(&need);
             names.push(self.name_of(view).clone());
--- a/crates/pool/src/placement/futile.rs
+++ b/crates/pool/src/placement/futile.rs
@@ -17,7 +17,6 @@
 use crate::id::StepId;
 use crate::jobs::job::Advice;
 use crate::jobs::job::Job;
-use crate::jobs::job::Ticket;
 use crate::jobs::spec::AdviceSpec;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::places_in;
@@ -26,7 +25,6 @@
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
 use crate::placement::work::Purpose;
-use crate::workers::worker::WorkerIndex;
 
 /// The places that the open workers of a step have when they are empty.
 #[derive(Clone, Debug, Default)]
@@ -114,7 +112,7 @@
                 PlacementBlock::NoCapacity
             }
         } else if !headroom.is_zero() && !cycle.services[service].free.holds(&needed) {
-            if !gang && advice.is_some_and(|rule| self.may_send_renewal(job, step_index, rule)) {
+            if !gang && advice.is_some() && self.may_send_renewal(step, step_index, cycle) {
                 return None;
             }
             PlacementBlock::Headroom
@@ -171,18 +169,12 @@
     }
 
     /// Whether a step with room on granted workers might request new tickets for them.
-    fn may_send_renewal(&self, job: &Job, step_index: usize, rule: AdviceSpec) -> bool {
+    fn may_send_renewal(&self, step: StepId, step_index: usize, cycle: &Cycle) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
         let advice = &job.step_states[step_index].advice;
-        if advice.queries > 0 || advice.pause_until_ms > self.now_ms {
-            return false;
-        }
-        let arrival_ms = self.start_arrival_ms(job.id, Some(rule));
-        self.pair_count.add(Purpose::Placement, advice.granted.len());
-        let is_fresh = |(index, ticket): (&WorkerIndex, &Ticket)| {
-            self.worker_at(*index)
-                .is_none_or(|worker| ticket.is_fresh(worker.info.incarnation, arrival_ms))
-        };
-        !advice.granted.iter().all(is_fresh)
+        advice.queries == 0
+            && advice.pause_until_ms <= self.now_ms
+            && self.has_stale_ticket(step, step_index, cycle)
     }
 
     /// The free places of granted workers with room, as far as `enough`.
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -17,17 +17,20 @@
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
+use crate::jobs::job::Ticket;
 use crate::jobs::spec::AdviceSpec;
 use crate::jobs::spec::StepSpec;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::EligibleWorker;
 use crate::placement::candidates::PlacementRequest;
 use crate::placement::candidates::WorkerView;
+use crate::placement::rooms::WorkerSet;
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
 use crate::placement::work::CycleWork;
 use crate::placement::work::Purpose;
+use crate::workers::worker::WorkerIndex;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
@@ -318,10 +321,12 @@
         if spec.gang && advice.is_some() && step_state.advice.queries > 0 {
             return waits(PlacementBlock::NoEligibleWorker, QueryBlock::Pending);
         }
+        let room = self.room_for(cycle, service, &spec.worker_demand());
         let mut eligible =
-            self.eligible_workers(step, step_index, &spec, cycle, Purpose::Placement);
-        let eligible_count = eligible.len();
-        if advice.is_some() && !spec.gang {
+            self.eligible_workers(step, step_index, &spec, cycle, Some(&room), Purpose::Placement);
+        let has_eligible_with_room = !eligible.is_empty();
+        let uses_fresh_tickets = advice.is_some() && !spec.gang;
+        if uses_fresh_tickets {
             eligible.retain(|worker| worker.needs_no_new_ticket);
         }
         let candidates = self.candidates(step, step_index, &spec, &eligible, cycle);
@@ -367,7 +372,9 @@
             PlacementBlock::Headroom
         } else if has_candidates {
             PlacementBlock::Reserved
-        } else if eligible_count == 0 {
+        } else if !has_eligible_with_room
+            && !self.has_eligible_worker(step, step_index, &spec, cycle)
+        {
             PlacementBlock::NoEligibleWorker
         } else {
             PlacementBlock::NoCapacity
@@ -375,7 +382,10 @@
         let Some(advice) = advice.filter(|_| may_query) else {
             return waits(placement, QueryBlock::NotNeeded);
         };
-        let has_stale_tickets = eligible_count > eligible.len();
+        // Without room on a granted worker no ticket is renewed.
+        let has_stale_tickets = uses_fresh_tickets
+            && has_eligible_with_room
+            && self.has_stale_ticket(step, step_index, cycle);
         let renewal = if has_stale_tickets {
             self.renew_tickets(step, step_index, &spec, cycle)
         } else {
@@ -414,29 +424,65 @@
         (is_paused && !chosen.is_empty()).then_some(PlacementBlock::QueryFailed)
     }
 
-    /// The workers that may run a step, whether or not they have free capacity.
+    /// Whether any worker may run a step, whether or not it has free capacity.
+    fn has_eligible_worker(
+        &self,
+        step: StepId,
+        step_index: usize,
+        spec: &StepSpec,
+        cycle: &Cycle,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        if job.spec.queue.advice.is_some() && spec.label.is_none() {
+            return job.step_states[step_index].advice.granted_set.intersects(&cycle.open);
+        }
+        let purpose = Purpose::Placement;
+        !self.eligible_workers(step, step_index, spec, cycle, None, purpose).is_empty()
+    }
+
+    /// Whether a step has a ticket for an open worker that is too old for a start now.
+    pub(crate) fn has_stale_ticket(&self, step: StepId, step_index: usize, cycle: &Cycle) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let arrival_ms = self.start_arrival_ms(step.job, job.spec.queue.advice);
+        let is_stale = |(index, ticket): (&WorkerIndex, &Ticket)| {
+            self.pair_count.add(Purpose::Placement, 1);
+            let view = cycle.view_index_of(*index).map(|view_index| &cycle.workers[view_index]);
+            view.is_some_and(|view| !ticket.is_fresh(view.incarnation, arrival_ms))
+        };
+        job.step_states[step_index].advice.granted.iter().any(is_stale)
+    }
+
+    /// The workers that may run a step, whether or not they have free capacity, or those of them
+    /// that are in a set.
     pub(crate) fn eligible_workers(
         &self,
         step: StepId,
         step_index: usize,
         spec: &StepSpec,
         cycle: &Cycle,
+        among: Option<&WorkerSet>,
         purpose: Purpose,
     ) -> Vec<EligibleWorker> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
         let Some(service) = cycle.service_index(&job.spec.queue.service) else { return Vec::new() };
+        let among = among.unwrap_or(&cycle.open);
         let mut eligible = Vec::new();
         if job.spec.queue.advice.is_none() {
-            for (view_index, view) in cycle.workers.iter().enumerate() {
-                if self.is_eligible(service, spec, view, purpose) {
+            for worker_index in among.iter() {
+                let Some(view_index) = cycle.view_index_of(worker_index) else { continue };
+                if self.is_eligible(service, spec, &cycle.workers[view_index], purpose) {
                     eligible.push(EligibleWorker { view_index, needs_no_new_ticket: true });
                 }
             }
+            // By name, so that equal candidates are tried in the same order whatever restarted.
+            eligible.sort_unstable_by_key(|worker| worker.view_index);
             return eligible;
         }
         let arrival_ms = self.start_arrival_ms(step.job, job.spec.queue.advice);
-        for (worker_index, ticket) in &job.step_states[step_index].advice.granted {
-            let Some(view_index) = cycle.view_index_of(*worker_index) else { continue };
+        let advice = &job.step_states[step_index].advice;
+        for worker_index in advice.granted_set.intersection(among).iter() {
+            let Some(ticket) = advice.granted.get(&worker_index) else { continue };
+            let Some(view_index) = cycle.view_index_of(worker_index) else { continue };
             let view = &cycle.workers[view_index];
             if self.is_eligible(service, spec, view, purpose) {
                 eligible.push(EligibleWorker {
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -79,7 +79,8 @@
         let tasks = step_state.tasks.len();
         // For each place, the time until it is free and the index of its worker.
         let mut places: Vec<(u64, usize)> = Vec::new();
-        let eligible = self.eligible_workers(step, step_index, spec, cycle, Purpose::Reservation);
+        let eligible =
+            self.eligible_workers(step, step_index, spec, cycle, None, Purpose::Reservation);
         let places_when_empty = eligible
             .iter()
             .map(|worker| places_in(&cycle.workers[worker.view_index].capacity, &demand));
@@ -232,7 +233,8 @@
         let places = |view: &WorkerView| {
             spec.max_on_worker(places_in(&view.capacity.minus(&view.long_running), &demand))
         };
-        let eligible = self.eligible_workers(step, step_index, spec, cycle, Purpose::Reservation);
+        let eligible =
+            self.eligible_workers(step, step_index, spec, cycle, None, Purpose::Reservation);
         let granted_places: u64 =
             eligible.iter().map(|worker| places(&cycle.workers[worker.view_index])).sum();
         let advice = &job.step_states[step_index].advice;
--- a/crates/pool/src/placement/work.rs
+++ b/crates/pool/src/placement/work.rs
@@ -2,8 +2,7 @@
 //!
 //! A busy machine makes wall time useless as a measure, so tests and operators compare counts.
 
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::cell::Cell;
 
 /// The work of all scheduling cycles since the scheduler began to lead.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -81,11 +80,11 @@
 /// Counts pairs where only a shared reference to the pool is at hand.
 #[derive(Debug, Default)]
 pub(crate) struct PairCount {
-    placement: AtomicU64,
-    room: AtomicU64,
-    granted_capacity: AtomicU64,
-    selection: AtomicU64,
-    reservation: AtomicU64,
+    placement: Cell<u64>,
+    room: Cell<u64>,
+    granted_capacity: Cell<u64>,
+    selection: Cell<u64>,
+    reservation: Cell<u64>,
 }
 
 impl PairCount {
@@ -97,17 +96,16 @@
             Purpose::Selection => &self.selection,
             Purpose::Reservation => &self.reservation,
         };
-        count.fetch_add(pairs as u64, Ordering::Relaxed);
+        count.set(count.get() + pairs as u64);
     }
 
     pub fn get(&self) -> Pairs {
-        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
         Pairs {
-            placement: read(&self.placement),
-            room: read(&self.room),
-            granted_capacity: read(&self.granted_capacity),
-            selection: read(&self.selection),
-            reservation: read(&self.reservation),
+            placement: self.placement.get(),
+            room: self.room.get(),
+            granted_capacity: self.granted_capacity.get(),
+            selection: self.selection.get(),
+            reservation: self.reservation.get(),
         }
     }
 }
