--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -401,11 +401,11 @@
 /// go on: they answer probes and renew the lease. `None` if the decision panicked.
 async fn decide(mut pool: Pool, is_long: bool) -> Option<(Pool, Vec<Effect>)> {
     if !is_long {
-        let effects = pool.poll_effects(steady_ms(), unix_ms());
+        let effects = poll_effects_in_time(&mut pool);
         return Some((pool, effects));
     }
     let decision = tokio::task::spawn_blocking(move || {
-        let effects = pool.poll_effects(steady_ms(), unix_ms());
+        let effects = poll_effects_in_time(&mut pool);
         (pool, effects)
     });
     match decision.await {
@@ -417,6 +417,14 @@
     }
 }
 
+/// Decides for [`WORK_MAX`] at most. What was decided, and the messages that arrive meanwhile, wait
+/// for the end of the decision, so an urgent start takes several decisions however early in each
+/// its turn comes.
+fn poll_effects_in_time(pool: &mut Pool) -> Vec<Effect> {
+    let started = Instant::now();
+    pool.poll_effects_within(steady_ms(), unix_ms(), || started.elapsed() >= WORK_MAX)
+}
+
 /// Lets the daemon's other tasks run during long work, at the latest after [`WORK_MAX`].
 /// Otherwise a leader would answer no probes and renew no lease meanwhile.
 #[derive(Debug)]
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -133,10 +133,11 @@
 
 /// Logs and counts what scheduling cycles looked at.
 fn publish_cycle_work(pool: &Pool, counts: &Counts, cycle_times: &CycleTimes) {
-    let CycleWork { cycles, workers_read, steps_visited, attempts, pairs } =
+    let CycleWork { cycles, limited, workers_read, steps_visited, attempts, pairs } =
         pool.cycle_work().since(cycle_times.work_before);
     tracing::info!(
         cycles,
+        limited_cycles = limited,
         steps_visited,
         attempts,
         workers_read,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -53,6 +53,7 @@
 use crate::jobs::job::Task;
 use crate::placement::candidates::Cycle;
 use crate::placement::due::DueSteps;
+use crate::placement::place::OrderKey;
 use crate::placement::work::PairCount;
 use crate::workers::hold_timers::HoldTimers;
 use crate::workers::map::WorkerMap;
@@ -207,6 +208,8 @@
     /// The first step that is behind the front of the queue, which cycles consider.
     front_end: Option<QueueKey>,
     next_front_ms: u64,
+    /// Where the next cycle goes on with steps that are not urgent; `None` at the first one.
+    resume_at: Option<OrderKey>,
     cycle_work: CycleWork,
     pair_count: PairCount,
 }
@@ -284,6 +287,7 @@
             cycle: Cycle::default(),
             front_end: None,
             next_front_ms: 0,
+            resume_at: None,
             cycle_work: CycleWork::default(),
             pair_count: PairCount::default(),
         }
@@ -392,6 +396,17 @@
 
     /// Advances the pool to `now_ms` and returns the actions to be carried out now.
     pub fn poll_effects(&mut self, now_ms: u64, unix_ms: u64) -> Vec<Effect> {
+        self.poll_effects_within(now_ms, unix_ms, || false)
+    }
+
+    /// Like [`Self::poll_effects`], but places tasks only until the time is up, which is asked
+    /// before each step. The next call goes on with the steps that were left.
+    pub fn poll_effects_within(
+        &mut self,
+        now_ms: u64,
+        unix_ms: u64,
+        is_time_up: impl FnMut() -> bool,
+    ) -> Vec<Effect> {
         self.now_ms = self.now_ms.max(now_ms);
         self.unix_ms = unix_ms;
         self.turn += 1;
@@ -407,7 +422,7 @@
         if self.cycle_due && self.now_ms >= self.next_cycle_ms {
             self.cycle_due = false;
             self.next_cycle_ms = self.now_ms + self.cycle_interval_ms();
-            self.place();
+            self.place(is_time_up);
         }
         self.commit();
         self.send_due_holds(is_sweep);
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -34,6 +34,8 @@
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
+/// Steps that a cycle visits after the urgent ones even if its time is up.
+const OTHER_STEPS_MIN: usize = 4;
 /// Interval at which the end of the front of the queue is determined.
 const FRONT_INTERVAL_MS: u64 = 250;
 /// Percentage of the workers that may be reserved for waiting gangs. The first gang
@@ -63,9 +65,49 @@
     Capped,
 }
 
+/// What a cycle grants no more of.
+#[derive(Debug)]
+struct CycleLimits {
+    /// Workers that are reserved for waiting gangs.
+    reserved: usize,
+    reserved_max: usize,
+    /// Services and demands for which no worker had room.
+    infeasible_demands: Vec<(usize, Resources)>,
+}
+
+impl CycleLimits {
+    /// How many more workers may be reserved. The first gang reserves all that it needs.
+    fn may_reserve(&self) -> usize {
+        if self.reserved == 0 {
+            usize::MAX
+        } else {
+            self.reserved_max.saturating_sub(self.reserved)
+        }
+    }
+}
+
+/// The steps that are due, in the order in which a cycle visits them.
+#[derive(Debug)]
+struct DueOrder {
+    /// Urgent steps that are not late yet.
+    urgent: Vec<(QueueKey, StepId)>,
+    others: Vec<(OrderKey, StepId)>,
+}
+
+/// The place of a step among those that a cycle visits after the urgent ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct OrderKey {
+    is_late: bool,
+    key: QueueKey,
+}
+
 impl Pool {
-    /// Runs one scheduling cycle: places as many queued tasks as possible.
-    pub(crate) fn place(&mut self) {
+    /// Runs one scheduling cycle: places queued tasks until all steps that are due were visited or
+    /// the time is up.
+    ///
+    /// Urgent steps come first. A cycle whose time is up goes on with the others where the one
+    /// before stopped, so that none is left out for ever.
+    pub(crate) fn place(&mut self, mut is_time_up: impl FnMut() -> bool) {
         if self.queue.is_empty() {
             return;
         }
@@ -73,105 +115,36 @@
         self.cycle_work.cycles += 1;
         self.update_front();
         self.due_steps.wake_due(&cycle, self.now_ms);
-        let reserved_max = cycle.workers.len() * RESERVED_PERCENT / 100;
-        let may_reserve = |reserved: usize| {
-            if reserved == 0 { usize::MAX } else { reserved_max.saturating_sub(reserved) }
+        let mut limits = CycleLimits {
+            reserved: 0,
+            reserved_max: cycle.workers.len() * RESERVED_PERCENT / 100,
+            infeasible_demands: Vec::new(),
         };
-        let mut reserved = 0;
-        let mut infeasible_demands: Vec<(usize, Resources)> = Vec::new();
-        let visited = self.ordered_steps();
-        self.cycle_work.steps_visited += visited.len() as u64;
-        for (key, step) in visited.iter().copied() {
-            let Some(job) = self.jobs.get(&step.job) else {
-                self.queue.remove(&key);
-                self.due_steps.remove(key, step);
-                continue;
-            };
-            let Some(step_index) = job.step_index(step) else { continue };
-            if job.outcome.is_some() || job.step_states[step_index].waiting_tasks().next().is_none()
-            {
-                self.dequeue(key, step);
-                continue;
+        let DueOrder { urgent, others } = self.due_order();
+        let mut visited: Vec<(QueueKey, StepId)> = Vec::with_capacity(urgent.len() + others.len());
+        let all_urgent = urgent.len();
+        for (key, step) in urgent {
+            if is_time_up() {
+                break;
             }
-            let spec = job.step_spec(step_index);
-            let (gang, demand) = (spec.gang, spec.worker_demand());
-            let Some(service) = cycle.service_index(&job.spec.queue.service) else {
-                let placement = PlacementBlock::NoOpenWorker;
-                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                continue;
-            };
-            let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
-            if gang && in_backoff {
-                reserved += self.renew_reservation(
-                    step,
-                    step_index,
-                    key.priority,
-                    &mut cycle,
-                    may_reserve(reserved),
-                );
-            }
-            // If no worker of the service could fit a demand earlier in this cycle, none
-            // can fit it or a larger one now. The advisor is queried meanwhile, so that the step
-            // may start once a worker has room.
-            let advice = &job.step_states[step_index].advice;
-            let needs_first_query =
-                job.spec.queue.advice.is_some() && advice.queries == 0 && advice.queried.is_empty();
-            let infeasible = !needs_first_query
-                && infeasible_demands
-                    .iter()
-                    .any(|(other, least)| *other == service && demand.holds(least));
-            if in_backoff || (infeasible && !gang) {
-                if !in_backoff {
-                    let placement = PlacementBlock::DemandInfeasible;
-                    self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                    self.due_steps.park_for_room(key, step, (service, &demand), self.now_ms);
-                }
-                if self.blocked_by_cap(step, step_index) {
-                    self.reserve_cap(step, step_index, &mut cycle);
-                }
-                continue;
-            }
-            let futile = self.futile_attempt(step, step_index, key, service, &cycle);
-            let attempt = if let Some(reason) = futile {
-                Attempt::Waits(reason)
-            } else {
-                self.cycle_work.attempts += 1;
-                self.place_step(step, step_index, key, &mut cycle)
-            };
-            self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
-            match attempt {
-                Attempt::Placed => self.dequeue(key, step),
-                Attempt::Capped => {
-                    let placement = PlacementBlock::Capped;
-                    self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                    self.back_off(step, step_index, RETRY_BACKOFF_MS);
-                    self.drop_reservation(step, step_index);
-                    if gang {
-                        self.update_can_start_later(step, step_index, key, &cycle);
-                    }
-                    self.reserve_cap(step, step_index, &mut cycle);
-                }
-                Attempt::Waits(reason) if gang => {
-                    self.set_wait_reason(step, reason);
-                    self.back_off(step, step_index, self.gang_backoff_ms());
-                    self.update_can_start_later(step, step_index, key, &cycle);
-                    let workers_max = may_reserve(reserved);
-                    reserved +=
-                        self.reserve_workers(step, step_index, key, &mut cycle, workers_max);
-                }
-                Attempt::Waits(reason) => {
-                    self.set_wait_reason(step, reason);
-                    let urgent = key.priority == 0;
-                    let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
-                    self.back_off(step, step_index, base_ms);
-                    if self.room_for(&cycle, service, &demand).is_empty() {
-                        // Only the least of them are kept, since all demands may differ.
-                        infeasible_demands
-                            .retain(|(other, least)| *other != service || !least.holds(&demand));
-                        infeasible_demands.push((service, demand));
-                    }
-                }
+            visited.push((key, step));
+            self.visit(key, step, &mut cycle, &mut limits);
+        }
+        let mut is_limited = visited.len() < all_urgent;
+        self.resume_at = None;
+        for (position, (order, step)) in others.into_iter().enumerate() {
+            if position >= OTHER_STEPS_MIN && (is_limited || is_time_up()) {
+                is_limited = true;
+                self.resume_at = Some(order);
+                break;
             }
+            visited.push((order.key, step));
+            self.visit(order.key, step, &mut cycle, &mut limits);
+        }
+        self.cycle_work.steps_visited += visited.len() as u64;
+        if is_limited {
+            self.cycle_work.limited += 1;
+            self.cycle_due = true;
         }
         for (key, step) in visited {
             if self.is_in_backoff(step) {
@@ -181,6 +154,95 @@
         self.cycle = cycle;
     }
 
+    /// Tries to place the tasks of a step that is due, unless that is known to be vain.
+    fn visit(&mut self, key: QueueKey, step: StepId, cycle: &mut Cycle, limits: &mut CycleLimits) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            self.queue.remove(&key);
+            self.due_steps.remove(key, step);
+            return;
+        };
+        let Some(step_index) = job.step_index(step) else { return };
+        if job.outcome.is_some() || job.step_states[step_index].waiting_tasks().next().is_none() {
+            self.dequeue(key, step);
+            return;
+        }
+        let spec = job.step_spec(step_index);
+        let (gang, demand) = (spec.gang, spec.worker_demand());
+        let Some(service) = cycle.service_index(&job.spec.queue.service) else {
+            let placement = PlacementBlock::NoOpenWorker;
+            self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+            return;
+        };
+        let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
+        if gang && in_backoff {
+            limits.reserved +=
+                self.renew_reservation(step, step_index, key.priority, cycle, limits.may_reserve());
+        }
+        // If no worker of the service could fit a demand earlier in this cycle, none
+        // can fit it or a larger one now. The advisor is queried meanwhile, so that the step
+        // may start once a worker has room.
+        let advice = &job.step_states[step_index].advice;
+        let needs_first_query =
+            job.spec.queue.advice.is_some() && advice.queries == 0 && advice.queried.is_empty();
+        let infeasible = !needs_first_query
+            && limits
+                .infeasible_demands
+                .iter()
+                .any(|(other, least)| *other == service && demand.holds(least));
+        if in_backoff || (infeasible && !gang) {
+            if !in_backoff {
+                let placement = PlacementBlock::DemandInfeasible;
+                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                self.due_steps.park_for_room(key, step, (service, &demand), self.now_ms);
+            }
+            if self.blocked_by_cap(step, step_index) {
+                self.reserve_cap(step, step_index, cycle);
+            }
+            return;
+        }
+        let futile = self.futile_attempt(step, step_index, key, service, cycle);
+        let attempt = if let Some(reason) = futile {
+            Attempt::Waits(reason)
+        } else {
+            self.cycle_work.attempts += 1;
+            self.place_step(step, step_index, key, cycle)
+        };
+        self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
+        match attempt {
+            Attempt::Placed => self.dequeue(key, step),
+            Attempt::Capped => {
+                let placement = PlacementBlock::Capped;
+                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                self.back_off(step, step_index, RETRY_BACKOFF_MS);
+                self.drop_reservation(step, step_index);
+                if gang {
+                    self.update_can_start_later(step, step_index, key, cycle);
+                }
+                self.reserve_cap(step, step_index, cycle);
+            }
+            Attempt::Waits(reason) if gang => {
+                self.set_wait_reason(step, reason);
+                self.back_off(step, step_index, self.gang_backoff_ms());
+                self.update_can_start_later(step, step_index, key, cycle);
+                let workers_max = limits.may_reserve();
+                limits.reserved += self.reserve_workers(step, step_index, key, cycle, workers_max);
+            }
+            Attempt::Waits(reason) => {
+                self.set_wait_reason(step, reason);
+                let urgent = key.priority == 0;
+                let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
+                self.back_off(step, step_index, base_ms);
+                if self.room_for(cycle, service, &demand).is_empty() {
+                    // Only the least of them are kept, since all demands may differ.
+                    limits
+                        .infeasible_demands
+                        .retain(|(other, least)| *other != service || !least.holds(&demand));
+                    limits.infeasible_demands.push((service, demand));
+                }
+            }
+        }
+    }
+
     /// Parks a queued step until its next attempt.
     fn park(&mut self, key: QueueKey, step: StepId) {
         let Some(job) = self.jobs.get(&step.job) else { return };
@@ -231,20 +293,27 @@
 
     /// The front of the queue without steps in backoff; steps that will be late in any
     /// case are moved to the end.
-    fn ordered_steps(&self) -> Vec<(QueueKey, StepId)> {
-        let mut in_time = Vec::new();
+    fn due_order(&self) -> DueOrder {
+        let mut urgent = Vec::new();
+        let mut others = Vec::new();
         let mut late = Vec::new();
         let is_in_front =
             |(key, _): &(QueueKey, StepId)| self.front_end.is_none_or(|end| *key < end);
         for (key, step) in self.due_steps.iter().take_while(is_in_front).take(STEPS_PER_CYCLE) {
             if self.slack_ms(key, step) < 0 {
-                late.push((key, step));
+                late.push((OrderKey { is_late: true, key }, step));
+            } else if key.priority == 0 {
+                urgent.push((key, step));
             } else {
-                in_time.push((key, step));
+                others.push((OrderKey { is_late: false, key }, step));
             }
         }
-        in_time.append(&mut late);
-        in_time
+        others.append(&mut late);
+        if let Some(resume_at) = self.resume_at {
+            let passed = others.partition_point(|(order, _)| *order < resume_at);
+            others.rotate_left(passed);
+        }
+        DueOrder { urgent, others }
     }
 
     /// Whether a cycle can skip a step because of its backoff. Waiting gangs are not
--- a/crates/pool/src/placement/work.rs
+++ b/crates/pool/src/placement/work.rs
@@ -9,6 +9,8 @@
 pub struct CycleWork {
     /// Scheduling cycles.
     pub cycles: u64,
+    /// Cycles whose time was up before all steps that were due had been visited.
+    pub limited: u64,
     /// Workers whose state was read at the start of a cycle.
     pub workers_read: u64,
     /// Queued steps that a cycle looked at.
@@ -48,6 +50,7 @@
         let (pairs, before) = (self.pairs, earlier.pairs);
         Self {
             cycles: self.cycles - earlier.cycles,
+            limited: self.limited - earlier.limited,
             workers_read: self.workers_read - earlier.workers_read,
             steps_visited: self.steps_visited - earlier.steps_visited,
             attempts: self.attempts - earlier.attempts,
--- a/crates/pool/tests/recovery.rs
+++ b/crates/pool/tests/recovery.rs
@@ -30,6 +30,7 @@
 /// On half a core, a leader spends 316 ms of a second on 63 cycles over 576 queued steps, that is
 /// 8.7 us a step. The time for a message is an assumption. A takeover with the 396 jobs here takes the 1 s that one with 3,500 may take.
 const CALM: Charge = Charge {
+    visit: Duration::ZERO,
     step: Duration::from_micros(9),
     message: Duration::from_micros(50),
     restore: Duration::from_micros(2_500),
--- a/crates/pool/tests/world/charge.rs
+++ b/crates/pool/tests/world/charge.rs
@@ -15,6 +15,8 @@
 pub struct Charge {
     /// For each queued step in a cycle.
     pub step: Duration,
+    /// For each step that a cycle visits.
+    pub visit: Duration,
     /// For each message handled, and for each call made.
     pub message: Duration,
     /// For each job that a new scheduler restores.
@@ -50,12 +52,13 @@
         self.spend(message * count as u32);
     }
 
-    /// Charges a cycle that has just ended for the steps that it may have examined, and for its
-    /// calls.
-    pub(super) fn charge_cycle(&mut self, calls: usize) {
+    /// Charges a cycle that has just ended for the steps that it may have examined or has visited,
+    /// and for its calls.
+    pub(super) fn charge_cycle(&mut self, calls: usize, visited: u64) {
         let Some(charge) = self.charge else { return };
         let steps = self.pool.step_worker_pairs() / self.workers.len().max(1);
-        self.spend(charge.step * steps as u32 + charge.message * calls as u32);
+        let visits = charge.visit * visited as u32;
+        self.spend(charge.step * steps as u32 + visits + charge.message * calls as u32);
     }
 
     /// Charges a new scheduler for the jobs that it has restored. Messages to the former one are
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -130,6 +130,8 @@
     gang_failures: BTreeMap<(StepId, u32), u32>,
     timeline: BTreeMap<(u64, u64), TimedEvent>,
     last_sequence: u64,
+    /// The number of steps after which the time of a decision is up; `None` if it never is.
+    pub decision_steps_max: Option<u64>,
     /// The time that the scheduler's work takes; `None` if it takes none.
     pub charge: Option<Charge>,
     leader_time: LeaderTime,
@@ -187,6 +189,7 @@
             gang_failures: BTreeMap::new(),
             timeline: BTreeMap::new(),
             last_sequence: 0,
+            decision_steps_max: None,
             charge: None,
             leader_time: LeaderTime::default(),
         };
@@ -625,9 +628,14 @@
             self.pool.on_leader_lease_renewed(self.now_ms);
         }
         let began = Instant::now();
-        let effects = self.pool.poll_effects(self.now_ms, self.now_ms);
+        let visited_before = self.pool.cycle_work().steps_visited;
+        let mut asked = 0;
+        let effects = self.pool.poll_effects_within(self.now_ms, self.now_ms, || {
+            asked += 1;
+            self.decision_steps_max.is_some_and(|steps_max| asked > steps_max)
+        });
         self.deciding += began.elapsed();
-        self.charge_cycle(effects.len());
+        self.charge_cycle(effects.len(), self.pool.cycle_work().steps_visited - visited_before);
         for effect in effects {
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
