Count the places of a gang only until there are enough

Whether a waiting gang can start at all, and whether it is too small for a reservation, was found out every 300 ms from all workers that were granted to it, and the capacity that has to be left free from a sum over all workers. Both stop once there are enough places, and the sum is kept.

--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -69,6 +69,8 @@
     pub name: String,
     /// Free capacity of its workers in this cycle together.
     pub free: Resources,
+    /// The capacity of its workers together without what long-running tasks take.
+    pub ending: Resources,
     /// The most of each resource that one of its workers has had.
     pub largest: Resources,
     /// Number of its workers that may get tasks in this cycle.
@@ -151,6 +153,11 @@
 }
 
 impl WorkerView {
+    /// The capacity that is not taken by long-running tasks.
+    pub fn ending(&self) -> Resources {
+        self.capacity.minus(&self.long_running)
+    }
+
     /// Whether the worker is free of a reservation that excludes a step of this priority.
     pub fn reservation_permits(&self, step: StepId, priority: u32) -> bool {
         self.reserved_for
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -132,11 +132,12 @@
             long_running: worker.used.long_running,
             reserved_for: None,
         };
-        let (free, capacity) = (view.free, view.capacity);
+        let (free, capacity, ending) = (view.free, view.capacity, view.ending());
         if let Some(view_index) = view_index {
             let previous = std::mem::replace(&mut self.workers[view_index], view);
-            let sum = &mut self.services[previous.service].free;
-            *sum = sum.minus(&previous.free);
+            let of_service = &mut self.services[previous.service];
+            of_service.free = of_service.free.minus(&previous.free);
+            of_service.ending = of_service.ending.minus(&previous.ending());
             self.services[previous.service].views -= 1;
             self.services[service].views += 1;
         } else {
@@ -149,8 +150,9 @@
             self.is_sorted = false;
             self.open.set(index, true);
         }
-        let sum = &mut self.services[service].free;
-        *sum = sum.plus(&free);
+        let of_service = &mut self.services[service];
+        of_service.free = of_service.free.plus(&free);
+        of_service.ending = of_service.ending.plus(&ending);
         self.rooms.update(index, Some((service, &free)));
         self.capacities.update(index, Some((service, &capacity)));
         let largest = &mut self.services[service].largest;
@@ -177,6 +179,7 @@
         let removed = self.workers.swap_remove(view_index);
         let service = &mut self.services[removed.service];
         service.free = service.free.minus(&removed.free);
+        service.ending = service.ending.minus(&removed.ending());
         service.views -= 1;
         self.view_indices[index.0] = None;
         if let Some(moved) = self.workers.get(view_index) {
@@ -257,13 +260,15 @@
     pub fn cycle_state_faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let cycle = &self.cycle;
-        let mut free: Vec<Resources> = vec![Resources::ZERO; cycle.services.len()];
+        let mut sums = vec![(Resources::ZERO, Resources::ZERO); cycle.services.len()];
         for view in &cycle.workers {
-            free[view.service] = free[view.service].plus(&view.free);
+            let (free, ending) = &mut sums[view.service];
+            (*free, *ending) = (free.plus(&view.free), ending.plus(&view.ending()));
         }
-        for (service, free) in cycle.services.iter().zip(free) {
-            if service.free != free {
-                faults.push(format!("service {}: {:?}, not {free:?}", service.name, service.free));
+        for (service, sums) in cycle.services.iter().zip(sums) {
+            let kept = (service.free, service.ending);
+            if kept != sums {
+                faults.push(format!("service {}: {kept:?}, not {sums:?}", service.name));
             }
         }
         for (service, demand) in self.queued_demands().take(CHECKED_DEMANDS_MAX) {
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -79,15 +79,13 @@
         let tasks = step_state.tasks.len();
         // For each place, the time until it is free and the index of its worker.
         let mut places: Vec<(u64, usize)> = Vec::new();
-        let eligible =
-            self.eligible_workers(step, step_index, spec, cycle, None, Purpose::Reservation);
-        let places_when_empty = eligible
-            .iter()
-            .map(|worker| places_in(&cycle.workers[worker.view_index].capacity, &demand));
-        let total_places: u64 = places_when_empty.sum();
-        if tasks as u64 * 100 < total_places * RESERVATION_MIN_PERCENT {
+        let plenty = tasks as u64 * 100 / RESERVATION_MIN_PERCENT + 1;
+        let places_when_empty = |view: &WorkerView| places_in(&view.capacity, &demand);
+        if self.has_places(step, step_index, cycle, plenty, places_when_empty) {
             return 0;
         }
+        let eligible =
+            self.eligible_workers(step, step_index, spec, cycle, None, Purpose::Reservation);
         let mut is_behind_others = false;
         for worker in eligible {
             let view = &cycle.workers[worker.view_index];
@@ -230,20 +228,14 @@
         let spec = job.step_spec(step_index);
         let demand = spec.worker_demand();
         let tasks = u64::from(spec.tasks);
-        let places = |view: &WorkerView| {
-            spec.max_on_worker(places_in(&view.capacity.minus(&view.long_running), &demand))
-        };
-        let eligible =
-            self.eligible_workers(step, step_index, spec, cycle, None, Purpose::Reservation);
-        let granted_places: u64 =
-            eligible.iter().map(|worker| places(&cycle.workers[worker.view_index])).sum();
+        let places = |view: &WorkerView| spec.max_on_worker(places_in(&view.ending(), &demand));
         let advice = &job.step_states[step_index].advice;
         let may_be_granted = |view: &&WorkerView| {
             !advice.queried.contains(view.worker_index)
                 && self.is_eligible(service, spec, view, Purpose::Reservation)
                 && places(view) > 0
         };
-        if granted_places < tasks {
+        if !self.has_places(step, step_index, cycle, tasks, places) {
             let needs_grants = job.spec.queue.advice.is_some();
             return needs_grants && cycle.workers.iter().any(|view| may_be_granted(&view));
         }
@@ -251,10 +243,37 @@
         if headroom.is_zero() {
             return true;
         }
-        let views = cycle.workers.iter().filter(|view| view.service == service);
-        let ending = views
-            .fold(Resources::ZERO, |sum, view| sum.plus(&view.capacity.minus(&view.long_running)));
-        ending.holds(&demand.times(tasks).plus(&headroom))
+        cycle.services[service].ending.holds(&demand.times(tasks).plus(&headroom))
+    }
+
+    /// Whether the eligible workers of a step have so many places together.
+    fn has_places(
+        &self,
+        step: StepId,
+        step_index: usize,
+        cycle: &Cycle,
+        needed: u64,
+        places: impl Fn(&WorkerView) -> u64,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let Some(service) = cycle.service_index(&job.spec.queue.service) else { return false };
+        let spec = job.step_spec(step_index);
+        let eligible = match job.spec.queue.advice {
+            Some(_) => job.step_states[step_index].advice.granted_set.intersection(&cycle.open),
+            None => cycle.open.clone(),
+        };
+        let mut found = 0;
+        for index in eligible.iter() {
+            if found >= needed {
+                break;
+            }
+            let Some(view_index) = cycle.view_index_of(index) else { continue };
+            let view = &cycle.workers[view_index];
+            if self.is_eligible(service, spec, view, Purpose::Reservation) {
+                found += places(view);
+            }
+        }
+        found >= needed
     }
 
     /// Suspends the reservation of a gang if all its places have been free for long. Returns
