--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -529,9 +529,9 @@
         let mut used: HashMap<&str, BTreeMap<u32, Resources>> = HashMap::new();
         for worker in self.workers.values() {
             let by_priority = used.entry(&worker.info.service).or_default();
-            for allocation in worker.tasks.values() {
-                let sum = by_priority.entry(allocation.priority).or_default();
-                *sum = sum.plus(&allocation.worker_demand);
+            for (priority, demand) in &worker.by_priority {
+                let sum = by_priority.entry(*priority).or_default();
+                *sum = sum.plus(demand);
             }
         }
         for (service, by_priority) in used {
--- a/crates/pool/src/workers/map.rs
+++ b/crates/pool/src/workers/map.rs
@@ -62,13 +62,3 @@
         self.workers.iter()
     }
 }
-
-impl<'a> IntoIterator for &'a mut WorkerMap {
-    type Item = (&'a WorkerId, &'a mut Worker);
-    type IntoIter = std::collections::btree_map::IterMut<'a, WorkerId, Worker>;
-
-    fn into_iter(self) -> Self::IntoIter {
-        self.changed.extend(self.workers.values().map(|worker| worker.index));
-        self.workers.iter_mut()
-    }
-}
--- a/crates/pool/src/workers/silent.rs
+++ b/crates/pool/src/workers/silent.rs
@@ -68,15 +68,19 @@
             return;
         }
         self.silent_leases_written = generation;
-        for (name, worker) in &mut self.workers {
+        let is_dropped = |worker: &Worker| {
             let dropped_in = worker.silent.and_then(|mark| mark.dropped_in);
-            if dropped_in.is_some_and(|dropped_in| dropped_in <= generation) {
-                tracing::info!(worker = %name, "worker answers again; its lease may be extended");
-                worker.silent = None;
-                worker.next_hold_ms = self.now_ms;
-                self.hold_timers.mark_changed(worker.index);
-                self.cycle_due = true;
-            }
+            dropped_in.is_some_and(|dropped_in| dropped_in <= generation)
+        };
+        let dropped = self.workers.iter().filter(|(_, worker)| is_dropped(worker));
+        let dropped: Vec<WorkerId> = dropped.map(|(name, _)| name.clone()).collect();
+        for name in dropped {
+            let Some(worker) = self.workers.get_mut(&name) else { continue };
+            tracing::info!(worker = %name, "worker answers again; its lease may be extended");
+            worker.silent = None;
+            worker.next_hold_ms = self.now_ms;
+            self.hold_timers.mark_changed(worker.index);
+            self.cycle_due = true;
         }
     }
 
@@ -100,19 +104,33 @@
         let next_generation = self.silent_leases.generation + 1;
         let mut leases = Vec::new();
         let mut has_changed = false;
-        for (name, worker) in &mut self.workers {
+        // Only the workers whose mark changes are accessed mutably, since the next cycle reads
+        // those again.
+        let mut marks: Vec<(WorkerId, SilentMark)> = Vec::new();
+        for (name, worker) in &self.workers {
             let is_named =
                 leases.len() < SILENT_LEASES_MAX && is_silent(worker, self.now_ms, self.resumed_ms);
             if is_named {
-                let mark = worker.silent.get_or_insert_with(|| SilentMark::new(self.now_ms));
-                has_changed |= mark.dropped_in.take().is_some();
                 let expires_ms = worker.lease_expiry_ms();
                 leases.push(SilentLease { worker: name.clone(), expires_ms });
-            } else if let Some(mark) = &mut worker.silent
-                && mark.dropped_in.is_none()
-            {
-                mark.dropped_in = Some(next_generation);
-                has_changed = true;
+            }
+            match worker.silent {
+                None if is_named => marks.push((name.clone(), SilentMark::new(self.now_ms))),
+                Some(mark) if is_named && mark.dropped_in.is_some() => {
+                    has_changed = true;
+                    marks.push((name.clone(), SilentMark { dropped_in: None, ..mark }));
+                }
+                Some(mark) if !is_named && mark.dropped_in.is_none() => {
+                    has_changed = true;
+                    let dropped_in = Some(next_generation);
+                    marks.push((name.clone(), SilentMark { dropped_in, ..mark }));
+                }
+                _ => {}
+            }
+        }
+        for (name, mark) in marks {
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.silent = Some(mark);
             }
         }
         if has_changed || leases != self.silent_leases.leases {
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -128,6 +128,8 @@
     /// The resources of runs that the worker reported and the scheduler does not want.
     pub unwanted_allocations: Vec<Allocation>,
     pub used: Usage,
+    /// What the tasks of each priority take.
+    pub by_priority: Vec<(u32, Resources)>,
     /// What the runs of each customer count towards its cap.
     pub by_customer: BTreeMap<CustomerId, Usage>,
     /// Failed or stalled runs since the last successful one; see [`Self::record_failure`].
@@ -159,6 +161,15 @@
     pub refuses_connections: bool,
 }
 
+fn add_by_priority(by_priority: &mut Vec<(u32, Resources)>, allocation: &Allocation) {
+    let priority = allocation.priority;
+    if let Some((_, sum)) = by_priority.iter_mut().find(|(other, _)| *other == priority) {
+        *sum = sum.plus(&allocation.worker_demand);
+    } else {
+        by_priority.push((priority, allocation.worker_demand));
+    }
+}
+
 impl Worker {
     pub fn new(index: WorkerIndex, update: WorkerUpdate, earlier_lease_expiry_ms: u64) -> Self {
         Self {
@@ -183,6 +194,7 @@
             tasks: BTreeMap::new(),
             unwanted_allocations: Vec::new(),
             used: Usage::default(),
+            by_priority: Vec::new(),
             by_customer: BTreeMap::new(),
             failures: 0,
             quarantines: 0,
@@ -262,6 +274,7 @@
     pub fn allocate(&mut self, task: TaskId, allocation: Allocation) {
         self.tasks.insert(task, allocation);
         self.used.add(&allocation.worker_demand, allocation.is_long_running);
+        add_by_priority(&mut self.by_priority, &allocation);
         if let Some(customer) = allocation.customer {
             let sum = self.by_customer.entry(customer).or_default();
             sum.add(&allocation.demand, allocation.is_long_running);
@@ -285,6 +298,10 @@
                 sum.add(&allocation.demand, allocation.is_long_running);
             }
         }
+        self.by_priority.clear();
+        for allocation in self.tasks.values() {
+            add_by_priority(&mut self.by_priority, allocation);
+        }
         self.used = used;
         self.by_customer = by_customer;
     }
