Reject jobs whose amounts or times are out of range

The numbers of a caller met the same conversions as those of the workers' entries: a memory size that overflows became a small one, an estimate or an interval near 2^64 overflowed in the sums over steps and occurrences. Such a job now gets the numbered error for an invalid document.

--- a/crates/pool/src/jobs/spec.rs
+++ b/crates/pool/src/jobs/spec.rs
@@ -6,6 +6,13 @@
 
 use crate::jobs::customers::CustomerLimits;
 
+/// The largest demand of a task; no worker has as much. Sums over all tasks stay in range.
+const DEMAND_MAX: Resources =
+    Resources { cpu_millis: 1 << 40, memory_bytes: 1 << 50, accelerators: 1 << 40 };
+/// The longest estimate of a task, and the longest interval of a repetition.
+const DURATION_MAX_MS: u64 = 1_000_000_000_000;
+/// The latest Unix time of a first occurrence.
+const UNIX_MAX_MS: u64 = 1 << 53;
 /// Largest number of tasks in all steps and occurrences of one job. It keeps the record of
 /// a job within one row of the store.
 pub const TASKS_MAX: u64 = 2_000;
@@ -145,6 +152,10 @@
     TooManyTasks,
     /// the payload is longer than 4000 bytes
     PayloadTooLong,
+    /// an amount or a time of step {0} is out of range
+    StepOutOfRange(usize),
+    /// a time of the repetition is out of range
+    RepeatOutOfRange,
 }
 
 impl std::error::Error for SpecError {}
@@ -172,8 +183,17 @@
             if step.after.iter().any(|dependency| *dependency as usize >= index) {
                 return Err(SpecError::LaterStep(index));
             }
+            if !DEMAND_MAX.holds(&step.demand) || step.estimate_ms > DURATION_MAX_MS {
+                return Err(SpecError::StepOutOfRange(index));
+            }
             tasks += u64::from(step.tasks);
         }
+        let is_out_of_range = |repeat: &Repeat| {
+            repeat.first_unix_ms > UNIX_MAX_MS || repeat.interval_ms > DURATION_MAX_MS
+        };
+        if self.repeat.as_ref().is_some_and(is_out_of_range) {
+            return Err(SpecError::RepeatOutOfRange);
+        }
         if tasks.saturating_mul(u64::from(self.occurrences())) > TASKS_MAX {
             return Err(SpecError::TooManyTasks);
         }
