--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -13,6 +13,7 @@
 use crate::placement::cycle_state::CountedWorker;
 use crate::placement::rooms::Rooms;
 use crate::placement::rooms::WorkerSet;
+use crate::placement::work::Purpose;
 use crate::workers::worker::Usage;
 use crate::workers::worker::Worker;
 use crate::workers::worker::WorkerIndex;
@@ -46,11 +47,13 @@
     pub usage: Vec<Usage>,
     /// What the sums contain of each worker, by [`WorkerIndex`].
     pub counted: Vec<CountedWorker>,
-    /// The workers with room for each demand that waits.
+    /// The workers in `workers` by their free capacity.
     pub rooms: Rooms,
+    /// The workers in `workers` by their whole capacity.
+    pub capacities: Rooms,
     /// The workers in `workers`.
     pub open: WorkerSet,
-    /// Changes whenever a worker is added to `workers` or removed, or its capacity changes.
+    /// Changes whenever the capacity of a worker changes.
     pub capacity_version: u64,
     /// Whether `workers` is in the order of their names.
     pub is_sorted: bool,
@@ -66,6 +69,10 @@
     pub name: String,
     /// Free capacity of its workers in this cycle together.
     pub free: Resources,
+    /// The capacity of its workers together without what long-running tasks take.
+    pub ending: Resources,
+    /// The most of each resource that one of its workers has had.
+    pub largest: Resources,
     /// Number of its workers that may get tasks in this cycle.
     pub views: usize,
     /// Number of its open workers.
@@ -146,6 +153,11 @@
 }
 
 impl WorkerView {
+    /// The capacity that is not taken by long-running tasks.
+    pub fn ending(&self) -> Resources {
+        self.capacity.minus(&self.long_running)
+    }
+
     /// Whether the worker is free of a reservation that excludes a step of this priority.
     pub fn reservation_permits(&self, step: StepId, priority: u32) -> bool {
         self.reserved_for
@@ -178,6 +190,11 @@
             .map(|view_index| view_index as usize)
     }
 
+    /// The capacity that a worker had when it last took tasks.
+    pub fn last_capacity(&self, worker_index: WorkerIndex) -> Resources {
+        self.counted.get(worker_index.0).map_or(Resources::ZERO, CountedWorker::capacity)
+    }
+
     /// Whether no reservation keeps the request from a candidate.
     pub fn may_start(&self, request: &PlacementRequest<'_>, candidate: &Candidate) -> bool {
         self.workers[candidate.view_index].may_start_here(request)
@@ -193,6 +210,24 @@
         self.set_free(view_index, free);
     }
 
+    /// The workers of a service with room for a task of this demand, and how many workers were
+    /// compared with it.
+    pub fn room_for(&self, service: usize, demand: &Resources) -> (WorkerSet, usize) {
+        self.rooms.with_room(service, demand, |index| {
+            let view = self.view_index_of(index).map(|view_index| &self.workers[view_index]);
+            view.is_some_and(|view| view.free.holds(demand))
+        })
+    }
+
+    /// The workers of a service that could run a task of this demand if they were empty, and how
+    /// many workers were compared with it.
+    pub fn capable_of(&self, service: usize, demand: &Resources) -> (WorkerSet, usize) {
+        self.capacities.with_room(service, demand, |index| {
+            let view = self.view_index_of(index).map(|view_index| &self.workers[view_index]);
+            view.is_some_and(|view| view.capacity.holds(demand))
+        })
+    }
+
     fn set_free(&mut self, view_index: usize, free: Resources) {
         let view = &mut self.workers[view_index];
         let sum = &mut self.services[view.service].free;
@@ -207,25 +242,6 @@
         self.reserved_views.push(view_index);
     }
 
-    /// Keeps the workers of a service with room for this demand up to date from now on; `false`
-    /// if there are too many demands.
-    pub fn keep_room(&mut self, service: usize, demand: &Resources, now_ms: u64) -> bool {
-        if self.rooms.mark_used(service, demand, now_ms) {
-            return true;
-        }
-        let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
-        let workers = self.workers.iter().filter(has_room).map(|view| view.worker_index).collect();
-        self.rooms.add(service, *demand, workers, now_ms)
-    }
-
-    /// Whether a worker of the service has free capacity for this demand.
-    pub fn has_room(&self, service: usize, demand: &Resources) -> bool {
-        self.rooms.get(service, demand).map_or_else(
-            || self.workers.iter().any(|view| view.service == service && view.free.holds(demand)),
-            |workers| !workers.is_empty(),
-        )
-    }
-
     /// Picks workers for as many of the waiting tasks as possible and allocates the
     /// capacity within this cycle. Returns pairs of a task's index and
     /// the index of its worker in [`Self::workers`].
@@ -277,6 +293,25 @@
 }
 
 impl Pool {
+    /// The workers of a service with room for a task of this demand.
+    pub(crate) fn room_for(&self, cycle: &Cycle, service: usize, demand: &Resources) -> WorkerSet {
+        let (workers, compared) = cycle.room_for(service, demand);
+        self.pair_count.add(Purpose::Room, compared);
+        workers
+    }
+
+    /// The workers of a service that could run a task of this demand if they were empty.
+    pub(crate) fn capable_of(
+        &self,
+        cycle: &Cycle,
+        service: usize,
+        demand: &Resources,
+    ) -> WorkerSet {
+        let (workers, compared) = cycle.capable_of(service, demand);
+        self.pair_count.add(Purpose::Selection, compared);
+        workers
+    }
+
     /// The eligible workers with free capacity for a task, each with a penalty for being
     /// outside the rack of the data, for recent failures and for lacking a fresh ticket.
     pub(crate) fn candidates(
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -21,15 +21,27 @@
 /// If more than one in this many workers changed, all are passed over to find them.
 const READ_ALL_DIVISOR: usize = 4;
 
+/// Maximum queued steps whose demands [`Pool::cycle_state_faults`] checks.
+const CHECKED_DEMANDS_MAX: usize = 50;
+
 /// What the sums of a cycle contain of one worker.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CountedWorker {
     service: Option<usize>,
     is_open: bool,
     is_quarantined: bool,
+    /// Its capacity when it last took tasks.
+    capacity: Resources,
     by_customer: BTreeMap<CustomerId, Usage>,
 }
 
+impl CountedWorker {
+    /// Its capacity when it last took tasks.
+    pub fn capacity(&self) -> Resources {
+        self.capacity
+    }
+}
+
 impl Cycle {
     /// Removes what only concerned the previous cycle.
     fn reset(&mut self) {
@@ -120,16 +132,14 @@
             long_running: worker.used.long_running,
             reserved_for: None,
         };
-        let (free, capacity) = (view.free, view.capacity);
+        let (free, capacity, ending) = (view.free, view.capacity, view.ending());
         if let Some(view_index) = view_index {
             let previous = std::mem::replace(&mut self.workers[view_index], view);
-            let sum = &mut self.services[previous.service].free;
-            *sum = sum.minus(&previous.free);
-            if previous.capacity != capacity || previous.service != service {
-                self.capacity_version += 1;
-                self.services[previous.service].views -= 1;
-                self.services[service].views += 1;
-            }
+            let of_service = &mut self.services[previous.service];
+            of_service.free = of_service.free.minus(&previous.free);
+            of_service.ending = of_service.ending.minus(&previous.ending());
+            self.services[previous.service].views -= 1;
+            self.services[service].views += 1;
         } else {
             if index.0 >= self.view_indices.len() {
                 self.view_indices.resize(index.0 + 1, None);
@@ -137,13 +147,20 @@
             self.view_indices[index.0] = Some(self.workers.len() as u32);
             self.workers.push(view);
             self.services[service].views += 1;
-            self.capacity_version += 1;
             self.is_sorted = false;
             self.open.set(index, true);
         }
-        let sum = &mut self.services[service].free;
-        *sum = sum.plus(&free);
+        let of_service = &mut self.services[service];
+        of_service.free = of_service.free.plus(&free);
+        of_service.ending = of_service.ending.plus(&ending);
         self.rooms.update(index, Some((service, &free)));
+        self.capacities.update(index, Some((service, &capacity)));
+        let largest = &mut self.services[service].largest;
+        *largest = largest.max(&capacity);
+        if self.counted[index.0].capacity != capacity {
+            self.counted[index.0].capacity = capacity;
+            self.capacity_version += 1;
+        }
     }
 
     /// Sorts the views by name, so that equal candidates are tried in the same order whatever
@@ -162,15 +179,16 @@
         let removed = self.workers.swap_remove(view_index);
         let service = &mut self.services[removed.service];
         service.free = service.free.minus(&removed.free);
+        service.ending = service.ending.minus(&removed.ending());
         service.views -= 1;
         self.view_indices[index.0] = None;
         if let Some(moved) = self.workers.get(view_index) {
             self.view_indices[moved.worker_index.0] = Some(view_index as u32);
         }
-        self.capacity_version += 1;
         self.is_sorted = false;
         self.open.set(index, false);
         self.rooms.update(index, None);
+        self.capacities.update(index, None);
     }
 }
 
@@ -228,27 +246,47 @@
         (worker.index == worker_index).then_some(worker)
     }
 
+    /// The services and demands of the steps in the queue.
+    fn queued_demands(&self) -> impl Iterator<Item = (usize, Resources)> {
+        self.queue.values().filter_map(|step| {
+            let job = self.jobs.get(&step.job)?;
+            let service = self.cycle.service_index(&job.spec.queue.service)?;
+            Some((service, job.step_spec(job.step_index(*step)?).worker_demand()))
+        })
+    }
+
     /// Differences between the state that the next cycle takes over and the workers, for tests.
     /// Empty unless the scheduler has a fault.
     pub fn cycle_state_faults(&self) -> Vec<String> {
         let mut faults = Vec::new();
         let cycle = &self.cycle;
-        let mut free: Vec<Resources> = vec![Resources::ZERO; cycle.services.len()];
+        let mut sums = vec![(Resources::ZERO, Resources::ZERO); cycle.services.len()];
         for view in &cycle.workers {
-            free[view.service] = free[view.service].plus(&view.free);
+            let (free, ending) = &mut sums[view.service];
+            (*free, *ending) = (free.plus(&view.free), ending.plus(&view.ending()));
         }
-        for (service, free) in cycle.services.iter().zip(free) {
-            if service.free != free {
-                faults.push(format!("service {}: {:?}, not {free:?}", service.name, service.free));
+        for (service, sums) in cycle.services.iter().zip(sums) {
+            let kept = (service.free, service.ending);
+            if kept != sums {
+                faults.push(format!("service {}: {kept:?}, not {sums:?}", service.name));
             }
         }
-        for (service, demand, workers) in cycle.rooms.iter() {
-            let has_room = |view: &&WorkerView| view.service == service && view.free.holds(demand);
+        for (service, demand) in self.queued_demands().take(CHECKED_DEMANDS_MAX) {
+            let has_room = |view: &&WorkerView| view.service == service && view.free.holds(&demand);
             let found = cycle.workers.iter().filter(has_room).map(|view| view.worker_index);
             let found: BTreeSet<WorkerIndex> = found.collect();
+            let (workers, _) = cycle.room_for(service, &demand);
             if found != workers.iter().collect() {
                 faults.push(format!("room for {demand:?}: {workers:?}, not {found:?}"));
             }
+            let is_capable =
+                |view: &&WorkerView| view.service == service && view.capacity.holds(&demand);
+            let found = cycle.workers.iter().filter(is_capable).map(|view| view.worker_index);
+            let found: BTreeSet<WorkerIndex> = found.collect();
+            let (workers, _) = cycle.capable_of(service, &demand);
+            if found != workers.iter().collect() {
+                faults.push(format!("capable of {demand:?}: {workers:?}, not {found:?}"));
+            }
         }
         let unchanged =
             |(_, worker): &(&WorkerId, &Worker)| !self.workers.has_changed(worker.index);
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -17,19 +17,25 @@
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
+use crate::jobs::job::Ticket;
 use crate::jobs::spec::AdviceSpec;
 use crate::jobs::spec::StepSpec;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::EligibleWorker;
 use crate::placement::candidates::PlacementRequest;
 use crate::placement::candidates::WorkerView;
+use crate::placement::rooms::WorkerSet;
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
 use crate::placement::waiting::WaitReason;
 use crate::placement::work::CycleWork;
+use crate::placement::work::Purpose;
+use crate::workers::worker::WorkerIndex;
 
 /// Steps considered in one scheduling cycle; the rest of the queue waits for a later one.
 const STEPS_PER_CYCLE: usize = 1_000;
+/// Steps that a cycle visits after the urgent ones even if its time is up.
+const OTHER_STEPS_MIN: usize = 4;
 /// Interval at which the end of the front of the queue is determined.
 const FRONT_INTERVAL_MS: u64 = 250;
 /// Percentage of the workers that may be reserved for waiting gangs. The first gang
@@ -59,9 +65,49 @@
     Capped,
 }
 
+/// What a cycle grants no more of.
+#[derive(Debug)]
+struct CycleLimits {
+    /// Workers that are reserved for waiting gangs.
+    reserved: usize,
+    reserved_max: usize,
+    /// Services and demands for which no worker had room.
+    infeasible_demands: Vec<(usize, Resources)>,
+}
+
+impl CycleLimits {
+    /// How many more workers may be reserved. The first gang reserves all that it needs.
+    fn may_reserve(&self) -> usize {
+        if self.reserved == 0 {
+            usize::MAX
+        } else {
+            self.reserved_max.saturating_sub(self.reserved)
+        }
+    }
+}
+
+/// The steps that are due, in the order in which a cycle visits them.
+#[derive(Debug)]
+struct DueOrder {
+    /// Urgent steps that are not late yet.
+    urgent: Vec<(QueueKey, StepId)>,
+    others: Vec<(OrderKey, StepId)>,
+}
+
+/// The place of a step among those that a cycle visits after the urgent ones.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct OrderKey {
+    is_late: bool,
+    key: QueueKey,
+}
+
 impl Pool {
-    /// Runs one scheduling cycle: places as many queued tasks as possible.
-    pub(crate) fn place(&mut self) {
+    /// Runs one scheduling cycle: places queued tasks until all steps that are due were visited or
+    /// the time is up.
+    ///
+    /// Urgent steps come first. A cycle whose time is up goes on with the others where the one
+    /// before stopped, so that none is left out for ever.
+    pub(crate) fn place(&mut self, mut is_time_up: impl FnMut() -> bool) {
         if self.queue.is_empty() {
             return;
         }
@@ -69,99 +115,36 @@
         self.cycle_work.cycles += 1;
         self.update_front();
         self.due_steps.wake_due(&cycle, self.now_ms);
-        let reserved_max = cycle.workers.len() * RESERVED_PERCENT / 100;
-        let may_reserve = |reserved: usize| {
-            if reserved == 0 { usize::MAX } else { reserved_max.saturating_sub(reserved) }
+        let mut limits = CycleLimits {
+            reserved: 0,
+            reserved_max: cycle.workers.len() * RESERVED_PERCENT / 100,
+            infeasible_demands: Vec::new(),
         };
-        let mut reserved = 0;
-        let mut infeasible_demands: Vec<(usize, Resources)> = Vec::new();
-        let visited = self.ordered_steps();
-        self.cycle_work.steps_visited += visited.len() as u64;
-        for (key, step) in visited.iter().copied() {
-            let Some(job) = self.jobs.get(&step.job) else {
-                self.queue.remove(&key);
-                self.due_steps.remove(key, step);
-                continue;
-            };
-            let Some(step_index) = job.step_index(step) else { continue };
-            if job.outcome.is_some() || job.step_states[step_index].waiting_tasks().next().is_none()
-            {
-                self.dequeue(key, step);
-                continue;
-            }
-            let spec = job.step_spec(step_index);
-            let (gang, demand) = (spec.gang, spec.worker_demand());
-            let Some(service) = cycle.service_index(&job.spec.queue.service) else {
-                let placement = PlacementBlock::NoOpenWorker;
-                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                continue;
-            };
-            let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
-            if gang && in_backoff {
-                reserved += self.renew_reservation(
-                    step,
-                    step_index,
-                    key.priority,
-                    &mut cycle,
-                    may_reserve(reserved),
-                );
-            }
-            // If no worker of the service could fit a demand earlier in this cycle, none
-            // can fit it or a larger one now.
-            let infeasible = infeasible_demands
-                .iter()
-                .any(|(other, least)| *other == service && demand.holds(least));
-            if in_backoff || (infeasible && !gang) {
-                if !in_backoff {
-                    let placement = PlacementBlock::DemandInfeasible;
-                    self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                    if cycle.keep_room(service, &demand, self.now_ms) {
-                        self.due_steps.park_for_room(key, step, (service, demand), self.now_ms);
-                    }
-                }
-                if self.blocked_by_cap(step, step_index) {
-                    self.reserve_cap(step, step_index, &mut cycle);
-                }
-                continue;
+        let DueOrder { urgent, others } = self.due_order();
+        let mut visited: Vec<(QueueKey, StepId)> = Vec::with_capacity(urgent.len() + others.len());
+        let all_urgent = urgent.len();
+        for (key, step) in urgent {
+            if is_time_up() {
+                break;
             }
-            let futile = self.futile_attempt(step, step_index, key, service, &mut cycle);
-            let attempt = if let Some(reason) = futile {
-                Attempt::Waits(reason)
-            } else {
-                self.cycle_work.attempts += 1;
-                self.place_step(step, step_index, key, &mut cycle)
-            };
-            self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
-            match attempt {
-                Attempt::Placed => self.dequeue(key, step),
-                Attempt::Capped => {
-                    let placement = PlacementBlock::Capped;
-                    self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
-                    self.back_off(step, step_index, RETRY_BACKOFF_MS);
-                    self.drop_reservation(step, step_index);
-                    if gang {
-                        self.update_can_start_later(step, step_index, key, &cycle);
-                    }
-                    self.reserve_cap(step, step_index, &mut cycle);
-                }
-                Attempt::Waits(reason) if gang => {
-                    self.set_wait_reason(step, reason);
-                    self.back_off(step, step_index, self.gang_backoff_ms());
-                    self.update_can_start_later(step, step_index, key, &cycle);
-                    let workers_max = may_reserve(reserved);
-                    reserved +=
-                        self.reserve_workers(step, step_index, key, &mut cycle, workers_max);
-                }
-                Attempt::Waits(reason) => {
-                    self.set_wait_reason(step, reason);
-                    let urgent = key.priority == 0;
-                    let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
-                    self.back_off(step, step_index, base_ms);
-                    if !cycle.has_room(service, &demand) {
-                        infeasible_demands.push((service, demand));
-                    }
-                }
+            visited.push((key, step));
+            self.visit(key, step, &mut cycle, &mut limits);
+        }
+        let mut is_limited = visited.len() < all_urgent;
+        self.resume_at = None;
+        for (position, (order, step)) in others.into_iter().enumerate() {
+            if position >= OTHER_STEPS_MIN && (is_limited || is_time_up()) {
+                is_limited = true;
+                self.resume_at = Some(order);
+                break;
             }
+            visited.push((order.key, step));
+            self.visit(order.key, step, &mut cycle, &mut limits);
+        }
+        self.cycle_work.steps_visited += visited.len() as u64;
+        if is_limited {
+            self.cycle_work.limited += 1;
+            self.cycle_due = true;
         }
         for (key, step) in visited {
             if self.is_in_backoff(step) {
@@ -171,6 +154,95 @@
         self.cycle = cycle;
     }
 
+    /// Tries to place the tasks of a step that is due, unless that is known to be vain.
+    fn visit(&mut self, key: QueueKey, step: StepId, cycle: &mut Cycle, limits: &mut CycleLimits) {
+        let Some(job) = self.jobs.get(&step.job) else {
+            self.queue.remove(&key);
+            self.due_steps.remove(key, step);
+            return;
+        };
+        let Some(step_index) = job.step_index(step) else { return };
+        if job.outcome.is_some() || job.step_states[step_index].waiting_tasks().next().is_none() {
+            self.dequeue(key, step);
+            return;
+        }
+        let spec = job.step_spec(step_index);
+        let (gang, demand) = (spec.gang, spec.worker_demand());
+        let Some(service) = cycle.service_index(&job.spec.queue.service) else {
+            let placement = PlacementBlock::NoOpenWorker;
+            self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+            return;
+        };
+        let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
+        if gang && in_backoff {
+            limits.reserved +=
+                self.renew_reservation(step, step_index, key.priority, cycle, limits.may_reserve());
+        }
+        // If no worker of the service could fit a demand earlier in this cycle, none
+        // can fit it or a larger one now. The advisor is queried meanwhile, so that the step
+        // may start once a worker has room.
+        let advice = &job.step_states[step_index].advice;
+        let needs_first_query =
+            job.spec.queue.advice.is_some() && advice.queries == 0 && advice.queried.is_empty();
+        let infeasible = !needs_first_query
+            && limits
+                .infeasible_demands
+                .iter()
+                .any(|(other, least)| *other == service && demand.holds(least));
+        if in_backoff || (infeasible && !gang) {
+            if !in_backoff {
+                let placement = PlacementBlock::DemandInfeasible;
+                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                self.due_steps.park_for_room(key, step, (service, &demand), self.now_ms);
+            }
+            if self.blocked_by_cap(step, step_index) {
+                self.reserve_cap(step, step_index, cycle);
+            }
+            return;
+        }
+        let futile = self.futile_attempt(step, step_index, key, service, cycle);
+        let attempt = if let Some(reason) = futile {
+            Attempt::Waits(reason)
+        } else {
+            self.cycle_work.attempts += 1;
+            self.place_step(step, step_index, key, cycle)
+        };
+        self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
+        match attempt {
+            Attempt::Placed => self.dequeue(key, step),
+            Attempt::Capped => {
+                let placement = PlacementBlock::Capped;
+                self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
+                self.back_off(step, step_index, RETRY_BACKOFF_MS);
+                self.drop_reservation(step, step_index);
+                if gang {
+                    self.update_can_start_later(step, step_index, key, cycle);
+                }
+                self.reserve_cap(step, step_index, cycle);
+            }
+            Attempt::Waits(reason) if gang => {
+                self.set_wait_reason(step, reason);
+                self.back_off(step, step_index, self.gang_backoff_ms());
+                self.update_can_start_later(step, step_index, key, cycle);
+                let workers_max = limits.may_reserve();
+                limits.reserved += self.reserve_workers(step, step_index, key, cycle, workers_max);
+            }
+            Attempt::Waits(reason) => {
+                self.set_wait_reason(step, reason);
+                let urgent = key.priority == 0;
+                let base_ms = if urgent { URGENT_RETRY_BACKOFF_MS } else { RETRY_BACKOFF_MS };
+                self.back_off(step, step_index, base_ms);
+                if self.room_for(cycle, service, &demand).is_empty() {
+                    // Only the least of them are kept, since all demands may differ.
+                    limits
+                        .infeasible_demands
+                        .retain(|(other, least)| *other != service || !least.holds(&demand));
+                    limits.infeasible_demands.push((service, demand));
+                }
+            }
+        }
+    }
+
     /// Parks a queued step until its next attempt.
     fn park(&mut self, key: QueueKey, step: StepId) {
         let Some(job) = self.jobs.get(&step.job) else { return };
@@ -221,20 +293,27 @@
 
     /// The front of the queue without steps in backoff; steps that will be late in any
     /// case are moved to the end.
-    fn ordered_steps(&self) -> Vec<(QueueKey, StepId)> {
-        let mut in_time = Vec::new();
+    fn due_order(&self) -> DueOrder {
+        let mut urgent = Vec::new();
+        let mut others = Vec::new();
         let mut late = Vec::new();
         let is_in_front =
             |(key, _): &(QueueKey, StepId)| self.front_end.is_none_or(|end| *key < end);
         for (key, step) in self.due_steps.iter().take_while(is_in_front).take(STEPS_PER_CYCLE) {
             if self.slack_ms(key, step) < 0 {
-                late.push((key, step));
+                late.push((OrderKey { is_late: true, key }, step));
+            } else if key.priority == 0 {
+                urgent.push((key, step));
             } else {
-                in_time.push((key, step));
+                others.push((OrderKey { is_late: false, key }, step));
             }
         }
-        in_time.append(&mut late);
-        in_time
+        others.append(&mut late);
+        if let Some(resume_at) = self.resume_at {
+            let passed = others.partition_point(|(order, _)| *order < resume_at);
+            others.rotate_left(passed);
+        }
+        DueOrder { urgent, others }
     }
 
     /// Whether a cycle can skip a step because of its backoff. Waiting gangs are not
@@ -311,9 +390,12 @@
         if spec.gang && advice.is_some() && step_state.advice.queries > 0 {
             return waits(PlacementBlock::NoEligibleWorker, QueryBlock::Pending);
         }
-        let mut eligible = self.eligible_workers(step, step_index, &spec, cycle);
-        let eligible_count = eligible.len();
-        if advice.is_some() && !spec.gang {
+        let room = self.room_for(cycle, service, &spec.worker_demand());
+        let mut eligible =
+            self.eligible_workers(step, step_index, &spec, cycle, Some(&room), Purpose::Placement);
+        let has_eligible_with_room = !eligible.is_empty();
+        let uses_fresh_tickets = advice.is_some() && !spec.gang;
+        if uses_fresh_tickets {
             eligible.retain(|worker| worker.needs_no_new_ticket);
         }
         let candidates = self.candidates(step, step_index, &spec, &eligible, cycle);
@@ -359,7 +441,9 @@
             PlacementBlock::Headroom
         } else if has_candidates {
             PlacementBlock::Reserved
-        } else if eligible_count == 0 {
+        } else if !has_eligible_with_room
+            && !self.has_eligible_worker(step, step_index, &spec, cycle)
+        {
             PlacementBlock::NoEligibleWorker
         } else {
             PlacementBlock::NoCapacity
@@ -367,7 +451,10 @@
         let Some(advice) = advice.filter(|_| may_query) else {
             return waits(placement, QueryBlock::NotNeeded);
         };
-        let has_stale_tickets = eligible_count > eligible.len();
+        // Without room on a granted worker no ticket is renewed.
+        let has_stale_tickets = uses_fresh_tickets
+            && has_eligible_with_room
+            && self.has_stale_ticket(step, step_index, cycle);
         let renewal = if has_stale_tickets {
             self.renew_tickets(step, step_index, &spec, cycle)
         } else {
@@ -406,30 +493,67 @@
         (is_paused && !chosen.is_empty()).then_some(PlacementBlock::QueryFailed)
     }
 
-    /// The workers that may run a step, whether or not they have free capacity.
+    /// Whether any worker may run a step, whether or not it has free capacity.
+    fn has_eligible_worker(
+        &self,
+        step: StepId,
+        step_index: usize,
+        spec: &StepSpec,
+        cycle: &Cycle,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        if job.spec.queue.advice.is_some() && spec.label.is_none() {
+            return job.step_states[step_index].advice.granted_set.intersects(&cycle.open);
+        }
+        let purpose = Purpose::Placement;
+        !self.eligible_workers(step, step_index, spec, cycle, None, purpose).is_empty()
+    }
+
+    /// Whether a step has a ticket for an open worker that is too old for a start now.
+    pub(crate) fn has_stale_ticket(&self, step: StepId, step_index: usize, cycle: &Cycle) -> bool {
+        let Some(job) = self.jobs.get(&step.job) else { return false };
+        let arrival_ms = self.start_arrival_ms(step.job, job.spec.queue.advice);
+        let is_stale = |(index, ticket): (&WorkerIndex, &Ticket)| {
+            self.pair_count.add(Purpose::Placement, 1);
+            let view = cycle.view_index_of(*index).map(|view_index| &cycle.workers[view_index]);
+            view.is_some_and(|view| !ticket.is_fresh(view.incarnation, arrival_ms))
+        };
+        job.step_states[step_index].advice.granted.iter().any(is_stale)
+    }
+
+    /// The workers that may run a step, whether or not they have free capacity, or those of them
+    /// that are in a set.
     pub(crate) fn eligible_workers(
         &self,
         step: StepId,
         step_index: usize,
         spec: &StepSpec,
         cycle: &Cycle,
+        among: Option<&WorkerSet>,
+        purpose: Purpose,
     ) -> Vec<EligibleWorker> {
         let Some(job) = self.jobs.get(&step.job) else { return Vec::new() };
         let Some(service) = cycle.service_index(&job.spec.queue.service) else { return Vec::new() };
+        let among = among.unwrap_or(&cycle.open);
         let mut eligible = Vec::new();
         if job.spec.queue.advice.is_none() {
-            for (view_index, view) in cycle.workers.iter().enumerate() {
-                if self.is_eligible(service, spec, view) {
+            for worker_index in among.iter() {
+                let Some(view_index) = cycle.view_index_of(worker_index) else { continue };
+                if self.is_eligible(service, spec, &cycle.workers[view_index], purpose) {
                     eligible.push(EligibleWorker { view_index, needs_no_new_ticket: true });
                 }
             }
+            // By name, so that equal candidates are tried in the same order whatever restarted.
+            eligible.sort_unstable_by_key(|worker| worker.view_index);
             return eligible;
         }
         let arrival_ms = self.start_arrival_ms(step.job, job.spec.queue.advice);
-        for (worker_index, ticket) in &job.step_states[step_index].advice.granted {
-            let Some(view_index) = cycle.view_index_of(*worker_index) else { continue };
+        let advice = &job.step_states[step_index].advice;
+        for worker_index in advice.granted_set.intersection(among).iter() {
+            let Some(ticket) = advice.granted.get(&worker_index) else { continue };
+            let Some(view_index) = cycle.view_index_of(worker_index) else { continue };
             let view = &cycle.workers[view_index];
-            if self.is_eligible(service, spec, view) {
+            if self.is_eligible(service, spec, view, purpose) {
                 eligible.push(EligibleWorker {
                     view_index,
                     needs_no_new_ticket: ticket.is_fresh(view.incarnation, arrival_ms),
@@ -440,8 +564,14 @@
     }
 
     /// Whether a worker belongs to the service and has the label that the step requires.
-    pub(crate) fn is_eligible(&self, service: usize, spec: &StepSpec, view: &WorkerView) -> bool {
-        self.pair_count.add(1);
+    pub(crate) fn is_eligible(
+        &self,
+        service: usize,
+        spec: &StepSpec,
+        view: &WorkerView,
+        purpose: Purpose,
+    ) -> bool {
+        self.pair_count.add(purpose, 1);
         let has_label = |label| {
             let worker = self.worker_at(view.worker_index);
             worker.is_some_and(|worker| worker.info.labels.contains(label))
