--- a/crates/pool/src/advice/selection.rs
+++ b/crates/pool/src/advice/selection.rs
@@ -23,8 +23,8 @@
 /// A step that has waited for this long queries about any worker with free capacity, while
 /// daemons are idle that could send the query.
 pub(crate) const FURTHER_QUERY_WAIT_MS: u64 = 1_000;
-/// The selection of further workers for a step is repeated after this. It examines every
-/// worker for each waiting step.
+/// The selection of further workers for a step is repeated after this. It may examine hundreds
+/// of workers.
 pub(crate) const SELECTION_INTERVAL_MS: u64 = 150;
 /// Fewest workers with room that a selection examines, so that it has a choice of the emptiest ones.
 const EXAMINED_WORKERS_MIN: usize = 512;
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -160,7 +160,7 @@
     /// The advisor is not queried again before this.
     pub pause_until_ms: u64,
     /// When further workers may be selected for a query. Until then no selection is made,
-    /// since each one examines all workers.
+    /// since each one may examine hundreds of workers.
     pub retry_at_ms: u64,
 }
 
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -65,9 +65,9 @@
     Capped,
 }
 
-/// What a cycle grants no more of.
+/// What a cycle has reserved, and found to be impossible, so far.
 #[derive(Debug)]
-struct CycleLimits {
+struct CycleProgress {
     /// Workers that are reserved for waiting gangs.
     reserved: usize,
     reserved_max: usize,
@@ -75,7 +75,7 @@
     infeasible_demands: Vec<(usize, Resources)>,
 }
 
-impl CycleLimits {
+impl CycleProgress {
     /// How many more workers may be reserved. The first gang reserves all that it needs.
     fn may_reserve(&self) -> usize {
         if self.reserved == 0 {
@@ -91,6 +91,7 @@
 struct DueOrder {
     /// Urgent steps that are not late yet.
     urgent: Vec<(QueueKey, StepId)>,
+    /// All others; those that are late come last.
     others: Vec<(OrderKey, StepId)>,
 }
 
@@ -115,7 +116,7 @@
         self.cycle_work.cycles += 1;
         self.update_front();
         self.due_steps.wake_due(&cycle, self.now_ms);
-        let mut limits = CycleLimits {
+        let mut progress = CycleProgress {
             reserved: 0,
             reserved_max: cycle.workers.len() * RESERVED_PERCENT / 100,
             infeasible_demands: Vec::new(),
@@ -128,7 +129,7 @@
                 break;
             }
             visited.push((key, step));
-            self.visit(key, step, &mut cycle, &mut limits);
+            self.visit(key, step, &mut cycle, &mut progress);
         }
         let mut is_limited = visited.len() < all_urgent;
         self.resume_at = None;
@@ -139,7 +140,7 @@
                 break;
             }
             visited.push((order.key, step));
-            self.visit(order.key, step, &mut cycle, &mut limits);
+            self.visit(order.key, step, &mut cycle, &mut progress);
         }
         self.cycle_work.steps_visited += visited.len() as u64;
         if is_limited {
@@ -155,7 +156,13 @@
     }
 
     /// Tries to place the tasks of a step that is due, unless that is known to be vain.
-    fn visit(&mut self, key: QueueKey, step: StepId, cycle: &mut Cycle, limits: &mut CycleLimits) {
+    fn visit(
+        &mut self,
+        key: QueueKey,
+        step: StepId,
+        cycle: &mut Cycle,
+        progress: &mut CycleProgress,
+    ) {
         let Some(job) = self.jobs.get(&step.job) else {
             self.queue.remove(&key);
             self.due_steps.remove(key, step);
@@ -175,8 +182,13 @@
         };
         let in_backoff = job.step_states[step_index].retry_at_ms > self.now_ms;
         if gang && in_backoff {
-            limits.reserved +=
-                self.renew_reservation(step, step_index, key.priority, cycle, limits.may_reserve());
+            progress.reserved += self.renew_reservation(
+                step,
+                step_index,
+                key.priority,
+                cycle,
+                progress.may_reserve(),
+            );
         }
         // If no worker of the service could fit a demand earlier in this cycle, none
         // can fit it or a larger one now. The advisor is queried meanwhile, so that the step
@@ -185,7 +197,7 @@
         let needs_first_query =
             job.spec.queue.advice.is_some() && advice.queries == 0 && advice.queried.is_empty();
         let infeasible = !needs_first_query
-            && limits
+            && progress
                 .infeasible_demands
                 .iter()
                 .any(|(other, least)| *other == service && demand.holds(least));
@@ -224,8 +236,9 @@
                 self.set_wait_reason(step, reason);
                 self.back_off(step, step_index, self.gang_backoff_ms());
                 self.update_can_start_later(step, step_index, key, cycle);
-                let workers_max = limits.may_reserve();
-                limits.reserved += self.reserve_workers(step, step_index, key, cycle, workers_max);
+                let workers_max = progress.may_reserve();
+                progress.reserved +=
+                    self.reserve_workers(step, step_index, key, cycle, workers_max);
             }
             Attempt::Waits(reason) => {
                 self.set_wait_reason(step, reason);
@@ -234,10 +247,10 @@
                 self.back_off(step, step_index, base_ms);
                 if self.room_for(cycle, service, &demand).is_empty() {
                     // Only the least of them are kept, since all demands may differ.
-                    limits
+                    progress
                         .infeasible_demands
                         .retain(|(other, least)| *other != service || !least.holds(&demand));
-                    limits.infeasible_demands.push((service, demand));
+                    progress.infeasible_demands.push((service, demand));
                 }
             }
         }
--- a/crates/pool/src/placement/rooms.rs
+++ b/crates/pool/src/placement/rooms.rs
@@ -12,7 +12,7 @@
 
 /// Levels for each power of two, as an exponent of two.
 const LEVEL_BITS: u32 = 3;
-/// Free memory is compared in mebibytes until two workers have the same level.
+/// The unit of the levels of memory, a mebibyte, as an exponent of two.
 const MEMORY_UNIT_BITS: u32 = 20;
 
 /// A set of workers.
@@ -204,7 +204,7 @@
     }
 
     /// The open workers of a service whose free capacity, as `holds` tells, is enough for a
-    /// demand, and how many workers had to be asked for.
+    /// demand, and how many workers were compared with it.
     pub fn with_room(
         &self,
         service: usize,
