Tell what customers use and reserve of their caps, and how attempts of gangs end

No line told what a customer uses, what is reserved of its cap and for how many steps, nor how often gangs of which size start and why they do not. Lines and a counter only, no decision changes.

--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -168,6 +168,28 @@
     metrics::gauge!("stoatwell_urgent_wait_ms").set(counts.urgent_wait_ms as f64);
 }
 
+/// Counts and logs the attempts to run gangs since this daemon began to lead.
+fn publish_gang_attempts(pool: &Pool) {
+    for (tasks_max, attempts) in pool.gang_attempts() {
+        if attempts.begun == 0 {
+            continue;
+        }
+        let size = tasks_max.map_or_else(|| "more".to_owned(), |tasks| tasks.to_string());
+        let failed: Vec<String> =
+            attempts.failed.iter().map(|(failure, count)| format!("{count} {failure}")).collect();
+        let failed = failed.join(", ");
+        tracing::info!(size, begun = attempts.begun, done = attempts.done, failed, "gang attempts");
+        let publish = |outcome: String, count: u64| {
+            metrics::counter!("stoatwell_gang_attempts_total", "size" => size.clone(), "outcome" => outcome)
+                .absolute(count);
+        };
+        publish("done".to_owned(), attempts.done);
+        for (failure, count) in &attempts.failed {
+            publish(failure.to_string(), *count);
+        }
+    }
+}
+
 /// Sets the gauges of the scheduler's view of the pool and logs its summary.
 pub(crate) fn publish_gauges(
     pool: &Pool,
@@ -208,6 +230,7 @@
         "pool"
     );
     publish_cycle_work(pool, &counts, cycle_times);
+    publish_gang_attempts(pool);
     for usage in pool.customers().into_iter().take(CUSTOMERS_MEASURED_MAX) {
         let customer = usage.customer.to_string();
         metrics::gauge!("stoatwell_customer_used_cpu_millis", "customer" => customer.clone())
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -209,6 +209,9 @@
             let tasks = denied.len();
             tracing::info!(%step, tasks, %first, "no valid tickets, or workers closed; the tasks are queued again");
         }
+        if gang && !denied.is_empty() {
+            self.reject_gang_attempt(step);
+        }
         for id in denied {
             self.release(id);
             self.requeue(id);
--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -15,6 +15,7 @@
 
 use crate::Pool;
 use crate::id::StepId;
+use crate::jobs::job::Task;
 use crate::placement::candidates::Cycle;
 
 /// Size of a customer's token bucket for arriving jobs, in seconds of its weight.
@@ -60,15 +61,35 @@
     tokens: f64,
     /// When tokens were last added.
     refilled_unix_ms: u64,
+    pressure: CapPressure,
+}
+
+/// How far a customer's cap has delayed its steps since the last report.
+#[derive(Clone, Copy, Debug, Default)]
+struct CapPressure {
+    /// Attempts to place a step for which the cap left no capacity.
+    capped_attempts: u64,
+    /// The most that one cycle reserved for waiting steps.
+    reserved_max: Resources,
+    /// The most steps for which one cycle reserved it.
+    reserving_steps_max: usize,
 }
 
 impl Account {
     fn new(limits: CustomerLimits) -> Self {
         let tokens = limits.weight * BURST_S;
-        Self { limits, tokens, refilled_unix_ms: 0 }
+        Self { limits, tokens, refilled_unix_ms: 0, pressure: CapPressure::default() }
     }
 }
 
+/// What a cycle has reserved of one customer's cap.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct CapReservation {
+    pub reserved: Resources,
+    /// The steps for which it is reserved.
+    pub steps: usize,
+}
+
 impl Customers {
     /// Updates the limits from the manifest. A customer that is no longer named there keeps
     /// its last limits, since its accepted jobs still run.
@@ -113,6 +134,20 @@
         account.tokens = (account.tokens + 1.0).min(account.limits.weight * BURST_S);
     }
 
+    /// Counts an attempt to place a step for which the customer's cap left no capacity.
+    pub fn record_capped(&mut self, id: CustomerId) {
+        self.accounts[id.0].pressure.capped_attempts += 1;
+    }
+
+    /// Takes note of what a cycle has reserved of the customers' caps.
+    pub fn record_reservations(&mut self, reservations: &[CapReservation]) {
+        for (account, reservation) in self.accounts.iter_mut().zip(reservations) {
+            let pressure = &mut account.pressure;
+            pressure.reserved_max = pressure.reserved_max.max(&reservation.reserved);
+            pressure.reserving_steps_max = pressure.reserving_steps_max.max(reservation.steps);
+        }
+    }
+
     pub fn get(&self, id: CustomerId) -> &Account {
         &self.accounts[id.0]
     }
@@ -175,7 +210,70 @@
         let used = &mut cycle.customers[customer.0];
         if remaining(&self.customers.get(customer).limits.cap, &long_running).holds(&demand) {
             *used = used.plus(&demand);
+            let reservation = &mut cycle.cap_reservations[customer.0];
+            reservation.reserved = reservation.reserved.plus(&demand);
+            reservation.steps += 1;
+        }
+    }
+
+    /// Counts an attempt to place a step for which its customer's cap left no capacity.
+    pub(crate) fn record_capped(&mut self, step: StepId) {
+        if let Some(customer) = self.jobs.get(&step.job).and_then(|job| job.customer) {
+            self.customers.record_capped(customer);
+        }
+    }
+
+    /// Logs what the customers use whose steps waited for their cap since the last report, and
+    /// what is reserved of it.
+    pub(crate) fn report_caps(&mut self) {
+        let is_capped = |account: &Account| account.pressure.capped_attempts > 0;
+        if !self.customers.accounts.iter().any(is_capped) {
+            return;
+        }
+        let used = self.customer_usage();
+        let idle = self.idle_usage();
+        let usage = &self.cycle.usage;
+        let counted = |index: usize| usage.get(index).map_or(Resources::ZERO, |usage| usage.total);
+        for (index, account) in self.customers.accounts.iter_mut().enumerate() {
+            let CapPressure { capped_attempts, reserved_max, reserving_steps_max } =
+                std::mem::take(&mut account.pressure);
+            if capped_attempts == 0 {
+                continue;
+            }
+            let CustomerLimits { name, cap, .. } = &account.limits;
+            tracing::info!(
+                customer = %name,
+                capped_attempts,
+                used_cpu_millis = used[index].cpu_millis,
+                counted_cpu_millis = counted(index).cpu_millis,
+                idle_cpu_millis = idle[index].cpu_millis,
+                reserved_cpu_millis = reserved_max.cpu_millis,
+                cap_cpu_millis = cap.cpu_millis,
+                used_bytes = used[index].memory_bytes,
+                idle_bytes = idle[index].memory_bytes,
+                reserved_bytes = reserved_max.memory_bytes,
+                cap_bytes = cap.memory_bytes,
+                reserving_steps = reserving_steps_max,
+                "steps wait for the customer's cap"
+            );
+        }
+    }
+
+    /// What the tasks of each customer count towards its cap that are placed and not known to
+    /// run, by [`CustomerId`].
+    fn idle_usage(&self) -> Vec<Resources> {
+        let mut idle = vec![Resources::ZERO; self.customers.len()];
+        for job in self.jobs_in_progress() {
+            let Some(customer) = job.customer else { continue };
+            for (step_index, step_state) in job.step_states.iter().enumerate() {
+                let demand = job.step_spec(step_index).demand;
+                let is_idle = |task: &&Task| task.worker.is_some() && !task.is_running();
+                let tasks = step_state.tasks.iter().filter(is_idle).count();
+                let sum = &mut idle[customer.0];
+                *sum = sum.plus(&demand.times(tasks as u64));
+            }
         }
+        idle
     }
 
     /// What each customer uses on all workers, by [`CustomerId`].
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -122,6 +122,11 @@
         is_unanswered && self.running_since_ms == 0 && !self.listed_by_worker
     }
 
+    /// Whether a worker is known to run the task.
+    pub fn is_running(&self) -> bool {
+        matches!(self.phase, Phase::Running { .. })
+    }
+
     /// Whether the task needs no further run.
     pub fn is_done(&self) -> bool {
         self.other_run_done || self.phase == Phase::Done
@@ -189,6 +194,8 @@
     pub wait_reason: WaitReason,
     /// Placement is not tried again before this.
     pub retry_at_ms: u64,
+    /// For a gang, when the starts of the current attempt were recorded; `None` if there is none.
+    pub attempt_ms: Option<u64>,
     /// Whether it is a gang that cannot start now because its customer would exceed its cap.
     pub blocked_by_cap: bool,
     /// For a gang, the workers that were last reserved for it.
@@ -423,6 +430,7 @@
             queued_ms: 0,
             wait_reason: WaitReason::default(),
             retry_at_ms: 0,
+            attempt_ms: None,
             blocked_by_cap: false,
             reserved: Vec::new(),
             reserved_ms: 0,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -55,6 +55,7 @@
 use crate::placement::due::DueSteps;
 use crate::placement::place::OrderKey;
 use crate::placement::work::PairCount;
+use crate::runs::gangs::GangCounts;
 use crate::workers::hold_timers::HoldTimers;
 use crate::workers::map::WorkerMap;
 use crate::workers::worker::Worker;
@@ -106,6 +107,8 @@
 pub use crate::jobs::submit::Accepted;
 pub use crate::placement::work::CycleWork;
 pub use crate::placement::work::Pairs;
+pub use crate::runs::gangs::GangAttempts;
+pub use crate::runs::gangs::GangFailure;
 pub use crate::runs::run::START_VALIDITY_MS;
 pub use crate::workers::holds::EXTENSION_WINDOW_MS;
 pub use crate::workers::silent::SilentLease;
@@ -212,6 +215,7 @@
     resume_at: Option<OrderKey>,
     cycle_work: CycleWork,
     pair_count: PairCount,
+    gang_counts: GangCounts,
 }
 
 /// The sort key of a step in the queue.
@@ -290,6 +294,7 @@
             resume_at: None,
             cycle_work: CycleWork::default(),
             pair_count: PairCount::default(),
+            gang_counts: GangCounts::default(),
         }
     }
 
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -8,6 +8,7 @@
 use crate::Pool;
 use crate::QueueKey;
 use crate::id::StepId;
+use crate::jobs::customers::CapReservation;
 use crate::jobs::spec::StepSpec;
 use crate::jobs::spec::TASKS_MAX;
 use crate::placement::cycle_state::CountedWorker;
@@ -43,6 +44,9 @@
     /// What each customer uses or has reserved in this cycle, by
     /// [`CustomerId`](crate::jobs::customers::CustomerId).
     pub customers: Vec<Resources>,
+    /// What this cycle has reserved of each customer's cap, by
+    /// [`CustomerId`](crate::jobs::customers::CustomerId).
+    pub cap_reservations: Vec<CapReservation>,
     /// What each customer uses on all workers, as of the start of the cycle.
     pub usage: Vec<Usage>,
     /// What the sums contain of each worker, by [`WorkerIndex`].
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -152,6 +152,7 @@
                 self.park(key, step);
             }
         }
+        self.customers.record_reservations(&cycle.cap_reservations);
         self.cycle = cycle;
     }
 
@@ -230,6 +231,7 @@
                 if gang {
                     self.update_can_start_later(step, step_index, key, cycle);
                 }
+                self.record_capped(step);
                 self.reserve_cap(step, step_index, cycle);
             }
             Attempt::Waits(reason) if gang => {
@@ -656,5 +658,8 @@
             }
             self.record_start(*id, next_run);
         }
+        if gang && !tasks.is_empty() {
+            self.begin_gang_attempt(step, newest_run + 1);
+        }
     }
 }
--- a/crates/pool/src/placement/waiting.rs
+++ b/crates/pool/src/placement/waiting.rs
@@ -103,6 +103,7 @@
             return;
         }
         self.next_wait_report_ms = self.now_ms + REPORT_INTERVAL_MS;
+        self.report_caps();
         self.steps_waiting_with_room = 0;
         let mut reported = 0;
         let mut waiting_with_room = 0;
--- /dev/null
+++ b/crates/pool/src/runs/gangs.rs
@@ -0,0 +1,170 @@
+//! Attempts to run gangs: how many there are, by size, and why they fail.
+//!
+//! An attempt begins when the starts of all members are recorded, and ends with the first member
+//! that ends, does not start or has to be stopped. What happens to the other members follows from
+//! that. Until all of them are gone, the attempt keeps their capacity.
+
+use std::collections::BTreeMap;
+
+use crate::Pool;
+use crate::event::CallError;
+use crate::event::RunOutcome;
+use crate::event::StartReply;
+use crate::id::StepId;
+use crate::id::TaskId;
+use crate::jobs::job::Phase;
+
+/// The largest gang of each size class but the last one.
+const SIZE_CLASSES: [usize; 3] = [4, 12, 24];
+
+/// Why an attempt to run a gang ended before the gang was done: what happened to the first
+/// member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, displaydoc::Display)]
+pub enum GangFailure {
+    /// no valid ticket, or the worker closed, before the start was recorded
+    NotRecorded,
+    /// start not sent: the worker takes none
+    ClosedWorker,
+    /// start not sent: its ticket expired
+    ExpiredTicket,
+    /// start refused: the order came too late
+    TooLate,
+    /// start refused: no room
+    NoRoom,
+    /// start refused: the ticket is no longer good
+    BadTicket,
+    /// start refused for another reason
+    Refused,
+    /// start not carried out
+    NotCarriedOut,
+    /// start not confirmed
+    NotConfirmed,
+    /// the run failed
+    Failed,
+    /// the other members did not come
+    Alone,
+    /// another member ended
+    Broken,
+    /// the run was stopped
+    Stopped,
+    /// the worker's lease lapsed
+    Lapsed,
+    /// the run was lost
+    Lost,
+    /// the run made no progress
+    Stalled,
+}
+
+impl GangFailure {
+    /// The cause if a worker refused a start.
+    pub(crate) fn of_reply(reply: StartReply) -> Self {
+        match reply {
+            StartReply::TooLate => Self::TooLate,
+            StartReply::NoRoom => Self::NoRoom,
+            StartReply::BadTicket => Self::BadTicket,
+            StartReply::Started
+            | StartReply::Superseded
+            | StartReply::OldRun
+            | StartReply::Unwell
+            | StartReply::Rejected => Self::Refused,
+        }
+    }
+
+    /// The cause if the answer to a start does not show that it was carried out.
+    pub(crate) fn of_unconfirmed(reply: Result<StartReply, CallError>) -> Self {
+        reply.map_or(Self::NotConfirmed, Self::of_reply)
+    }
+
+    /// The cause if the run of a member ended.
+    pub(crate) fn of_end(end: RunOutcome) -> Self {
+        match end {
+            RunOutcome::Alone => Self::Alone,
+            RunOutcome::Broken => Self::Broken,
+            RunOutcome::Lapsed => Self::Lapsed,
+            RunOutcome::Stopped => Self::Stopped,
+            RunOutcome::Done | RunOutcome::Failed => Self::Failed,
+        }
+    }
+}
+
+/// Attempts to run gangs of one size class.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GangAttempts {
+    /// Attempts that began.
+    pub begun: u64,
+    /// Those of them after which the gang was done.
+    pub done: u64,
+    /// Attempts that failed, by cause.
+    pub failed: BTreeMap<GangFailure, u64>,
+}
+
+/// All attempts of this leader to run gangs, by size class.
+#[derive(Debug, Default)]
+pub(crate) struct GangCounts([GangAttempts; SIZE_CLASSES.len() + 1]);
+
+impl GangCounts {
+    fn of_size(&mut self, tasks: usize) -> &mut GangAttempts {
+        &mut self.0[SIZE_CLASSES.partition_point(|largest| *largest < tasks)]
+    }
+}
+
+impl Pool {
+    /// The attempts to run gangs so far, each with the largest number of tasks of its size class;
+    /// `None` for the last class, which has no limit.
+    pub fn gang_attempts(&self) -> impl Iterator<Item = (Option<usize>, &GangAttempts)> {
+        let limits = SIZE_CLASSES.into_iter().map(Some).chain([None]);
+        limits.zip(&self.gang_counts.0)
+    }
+
+    /// Counts an attempt whose starts are recorded.
+    pub(crate) fn begin_gang_attempt(&mut self, step: StepId, run: u32) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(step_index) = job.step_index(step) else { return };
+        let step_state = &mut job.step_states[step_index];
+        step_state.attempt_ms = Some(now_ms);
+        let tasks = step_state.tasks.len();
+        self.gang_counts.of_size(tasks).begun += 1;
+        tracing::info!(%step, run, tasks, "gang placed");
+    }
+
+    /// Counts an attempt that fails before the starts are recorded.
+    pub(crate) fn reject_gang_attempt(&mut self, step: StepId) {
+        let Some(job) = self.jobs.get(&step.job) else { return };
+        let Some(step_index) = job.step_index(step) else { return };
+        let attempts = self.gang_counts.of_size(job.step_states[step_index].tasks.len());
+        attempts.begun += 1;
+        *attempts.failed.entry(GangFailure::NotRecorded).or_default() += 1;
+    }
+
+    /// Counts an attempt after which the gang is done.
+    pub(crate) fn end_gang_attempt(&mut self, step: StepId) {
+        let Some(job) = self.jobs.get_mut(&step.job) else { return };
+        let Some(step_index) = job.step_index(step) else { return };
+        let step_state = &mut job.step_states[step_index];
+        if step_state.attempt_ms.take().is_some() {
+            self.gang_counts.of_size(step_state.tasks.len()).done += 1;
+        }
+    }
+
+    /// Counts an attempt that fails because of this member, and logs how far it came.
+    pub(crate) fn fail_gang_attempt(&mut self, member: TaskId, failure: GangFailure) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&member.step.job) else { return };
+        let Some(step_index) = job.step_index(member.step) else { return };
+        let step_state = &mut job.step_states[step_index];
+        let Some(begun_ms) = step_state.attempt_ms.take() else { return };
+        let attempts = self.gang_counts.of_size(step_state.tasks.len());
+        *attempts.failed.entry(failure).or_default() += 1;
+        let (mut running, mut unanswered) = (0, 0);
+        for task in &step_state.tasks {
+            running += usize::from(matches!(task.phase, Phase::Running { .. }));
+            unanswered +=
+                usize::from(matches!(task.phase, Phase::Sent | Phase::Unconfirmed { .. }));
+        }
+        let run = step_state.tasks.get(member.index as usize).map_or(0, |task| task.run);
+        let took_ms = now_ms - begun_ms;
+        let tasks = step_state.tasks.len();
+        tracing::info!(task = %member, run, tasks, running, unanswered, took_ms, %failure, "attempt of a gang failed");
+    }
+}
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -30,6 +30,7 @@
 use crate::jobs::job::Phase;
 use crate::jobs::job::Task;
 use crate::jobs::record::Outcome;
+use crate::runs::gangs::GangFailure;
 use crate::workers::worker::Worker;
 
 /// How long a start may be sent to its worker after the write of its row was sent. The write
@@ -80,11 +81,11 @@
             }
             Err(StartObstacle::ClosedWorker) => {
                 tracing::info!(task = %id, run, %worker, "start not sent: the worker takes none; the task is queued again");
-                self.requeue_unstarted(id);
+                self.requeue_unstarted(id, GangFailure::ClosedWorker);
             }
             Err(StartObstacle::ExpiredTicket) => {
                 tracing::info!(task = %id, run, %worker, "start not sent: its ticket expired; the task is queued again");
-                self.requeue_unstarted(id);
+                self.requeue_unstarted(id, GangFailure::ExpiredTicket);
             }
         }
     }
@@ -196,12 +197,12 @@
                     return;
                 }
                 tracing::warn!(task = %id, run, worker = %from, %answer, "start refused by the worker; the task is queued again");
-                self.requeue_unstarted(id);
+                self.requeue_unstarted(id, GangFailure::of_reply(answer));
             }
             Err(_) if is_repeated => self.stop_unconfirmed(id, from, reply),
             Err(error) => {
                 tracing::warn!(task = %id, run, worker = %from, %error, "start not carried out; the task is queued again");
-                self.requeue_unstarted(id);
+                self.requeue_unstarted(id, GangFailure::NotCarriedOut);
             }
         }
     }
@@ -233,6 +234,7 @@
         };
         let run = task.run;
         tracing::warn!(task = %id, run, worker = %from, ?reply, "start not confirmed; the run is stopped");
+        self.fail_gang_attempt(id, GangFailure::of_unconfirmed(reply));
         self.stop(id);
     }
 
@@ -248,9 +250,9 @@
     ///
     /// The other members of a gang cannot work without the task. They may run already, so
     /// they are stopped, and the whole gang is placed again.
-    pub(crate) fn requeue_unstarted(&mut self, id: TaskId) {
+    pub(crate) fn requeue_unstarted(&mut self, id: TaskId, failure: GangFailure) {
         self.release(id);
-        self.stop_other_members(id);
+        self.stop_other_members(id, failure);
         self.requeue(id);
     }
 
@@ -369,7 +371,7 @@
             RunOutcome::Failed if !long_running => self.on_failed(id, run, gang),
             _ => {
                 if gang {
-                    self.stop_other_members(id);
+                    self.stop_other_members(id, GangFailure::of_end(end));
                 }
                 self.requeue(id);
             }
@@ -393,6 +395,9 @@
             task.phase = Phase::Done;
             job.step_states[step_index].remaining_tasks -= 1;
         }
+        if gang {
+            self.end_gang_attempt(id.step);
+        }
         self.on_step_progress(id, step_index);
     }
 
@@ -452,18 +457,20 @@
             return;
         }
         if gang {
-            self.stop_other_members(id);
+            self.stop_other_members(id, GangFailure::Failed);
         }
         self.requeue(id);
     }
 
     /// Stops the other members of a gang after a run of one of them ended or did not start.
-    pub(crate) fn stop_other_members(&mut self, id: TaskId) {
+    pub(crate) fn stop_other_members(&mut self, id: TaskId, failure: GangFailure) {
         let Some(job) = self.jobs.get(&id.step.job) else { return };
         let Some(step_index) = job.step_index(id.step) else { return };
         if !job.step_spec(step_index).gang {
             return;
         }
+        self.fail_gang_attempt(id, failure);
+        let Some(job) = self.jobs.get(&id.step.job) else { return };
         for index in 0..job.step_states[step_index].tasks.len() as u32 {
             if index != id.index {
                 self.stop(TaskId { step: id.step, index });
--- a/crates/pool/src/runs/stalled.rs
+++ b/crates/pool/src/runs/stalled.rs
@@ -4,6 +4,7 @@
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
 use crate::jobs::job::Task;
+use crate::runs::gangs::GangFailure;
 
 /// Time after which an unanswered stop is sent again; a few round trips.
 const STOP_RETRY_MS: u64 = 600;
@@ -119,6 +120,6 @@
         let percent = task.percent;
         tracing::warn!(task = %id, worker = %name, percent, "task makes no progress; stopping the run");
         self.stop(id);
-        self.stop_other_members(id);
+        self.stop_other_members(id, GangFailure::Stalled);
     }
 }
--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -20,6 +20,7 @@
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
 use crate::jobs::job::Task;
+use crate::runs::gangs::GangFailure;
 use crate::runs::run::callee;
 use crate::workers::worker::Worker;
 
@@ -184,7 +185,7 @@
         self.release(id);
         // The row still names the worker, and the next leader would wait for its lease again.
         self.commits.mark_changed(id.step.job);
-        self.stop_other_members(id);
+        self.stop_other_members(id, GangFailure::Lost);
         self.requeue(id);
     }
 
--- a/crates/pool/tests/log_lines.rs
+++ b/crates/pool/tests/log_lines.rs
@@ -8,6 +8,9 @@
 use std::sync::Mutex;
 
 use serde_json::Value;
+use stoatwell_model::CustomerName;
+use stoatwell_model::Resources;
+use stoatwell_pool::CustomerLimits;
 use tracing_subscriber::fmt::MakeWriter;
 
 use self::world::Faults;
@@ -154,3 +157,42 @@
     assert_fields(&lines, "lease of an unreachable worker expired", &["worker"]);
     assert_fields(&lines, "run lost with its worker", &["task", "worker"]);
 }
+
+/// Guards against steps that wait for a cap, or gangs that start again and again, whose logs do
+/// not tell why.
+#[test]
+fn caps_and_attempts_of_gangs_are_logged() {
+    let lines = log_lines(|| {
+        let mut world = World::new(5, 6, Faults { failed_runs: 500, ..Faults::default() });
+        world.run(200);
+        let cap = Resources { cpu_millis: 20_000, ..Resources::ZERO };
+        let customer = CustomerName::new("a");
+        world.set_cap(&customer, 10.0, cap);
+        for number in 0..8 {
+            let mut spec = job(queue(1), vec![step(8, 2_000, 500)]);
+            spec.steps[0].gang = true;
+            spec.customer = Some(CustomerLimits { name: customer.clone(), weight: 10.0, cap });
+            world.submit(number, spec);
+        }
+        world.run(4_000);
+    });
+    let capped = "steps wait for the customer's cap";
+    let fields = [
+        "customer",
+        "capped_attempts",
+        "used_cpu_millis",
+        "counted_cpu_millis",
+        "idle_cpu_millis",
+        "reserved_cpu_millis",
+        "cap_cpu_millis",
+        "used_bytes",
+        "idle_bytes",
+        "reserved_bytes",
+        "cap_bytes",
+        "reserving_steps",
+    ];
+    assert_fields(&lines, capped, &fields);
+    assert_fields(&lines, "gang placed", &["step", "run", "tasks"]);
+    let failed = ["task", "run", "tasks", "running", "unanswered", "took_ms", "failure"];
+    assert_fields(&lines, "attempt of a gang failed", &failed);
+}
