Show small jobs that wait for a gang of nearly their customer's whole cap

A gang that needs 38 of the 40 cores of its customer's cap reserves the rest of the cap for as long as a task of 4 cores keeps it from starting, and no other job of the customer may start.

On this code nine small jobs wait so, for 3.1 to 5.5 s beside 4 of 40 cores in use.

--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -11,8 +11,10 @@
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
+use stoatwell_pool::QueueSpec;
 
 use self::world::Faults;
+use self::world::Waits;
 use self::world::World;
 use self::world::job;
 use self::world::queue;
@@ -219,6 +221,48 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// A gang with tasks of 2 cores that waits long before it is late.
+fn gang(tasks: u32) -> JobSpec {
+    let mut spec = job(QueueSpec { target_ms: 60_000, ..queue(1) }, vec![step(tasks, 2_000, 500)]);
+    spec.steps[0].gang = true;
+    spec
+}
+
+/// A task of customer `a` leaves most of the cap to gangs of which each needs nearly the whole,
+/// and small jobs of the customer arrive. Returns the world after that task has ended.
+fn small_jobs_beside_gangs(gangs: u64) -> World {
+    let mut world = World::new(8, 12, Faults::default());
+    world.run(100);
+    let cap = cpu(40_000);
+    world.set_cap(&CustomerName::new("a"), 10.0, cap);
+    world.submit(1, with_customer(job(queue(1), vec![step(1, 4_000, 12_000)]), "a", cap));
+    world.run(500);
+    for number in 0..gangs {
+        world.submit(100 + number, with_customer(gang(19), "a", cap));
+    }
+    for number in 1_000..1_050 {
+        world.submit(number, with_customer(job(queue(2), vec![step(1, 2_000, 1_000)]), "a", cap));
+        world.run(300);
+    }
+    world.run(15_000);
+    world
+}
+
+fn assert_no_needless_waits(world: &World) {
+    let Waits { too_long_ms, first, .. } = &world.waits;
+    assert!(too_long_ms.is_empty(), "{too_long_ms:?}, {}", first.as_deref().unwrap_or_default());
+}
+
+/// Guards against small jobs that wait while a gang of nearly the whole cap waits for a long task
+/// of their customer.
+#[test]
+fn small_jobs_run_while_a_gang_waits_for_its_customers_cap() {
+    let world = small_jobs_beside_gangs(1);
+    assert_no_needless_waits(&world);
+    assert!(world.open_jobs().is_empty(), "{:?}", world.open_jobs());
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against a job that waits for its customer's cap without an explanation that says
 /// so.
 #[test]
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -128,12 +128,12 @@
         highest
     }
 
-    fn customer_of(&self, task: TaskId) -> Option<CustomerName> {
+    pub(super) fn customer_of(&self, task: TaskId) -> Option<CustomerName> {
         let job = self.jobs.get(&task.step.job)?;
         job.customer.as_ref().map(|customer| customer.name.clone())
     }
 
-    fn demand_of(&self, task: TaskId) -> Resources {
+    pub(super) fn demand_of(&self, task: TaskId) -> Resources {
         let job = self.jobs.get(&task.step.job);
         job.map_or(Resources::ZERO, |job| job.steps[task.step.step as usize].demand)
     }
@@ -143,7 +143,7 @@
         job.is_some_and(|job| job.steps[task.step.step as usize].speculative)
     }
 
-    fn has_completed(&self, task: TaskId) -> bool {
+    pub(super) fn has_completed(&self, task: TaskId) -> bool {
         self.workers.values().any(|worker| worker.completed.contains(&task))
     }
 
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -13,6 +13,7 @@
 mod faults;
 mod jobs;
 mod seeds;
+mod waits;
 mod worker;
 
 use std::collections::BTreeMap;
@@ -57,6 +58,7 @@
 pub use self::jobs::job;
 pub use self::jobs::queue;
 pub use self::jobs::step;
+pub use self::waits::Waits;
 use self::worker::Call;
 use self::worker::Reply;
 use self::worker::Worker;
@@ -78,6 +80,8 @@
     pub faults: Faults,
     pub workers: BTreeMap<WorkerId, Worker>,
     pub violations: Vec<String>,
+    /// Jobs of customers with a cap that wait needlessly.
+    pub waits: Waits,
     pub starts: u64,
     /// The number of stops that schedulers have sent.
     pub stops: u64,
@@ -159,6 +163,7 @@
             faults,
             workers: BTreeMap::new(),
             violations: Vec::new(),
+            waits: Waits::default(),
             starts: 0,
             stops: 0,
             deciding: Duration::ZERO,
@@ -357,6 +362,7 @@
             if self.now_ms.is_multiple_of(100) {
                 self.violations.extend(self.pool.tasks_without_wakeup());
                 self.violations.extend(self.pool.cycle_state_faults());
+                self.check_waits();
             }
         }
     }
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -357,6 +357,18 @@
         self.active.insert((call.task, call.run), run);
     }
 
+    /// What its active runs leave of its capacity.
+    pub fn free(&self) -> Resources {
+        let used = self.active.values().map(|run| run.demand);
+        used.fold(self.capacity, |free, demand| free.minus(&demand))
+    }
+
+    /// Whether it is reachable and will stay.
+    pub fn takes_tasks(&self) -> bool {
+        let is_cut_off = self.isolated || self.permanently_isolated || self.refuses_connections;
+        self.up && !is_cut_off && !self.draining
+    }
+
     /// The number of active tasks of a job.
     pub fn active_tasks_of(&self, job: u64) -> usize {
         self.active.keys().filter(|(task, _)| task.step.job.0 == job).count()
