Show small jobs that wait for several gangs of their customer

As with one gang, but with four that need 38 of the 40 cores of the cap each. It also fails if their reservations end one by one, so that small jobs wait once for each gang. On this code nine small jobs have nothing running for 3.1 to 5.5 s beside 4 of 40 cores in use.

--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -263,6 +263,16 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// Guards against gangs of one customer that reserve its cap one after another, so that small jobs
+/// wait for all of them.
+#[test]
+fn gangs_of_a_customer_do_not_reserve_its_cap_in_turn() {
+    let world = small_jobs_beside_gangs(4);
+    assert_no_needless_waits(&world);
+    assert!(world.open_jobs().is_empty(), "{:?}", world.open_jobs());
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against a job that waits for its customer's cap without an explanation that says
 /// so.
 #[test]
