Show small jobs that wait for a step of their customer that is no gang

A task of 23 GiB does not fit beside one of 18 GiB under a cap of 40 GiB, and reserves its 23 GiB at each attempt although it is no gang.

--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -273,6 +273,34 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// Guards against a task of over half of the cap that is no gang and keeps small jobs of its
+/// customer from what is left while it waits.
+#[test]
+fn a_step_that_is_no_gang_reserves_nothing_of_its_cap() {
+    let mut world = World::new(9, 12, Faults::default());
+    world.run(100);
+    let gib = |gib: u64| Resources { memory_bytes: gib << 30, ..Resources::ZERO };
+    let cap = gib(40);
+    world.set_cap(&CustomerName::new("a"), 10.0, cap);
+    let with_memory = |priority, memory_gib, estimate_ms| {
+        let rules = QueueSpec { target_ms: 60_000, ..queue(priority) };
+        let mut spec = job(rules, vec![step(1, 1_000, estimate_ms)]);
+        spec.steps[0].demand.memory_bytes = gib(memory_gib).memory_bytes;
+        with_customer(spec, "a", cap)
+    };
+    world.submit(1, with_memory(1, 18, 12_000));
+    world.run(500);
+    world.submit(2, with_memory(1, 23, 500));
+    for number in 1_000..1_030 {
+        world.submit(number, with_memory(2, 1, 500));
+        world.run(300);
+    }
+    world.run(15_000);
+    assert_no_needless_waits(&world);
+    assert!(world.open_jobs().is_empty(), "{:?}", world.open_jobs());
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against a job that waits for its customer's cap without an explanation that says
 /// so.
 #[test]
