Show a gang that queries the advisor only once its cap is free

A gang of 38 of the 40 cores of its customer's cap is not asked for at the advisor while the cap keeps it from starting. When the cap is free it sends its first query, reserves nothing meanwhile, and small jobs fill the cap again, so it is drained for a second time.

--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -7,6 +7,7 @@
 use rand_pcg::Pcg64;
 use stoatwell_model::CustomerName;
 use stoatwell_model::Resources;
+use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::CustomerLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
@@ -221,6 +222,9 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// The number of the gang in tests with a single one.
+const GANG: u64 = 1;
+
 /// A gang with tasks of 2 cores that waits long before it is late.
 fn gang(tasks: u32) -> JobSpec {
     let mut spec = job(QueueSpec { target_ms: 60_000, ..queue(1) }, vec![step(tasks, 2_000, 500)]);
@@ -301,6 +305,47 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// Guards against a gang that queries the advisor only once its cap is free, and loses the cap to
+/// small jobs of its customer before the answer.
+#[test]
+fn a_gang_that_needs_tickets_starts_when_its_cap_is_free() {
+    let mut world = World::new(10, 24, Faults::default());
+    world.run(100);
+    let customer = CustomerName::new("a");
+    let cap = cpu(40_000);
+    world.set_cap(&customer, 10.0, cap);
+    world.advice_ms = 600;
+    let mut gang = gang(19);
+    gang.queue.advice = Some(AdviceSpec { decide_ms: 500.0, each_ms: 1.0, valid_ms: 3_000 });
+    let demand = gang.steps[0].demand.times(19);
+    let mut free_since_ms = None;
+    for tick in 0..1_500 {
+        if tick % 10 == 0 {
+            let small = job(queue(2), vec![step(2, 2_000, 2_000)]);
+            world.submit(1_000 + tick, with_customer(small, "a", cap));
+        }
+        if tick == 200 {
+            world.submit(GANG, with_customer(gang.clone(), "a", cap));
+        }
+        world.run(10);
+        if tick < 200 {
+            continue;
+        }
+        if world.state(GANG) != Some(JobState::Queued) {
+            break;
+        }
+        let used = world.used_by(&customer);
+        if free_since_ms.is_none() && cap.cpu_millis >= used.plus(&demand).cpu_millis {
+            free_since_ms = Some(world.now_ms);
+        }
+    }
+    let missed_ms = free_since_ms.map(|since_ms| world.now_ms - since_ms);
+    assert!(missed_ms.is_none_or(|missed_ms| missed_ms <= 3_000), "{missed_ms:?}");
+    assert_ne!(world.state(GANG), Some(JobState::Queued), "{}", world.explain(JobId(GANG)));
+    assert_no_needless_waits(&world);
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
+
 /// Guards against a job that waits for its customer's cap without an explanation that says
 /// so.
 #[test]
--- a/crates/pool/tests/world/waits.rs
+++ b/crates/pool/tests/world/waits.rs
@@ -32,20 +32,27 @@
 }
 
 impl World {
+    /// What the running tasks of a customer use.
+    pub fn used_by(&self, customer: &CustomerName) -> Resources {
+        let tasks =
+            self.active_tasks().filter(|task| self.customer_of(*task).as_ref() == Some(customer));
+        tasks.fold(Resources::ZERO, |sum, task| sum.plus(&self.demand_of(task)))
+    }
+
+    fn active_tasks(&self) -> impl Iterator<Item = TaskId> {
+        self.workers.values().flat_map(|worker| worker.active.keys().map(|(task, _)| *task))
+    }
+
     /// Takes note of the jobs that run once, belong to a customer with a cap, and wait
     /// needlessly.
     pub(super) fn check_waits(&mut self) {
         if self.customers.values().all(|limits| limits.cap.is_zero()) {
             return;
         }
-        let active = || self.workers.values().flat_map(|worker| worker.active.keys());
-        let running: BTreeSet<JobId> = active().map(|(task, _)| task.step.job).collect();
-        let mut used: BTreeMap<CustomerName, Resources> = BTreeMap::new();
-        for (task, _) in active() {
-            let Some(customer) = self.customer_of(*task) else { continue };
-            let sum = used.entry(customer).or_default();
-            *sum = sum.plus(&self.demand_of(*task));
-        }
+        let running: BTreeSet<JobId> = self.active_tasks().map(|task| task.step.job).collect();
+        let customers = self.customers.keys();
+        let used: BTreeMap<CustomerName, Resources> =
+            customers.map(|name| (name.clone(), self.used_by(name))).collect();
         let mut waits = std::mem::take(&mut self.waits);
         let mut idle = BTreeMap::new();
         for job in self.open_jobs() {
