Reserve nothing of a cap for steps that are no gangs

A step of single tasks that found no capacity under its customer's cap reserved what all of its tasks take, those that run or are done as well, so that every later step of the customer was refused in that cycle. Such a step runs in waves and needs no more than one place at a time, and it has its turn before later steps anyway.

a_step_that_is_no_gang_reserves_nothing_of_its_cap failed before (25 of 30 jobs waited 11.2 to 19.9 s beside 18 of 40 GiB in use) and passes with this change, as do the other tests of that file that passed before.

--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -228,11 +228,11 @@
                 self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
                 self.back_off(step, step_index, RETRY_BACKOFF_MS);
                 self.drop_reservation(step, step_index);
+                self.record_capped(step);
                 if gang {
                     self.update_can_start_later(step, step_index, key, cycle);
+                    self.reserve_cap(step, step_index, cycle);
                 }
-                self.record_capped(step);
-                self.reserve_cap(step, step_index, cycle);
             }
             Attempt::Waits(reason) if gang => {
                 self.set_wait_reason(step, reason);
