Reserve of a customer's cap for the first waiting gang only

Each gang that waited for its customer's cap reserved what it needs in every cycle, and so did each step that found no capacity beside these reservations. Now only the first such gang in the order of the cycle has a reservation, and it holds for the steps after it: whatever the cycle begins with, a later gang can't keep the cap from an earlier one.

--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -17,6 +17,7 @@
 use crate::id::StepId;
 use crate::jobs::job::Task;
 use crate::placement::candidates::Cycle;
+use crate::placement::place::OrderKey;
 
 /// Size of a customer's token bucket for arriving jobs, in seconds of its weight.
 const BURST_S: f64 = 2.0;
@@ -69,10 +70,8 @@
 struct CapPressure {
     /// Attempts to place a step for which the cap left no capacity.
     capped_attempts: u64,
-    /// The most that one cycle reserved for waiting steps.
+    /// The most that was reserved for a waiting gang.
     reserved_max: Resources,
-    /// The most steps for which one cycle reserved it.
-    reserving_steps_max: usize,
 }
 
 impl Account {
@@ -82,12 +81,13 @@
     }
 }
 
-/// What a cycle has reserved of one customer's cap.
-#[derive(Clone, Copy, Debug, Default)]
+/// What is reserved of one customer's cap for a waiting gang.
+#[derive(Clone, Copy, Debug)]
 pub(crate) struct CapReservation {
-    pub reserved: Resources,
-    /// The steps for which it is reserved.
-    pub steps: usize,
+    /// The place of the gang in the order of the cycle.
+    order: OrderKey,
+    step: StepId,
+    reserved: Resources,
 }
 
 impl Customers {
@@ -140,11 +140,11 @@
     }
 
     /// Takes note of what a cycle has reserved of the customers' caps.
-    pub fn record_reservations(&mut self, reservations: &[CapReservation]) {
+    pub fn record_reservations(&mut self, reservations: &[Option<CapReservation>]) {
         for (account, reservation) in self.accounts.iter_mut().zip(reservations) {
+            let Some(reservation) = reservation else { continue };
             let pressure = &mut account.pressure;
             pressure.reserved_max = pressure.reserved_max.max(&reservation.reserved);
-            pressure.reserving_steps_max = pressure.reserving_steps_max.max(reservation.steps);
         }
     }
 
@@ -163,23 +163,34 @@
     }
 }
 
+impl Cycle {
+    /// Drops the reservation of a gang whose tasks now count as used.
+    pub fn release_cap_reservation(&mut self, customer: CustomerId, step: StepId) {
+        self.cap_reservations[customer.0].take_if(|reservation| reservation.step == step);
+    }
+}
+
 impl Pool {
-    /// How many more tasks of this demand fit under a customer's cap, given the usage of all
-    /// customers. Without a customer there is no limit.
+    /// How many more tasks of a step may start under its customer's cap, beside what is reserved
+    /// for a gang that has its turn before. Without a customer there is no limit.
     pub(crate) fn tasks_under_cap(
         &self,
-        customer: Option<CustomerId>,
-        used: &[Resources],
-        demand: &Resources,
+        step: StepId,
+        step_index: usize,
+        order: OrderKey,
+        cycle: &Cycle,
     ) -> u64 {
-        let Some(id) = customer else { return u64::MAX };
-        let used = used.get(id.0).copied().unwrap_or_default();
-        remaining(&self.customers.get(id).limits.cap, &used).fit_count(demand)
-    }
-
-    /// Whether a gang cannot start now because its customer would exceed its cap.
-    pub(crate) fn blocked_by_cap(&self, step: StepId, step_index: usize) -> bool {
-        self.jobs.get(&step.job).is_some_and(|job| job.step_states[step_index].blocked_by_cap)
+        let Some(job) = self.jobs.get(&step.job) else { return 0 };
+        let Some(customer) = job.customer else { return u64::MAX };
+        let demand = job.step_spec(step_index).demand;
+        let mut used = cycle.customers.get(customer.0).copied().unwrap_or_default();
+        if let Some(Some(reservation)) = cycle.cap_reservations.get(customer.0)
+            && reservation.step != step
+            && reservation.order < order
+        {
+            used = used.plus(&reservation.reserved);
+        }
+        remaining(&self.customers.get(customer).limits.cap, &used).fit_count(&demand)
     }
 
     /// Sets whether a gang cannot start now because its customer would exceed its cap.
@@ -194,25 +205,49 @@
         }
     }
 
+    /// Reserves a part of each customer's cap for the first of its gangs that wait for it.
+    pub(crate) fn reserve_caps(
+        &self,
+        urgent: &[(OrderKey, StepId)],
+        others: &[(OrderKey, StepId)],
+        cycle: &mut Cycle,
+    ) {
+        for (order, step) in urgent.iter().chain(others) {
+            let Some(job) = self.jobs.get(&step.job) else { continue };
+            let Some(step_index) = job.step_index(*step) else { continue };
+            if job.step_states[step_index].blocked_by_cap && job.outcome.is_none() {
+                self.reserve_cap(*step, step_index, *order, cycle);
+            }
+        }
+    }
+
     /// Reserves what a waiting gang needs of its customer's cap against later work of the
     /// same customer, which would otherwise take each bit of the cap as it comes free.
     ///
+    /// Only one gang of a customer has a reservation, the first one in the order of the cycle. What
+    /// several gangs need together may exceed the cap, and no other work would start until then.
     /// Nothing is reserved for a gang that could not start even then, which would be for ever.
-    pub(crate) fn reserve_cap(&self, step: StepId, step_index: usize, cycle: &mut Cycle) {
+    pub(crate) fn reserve_cap(
+        &self,
+        step: StepId,
+        step_index: usize,
+        order: OrderKey,
+        cycle: &mut Cycle,
+    ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(customer) = job.customer else { return };
         if !job.step_states[step_index].can_start_later {
             return;
         }
-        let demand =
-            job.step_spec(step_index).demand.times(job.step_states[step_index].tasks.len() as u64);
+        let tasks = job.step_states[step_index].tasks.len() as u64;
+        let reserved = job.step_spec(step_index).demand.times(tasks);
         let long_running = cycle.usage[customer.0].long_running;
-        let used = &mut cycle.customers[customer.0];
-        if remaining(&self.customers.get(customer).limits.cap, &long_running).holds(&demand) {
-            *used = used.plus(&demand);
-            let reservation = &mut cycle.cap_reservations[customer.0];
-            reservation.reserved = reservation.reserved.plus(&demand);
-            reservation.steps += 1;
+        if !remaining(&self.customers.get(customer).limits.cap, &long_running).holds(&reserved) {
+            return;
+        }
+        let reservation = &mut cycle.cap_reservations[customer.0];
+        if reservation.is_none_or(|other| order < other.order) {
+            *reservation = Some(CapReservation { order, step, reserved });
         }
     }
 
@@ -235,7 +270,7 @@
         let usage = &self.cycle.usage;
         let counted = |index: usize| usage.get(index).map_or(Resources::ZERO, |usage| usage.total);
         for (index, account) in self.customers.accounts.iter_mut().enumerate() {
-            let CapPressure { capped_attempts, reserved_max, reserving_steps_max } =
+            let CapPressure { capped_attempts, reserved_max } =
                 std::mem::take(&mut account.pressure);
             if capped_attempts == 0 {
                 continue;
@@ -253,7 +288,6 @@
                 idle_bytes = idle[index].memory_bytes,
                 reserved_bytes = reserved_max.memory_bytes,
                 cap_bytes = cap.memory_bytes,
-                reserving_steps = reserving_steps_max,
                 "steps wait for the customer's cap"
             );
         }
--- a/crates/pool/src/placement/candidates.rs
+++ b/crates/pool/src/placement/candidates.rs
@@ -41,12 +41,12 @@
     /// Indices into `workers` by [`WorkerIndex`]; `None` for workers that take no tasks.
     pub view_indices: Vec<Option<u32>>,
     pub services: Vec<Service>,
-    /// What each customer uses or has reserved in this cycle, by
+    /// What each customer uses in this cycle, by
     /// [`CustomerId`](crate::jobs::customers::CustomerId).
     pub customers: Vec<Resources>,
-    /// What this cycle has reserved of each customer's cap, by
+    /// What is reserved of each customer's cap, by
     /// [`CustomerId`](crate::jobs::customers::CustomerId).
-    pub cap_reservations: Vec<CapReservation>,
+    pub cap_reservations: Vec<Option<CapReservation>>,
     /// What each customer uses on all workers, as of the start of the cycle.
     pub usage: Vec<Usage>,
     /// What the sums contain of each worker, by [`WorkerIndex`].
--- a/crates/pool/src/placement/cycle_state.rs
+++ b/crates/pool/src/placement/cycle_state.rs
@@ -10,7 +10,6 @@
 use stoatwell_model::WorkerId;
 
 use crate::Pool;
-use crate::jobs::customers::CapReservation;
 use crate::jobs::customers::CustomerId;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::Service;
@@ -237,7 +236,7 @@
         cycle.sort_views(&self.worker_names);
         cycle.usage.resize(self.customers.len(), Usage::default());
         cycle.cap_reservations.clear();
-        cycle.cap_reservations.resize(self.customers.len(), CapReservation::default());
+        cycle.cap_reservations.resize(self.customers.len(), None);
         cycle.customers.clear();
         cycle.customers.extend(cycle.usage.iter().map(|usage| usage.total));
         cycle
--- a/crates/pool/src/placement/futile.rs
+++ b/crates/pool/src/placement/futile.rs
@@ -8,7 +8,6 @@
 use stoatwell_model::Resources;
 
 use crate::Pool;
-use crate::QueueKey;
 use crate::advice::query::SUFFICIENT_PLACES_FACTOR;
 use crate::advice::selection::FREE_FACTOR;
 use crate::advice::selection::FURTHER_QUERY_WAIT_MS;
@@ -20,6 +19,7 @@
 use crate::jobs::spec::AdviceSpec;
 use crate::placement::candidates::Cycle;
 use crate::placement::candidates::places_in;
+use crate::placement::place::OrderKey;
 use crate::placement::rooms::WorkerSet;
 use crate::placement::waiting::PlacementBlock;
 use crate::placement::waiting::QueryBlock;
@@ -71,10 +71,11 @@
         &mut self,
         step: StepId,
         step_index: usize,
-        key: QueueKey,
+        order: OrderKey,
         service: usize,
         cycle: &Cycle,
     ) -> Option<WaitReason> {
+        let key = order.key;
         let now_ms = self.now_ms;
         let job = self.jobs.get(&step.job)?;
         let step_state = &job.step_states[step_index];
@@ -94,8 +95,7 @@
             self.update_granted_capacity(step, step_index, cycle);
         }
         let job = self.jobs.get(&step.job)?;
-        let spec = job.step_spec(step_index);
-        let fit_under_cap = self.tasks_under_cap(job.customer, &cycle.customers, &spec.demand);
+        let fit_under_cap = self.tasks_under_cap(step, step_index, order, cycle);
         if fit_under_cap == 0 || (gang && fit_under_cap < waiting as u64) {
             return None;
         }
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -90,7 +90,7 @@
 #[derive(Debug)]
 struct DueOrder {
     /// Urgent steps that are not late yet.
-    urgent: Vec<(QueueKey, StepId)>,
+    urgent: Vec<(OrderKey, StepId)>,
     /// All others; those that are late come last.
     others: Vec<(OrderKey, StepId)>,
 }
@@ -99,7 +99,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct OrderKey {
     is_late: bool,
-    key: QueueKey,
+    pub key: QueueKey,
 }
 
 impl Pool {
@@ -122,14 +122,15 @@
             infeasible_demands: Vec::new(),
         };
         let DueOrder { urgent, others } = self.due_order();
+        self.reserve_caps(&urgent, &others, &mut cycle);
         let mut visited: Vec<(QueueKey, StepId)> = Vec::with_capacity(urgent.len() + others.len());
         let all_urgent = urgent.len();
-        for (key, step) in urgent {
+        for (order, step) in urgent {
             if is_time_up() {
                 break;
             }
-            visited.push((key, step));
-            self.visit(key, step, &mut cycle, &mut progress);
+            visited.push((order.key, step));
+            self.visit(order, step, &mut cycle, &mut progress);
         }
         let mut is_limited = visited.len() < all_urgent;
         self.resume_at = None;
@@ -140,7 +141,7 @@
                 break;
             }
             visited.push((order.key, step));
-            self.visit(order.key, step, &mut cycle, &mut progress);
+            self.visit(order, step, &mut cycle, &mut progress);
         }
         self.cycle_work.steps_visited += visited.len() as u64;
         if is_limited {
@@ -159,11 +160,12 @@
     /// Tries to place the tasks of a step that is due, unless that is known to be vain.
     fn visit(
         &mut self,
-        key: QueueKey,
+        order: OrderKey,
         step: StepId,
         cycle: &mut Cycle,
         progress: &mut CycleProgress,
     ) {
+        let key = order.key;
         let Some(job) = self.jobs.get(&step.job) else {
             self.queue.remove(&key);
             self.due_steps.remove(key, step);
@@ -208,17 +210,14 @@
                 self.set_wait_reason(step, WaitReason { placement, ..WaitReason::default() });
                 self.due_steps.park_for_room(key, step, (service, &demand), self.now_ms);
             }
-            if self.blocked_by_cap(step, step_index) {
-                self.reserve_cap(step, step_index, cycle);
-            }
             return;
         }
-        let futile = self.futile_attempt(step, step_index, key, service, cycle);
+        let futile = self.futile_attempt(step, step_index, order, service, cycle);
         let attempt = if let Some(reason) = futile {
             Attempt::Waits(reason)
         } else {
             self.cycle_work.attempts += 1;
-            self.place_step(step, step_index, key, cycle)
+            self.place_step(step, step_index, order, cycle)
         };
         self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
         match attempt {
@@ -231,7 +230,7 @@
                 self.record_capped(step);
                 if gang {
                     self.update_can_start_later(step, step_index, key, cycle);
-                    self.reserve_cap(step, step_index, cycle);
+                    self.reserve_cap(step, step_index, order, cycle);
                 }
             }
             Attempt::Waits(reason) if gang => {
@@ -318,7 +317,7 @@
             if self.slack_ms(key, step) < 0 {
                 late.push((OrderKey { is_late: true, key }, step));
             } else if key.priority == 0 {
-                urgent.push((key, step));
+                urgent.push((OrderKey { is_late: false, key }, step));
             } else {
                 others.push((OrderKey { is_late: false, key }, step));
             }
@@ -373,9 +372,10 @@
         &mut self,
         step: StepId,
         step_index: usize,
-        key: QueueKey,
+        order: OrderKey,
         cycle: &mut Cycle,
     ) -> Attempt {
+        let key = order.key;
         let priority = key.priority;
         let Some(job) = self.jobs.get(&step.job) else { return Attempt::Placed };
         let waits = |placement, query| Attempt::Waits(WaitReason { placement, query });
@@ -390,7 +390,7 @@
         if spec.gang && waiting.len() < step_state.tasks.len() {
             return waits(PlacementBlock::GangIncomplete, QueryBlock::NotNeeded);
         }
-        let fit_under_cap = self.tasks_under_cap(customer, &cycle.customers, &spec.demand);
+        let fit_under_cap = self.tasks_under_cap(step, step_index, order, cycle);
         let waiting_count = waiting.len();
         if !spec.gang && job.lost_long_running_tasks(step_index).next().is_some() {
             // The others have to leave headroom, so they are placed by a later attempt.
@@ -438,6 +438,7 @@
             if let Some(customer) = customer {
                 let used = &mut cycle.customers[customer.0];
                 *used = used.plus(&spec.demand.times(chosen.len() as u64));
+                cycle.release_cap_reservation(customer, step);
             }
             self.start_or_query(step, &chosen, cycle);
             if all_placed {
--- a/crates/pool/tests/log_lines.rs
+++ b/crates/pool/tests/log_lines.rs
@@ -189,7 +189,6 @@
         "idle_bytes",
         "reserved_bytes",
         "cap_bytes",
-        "reserving_steps",
     ];
     assert_fields(&lines, capped, &fields);
     assert_fields(&lines, "gang placed", &["step", "run", "tasks"]);
