Keep the reservation of a cap until the gang has its tickets and room

Now the reservation lasts until the starts of the gang are recorded, and the advisor is asked about the gang that has it while the cap is not free yet.

a_gang_that_needs_tickets_starts_when_its_cap_is_free failed before (the gang started 4.5 s after its cap was free) and passes with this change.

--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -189,7 +189,7 @@
                     reason.query
                 ));
             }
-            if step_state.blocked_by_cap {
+            if step_state.claims_cap {
                 lines.push(format!("step {}: waits for the customer's cap", step_state.id));
             }
             for (index, task) in step_state.tasks.iter().enumerate() {
--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -164,6 +164,12 @@
 }
 
 impl Cycle {
+    /// Whether a part of the customer's cap is reserved for a gang.
+    pub fn has_cap_reservation(&self, customer: Option<CustomerId>, step: StepId) -> bool {
+        let reservation = customer.and_then(|customer| self.cap_reservations[customer.0].as_ref());
+        reservation.is_some_and(|reservation| reservation.step == step)
+    }
+
     /// Drops the reservation of a gang whose tasks now count as used.
     pub fn release_cap_reservation(&mut self, customer: CustomerId, step: StepId) {
         self.cap_reservations[customer.0].take_if(|reservation| reservation.step == step);
@@ -193,19 +199,17 @@
         remaining(&self.customers.get(customer).limits.cap, &used).fit_count(&demand)
     }
 
-    /// Sets whether a gang cannot start now because its customer would exceed its cap.
-    pub(crate) fn set_blocked_by_cap(
-        &mut self,
-        step: StepId,
-        step_index: usize,
-        blocked_by_cap: bool,
-    ) {
+    /// Records that a gang waits for its customer's cap.
+    pub(crate) fn claim_cap(&mut self, step: StepId, step_index: usize) {
         if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.step_states[step_index].blocked_by_cap = blocked_by_cap;
+            job.step_states[step_index].claims_cap = true;
         }
     }
 
-    /// Reserves a part of each customer's cap for the first of its gangs that wait for it.
+    /// Reserves a part of each customer's cap for the first of its gangs that have waited for it.
+    ///
+    /// A gang that no longer waits for the cap keeps its reservation while it waits for tickets or
+    /// for room. Otherwise other work would take the cap, and the gang would wait for it again.
     pub(crate) fn reserve_caps(
         &self,
         urgent: &[(OrderKey, StepId)],
@@ -215,7 +219,7 @@
         for (order, step) in urgent.iter().chain(others) {
             let Some(job) = self.jobs.get(&step.job) else { continue };
             let Some(step_index) = job.step_index(*step) else { continue };
-            if job.step_states[step_index].blocked_by_cap && job.outcome.is_none() {
+            if job.step_states[step_index].claims_cap && job.outcome.is_none() {
                 self.reserve_cap(*step, step_index, *order, cycle);
             }
         }
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -196,8 +196,8 @@
     pub retry_at_ms: u64,
     /// For a gang, when the starts of the current attempt were recorded; `None` if there is none.
     pub attempt_ms: Option<u64>,
-    /// Whether it is a gang that cannot start now because its customer would exceed its cap.
-    pub blocked_by_cap: bool,
+    /// Whether it is a gang that has waited for its customer's cap since its last attempt.
+    pub claims_cap: bool,
     /// For a gang, the workers that were last reserved for it.
     pub reserved: Vec<WorkerIndex>,
     /// When the reserved workers were chosen.
@@ -431,7 +431,7 @@
             wait_reason: WaitReason::default(),
             retry_at_ms: 0,
             attempt_ms: None,
-            blocked_by_cap: false,
+            claims_cap: false,
             reserved: Vec::new(),
             reserved_ms: 0,
             reserved_until_ms: 0,
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -219,7 +219,6 @@
             self.cycle_work.attempts += 1;
             self.place_step(step, step_index, order, cycle)
         };
-        self.set_blocked_by_cap(step, step_index, gang && matches!(attempt, Attempt::Capped));
         match attempt {
             Attempt::Placed => self.dequeue(key, step),
             Attempt::Capped => {
@@ -229,6 +228,7 @@
                 self.drop_reservation(step, step_index);
                 self.record_capped(step);
                 if gang {
+                    self.claim_cap(step, step_index);
                     self.update_can_start_later(step, step_index, key, cycle);
                     self.reserve_cap(step, step_index, order, cycle);
                 }
@@ -338,7 +338,7 @@
         let step_state = &job.step_states[step_index];
         step_state.retry_at_ms > self.now_ms
             && step_state.reserved.is_empty()
-            && !step_state.blocked_by_cap
+            && !step_state.claims_cap
     }
 
     /// How long a task of the step is expected to run.
@@ -387,6 +387,8 @@
         let customer = job.customer;
         let step_state = &job.step_states[step_index];
         let mut waiting: Vec<u32> = step_state.waiting_tasks().collect();
+        let has_pending_queries = step_state.advice.queries > 0;
+        let needs_first_query = !has_pending_queries && step_state.advice.queried.is_empty();
         if spec.gang && waiting.len() < step_state.tasks.len() {
             return waits(PlacementBlock::GangIncomplete, QueryBlock::NotNeeded);
         }
@@ -397,12 +399,20 @@
             waiting = job.lost_long_running_tasks(step_index).collect();
         }
         if fit_under_cap < waiting_count as u64 {
-            if spec.gang || fit_under_cap == 0 {
+            if spec.gang {
+                // The answer is there by the time that the cap has capacity for the gang.
+                let asks = needs_first_query && cycle.has_cap_reservation(customer, step);
+                if let Some(rule) = advice.filter(|_| asks) {
+                    self.query_more_workers(step, step_index, &spec, rule, priority, cycle);
+                }
+                return Attempt::Capped;
+            }
+            if fit_under_cap == 0 {
                 return Attempt::Capped;
             }
             waiting.truncate(fit_under_cap as usize);
         }
-        if spec.gang && advice.is_some() && step_state.advice.queries > 0 {
+        if spec.gang && advice.is_some() && has_pending_queries {
             return waits(PlacementBlock::NoEligibleWorker, QueryBlock::Pending);
         }
         let room = self.room_for(cycle, service, &spec.worker_demand());
