Suspend reservations of a cap that keep much of it unused

A reservation of a customer's cap lasted for as long as the gang waited: for the last long tasks of the customer, for tickets, for workers, or for a worker's lease. A reservation of workers already ends after 2.5 s of idle places. Now a reservation that has kept more than half of the cap unused for 2 s, or all that the gang needs, is suspended for 5 s.

small_jobs_run_while_a_gang_waits_for_its_customers_cap and gangs_of_a_customer_do_not_reserve_its_cap_in_turn failed before (nine small jobs waited 3.1 to 5.5 s beside 4 of 40 cores in use) and pass with this change.

--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -21,6 +21,10 @@
 
 /// Size of a customer's token bucket for arriving jobs, in seconds of its weight.
 const BURST_S: f64 = 2.0;
+/// How long a reservation may keep more than half of a cap unused before it is suspended.
+const IDLE_RESERVATION_MAX_MS: u64 = 2_000;
+/// How long the reservations of a customer are suspended. Its other work takes the cap meanwhile.
+const SUSPENSION_MS: u64 = 5_000;
 
 /// The scheduling limits of a customer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -62,6 +66,10 @@
     tokens: f64,
     /// When tokens were last added.
     refilled_unix_ms: u64,
+    /// Since when a reservation has kept much of the cap unused; `None` if none does.
+    cap_idle_since_ms: Option<u64>,
+    /// Until when nothing is reserved of the cap.
+    suspended_until_ms: u64,
     pressure: CapPressure,
 }
 
@@ -77,7 +85,14 @@
 impl Account {
     fn new(limits: CustomerLimits) -> Self {
         let tokens = limits.weight * BURST_S;
-        Self { limits, tokens, refilled_unix_ms: 0, pressure: CapPressure::default() }
+        Self {
+            limits,
+            tokens,
+            refilled_unix_ms: 0,
+            cap_idle_since_ms: None,
+            suspended_until_ms: 0,
+            pressure: CapPressure::default(),
+        }
     }
 }
 
@@ -211,7 +226,7 @@
     /// A gang that no longer waits for the cap keeps its reservation while it waits for tickets or
     /// for room. Otherwise other work would take the cap, and the gang would wait for it again.
     pub(crate) fn reserve_caps(
-        &self,
+        &mut self,
         urgent: &[(OrderKey, StepId)],
         others: &[(OrderKey, StepId)],
         cycle: &mut Cycle,
@@ -223,6 +238,38 @@
                 self.reserve_cap(*step, step_index, *order, cycle);
             }
         }
+        self.suspend_idle_reservations(cycle);
+    }
+
+    /// Suspends reservations that have kept more than half of a cap unused for long, or all that
+    /// the gang needs. A gang may wait for the last few tasks of its customer, or for something
+    /// else, for much longer than other work may wait.
+    fn suspend_idle_reservations(&mut self, cycle: &mut Cycle) {
+        let now_ms = self.now_ms;
+        for (index, account) in self.customers.accounts.iter_mut().enumerate() {
+            let Some(reservation) = cycle.cap_reservations[index] else {
+                account.cap_idle_since_ms = None;
+                continue;
+            };
+            let cap = &account.limits.cap;
+            let used = cycle.usage[index].total;
+            let is_idle =
+                remaining(cap, &used).holds(&reservation.reserved) || is_mostly_unused(cap, &used);
+            if !is_idle {
+                account.cap_idle_since_ms = None;
+                continue;
+            }
+            let idle_since_ms = *account.cap_idle_since_ms.get_or_insert(now_ms);
+            let idle_ms = now_ms - idle_since_ms;
+            if idle_ms < IDLE_RESERVATION_MAX_MS {
+                continue;
+            }
+            account.cap_idle_since_ms = None;
+            account.suspended_until_ms = now_ms + SUSPENSION_MS;
+            cycle.cap_reservations[index] = None;
+            let customer = &account.limits.name;
+            tracing::info!(%customer, step = %reservation.step, idle_ms, "reservation of a customer's cap suspended: much of the cap is unused");
+        }
     }
 
     /// Reserves what a waiting gang needs of its customer's cap against later work of the
@@ -240,7 +287,8 @@
     ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(customer) = job.customer else { return };
-        if !job.step_states[step_index].can_start_later {
+        let is_suspended = self.now_ms < self.customers.get(customer).suspended_until_ms;
+        if is_suspended || !job.step_states[step_index].can_start_later {
             return;
         }
         let tasks = job.step_states[step_index].tasks.len() as u64;
@@ -326,6 +374,14 @@
     }
 }
 
+/// Whether less than half of a cap is used, of each limited resource.
+fn is_mostly_unused(cap: &Resources, used: &Resources) -> bool {
+    let is_unused = |cap: u64, used: u64| cap == 0 || used.saturating_mul(2) < cap;
+    is_unused(cap.cpu_millis, used.cpu_millis)
+        && is_unused(cap.memory_bytes, used.memory_bytes)
+        && is_unused(cap.accelerators, used.accelerators)
+}
+
 /// What remains of a cap; unlimited for a resource whose cap is 0.
 fn remaining(cap: &Resources, used: &Resources) -> Resources {
     let remaining =
