Let work of a customer use a reserved part of its cap if it ends in time

While a gang waited for its customer's cap, no other work of the customer started, also if it would have ended long before the last of the running tasks. The time at which the cap is expected to have capacity for the gang is now estimated from the remaining times of the customer's tasks, as for reserved workers, and work that ends by then may start. The estimate is kept until 2 s after it has passed, so that tasks that run longer than expected do not keep the gang waiting for ever.

--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -18,6 +18,8 @@
 use crate::jobs::job::Task;
 use crate::placement::candidates::Cycle;
 use crate::placement::place::OrderKey;
+use crate::placement::reserve::RESERVATION_OVERDUE_MAX_MS;
+use crate::placement::reserve::RESERVATION_REFRESH_MS;
 
 /// Size of a customer's token bucket for arriving jobs, in seconds of its weight.
 const BURST_S: f64 = 2.0;
@@ -70,6 +72,7 @@
     cap_idle_since_ms: Option<u64>,
     /// Until when nothing is reserved of the cap.
     suspended_until_ms: u64,
+    forecast: Option<CapForecast>,
     pressure: CapPressure,
 }
 
@@ -91,6 +94,7 @@
             refilled_unix_ms: 0,
             cap_idle_since_ms: None,
             suspended_until_ms: 0,
+            forecast: None,
             pressure: CapPressure::default(),
         }
     }
@@ -103,6 +107,17 @@
     order: OrderKey,
     step: StepId,
     reserved: Resources,
+    /// When the cap is expected to have capacity for the gang.
+    until_ms: u64,
+}
+
+/// When the cap is expected to have capacity for the gang that waits for it.
+#[derive(Clone, Copy, Debug)]
+struct CapForecast {
+    step: StepId,
+    until_ms: u64,
+    /// When that was estimated.
+    made_ms: u64,
 }
 
 impl Customers {
@@ -208,6 +223,7 @@
         if let Some(Some(reservation)) = cycle.cap_reservations.get(customer.0)
             && reservation.step != step
             && reservation.order < order
+            && self.now_ms + self.assumed_task_ms(step) > reservation.until_ms
         {
             used = used.plus(&reservation.reserved);
         }
@@ -239,6 +255,71 @@
             }
         }
         self.suspend_idle_reservations(cycle);
+        self.forecast_caps(cycle);
+    }
+
+    /// Estimates when each cap has capacity for the gang that waits for it. Until then other work
+    /// may use the reserved part if it ends in time.
+    ///
+    /// The estimate is kept: tasks that run longer than expected would otherwise let further ones
+    /// in, and the gang would never start.
+    fn forecast_caps(&mut self, cycle: &mut Cycle) {
+        let now_ms = self.now_ms;
+        for index in 0..self.customers.len() {
+            let Some(reservation) = cycle.cap_reservations[index] else {
+                self.customers.accounts[index].forecast = None;
+                continue;
+            };
+            let kept = self.customers.accounts[index].forecast.filter(|forecast| {
+                forecast.step == reservation.step
+                    && now_ms < forecast.until_ms + RESERVATION_OVERDUE_MAX_MS
+            });
+            let is_recent =
+                |forecast: &CapForecast| now_ms < forecast.made_ms + RESERVATION_REFRESH_MS;
+            let forecast = if let Some(forecast) = kept.filter(is_recent) {
+                forecast
+            } else {
+                let expected_ms = now_ms + self.cap_wait_ms(CustomerId(index), &reservation, cycle);
+                let until_ms = kept.map_or(expected_ms, |kept| expected_ms.min(kept.until_ms));
+                CapForecast { step: reservation.step, until_ms, made_ms: now_ms }
+            };
+            self.customers.accounts[index].forecast = Some(forecast);
+            let until_ms = forecast.until_ms;
+            cycle.cap_reservations[index] = Some(CapReservation { until_ms, ..reservation });
+        }
+    }
+
+    /// The time until a customer's tasks have freed what is reserved of its cap, if no further ones
+    /// start.
+    fn cap_wait_ms(
+        &self,
+        customer: CustomerId,
+        reservation: &CapReservation,
+        cycle: &Cycle,
+    ) -> u64 {
+        let cap = &self.customers.get(customer).limits.cap;
+        let mut used = cycle.usage[customer.0].total;
+        let mut ends: Vec<(u64, Resources)> = Vec::new();
+        for worker in self.workers.values() {
+            if !worker.by_customer.contains_key(&customer) {
+                continue;
+            }
+            for (id, allocation) in &worker.tasks {
+                if allocation.customer == Some(customer) && !allocation.is_long_running {
+                    ends.push((self.remaining_ms(*id), allocation.demand));
+                }
+            }
+        }
+        ends.sort_unstable_by_key(|(remaining_ms, _)| *remaining_ms);
+        let mut wait_ms = 0;
+        for (remaining_ms, demand) in ends {
+            if remaining(cap, &used).holds(&reservation.reserved) {
+                break;
+            }
+            used = used.minus(&demand);
+            wait_ms = remaining_ms;
+        }
+        wait_ms
     }
 
     /// Suspends reservations that have kept more than half of a cap unused for long, or all that
@@ -299,7 +380,8 @@
         }
         let reservation = &mut cycle.cap_reservations[customer.0];
         if reservation.is_none_or(|other| order < other.order) {
-            *reservation = Some(CapReservation { order, step, reserved });
+            let until_ms = self.now_ms;
+            *reservation = Some(CapReservation { order, step, reserved, until_ms });
         }
     }
 
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -348,6 +348,12 @@
         self.estimates.expected_ms(&job.spec.queue.name, estimate_ms)
     }
 
+    /// How long a task of the step is assumed to run if it uses capacity that is reserved for
+    /// others until then.
+    pub(crate) fn assumed_task_ms(&self, step: StepId) -> u64 {
+        self.expected_task_ms(step) * ASSUMED_DURATION_PERCENT / 100
+    }
+
     /// How long the step could still wait without making its job late; negative if the job
     /// will be late even if the step starts now.
     pub(crate) fn slack_ms(&self, key: QueueKey, step: StepId) -> i64 {
@@ -425,8 +431,7 @@
         }
         let candidates = self.candidates(step, step_index, &spec, &eligible, cycle);
         let headroom = self.headroom(step, key);
-        let expected_end_ms =
-            self.now_ms + self.expected_task_ms(step) * ASSUMED_DURATION_PERCENT / 100;
+        let expected_end_ms = self.now_ms + self.assumed_task_ms(step);
         let request =
             PlacementRequest { step, service, spec: &spec, priority, expected_end_ms, headroom };
         let has_candidates = !candidates.is_empty();
--- a/crates/pool/src/placement/reserve.rs
+++ b/crates/pool/src/placement/reserve.rs
@@ -39,9 +39,9 @@
 const RESERVATION_MIN_PERCENT: u64 = 30;
 /// How long a choice of workers is kept. Choosing anew goes through all tasks on all
 /// workers that the gang may use.
-const RESERVATION_REFRESH_MS: u64 = 300;
+pub(crate) const RESERVATION_REFRESH_MS: u64 = 300;
 /// How long the end of a reservation is kept after it has passed.
-const RESERVATION_OVERDUE_MAX_MS: u64 = 2_000;
+pub(crate) const RESERVATION_OVERDUE_MAX_MS: u64 = 2_000;
 /// How long all reserved places may be free before the reservation is suspended.
 const IDLE_RESERVATION_MAX_MS: u64 = 2_500;
 /// How long a reservation is suspended. Other work takes the places meanwhile.
@@ -333,7 +333,7 @@
 
     /// Estimates the remaining time of a placed task, from its progress if there is enough of
     /// it, else from its expected duration.
-    fn remaining_ms(&self, id: TaskId) -> u64 {
+    pub(crate) fn remaining_ms(&self, id: TaskId) -> u64 {
         let Some(job) = self.jobs.get(&id.step.job).filter(|job| job.outcome.is_none()) else {
             return OVERDUE_MS;
         };
