Simulate wide gangs of customers near their caps, and check that no job waits needlessly

Random jobs of two customers, a fifth of them gangs of 20 to 35 tasks that need 50 to 98% of the cap, half of them with an advisor, while runs fail and the leader changes.

--- a/crates/pool/tests/customers.rs
+++ b/crates/pool/tests/customers.rs
@@ -346,6 +346,84 @@
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
 
+/// A job of a customer with this cap: a wide gang that needs most of it, or small work, some of it
+/// long and some of it on workers that the advisor has to grant.
+fn random_job_below(cap: Resources, rng: &mut Pcg64) -> JobSpec {
+    let mut rules = queue(rng.random_range(0..3));
+    if rng.random_range(0..2) == 0 {
+        rules.name.push_str("-advised");
+        rules.advice = Some(AdviceSpec { decide_ms: 100.0, each_ms: 1.0, valid_ms: 3_000 });
+    }
+    rules.target_ms = rng.random_range(1_000..60_000);
+    let steps = match rng.random_range(0..10) {
+        0..2 => {
+            let tasks = rng.random_range(20..=35);
+            let percent = rng.random_range(50..=98);
+            let cpu_millis = cap.cpu_millis * percent / 100 / u64::from(tasks);
+            let mut wide = step(tasks, cpu_millis, rng.random_range(200..2_500));
+            wide.gang = true;
+            vec![wide]
+        }
+        2 => vec![step(rng.random_range(1..3), 2_000, rng.random_range(5_000..12_000))],
+        3 => {
+            let mut second = step(rng.random_range(1..9), 1_000, 800);
+            second.after.push(0);
+            vec![step(rng.random_range(1..4), 1_000, 500), second]
+        }
+        _ => {
+            let cpu_millis = rng.random_range(200..2_000);
+            vec![step(rng.random_range(1..5), cpu_millis, rng.random_range(100..2_500))]
+        }
+    };
+    job(rules, steps)
+}
+
+/// Runs random jobs, many of them wide gangs, of two customers near their caps while runs fail and
+/// the leader changes, on more workers than the caps need.
+fn simulate_wide_gangs(seed: u64) -> Result<(), String> {
+    let mut rng = Pcg64::seed_from_u64(seed ^ 0x9a29);
+    let mut draw =
+        |limit: u32| if rng.random_range(0..3) == 0 { rng.random_range(0..limit) } else { 0 };
+    let faults = Faults { failed_runs: draw(200), failovers: draw(10), ..Faults::default() };
+    let mut world = World::new(seed, 20, faults);
+    world.advice_ms = rng.random_range(20..900);
+    let names = ["a", "b"].map(CustomerName::new);
+    for name in &names {
+        world.set_cap(name, 10.0, cpu(rng.random_range(CAP_MIN_MILLIS..60_000)));
+    }
+    for number in 0..40 {
+        let customer = &names[rng.random_range(0..names.len())];
+        let cap = world.customers[customer].cap;
+        let spec = random_job_below(cap, &mut rng);
+        world.submit(number, with_customer(spec, customer.as_str(), cap));
+        world.run(rng.random_range(20..400));
+    }
+    for _ in 0..160 {
+        world.run(500);
+        if world.open_jobs().is_empty() {
+            break;
+        }
+    }
+    let Waits { too_long_ms, first, .. } = &world.waits;
+    if let Some(first) = first {
+        return Err(format!("{first}\n{too_long_ms:?}, {faults:?}"));
+    }
+    if let Some(first) = world.violations.first() {
+        return Err(format!("{first} ({} in all), {faults:?}", world.violations.len()));
+    }
+    if let Some(open) = world.open_jobs().first() {
+        return Err(format!("{open} is not finished:\n{}\n{faults:?}", world.explain(*open)));
+    }
+    Ok(())
+}
+
+/// Guards against a job that has nothing running for long although its customer uses under half
+/// of its cap and there is ample room for it, whatever wide gangs wait.
+#[test]
+fn no_job_waits_needlessly_beside_wide_gangs() {
+    World::check_seeds(SEEDS, |seed| simulate_wide_gangs(seed).map(|()| 0));
+}
+
 /// Guards against a job that waits for its customer's cap without an explanation that says
 /// so.
 #[test]
