Reserve nothing of a cap until a new leader has given other work its turn

After a change of the leader the time for which a reservation has kept a cap unused began anew: with a change in the middle of it, small jobs waited for both. A new leader now reserves nothing for the 2 s after which such a reservation is suspended.

--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -368,7 +368,10 @@
     ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(customer) = job.customer else { return };
-        let is_suspended = self.now_ms < self.customers.get(customer).suspended_until_ms;
+        // How long an earlier leader has kept the cap unused is not known.
+        let first_ms = self.started_ms + IDLE_RESERVATION_MAX_MS;
+        let suspended_until_ms = self.customers.get(customer).suspended_until_ms;
+        let is_suspended = self.now_ms < suspended_until_ms.max(first_ms);
         if is_suspended || !job.step_states[step_index].can_start_later {
             return;
         }
