Begin cycles whose time is short with the steps that have new tickets

Now a cycle that follows one whose time was up begins with the steps that have new tickets.

steps_with_new_tickets_start_while_each_decision_comes_to_few fails without the change (no start for 3 s) and passes with it; all tests of the pool pass.

--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -167,6 +167,7 @@
                     let ticket = Ticket { text: grant.ticket, incarnation, expires_ms };
                     advice.grant(worker.index, ticket);
                 }
+                self.answered.insert(step);
             }
         }
         self.start_reserved_tasks(step);
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -213,6 +213,8 @@
     next_front_ms: u64,
     /// Where the next cycle goes on with steps that are not urgent; `None` at the first one.
     resume_at: Option<OrderKey>,
+    /// Steps that were granted workers since a cycle last looked at them.
+    answered: BTreeSet<StepId>,
     cycle_work: CycleWork,
     pair_count: PairCount,
     gang_counts: GangCounts,
@@ -292,6 +294,7 @@
             front_end: None,
             next_front_ms: 0,
             resume_at: None,
+            answered: BTreeSet::new(),
             cycle_work: CycleWork::default(),
             pair_count: PairCount::default(),
             gang_counts: GangCounts::default(),
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -93,6 +93,8 @@
     urgent: Vec<(OrderKey, StepId)>,
     /// All others; those that are late come last.
     others: Vec<(OrderKey, StepId)>,
+    /// How many of the others come first because they have new tickets.
+    answered: usize,
 }
 
 /// The place of a step among those that a cycle visits after the urgent ones.
@@ -107,7 +109,8 @@
     /// the time is up.
     ///
     /// Urgent steps come first. A cycle whose time is up goes on with the others where the one
-    /// before stopped, so that none is left out for ever.
+    /// before stopped, so that none is left out for ever. It begins with steps that have new
+    /// tickets, which would expire before their turn.
     pub(crate) fn place(&mut self, mut is_time_up: impl FnMut() -> bool) {
         if self.queue.is_empty() {
             return;
@@ -121,7 +124,7 @@
             reserved_max: cycle.workers.len() * RESERVED_PERCENT / 100,
             infeasible_demands: Vec::new(),
         };
-        let DueOrder { urgent, others } = self.due_order();
+        let DueOrder { urgent, others, answered } = self.due_order();
         self.reserve_caps(&urgent, &others, &mut cycle);
         let mut visited: Vec<(QueueKey, StepId)> = Vec::with_capacity(urgent.len() + others.len());
         let all_urgent = urgent.len();
@@ -133,11 +136,11 @@
             self.visit(order, step, &mut cycle, &mut progress);
         }
         let mut is_limited = visited.len() < all_urgent;
-        self.resume_at = None;
+        let resumed_at = self.resume_at.take();
         for (position, (order, step)) in others.into_iter().enumerate() {
             if position >= OTHER_STEPS_MIN && (is_limited || is_time_up()) {
                 is_limited = true;
-                self.resume_at = Some(order);
+                self.resume_at = if position < answered { resumed_at } else { Some(order) };
                 break;
             }
             visited.push((order.key, step));
@@ -147,8 +150,11 @@
         if is_limited {
             self.cycle_work.limited += 1;
             self.cycle_due = true;
+        } else {
+            self.answered.clear();
         }
         for (key, step) in visited {
+            self.answered.remove(&step);
             if self.is_in_backoff(step) {
                 self.park(key, step);
             }
@@ -323,11 +329,17 @@
             }
         }
         others.append(&mut late);
+        let mut answered = 0;
         if let Some(resume_at) = self.resume_at {
             let passed = others.partition_point(|(order, _)| *order < resume_at);
             others.rotate_left(passed);
+            let has_new_tickets = |(_, step): &(OrderKey, StepId)| self.answered.contains(step);
+            let (first, rest): (Vec<_>, Vec<_>) = others.into_iter().partition(has_new_tickets);
+            answered = first.len();
+            others = first;
+            others.extend(rest);
         }
-        DueOrder { urgent, others }
+        DueOrder { urgent, others, answered }
     }
 
     /// Whether a cycle can skip a step because of its backoff. Waiting gangs are not
--- a/crates/pool/tests/decision_time.rs
+++ b/crates/pool/tests/decision_time.rs
@@ -4,8 +4,10 @@
 
 use std::time::Duration;
 
+use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
+use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StepSpec;
 
 use self::world::Charge;
@@ -91,3 +93,28 @@
     assert_eq!(world.state(1_000), Some(JobState::Completed));
     assert!(world.violations.is_empty(), "{:?}", world.violations.first());
 }
+
+/// Guards against tickets that expire because the decisions before their step's turn go to steps
+/// that have none yet, so that nothing starts beside free workers.
+#[test]
+fn steps_with_new_tickets_start_while_each_decision_comes_to_few() {
+    let mut world = World::new(73, 40, Faults::default());
+    world.set_advisor_daemons(30);
+    world.granted_of_five = 5;
+    world.tickets_expire = true;
+    world.advice_ms = 300;
+    world.run(300);
+    let advice = AdviceSpec { decide_ms: 20.0, each_ms: 0.1, valid_ms: 1_000 };
+    for number in 0..2_000 {
+        let queue = QueueSpec { target_ms: 60_000, advice: Some(advice), ..queue(1) };
+        world.submit(number, job(queue, vec![step(1, 1_000, 500)]));
+    }
+    world.decision_steps_max = Some(0);
+    let mut starts = world.starts;
+    for second in (0..12).step_by(3) {
+        world.run(3_000);
+        assert!(world.starts > starts, "no start for 3 s after {second} s");
+        starts = world.starts;
+    }
+    assert!(world.violations.is_empty(), "{:?}", world.violations.first());
+}
