Test that a takeover reads only failed pages again, also through other daemons

- A whole table is one call through another daemon, with a limit of 1.5 s.

The fake store reads its tables in partitions and pages, as the adapter does, with the adapter's retries.

--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -8,6 +8,8 @@
 pub mod proxy;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -24,15 +26,18 @@
 use stoatwell_node::Platform;
 use stoatwell_node::Row;
 use stoatwell_node::Rows;
+use stoatwell_node::Shard;
 use stoatwell_node::StoreError;
 use stoatwell_node::Table;
 use stoatwell_node::Transaction;
 use stoatwell_node::WorkerChanges;
+use stoatwell_node::shard;
 use stoatwell_pool::CallError;
 use stoatwell_pool::EndedRun;
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
+use stoatwell_pool::PARTITIONS;
 use stoatwell_pool::PaceCall;
 use stoatwell_pool::RunOutcome;
 use stoatwell_pool::StartCall;
@@ -56,6 +61,23 @@
 /// Most changes in a response of the store's change feed.
 const FEED_ROWS_MAX: u64 = 500;
 
+/// Most rows in a page of a table.
+const PAGE_ROWS_MAX: usize = 100;
+
+/// Attempts to read a partition before the read of its whole table fails.
+const PARTITION_ATTEMPTS: usize = 5;
+/// Delay between two of them.
+const PARTITION_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// How the store fails a call that reads a page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageFault {
+    /// It refuses the call.
+    Refused,
+    /// It does not answer the call.
+    Unanswered,
+}
+
 /// How the store responds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreBehavior {
@@ -105,6 +127,9 @@
     heartbeats: Option<Heartbeats>,
     whole_reads: Mutex<BTreeMap<String, usize>>,
     calls_per_read: AtomicUsize,
+    page_calls: Mutex<BTreeMap<String, usize>>,
+    /// The faults of the next calls, by table and partition.
+    page_faults: Mutex<BTreeMap<(String, usize), VecDeque<Option<PageFault>>>>,
 }
 
 /// Entries in the list of workers that are rewritten in turn.
@@ -218,6 +243,108 @@
         self.calls_per_read.store(calls, Ordering::Relaxed);
     }
 
+    /// Fails the next calls that read a page of a partition; `None` answers the call.
+    pub fn fail_pages(&self, table: Table, partition: usize, faults: &[Option<PageFault>]) {
+        let key = (table.to_string(), partition);
+        let mut page_faults = self.page_faults.lock().expect("no panic");
+        page_faults.insert(key, faults.iter().copied().collect());
+    }
+
+    /// The number of calls of this daemon that read a page of a table.
+    pub fn page_calls(&self, table: Table) -> usize {
+        let counts = self.page_calls.lock().expect("no panic");
+        counts.get(&table.to_string()).copied().unwrap_or(0)
+    }
+
+    /// The number of pages that a table has.
+    pub fn pages(&self, table: Table) -> usize {
+        let mut rows = [0; PARTITIONS];
+        for row in self.rows(table) {
+            if let Shard::Jobs(partition) = shard(table, &row.key) {
+                rows[partition] += 1;
+            }
+        }
+        rows.iter().map(|rows: &usize| rows.div_ceil(PAGE_ROWS_MAX).max(1)).sum()
+    }
+
+    /// The rows of a partition after a key, at most those of a page.
+    fn page(&self, table: Table, partition: usize, after: &str) -> Rows {
+        let state = self.state.lock().expect("no panic");
+        let first = Bound::Excluded((table.to_string(), after.to_owned()));
+        let rows = state.rows.range((first, Bound::Unbounded));
+        let rows = rows
+            .take_while(|((name, _), _)| *name == table.to_string())
+            .filter(|((_, key), _)| shard(table, key) == Shard::Jobs(partition));
+        let mut rows: Vec<Row> = rows
+            .take(PAGE_ROWS_MAX + 1)
+            .map(|((_, key), (value, version))| Row {
+                key: key.clone(),
+                value: Some(value.clone()),
+                version: *version,
+            })
+            .collect();
+        let has_more = rows.len() > PAGE_ROWS_MAX;
+        rows.truncate(PAGE_ROWS_MAX);
+        Rows { rows, version: state.version, has_more }
+    }
+
+    /// Makes a call that reads a page of a partition.
+    async fn call_page(
+        &self,
+        table: Table,
+        partition: usize,
+        after: &str,
+    ) -> Result<Rows, StoreError> {
+        *self.page_calls.lock().expect("no panic").entry(table.to_string()).or_default() += 1;
+        let fault = {
+            let mut page_faults = self.page_faults.lock().expect("no panic");
+            let faults = page_faults.get_mut(&(table.to_string(), partition));
+            faults.and_then(VecDeque::pop_front).flatten()
+        };
+        match fault {
+            Some(PageFault::Refused) => return Err(StoreError::Refused),
+            Some(PageFault::Unanswered) => return call_without_response(0).await,
+            None => {}
+        }
+        if after.is_empty() {
+            let calls = self.calls_per_read.load(Ordering::Relaxed);
+            let own_calls = calls / PARTITIONS + usize::from(partition < calls % PARTITIONS);
+            for _ in 0..own_calls {
+                tokio::time::sleep(CALL_DURATION).await;
+            }
+        }
+        if let Some(error) = self.read_error() {
+            return Err(error);
+        }
+        Ok(self.page(table, partition, after))
+    }
+
+    /// Reads a partition from its first page on.
+    async fn read_partition(&self, table: Table, partition: usize) -> Result<Rows, StoreError> {
+        let mut all = self.call_page(table, partition, "").await?;
+        while all.has_more {
+            let after = all.rows.last().map_or("", |row| &row.key).to_owned();
+            let page = self.call_page(table, partition, &after).await?;
+            all.rows.extend(page.rows);
+            all.has_more = page.has_more;
+        }
+        Ok(all)
+    }
+
+    async fn read_partition_with_retries(
+        &self,
+        table: Table,
+        partition: usize,
+    ) -> Result<Rows, StoreError> {
+        for _ in 1..PARTITION_ATTEMPTS {
+            if let Ok(rows) = self.read_partition(table, partition).await {
+                return Ok(rows);
+            }
+            tokio::time::sleep(PARTITION_RETRY_DELAY).await;
+        }
+        self.read_partition(table, partition).await
+    }
+
     /// The number of reads of a whole table by this daemon.
     pub fn whole_reads(&self, table: Table) -> usize {
         let counts = self.whole_reads.lock().expect("no panic");
@@ -486,9 +613,6 @@
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
         self.hang_if_silent().await?;
         *self.whole_reads.lock().expect("no panic").entry(table.to_string()).or_default() += 1;
-        for _ in 0..self.calls_per_read.load(Ordering::Relaxed) {
-            tokio::time::sleep(CALL_DURATION).await;
-        }
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -498,7 +622,16 @@
         if let Some(stale) = self.stale_read(table) {
             return Ok(stale);
         }
-        Ok(Rows { rows: self.rows(table), version: self.version(), has_more: false })
+        if !matches!(table, Table::Jobs | Table::Cancels | Table::Progress) {
+            return Ok(Rows { rows: self.rows(table), version: self.version(), has_more: false });
+        }
+        let mut all = Rows { version: u64::MAX, ..Rows::default() };
+        for partition in 0..PARTITIONS {
+            let rows = self.read_partition_with_retries(table, partition).await?;
+            all.rows.extend(rows.rows);
+            all.version = all.version.min(rows.version);
+        }
+        Ok(all)
     }
 
     async fn poll_changes(
--- a/crates/node/tests/store_relay.rs
+++ b/crates/node/tests/store_relay.rs
@@ -11,6 +11,7 @@
 use stoatwell_node::DaemonInfo;
 use stoatwell_node::Node;
 use stoatwell_node::Platform;
+use stoatwell_node::SchedulerRequest;
 use stoatwell_node::StoreError;
 use stoatwell_node::Table;
 use stoatwell_node::Transaction;
@@ -39,6 +40,11 @@
 const GAP_MAX: Duration = Duration::from_millis(500);
 /// A leader reads the list of daemons in this time.
 const LIST_TIME: Duration = Duration::from_millis(2_300);
+/// Calls to the store for one table, one after another. Together they take longer than a relayed
+/// call may.
+const LONG_READ_CALLS: usize = 640;
+/// The longest takeover through other daemons.
+const TAKEOVER_MAX: Duration = Duration::from_secs(5);
 /// Time between two submissions.
 const SUBMIT_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -143,6 +149,34 @@
     assert_eq!(failed, 0);
 }
 
+/// Guards against a new leader that never reads its tables through other daemons because each of
+/// them takes longer than one relayed call may.
+#[tokio::test]
+async fn a_rejected_new_leader_reads_long_tables_through_others() {
+    let mut pool = Deployment::start().await;
+    let last = Arc::new(pool.store.for_other_daemon());
+    pool.others.push((Arc::clone(&last), start("d", &last).await));
+    for (other, _) in &pool.others {
+        other.set_calls_per_read(LONG_READ_CALLS);
+    }
+    tokio::time::sleep(LIST_TIME).await;
+    pool.leader.stop().await;
+    let is_reading = |other: &FakePlatform| other.page_calls(Table::Jobs) > 0;
+    wait_until("the next leader", 5_000, || pool.others.iter().any(|(other, _)| is_reading(other)))
+        .await;
+    let next = pool.others.iter().find(|(other, _)| is_reading(other));
+    let (rejected, next) = next.expect("one of them reads");
+    rejected.set_behavior(StoreBehavior::Resets);
+    let began = Instant::now();
+    wait_until("the scheduler", 3_000, || next.scheduler().is_some()).await;
+    let (reply_sender, reply) = tokio::sync::oneshot::channel();
+    let request = SchedulerRequest::State(JobId(0), reply_sender);
+    next.scheduler().expect("it leads").send(request).await.expect("it schedules");
+    let reply = tokio::time::timeout(TAKEOVER_MAX, reply).await;
+    println!("{:?} after the rejection", began.elapsed());
+    assert!(reply.is_ok(), "the new leader is not ready");
+}
+
 /// Guards against a rejected daemon that does not lead and finds no other daemon: the leader takes
 /// no submissions, and only tells the list of daemons.
 #[tokio::test]
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -21,6 +21,7 @@
 use tokio::sync::oneshot;
 
 use self::fake::FakePlatform;
+use self::fake::PageFault;
 use self::fake::StoreBehavior;
 use self::fake::daemon::job;
 use self::fake::daemon::start;
@@ -35,6 +36,9 @@
 /// The longest takeover with that many jobs.
 const TAKEOVER_MAX: Duration = Duration::from_secs(1);
 
+/// The longest takeover in which one call gets no answer.
+const UNANSWERED_TAKEOVER_MAX: Duration = Duration::from_millis(1_400);
+
 /// Writes jobs of 20 tasks, most of them finished.
 async fn write_jobs(store: &FakePlatform) {
     let step = StepSpec { tasks: 20, estimate_ms: 3_000, ..StepSpec::default() };
@@ -136,3 +140,22 @@
     assert_eq!(store.whole_reads(Table::Jobs), 2);
     node.stop().await;
 }
+
+/// Guards against a takeover that reads whole partitions or tables again because the store refused
+/// some pages of them or did not answer, and that waits for an answer that never comes.
+#[tokio::test]
+async fn only_failed_pages_are_read_again() {
+    let store = Arc::new(FakePlatform::default());
+    write_jobs(&store).await;
+    let refused = [PageFault::Refused; 6].map(Some);
+    store.fail_pages(Table::Jobs, 3, &refused);
+    store.fail_pages(Table::Progress, 5, &[&[None], refused.as_slice()].concat());
+    store.fail_pages(Table::Cancels, 7, &[Some(PageFault::Unanswered)]);
+    let took = measure_takeover(&store).await;
+    for (table, failed) in [(Table::Jobs, 6), (Table::Progress, 6), (Table::Cancels, 1)] {
+        let (calls, pages) = (store.page_calls(table), store.pages(table));
+        println!("{table}: {calls} calls for {pages} pages, {failed} failed, {took:?}");
+        assert_eq!(calls, pages + failed, "{table}");
+    }
+    assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
+}
