Takeover: keep what was read, and read only failed pages again

Cause: a new leader read each table as one call of the platform. A page that failed started its partition again from the first page, five failures of a partition all 32, and so did a recovery of the store that was noticed meanwhile (`abort_on_recovery`) and a new path to the store. Through another daemon a whole table was one call that may take 1.5 s and 12 MB; a table beyond either never came, and each attempt put a working relay aside. A call without an answer was waited for until its timeout of 1.5 s, page after page.

Change: the platform reads a page (`Platform::read_page`); a new `TableReader` in the node puts pages together. Whole reads after a lost history use the reader, too.

Why nothing older than the claim is used: a response holds all rows of its range of keys as of its version, and the ranges of a partition follow each other without a gap, each beginning right after the last key before. Every page has to have the version of the claim (before, only the first page of a partition), so each row that a former leader wrote, and each removal, is in it: after the fences no former leader writes. Rows that others write later have a greater version than the lowest page, and the polls for changes begin there. A duplicate answer of a read has no effect.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod relay;
 mod store_watcher;
 mod submissions;
+mod table_reader;
 mod takeover;
 mod tasks;
 mod telemetry;
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -84,7 +84,8 @@
     pub rows: Vec<Row>,
     /// The version of the whole store; changes are polled from here on.
     pub version: u64,
-    /// Whether more changes may follow at once, because one response did not hold them all.
+    /// Whether more changes may follow at once, or more rows, because one response did not hold
+    /// them all.
     pub has_more: bool,
 }
 
@@ -158,15 +159,15 @@
     /// change is either in the rows or returned by a poll from that version.
     fn read_all(&self, table: Table) -> impl Future<Output = Result<Rows, StoreError>> + Send;
 
-    /// Reads a whole table like [`Self::read_all`], preferably at this version or later. A store with
-    /// partitions may read only those again that are older. The result may be older all the same.
-    fn read_all_at_least(
+    /// Reads a page of a table: the rows of the partition of jobs with this index whose keys
+    /// follow `after`, in ascending order, as many as one response holds. They are as of the
+    /// returned version; `has_more` tells whether rows with greater keys follow.
+    fn read_page(
         &self,
         table: Table,
-        _version: u64,
-    ) -> impl Future<Output = Result<Rows, StoreError>> + Send {
-        self.read_all(table)
-    }
+        partition: usize,
+        after: &str,
+    ) -> impl Future<Output = Result<Rows, StoreError>> + Send;
 
     /// Returns the changes to a table after a version, waiting up to `wait_ms` for the first.
     /// One response may hold only a part of them, the oldest first.
--- a/crates/node/src/relay/call.rs
+++ b/crates/node/src/relay/call.rs
@@ -20,6 +20,8 @@
 /// Time limit of a relayed write or read of one row. It is shorter than the timeout of a write of
 /// jobs, so that the failure is counted against the daemon that did not answer.
 const SHORT_LIMIT_MS: u64 = 500;
+/// Time limit of a relayed read of a page.
+const PAGE_LIMIT_MS: u64 = 1_000;
 /// Time limit of a relayed read of a whole table, and of a long poll beyond its wait.
 const LONG_LIMIT_MS: u64 = 1_500;
 
@@ -61,6 +63,15 @@
     },
     /// [`Platform::confirm_manifest`].
     ConfirmManifest(u64),
+    /// [`Platform::read_page`].
+    ReadPage {
+        /// The table.
+        table: Table,
+        /// The index of the partition.
+        partition: usize,
+        /// The key that the rows follow.
+        after: String,
+    },
 }
 
 /// The store's answer to a call.
@@ -93,7 +104,10 @@
 
     /// Whether the call reads a whole table, or waits for changes.
     pub fn is_long(&self) -> bool {
-        !matches!(self, Self::Transact(_) | Self::Read(..) | Self::ConfirmManifest(_))
+        !matches!(
+            self,
+            Self::Transact(_) | Self::Read(..) | Self::ReadPage { .. } | Self::ConfirmManifest(_)
+        )
     }
 
     /// The approximate size of what the call writes, in bytes.
@@ -106,6 +120,7 @@
     pub fn limit(&self) -> Duration {
         let limit_ms = match self {
             Self::Transact(_) | Self::Read(..) => SHORT_LIMIT_MS,
+            Self::ReadPage { .. } => PAGE_LIMIT_MS,
             Self::PollChanges { wait_ms, .. }
             | Self::PollWorkerChanges { wait_ms, .. }
             | Self::PollManifest { wait_ms, .. } => wait_ms + LONG_LIMIT_MS,
@@ -139,6 +154,9 @@
                 let (manifest, version) = platform.poll_manifest(after, wait_ms).await?;
                 StoreReply::Manifest(manifest, version)
             }
+            Self::ReadPage { table, partition, after } => {
+                StoreReply::Rows(platform.read_page(table, partition, &after).await?)
+            }
             Self::ConfirmManifest(row_version) => {
                 StoreReply::Confirmation(platform.confirm_manifest(row_version).await?)
             }
--- a/crates/node/src/relay/store.rs
+++ b/crates/node/src/relay/store.rs
@@ -255,9 +255,14 @@
         result
     }
 
-    async fn read_all_at_least(&self, table: Table, version: u64) -> Result<Rows, StoreError> {
-        let own = || self.own.read_all_at_least(table, version);
-        let call = || StoreCall::ReadAll(table);
+    async fn read_page(
+        &self,
+        table: Table,
+        partition: usize,
+        after: &str,
+    ) -> Result<Rows, StoreError> {
+        let own = || self.own.read_page(table, partition, after);
+        let call = || StoreCall::ReadPage { table, partition, after: after.to_owned() };
         self.call(self.leader_read_call(), 0, own, call, rows).await
     }
 
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -1,6 +1,5 @@
 //! Watches the store for the leader: jobs, cancellations, workers and daemons.
 
-use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -28,12 +27,11 @@
 use crate::platform::StoreError;
 use crate::platform::Table;
 use crate::platform::WorkerChanges;
+use crate::table_reader::TableReader;
 use crate::worker_list::WorkerList;
 
 /// How long the store holds a poll for changes open when there are none.
 const POLL_WAIT_MS: u64 = 1_500;
-/// How long the store holds such a poll open while a new leader waits for the rest of a table.
-const CATCH_UP_WAIT_MS: u64 = 100;
 /// Delay before a failed read or poll is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay between two polls for changes to jobs. Daemons notify the leader of the jobs they
@@ -74,73 +72,9 @@
     }
 
     /// Reads a table at a version or later.
-    ///
-    /// A store that lags behind may return the state from before this daemon claimed the
-    /// leader lease. The previous leader wrote until then. If a start that it recorded were
-    /// missing from the state read, the start would be repeated.
-    /// Jobs whose rows were removed since would come back, too.
-    async fn read_at_least(&self, table: Table, version: u64, retry_delay: Duration) -> Rows {
-        loop {
-            let rows = self.retry_until_ok(|| self.platform.read_all(table)).await;
-            if rows.version >= version {
-                return rows;
-            }
-            tracing::warn!(%table, version, found = rows.version, "store returned a stale table; reading again");
-            tokio::time::sleep(retry_delay).await;
-        }
-    }
-
-    /// Reads a table at a version or later, for the reasons of [`Self::read_at_least`]. A stale
-    /// table is completed by the changes that follow. It is read again only if they do not reach
-    /// the version.
-    pub async fn read_once_at_least(&self, table: Table, version: u64) -> Rows {
-        loop {
-            let rows =
-                self.retry_until_ok(|| self.platform.read_all_at_least(table, version)).await;
-            if rows.version >= version {
-                return rows;
-            }
-            let found = rows.version;
-            if let Some(rows) = self.apply_changes(table, rows, version).await {
-                tracing::info!(%table, version, found, "stale table completed by its changes");
-                return rows;
-            }
-            tracing::warn!(%table, version, found, "store returned a stale table; reading again");
-        }
-    }
-
-    /// Applies the changes to a table that follow, until it has a version. `None` if the store has
-    /// lost their history, or returns no more changes: that does not prove that there are none,
-    /// since a store that lags behind does so, too.
-    async fn apply_changes(&self, table: Table, rows: Rows, version: u64) -> Option<Rows> {
-        let mut reached = rows.version;
-        let mut by_key: BTreeMap<String, Row> =
-            rows.rows.into_iter().map(|row| (row.key.clone(), row)).collect();
-        while reached < version {
-            let poll = self.platform.poll_changes(table, reached, CATCH_UP_WAIT_MS);
-            let changes = match self.health.track_read(poll).await {
-                Ok(changes) => changes,
-                Err(error) => {
-                    tracing::warn!(%table, reached, %error, "polling a stale table for changes failed");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                    return None;
-                }
-            };
-            if changes.version <= reached {
-                return None;
-            }
-            reached = changes.version;
-            for row in changes.rows {
-                // The read of a table is not atomic, so it may have newer rows than its version.
-                let is_older =
-                    by_key.get(&row.key).is_some_and(|known| known.version > row.version);
-                if !is_older {
-                    by_key.insert(row.key.clone(), row);
-                }
-            }
-        }
-        let rows = by_key.into_values().filter(|row| row.value.is_some()).collect();
-        Some(Rows { rows, version: reached, has_more: false })
+    pub async fn read_at_least(&self, table: Table, version: u64, reread_delay: Duration) -> Rows {
+        let reader = TableReader::new(&self.platform, &self.health, table);
+        reader.read_at_least(version, reread_delay).await
     }
 
     /// Polls a table for changes after a version, and forwards each new row to the leader's
--- a/crates/node/src/takeover.rs
+++ b/crates/node/src/takeover.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::thread;
+use std::time::Duration;
 
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::CustomerLimits;
@@ -34,6 +35,9 @@
 use crate::platform::WorkerChanges;
 use crate::store_watcher::StoreWatcher;
 
+/// Delay before partitions that are older than the claim are read again.
+const STALE_REREAD_DELAY: Duration = Duration::from_millis(50);
+
 /// What a takeover needs to know of the daemon that leads now.
 #[derive(Debug)]
 pub(crate) struct Takeover<P> {
@@ -147,9 +151,9 @@
         let newest_fence = fence_versions.iter().copied().max().unwrap_or(0);
         let claimed_version = newest_fence.max(self.lease_version);
         let (jobs, cancels, progress) = tokio::join!(
-            store_watcher.read_once_at_least(Table::Jobs, claimed_version),
-            store_watcher.read_once_at_least(Table::Cancels, claimed_version),
-            store_watcher.read_once_at_least(Table::Progress, claimed_version),
+            store_watcher.read_at_least(Table::Jobs, claimed_version, STALE_REREAD_DELAY),
+            store_watcher.read_at_least(Table::Cancels, claimed_version, STALE_REREAD_DELAY),
+            store_watcher.read_at_least(Table::Progress, claimed_version, STALE_REREAD_DELAY),
         );
         let read_ms = steady_ms();
         let mut pool = Pool::new(self.election.clone(), self.limits, steady_ms(), unix_ms());
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -64,11 +64,6 @@
 /// Most rows in a page of a table.
 const PAGE_ROWS_MAX: usize = 100;
 
-/// Attempts to read a partition before the read of its whole table fails.
-const PARTITION_ATTEMPTS: usize = 5;
-/// Delay between two of them.
-const PARTITION_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// How the store fails a call that reads a page.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PageFault {
@@ -125,7 +120,8 @@
     worker: Option<FakeWorker>,
     worker_count: usize,
     heartbeats: Option<Heartbeats>,
-    whole_reads: Mutex<BTreeMap<String, usize>>,
+    /// Reads from the first row on, by table and partition.
+    whole_reads: Mutex<BTreeMap<(String, usize), usize>>,
     calls_per_read: AtomicUsize,
     page_calls: Mutex<BTreeMap<String, usize>>,
     /// The faults of the next calls, by table and partition.
@@ -162,8 +158,10 @@
     loses_holds: bool,
     manifest: Option<Manifest>,
     snapshot: Rows,
-    /// How many reads of a table are still answered with the snapshot.
+    /// How many reads of a table, or of each of its partitions, are answered with the snapshot.
     stale_reads: Option<(usize, Table)>,
+    /// The reads of each partition since then.
+    stale_partition_reads: [usize; PARTITIONS],
 }
 
 impl FakePlatform {
@@ -216,9 +214,19 @@
         state.snapshot = Rows { rows, version: state.version, has_more: false };
     }
 
-    /// Answers the next `count` reads of a table with the snapshot.
+    /// Answers the next `count` reads of a table, or of each of its partitions, with the snapshot.
     pub fn serve_snapshot(&self, count: usize, table: Table) {
-        self.state.lock().expect("no panic").stale_reads = Some((count, table));
+        let mut state = self.state.lock().expect("no panic");
+        state.stale_reads = Some((count, table));
+        state.stale_partition_reads = [0; PARTITIONS];
+    }
+
+    /// Answers the next read of one partition of a table with the snapshot.
+    pub fn serve_snapshot_of_partition(&self, table: Table, partition: usize) {
+        let mut state = self.state.lock().expect("no panic");
+        state.stale_reads = Some((1, table));
+        state.stale_partition_reads = [1; PARTITIONS];
+        state.stale_partition_reads[partition] = 0;
     }
 
     /// The rows of a table that were written or removed after a version.
@@ -307,6 +315,7 @@
             None => {}
         }
         if after.is_empty() {
+            self.count_whole_read(table, partition);
             let calls = self.calls_per_read.load(Ordering::Relaxed);
             let own_calls = calls / PARTITIONS + usize::from(partition < calls % PARTITIONS);
             for _ in 0..own_calls {
@@ -316,39 +325,25 @@
         if let Some(error) = self.read_error() {
             return Err(error);
         }
-        Ok(self.page(table, partition, after))
-    }
-
-    /// Reads a partition from its first page on.
-    async fn read_partition(&self, table: Table, partition: usize) -> Result<Rows, StoreError> {
-        let mut all = self.call_page(table, partition, "").await?;
-        while all.has_more {
-            let after = all.rows.last().map_or("", |row| &row.key).to_owned();
-            let page = self.call_page(table, partition, &after).await?;
-            all.rows.extend(page.rows);
-            all.has_more = page.has_more;
+        if self.hides(table) {
+            return Err(StoreError::Refused);
         }
-        Ok(all)
+        if let Some(stale) = self.stale_page(table, partition, after) {
+            return Ok(stale);
+        }
+        Ok(self.page(table, partition, after))
     }
 
-    async fn read_partition_with_retries(
-        &self,
-        table: Table,
-        partition: usize,
-    ) -> Result<Rows, StoreError> {
-        for _ in 1..PARTITION_ATTEMPTS {
-            if let Ok(rows) = self.read_partition(table, partition).await {
-                return Ok(rows);
-            }
-            tokio::time::sleep(PARTITION_RETRY_DELAY).await;
-        }
-        self.read_partition(table, partition).await
+    fn count_whole_read(&self, table: Table, partition: usize) {
+        let mut counts = self.whole_reads.lock().expect("no panic");
+        *counts.entry((table.to_string(), partition)).or_default() += 1;
     }
 
-    /// The number of reads of a whole table by this daemon.
+    /// How often this daemon read a table, or the partition of it that it read most often.
     pub fn whole_reads(&self, table: Table) -> usize {
         let counts = self.whole_reads.lock().expect("no panic");
-        counts.get(&table.to_string()).copied().unwrap_or(0)
+        let own = counts.iter().filter(|((name, _), _)| *name == table.to_string());
+        own.map(|(_, count)| *count).max().unwrap_or(0)
     }
 
     /// Stores a newer manifest.
@@ -400,6 +395,22 @@
         Some(state.snapshot.clone())
     }
 
+    /// The snapshot's rows of a partition, if its read is answered with them.
+    fn stale_page(&self, table: Table, partition: usize, after: &str) -> Option<Rows> {
+        let mut state = self.state.lock().expect("no panic");
+        let (count, stale_table) = state.stale_reads?;
+        let reads = &mut state.stale_partition_reads[partition];
+        if stale_table != table || *reads >= count {
+            return None;
+        }
+        *reads += 1;
+        let mut rows = state.snapshot.clone();
+        rows.rows.retain(|row| {
+            row.key.as_str() > after && shard(table, &row.key) == Shard::Jobs(partition)
+        });
+        Some(rows)
+    }
+
     pub fn set_behavior(&self, behavior: StoreBehavior) {
         *self.behavior.lock().expect("no panic") = behavior;
     }
@@ -612,7 +623,7 @@
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
         self.hang_if_silent().await?;
-        *self.whole_reads.lock().expect("no panic").entry(table.to_string()).or_default() += 1;
+        self.count_whole_read(table, 0);
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -622,16 +633,17 @@
         if let Some(stale) = self.stale_read(table) {
             return Ok(stale);
         }
-        if !matches!(table, Table::Jobs | Table::Cancels | Table::Progress) {
-            return Ok(Rows { rows: self.rows(table), version: self.version(), has_more: false });
-        }
-        let mut all = Rows { version: u64::MAX, ..Rows::default() };
-        for partition in 0..PARTITIONS {
-            let rows = self.read_partition_with_retries(table, partition).await?;
-            all.rows.extend(rows.rows);
-            all.version = all.version.min(rows.version);
-        }
-        Ok(all)
+        Ok(Rows { rows: self.rows(table), version: self.version(), has_more: false })
+    }
+
+    async fn read_page(
+        &self,
+        table: Table,
+        partition: usize,
+        after: &str,
+    ) -> Result<Rows, StoreError> {
+        self.hang_if_silent().await?;
+        self.call_page(table, partition, after).await
     }
 
     async fn poll_changes(
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -242,6 +242,8 @@
         StoreCall::Manifest,
         StoreCall::PollManifest { after: 1, wait_ms: 2 },
         StoreCall::ConfirmManifest(u64::MAX),
+        StoreCall::ReadPage { table: Table::Jobs, partition: 31, after: "k".to_owned() },
+        StoreCall::ReadPage { table: Table::Cancels, partition: 0, after: String::new() },
     ];
     for call in calls {
         assert_eq!(decode("call", &encode(&call)), Some(call));
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -159,3 +159,16 @@
     }
     assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
 }
+
+/// Guards against a new leader that reads all partitions again because one of them was stale.
+#[tokio::test]
+async fn only_a_stale_partition_is_read_again() {
+    let store = Arc::new(FakePlatform::default());
+    store.save_snapshot();
+    write_jobs(&store).await;
+    store.serve_snapshot_of_partition(Table::Jobs, 3);
+    measure_takeover(&store).await;
+    for (table, stale) in [(Table::Jobs, 1), (Table::Progress, 0), (Table::Cancels, 0)] {
+        assert_eq!(store.page_calls(table), store.pages(table) + stale, "{table}");
+    }
+}
