Takeover: do not wait for the answer to one write of a fence

Cause: a new leader reads nothing before all 32 partitions are fenced. A write whose answer is lost was waited for until its timeout of 1.5 s, a second loss took another 1.5 s.

Change: a write that has no answer after 500 ms is made once more beside the first one (`hedge`). Both have the same condition, the version of the former fence, so only one of them takes effect; the other one finds the own fence, which ends the claim of that partition, as for any repeated write. A late first write cannot take effect after it.

--- a/crates/node/src/commit/fences.rs
+++ b/crates/node/src/commit/fences.rs
@@ -12,6 +12,7 @@
 
 use crate::commit::encode;
 use crate::health::StoreHealth;
+use crate::hedge::hedge;
 use crate::platform::Platform;
 use crate::platform::Row;
 use crate::platform::StoreError;
@@ -22,6 +23,9 @@
 const CONCURRENT_CLAIMS_MAX: usize = 16;
 /// Delay before a call that the store refused or did not answer is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time after which a write without an answer is made once more. A repeated write finds the fence
+/// of the first one.
+const HEDGE_AFTER: Duration = Duration::from_millis(500);
 
 /// The leader that may write to a partition.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -100,7 +104,8 @@
             put: vec![(Table::Fences, key.clone(), encode(own_fence))],
             remove: Vec::new(),
         };
-        match health.track_write(platform.transact(&transaction)).await {
+        let write = || health.track_write(platform.transact(&transaction));
+        match hedge(HEDGE_AFTER, write).await {
             Ok(version) => return Some(version),
             Err(StoreError::Conflict(rows)) => {
                 let current_row = rows.iter().find(|(table, row)| {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod executors;
 mod gateway;
 mod health;
+mod hedge;
 mod inbox;
 mod job_rows;
 mod leader;
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -126,6 +126,21 @@
     page_calls: Mutex<BTreeMap<String, usize>>,
     /// The faults of the next calls, by table and partition.
     page_faults: Mutex<BTreeMap<(String, usize), VecDeque<Option<PageFault>>>>,
+    /// The calls that are not answered from now on.
+    unanswered: Mutex<Vec<UnansweredCall>>,
+}
+
+/// A call that the store does not answer once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnansweredCall {
+    /// The write of the fence of this partition, which is carried out.
+    WrittenFence(usize),
+    /// The write of the fence of this partition, which is not carried out.
+    LostFence(usize),
+    /// The read of the list of workers.
+    Workers,
+    /// The read of the list of daemons.
+    Daemons,
 }
 
 /// Entries in the list of workers that are rewritten in turn.
@@ -258,6 +273,18 @@
         page_faults.insert(key, faults.iter().copied().collect());
     }
 
+    /// Does not answer these calls, each once.
+    pub fn leave_unanswered(&self, calls: &[UnansweredCall]) {
+        self.unanswered.lock().expect("no panic").extend_from_slice(calls);
+    }
+
+    /// Whether this call is not answered.
+    fn is_unanswered(&self, call: UnansweredCall) -> bool {
+        let mut unanswered = self.unanswered.lock().expect("no panic");
+        let index = unanswered.iter().position(|other| *other == call);
+        index.map(|index| unanswered.swap_remove(index)).is_some()
+    }
+
     /// The number of calls of this daemon that read a page of a table.
     pub fn page_calls(&self, table: Table) -> usize {
         let counts = self.page_calls.lock().expect("no panic");
@@ -565,6 +592,16 @@
     }
 
     async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
+        let mut fences = transaction.put.iter().filter(|(table, ..)| *table == Table::Fences);
+        if let Some(partition) = fences.next().and_then(|(_, key, _)| key.parse().ok()) {
+            if self.is_unanswered(UnansweredCall::LostFence(partition)) {
+                return call_without_response(0).await;
+            }
+            if self.is_unanswered(UnansweredCall::WrittenFence(partition)) {
+                self.write(transaction)?;
+                return call_without_response(0).await;
+            }
+        }
         match self.behavior() {
             StoreBehavior::Normal
             | StoreBehavior::LosesOnePoll
@@ -623,6 +660,9 @@
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
         self.hang_if_silent().await?;
+        if table == Table::Daemons && self.is_unanswered(UnansweredCall::Daemons) {
+            return call_without_response(0).await;
+        }
         self.count_whole_read(table, 0);
         if let Some(error) = self.read_error() {
             return Err(error);
@@ -675,6 +715,9 @@
     }
 
     async fn workers(&self) -> Result<WorkerChanges, StoreError> {
+        if self.is_unanswered(UnansweredCall::Workers) {
+            return call_without_response(0).await;
+        }
         let listed = (0..self.worker_count).map(|number| worker_entry(number, false));
         Ok(WorkerChanges { listed: listed.collect(), ..WorkerChanges::default() })
     }
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -15,6 +15,7 @@
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::Outcome;
+use stoatwell_pool::PARTITIONS;
 use stoatwell_pool::Progress;
 use stoatwell_pool::StepSpec;
 use stoatwell_pool::TaskProgress;
@@ -23,6 +24,7 @@
 use self::fake::FakePlatform;
 use self::fake::PageFault;
 use self::fake::StoreBehavior;
+use self::fake::UnansweredCall;
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
@@ -172,3 +174,16 @@
         assert_eq!(store.page_calls(table), store.pages(table) + stale, "{table}");
     }
 }
+
+/// Guards against a takeover that waits for the answer of one write of a fence until its timeout,
+/// whether or not the fence was written, and against one that gives up because of its own fence.
+#[tokio::test]
+async fn fences_do_not_wait_for_an_answer_that_never_comes() {
+    let store = Arc::new(FakePlatform::default());
+    write_jobs(&store).await;
+    store.leave_unanswered(&[UnansweredCall::WrittenFence(3), UnansweredCall::LostFence(9)]);
+    let took = measure_takeover(&store).await;
+    println!("{took:?}");
+    assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
+    assert_eq!(store.rows(Table::Fences).len(), PARTITIONS);
+}
