Takeover: do not wait for the answer to one read of the lists

Cause: a new leader is not ready before it has the lists of workers and daemons. One lost answer delayed it by the timeout of 1.5 s.

Change: such a read is made once more after 500 ms without a result, beside the first one. Also after a lost history of the list of workers.

--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -17,6 +17,7 @@
 use crate::executors::Executors;
 use crate::gateway::Gateway;
 use crate::health::StoreHealth;
+use crate::hedge::hedge;
 use crate::inbox::InboxSender;
 use crate::job_rows::read_cancellation;
 use crate::job_rows::read_row;
@@ -32,6 +33,8 @@
 
 /// How long the store holds a poll for changes open when there are none.
 const POLL_WAIT_MS: u64 = 1_500;
+/// Time after which a read of a list without an answer is made once more.
+const HEDGE_AFTER: Duration = Duration::from_millis(500);
 /// Delay before a failed read or poll is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Delay between two polls for changes to jobs. Daemons notify the leader of the jobs they
@@ -219,13 +222,13 @@
         }
     }
 
-    /// Retries a read until it succeeds; the store may be down while this daemon leads.
+    /// Retries a read of a list until it succeeds; the store may be down while this daemon leads.
     async fn retry_until_ok<T, F>(&self, call: impl Fn() -> F) -> T
     where
         F: Future<Output = Result<T, StoreError>>,
     {
         loop {
-            match self.health.track_read(call()).await {
+            match hedge(HEDGE_AFTER, || self.health.track_read(call())).await {
                 Ok(value) => return value,
                 Err(error) => {
                     tracing::warn!(%error, "reading state from the store failed; retrying");
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -187,3 +187,16 @@
     assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
     assert_eq!(store.rows(Table::Fences).len(), PARTITIONS);
 }
+
+/// Guards against a takeover that waits for the list of workers or daemons until its timeout.
+#[tokio::test]
+async fn lists_do_not_wait_for_an_answer_that_never_comes() {
+    for call in [UnansweredCall::Workers, UnansweredCall::Daemons] {
+        let store = Arc::new(FakePlatform::default());
+        write_jobs(&store).await;
+        store.leave_unanswered(&[call]);
+        let took = measure_takeover(&store).await;
+        println!("{call:?}: {took:?}");
+        assert!(took < UNANSWERED_TAKEOVER_MAX, "{call:?}: a takeover took {took:?}");
+    }
+}
