--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -124,12 +124,14 @@
     whole_reads: Mutex<BTreeMap<(String, usize), usize>>,
     calls_per_read: AtomicUsize,
     page_calls: Mutex<BTreeMap<String, usize>>,
-    /// The faults of the next calls, by table and partition.
-    page_faults: Mutex<BTreeMap<(String, usize), VecDeque<Option<PageFault>>>>,
+    page_faults: Mutex<PageFaults>,
     /// The calls that are not answered from now on.
     unanswered: Mutex<Vec<UnansweredCall>>,
 }
 
+/// The faults of the next calls that read a page, by table and partition.
+type PageFaults = BTreeMap<(String, usize), VecDeque<Option<PageFault>>>;
+
 /// A call that the store does not answer once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UnansweredCall {
