Takeover: few second calls for pages on a thin link

Change: a table starts with four second calls. One that is answered before the call that it repeats allows two more, up to eight: then answers are lost. One that comes later allows none: then they are only late.

--- a/crates/node/src/table_reader.rs
+++ b/crates/node/src/table_reader.rs
@@ -40,6 +40,14 @@
 const LATENCY_SMOOTHING: u64 = 8;
 /// Calls for one page in flight.
 const ATTEMPTS_MAX: usize = 3;
+/// Calls of a table that may be repeated while they are pending. One that is answered before the
+/// call that it repeats allows two more: the answer of that call was lost. If all answers are only
+/// late, a thin link is full, and would carry the same pages again.
+const HEDGE_CREDITS: u32 = 4;
+/// Upper bound of that number.
+const HEDGE_CREDITS_MAX: u32 = 8;
+/// Delay before a call may be repeated if no repetition is left.
+const HEDGE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Range of the delay before a failed call is made again; it doubles with each failure.
 const RETRY_DELAY: std::ops::RangeInclusive<Duration> =
     Duration::from_millis(50)..=Duration::from_millis(200);
@@ -67,11 +75,18 @@
     refused: u64,
     unanswered: u64,
     hedged: u64,
+    hedge_credits: u32,
     stale_partitions: usize,
     latency_ms: u64,
 }
 
-type Attempt = Result<(Result<Rows, StoreError>, u64), JoinError>;
+/// A call that has ended.
+struct Attempt {
+    result: Result<Rows, StoreError>,
+    took_ms: u64,
+    /// Whether it was made while another one for the page was pending.
+    is_hedge: bool,
+}
 
 impl<P: Platform> TableReader<P> {
     /// Prepares the read of a table.
@@ -81,7 +96,7 @@
             health: Arc::clone(health),
             table,
             permits: Semaphore::new(CONCURRENT_PARTITIONS_MAX),
-            counts: Mutex::default(),
+            counts: Mutex::new(ReadCounts { hedge_credits: HEDGE_CREDITS, ..Default::default() }),
         })
     }
 
@@ -201,29 +216,38 @@
                     retry_delay = (retry_delay * 2).min(*RETRY_DELAY.end());
                 }
                 () = tokio::time::sleep_until(next_attempt), if attempts.len() < ATTEMPTS_MAX => {
+                    let is_hedge = !attempts.is_empty();
+                    let mut counts = self.counts();
+                    if is_hedge && counts.hedge_credits == 0 {
+                        next_attempt = Instant::now() + HEDGE_RETRY_DELAY;
+                        continue;
+                    }
+                    counts.calls += 1;
+                    counts.hedged += u64::from(is_hedge);
+                    counts.hedge_credits -= u32::from(is_hedge);
+                    next_attempt = Instant::now() + hedge_after(counts.latency_ms);
                     let (platform, health) = (Arc::clone(&self.platform), Arc::clone(&self.health));
                     let (table, after) = (self.table, after.to_owned());
-                    let is_hedge = !attempts.is_empty();
                     attempts.spawn(async move {
                         let sent_ms = steady_ms();
                         let call = platform.read_page(table, partition, &after);
-                        (health.track_read(call).await, steady_ms() - sent_ms)
+                        let result = health.track_read(call).await;
+                        Attempt { result, took_ms: steady_ms() - sent_ms, is_hedge }
                     });
-                    let mut counts = self.counts();
-                    counts.calls += 1;
-                    counts.hedged += u64::from(is_hedge);
-                    next_attempt = Instant::now() + hedge_after(counts.latency_ms);
                 }
             }
         }
     }
 
     /// Records the end of a call; returns the page if there is one.
-    fn record(&self, attempt: Attempt) -> Option<Rows> {
+    fn record(&self, attempt: Result<Attempt, JoinError>) -> Option<Rows> {
         log_panic("read of a page", &attempt);
         let mut counts = self.counts();
         match attempt {
-            Ok((Ok(page), took_ms)) => {
+            Ok(Attempt { result: Ok(page), took_ms, is_hedge }) => {
+                if is_hedge {
+                    counts.hedge_credits = (counts.hedge_credits + 2).min(HEDGE_CREDITS_MAX);
+                }
                 counts.latency_ms = if counts.latency_ms == 0 {
                     took_ms.max(1)
                 } else {
@@ -231,11 +255,11 @@
                 };
                 Some(page)
             }
-            Ok((Err(StoreError::Refused), _)) => {
+            Ok(Attempt { result: Err(StoreError::Refused), .. }) => {
                 counts.refused += 1;
                 None
             }
-            Ok((Err(_), _)) | Err(_) => {
+            Ok(Attempt { result: Err(_), .. }) | Err(_) => {
                 counts.unanswered += 1;
                 None
             }
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -125,6 +125,8 @@
     calls_per_read: AtomicUsize,
     page_calls: Mutex<BTreeMap<String, usize>>,
     page_faults: Mutex<PageFaults>,
+    /// Held while a page crosses a link that carries one after another.
+    thin_link: Option<tokio::sync::Mutex<()>>,
     /// The calls that are not answered from now on.
     unanswered: Mutex<Vec<UnansweredCall>>,
 }
@@ -192,6 +194,11 @@
         Self::with_workers(1)
     }
 
+    /// A platform behind a link that carries one page after another.
+    pub fn behind_thin_link() -> Self {
+        Self { thin_link: Some(tokio::sync::Mutex::default()), ..Self::default() }
+    }
+
     /// A platform with workers that behave as one.
     pub fn with_workers(worker_count: usize) -> Self {
         Self { worker: Some(FakeWorker::default()), worker_count, ..Self::default() }
@@ -347,6 +354,10 @@
             self.count_whole_read(table, partition);
             let calls = self.calls_per_read.load(Ordering::Relaxed);
             let own_calls = calls / PARTITIONS + usize::from(partition < calls % PARTITIONS);
+            let _crossing = match &self.thin_link {
+                Some(link) => Some(link.lock().await),
+                None => None,
+            };
             for _ in 0..own_calls {
                 tokio::time::sleep(CALL_DURATION).await;
             }
--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -33,6 +33,8 @@
 const OPEN_JOBS: u64 = 500;
 /// Calls to the store for one table, one after another: partitions and pages.
 const CALLS_PER_READ: usize = 12;
+/// The same number for tables that take seconds on a thin link.
+const THIN_LINK_CALLS: usize = 320;
 /// Time for which one piece of work keeps a busy daemon from everything else.
 const WORK: Duration = Duration::from_millis(100);
 /// The longest takeover with that many jobs.
@@ -200,3 +202,17 @@
         assert!(took < UNANSWERED_TAKEOVER_MAX, "{call:?}: a takeover took {took:?}");
     }
 }
+
+/// Guards against a takeover that fills a thin link with pages that are already on their way.
+#[tokio::test]
+async fn pages_on_a_thin_link_are_seldom_read_twice() {
+    let store = Arc::new(FakePlatform::behind_thin_link());
+    write_jobs(&store).await;
+    store.set_calls_per_read(THIN_LINK_CALLS);
+    let took = measure_takeover(&store).await;
+    let tables = [Table::Jobs, Table::Progress, Table::Cancels];
+    let pages: usize = tables.iter().map(|table| store.pages(*table)).sum();
+    let calls: usize = tables.iter().map(|table| store.page_calls(*table)).sum();
+    println!("{calls} calls for {pages} pages, {took:?}");
+    assert!(calls <= pages + pages / 8, "{calls} calls for {pages} pages");
+}
