--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -15,13 +15,16 @@
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::Outcome;
+use stoatwell_pool::PARTITIONS;
 use stoatwell_pool::Progress;
 use stoatwell_pool::StepSpec;
 use stoatwell_pool::TaskProgress;
 use tokio::sync::oneshot;
 
 use self::fake::FakePlatform;
+use self::fake::PageFault;
 use self::fake::StoreBehavior;
+use self::fake::UnansweredCall;
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
@@ -30,11 +33,16 @@
 const OPEN_JOBS: u64 = 500;
 /// Calls to the store for one table, one after another: partitions and pages.
 const CALLS_PER_READ: usize = 12;
+/// The same number for tables that take seconds on a thin link.
+const THIN_LINK_CALLS: usize = 320;
 /// Time for which one piece of work keeps a busy daemon from everything else.
 const WORK: Duration = Duration::from_millis(100);
 /// The longest takeover with that many jobs.
 const TAKEOVER_MAX: Duration = Duration::from_secs(1);
 
+/// The longest takeover in which one call gets no answer.
+const UNANSWERED_TAKEOVER_MAX: Duration = Duration::from_millis(1_400);
+
 /// Writes jobs of 20 tasks, most of them finished.
 async fn write_jobs(store: &FakePlatform) {
     let step = StepSpec { tasks: 20, estimate_ms: 3_000, ..StepSpec::default() };
@@ -136,3 +144,75 @@
     assert_eq!(store.whole_reads(Table::Jobs), 2);
     node.stop().await;
 }
+
+/// Guards against a takeover that reads whole partitions or tables again because the store refused
+/// some pages of them or did not answer, and that waits for an answer that never comes.
+#[tokio::test]
+async fn only_failed_pages_are_read_again() {
+    let store = Arc::new(FakePlatform::default());
+    write_jobs(&store).await;
+    let refused = [PageFault::Refused; 6].map(Some);
+    store.fail_pages(Table::Jobs, 3, &refused);
+    store.fail_pages(Table::Progress, 5, &[&[None], refused.as_slice()].concat());
+    store.fail_pages(Table::Cancels, 7, &[Some(PageFault::Unanswered)]);
+    let took = measure_takeover(&store).await;
+    for (table, failed) in [(Table::Jobs, 6), (Table::Progress, 6), (Table::Cancels, 1)] {
+        let (calls, pages) = (store.page_calls(table), store.pages(table));
+        println!("{table}: {calls} calls for {pages} pages, {failed} failed, {took:?}");
+        assert_eq!(calls, pages + failed, "{table}");
+    }
+    assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
+}
+
+/// Guards against a new leader that reads all partitions again because one of them was stale.
+#[tokio::test]
+async fn only_a_stale_partition_is_read_again() {
+    let store = Arc::new(FakePlatform::default());
+    store.save_snapshot();
+    write_jobs(&store).await;
+    store.serve_snapshot_of_partition(Table::Jobs, 3);
+    measure_takeover(&store).await;
+    for (table, stale) in [(Table::Jobs, 1), (Table::Progress, 0), (Table::Cancels, 0)] {
+        assert_eq!(store.page_calls(table), store.pages(table) + stale, "{table}");
+    }
+}
+
+/// Guards against a takeover that waits for the answer of one write of a fence until its timeout,
+/// whether or not the fence was written, and against one that gives up because of its own fence.
+#[tokio::test]
+async fn fences_do_not_wait_for_an_answer_that_never_comes() {
+    let store = Arc::new(FakePlatform::default());
+    write_jobs(&store).await;
+    store.leave_unanswered(&[UnansweredCall::WrittenFence(3), UnansweredCall::LostFence(9)]);
+    let took = measure_takeover(&store).await;
+    println!("{took:?}");
+    assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
+    assert_eq!(store.rows(Table::Fences).len(), PARTITIONS);
+}
+
+/// Guards against a takeover that waits for the list of workers or daemons until its timeout.
+#[tokio::test]
+async fn lists_do_not_wait_for_an_answer_that_never_comes() {
+    for call in [UnansweredCall::Workers, UnansweredCall::Daemons] {
+        let store = Arc::new(FakePlatform::default());
+        write_jobs(&store).await;
+        store.leave_unanswered(&[call]);
+        let took = measure_takeover(&store).await;
+        println!("{call:?}: {took:?}");
+        assert!(took < UNANSWERED_TAKEOVER_MAX, "{call:?}: a takeover took {took:?}");
+    }
+}
+
+/// Guards against a takeover that fills a thin link with pages that are already on their way.
+#[tokio::test]
+async fn pages_on_a_thin_link_are_seldom_read_twice() {
+    let store = Arc::new(FakePlatform::behind_thin_link());
+    write_jobs(&store).await;
+    store.set_calls_per_read(THIN_LINK_CALLS);
+    let took = measure_takeover(&store).await;
+    let tables = [Table::Jobs, Table::Progress, Table::Cancels];
+    let pages: usize = tables.iter().map(|table| store.pages(*table)).sum();
+    let calls: usize = tables.iter().map(|table| store.page_calls(*table)).sum();
+    println!("{calls} calls for {pages} pages, {took:?}");
+    assert!(calls <= pages + pages / 8, "{calls} calls for {pages} pages");
+}
