--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -8,6 +8,8 @@
 pub mod proxy;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::ops::Bound;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicUsize;
@@ -24,15 +26,18 @@
 use stoatwell_node::Platform;
 use stoatwell_node::Row;
 use stoatwell_node::Rows;
+use stoatwell_node::Shard;
 use stoatwell_node::StoreError;
 use stoatwell_node::Table;
 use stoatwell_node::Transaction;
 use stoatwell_node::WorkerChanges;
+use stoatwell_node::shard;
 use stoatwell_pool::CallError;
 use stoatwell_pool::EndedRun;
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
+use stoatwell_pool::PARTITIONS;
 use stoatwell_pool::PaceCall;
 use stoatwell_pool::RunOutcome;
 use stoatwell_pool::StartCall;
@@ -56,6 +61,18 @@
 /// Most changes in a response of the store's change feed.
 const FEED_ROWS_MAX: u64 = 500;
 
+/// Most rows in a page of a table.
+const PAGE_ROWS_MAX: usize = 100;
+
+/// How the store fails a call that reads a page.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PageFault {
+    /// It refuses the call.
+    Refused,
+    /// It does not answer the call.
+    Unanswered,
+}
+
 /// How the store responds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreBehavior {
@@ -103,8 +120,31 @@
     worker: Option<FakeWorker>,
     worker_count: usize,
     heartbeats: Option<Heartbeats>,
-    whole_reads: Mutex<BTreeMap<String, usize>>,
+    /// Reads from the first row on, by table and partition.
+    whole_reads: Mutex<BTreeMap<(String, usize), usize>>,
     calls_per_read: AtomicUsize,
+    page_calls: Mutex<BTreeMap<String, usize>>,
+    page_faults: Mutex<PageFaults>,
+    /// Held while a page crosses a link that carries one after another.
+    thin_link: Option<tokio::sync::Mutex<()>>,
+    /// The calls that are not answered from now on.
+    unanswered: Mutex<Vec<UnansweredCall>>,
+}
+
+/// The faults of the next calls that read a page, by table and partition.
+type PageFaults = BTreeMap<(String, usize), VecDeque<Option<PageFault>>>;
+
+/// A call that the store does not answer once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnansweredCall {
+    /// The write of the fence of this partition, which is carried out.
+    WrittenFence(usize),
+    /// The write of the fence of this partition, which is not carried out.
+    LostFence(usize),
+    /// The read of the list of workers.
+    Workers,
+    /// The read of the list of daemons.
+    Daemons,
 }
 
 /// Entries in the list of workers that are rewritten in turn.
@@ -137,8 +177,10 @@
     loses_holds: bool,
     manifest: Option<Manifest>,
     snapshot: Rows,
-    /// How many reads of a table are still answered with the snapshot.
+    /// How many reads of a table, or of each of its partitions, are answered with the snapshot.
     stale_reads: Option<(usize, Table)>,
+    /// The reads of each partition since then.
+    stale_partition_reads: [usize; PARTITIONS],
 }
 
 impl FakePlatform {
@@ -152,6 +194,11 @@
         Self::with_workers(1)
     }
 
+    /// A platform behind a link that carries one page after another.
+    pub fn behind_thin_link() -> Self {
+        Self { thin_link: Some(tokio::sync::Mutex::default()), ..Self::default() }
+    }
+
     /// A platform with workers that behave as one.
     pub fn with_workers(worker_count: usize) -> Self {
         Self { worker: Some(FakeWorker::default()), worker_count, ..Self::default() }
@@ -191,9 +238,19 @@
         state.snapshot = Rows { rows, version: state.version, has_more: false };
     }
 
-    /// Answers the next `count` reads of a table with the snapshot.
+    /// Answers the next `count` reads of a table, or of each of its partitions, with the snapshot.
     pub fn serve_snapshot(&self, count: usize, table: Table) {
-        self.state.lock().expect("no panic").stale_reads = Some((count, table));
+        let mut state = self.state.lock().expect("no panic");
+        state.stale_reads = Some((count, table));
+        state.stale_partition_reads = [0; PARTITIONS];
+    }
+
+    /// Answers the next read of one partition of a table with the snapshot.
+    pub fn serve_snapshot_of_partition(&self, table: Table, partition: usize) {
+        let mut state = self.state.lock().expect("no panic");
+        state.stale_reads = Some((1, table));
+        state.stale_partition_reads = [1; PARTITIONS];
+        state.stale_partition_reads[partition] = 0;
     }
 
     /// The rows of a table that were written or removed after a version.
@@ -218,10 +275,115 @@
         self.calls_per_read.store(calls, Ordering::Relaxed);
     }
 
-    /// The number of reads of a whole table by this daemon.
+    /// Fails the next calls that read a page of a partition; `None` answers the call.
+    pub fn fail_pages(&self, table: Table, partition: usize, faults: &[Option<PageFault>]) {
+        let key = (table.to_string(), partition);
+        let mut page_faults = self.page_faults.lock().expect("no panic");
+        page_faults.insert(key, faults.iter().copied().collect());
+    }
+
+    /// Does not answer these calls, each once.
+    pub fn leave_unanswered(&self, calls: &[UnansweredCall]) {
+        self.unanswered.lock().expect("no panic").extend_from_slice(calls);
+    }
+
+    /// Whether this call is not answered.
+    fn is_unanswered(&self, call: UnansweredCall) -> bool {
+        let mut unanswered = self.unanswered.lock().expect("no panic");
+        let index = unanswered.iter().position(|other| *other == call);
+        index.map(|index| unanswered.swap_remove(index)).is_some()
+    }
+
+    /// The number of calls of this daemon that read a page of a table.
+    pub fn page_calls(&self, table: Table) -> usize {
+        let counts = self.page_calls.lock().expect("no panic");
+        counts.get(&table.to_string()).copied().unwrap_or(0)
+    }
+
+    /// The number of pages that a table has.
+    pub fn pages(&self, table: Table) -> usize {
+        let mut rows = [0; PARTITIONS];
+        for row in self.rows(table) {
+            if let Shard::Jobs(partition) = shard(table, &row.key) {
+                rows[partition] += 1;
+            }
+        }
+        rows.iter().map(|rows: &usize| rows.div_ceil(PAGE_ROWS_MAX).max(1)).sum()
+    }
+
+    /// The rows of a partition after a key, at most those of a page.
+    fn page(&self, table: Table, partition: usize, after: &str) -> Rows {
+        let state = self.state.lock().expect("no panic");
+        let first = Bound::Excluded((table.to_string(), after.to_owned()));
+        let rows = state.rows.range((first, Bound::Unbounded));
+        let rows = rows
+            .take_while(|((name, _), _)| *name == table.to_string())
+            .filter(|((_, key), _)| shard(table, key) == Shard::Jobs(partition));
+        let mut rows: Vec<Row> = rows
+            .take(PAGE_ROWS_MAX + 1)
+            .map(|((_, key), (value, version))| Row {
+                key: key.clone(),
+                value: Some(value.clone()),
+                version: *version,
+            })
+            .collect();
+        let has_more = rows.len() > PAGE_ROWS_MAX;
+        rows.truncate(PAGE_ROWS_MAX);
+        Rows { rows, version: state.version, has_more }
+    }
+
+    /// Makes a call that reads a page of a partition.
+    async fn call_page(
+        &self,
+        table: Table,
+        partition: usize,
+        after: &str,
+    ) -> Result<Rows, StoreError> {
+        *self.page_calls.lock().expect("no panic").entry(table.to_string()).or_default() += 1;
+        let fault = {
+            let mut page_faults = self.page_faults.lock().expect("no panic");
+            let faults = page_faults.get_mut(&(table.to_string(), partition));
+            faults.and_then(VecDeque::pop_front).flatten()
+        };
+        match fault {
+            Some(PageFault::Refused) => return Err(StoreError::Refused),
+            Some(PageFault::Unanswered) => return call_without_response(0).await,
+            None => {}
+        }
+        if after.is_empty() {
+            self.count_whole_read(table, partition);
+            let calls = self.calls_per_read.load(Ordering::Relaxed);
+            let own_calls = calls / PARTITIONS + usize::from(partition < calls % PARTITIONS);
+            let _crossing = match &self.thin_link {
+                Some(link) => Some(link.lock().await),
+                None => None,
+            };
+            for _ in 0..own_calls {
+                tokio::time::sleep(CALL_DURATION).await;
+            }
+        }
+        if let Some(error) = self.read_error() {
+            return Err(error);
+        }
+        if self.hides(table) {
+            return Err(StoreError::Refused);
+        }
+        if let Some(stale) = self.stale_page(table, partition, after) {
+            return Ok(stale);
+        }
+        Ok(self.page(table, partition, after))
+    }
+
+    fn count_whole_read(&self, table: Table, partition: usize) {
+        let mut counts = self.whole_reads.lock().expect("no panic");
+        *counts.entry((table.to_string(), partition)).or_default() += 1;
+    }
+
+    /// How often this daemon read a table, or the partition of it that it read most often.
     pub fn whole_reads(&self, table: Table) -> usize {
         let counts = self.whole_reads.lock().expect("no panic");
-        counts.get(&table.to_string()).copied().unwrap_or(0)
+        let own = counts.iter().filter(|((name, _), _)| *name == table.to_string());
+        own.map(|(_, count)| *count).max().unwrap_or(0)
     }
 
     /// Stores a newer manifest.
@@ -273,6 +435,22 @@
         Some(state.snapshot.clone())
     }
 
+    /// The snapshot's rows of a partition, if its read is answered with them.
+    fn stale_page(&self, table: Table, partition: usize, after: &str) -> Option<Rows> {
+        let mut state = self.state.lock().expect("no panic");
+        let (count, stale_table) = state.stale_reads?;
+        let reads = &mut state.stale_partition_reads[partition];
+        if stale_table != table || *reads >= count {
+            return None;
+        }
+        *reads += 1;
+        let mut rows = state.snapshot.clone();
+        rows.rows.retain(|row| {
+            row.key.as_str() > after && shard(table, &row.key) == Shard::Jobs(partition)
+        });
+        Some(rows)
+    }
+
     pub fn set_behavior(&self, behavior: StoreBehavior) {
         *self.behavior.lock().expect("no panic") = behavior;
     }
@@ -427,6 +605,16 @@
     }
 
     async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
+        let mut fences = transaction.put.iter().filter(|(table, ..)| *table == Table::Fences);
+        if let Some(partition) = fences.next().and_then(|(_, key, _)| key.parse().ok()) {
+            if self.is_unanswered(UnansweredCall::LostFence(partition)) {
+                return call_without_response(0).await;
+            }
+            if self.is_unanswered(UnansweredCall::WrittenFence(partition)) {
+                self.write(transaction)?;
+                return call_without_response(0).await;
+            }
+        }
         match self.behavior() {
             StoreBehavior::Normal
             | StoreBehavior::LosesOnePoll
@@ -485,10 +673,10 @@
 
     async fn read_all(&self, table: Table) -> Result<Rows, StoreError> {
         self.hang_if_silent().await?;
-        *self.whole_reads.lock().expect("no panic").entry(table.to_string()).or_default() += 1;
-        for _ in 0..self.calls_per_read.load(Ordering::Relaxed) {
-            tokio::time::sleep(CALL_DURATION).await;
+        if table == Table::Daemons && self.is_unanswered(UnansweredCall::Daemons) {
+            return call_without_response(0).await;
         }
+        self.count_whole_read(table, 0);
         if let Some(error) = self.read_error() {
             return Err(error);
         }
@@ -501,6 +689,16 @@
         Ok(Rows { rows: self.rows(table), version: self.version(), has_more: false })
     }
 
+    async fn read_page(
+        &self,
+        table: Table,
+        partition: usize,
+        after: &str,
+    ) -> Result<Rows, StoreError> {
+        self.hang_if_silent().await?;
+        self.call_page(table, partition, after).await
+    }
+
     async fn poll_changes(
         &self,
         table: Table,
@@ -530,6 +728,9 @@
     }
 
     async fn workers(&self) -> Result<WorkerChanges, StoreError> {
+        if self.is_unanswered(UnansweredCall::Workers) {
+            return call_without_response(0).await;
+        }
         let listed = (0..self.worker_count).map(|number| worker_entry(number, false));
         Ok(WorkerChanges { listed: listed.collect(), ..WorkerChanges::default() })
     }
