--- a/crates/node/tests/takeover.rs
+++ b/crates/node/tests/takeover.rs
@@ -237,3 +237,14 @@
         other.stop().await;
     }
 }
+
+/// Guards against a takeover that waits for a timeout once two answers to the same write are lost.
+#[tokio::test]
+async fn a_write_that_gets_no_answer_twice_is_made_again_in_time() {
+    let store = Arc::new(FakePlatform::default());
+    write_jobs(&store).await;
+    store.leave_unanswered(&[UnansweredCall::LostFence(9); 2]);
+    let took = measure_takeover(&store).await;
+    println!("{took:?}");
+    assert!(took < UNANSWERED_TAKEOVER_MAX, "a takeover took {took:?}");
+}
