Show a wide gang that is starved by tasks of some seconds

A gang that needs 95% of its customer's cap waits beside a stream of single tasks of lower priority. Its reservation counts as idle once under half of the cap is used, and is suspended 2 s later. If the tasks take 4 s or more, the last ones have not ended by then, and in the 5 s of the suspension others take the cap. The next reservation goes the same way.

--- /dev/null
+++ b/crates/pool/tests/starvation.rs
@@ -0,0 +1,116 @@
+//! Accepted work that waits for long beside free workers, whatever else waits.
+
+mod world;
+
+use stoatwell_model::CustomerName;
+use stoatwell_model::Resources;
+use stoatwell_pool::CustomerLimits;
+use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
+use stoatwell_pool::QueueSpec;
+
+use self::world::Faults;
+use self::world::World;
+use self::world::job;
+use self::world::queue;
+use self::world::step;
+
+/// The number of the job that may not wait for long.
+const WAITING: u64 = 1;
+
+fn cpu(cpu_millis: u64) -> Resources {
+    Resources { cpu_millis, ..Resources::ZERO }
+}
+
+fn with_customer(spec: JobSpec, customer: &str, cap: Resources) -> JobSpec {
+    let name = CustomerName::new(customer);
+    JobSpec { customer: Some(CustomerLimits { name, weight: 100.0, cap }), ..spec }
+}
+
+/// A queue whose jobs are late only after five minutes.
+fn patient_queue(priority: u32) -> QueueSpec {
+    QueueSpec { target_ms: 300_000, ..queue(priority) }
+}
+
+fn gang(rules: QueueSpec, tasks: u32, cpu_millis: u64, estimate_ms: u64) -> JobSpec {
+    let mut spec = job(rules, vec![step(tasks, cpu_millis, estimate_ms)]);
+    spec.steps[0].gang = true;
+    spec
+}
+
+/// A world with a customer `a` of this cap.
+fn world_with_cap(seed: u64, workers: usize, cap: Resources) -> World {
+    let mut world = World::new(seed, workers, Faults::default());
+    world.run(100);
+    world.set_cap(&CustomerName::new("a"), 100.0, cap);
+    world
+}
+
+/// Lets small jobs of customer `a` arrive for a minute, each of one task, and submits a job after
+/// six seconds. Returns how long that waits.
+fn wait_beside_stream(
+    world: &mut World,
+    cap: Resources,
+    (small, interval_ms): (&JobSpec, u64),
+    waiting: JobSpec,
+) -> Option<u64> {
+    let mut since_ms = None;
+    let ticks = 60_000 / interval_ms;
+    for tick in 0..ticks {
+        let mut spec = with_customer(small.clone(), "a", cap);
+        spec.accepted_unix_ms = world.now_ms;
+        world.submit(1_000 + tick, spec);
+        if since_ms.is_none() && tick * interval_ms >= 6_000 {
+            let mut spec = with_customer(waiting.clone(), "a", cap);
+            spec.accepted_unix_ms = world.now_ms;
+            world.submit(WAITING, spec);
+            since_ms = Some(world.now_ms);
+        }
+        world.run(interval_ms);
+        if let Some(since_ms) = since_ms
+            && world.state(WAITING) != Some(JobState::Queued)
+        {
+            return Some(world.now_ms - since_ms);
+        }
+    }
+    None
+}
+
+fn wide_gang_beside(small_ms: u64, interval_ms: u64) {
+    let cap = cpu(40_000);
+    let mut world = world_with_cap(2, 12, cap);
+    let small = job(patient_queue(2), vec![step(1, 2_000, small_ms)]);
+    let wide = gang(patient_queue(1), 19, 2_000, 1_000);
+    let waited_ms = wait_beside_stream(&mut world, cap, (&small, interval_ms), wide);
+    assert!(
+        waited_ms.is_some_and(|ms| ms < 30_000),
+        "{waited_ms:?} {}",
+        world.explain(JobId(WAITING))
+    );
+}
+
+/// Guards against a wide gang whose reservation of the cap is suspended each time before tasks of
+/// some seconds have ended, so that it never starts.
+#[test]
+fn a_wide_gang_is_not_starved_by_tasks_of_six_seconds() {
+    wide_gang_beside(6_000, 280);
+}
+
+/// The same with tasks of four seconds that use 60% of the cap.
+#[test]
+fn a_wide_gang_is_not_starved_by_tasks_of_four_seconds() {
+    wide_gang_beside(4_000, 333);
+}
+
+/// The same with tasks of ten seconds.
+#[test]
+fn a_wide_gang_is_not_starved_by_tasks_of_ten_seconds() {
+    wide_gang_beside(10_000, 480);
+}
+
+/// The same with tasks of three seconds.
+#[test]
+fn a_wide_gang_is_not_starved_by_tasks_of_three_seconds() {
+    wide_gang_beside(3_000, 140);
+}
