Show a large task that is starved by small ones of its customer

A step that is no gang reserves nothing of its customer's cap. If one task of it needs most of the cap, small tasks of lower priority take each part as it comes free.

--- a/crates/pool/tests/starvation.rs
+++ b/crates/pool/tests/starvation.rs
@@ -77,6 +77,22 @@
     None
 }
 
+/// Guards against a task of most of a cap that never starts, since small jobs of lower priority
+/// take each part of the cap as it comes free.
+#[test]
+fn a_large_task_is_not_starved_by_small_ones_of_its_customer() {
+    let cap = cpu(20_000);
+    let mut world = world_with_cap(1, 12, cap);
+    let small = job(patient_queue(2), vec![step(1, 2_000, 2_000)]);
+    let large = job(patient_queue(1), vec![step(1, 14_000, 1_000)]);
+    let waited_ms = wait_beside_stream(&mut world, cap, (&small, 190), large);
+    assert!(
+        waited_ms.is_some_and(|ms| ms < 20_000),
+        "{waited_ms:?} {}",
+        world.explain(JobId(WAITING))
+    );
+}
+
 fn wide_gang_beside(small_ms: u64, interval_ms: u64) {
     let cap = cpu(40_000);
     let mut world = world_with_cap(2, 12, cap);
