Show jobs behind a backlog that can not start

Cycles look only at the first 1,000 steps of the queue. Steps of a customer at its cap, or of a service without open workers, count among them, so a job behind 1,200 of them gets no attempt though all workers of its service are idle ("no attempt was made yet" after 20 s, in both).

--- a/crates/pool/tests/starvation.rs
+++ b/crates/pool/tests/starvation.rs
@@ -130,3 +130,54 @@
 fn a_wide_gang_is_not_starved_by_tasks_of_three_seconds() {
     wide_gang_beside(3_000, 140);
 }
+
+/// Returns how long a job of customer `b` waits behind many jobs that are before it in the queue.
+fn wait_behind(world: &mut World, others: u64, other: &JobSpec) -> Option<u64> {
+    for number in 0..others {
+        world.submit(1_000 + number, other.clone());
+    }
+    world.run(1_000);
+    let since_ms = world.now_ms;
+    let mut spec =
+        with_customer(job(patient_queue(2), vec![step(1, 1_000, 500)]), "b", Resources::ZERO);
+    spec.accepted_unix_ms = world.now_ms;
+    world.submit(WAITING, spec);
+    for _ in 0..200 {
+        world.run(100);
+        if world.state(WAITING) != Some(JobState::Queued) {
+            return Some(world.now_ms - since_ms);
+        }
+    }
+    None
+}
+
+/// Guards against jobs that wait beside idle workers behind a long backlog of a customer at its
+/// cap.
+#[test]
+fn a_backlog_of_a_customer_at_its_cap_does_not_block_others() {
+    let cap = cpu(4_000);
+    let mut world = world_with_cap(4, 12, cap);
+    let other = with_customer(job(patient_queue(1), vec![step(1, 1_000, 1_000)]), "a", cap);
+    let waited_ms = wait_behind(&mut world, 1_200, &other);
+    assert!(
+        waited_ms.is_some_and(|ms| ms < 3_000),
+        "{waited_ms:?} {}",
+        world.explain(JobId(WAITING))
+    );
+}
+
+/// Guards against jobs that wait beside idle workers behind a long backlog of a service without
+/// open workers.
+#[test]
+fn a_backlog_of_another_service_does_not_block_others() {
+    let mut world = World::new(5, 12, Faults::default());
+    world.run(100);
+    let rules = QueueSpec { service: "closed".to_owned(), ..patient_queue(1) };
+    let other = job(rules, vec![step(1, 1_000, 1_000)]);
+    let waited_ms = wait_behind(&mut world, 1_200, &other);
+    assert!(
+        waited_ms.is_some_and(|ms| ms < 3_000),
+        "{waited_ms:?} {}",
+        world.explain(JobId(WAITING))
+    );
+}
