Show gangs whose next attempt comes seconds after there is room

The backoff of a gang is 40 ms and 1 ms for each 10 workers, times the queued steps by 150, without a bound: 4.8 s with 3,000 workers and 2,000 queued steps. Room that comes free does not end it.

A gang starts 3.16 s after half of 3,000 workers are idle, and one beside 12,000 queued steps 3.4 s after it was queued where room is free after 1 s.

--- a/crates/pool/tests/starvation.rs
+++ b/crates/pool/tests/starvation.rs
@@ -181,3 +181,50 @@
         world.explain(JobId(WAITING))
     );
 }
+
+/// Guards against a gang whose next attempt comes seconds after its workers have room, since many
+/// other steps wait.
+#[test]
+fn a_gang_starts_soon_after_room_is_free_beside_a_long_queue() {
+    let mut world = World::new(8, 12, Faults::default());
+    world.run(100);
+    world.submit(2, job(patient_queue(0), vec![step(12, 12_000, 1_000)]));
+    world.run(200);
+    let rules = QueueSpec { service: "closed".to_owned(), ..patient_queue(2) };
+    let other = job(rules, vec![step(1, 1_000, 1_000)]);
+    for number in 0..12_000 {
+        world.submit(1_000 + number, other.clone());
+    }
+    world.submit(WAITING, gang(patient_queue(1), 12, 12_000, 500));
+    let since_ms = world.now_ms;
+    while world.state(WAITING) == Some(JobState::Queued) && world.now_ms < since_ms + 20_000 {
+        world.run(100);
+    }
+    let waited_ms = world.now_ms - since_ms;
+    assert!(waited_ms < 3_000, "{waited_ms} {}", world.explain(JobId(WAITING)));
+}
+
+/// Guards against a gang at 3,000 workers that waits for seconds for its next attempt after room is
+/// free, since steps of a customer at its cap wait, too.
+#[test]
+fn a_gang_of_a_large_pool_starts_soon_after_room_is_free() {
+    let cap = cpu(4_000);
+    let mut world = world_with_cap(11, 3_000, cap);
+    world.submit(2, job(patient_queue(0), vec![step(3_000, 12_000, 1_500)]));
+    world.run(300);
+    let other = with_customer(job(patient_queue(2), vec![step(1, 1_000, 4_000)]), "a", cap);
+    for number in 0..2_000 {
+        world.submit(1_000 + number, other.clone());
+    }
+    world.submit(WAITING, gang(patient_queue(1), 12, 12_000, 500));
+    let (mut free_since_ms, until_ms) = (None, world.now_ms + 20_000);
+    while world.state(WAITING) == Some(JobState::Queued) && world.now_ms < until_ms {
+        world.run(20);
+        let idle = world.workers.values().filter(|worker| worker.active.is_empty()).count();
+        if idle > 1_500 && free_since_ms.is_none() {
+            free_since_ms = Some(world.now_ms);
+        }
+    }
+    let waited_ms = free_since_ms.map_or(0, |since_ms| world.now_ms - since_ms);
+    assert!(waited_ms < 3_000, "{waited_ms} {}", world.explain(JobId(WAITING)));
+}
