Show a late gang that never gets its customer's cap

Late steps come last in a cycle, so a part of a cap that is reserved for a late gang is open to each job that is not late, also of lower priority.

--- a/crates/pool/tests/starvation.rs
+++ b/crates/pool/tests/starvation.rs
@@ -131,6 +131,22 @@
     wide_gang_beside(3_000, 140);
 }
 
+/// Guards against a gang that is late and never starts, since small jobs that are not late take
+/// its customer's cap.
+#[test]
+fn a_late_gang_is_not_starved_by_small_jobs_of_its_customer() {
+    let cap = cpu(40_000);
+    let mut world = world_with_cap(3, 12, cap);
+    let small = job(patient_queue(2), vec![step(1, 2_000, 2_000)]);
+    let wide = gang(QueueSpec { target_ms: 100, ..queue(1) }, 19, 2_000, 1_000);
+    let waited_ms = wait_beside_stream(&mut world, cap, (&small, 95), wide);
+    assert!(
+        waited_ms.is_some_and(|ms| ms < 30_000),
+        "{waited_ms:?} {}",
+        world.explain(JobId(WAITING))
+    );
+}
+
 /// Returns how long a job of customer `b` waits behind many jobs that are before it in the queue.
 fn wait_behind(world: &mut World, others: u64, other: &JobSpec) -> Option<u64> {
     for number in 0..others {
