Show a job that waits for a gang while half of its cap is used

A reservation of a cap is suspended only if less than half of each resource of the cap is used. Two tasks of 30 s use 55% of the CPU, or 54% of the memory and 5% of the CPU, and a gang needs more than the rest. A job with one task that does not end before them waits 26.2 and 35.0 s, though the workers are nearly idle and the rest of the cap holds it several times. Whether this is a needless wait depends on whether half of the cap or of the service counts.

--- a/crates/pool/tests/starvation.rs
+++ b/crates/pool/tests/starvation.rs
@@ -198,6 +198,52 @@
     );
 }
 
+/// Guards against a job that waits for the end of long tasks of its customer, since a gang has
+/// reserved the rest of the cap, though the workers are nearly idle.
+#[test]
+fn a_job_does_not_wait_for_a_gang_while_over_half_of_the_cap_is_used() {
+    let cap = cpu(40_000);
+    let mut world = world_with_cap(6, 12, cap);
+    world.submit(2, with_customer(job(patient_queue(1), vec![step(2, 11_000, 30_000)]), "a", cap));
+    world.run(500);
+    world.submit(3, with_customer(gang(patient_queue(1), 14, 2_000, 1_000), "a", cap));
+    world.run(500);
+    world.submit(
+        WAITING,
+        with_customer(job(patient_queue(2), vec![step(1, 1_000, 25_000)]), "a", cap),
+    );
+    let since_ms = world.now_ms;
+    while world.state(WAITING) == Some(JobState::Queued) && world.now_ms < since_ms + 40_000 {
+        world.run(100);
+    }
+    let waited_ms = world.now_ms - since_ms;
+    assert!(waited_ms < 3_000, "{waited_ms} {}", world.explain(JobId(WAITING)));
+}
+
+/// Guards against the same while most of the memory of the cap is used and little of its CPU.
+#[test]
+fn a_job_does_not_wait_for_a_gang_while_only_memory_is_mostly_used() {
+    let gib = |gib: u64| gib << 30;
+    let cap = Resources { cpu_millis: 40_000, memory_bytes: gib(24), accelerators: 0 };
+    let mut world = world_with_cap(7, 12, cap);
+    let with_memory = |mut spec: JobSpec, bytes| {
+        spec.steps[0].demand.memory_bytes = bytes;
+        with_customer(spec, "a", cap)
+    };
+    world.submit(2, with_memory(job(patient_queue(1), vec![step(2, 1_000, 30_000)]), gib(13) / 2));
+    world.run(500);
+    world.submit(3, with_memory(gang(patient_queue(1), 12, 1_000, 1_000), gib(1)));
+    world.run(500);
+    let small = job(patient_queue(2), vec![step(1, 1_000, 25_000)]);
+    world.submit(WAITING, with_memory(small, gib(1)));
+    let since_ms = world.now_ms;
+    while world.state(WAITING) == Some(JobState::Queued) && world.now_ms < since_ms + 40_000 {
+        world.run(100);
+    }
+    let waited_ms = world.now_ms - since_ms;
+    assert!(waited_ms < 3_000, "{waited_ms} {}", world.explain(JobId(WAITING)));
+}
+
 /// Guards against a gang whose next attempt comes seconds after its workers have room, since many
 /// other steps wait.
 #[test]
