Double the time until a reservation of a cap is suspended again

From the second suspension of one gang's reservation on the time doubles, and a suspension lasts 3 s instead of 5.

a_wide_gang_is_not_starved_by_tasks_of_four_seconds failed before and passes with this change; the other tests of caps pass.

--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -25,8 +25,10 @@
 const BURST_S: f64 = 2.0;
 /// How long a reservation may keep more than half of a cap unused before it is suspended.
 const IDLE_RESERVATION_MAX_MS: u64 = 2_000;
+/// Suspensions of one gang's reservation after which that time doubles no further.
+const SUSPENSIONS_COUNTED_MAX: u32 = 4;
 /// How long the reservations of a customer are suspended. Its other work takes the cap meanwhile.
-const SUSPENSION_MS: u64 = 5_000;
+const SUSPENSION_MS: u64 = 3_000;
 
 /// The scheduling limits of a customer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -325,6 +327,9 @@
     /// Suspends reservations that have kept more than half of a cap unused for long, or all that
     /// the gang needs. A gang may wait for the last few tasks of its customer, or for something
     /// else, for much longer than other work may wait.
+    ///
+    /// Each suspension of a gang's reservation doubles the time until the next one. Otherwise a
+    /// gang would never start if the last tasks before it take longer than that.
     fn suspend_idle_reservations(&mut self, cycle: &mut Cycle) {
         let now_ms = self.now_ms;
         for (index, account) in self.customers.accounts.iter_mut().enumerate() {
@@ -342,14 +347,22 @@
             }
             let idle_since_ms = *account.cap_idle_since_ms.get_or_insert(now_ms);
             let idle_ms = now_ms - idle_since_ms;
-            if idle_ms < IDLE_RESERVATION_MAX_MS {
+            let step = reservation.step;
+            let Some(job) = self.jobs.get_mut(&step.job) else { continue };
+            let Some(step_index) = job.step_index(step) else { continue };
+            let suspensions = &mut job.step_states[step_index].cap_suspensions;
+            if idle_ms
+                < IDLE_RESERVATION_MAX_MS
+                    << suspensions.saturating_sub(1).min(SUSPENSIONS_COUNTED_MAX)
+            {
                 continue;
             }
+            *suspensions += 1;
             account.cap_idle_since_ms = None;
             account.suspended_until_ms = now_ms + SUSPENSION_MS;
             cycle.cap_reservations[index] = None;
             let customer = &account.limits.name;
-            tracing::info!(%customer, step = %reservation.step, idle_ms, "reservation of a customer's cap suspended: much of the cap is unused");
+            tracing::info!(%customer, %step, idle_ms, "reservation of a customer's cap suspended: much of the cap is unused");
         }
     }
 
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -198,6 +198,8 @@
     pub attempt_ms: Option<u64>,
     /// Whether it is a gang that has waited for its customer's cap since its last attempt.
     pub claims_cap: bool,
+    /// How often its reservation of its customer's cap was suspended since its last attempt.
+    pub cap_suspensions: u32,
     /// For a gang, the workers that were last reserved for it.
     pub reserved: Vec<WorkerIndex>,
     /// When the reserved workers were chosen.
@@ -432,6 +434,7 @@
             retry_at_ms: 0,
             attempt_ms: None,
             claims_cap: false,
+            cap_suspensions: 0,
             reserved: Vec::new(),
             reserved_ms: 0,
             reserved_until_ms: 0,
