Reserve a part of a cap for any step that waits for it, one task if it is no gang

Now a step that the cap keeps from starting may hold the reservation of its customer, for one task if it is no gang, and is asked about at the advisor like a gang. Only the step that holds the reservation claims it, so that others stay parked.

Four tests of the review now begin with a leader that has led for over 2 s, since a new one reserves nothing; their assertions are unchanged.

--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -13,6 +13,7 @@
 use crate::jobs::job::Job;
 use crate::jobs::job::Phase;
 use crate::jobs::record::JobState;
+use crate::placement::waiting::PlacementBlock;
 
 /// A snapshot of the scheduler's state.
 #[derive(Clone, Debug, Serialize)]
@@ -189,7 +190,7 @@
                     reason.query
                 ));
             }
-            if step_state.claims_cap {
+            if step_state.queued && step_state.wait_reason.placement == PlacementBlock::Capped {
                 lines.push(format!("step {}: waits for the customer's cap", step_state.id));
             }
             for (index, task) in step_state.tasks.iter().enumerate() {
--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -232,10 +232,11 @@
         remaining(&self.customers.get(customer).limits.cap, &used).fit_count(&demand)
     }
 
-    /// Records that a gang waits for its customer's cap.
-    pub(crate) fn claim_cap(&mut self, step: StepId, step_index: usize) {
+    /// Ends the claim of a step on its customer's cap once starts of it are recorded.
+    pub(crate) fn release_claim(&mut self, step: StepId, step_index: usize) {
         if let Some(job) = self.jobs.get_mut(&step.job) {
-            job.step_states[step_index].claims_cap = true;
+            job.step_states[step_index].claims_cap = false;
+            job.step_states[step_index].cap_suspensions = 0;
         }
     }
 
@@ -373,7 +374,7 @@
     /// several gangs need together may exceed the cap, and no other work would start until then.
     /// Nothing is reserved for a gang that could not start even then, which would be for ever.
     pub(crate) fn reserve_cap(
-        &self,
+        &mut self,
         step: StepId,
         step_index: usize,
         order: OrderKey,
@@ -388,8 +389,8 @@
         if is_suspended || !job.step_states[step_index].can_start_later {
             return;
         }
-        let tasks = job.step_states[step_index].tasks.len() as u64;
-        let reserved = job.step_spec(step_index).demand.times(tasks);
+        let spec = job.step_spec(step_index);
+        let reserved = spec.demand.times(if spec.gang { u64::from(spec.tasks) } else { 1 });
         let long_running = cycle.usage[customer.0].long_running;
         if !remaining(&self.customers.get(customer).limits.cap, &long_running).holds(&reserved) {
             return;
@@ -398,6 +399,9 @@
         if reservation.is_none_or(|other| order < other.order) {
             let until_ms = self.now_ms;
             *reservation = Some(CapReservation { order, step, reserved, until_ms });
+            if let Some(job) = self.jobs.get_mut(&step.job) {
+                job.step_states[step_index].claims_cap = true;
+            }
         }
     }
 
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -196,9 +196,9 @@
     pub retry_at_ms: u64,
     /// For a gang, when the starts of the current attempt were recorded; `None` if there is none.
     pub attempt_ms: Option<u64>,
-    /// Whether it is a gang that has waited for its customer's cap since its last attempt.
+    /// Whether a part of its customer's cap was reserved for it since starts of it were last recorded.
     pub claims_cap: bool,
-    /// How often its reservation of its customer's cap was suspended since its last attempt.
+    /// How often that reservation was suspended since then.
     pub cap_suspensions: u32,
     /// For a gang, the workers that were last reserved for it.
     pub reserved: Vec<WorkerIndex>,
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -234,10 +234,9 @@
                 self.drop_reservation(step, step_index);
                 self.record_capped(step);
                 if gang {
-                    self.claim_cap(step, step_index);
                     self.update_can_start_later(step, step_index, key, cycle);
-                    self.reserve_cap(step, step_index, order, cycle);
                 }
+                self.reserve_cap(step, step_index, order, cycle);
             }
             Attempt::Waits(reason) if gang => {
                 self.set_wait_reason(step, reason);
@@ -417,17 +416,14 @@
             waiting = job.lost_long_running_tasks(step_index).collect();
         }
         if fit_under_cap < waiting_count as u64 {
-            if spec.gang {
-                // The answer is there by the time that the cap has capacity for the gang.
+            if spec.gang || fit_under_cap == 0 {
+                // The answer is there by the time that the cap has capacity for the step.
                 let asks = needs_first_query && cycle.has_cap_reservation(customer, step);
                 if let Some(rule) = advice.filter(|_| asks) {
                     self.query_more_workers(step, step_index, &spec, rule, priority, cycle);
                 }
                 return Attempt::Capped;
             }
-            if fit_under_cap == 0 {
-                return Attempt::Capped;
-            }
             waiting.truncate(fit_under_cap as usize);
         }
         if spec.gang && advice.is_some() && has_pending_queries {
@@ -686,7 +682,11 @@
             }
             self.record_start(*id, next_run);
         }
-        if gang && !tasks.is_empty() {
+        if tasks.is_empty() {
+            return;
+        }
+        self.release_claim(step, step_index);
+        if gang {
             self.begin_gang_attempt(step, newest_run + 1);
         }
     }
--- a/crates/pool/src/runs/gangs.rs
+++ b/crates/pool/src/runs/gangs.rs
@@ -123,8 +123,6 @@
         let Some(step_index) = job.step_index(step) else { return };
         let step_state = &mut job.step_states[step_index];
         step_state.attempt_ms = Some(now_ms);
-        step_state.claims_cap = false;
-        step_state.cap_suspensions = 0;
         let tasks = step_state.tasks.len();
         self.gang_counts.of_size(tasks).begun += 1;
         tracing::info!(%step, run, tasks, "gang placed");
--- a/crates/pool/tests/starvation.rs
+++ b/crates/pool/tests/starvation.rs
@@ -50,6 +50,13 @@
     world
 }
 
+/// The same with a leader that may reserve a part of a cap: a new one reserves nothing at first.
+fn settled_world_with_cap(seed: u64, workers: usize, cap: Resources) -> World {
+    let mut world = world_with_cap(seed, workers, cap);
+    world.run(2_200);
+    world
+}
+
 /// Lets small jobs of customer `a` arrive for a minute, each of one task, and submits a job after
 /// six seconds. Returns how long that waits.
 fn wait_beside_stream(
@@ -206,7 +213,7 @@
 #[test]
 fn a_job_does_not_wait_for_a_gang_while_over_half_of_the_cap_is_used() {
     let cap = cpu(40_000);
-    let mut world = world_with_cap(6, 12, cap);
+    let mut world = settled_world_with_cap(6, 12, cap);
     world.submit(2, with_customer(job(patient_queue(1), vec![step(2, 11_000, 30_000)]), "a", cap));
     world.run(500);
     world.submit(3, with_customer(gang(patient_queue(1), 14, 2_000, 1_000), "a", cap));
@@ -228,7 +235,7 @@
 fn a_job_does_not_wait_for_a_gang_while_only_memory_is_mostly_used() {
     let gib = |gib: u64| gib << 30;
     let cap = Resources { cpu_millis: 40_000, memory_bytes: gib(24), accelerators: 0 };
-    let mut world = world_with_cap(7, 12, cap);
+    let mut world = settled_world_with_cap(7, 12, cap);
     let with_memory = |mut spec: JobSpec, bytes| {
         spec.steps[0].demand.memory_bytes = bytes;
         with_customer(spec, "a", cap)
@@ -394,7 +401,7 @@
 #[test]
 fn a_cancelled_gang_reserves_nothing() {
     let cap = cpu(40_000);
-    let mut world = world_with_cap(13, 12, cap);
+    let mut world = settled_world_with_cap(13, 12, cap);
     world.submit(2, with_customer(job(patient_queue(1), vec![step(1, 4_000, 20_000)]), "a", cap));
     world.run(500);
     world.submit(3, with_customer(gang(patient_queue(1), 19, 2_000, 1_000), "a", cap));
@@ -413,7 +420,7 @@
 #[test]
 fn a_gang_above_a_lowered_cap_reserves_nothing() {
     let cap = cpu(40_000);
-    let mut world = world_with_cap(14, 12, cap);
+    let mut world = settled_world_with_cap(14, 12, cap);
     world.submit(2, with_customer(job(patient_queue(1), vec![step(1, 4_000, 20_000)]), "a", cap));
     world.run(500);
     world.submit(3, with_customer(gang(patient_queue(1), 19, 2_000, 1_000), "a", cap));
