Test of daemons without the store: begin once the leader is ready

Cause: the test began while the first leader still restored its state. If the other two daemons announce themselves before its first read of the list of daemons, it knows them, and once its own path is refused it renews its lease through the third one: its row goes from beat 1 to 6 within 2.4 s. It rightly stays the leader, and no next one comes.

Change: the test begins once the leader is ready, so that it does not know the others; what is asserted is unchanged.

--- a/crates/node/tests/daemons.rs
+++ b/crates/node/tests/daemons.rs
@@ -240,7 +240,8 @@
 async fn daemons_without_the_store_find_the_leader() {
     let store = Arc::new(FakePlatform::default());
     let first = start("a", &store).await;
-    wait_until("a leader", 3_000, || first.scheduler().is_some()).await;
+    // From then on the leader does not read the list of daemons for two seconds.
+    wait_until_ready(&first).await;
     let unreachable_store = Arc::new(store.for_other_daemon());
     let second = start("b", &unreachable_store).await;
     let third = start("c", &Arc::new(store.for_other_daemon())).await;
