--- a/crates/pool/src/jobs/customers.rs
+++ b/crates/pool/src/jobs/customers.rs
@@ -25,8 +25,8 @@
 const BURST_S: f64 = 2.0;
 /// How long a reservation may keep more than half of a cap unused before it is suspended.
 const IDLE_RESERVATION_MAX_MS: u64 = 2_000;
-/// Suspensions of one gang's reservation after which that time doubles no further.
-const SUSPENSIONS_COUNTED_MAX: u32 = 4;
+/// How often that time doubles at most for one step.
+const DOUBLINGS_MAX: u32 = 4;
 /// How long the reservations of a customer are suspended. Its other work takes the cap meanwhile.
 const SUSPENSION_MS: u64 = 3_000;
 
@@ -83,7 +83,7 @@
 struct CapPressure {
     /// Attempts to place a step for which the cap left no capacity.
     capped_attempts: u64,
-    /// The most that was reserved for a waiting gang.
+    /// The most that was reserved for a waiting step.
     reserved_max: Resources,
 }
 
@@ -102,18 +102,18 @@
     }
 }
 
-/// What is reserved of one customer's cap for a waiting gang.
+/// What is reserved of one customer's cap for a waiting step.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CapReservation {
-    /// The place of the gang in the order of the cycle.
+    /// The place of the step in the order of the cycle.
     order: OrderKey,
     step: StepId,
     reserved: Resources,
-    /// When the cap is expected to have capacity for the gang.
+    /// When the cap is expected to have capacity for the step.
     until_ms: u64,
 }
 
-/// When the cap is expected to have capacity for the gang that waits for it.
+/// When the cap is expected to have capacity for the step that waits for it.
 #[derive(Clone, Copy, Debug)]
 struct CapForecast {
     step: StepId,
@@ -196,13 +196,13 @@
 }
 
 impl Cycle {
-    /// Whether a part of the customer's cap is reserved for a gang.
+    /// Whether a part of the customer's cap is reserved for a step.
     pub fn has_cap_reservation(&self, customer: Option<CustomerId>, step: StepId) -> bool {
         let reservation = customer.and_then(|customer| self.cap_reservations[customer.0].as_ref());
         reservation.is_some_and(|reservation| reservation.step == step)
     }
 
-    /// Drops the reservation of a gang whose tasks now count as used.
+    /// Drops the reservation of a step whose tasks now count as used.
     pub fn release_cap_reservation(&mut self, customer: CustomerId, step: StepId) {
         self.cap_reservations[customer.0].take_if(|reservation| reservation.step == step);
     }
@@ -210,7 +210,7 @@
 
 impl Pool {
     /// How many more tasks of a step may start under its customer's cap, beside what is reserved
-    /// for a gang that has its turn before. Without a customer there is no limit.
+    /// for a step that has its turn before. Without a customer there is no limit.
     pub(crate) fn tasks_under_cap(
         &self,
         step: StepId,
@@ -240,10 +240,10 @@
         }
     }
 
-    /// Reserves a part of each customer's cap for the first of its gangs that have waited for it.
+    /// Reserves a part of each customer's cap for the first of its steps that have waited for it.
     ///
-    /// A gang that no longer waits for the cap keeps its reservation while it waits for tickets or
-    /// for room. Otherwise other work would take the cap, and the gang would wait for it again.
+    /// A step that no longer waits for the cap keeps its reservation while it waits for tickets or
+    /// for room. Otherwise other work would take the cap, and the step would wait for it again.
     pub(crate) fn reserve_caps(
         &mut self,
         urgent: &[(OrderKey, StepId)],
@@ -261,11 +261,11 @@
         self.forecast_caps(cycle);
     }
 
-    /// Estimates when each cap has capacity for the gang that waits for it. Until then other work
+    /// Estimates when each cap has capacity for the step that waits for it. Until then other work
     /// may use the reserved part if it ends in time.
     ///
     /// The estimate is kept: tasks that run longer than expected would otherwise let further ones
-    /// in, and the gang would never start.
+    /// in, and the step would never start.
     fn forecast_caps(&mut self, cycle: &mut Cycle) {
         let now_ms = self.now_ms;
         for index in 0..self.customers.len() {
@@ -326,11 +326,11 @@
     }
 
     /// Suspends reservations that have kept more than half of a cap unused for long, or all that
-    /// the gang needs. A gang may wait for the last few tasks of its customer, or for something
+    /// the step needs. A step may wait for the last few tasks of its customer, or for something
     /// else, for much longer than other work may wait.
     ///
-    /// Each suspension of a gang's reservation doubles the time until the next one. Otherwise a
-    /// gang would never start if the last tasks before it take longer than that.
+    /// From the second suspension of a step's reservation on, the time until the next one doubles.
+    /// Otherwise a step would never start if the last tasks before it take longer than that.
     fn suspend_idle_reservations(&mut self, cycle: &mut Cycle) {
         let now_ms = self.now_ms;
         for (index, account) in self.customers.accounts.iter_mut().enumerate() {
@@ -352,10 +352,8 @@
             let Some(job) = self.jobs.get_mut(&step.job) else { continue };
             let Some(step_index) = job.step_index(step) else { continue };
             let suspensions = &mut job.step_states[step_index].cap_suspensions;
-            if idle_ms
-                < IDLE_RESERVATION_MAX_MS
-                    << suspensions.saturating_sub(1).min(SUSPENSIONS_COUNTED_MAX)
-            {
+            let doublings = suspensions.saturating_sub(1).min(DOUBLINGS_MAX);
+            if idle_ms < IDLE_RESERVATION_MAX_MS << doublings {
                 continue;
             }
             *suspensions += 1;
@@ -367,12 +365,13 @@
         }
     }
 
-    /// Reserves what a waiting gang needs of its customer's cap against later work of the
-    /// same customer, which would otherwise take each bit of the cap as it comes free.
+    /// Reserves what a waiting step needs of its customer's cap against later work of the
+    /// same customer, which would otherwise take each bit of the cap as it comes free: all tasks
+    /// of a gang, or one task.
     ///
-    /// Only one gang of a customer has a reservation, the first one in the order of the cycle. What
-    /// several gangs need together may exceed the cap, and no other work would start until then.
-    /// Nothing is reserved for a gang that could not start even then, which would be for ever.
+    /// Only one step of a customer has a reservation, the first one in the order of the cycle. What
+    /// several steps need together may exceed the cap, and no other work would start until then.
+    /// Nothing is reserved for a step that could not start even then, which would be for ever.
     pub(crate) fn reserve_cap(
         &mut self,
         step: StepId,
@@ -382,7 +381,7 @@
     ) {
         let Some(job) = self.jobs.get(&step.job) else { return };
         let Some(customer) = job.customer else { return };
-        // How long an earlier leader has kept the cap unused is not known.
+        // For how long an earlier leader has kept the cap unused is not known.
         let first_ms = self.started_ms + IDLE_RESERVATION_MAX_MS;
         let suspended_until_ms = self.customers.get(customer).suspended_until_ms;
         let is_suspended = self.now_ms < suspended_until_ms.max(first_ms);
