--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -147,16 +147,25 @@
         }
     }
 
-    /// Logs what became of a start. `expires_ms` is when it would have been too old for this
-    /// daemon to make it.
-    pub fn log_start(
+    /// Logs what became of a start or a stop that this daemon made. `expires_ms` is when a start
+    /// would have been too old for it.
+    pub fn log_outcome(
         &self,
         reply: &WorkerReply,
         epoch: u64,
         began_ms: u64,
         expires_ms: Option<u64>,
     ) {
-        let Self::Start(StartCall { to, task, run, .. }) = self else { return };
+        let StartCall { to, task, run, .. } = match self {
+            Self::Start(call) => call,
+            Self::Stop(StopCall { to, task, run }) => {
+                let took_ms = steady_ms().saturating_sub(began_ms);
+                let worker = &to.worker;
+                tracing::info!(%task, run, %worker, epoch, took_ms, ?reply, "stop made");
+                return;
+            }
+            Self::Hold(_) | Self::Pace(_) => return,
+        };
         let worker = &to.worker;
         let too_old_ms = expires_ms.map(|expires_ms| began_ms.saturating_sub(expires_ms));
         if let (WorkerReply::Failed(CallError::NotSent), Some(too_old_ms)) = (reply, too_old_ms) {
@@ -188,6 +197,22 @@
 }
 
 impl PendingCall {
+    /// Its kind, in the log.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Hold { .. } => "hold",
+            Self::Start { .. } => "start",
+            Self::Stop { .. } => "stop",
+            Self::Pace { .. } => "pace",
+        }
+    }
+
+    /// Logs by which way the answer to a stop came, and how long it took.
+    pub fn log_answer(&self, through: &str, took_ms: u64, reply: &WorkerReply) {
+        let Self::Stop { worker, task, run } = self else { return };
+        tracing::info!(%task, run, %worker, through, took_ms, ?reply, "stop answered");
+    }
+
     /// The worker that was called.
     pub fn worker(&self) -> &WorkerId {
         match self {
--- a/crates/node/src/executors/link.rs
+++ b/crates/node/src/executors/link.rs
@@ -81,13 +81,20 @@
     clock: Option<(u64, u64)>,
     /// Calls to send: the number, the time at which it was queued, and the call.
     queue: Vec<(u64, u64, WorkerCall)>,
-    pending: HashMap<u64, PendingCall>,
+    pending: HashMap<u64, Pending>,
     last_number: u64,
     /// Batches that the executor has not accepted yet, by number.
     open_batches: BTreeMap<u64, OpenBatch>,
     last_batch: u64,
 }
 
+/// A call whose reply has not arrived.
+#[derive(Debug)]
+struct Pending {
+    call: PendingCall,
+    since_ms: u64,
+}
+
 /// A batch that the executor has not accepted yet.
 #[derive(Debug)]
 struct OpenBatch {
@@ -222,8 +229,9 @@
         }
         state.last_number += 1;
         let number = state.last_number;
-        state.pending.insert(number, call.pending());
-        state.queue.push((number, steady_ms(), call));
+        let now_ms = steady_ms();
+        state.pending.insert(number, Pending { call: call.pending(), since_ms: now_ms });
+        state.queue.push((number, now_ms, call));
         self.queued.notify_one();
         None
     }
@@ -335,6 +343,7 @@
         on_reply: &impl Fn(PendingCall, WorkerReply),
     ) {
         let mut answered = Vec::with_capacity(replies.len());
+        let now_ms = steady_ms();
         {
             let mut state = self.lock();
             state.open();
@@ -347,7 +356,9 @@
             }
         }
         for (pending, reply) in answered {
-            on_reply(pending, reply);
+            let took_ms = now_ms.saturating_sub(pending.since_ms);
+            pending.call.log_answer(&self.address, took_ms, &reply);
+            on_reply(pending.call, reply);
         }
     }
 
@@ -483,13 +494,13 @@
         on_reply: &impl Fn(PendingCall, WorkerReply),
     ) {
         let mut state = self.lock();
-        let pending = state.pending.len();
-        metrics::counter!("stoatwell_session_calls_lost_total").increment(pending as u64);
+        let (pending, oldest_ms) = state.count_lost_calls();
         if let Some(opened_ms) = opened_ms {
             tracing::warn!(
                 executor = self.address,
                 session = session.number,
-                pending,
+                ?pending,
+                oldest_ms,
                 age_ms = steady_ms().saturating_sub(opened_ms),
                 why = %end,
                 "session with an executor failed"
@@ -522,7 +533,10 @@
         for number in numbers {
             let pending = self.lock().pending.remove(number);
             if let Some(pending) = pending {
-                on_reply(pending, WorkerReply::Failed(error));
+                let took_ms = steady_ms().saturating_sub(pending.since_ms);
+                let reply = WorkerReply::Failed(error);
+                pending.call.log_answer(&self.address, took_ms, &reply);
+                on_reply(pending.call, reply);
             }
         }
     }
@@ -533,6 +547,22 @@
 }
 
 impl State {
+    /// The number of calls of each kind that are lost with the session, and the age of the oldest.
+    fn count_lost_calls(&self) -> (BTreeMap<&'static str, u64>, u64) {
+        let now_ms = steady_ms();
+        let mut counts = BTreeMap::new();
+        let mut oldest_ms = 0;
+        for pending in self.pending.values() {
+            *counts.entry(pending.call.kind()).or_default() += 1;
+            oldest_ms = oldest_ms.max(now_ms.saturating_sub(pending.since_ms));
+        }
+        for (kind, count) in &counts {
+            metrics::counter!("stoatwell_session_calls_lost_total", "call" => *kind)
+                .increment(*count);
+        }
+        (counts, oldest_ms)
+    }
+
     fn open(&mut self) {
         if self.phase != Phase::Open {
             self.phase = Phase::Open;
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -57,6 +57,9 @@
 /// How long a daemon whose link was given up comes after others in the choice of executors.
 const FAILED_LATELY_MS: u64 = 30_000;
 
+/// The way of a direct call, in the log.
+const DIRECTLY: &str = "the leader itself";
+
 /// Makes the leader's calls to workers, directly or through executors.
 #[derive(Debug)]
 pub struct Executors<P> {
@@ -189,7 +192,8 @@
             } else {
                 call.perform(&*platform).await
             };
-            call.log_start(&reply, epoch, began_ms, void_ms);
+            call.log_outcome(&reply, epoch, began_ms, void_ms);
+            pending.log_answer(DIRECTLY, steady_ms().saturating_sub(began_ms), &reply);
             if reply.is_unanswered() {
                 lock(&state).direct_workers.remove(pending.worker());
             }
--- a/crates/node/src/executors/session.rs
+++ b/crates/node/src/executors/session.rs
@@ -29,6 +29,8 @@
 const GATHER_DELAY: Duration = Duration::from_millis(12);
 /// Maximum number of bytes of the replies that are returned together, unless it is a single one.
 const COLLECTED_BYTES_MAX: usize = 1 << 20;
+/// The log tells of replies that the leader has not collected for this long.
+const LOGGED_WAIT_MS: u64 = 300;
 /// A session that keeps more bytes of replies than this is given up.
 const KEPT_BYTES_MAX: usize = 16 << 20;
 
@@ -76,8 +78,8 @@
 
 #[derive(Debug, Default)]
 struct SessionState {
-    /// Replies after `ack_cursor`, with their encoded sizes.
-    replies: VecDeque<(u64, WorkerReply, usize)>,
+    /// Replies after `ack_cursor`.
+    replies: VecDeque<KeptReply>,
     ack_cursor: u64,
     kept_bytes: usize,
     /// Whether replies were dropped because too many were kept.
@@ -87,6 +89,19 @@
     first_open: u64,
 }
 
+/// A reply that the leader has not acknowledged.
+#[derive(Debug)]
+struct KeptReply {
+    /// Number of its call.
+    number: u64,
+    reply: WorkerReply,
+    /// Its encoded size.
+    bytes: usize,
+    since_ms: u64,
+    /// Whether the log tells that it waits.
+    is_logged: bool,
+}
+
 impl<P: Platform> Executor<P> {
     /// An executor without a session.
     pub fn new(platform: Arc<P>) -> Self {
@@ -130,7 +145,7 @@
                 } else {
                     call.perform(&*platform).await
                 };
-                call.log_start(&reply, id.epoch, began_ms, Some(expires_ms));
+                call.log_outcome(&reply, id.epoch, began_ms, Some(expires_ms));
                 session.lock().keep(number, reply);
                 session.replied.notify_waiters();
             });
@@ -149,7 +164,9 @@
         if session.lock().replies.is_empty() && timeout(wait, replied).await.is_ok() {
             sleep(GATHER_DELAY).await;
         }
-        session.lock().unacknowledged()
+        let mut state = session.lock();
+        state.log_waits(id);
+        state.unacknowledged()
     }
 
     /// The current session if it is this one and has all its replies.
@@ -184,13 +201,38 @@
             self.replies.clear();
             return;
         }
-        self.replies.push_back((number, reply, bytes));
+        let since_ms = steady_ms();
+        self.replies.push_back(KeptReply { number, reply, bytes, since_ms, is_logged: false });
+    }
+
+    /// Logs, once for each, the replies that have waited for long.
+    fn log_waits(&mut self, id: SessionId) {
+        let now_ms = steady_ms();
+        let (mut replies, mut waited_max_ms) = (0, 0);
+        for kept in &mut self.replies {
+            let waited_ms = now_ms.saturating_sub(kept.since_ms);
+            if waited_ms < LOGGED_WAIT_MS || std::mem::replace(&mut kept.is_logged, true) {
+                continue;
+            }
+            replies += 1;
+            waited_max_ms = waited_max_ms.max(waited_ms);
+        }
+        if replies > 0 {
+            metrics::counter!("stoatwell_late_replies_total").increment(replies);
+            tracing::info!(
+                epoch = id.epoch,
+                number = id.number,
+                replies,
+                waited_max_ms,
+                "replies waited for the leader to collect them"
+            );
+        }
     }
 
     fn forget(&mut self, ack_cursor: u64) {
         while self.ack_cursor < ack_cursor {
-            let Some((.., bytes)) = self.replies.pop_front() else { return };
-            self.kept_bytes -= bytes;
+            let Some(kept) = self.replies.pop_front() else { return };
+            self.kept_bytes -= kept.bytes;
             self.ack_cursor += 1;
         }
     }
@@ -201,7 +243,7 @@
         }
         let mut collected = Collected { cursor: self.ack_cursor, replies: Vec::new() };
         let mut bytes_left = COLLECTED_BYTES_MAX;
-        for (number, reply, bytes) in &self.replies {
+        for KeptReply { number, reply, bytes, .. } in &self.replies {
             if *bytes > bytes_left && !collected.replies.is_empty() {
                 break;
             }
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -196,6 +196,8 @@
     pub retry_at_ms: u64,
     /// For a gang, when the starts of the current attempt were recorded; `None` if there is none.
     pub attempt_ms: Option<u64>,
+    /// For a gang, when the first start of that attempt was sent.
+    pub first_start_ms: Option<u64>,
     /// Whether a part of its customer's cap was reserved for it since starts of it were last recorded.
     pub claims_cap: bool,
     /// How often that reservation was suspended since then.
@@ -433,6 +435,7 @@
             wait_reason: WaitReason::default(),
             retry_at_ms: 0,
             attempt_ms: None,
+            first_start_ms: None,
             claims_cap: false,
             cap_suspensions: 0,
             reserved: Vec::new(),
--- a/crates/pool/src/runs/gangs.rs
+++ b/crates/pool/src/runs/gangs.rs
@@ -13,6 +13,7 @@
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
+use crate::jobs::job::Task;
 
 /// The largest gang of each size class but the last one.
 const SIZE_CLASSES: [usize; 3] = [4, 12, 24];
@@ -123,6 +124,7 @@
         let Some(step_index) = job.step_index(step) else { return };
         let step_state = &mut job.step_states[step_index];
         step_state.attempt_ms = Some(now_ms);
+        step_state.first_start_ms = None;
         let tasks = step_state.tasks.len();
         self.gang_counts.of_size(tasks).begun += 1;
         tracing::info!(%step, run, tasks, "gang placed");
@@ -137,6 +139,32 @@
         *attempts.failed.entry(GangFailure::NotRecorded).or_default() += 1;
     }
 
+    /// Notes that a start of a member was sent.
+    pub(crate) fn note_member_start(&mut self, member: TaskId) {
+        let now_ms = self.now_ms;
+        let Some(job) = self.jobs.get_mut(&member.step.job) else { return };
+        let Some(step_index) = job.step_index(member.step) else { return };
+        let step_state = &mut job.step_states[step_index];
+        if step_state.attempt_ms.is_some() {
+            step_state.first_start_ms.get_or_insert(now_ms);
+        }
+    }
+
+    /// Logs that all members of a gang run, if they do since a member was seen to run.
+    pub(crate) fn log_assembled_gang(&self, member: TaskId) {
+        let Some(job) = self.jobs.get(&member.step.job) else { return };
+        let Some(step_index) = job.step_index(member.step) else { return };
+        let step_state = &job.step_states[step_index];
+        let runs = |task: &Task| matches!(task.phase, Phase::Running { .. });
+        let Some(first_start_ms) = step_state.first_start_ms else { return };
+        if step_state.attempt_ms.is_none() || !step_state.tasks.iter().all(runs) {
+            return;
+        }
+        let run = step_state.tasks[0].run;
+        let (tasks, took_ms) = (step_state.tasks.len(), self.now_ms - first_start_ms);
+        tracing::info!(step = %member.step, run, tasks, took_ms, "all members of a gang run");
+    }
+
     /// Counts an attempt after which the gang is done.
     pub(crate) fn end_gang_attempt(&mut self, step: StepId) {
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
@@ -164,7 +192,11 @@
         }
         let run = step_state.tasks.get(member.index as usize).map_or(0, |task| task.run);
         let took_ms = now_ms - begun_ms;
+        let since_first_start_ms = step_state.first_start_ms.map(|first_ms| now_ms - first_ms);
         let tasks = step_state.tasks.len();
-        tracing::info!(task = %member, run, tasks, running, unanswered, took_ms, %failure, "attempt of a gang failed");
+        tracing::info!(
+            task = %member, run, tasks, running, unanswered, took_ms, since_first_start_ms, %failure,
+            "attempt of a gang failed"
+        );
     }
 }
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -128,6 +128,7 @@
         let Some(to) = to else { return Ok(()) };
         let row_age_ms = now_ms.saturating_sub(written_ms);
         tracing::info!(task = %id, run, worker = %name, row_age_ms, "start sent");
+        self.note_member_start(id);
         self.effects.push(Effect::Start(StartCall {
             to,
             task: id,
@@ -178,6 +179,7 @@
                 task.last_progress_ms = now_ms;
                 task.running_since_ms = now_ms;
                 self.mark_start_confirmed(id);
+                self.log_assembled_gang(id);
             }
             Err(CallError::NoAnswer) => {
                 tracing::warn!(task = %id, run, worker = %from, "start not answered; its worker is asked whether it runs");
@@ -281,7 +283,9 @@
         let Some(task) = job.task_mut(id) else { return };
         let Some(name) = &task.worker else { return };
         let Some(to) = callee(self.election.epoch, &self.workers, name) else { return };
-        self.effects.push(Effect::Stop(StopCall { to, task: id, run: task.run }));
+        let run = task.run;
+        tracing::info!(task = %id, run, worker = %name, "stop sent");
+        self.effects.push(Effect::Stop(StopCall { to, task: id, run }));
     }
 
     pub(crate) fn on_stopped(
