--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -58,7 +58,11 @@
 
 impl Daemons {
     async fn start(count: usize) -> Self {
-        let addresses = vec!["127.0.0.1:0".to_owned(); count];
+        Self::start_at("127.0.0.1", count).await
+    }
+
+    async fn start_at(ip: &str, count: usize) -> Self {
+        let addresses = vec![format!("{ip}:0"); count];
         let paused = watch::Sender::new(false);
         let (queries, unadvised) = (Arc::default(), Arc::default());
         let mut daemons = Self { addresses, paused, queries, unadvised, runtime: None };
@@ -303,3 +307,33 @@
     let granted = answer.map(|advice| advice.map(|advice| advice.granted));
     assert_eq!(granted, Ok(Some(Vec::new())));
 }
+
+/// Guards against queries that are sent through a daemon that has failed again and again, beside
+/// daemons that have not.
+#[test]
+fn queries_go_through_steady_daemons_first() {
+    let runtime = Runtime::new().expect("threads");
+    let (flapping, steady) = runtime
+        .block_on(async { (Daemons::start(1).await, Daemons::start_at("127.0.0.2", 3).await) });
+    // Of equal daemons the one with the lowest address is chosen.
+    let proxy = Proxy::start(&flapping.addresses[0]);
+    runtime.block_on(async {
+        let mut infos = flapping.infos();
+        infos[0].address.clone_from(&proxy.address);
+        infos.extend(steady.infos());
+        let dispatcher = dispatcher(&infos);
+        for _ in 0..3 {
+            proxy.set_path(Path::Stalled);
+            // At least one of them goes through each daemon.
+            assert_eq!(answered(&dispatcher, 5, Duration::from_secs(3)).await, 5);
+            proxy.set_path(Path::Open);
+            sleep(Duration::from_millis(300)).await;
+        }
+        let before = flapping.queries.load(Ordering::Relaxed);
+        for _ in 0..12 {
+            assert_eq!(answered(&dispatcher, 1, Duration::from_secs(3)).await, 1);
+        }
+        let after = flapping.queries.load(Ordering::Relaxed);
+        assert_eq!(after, before, "queries through the flapping daemon");
+    });
+}
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -675,3 +675,98 @@
         assert_eq!(platform.first_starts_received(), 0);
     });
 }
+
+/// Waits for an event; `None` if none comes in this time.
+async fn event_within(inbox: &mut Inbox, limit_ms: u64) -> Option<Event> {
+    match timeout(Duration::from_millis(limit_ms), inbox.recv()).await {
+        Ok(Some(Message::Event(event))) => Some(event),
+        Ok(other) => panic!("no event came: {other:?}"),
+        Err(_) => None,
+    }
+}
+
+/// Guards against an answer that exists at an executor and that nobody asks for another way, until
+/// the session ends.
+#[test]
+fn the_scheduler_learns_within_a_second_that_an_answer_waits_at_a_stalled_executor() {
+    let (_platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        proxy.set_path(Path::LosesReplies);
+        executors.call(Some(&ZoneName::new("z")), hold(1));
+        let event = event_within(&mut inbox, 1_000).await;
+        assert!(event.is_some(), "nothing is known of the hold after a second");
+    });
+}
+
+/// Guards against starts that have expired, and whose answer is waited for until the session ends.
+#[test]
+fn a_start_that_no_executor_accepted_is_settled_once_it_has_expired() {
+    let (_platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        proxy.set_path(Path::Stalled);
+        let sent = Instant::now();
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        loop {
+            let event = event_within(&mut inbox, 3_000).await.expect("an event");
+            if let Event::Started { reply, .. } = event {
+                let unmade = [Err(CallError::NotSent), Err(CallError::NoAnswer)];
+                assert!(unmade.contains(&reply), "{reply:?}");
+                break;
+            }
+        }
+        assert!(sent.elapsed() < Duration::from_millis(1_200), "{:?}", sent.elapsed());
+    });
+}
+
+/// Guards against a question about a run that waits behind the answer that it is asked for.
+#[test]
+fn a_question_does_not_take_the_way_on_which_an_answer_is_overdue() {
+    let (platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        starts_received(&platform, 1).await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        executors.call(Some(&ZoneName::new("z")), hold(8));
+        loop {
+            let event = event_within(&mut inbox, 1_000).await.expect("an event");
+            if let Event::Held { reply, .. } = event {
+                // The leader cannot reach the worker; the refusal shows that it called directly.
+                assert_eq!(reply, Err(CallError::Refused));
+                break;
+            }
+        }
+    });
+}
+
+/// Guards against an executor that fails again and again, and that makes the calls of half of a
+/// zone's workers each time as soon as it answers.
+#[test]
+fn an_executor_that_fails_again_and_again_gets_its_share_back_slowly() {
+    let (_platform, _executor, proxy) = executor_behind_proxy();
+    Runtime::new().expect("a runtime").block_on(async {
+        let (executors, mut inbox) = leader(FakePlatform::default(), &proxy.address);
+        executors.wait_until_open().await;
+        let mut ways = Vec::new();
+        for turn in 1..=4 {
+            proxy.set_path(Path::Stalled);
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            proxy.set_path(Path::Open);
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            executors.call(Some(&ZoneName::new("z")), hold(turn));
+            let event = event_within(&mut inbox, 1_000).await.expect("an answer");
+            // The leader cannot reach the worker directly.
+            ways.push(matches!(&event, Event::Held { reply: Ok(_), .. }));
+        }
+        assert_eq!(ways, [true, false, false, false], "calls through the executor");
+        tokio::time::sleep(Duration::from_secs(9)).await;
+        executors.call(Some(&ZoneName::new("z")), hold(9));
+        let event = event_within(&mut inbox, 1_000).await.expect("an answer");
+        assert!(matches!(&event, Event::Held { reply: Ok(_), .. }), "{event:?}");
+    });
+}
