Gangs: stop all members as soon as the start of one is not confirmed

What callers saw: members of gangs that wait in vain and end alone. Cause: a start that a worker refuses as old, or whose worker does not list the run, counted the attempt as failed and stopped that member only; the others were stopped once its worker had answered the stop and listed no such run. While connections fail that takes seconds, of which the members that run have three. The same held for starts without any result.

--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -236,7 +236,7 @@
         };
         let run = task.run;
         tracing::warn!(task = %id, run, worker = %from, ?reply, "start not confirmed; the run is stopped");
-        self.fail_gang_attempt(id, GangFailure::of_unconfirmed(reply));
+        self.stop_other_members(id, GangFailure::of_unconfirmed(reply));
         self.stop(id);
     }
 
--- a/crates/pool/src/runs/stalled.rs
+++ b/crates/pool/src/runs/stalled.rs
@@ -84,6 +84,7 @@
         }
         for id in lost_starts {
             tracing::error!(task = %id, "start brought neither an answer nor an error; stopping the run");
+            self.stop_other_members(id, GangFailure::NotConfirmed);
             self.stop(id);
         }
         for (id, stalled_from_ms) in stalled {
