Gangs: one time budget for an attempt, kept by the leader

What callers saw: members of gangs end alone, after 3 to 4 s in which nobody stopped them, while one member is not started or not known to be. Cause: the members give up after a time of the installation that the scheduler did not know. A start counts as lost after 4 s, a stop is repeated after 0.6 s; each is within its own bound while the attempt as a whole is lost.

An attempt now has a budget from its first start on: gang_wait_ms of the members less stop_max_ms of a stop is the last useful moment of a stop, and the last quarter of gang_wait_ms before it is kept for stops. A start carries the end of the first part, so neither the leader nor an executor makes it later; a gang some of whose members are not known to run by then is stopped as a whole; an unanswered stop is repeated after 0.25 s while it is of use. After a pause of the leader's process the answers that wait are read first.

--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -33,6 +33,7 @@
 use stoatwell_pool::CallError;
 use stoatwell_pool::Callee;
 use stoatwell_pool::Event;
+use stoatwell_pool::GangLimits;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::Limits;
 use stoatwell_pool::StartCall;
@@ -73,6 +74,7 @@
         checkpoint: String::new(),
         ticket: None,
         written_ms: NEVER_EXPIRES_MS,
+        assembled_by_ms: None,
     })
 }
 
@@ -100,6 +102,7 @@
             job_retention_ms: 60_000,
             advice_workers_max: 100,
             batch_bytes_max: 600_000,
+            gangs: GangLimits::default(),
         },
         peer_key: KEY.to_owned(),
         manifest_apply_ms: 2_500,
--- a/crates/node/tests/fake/daemon.rs
+++ b/crates/node/tests/fake/daemon.rs
@@ -7,6 +7,7 @@
 use stoatwell_node::Node;
 use stoatwell_node::NodeSettings;
 use stoatwell_node::SchedulerRequest;
+use stoatwell_pool::GangLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::Limits;
@@ -51,6 +52,7 @@
             job_retention_ms: 60_000,
             advice_workers_max: 100,
             batch_bytes_max: 600_000,
+            gangs: GangLimits::default(),
         },
         peer_key: "test".to_owned(),
         manifest_apply_ms: 2_500,
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -362,6 +362,7 @@
             checkpoint: String::new(),
             ticket: ticket.map(str::to_owned),
             written_ms: 1,
+            assembled_by_ms: None,
         })
     };
     let calls = vec![
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -427,12 +427,16 @@
     pub ticket: Option<String>,
     /// When the write of the start's row was sent, by the monotonic clock.
     pub written_ms: u64,
+    /// For a member of a gang, the time from which on it comes too late for its attempt, by the
+    /// monotonic clock.
+    pub assembled_by_ms: Option<u64>,
 }
 
 impl StartCall {
     /// From when on the start must not be sent to the worker any more, by the monotonic clock.
     pub fn void_ms(&self) -> u64 {
-        self.written_ms + START_VALIDITY_MS
+        let void_ms = self.written_ms + START_VALIDITY_MS;
+        self.assembled_by_ms.map_or(void_ms, |assembled_by_ms| void_ms.min(assembled_by_ms))
     }
 
     /// Whether the start must not be sent to the worker any more.
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -132,6 +132,23 @@
     /// The approximate size limit of a batch of rows, in bytes. The renewal of the
     /// leader lease waits behind the batch.
     pub batch_bytes_max: usize,
+    /// How long members of a gang wait for each other.
+    pub gangs: GangLimits,
+}
+
+/// What the workers of an installation do with members of gangs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GangLimits {
+    /// How long a member waits for the others before it ends.
+    pub wait_ms: u64,
+    /// The longest time from the arrival of a stop to the end of the run.
+    pub stop_max_ms: u64,
+}
+
+impl Default for GangLimits {
+    fn default() -> Self {
+        Self { wait_ms: 3_000, stop_max_ms: 900 }
+    }
 }
 
 /// The outcome of the leader election that this scheduler won.
--- a/crates/pool/src/runs/gangs.rs
+++ b/crates/pool/src/runs/gangs.rs
@@ -3,9 +3,14 @@
 //! An attempt begins when the starts of all members are recorded, and ends with the first member
 //! that ends, does not start or has to be stopped. What happens to the other members follows from
 //! that. Until all of them are gone, the attempt keeps their capacity.
+//!
+//! A member that runs waits only for some time for the others. So an attempt has a budget of time
+//! from its first start on: all members have to be known to run in the first part of it, and the
+//! rest is for stops, of which the first ones may get lost.
 
 use std::collections::BTreeMap;
 
+use crate::GangLimits;
 use crate::Pool;
 use crate::event::CallError;
 use crate::event::RunOutcome;
@@ -13,11 +18,36 @@
 use crate::id::StepId;
 use crate::id::TaskId;
 use crate::jobs::job::Phase;
+use crate::jobs::job::StepState;
 use crate::jobs::job::Task;
 
 /// The largest gang of each size class but the last one.
 const SIZE_CLASSES: [usize; 3] = [4, 12, 24];
 
+/// The part of the time for which members wait that is kept for stops.
+const STOPS_PERCENT: u64 = 25;
+/// After this process stood still, the answers that arrived meanwhile are read first.
+const CATCH_UP_MS: u64 = 100;
+
+/// The time that an attempt has, by the monotonic clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AttemptBudget {
+    /// When all members have to be known to run. No start is sent later.
+    pub assembled_by_ms: u64,
+    /// Until when a stop ends a member before it gives up waiting for the others.
+    pub stopped_by_ms: u64,
+}
+
+impl AttemptBudget {
+    /// The budget of an attempt whose first start was sent at this time.
+    pub fn new(first_start_ms: u64, limits: GangLimits) -> Self {
+        let stopped_by_ms = first_start_ms + limits.wait_ms.saturating_sub(limits.stop_max_ms);
+        let assembled_by_ms =
+            stopped_by_ms.saturating_sub(limits.wait_ms * STOPS_PERCENT / 100).max(first_start_ms);
+        Self { assembled_by_ms, stopped_by_ms }
+    }
+}
+
 /// Why an attempt to run a gang ended before the gang was done: what happened to the first
 /// member.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, displaydoc::Display)]
@@ -54,6 +84,8 @@
     Lost,
     /// the run made no progress
     Stalled,
+    /// not all members were known to run in time
+    NotAssembled,
 }
 
 impl GangFailure {
@@ -139,6 +171,34 @@
         *attempts.failed.entry(GangFailure::NotRecorded).or_default() += 1;
     }
 
+    /// The budget of the current attempt of a gang, or of the last one; `None` if no start of it
+    /// was sent.
+    pub(crate) fn attempt_budget(&self, step_state: &StepState) -> Option<AttemptBudget> {
+        let first_start_ms = step_state.first_start_ms?;
+        Some(AttemptBudget::new(first_start_ms, self.limits.gangs))
+    }
+
+    /// The first member of a gang that is not known to run although the time for that is over.
+    pub(crate) fn late_member(&self, step_state: &StepState) -> Option<TaskId> {
+        step_state.attempt_ms?;
+        let budget = self.attempt_budget(step_state)?;
+        let has_caught_up = self.now_ms >= self.resumed_ms + CATCH_UP_MS;
+        if self.now_ms < budget.assembled_by_ms
+            || (!has_caught_up && self.now_ms < budget.stopped_by_ms)
+        {
+            return None;
+        }
+        let is_late = |task: &Task| !matches!(task.phase, Phase::Running { .. } | Phase::Done);
+        let index = step_state.tasks.iter().position(is_late)?;
+        Some(TaskId { step: step_state.id, index: index as u32 })
+    }
+
+    /// Ends an attempt that did not assemble in time.
+    pub(crate) fn end_late_attempt(&mut self, late: TaskId) {
+        self.stop_other_members(late, GangFailure::NotAssembled);
+        self.stop(late);
+    }
+
     /// Notes that a start of a member was sent.
     pub(crate) fn note_member_start(&mut self, member: TaskId) {
         let now_ms = self.now_ms;
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -30,6 +30,7 @@
 use crate::jobs::job::Phase;
 use crate::jobs::job::Task;
 use crate::jobs::record::Outcome;
+use crate::runs::gangs::AttemptBudget;
 use crate::runs::gangs::GangFailure;
 use crate::workers::worker::Worker;
 
@@ -58,6 +59,8 @@
     ClosedWorker,
     /// The ticket would be refused, as after a long outage of the store.
     ExpiredTicket,
+    /// The other members of its gang would not wait for it any more.
+    AttemptOver,
 }
 
 impl Pool {
@@ -87,6 +90,10 @@
                 tracing::info!(task = %id, run, %worker, "start not sent: its ticket expired; the task is queued again");
                 self.requeue_unstarted(id, GangFailure::ExpiredTicket);
             }
+            Err(StartObstacle::AttemptOver) => {
+                tracing::info!(task = %id, run, %worker, "start not sent: the other members of its gang have waited for too long; the task is queued again");
+                self.requeue_unstarted(id, GangFailure::NotAssembled);
+            }
         }
     }
 
@@ -99,9 +106,18 @@
         }
         let Some(job) = self.jobs.get_mut(&id.step.job) else { return Ok(()) };
         let payload = Arc::clone(&job.payload);
+        let gangs = self.limits.gangs;
         let needs_ticket = job.spec.queue.advice.is_some();
         let Some(step_index) = job.step_index(id.step) else { return Ok(()) };
+        let is_gang = job.step_spec(step_index).gang;
         let step_state = &mut job.step_states[step_index];
+        let assembled_by_ms = is_gang.then(|| {
+            let first_start_ms = step_state.first_start_ms.unwrap_or(now_ms);
+            AttemptBudget::new(first_start_ms, gangs).assembled_by_ms
+        });
+        if assembled_by_ms.is_some_and(|assembled_by_ms| now_ms >= assembled_by_ms) {
+            return Err(StartObstacle::AttemptOver);
+        }
         let Some(task) = step_state.tasks.get_mut(id.index as usize) else { return Ok(()) };
         let Some(name) = task.worker.clone() else { return Ok(()) };
         let Some(worker) = self.workers.get_mut(&name) else { return Ok(()) };
@@ -138,6 +154,7 @@
             checkpoint,
             ticket,
             written_ms,
+            assembled_by_ms,
         }));
         Ok(())
     }
--- a/crates/pool/src/runs/stalled.rs
+++ b/crates/pool/src/runs/stalled.rs
@@ -8,6 +8,8 @@
 
 /// Time after which an unanswered stop is sent again; a few round trips.
 const STOP_RETRY_MS: u64 = 600;
+/// The same for a member of a gang that could still give up waiting for the others.
+const URGENT_STOP_RETRY_MS: u64 = 250;
 /// Time after which a start counts as lost although neither an answer nor an error has
 /// arrived. The caller's own timeout is well below this.
 const START_LOST_MS: u64 = 4_000;
@@ -21,7 +23,8 @@
 const GANG_STALL_MS: u64 = 1_500;
 
 impl Pool {
-    /// Repeats unanswered stops, and stops runs whose start was lost or that have stalled.
+    /// Repeats unanswered stops, and stops runs whose start was lost, that have stalled, or whose
+    /// gang did not assemble in time.
     ///
     /// A worker can renew its lease and answer holds while its tasks make no progress. Only
     /// the reported progress shows this; without this check such jobs would never end.
@@ -29,6 +32,7 @@
         let mut unanswered_stops = Vec::new();
         let mut stalled = Vec::new();
         let mut lost_starts = Vec::new();
+        let mut late_members = Vec::new();
         let mut settled = Vec::new();
         for id in self.job_index.in_progress() {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -49,13 +53,17 @@
                 // so the latest progress of any member counts.
                 let gang_progress_ms =
                     step_state.tasks.iter().map(|task| task.last_progress_ms).max().unwrap_or(0);
+                late_members.extend(self.late_member(step_state));
+                let budget = self.attempt_budget(step_state);
+                let is_urgent = budget.is_some_and(|budget| self.now_ms < budget.stopped_by_ms);
+                let stop_retry_ms = if is_urgent { URGENT_STOP_RETRY_MS } else { STOP_RETRY_MS };
                 for (index, task) in step_state.tasks.iter().enumerate() {
                     let id = TaskId { step: step_state.id, index: index as u32 };
                     let progress_ms =
                         if step.gang { gang_progress_ms } else { task.last_progress_ms };
                     match task.phase {
                         Phase::Stopping { answered_turn: None, sent_ms }
-                            if sent_ms + STOP_RETRY_MS < self.now_ms =>
+                            if sent_ms + stop_retry_ms < self.now_ms =>
                         {
                             unanswered_stops.push(id);
                         }
@@ -87,6 +95,9 @@
             self.stop_other_members(id, GangFailure::NotConfirmed);
             self.stop(id);
         }
+        for late in late_members {
+            self.end_late_attempt(late);
+        }
         for (id, stalled_from_ms) in stalled {
             self.move_stalled(id, stalled_from_ms);
         }
--- a/crates/pool/tests/attempts.rs
+++ b/crates/pool/tests/attempts.rs
@@ -11,6 +11,7 @@
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
+use stoatwell_pool::GangLimits;
 use stoatwell_pool::HoldReply;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
@@ -27,6 +28,7 @@
     job_retention_ms: 60_000,
     advice_workers_max: 100,
     batch_bytes_max: 600_000,
+    gangs: GangLimits { wait_ms: GANG_WAIT_MS, stop_max_ms: STOP_MAX_MS },
 };
 /// How long members of a gang wait for each other.
 const GANG_WAIT_MS: u64 = 3_000;
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -10,6 +10,7 @@
 use stoatwell_pool::Cancellation;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
+use stoatwell_pool::GangLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Outcome;
@@ -32,6 +33,7 @@
         job_retention_ms: 120_000,
         advice_workers_max: 100,
         batch_bytes_max: 600_000,
+        gangs: GangLimits::default(),
     };
     let election = Election { epoch: 1, ..Election::default() };
     let mut pool = Pool::new(election, limits, NOW_MS, NOW_MS);
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -13,6 +13,7 @@
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
+use stoatwell_pool::GangLimits;
 use stoatwell_pool::HoldReply;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
@@ -34,6 +35,7 @@
     job_retention_ms: 60_000,
     advice_workers_max: 100,
     batch_bytes_max: 600_000,
+    gangs: GangLimits { wait_ms: 3_000, stop_max_ms: 900 },
 };
 
 fn worker() -> WorkerUpdate {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -36,6 +36,7 @@
 use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
+use stoatwell_pool::GangLimits;
 use stoatwell_pool::Grant;
 use stoatwell_pool::HoldReply;
 use stoatwell_pool::JobId;
@@ -799,5 +800,6 @@
         job_retention_ms: 1_000_000,
         advice_workers_max: 100,
         batch_bytes_max: 600_000,
+        gangs: GangLimits::default(),
     }
 }
