Executors: a call waits for its own time, and trust in a link comes back slowly

What callers saw: gangs whose members end alone, and jobs that wait beside free workers, while connections between daemons fail. Two faults of one design, in which a link stands for its calls:

- A call waited for its session.
In the traced gang 9 of 23 answers lay at an executor for 1.8 s although the leader could reach the workers; a start that is void after 0.7 s was sent again and waited for during 2 s; questions and stops queued up behind the answers they were about; with the session 20 to 106 holds were lost, and their workers were silent until the next one.
Now the link watches its calls: what is pending on a suspected link for 0.1 s, or a start or stop for 0.7 s, is reported as overdue, and the scheduler asks or sends again at once; questions and stops do not take a way on which an answer to that worker is overdue; what was not sent takes another way; a start that nobody accepted ends when it expires, any call 2 s after its worker may wait.
The session goes on, so an answer that comes still counts.
Each start of a batch carries its own expiry, not the earliest of the batch.
- A link that answered once got its share of a zone's workers back at once, and the delay before the next session began anew with each link to the same daemon.
Now a second failure within 10 s costs 1 s without calls and 1 s of a rising share, doubled up to 4 s with each further one, the delay and the trust belong to the daemon, and further executors are opened meanwhile.

--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -11,6 +11,7 @@
 use stoatwell_pool::Event;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
+use stoatwell_pool::OverdueCall;
 use stoatwell_pool::PaceCall;
 use stoatwell_pool::StartCall;
 use stoatwell_pool::StartReply;
@@ -56,12 +57,14 @@
     pub call: WorkerCall,
     /// Index of a start's payload in the batch.
     payload: u32,
+    /// How much earlier than the batch the call expires.
+    early_ms: u64,
 }
 
 /// Calls that are sent together.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Batch {
-    /// Time after which starts are not made any more, by the executor's clock.
+    /// Time after which no start of it is made any more, by the executor's clock.
     pub expires_ms: u64,
     orders: Vec<NumberedCall>,
     /// Payloads of jobs; starts of the same job share one.
@@ -147,6 +150,23 @@
         }
     }
 
+    /// Whether another call is still waited for that it repeats, or whose effect it asks for.
+    pub fn is_repetition(&self) -> bool {
+        match self {
+            Self::Stop(_) => true,
+            Self::Hold(call) => call.wait_ms == 0,
+            Self::Start(_) | Self::Pace(_) => false,
+        }
+    }
+
+    /// How long the worker may wait before it answers.
+    pub fn wait_ms(&self) -> u64 {
+        match self {
+            Self::Hold(call) => call.wait_ms,
+            Self::Start(_) | Self::Stop(_) | Self::Pace(_) => 0,
+        }
+    }
+
     /// Logs what became of a start or a stop that this daemon made. `expires_ms` is when a start
     /// would have been too old for it.
     pub fn log_outcome(
@@ -207,6 +227,30 @@
         }
     }
 
+    /// The reply that stands for a call whose answer has not come in its time.
+    pub fn unanswered(&self) -> WorkerReply {
+        match self {
+            Self::Hold { .. } => WorkerReply::Held(Err(CallError::NoAnswer)),
+            Self::Start { .. } => WorkerReply::Started(Err(CallError::NoAnswer)),
+            Self::Stop { .. } | Self::Pace { .. } => WorkerReply::Done(Err(CallError::NoAnswer)),
+        }
+    }
+
+    /// The event that tells the pool that the answer is overdue; `None` if it does not matter.
+    pub fn overdue_event(&self) -> Option<Event> {
+        let (worker, call) = match self {
+            Self::Hold { worker, turn } => (worker, OverdueCall::Hold { turn: *turn }),
+            Self::Start { worker, task, run } => {
+                (worker, OverdueCall::Start { task: *task, run: *run })
+            }
+            Self::Stop { worker, task, run } => {
+                (worker, OverdueCall::Stop { task: *task, run: *run })
+            }
+            Self::Pace { .. } => return None,
+        };
+        Some(Event::Overdue { worker: worker.clone(), call })
+    }
+
     /// Logs by which way the answer to a stop came, and how long it took.
     pub fn log_answer(&self, through: &str, took_ms: u64, reply: &WorkerReply) {
         let Self::Stop { worker, task, run } = self else { return };
@@ -276,11 +320,18 @@
 }
 
 impl Batch {
-    /// A batch of numbered calls for one executor.
+    /// A batch of numbered calls for one executor that expire at the same time.
     pub fn new(calls: Vec<(u64, WorkerCall)>, expires_ms: u64) -> Self {
+        Self::expiring(calls.into_iter().map(|(number, call)| (number, expires_ms, call)).collect())
+    }
+
+    /// A batch of calls, each with its number and the time after which it is not made any more if
+    /// it is a start, by the executor's clock.
+    pub fn expiring(calls: Vec<(u64, u64, WorkerCall)>) -> Self {
+        let expires_ms = calls.iter().map(|(_, expires_ms, _)| *expires_ms).max().unwrap_or(0);
         let mut batch = Self { expires_ms, ..Self::default() };
         let mut payload_indexes: HashMap<*const u8, u32> = HashMap::new();
-        for (number, call) in calls {
+        for (number, call_expires_ms, call) in calls {
             let mut payload = 0;
             if let WorkerCall::Start(start) = &call {
                 payload = *payload_indexes.entry(start.spec.as_ptr()).or_insert_with(|| {
@@ -288,7 +339,8 @@
                     batch.payloads.len() as u32 - 1
                 });
             }
-            batch.orders.push(NumberedCall { number, call, payload });
+            let early_ms = expires_ms - call_expires_ms;
+            batch.orders.push(NumberedCall { number, call, payload, early_ms });
         }
         batch
     }
@@ -300,13 +352,18 @@
 
     /// The numbered calls; starts get their payloads back.
     pub fn into_calls(self) -> impl Iterator<Item = (u64, WorkerCall)> {
-        let payloads = self.payloads;
+        self.into_expiring_calls().map(|(number, _, call)| (number, call))
+    }
+
+    /// The same with the time after which each expires, by the executor's clock.
+    pub fn into_expiring_calls(self) -> impl Iterator<Item = (u64, u64, WorkerCall)> {
+        let (payloads, expires_ms) = (self.payloads, self.expires_ms);
         self.orders.into_iter().map(move |order| {
             let mut call = order.call;
             if let WorkerCall::Start(start) = &mut call {
                 start.spec = payloads.get(order.payload as usize).cloned().unwrap_or_default();
             }
-            (order.number, call)
+            (order.number, expires_ms.saturating_sub(order.early_ms), call)
         })
     }
 }
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -40,6 +40,8 @@
 use self::direct::DirectWorkers;
 use self::direct::Way;
 use self::link::Link;
+use self::link::Outcome;
+use self::link::Record;
 use self::plan::executor_candidates;
 use self::plan::executors_wanted;
 use self::plan::is_busy;
@@ -54,26 +56,35 @@
 /// where there is no executor.
 const OPEN_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How long a daemon whose link was given up comes after others in the choice of executors.
-const FAILED_LATELY_MS: u64 = 30_000;
-
+/// Maximum number of links of a zone for each executor that it should have. Further ones than that
+/// are opened while executors are not trusted with all calls.
+const LINKS_PER_EXECUTOR_MAX: usize = 2;
 /// The way of a direct call, in the log.
 const DIRECTLY: &str = "the leader itself";
 
 /// Makes the leader's calls to workers, directly or through executors.
 #[derive(Debug)]
 pub struct Executors<P> {
-    platform: Arc<P>,
     peers: Peers,
-    epoch: u64,
-    inbox_sender: InboxSender,
+    direct: Arc<DirectCalls<P>>,
     state: Arc<Mutex<State>>,
-    /// Direct calls and the tasks of links; all are aborted when this is dropped.
+    /// The tasks of links; all are aborted when this is dropped.
     tasks: Mutex<JoinSet<()>>,
     /// Notified when a link opens or fails.
     changed: watch::Sender<()>,
 }
 
+/// Makes calls from the leader itself.
+#[derive(Debug)]
+struct DirectCalls<P> {
+    platform: Arc<P>,
+    epoch: u64,
+    inbox_sender: InboxSender,
+    state: Arc<Mutex<State>>,
+    /// Calls in progress; all are aborted when this is dropped.
+    tasks: Mutex<JoinSet<()>>,
+}
+
 #[derive(Debug)]
 struct State {
     leader: DaemonInfo,
@@ -85,8 +96,8 @@
     /// Workers that the leader calls directly since a call through their executor failed.
     direct_workers: DirectWorkers,
     last_session: u64,
-    /// When links to daemons were given up, by address.
-    given_up_ms: HashMap<String, u64>,
+    /// How links that were given up had worked, by address.
+    records: HashMap<String, Record>,
 }
 
 impl<P: Platform> Executors<P> {
@@ -107,19 +118,18 @@
             busy: false,
             direct_workers: DirectWorkers::default(),
             last_session: 0,
-            given_up_ms: HashMap::new(),
+            records: HashMap::new(),
         };
         let state = Arc::new(Mutex::new(state));
-        let tasks = Mutex::default();
-        Self {
+        let direct = Arc::new(DirectCalls {
             platform,
-            peers,
             epoch,
             inbox_sender,
-            state,
-            tasks,
-            changed: watch::Sender::default(),
-        }
+            state: Arc::clone(&state),
+            tasks: Mutex::default(),
+        });
+        let tasks = Mutex::default();
+        Self { peers, direct, state, tasks, changed: watch::Sender::default() }
     }
 
     /// Updates the list of daemons that can be executors.
@@ -159,7 +169,7 @@
         let all_open = async { while !self.is_open() && changes.changed().await.is_ok() {} };
         if timeout(OPEN_TIMEOUT, all_open).await.is_err() {
             tracing::info!(
-                epoch = self.epoch,
+                epoch = self.direct.epoch,
                 "some zones have no executor yet; calls to their workers are made directly"
             );
         }
@@ -171,36 +181,12 @@
             let mut state = self.lock();
             zone.and_then(|zone| state.route(zone, &call))
         };
-        let Some(link) = link else { return self.call_directly(call) };
+        let Some(link) = link else { return self.direct.call(call) };
         if let Some(call) = link.enqueue(call) {
-            self.lock().direct_workers.note_loss(call.worker(), steady_ms());
-            self.call_directly(call);
+            self.direct.take_over(call);
         }
     }
 
-    fn call_directly(&self, call: WorkerCall) {
-        let platform = Arc::clone(&self.platform);
-        let inbox_sender = self.inbox_sender.clone();
-        let state = Arc::clone(&self.state);
-        let pending = call.pending();
-        let epoch = self.epoch;
-        self.spawn(async move {
-            let began_ms = steady_ms();
-            let void_ms = call.void_ms();
-            let reply = if void_ms.is_some_and(|void_ms| began_ms >= void_ms) {
-                WorkerReply::Failed(CallError::NotSent)
-            } else {
-                call.perform(&*platform).await
-            };
-            call.log_outcome(&reply, epoch, began_ms, void_ms);
-            pending.log_answer(DIRECTLY, steady_ms().saturating_sub(began_ms), &reply);
-            if reply.is_unanswered() {
-                lock(&state).direct_workers.remove(pending.worker());
-            }
-            inbox_sender.notify(pending.into_event(reply));
-        });
-    }
-
     /// The number of workers that are called directly since a call through an executor failed.
     pub fn direct_workers(&self) -> usize {
         self.lock().direct_workers.count()
@@ -217,16 +203,20 @@
             let wanted = executors_wanted(workers);
             state.give_up_replaced(&zone, wanted);
             let mut candidates = executor_candidates(&zone, &state.daemons, &state.leader);
-            candidates.sort_by_key(|daemon| state.has_failed_lately(&daemon.address));
+            let now_ms = steady_ms();
+            candidates.sort_by_key(|daemon| state.fails_lately(&daemon.address, now_ms));
             for daemon in candidates {
+                let record = state.records.get(&daemon.address).copied().unwrap_or_default();
                 let links = state.links.entry(zone.clone()).or_default();
-                if links.iter().filter(|link| link.is_usable()).count() >= wanted {
+                let dependable = links.iter().filter(|link| link.is_dependable(now_ms)).count();
+                let working = links.iter().filter(|link| link.is_working()).count();
+                if dependable >= wanted || working >= LINKS_PER_EXECUTOR_MAX * wanted {
                     break;
                 }
                 if links.iter().any(|link| link.address == daemon.address) {
                     continue;
                 }
-                let link = Arc::new(Link::new(daemon.address.clone()));
+                let link = Arc::new(Link::new(daemon.address.clone(), record));
                 links.push(Arc::clone(&link));
                 self.run_link(link);
             }
@@ -242,13 +232,22 @@
     /// Keeps a session open with an executor for as long as this daemon leads.
     fn run_link(&self, link: Arc<Link>) {
         let peers = self.peers.clone();
-        let inbox_sender = self.inbox_sender.clone();
-        let shared = Arc::clone(&self.state);
+        let direct = Arc::clone(&self.direct);
         let changed = self.changed.clone();
-        let epoch = self.epoch;
-        let on_reply = move |pending: PendingCall, reply: WorkerReply| {
-            note_reply(&mut lock(&shared).direct_workers, &pending, &reply);
-            inbox_sender.notify(pending.into_event(reply));
+        let epoch = self.direct.epoch;
+        let on_outcome = move |outcome: Outcome| match outcome {
+            Outcome::Ended(pending, reply) => {
+                note_reply(&mut lock(&direct.state).direct_workers, &pending, &reply);
+                direct.inbox_sender.notify(pending.into_event(reply));
+            }
+            Outcome::Overdue(pending) => {
+                metrics::counter!("stoatwell_overdue_answers_total", "call" => pending.kind())
+                    .increment(1);
+                if let Some(event) = pending.overdue_event() {
+                    direct.inbox_sender.notify(event);
+                }
+            }
+            Outcome::Returned(call) => direct.take_over(call),
         };
         let next_session = {
             let shared = Arc::clone(&self.state);
@@ -258,11 +257,11 @@
                 session::SessionId { epoch, number: state.last_session }
             }
         };
-        self.spawn(async move {
+        spawn(&self.tasks, async move {
             let on_change = || {
                 changed.send_replace(());
             };
-            link.run(&peers, next_session, on_reply, on_change).await;
+            link.run(&peers, next_session, on_outcome, on_change).await;
         });
     }
 
@@ -274,12 +273,6 @@
         }
     }
 
-    fn spawn(&self, task: impl Future<Output = ()> + Send + 'static) {
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
-        reap("calls to workers", &mut tasks);
-        tasks.spawn(task);
-    }
-
     fn is_open(&self) -> bool {
         let state = self.lock();
         let has_open_link = |zone: &ZoneName| {
@@ -308,6 +301,45 @@
     }
 }
 
+impl<P: Platform> DirectCalls<P> {
+    /// Makes a call.
+    fn call(&self, call: WorkerCall) {
+        let platform = Arc::clone(&self.platform);
+        let inbox_sender = self.inbox_sender.clone();
+        let state = Arc::clone(&self.state);
+        let pending = call.pending();
+        let epoch = self.epoch;
+        let call = async move {
+            let began_ms = steady_ms();
+            let void_ms = call.void_ms();
+            let reply = if void_ms.is_some_and(|void_ms| began_ms >= void_ms) {
+                WorkerReply::Failed(CallError::NotSent)
+            } else {
+                call.perform(&*platform).await
+            };
+            call.log_outcome(&reply, epoch, began_ms, void_ms);
+            pending.log_answer(DIRECTLY, steady_ms().saturating_sub(began_ms), &reply);
+            if reply.is_unanswered() {
+                lock(&state).direct_workers.remove(pending.worker());
+            }
+            inbox_sender.notify(pending.into_event(reply));
+        };
+        spawn(&self.tasks, call);
+    }
+
+    /// Makes a call that an executor did not get.
+    fn take_over(&self, call: WorkerCall) {
+        lock(&self.state).direct_workers.note_loss(call.worker(), steady_ms());
+        self.call(call);
+    }
+}
+
+fn spawn(tasks: &Mutex<JoinSet<()>>, task: impl Future<Output = ()> + Send + 'static) {
+    let mut tasks = tasks.lock().unwrap_or_else(PoisonError::into_inner);
+    reap("calls to workers", &mut tasks);
+    tasks.spawn(task);
+}
+
 impl State {
     /// Whether calls currently go through executors.
     fn uses_executors(&self) -> bool {
@@ -321,13 +353,12 @@
             return;
         }
         let given_up = links.extract_if(.., |link| link.give_up());
-        self.given_up_ms.extend(given_up.map(|link| (link.address.clone(), steady_ms())));
+        self.records.extend(given_up.map(|link| (link.address.clone(), link.record())));
     }
 
     /// Whether the link to a daemon was given up so lately that others come first.
-    fn has_failed_lately(&self, address: &str) -> bool {
-        let given_up_ms = self.given_up_ms.get(address);
-        given_up_ms.is_some_and(|given_up_ms| steady_ms() < given_up_ms + FAILED_LATELY_MS)
+    fn fails_lately(&self, address: &str, now_ms: u64) -> bool {
+        self.records.get(address).is_some_and(|record| record.fails_lately(now_ms))
     }
 
     /// The link to the executor for a worker: always the same one while it is open, so that
@@ -337,11 +368,15 @@
             return None;
         }
         let worker = call.worker();
-        let open = self.links.get(zone)?.iter().filter(|link| link.is_open());
+        let now_ms = steady_ms();
+        let serving = self.links.get(zone)?.iter().filter(|link| link.serves(worker, now_ms));
         let chosen =
-            open.max_by_key(|link| xxh3_64_with_seed(worker.as_str().as_bytes(), link.seed))?;
+            serving.max_by_key(|link| xxh3_64_with_seed(worker.as_str().as_bytes(), link.seed))?;
+        if call.is_repetition() && chosen.is_overdue(worker) {
+            return None;
+        }
         let is_hold = matches!(call, WorkerCall::Hold(_));
-        match self.direct_workers.way(worker, is_hold, chosen.open_since_ms(), steady_ms()) {
+        match self.direct_workers.way(worker, is_hold, chosen.open_since_ms(), now_ms) {
             Way::Executor => Some(Arc::clone(chosen)),
             Way::Direct => None,
         }
--- a/crates/node/src/executors/plan.rs
+++ b/crates/node/src/executors/plan.rs
@@ -23,7 +23,7 @@
 const LASTING_SESSION_MS: u64 = 10_000;
 
 /// The delay before the next session with an executor.
-#[derive(Debug, Default)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ReopenDelay {
     last_ms: u64,
 }
--- a/crates/node/src/executors/session.rs
+++ b/crates/node/src/executors/session.rs
@@ -131,8 +131,7 @@
         if !session.lock().accept(position) {
             return true;
         }
-        let expires_ms = batch.expires_ms;
-        for (number, call) in batch.into_calls() {
+        for (number, expires_ms, call) in batch.into_expiring_calls() {
             let session = Arc::clone(&session);
             let platform = Arc::clone(&self.platform);
             tokio::spawn(async move {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -48,6 +48,7 @@
 mod takeover;
 mod tasks;
 mod telemetry;
+mod trust;
 mod worker_list;
 
 use std::sync::Arc;
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -89,6 +89,13 @@
         /// The worker's answer, which may be a refusal, or why there is none.
         reply: Result<StartReply, CallError>,
     },
+    /// The answer to a call is overdue on the way that the call took. It may still come.
+    Overdue {
+        /// The worker that was called.
+        worker: WorkerId,
+        /// The call.
+        call: OverdueCall,
+    },
     /// A stop was answered or failed.
     Stopped {
         /// The task to be stopped.
@@ -167,6 +174,7 @@
             Self::Unlisted { worker }
             | Self::Held { worker, .. }
             | Self::Started { worker, .. }
+            | Self::Overdue { worker, .. }
             | Self::Stopped { worker, .. }
             | Self::Paced { worker, .. } => Some(worker),
             Self::Accepted { .. }
@@ -182,6 +190,30 @@
     }
 }
 
+/// A call whose answer is overdue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OverdueCall {
+    /// A hold, made in this turn.
+    Hold {
+        /// The turn, as in [`HoldCall::turn`].
+        turn: u64,
+    },
+    /// The start of a run.
+    Start {
+        /// The task to be started.
+        task: TaskId,
+        /// The number of the run.
+        run: u32,
+    },
+    /// The stop of a run.
+    Stop {
+        /// The task to be stopped.
+        task: TaskId,
+        /// The number of the run.
+        run: u32,
+    },
+}
+
 /// A worker's entry in the list of workers, from which the scheduler learns of workers.
 #[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct WorkerUpdate {
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -80,6 +80,7 @@
 pub use crate::event::Grant;
 pub use crate::event::HoldCall;
 pub use crate::event::HoldReply;
+pub use crate::event::OverdueCall;
 pub use crate::event::PaceCall;
 pub use crate::event::RunOutcome;
 pub use crate::event::StartCall;
@@ -400,6 +401,7 @@
             Event::Started { task, run, worker, reply } => {
                 self.on_started(task, run, &worker, reply);
             }
+            Event::Overdue { worker, call } => self.on_overdue(&worker, call),
             Event::Stopped { task, run, worker, reply } => {
                 self.on_stopped(task, run, &worker, reply);
             }
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -21,6 +21,7 @@
 use crate::event::CallError;
 use crate::event::Callee;
 use crate::event::Effect;
+use crate::event::OverdueCall;
 use crate::event::RunOutcome;
 use crate::event::StartCall;
 use crate::event::StartReply;
@@ -305,6 +306,38 @@
         self.effects.push(Effect::Stop(StopCall { to, task: id, run }));
     }
 
+    /// Handles that the answer to a call is overdue: the same is asked or sent again, by a way that
+    /// has not just failed.
+    pub(crate) fn on_overdue(&mut self, name: &WorkerId, call: OverdueCall) {
+        let now_ms = self.now_ms;
+        match call {
+            OverdueCall::Hold { turn } => {
+                let Some(worker) = self.workers.get_mut(name) else { return };
+                if worker.hold_turn.take_if(|pending| *pending == turn).is_some() {
+                    worker.next_hold_ms = now_ms;
+                    worker.probe_due = true;
+                }
+            }
+            OverdueCall::Start { task: id, run } => {
+                let Some(task) = self.task_for_run(id, run, name) else { return };
+                if task.phase != Phase::Sent {
+                    return;
+                }
+                if let Some(worker) = self.workers.get_mut(name) {
+                    worker.probe_due = true;
+                }
+            }
+            OverdueCall::Stop { task: id, run } => {
+                let Some(task) = self.task_for_run(id, run, name) else { return };
+                let Phase::Stopping { answered_turn: None, sent_ms } = &mut task.phase else {
+                    return;
+                };
+                *sent_ms = now_ms;
+                self.send_stop(id);
+            }
+        }
+    }
+
     pub(crate) fn on_stopped(
         &mut self,
         id: TaskId,
