Holds: a failure that comes after a later answer says nothing

A hold that was overdue and asked again by another way still ends with its session.

Test: an_overdue_hold_is_sent_again_and_its_late_failure_says_nothing; the leases were not extended before.

--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -203,6 +203,8 @@
         }
         let reply = match reply {
             Ok(reply) => reply,
+            // A hold that was sent later has been answered meanwhile, by another way.
+            Err(CallError::NoAnswer | CallError::NotSent) if turn < worker.answered_turn => return,
             Err(error) => {
                 worker.next_hold_ms = worker.hold_sent_ms + HOLD_RETRY_DELAY_MS;
                 self.on_hold_failed(name, error);
@@ -224,6 +226,7 @@
         }
         worker.as_of_ms = worker.latest_answer_ms(now_ms, reply.clock_ms);
         worker.answered_ms = now_ms;
+        worker.answered_turn = worker.answered_turn.max(turn);
         worker.unanswered_calls = 0;
         worker.forgotten_end = worker.forgotten_end.max(hold_forgets);
         worker.lost = false;
--- a/crates/pool/src/workers/worker.rs
+++ b/crates/pool/src/workers/worker.rs
@@ -107,6 +107,8 @@
     /// The latest turn in which a start here got no answer; `None` once the answer to a hold
     /// that was sent later has told what became of it. Until then holds are answered at once.
     pub unconfirmed_turn: Option<u64>,
+    /// The latest turn of a hold that was answered in the current incarnation.
+    pub answered_turn: u64,
     /// The turn in which the current incarnation was discovered; 0 for the first one.
     pub incarnation_turn: u64,
     /// The time on the worker's clock and the local time of the answer that reported it;
@@ -184,6 +186,7 @@
             next_hold_ms: 0,
             probe_due: false,
             unconfirmed_turn: None,
+            answered_turn: 0,
             incarnation_turn: 0,
             clock: None,
             lease_end_max: 0,
@@ -215,6 +218,7 @@
     /// runs. Requests in flight may still take effect until `earlier_lease_expiry_ms`.
     pub fn begin_incarnation(&mut self, incarnation: u64, turn: u64, earlier_lease_expiry_ms: u64) {
         self.incarnation_turn = turn;
+        self.answered_turn = 0;
         self.earlier_lease_expiry_ms = earlier_lease_expiry_ms;
         self.info.incarnation = incarnation;
         self.restarts_seen += 1;
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -14,11 +14,13 @@
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::GangLimits;
+use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
 use stoatwell_pool::JobState;
 use stoatwell_pool::Limits;
+use stoatwell_pool::OverdueCall;
 use stoatwell_pool::Pool;
 use stoatwell_pool::QueueSpec;
 use stoatwell_pool::StepSpec;
@@ -247,3 +249,44 @@
     let silent_workers = world.counts().silent_workers;
     assert!(silent_workers < 20, "{silent_workers} workers do not answer");
 }
+
+/// Returns the hold that the pool sends next.
+fn next_hold(pool: &mut Pool, now_ms: &mut u64) -> HoldCall {
+    for _ in 0..1_000 {
+        *now_ms += 10;
+        for effect in pool.poll_effects(*now_ms, *now_ms) {
+            if let Effect::Hold(call) = effect {
+                return call;
+            }
+        }
+    }
+    panic!("no hold is sent");
+}
+
+/// Guards against a hold that waits for the way that failed while nobody asks another way, and
+/// against a worker whose lease is not extended because such a hold fails after a later one was
+/// answered.
+#[test]
+fn an_overdue_hold_is_sent_again_and_its_late_failure_says_nothing() {
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
+    pool.handle(1_000, 1_000, Event::Listed(worker()));
+    let mut now_ms = 1_000;
+    let name = worker().worker;
+    let answer = |pool: &mut Pool, turn, now_ms, reply| {
+        pool.handle(now_ms, now_ms, Event::Held { worker: worker().worker, turn, reply });
+    };
+    let answered = |now_ms| Ok(HoldReply { clock_ms: now_ms, life: 1, ..HoldReply::default() });
+    let established = next_hold(&mut pool, &mut now_ms);
+    answer(&mut pool, established.turn, now_ms, answered(now_ms));
+    let overdue = next_hold(&mut pool, &mut now_ms);
+    now_ms += 700;
+    let sent_ms = now_ms;
+    let call = OverdueCall::Hold { turn: overdue.turn };
+    pool.handle(now_ms, now_ms, Event::Overdue { worker: name, call });
+    let repeated = next_hold(&mut pool, &mut now_ms);
+    assert!(now_ms <= sent_ms + 20, "sent again after {} ms", now_ms - sent_ms);
+    answer(&mut pool, repeated.turn, now_ms, answered(now_ms));
+    answer(&mut pool, overdue.turn, now_ms, Err(CallError::NoAnswer));
+    let next = next_hold(&mut pool, &mut now_ms);
+    assert!(next.until_ms.is_some(), "the lease is not extended");
+}
