Advisor: queries go through daemons that have not failed again and again

With failing connections 21 to 28 of 37 daemons were excluded and queries ran for 1.3 to 2.8 s without an answer. Of the daemons that may get a query, those come first that are trusted fully.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -184,7 +184,7 @@
                     match peers.call::<DaemonReply>(&address, &call, PROBE_TIMEOUT).await {
                         Ok(_) => {
                             let mut locked = lock(&state);
-                            locked.proxies.mark_alive(&address);
+                            locked.proxies.mark_alive(&address, steady_ms());
                             locked.assign(&state);
                         }
                         Err(error) => tracing::debug!(address, %error, "a daemon is silent"),
@@ -254,7 +254,7 @@
                 }
                 () = until(newest.map(|(_, overdue)| overdue)), if queued.is_none() => {
                     let Some((id, _)) = newest.take() else { continue };
-                    self.lock().proxies.mark_overdue(id);
+                    self.lock().proxies.mark_overdue(id, steady_ms());
                     if sent < ATTEMPTS_MAX {
                         queued = Some(self.enqueue((priority, Attempt::Hedge, arrival), cost_ms));
                     }
--- a/crates/node/src/advisor_dispatcher/proxies.rs
+++ b/crates/node/src/advisor_dispatcher/proxies.rs
@@ -7,15 +7,21 @@
 //! stand still, gets no other until that query ends, or until it replies to a probe: then the query
 //! is *written off*, once until the advisor answers it again.
 //!
+//! Of the daemons without evidence against them, those come first that have not lost queries again
+//! and again lately.
+//!
 //! The evidence is about one daemon. If the leader itself stood still or lost its network, all
 //! daemons are silent at one moment, and all are usable again after the round trip of a probe.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use stoatwell_pool::LONG_QUERY_MS;
 use stoatwell_pool::long_queries_max;
 
+use crate::trust::Trust;
+
 /// A proxy is given further queries while the advisor has less work than this left for it.
 /// This covers the round trip between regions, during which the advisor would be idle.
 const PIPELINE_MS: u64 = 30;
@@ -76,6 +82,8 @@
     probes: Probes,
     /// Consecutive queries that the advisor did not answer.
     unadvised: u32,
+    /// How often it lost a query, or stood still, lately.
+    trust: Trust,
 }
 
 /// How often a proxy was probed without a reply, and when it is probed next.
@@ -193,7 +201,8 @@
                 || (usable == 0 && matches!(proxy.health, Health::BackingOff { .. }));
             is_permitted && proxy.pending_ms < PIPELINE_MS
         });
-        let Some((address, proxy)) = available.min_by_key(|(_, proxy)| proxy.pending_ms) else {
+        let order = |proxy: &Proxy| (Reverse(proxy.trust.share_percent(now_ms)), proxy.pending_ms);
+        let Some((address, proxy)) = available.min_by_key(|(_, proxy)| order(proxy)) else {
             return Err(Full::ForAll);
         };
         let query =
@@ -207,7 +216,7 @@
     }
 
     /// Records that a query should have been answered by now.
-    pub fn mark_overdue(&mut self, id: u64) {
+    pub fn mark_overdue(&mut self, id: u64, now_ms: u64) {
         let Some(query) = self.in_flight.get_mut(&id) else { return };
         if query.progress != Progress::Expected {
             return;
@@ -215,6 +224,7 @@
         query.progress = Progress::Overdue;
         let Some(proxy) = self.by_address.get_mut(&query.address) else { return };
         proxy.overdue += 1;
+        proxy.trust.note_failure(now_ms);
         proxy.long_queries = proxy.long_queries.saturating_sub(usize::from(query.is_long()));
     }
 
@@ -237,6 +247,7 @@
         }
         match outcome {
             Outcome::Answered => {
+                proxy.trust.note_success(now_ms);
                 proxy.unadvised = 0;
                 proxy.has_written_off = false;
                 proxy.health = Health::Good;
@@ -246,7 +257,13 @@
                 proxy.unadvised += 1;
                 proxy.health = Health::BackingOff { until_ms: now_ms + backoff_ms };
             }
-            Outcome::NoReply => proxy.health = Health::Silent,
+            Outcome::NoReply => {
+                // A failure that was noted when the query was overdue counts once.
+                if query.progress == Progress::Expected {
+                    proxy.trust.note_failure(now_ms);
+                }
+                proxy.health = Health::Silent;
+            }
             Outcome::Abandoned => {}
         }
     }
@@ -275,12 +292,13 @@
     }
 
     /// Records that a daemon replied to a probe.
-    pub fn mark_alive(&mut self, address: &str) {
+    pub fn mark_alive(&mut self, address: &str, now_ms: u64) {
         let Some(proxy) = self.by_address.get_mut(address) else { return };
         if !proxy.needs_probe() {
             return;
         }
         proxy.health = Health::Good;
+        proxy.trust.note_success(now_ms);
         proxy.probes = Probes::default();
         for query in self.in_flight.values_mut() {
             if query.address != address || query.progress != Progress::Overdue {
