Holds: ignore a report that a later one has overtaken

Answers by different ways overtake each other, and an overdue hold is now asked again by another way. A report whose clock is before that of the last one is ignored.

a_report_that_a_later_one_has_overtaken_is_ignored failed before (one stop of a run that has ended) and passes.

--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -224,6 +224,10 @@
             // The answer was given to a token of the old incarnation.
             return;
         }
+        // Answers by different ways overtake each other.
+        if worker.clock.is_some_and(|(clock_ms, _)| reply.clock_ms < clock_ms) {
+            return;
+        }
         worker.as_of_ms = worker.latest_answer_ms(now_ms, reply.clock_ms);
         worker.answered_ms = now_ms;
         worker.answered_turn = worker.answered_turn.max(turn);
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -7,6 +7,7 @@
 use stoatwell_model::Resources;
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
+use stoatwell_pool::ActiveRun;
 use stoatwell_pool::CallError;
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
@@ -23,7 +24,9 @@
 use stoatwell_pool::OverdueCall;
 use stoatwell_pool::Pool;
 use stoatwell_pool::QueueSpec;
+use stoatwell_pool::StepId;
 use stoatwell_pool::StepSpec;
+use stoatwell_pool::TaskId;
 use stoatwell_pool::WorkerUpdate;
 
 use self::world::Faults;
@@ -290,3 +293,28 @@
     let next = next_hold(&mut pool, &mut now_ms);
     assert!(next.until_ms.is_some(), "the lease is not extended");
 }
+
+/// Guards against a report that arrives after a later one and lists runs that have ended since: they
+/// would be stopped, and their capacity counted as used.
+#[test]
+fn a_report_that_a_later_one_has_overtaken_is_ignored() {
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
+    pool.handle(1_000, 1_000, Event::Listed(worker()));
+    let mut now_ms = 1_000;
+    let established = next_hold(&mut pool, &mut now_ms);
+    let task = TaskId { step: StepId { job: JobId(1), occurrence: 0, step: 0 }, index: 0 };
+    let run = ActiveRun { task, run: 1, checkpoint: String::new(), percent: 0, load: 0 };
+    let mut stops_after = |clock_ms, active| {
+        let reply = HoldReply { clock_ms, life: 1, active, ..HoldReply::default() };
+        let event =
+            Event::Held { worker: worker().worker, turn: established.turn, reply: Ok(reply) };
+        now_ms += 10;
+        pool.handle(now_ms, now_ms, event);
+        now_ms += 10;
+        let effects = pool.poll_effects(now_ms, now_ms);
+        effects.iter().filter(|effect| matches!(effect, Effect::Stop(_))).count()
+    };
+    assert_eq!(stops_after(500, Vec::new()), 0);
+    assert_eq!(stops_after(499, vec![run.clone()]), 0, "stops of a run that has ended");
+    assert_eq!(stops_after(501, vec![run]), 1, "stops of a run that nobody wants");
+}
