Gangs: do not wait for a query that is overdue if the granted workers suffice

What callers saw: jobs that wait beside free workers. Once an answer takes 300 ms longer than the advisor's own time, the gang is placed on workers with tickets that are still valid, if they suffice for all members; it sends no further query meanwhile.

a_gang_does_not_wait_for_a_query_that_is_overdue failed before (no start while the query is pending) and passes.

--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -56,6 +56,9 @@
 const SPLIT_GAIN_MIN_MS: f64 = 50.0;
 /// Minimum number of workers in a query, whatever the cost per worker.
 const QUERY_WORKERS_MIN: usize = 8;
+/// How much longer than the advisor's own time an answer may take before a gang is placed without
+/// it, if the workers that are granted so far suffice.
+const ANSWER_MARGIN_MS: u64 = 300;
 /// Delay before the next query of a step after one that failed.
 const RETRY_DELAY_MS: u64 = 150;
 
@@ -120,7 +123,9 @@
         let Some(job) = self.jobs.get_mut(&step.job) else { return };
         for chunk in workers.chunks(workers.len().div_ceil(queries).max(1)) {
             let cost_ms = query_cost_ms(rule, chunk.len());
-            job.step_states[step_index].advice.queries += 1;
+            let advice = &mut job.step_states[step_index].advice;
+            advice.queries += 1;
+            advice.answers_due_ms = self.now_ms + cost_ms + ANSWER_MARGIN_MS;
             self.queries += 1;
             self.long_queries += usize::from(cost_ms >= LONG_QUERY_MS);
             let workers = chunk.to_vec();
--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -162,6 +162,8 @@
     pub queried: WorkerSet,
     /// Queries that are not answered yet.
     pub queries: u32,
+    /// When all of these should have been answered.
+    pub answers_due_ms: u64,
     /// The advisor is not queried again before this.
     pub pause_until_ms: u64,
     /// When further workers may be selected for a query. Until then no selection is made,
--- a/crates/pool/src/placement/place.rs
+++ b/crates/pool/src/placement/place.rs
@@ -405,6 +405,8 @@
         let step_state = &job.step_states[step_index];
         let mut waiting: Vec<u32> = step_state.waiting_tasks().collect();
         let has_pending_queries = step_state.advice.queries > 0;
+        let has_overdue_queries =
+            has_pending_queries && self.now_ms >= step_state.advice.answers_due_ms;
         let needs_first_query = !has_pending_queries && step_state.advice.queried.is_empty();
         if spec.gang && waiting.len() < step_state.tasks.len() {
             return waits(PlacementBlock::GangIncomplete, QueryBlock::NotNeeded);
@@ -426,14 +428,14 @@
             }
             waiting.truncate(fit_under_cap as usize);
         }
-        if spec.gang && advice.is_some() && has_pending_queries {
+        if spec.gang && advice.is_some() && has_pending_queries && !has_overdue_queries {
             return waits(PlacementBlock::NoEligibleWorker, QueryBlock::Pending);
         }
         let room = self.room_for(cycle, service, &spec.worker_demand());
         let mut eligible =
             self.eligible_workers(step, step_index, &spec, cycle, Some(&room), Purpose::Placement);
         let has_eligible_with_room = !eligible.is_empty();
-        let uses_fresh_tickets = advice.is_some() && !spec.gang;
+        let uses_fresh_tickets = advice.is_some() && (!spec.gang || has_overdue_queries);
         if uses_fresh_tickets {
             eligible.retain(|worker| worker.needs_no_new_ticket);
         }
--- a/crates/pool/tests/log_lines.rs
+++ b/crates/pool/tests/log_lines.rs
@@ -192,6 +192,15 @@
     ];
     assert_fields(&lines, capped, &fields);
     assert_fields(&lines, "gang placed", &["step", "run", "tasks"]);
-    let failed = ["task", "run", "tasks", "running", "unanswered", "took_ms", "failure"];
+    let failed = [
+        "task",
+        "run",
+        "tasks",
+        "running",
+        "unanswered",
+        "took_ms",
+        "since_first_start_ms",
+        "failure",
+    ];
     assert_fields(&lines, "attempt of a gang failed", &failed);
 }
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -8,6 +8,7 @@
 use stoatwell_model::WorkerId;
 use stoatwell_model::ZoneName;
 use stoatwell_pool::ActiveRun;
+use stoatwell_pool::AdviceSpec;
 use stoatwell_pool::CallError;
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
@@ -15,6 +16,7 @@
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::GangLimits;
+use stoatwell_pool::Grant;
 use stoatwell_pool::HoldCall;
 use stoatwell_pool::HoldReply;
 use stoatwell_pool::JobId;
@@ -318,3 +320,55 @@
     assert_eq!(stops_after(499, vec![run.clone()]), 0, "stops of a run that has ended");
     assert_eq!(stops_after(501, vec![run]), 1, "stops of a run that nobody wants");
 }
+
+/// Guards against a gang that waits for a query whose way has failed although the workers that other
+/// queries granted have room for it.
+#[test]
+fn a_gang_does_not_wait_for_a_query_that_is_overdue() {
+    const WORKERS: usize = 40;
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
+    pool.handle(1_000, 1_000, Event::Advisors { count: 40 });
+    for number in 0..WORKERS {
+        let name = WorkerId::new(format!("w{number}"));
+        pool.handle(1_000, 1_000, Event::Listed(WorkerUpdate { worker: name, ..worker() }));
+    }
+    let mut spec = job();
+    spec.queue.advice = Some(AdviceSpec { decide_ms: 100.0, each_ms: 10.0, valid_ms: 2_000 });
+    spec.steps = vec![StepSpec { tasks: 2, gang: true, ..StepSpec::default() }];
+    pool.handle(1_000, 1_000, Event::Accepted { job: JobId(1), spec: Arc::new(spec) });
+    let (mut unanswered, mut due_ms, mut started_ms) = (None, 0, None);
+    for now_ms in (1_000..5_000).step_by(10) {
+        for effect in pool.poll_effects(now_ms, now_ms) {
+            let event = match effect {
+                Effect::Hold(call) => {
+                    let reply = HoldReply { clock_ms: now_ms, life: 1, ..HoldReply::default() };
+                    Event::Held { worker: call.to.worker, turn: call.turn, reply: Ok(reply) }
+                }
+                Effect::Advise { workers, cost_ms, .. } if unanswered.is_none() => {
+                    unanswered = Some(workers);
+                    due_ms = now_ms + cost_ms;
+                    continue;
+                }
+                Effect::Advise { step, workers, cost_ms, .. } => {
+                    let grant = |worker| Grant { worker, ticket: "ticket".to_owned() };
+                    let granted = Some(workers.iter().cloned().map(grant).collect());
+                    Event::Advised { step, asked: workers, cost_ms, granted, issued_ms: now_ms }
+                }
+                Effect::Commit { batch, writes } => {
+                    let partition = writes[0].partition;
+                    Event::Committed { batch, partition, sent_ms: now_ms }
+                }
+                Effect::Start(_) => {
+                    started_ms.get_or_insert(now_ms);
+                    continue;
+                }
+                _ => continue,
+            };
+            pool.handle(now_ms, now_ms, event);
+        }
+    }
+    let asked = unanswered.expect("a query").len();
+    assert!(asked < WORKERS, "one query names all workers");
+    let started_ms = started_ms.expect("the gang starts");
+    assert!(started_ms < due_ms + 500, "an answer was due at {due_ms}, started at {started_ms}");
+}
