Executors: ask about a lost start directly, not through the next executor

Questions and stops of a worker are direct for 2 s after a start or a stop to it was overdue or lost, until one is answered.

a_question_about_a_lost_start_does_not_try_another_executor failed before (the question went through the second executor) and passes.

--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Whether another call is still waited for that it repeats, or whose effect it asks for.
+    /// Whether it may repeat another call, or ask for the effect of one.
     pub fn is_repetition(&self) -> bool {
         match self {
             Self::Stop(_) => true,
@@ -227,6 +227,11 @@
         }
     }
 
+    /// Whether it is a start or a stop.
+    pub fn is_about_run(&self) -> bool {
+        matches!(self, Self::Start { .. } | Self::Stop { .. })
+    }
+
     /// The reply that stands for a call whose answer has not come in its time.
     pub fn unanswered(&self) -> WorkerReply {
         match self {
--- a/crates/node/src/executors/direct.rs
+++ b/crates/node/src/executors/direct.rs
@@ -3,6 +3,9 @@
 //! A worker gets there when a call through its executor fails. It leaves when a direct call fails
 //! as well, or when its executor is seen to reach it: once the link to the executor has worked
 //! for a while, one hold is tried through it.
+//!
+//! After a start or a stop whose answer is overdue, the questions about it and its repetitions are
+//! direct for a moment as well: another executor may have failed in the same way.
 
 use std::collections::HashMap;
 
@@ -14,10 +17,15 @@
 /// Maximum of this time.
 const TRIAL_DELAY_MAX_MS: u64 = 60_000;
 
+/// For how long questions and repetitions are direct after an answer was overdue.
+const FOLLOW_UP_MS: u64 = 2_000;
+
 /// Workers that are called directly.
 #[derive(Debug, Default)]
 pub struct DirectWorkers {
     workers: HashMap<WorkerId, DirectWorker>,
+    /// Until when questions and repetitions to these workers are direct.
+    follow_ups: HashMap<WorkerId, u64>,
 }
 
 #[derive(Debug)]
@@ -74,9 +82,26 @@
         }
     }
 
+    /// Notes that the answer to a start or a stop is overdue.
+    pub fn note_overdue(&mut self, worker: &WorkerId, now_ms: u64) {
+        self.follow_ups.retain(|_, until_ms| *until_ms > now_ms);
+        self.follow_ups.insert(worker.clone(), now_ms + FOLLOW_UP_MS);
+    }
+
+    /// Notes that a start or a stop was answered, so that nothing is left to ask.
+    pub fn end_follow_up(&mut self, worker: &WorkerId) {
+        self.follow_ups.remove(worker);
+    }
+
+    /// Whether a question or a repetition is direct.
+    pub fn is_followed_up(&self, worker: &WorkerId, now_ms: u64) -> bool {
+        self.follow_ups.get(worker).is_some_and(|until_ms| *until_ms > now_ms)
+    }
+
     /// Removes a worker that a direct call does not reach either.
     pub fn remove(&mut self, worker: &WorkerId) {
         self.workers.remove(worker);
+        self.follow_ups.remove(worker);
     }
 
     /// Which way a call takes if the link to the worker's executor has worked since
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -243,6 +243,10 @@
             Outcome::Overdue(pending) => {
                 metrics::counter!("stoatwell_overdue_answers_total", "call" => pending.kind())
                     .increment(1);
+                if pending.is_about_run() {
+                    let mut state = lock(&direct.state);
+                    state.direct_workers.note_overdue(pending.worker(), steady_ms());
+                }
                 if let Some(event) = pending.overdue_event() {
                     direct.inbox_sender.notify(event);
                 }
@@ -293,6 +297,14 @@
 /// Notes what the outcome of a call through an executor tells of its worker.
 fn note_reply(direct_workers: &mut DirectWorkers, pending: &PendingCall, reply: &WorkerReply) {
     let worker = pending.worker();
+    if pending.is_about_run() {
+        match reply {
+            WorkerReply::Failed(CallError::NoAnswer) => {
+                direct_workers.note_overdue(worker, steady_ms());
+            }
+            _ => direct_workers.end_follow_up(worker),
+        }
+    }
     match reply {
         WorkerReply::Failed(_) => direct_workers.note_loss(worker, steady_ms()),
         _ if reply.is_unanswered() => direct_workers.note_failure(worker, steady_ms()),
@@ -372,7 +384,9 @@
         let serving = self.links.get(zone)?.iter().filter(|link| link.serves(worker, now_ms));
         let chosen =
             serving.max_by_key(|link| xxh3_64_with_seed(worker.as_str().as_bytes(), link.seed))?;
-        if call.is_repetition() && chosen.is_overdue(worker) {
+        let is_overdue =
+            || chosen.is_overdue(worker) || self.direct_workers.is_followed_up(worker, now_ms);
+        if call.is_repetition() && is_overdue() {
             return None;
         }
         let is_hold = matches!(call, WorkerCall::Hold(_));
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -780,3 +780,29 @@
         assert!(matches!(&event, Event::Held { reply: Ok(_), .. }), "{event:?}");
     });
 }
+
+/// Guards against a question about a start that is lost behind the next executor that fails.
+#[test]
+fn a_question_about_a_lost_start_does_not_try_another_executor() {
+    let executors = [executor_behind_proxy(), executor_behind_proxy()];
+    Runtime::new().expect("a runtime").block_on(async {
+        let addresses = executors.each_ref().map(|(.., proxy)| proxy.address.as_str());
+        let (leader, mut inbox) = leader(FakePlatform::default(), addresses[0]);
+        leader.update_daemons(addresses.map(|address| daemon(address, "z", 0.5)).to_vec());
+        leader.wait_until_open().await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        leader.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let started =
+            executors.iter().filter(|(platform, ..)| platform.first_starts_received() > 0);
+        for (.., proxy) in started {
+            proxy.set_path(Path::Stalled);
+        }
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        leader.call(Some(&ZoneName::new("z")), hold(8));
+        let event = next_event(&mut inbox).await;
+        // The leader cannot reach the worker; the refusal shows that it called directly.
+        let refused = Err(CallError::Refused);
+        assert!(matches!(&event, Event::Held { reply, .. } if *reply == refused), "{event:?}");
+    });
+}
