Advisor: a query whose attempt is overdue goes before newer ones

How many may be sent beside a pending attempt is limited as before.

a_query_whose_attempt_is_overdue_goes_before_newer_ones failed before (no answer in 1.2 s beside twelve callers) and passes.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -101,9 +101,8 @@
 #[derive(Debug, Default)]
 struct State {
     proxies: Proxies,
-    /// Queries that wait for a proxy, by priority and arrival. Hedges come after all others of
-    /// their priority.
-    queue: BTreeMap<(u32, Attempt, u64), QueuedQuery>,
+    /// Queries that wait for a proxy, by priority and arrival.
+    queue: BTreeMap<(u32, u64, Attempt), QueuedQuery>,
     arrivals: u64,
 }
 
@@ -210,7 +209,7 @@
     ) -> Option<Advice> {
         let enqueued_ms = steady_ms();
         let arrival = self.lock().next_arrival();
-        let mut queued = Some(self.enqueue((priority, Attempt::Sole, arrival), cost_ms));
+        let mut queued = Some(self.enqueue((priority, arrival, Attempt::Sole), cost_ms));
         let mut sent = 0;
         let mut in_flight = JoinSet::new();
         // The newest attempt and when it is overdue.
@@ -240,7 +239,7 @@
                             return None;
                         }
                         // In place of a hedge that is queued.
-                        queued = Some(self.enqueue((priority, Attempt::Sole, arrival), cost_ms));
+                        queued = Some(self.enqueue((priority, arrival, Attempt::Sole), cost_ms));
                     }
                 }
                 Some(permit) = granted_permit(&mut queued) => {
@@ -256,7 +255,7 @@
                     let Some((id, _)) = newest.take() else { continue };
                     self.lock().proxies.mark_overdue(id, steady_ms());
                     if sent < ATTEMPTS_MAX {
-                        queued = Some(self.enqueue((priority, Attempt::Hedge, arrival), cost_ms));
+                        queued = Some(self.enqueue((priority, arrival, Attempt::Hedge), cost_ms));
                     }
                 }
                 () = until(deadline) => {
@@ -268,7 +267,7 @@
     }
 
     /// Queues an attempt. Returns the receiver of its permit.
-    fn enqueue(&self, key: (u32, Attempt, u64), cost_ms: u64) -> oneshot::Receiver<Permit> {
+    fn enqueue(&self, key: (u32, u64, Attempt), cost_ms: u64) -> oneshot::Receiver<Permit> {
         let (permit, permit_receiver) = oneshot::channel();
         let queued = QueuedQuery { cost_ms, enqueued_ms: steady_ms(), permit };
         let mut state = self.lock();
@@ -430,7 +429,7 @@
                 // The query was dropped or answered while this attempt was queued.
                 continue;
             }
-            let (_, attempt, _) = key;
+            let (_, _, attempt) = key;
             let kind = (attempt, queued.cost_ms >= LONG_QUERY_MS);
             if full_kinds.contains(&kind) {
                 still_queued.insert(key, queued);
--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -337,3 +337,36 @@
         assert_eq!(after, before, "queries through the flapping daemon");
     });
 }
+
+/// Guards against a query that waits behind all newer ones because its first daemon cannot be
+/// reached.
+#[test]
+fn a_query_whose_attempt_is_overdue_goes_before_newer_ones() {
+    let runtime = Runtime::new().expect("threads");
+    let (first, others) = runtime
+        .block_on(async { (Daemons::start(1).await, Daemons::start_at("127.0.0.2", 2).await) });
+    let proxy = Proxy::start(&first.addresses[0]);
+    runtime.block_on(async {
+        let mut infos = first.infos();
+        infos[0].address.clone_from(&proxy.address);
+        infos.extend(others.infos());
+        let dispatcher = dispatcher(&infos);
+        // Of equal daemons the one with the lowest address is chosen.
+        assert_eq!(answered(&dispatcher, 1, Duration::from_secs(3)).await, 1);
+        proxy.set_path(Path::Stalled);
+        let asking = Arc::clone(&dispatcher);
+        let overdue =
+            tokio::spawn(async move { answered(&asking, 1, Duration::from_millis(1_200)).await });
+        sleep(Duration::from_millis(50)).await;
+        let mut newer = JoinSet::new();
+        for _ in 0..12 {
+            let dispatcher = Arc::clone(&dispatcher);
+            newer.spawn(async move {
+                loop {
+                    answered(&dispatcher, 1, Duration::from_secs(5)).await;
+                }
+            });
+        }
+        assert_eq!(overdue.await.expect("no panic"), 1);
+    });
+}
