Advisor: attempts that fail at once do not use up those beside an overdue one

A query had four attempts in all. The limit is now on attempts that are pending together, each of which is sent once the one before is overdue, within the time of the query as before; a query whose attempts have all failed still ends with the fourth.

attempts_that_fail_at_once_do_not_use_up_those_beside_one_that_is_overdue failed before (no answer in 1.5 s beside a daemon that answers) and passes.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -54,7 +54,8 @@
 const ADVISOR_MARGIN_MS: u64 = 1_500;
 /// How much longer than the advisor's own time a response is awaited at all.
 const RESPONSE_MARGIN_MS: u64 = 2_000;
-/// Maximum attempts for one query; more than a few daemons rarely stop together.
+/// Maximum attempts for one query that are pending together, and those after which a query whose
+/// attempts have all failed is given up; more than a few daemons rarely stop together.
 const ATTEMPTS_MAX: usize = 4;
 /// Interval at which silent daemons are probed and usable ones counted.
 const CHECK_INTERVAL: Duration = Duration::from_millis(25);
@@ -235,7 +236,7 @@
                     }
                     if in_flight.is_empty() {
                         newest = None;
-                        if sent == ATTEMPTS_MAX {
+                        if sent >= ATTEMPTS_MAX {
                             return None;
                         }
                         // In place of a hedge that is queued.
@@ -254,7 +255,7 @@
                 () = until(newest.map(|(_, overdue)| overdue)), if queued.is_none() => {
                     let Some((id, _)) = newest.take() else { continue };
                     self.lock().proxies.mark_overdue(id, steady_ms());
-                    if sent < ATTEMPTS_MAX {
+                    if in_flight.len() < ATTEMPTS_MAX {
                         queued = Some(self.enqueue((priority, arrival, Attempt::Hedge), cost_ms));
                     }
                 }
--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -370,3 +370,19 @@
         assert_eq!(overdue.await.expect("no panic"), 1);
     });
 }
+
+/// Guards against a query that waits for a daemon that stands still, since attempts that failed at
+/// once have used up its further ones.
+#[tokio::test]
+async fn attempts_that_fail_at_once_do_not_use_up_those_beside_one_that_is_overdue() {
+    let unadvised = Daemons::start(3).await;
+    unadvised.unadvised.store(true, Ordering::Relaxed);
+    let standing = Daemons::start_at("127.0.0.2", 1).await;
+    standing.paused.send_replace(true);
+    let answering = Daemons::start_at("127.0.0.3", 1).await;
+    // Of equal daemons the one with the lowest address is chosen.
+    let infos: Vec<DaemonInfo> =
+        [&unadvised, &standing, &answering].into_iter().flat_map(Daemons::infos).collect();
+    let dispatcher = dispatcher(&infos);
+    assert_eq!(answered(&dispatcher, 1, Duration::from_millis(1_500)).await, 1);
+}
