--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -741,7 +741,7 @@
         executors.wait_until_open().await;
         executors.call(Some(&ZoneName::new("z")), start(0, &Arc::from("work")));
         starts_received(&platform, 1).await;
-        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
         executors.call(Some(&ZoneName::new("z")), hold(8));
         loop {
             let event = event_within(&mut inbox, 1_000).await.expect("an event");
@@ -798,7 +798,7 @@
         for (.., proxy) in started {
             proxy.set_path(Path::Stalled);
         }
-        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        tokio::time::sleep(Duration::from_secs(1)).await;
         leader.call(Some(&ZoneName::new("z")), hold(8));
         let event = next_event(&mut inbox).await;
         // The leader cannot reach the worker; the refusal shows that it called directly.
