--- a/crates/node/src/executors/call.rs
+++ b/crates/node/src/executors/call.rs
@@ -151,7 +151,7 @@
     }
 
     /// Whether it may repeat another call, or ask for the effect of one.
-    pub fn is_repetition(&self) -> bool {
+    pub fn is_follow_up(&self) -> bool {
         match self {
             Self::Stop(_) => true,
             Self::Hold(call) => call.wait_ms == 0,
--- a/crates/node/src/executors/mod.rs
+++ b/crates/node/src/executors/mod.rs
@@ -386,7 +386,7 @@
             serving.max_by_key(|link| xxh3_64_with_seed(worker.as_str().as_bytes(), link.seed))?;
         let is_overdue =
             || chosen.is_overdue(worker) || self.direct_workers.is_followed_up(worker, now_ms);
-        if call.is_repetition() && is_overdue() {
+        if call.is_follow_up() && is_overdue() {
             return None;
         }
         let is_hold = matches!(call, WorkerCall::Hold(_));
