Advisor: a query that hangs keeps no place of those for long queries

The dispatcher now reports the long queries all of whose attempts are overdue, and they do not count. Queries that only wait for a daemon still do, so a slow advisor gets no more than before.

a_stuck_query_keeps_no_place_of_the_others failed before (no second query) and passes; long_queries_whose_attempts_are_all_overdue_are_stuck tests the report.

--- a/crates/node/src/advisor_dispatcher/mod.rs
+++ b/crates/node/src/advisor_dispatcher/mod.rs
@@ -80,6 +80,15 @@
     pub queue_age_ms: u64,
 }
 
+/// What queries to the advisor can be sent through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueryCapacity {
+    /// Daemons that get queries now or when their overdue ones have ended.
+    pub daemons: usize,
+    /// Long queries that are pending and take no time of these daemons.
+    pub stuck_long_queries: usize,
+}
+
 /// The advisor's answer to a query.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Advice {
@@ -163,19 +172,21 @@
     }
 
     /// Probes silent daemons until they reply, for as long as this future is polled. Calls
-    /// `on_change` with the number of daemons that queries can be sent through whenever it changes.
-    pub async fn watch_proxies(&self, on_change: impl Fn(usize)) {
+    /// `on_change` whenever the capacity for queries changes.
+    pub async fn watch_proxies(&self, on_change: impl Fn(QueryCapacity)) {
         let mut probes = JoinSet::new();
         let mut reported = None;
         loop {
             reap("probes of silent daemons", &mut probes);
             let now_ms = steady_ms();
-            let (due, answering) = {
+            let (due, capacity) = {
                 let mut state = self.lock();
                 // A backoff may have ended.
                 state.assign(&self.state);
                 let due = state.proxies.take_due_probes(PROBES_MAX - probes.len(), now_ms);
-                (due, state.proxies.answering(now_ms))
+                let daemons = state.proxies.answering(now_ms);
+                let stuck_long_queries = state.proxies.stuck_long_queries();
+                (due, QueryCapacity { daemons, stuck_long_queries })
             };
             for address in due {
                 let (peers, state) = (self.peers.clone(), Arc::clone(&self.state));
@@ -191,9 +202,9 @@
                     }
                 });
             }
-            if reported != Some(answering) {
-                reported = Some(answering);
-                on_change(answering);
+            if reported != Some(capacity) {
+                reported = Some(capacity);
+                on_change(capacity);
             }
             sleep(CHECK_INTERVAL).await;
         }
@@ -210,6 +221,7 @@
     ) -> Option<Advice> {
         let enqueued_ms = steady_ms();
         let arrival = self.lock().next_arrival();
+        let _pending = PendingQuery { state: Arc::clone(&self.state), arrival };
         let mut queued = Some(self.enqueue((priority, arrival, Attempt::Sole), cost_ms));
         let mut sent = 0;
         let mut in_flight = JoinSet::new();
@@ -413,6 +425,19 @@
     }
 }
 
+/// A query that waits for its answer, until it is dropped.
+#[derive(Debug)]
+struct PendingQuery {
+    state: Arc<Mutex<State>>,
+    arrival: u64,
+}
+
+impl Drop for PendingQuery {
+    fn drop(&mut self) {
+        lock(&self.state).proxies.end_query(self.arrival);
+    }
+}
+
 impl State {
     fn next_arrival(&mut self) -> u64 {
         self.arrivals += 1;
@@ -430,13 +455,13 @@
                 // The query was dropped or answered while this attempt was queued.
                 continue;
             }
-            let (_, _, attempt) = key;
+            let (_, arrival, attempt) = key;
             let kind = (attempt, queued.cost_ms >= LONG_QUERY_MS);
             if full_kinds.contains(&kind) {
                 still_queued.insert(key, queued);
                 continue;
             }
-            match self.proxies.assign(queued.cost_ms, attempt, now_ms) {
+            match self.proxies.assign(arrival, queued.cost_ms, attempt, now_ms) {
                 Ok((id, address)) => {
                     let permit = Permit {
                         state: Arc::clone(shared),
--- a/crates/node/src/advisor_dispatcher/proxies.rs
+++ b/crates/node/src/advisor_dispatcher/proxies.rs
@@ -105,6 +105,8 @@
 
 #[derive(Debug)]
 struct InFlight {
+    /// Number of the query, which may have several attempts; `None` once it has ended.
+    query: Option<u64>,
     address: String,
     cost_ms: u64,
     attempt: Attempt,
@@ -178,12 +180,25 @@
         self.by_address.values().filter(|proxy| proxy.is_answering(now_ms)).count()
     }
 
+    /// The number of long queries all of whose attempts in flight are overdue. They take no time of
+    /// a proxy that is usable.
+    pub fn stuck_long_queries(&self) -> usize {
+        let mut is_stuck: BTreeMap<u64, bool> = BTreeMap::new();
+        for attempt in self.in_flight.values().filter(|attempt| attempt.is_long()) {
+            let Some(query) = attempt.query else { continue };
+            let is_overdue = attempt.progress != Progress::Expected;
+            *is_stuck.entry(query).or_insert(true) &= is_overdue;
+        }
+        is_stuck.into_values().filter(|is_stuck| *is_stuck).count()
+    }
+
     /// Assigns a query to the usable proxy with the least work. Returns the number of the query and
     /// the address of the proxy, or which queries have to wait.
     ///
     /// If no proxy is usable, those that back off are used nevertheless: nobody else could answer.
     pub fn assign(
         &mut self,
+        query: u64,
         cost_ms: u64,
         attempt: Attempt,
         now_ms: u64,
@@ -205,16 +220,25 @@
         let Some((address, proxy)) = available.min_by_key(|(_, proxy)| order(proxy)) else {
             return Err(Full::ForAll);
         };
-        let query =
-            InFlight { address: address.clone(), cost_ms, attempt, progress: Progress::Expected };
+        let progress = Progress::Expected;
+        let in_flight =
+            InFlight { query: Some(query), address: address.clone(), cost_ms, attempt, progress };
         proxy.pending_ms += cost_ms;
-        proxy.long_queries += usize::from(query.is_long());
+        proxy.long_queries += usize::from(in_flight.is_long());
         self.hedges += usize::from(attempt == Attempt::Hedge);
         self.last_id += 1;
-        self.in_flight.insert(self.last_id, query);
+        self.in_flight.insert(self.last_id, in_flight);
         Ok((self.last_id, address.clone()))
     }
 
+    /// Records that a query has ended. Attempts that are still in flight tell only whether their
+    /// daemons are alive.
+    pub fn end_query(&mut self, query: u64) {
+        for attempt in self.in_flight.values_mut() {
+            attempt.query.take_if(|number| *number == query);
+        }
+    }
+
     /// Records that a query should have been answered by now.
     pub fn mark_overdue(&mut self, id: u64, now_ms: u64) {
         let Some(query) = self.in_flight.get_mut(&id) else { return };
--- a/crates/node/src/leader.rs
+++ b/crates/node/src/leader.rs
@@ -28,6 +28,7 @@
 use tokio::task::JoinSet;
 
 use crate::advisor_dispatcher::AdvisorDispatcher;
+use crate::advisor_dispatcher::QueryCapacity;
 use crate::clock::steady_ms;
 use crate::clock::unix_ms;
 use crate::commit::Fence;
@@ -393,7 +394,10 @@
     advisor_dispatcher: Arc<AdvisorDispatcher<P>>,
     inbox_sender: InboxSender,
 ) {
-    let on_change = |count| inbox_sender.notify(Event::Advisors { count });
+    let on_change = |QueryCapacity { daemons, stuck_long_queries }| {
+        inbox_sender.notify(Event::Advisors { count: daemons });
+        inbox_sender.notify(Event::StuckQueries { count: stuck_long_queries });
+    };
     advisor_dispatcher.watch_proxies(on_change).await;
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -69,6 +69,7 @@
 pub use crate::advisor_dispatcher::Advice;
 pub use crate::advisor_dispatcher::AdvisorDispatcher;
 pub use crate::advisor_dispatcher::DispatcherCounts;
+pub use crate::advisor_dispatcher::QueryCapacity;
 pub use crate::announce::announce_delay;
 pub use crate::daemons::DaemonInfo;
 pub use crate::election::Candidate;
--- a/crates/node/tests/advisor_dispatcher.rs
+++ b/crates/node/tests/advisor_dispatcher.rs
@@ -13,6 +13,7 @@
 use stoatwell_node::DaemonCall;
 use stoatwell_node::DaemonInfo;
 use stoatwell_node::DaemonReply;
+use stoatwell_node::QueryCapacity;
 use stoatwell_peer::Peers;
 use stoatwell_peer::Traffic;
 use stoatwell_pool::JobId;
@@ -386,3 +387,33 @@
     let dispatcher = dispatcher(&infos);
     assert_eq!(answered(&dispatcher, 1, Duration::from_millis(1_500)).await, 1);
 }
+
+/// Guards against long queries that count as in progress although their daemons stand still.
+#[tokio::test]
+async fn long_queries_whose_attempts_are_all_overdue_are_stuck() {
+    let standing = Daemons::start(1).await;
+    standing.paused.send_replace(true);
+    let peers = Peers::new("test", Traffic::default());
+    let platform = Arc::new(FakePlatform::default());
+    platform.set_advice_hangs(true);
+    let dispatcher = Arc::new(AdvisorDispatcher::new(platform, peers, "me".to_owned()));
+    dispatcher.update_daemons(&standing.infos());
+    let (stuck, mut reported) = watch::channel(0);
+    let watching = Arc::clone(&dispatcher);
+    tokio::spawn(async move {
+        let on_change = |capacity: QueryCapacity| {
+            stuck.send_replace(capacity.stuck_long_queries);
+        };
+        watching.watch_proxies(on_change).await;
+    });
+    let asking = Arc::clone(&dispatcher);
+    let query =
+        tokio::spawn(async move { asking.query(STEP, &[], 1, LONG_QUERY_COST_MS).await.is_some() });
+    // One attempt goes through each of the two daemons, of which this one gets no answer either.
+    let limit = Duration::from_millis(2 * LONG_QUERY_COST_MS + 800);
+    timeout(limit, reported.wait_for(|stuck| *stuck == 1)).await.expect("in time").expect("open");
+    standing.paused.send_replace(false);
+    assert!(query.await.expect("no panic"), "the query is answered");
+    let ended = reported.wait_for(|stuck| *stuck == 0);
+    timeout(Duration::from_secs(1), ended).await.expect("in time").expect("open");
+}
--- a/crates/pool/src/advice/query.rs
+++ b/crates/pool/src/advice/query.rs
@@ -97,7 +97,8 @@
 
     /// How many more long queries may be sent now.
     fn free_long_queries(&self) -> usize {
-        long_queries_max(self.advisor_daemons).saturating_sub(self.long_queries)
+        let in_progress = self.long_queries.saturating_sub(self.stuck_long_queries);
+        long_queries_max(self.advisor_daemons).saturating_sub(in_progress)
     }
 
     /// Into how many queries one about this many workers is split. Each daemon sends its queries
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -143,6 +143,12 @@
         /// How many daemons there are; 0 counts as 1.
         count: usize,
     },
+    /// The number of long queries to the advisor changed that are pending and wait for daemons
+    /// which can not be reached or do not answer.
+    StuckQueries {
+        /// How many there are.
+        count: usize,
+    },
     /// The writes of a batch to one partition are durable.
     Committed {
         /// The number of the batch, as in [`Effect::Commit`].
@@ -183,6 +189,7 @@
             | Self::Advised { .. }
             | Self::Customers { .. }
             | Self::Advisors { .. }
+            | Self::StuckQueries { .. }
             | Self::Committed { .. }
             | Self::InDoubt { .. }
             | Self::Rejected { .. } => None,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -207,6 +207,8 @@
     long_queries: usize,
     /// Number of daemons that can forward queries to the advisor.
     advisor_daemons: usize,
+    /// Pending long queries that wait for daemons which can not be reached or do not answer.
+    stuck_long_queries: usize,
     cycle_due: bool,
     effects: Vec<Effect>,
     /// Whether a worker has seen the token of a later leader.
@@ -300,6 +302,7 @@
             queries: 0,
             long_queries: 0,
             advisor_daemons: 1,
+            stuck_long_queries: 0,
             cycle_due: true,
             effects: Vec::new(),
             superseded: false,
@@ -414,6 +417,7 @@
             }
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
+            Event::StuckQueries { count } => self.stuck_long_queries = count,
             Event::Committed { batch, partition, sent_ms } => {
                 self.on_committed(batch, partition, sent_ms);
             }
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -372,3 +372,40 @@
     let started_ms = started_ms.expect("the gang starts");
     assert!(started_ms < due_ms + 500, "an answer was due at {due_ms}, started at {started_ms}");
 }
+
+/// Guards against steps that nobody asks the advisor about, since queries through daemons that can
+/// not be reached keep all places for long ones.
+#[test]
+fn a_stuck_query_keeps_no_place_of_the_others() {
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
+    // Two daemons send one long query at a time.
+    pool.handle(1_000, 1_000, Event::Advisors { count: 2 });
+    pool.handle(1_000, 1_000, Event::Listed(worker()));
+    let mut spec = job();
+    spec.queue.advice = Some(AdviceSpec { decide_ms: 300.0, each_ms: 1.0, valid_ms: 2_000 });
+    let spec = Arc::new(spec);
+    for number in 1..=2 {
+        let event = Event::Accepted { job: JobId(number), spec: Arc::clone(&spec) };
+        pool.handle(1_000, 1_000, event);
+    }
+    let queries_until = |from_ms: u64, until_ms: u64, pool: &mut Pool| {
+        let mut queries = 0;
+        for now_ms in (from_ms..until_ms).step_by(10) {
+            for effect in pool.poll_effects(now_ms, now_ms) {
+                match effect {
+                    Effect::Advise { .. } => queries += 1,
+                    Effect::Hold(HoldCall { to, turn, .. }) => {
+                        let reply = HoldReply { clock_ms: now_ms, life: 1, ..HoldReply::default() };
+                        let event = Event::Held { worker: to.worker, turn, reply: Ok(reply) };
+                        pool.handle(now_ms, now_ms, event);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        queries
+    };
+    assert_eq!(queries_until(1_000, 2_500, &mut pool), 1, "queries while none is stuck");
+    pool.handle(2_500, 2_500, Event::StuckQueries { count: 1 });
+    assert_eq!(queries_until(2_500, 3_500, &mut pool), 1, "queries while one is stuck");
+}
