--- /dev/null
+++ b/review/standin-2/main.rs
@@ -0,0 +1,313 @@
+//! The scripts of this review. `cases NAME FOLDER` plays one and writes `FOLDER/record.txt`. The
+//! exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
+//! `TROUBLE=0` the disruption is left out.
+
+mod cell;
+mod http;
+mod json;
+mod minion;
+mod record;
+mod store;
+
+use std::collections::HashMap;
+use std::process::ExitCode;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use cell::Cell;
+
+/// `finish_s`, `harm_ms` and `contact_ms` of a small deployment.
+const FINISH: Duration = Duration::from_secs(14);
+const HARM: Duration = Duration::from_millis(4_000);
+const CONTACT: Duration = Duration::from_millis(4_000);
+/// The rule LOST: for so long a job has nothing running.
+const NOTHING_RUNS: Duration = Duration::from_secs(3);
+/// The rule LOST for a task that lasts: so long after its last run.
+const AFTER_LAST_RUN: Duration = Duration::from_secs(6);
+const STEP: Duration = Duration::from_millis(50);
+
+/// Whether the rule was broken, or why the case could not run.
+type Verdict = Result<bool, String>;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, name, folder] = arguments.as_slice() else { return ExitCode::from(2) };
+    let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let verdict = match name.as_str() {
+        "rows" => rows(folder, trouble),
+        "gang" => gang(folder, trouble),
+        "label" => label(folder, trouble),
+        "pace" => pace(folder, trouble),
+        "trickle" => trickle(folder, trouble),
+        _ => Err("no such case".to_owned()),
+    };
+    match verdict {
+        Ok(true) => {
+            println!("{name}: the rule was broken");
+            ExitCode::from(1)
+        }
+        Ok(false) => {
+            println!("{name}: the rule held");
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            println!("{name}: the case could not run: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn wait_until(limit: Duration, mut is_so: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while Instant::now() < end {
+        if is_so() {
+            return true;
+        }
+        std::thread::sleep(STEP);
+    }
+    false
+}
+
+/// How long something has been so on end.
+#[derive(Default)]
+struct Stretch(Option<Instant>);
+
+impl Stretch {
+    fn note(&mut self, is_so: bool) -> Duration {
+        if !is_so {
+            self.0 = None;
+            return Duration::ZERO;
+        }
+        self.0.get_or_insert_with(Instant::now).elapsed()
+    }
+}
+
+/// A task that lasts serves its users on one minion, and jobs that fill run beside it. One order
+/// of pace is left without an answer and carried out 6 s later.
+fn pace(folder: &str, trouble: bool) -> Verdict {
+    const SERVING: &str = "5c0e7a21d94b36f8";
+    const FILLING: &str = "6d1f8b32ea5c4709";
+    let mut cell = Cell::start(folder, 48, 3)?;
+    cell.wait_until_ready()?;
+    let hooks = std::sync::Arc::clone(&cell.hooks);
+    hooks.hurt_percent.store(5, Ordering::Relaxed);
+    let serving = r#"{"count":1,"cpu":8000,"mem_mb":16384,"long_running":true,"image":"front","target_ms":50,"requirements":"r1-3"}"#;
+    let filling = r#"{"count":2,"cpu":2000,"mem_mb":2048,"estimated_ms":100000,"fills":true,"image":"batch","requirements":"r1-3"}"#;
+    if !cell.submit(0, SERVING, "cpu=8000,tail=20", serving)
+        || !wait_until(Duration::from_secs(10), || cell.running(SERVING) == 1)
+        || !cell.submit(2, FILLING, "work=100000,hurts=80", filling)
+        || !wait_until(Duration::from_secs(10), || cell.running(FILLING) == 2)
+    {
+        return Err("the jobs did not start".to_owned());
+    }
+    let beside = |cell: &Cell| {
+        let on = |prefix: &str| {
+            cell.minions.iter().filter(|minion| minion.running().iter().any(|task| task.starts_with(prefix))).map(|minion| minion.id.clone()).collect::<Vec<_>>()
+        };
+        on(SERVING) == on(FILLING)
+    };
+    if !beside(&cell) {
+        return Err("the tasks do not run beside each other".to_owned());
+    }
+    // The tasks that fill hurt; the scheduler paces them down. Then they hurt less for a while.
+    hooks.hurt_percent.store(100, Ordering::Relaxed);
+    std::thread::sleep(Duration::from_secs(4));
+    hooks.hurt_percent.store(5, Ordering::Relaxed);
+    cell.record.line("the tasks that fill hurt little");
+    hooks.late_ms.store(6_000, Ordering::Relaxed);
+    if trouble {
+        hooks.late_pace_from.store(60, Ordering::Relaxed);
+        if !wait_until(Duration::from_secs(12), || hooks.late_pace_taken.load(Ordering::Relaxed)) {
+            return Err("no order of pace came".to_owned());
+        }
+    } else {
+        std::thread::sleep(Duration::from_millis(4_500));
+    }
+    std::thread::sleep(Duration::from_secs(2));
+    hooks.hurt_percent.store(100, Ordering::Relaxed);
+    cell.record.line("the tasks that fill hurt much");
+    // The late order is carried out in 4 s; only what comes `contact_ms` after that counts.
+    std::thread::sleep(Duration::from_secs(4) + CONTACT);
+    cell.record.line("what is seen from now on counts");
+    Ok(watch_tails(&cell, Duration::from_secs(20)))
+}
+
+/// Jobs of one short task that fills come one after the other, as in a burst of usual traffic.
+fn trickle(folder: &str, trouble: bool) -> Verdict {
+    const SERVING: &str = "5c0e7a21d94b36f8";
+    let mut cell = Cell::start(folder, 48, 3)?;
+    cell.wait_until_ready()?;
+    cell.hooks.hurt_percent.store(100, Ordering::Relaxed);
+    let serving = r#"{"count":1,"cpu":8000,"mem_mb":16384,"long_running":true,"image":"front","target_ms":50}"#;
+    if !cell.submit(0, SERVING, "cpu=8000,tail=20", serving)
+        || !wait_until(Duration::from_secs(10), || cell.running(SERVING) == 1)
+    {
+        return Err("the serving job did not start".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(5));
+    let count = if trouble { 1 } else { 60 };
+    let filling = format!(r#"{{"count":{count},"cpu":2000,"mem_mb":512,"estimated_ms":600,"fills":true,"image":"batch"}}"#);
+    let mut is_broken = false;
+    let mut stretch = Stretch::default();
+    for number in 0..if trouble { 60 } else { 1 } {
+        let id = format!("6d1f8b32ea5c{number:04x}");
+        if !cell.submit(2, &id, "work=600,hurts=60", &filling) {
+            return Err("a job was not accepted".to_owned());
+        }
+        let end = Instant::now() + Duration::from_millis(180);
+        while Instant::now() < end {
+            is_broken |= stretch.note(is_over(&cell)) >= HARM;
+            std::thread::sleep(STEP);
+        }
+    }
+    Ok(is_broken | watch_tails(&cell, Duration::from_secs(12)))
+}
+
+/// Whether users of a serving task wait longer than 50 ms because of what fills beside it.
+fn is_over(cell: &Cell) -> bool {
+    let tails = cell.minions.iter().flat_map(|minion| minion.tails());
+    tails.into_iter().any(|tail| tail.now_ms > 50.0 && tail.alone_ms <= 50.0)
+}
+
+/// Whether a serving task is over its target for `harm_ms` on end.
+fn watch_tails(cell: &Cell, time: Duration) -> bool {
+    let mut stretch = Stretch::default();
+    let mut longest = Duration::ZERO;
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        longest = longest.max(stretch.note(is_over(cell)));
+        std::thread::sleep(STEP);
+    }
+    cell.record.line(&format!("longest time over the target: {} ms", longest.as_millis()));
+    longest >= HARM
+}
+
+/// A job that lasts needs minions of one rack. Another job that needs them, too, fails whenever it
+/// starts.
+fn label(folder: &str, trouble: bool) -> Verdict {
+    const SOUND: &str = "5c0e7a21d94b36f8";
+    const HOPELESS: &str = "6d1f8b32ea5c4709";
+    let mut cell = Cell::start(folder, 48, 3)?;
+    cell.wait_until_ready()?;
+    let sound = r#"{"count":4,"cpu":2000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
+    let hopeless = r#"{"count":8,"cpu":1000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
+    // The first task of the sound job fails once, 12 s after its start.
+    if !cell.submit(1, SOUND, "cpu=2000,fails=12000", sound)
+        || !wait_until(Duration::from_secs(5), || cell.running(SOUND) == 4)
+    {
+        return Err("the sound job did not start".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(6));
+    if trouble && !cell.submit(1, HOPELESS, "cpu=1000,work=300,end=failed", hopeless) {
+        return Err("the hopeless job was not accepted".to_owned());
+    }
+    let mut broken: HashMap<String, Duration> = HashMap::new();
+    let mut stretches: HashMap<String, Stretch> = HashMap::new();
+    let end = Instant::now() + Duration::from_secs(45);
+    while Instant::now() < end {
+        for task in (0..4).map(|index| format!("{SOUND}.0.0.{index}")) {
+            let since = cell.record.last_end(&task).map_or(Duration::ZERO, |end| end.elapsed());
+            let rack = cell.minions.iter().filter(|minion| minion.labels[1] == "r1-3");
+            let places: u64 = rack.map(|minion| minion.places(2_000)).sum();
+            let is_lost = !cell.is_running(&task) && since >= AFTER_LAST_RUN && places >= 2;
+            let lasted = stretches.entry(task.clone()).or_default().note(is_lost);
+            if lasted >= NOTHING_RUNS {
+                broken.insert(task, since);
+            }
+        }
+        std::thread::sleep(STEP);
+    }
+    for (task, since) in &broken {
+        cell.record.line(&format!(
+            "{task} did not run for {} ms although minions of its rack had room",
+            since.as_millis()
+        ));
+    }
+    Ok(!broken.is_empty())
+}
+
+/// Half of the capacity is taken by a job that lasts and comes first. Then a large gang comes.
+fn gang(folder: &str, trouble: bool) -> Verdict {
+    const LASTING: &str = "5c0e7a21d94b36f8";
+    const GANG: &str = "6d1f8b32ea5c4709";
+    let mut cell = Cell::start(folder, 48, 3)?;
+    cell.wait_until_ready()?;
+    let lasting = r#"{"count":48,"cpu":7500,"mem_mb":1024,"long_running":true}"#;
+    if !cell.submit(0, LASTING, "cpu=7500", lasting)
+        || !wait_until(Duration::from_secs(10), || cell.running(LASTING) == 48)
+    {
+        return Err("the lasting job did not start".to_owned());
+    }
+    std::thread::sleep(Duration::from_secs(20));
+    let members = if trouble { 24 } else { 4 };
+    let steps = format!(r#"{{"count":{members},"cpu":6000,"mem_mb":1024,"estimated_ms":3000,"gang":true}}"#);
+    if !cell.submit(2, GANG, &format!("work=3000,cpu=6000,gang={members}"), &steps) {
+        return Err("the gang was not accepted".to_owned());
+    }
+    std::thread::sleep(FINISH);
+    let mut stretch = Stretch::default();
+    let end = Instant::now() + Duration::from_secs(40);
+    let mut is_broken = false;
+    while Instant::now() < end && !is_broken && cell.record.done(GANG) == 0 {
+        let capacity: u64 = cell.minions.iter().map(|minion| minion.cpu).sum();
+        let used: u64 = cell.minions.iter().map(|minion| minion.used()).sum();
+        let places: u64 = cell.minions.iter().map(|minion| minion.places(6_000)).sum();
+        let has_room = places >= 2 * members && used * 2 < capacity;
+        is_broken = stretch.note(cell.running(GANG) == 0 && has_room) >= NOTHING_RUNS;
+        std::thread::sleep(STEP);
+    }
+    if is_broken {
+        cell.record.line("the gang has nothing running for 3 s although there is room for it twice over");
+        cell.state(2, GANG);
+    }
+    Ok(is_broken)
+}
+
+/// A large job whose tasks save checkpoints, and small ones beside it, on as many minions as a
+/// grown deployment has.
+fn rows(folder: &str, trouble: bool) -> Verdict {
+    const LARGE: &str = "5c0e7a21d94b36f8";
+    let mut cell = Cell::start(folder, 350, 3)?;
+    cell.wait_until_ready()?;
+    let tasks = if trouble { 1_900 } else { 190 };
+    let large = format!(r#"{{"count":{tasks},"cpu":2600,"mem_mb":256,"estimated_ms":8000,"checkpointing":true}},{{"count":20,"cpu":500,"mem_mb":64,"estimated_ms":500,"after":[0]}}"#);
+    if !cell.submit(2, LARGE, "work=8000,saves=2000,cpu=2600;work=500,cpu=500", &large) {
+        return Err("the large job was not accepted".to_owned());
+    }
+    // These end after the first tasks of the large job have ended.
+    let small = r#"{"count":2,"cpu":500,"mem_mb":64,"estimated_ms":9000},{"count":2,"cpu":500,"mem_mb":64,"estimated_ms":300,"after":[0]}"#;
+    let mut accepted = vec![(LARGE.to_owned(), tasks, 20)];
+    for number in 0..96_u64 {
+        let id = format!("{:016x}", number * 0x9e37_79b9_7f4a_7c15 % (1 << 62));
+        if cell.submit(2, &id, "work=9000,cpu=500;work=300,cpu=500", small) {
+            accepted.push((id, 2, 2));
+        }
+    }
+    cell.record.line(&format!("{} jobs were accepted; the traffic ends", accepted.len()));
+    std::thread::sleep(FINISH);
+    let mut stretches: HashMap<String, Stretch> = HashMap::new();
+    let mut lost = Vec::new();
+    let end = Instant::now() + Duration::from_secs(20);
+    while Instant::now() < end {
+        for (id, first, second) in &accepted {
+            let has_turn = cell.record.done(&format!("{id}.0.0.")) == *first
+                && cell.record.done(&format!("{id}.0.1.")) < *second;
+            let is_idle = has_turn && cell.running(id) == 0;
+            if stretches.entry(id.clone()).or_default().note(is_idle) >= NOTHING_RUNS
+                && !lost.contains(id)
+            {
+                lost.push(id.clone());
+            }
+        }
+        std::thread::sleep(Duration::from_millis(200));
+    }
+    let used: u64 = cell.minions.iter().map(|minion| minion.used()).sum();
+    cell.record.line(&format!("{used} of 5600000 thousandths of a core are in use; transactions refused for a row of over 65536 bytes: {}", cell.store.too_long()));
+    for id in &lost {
+        cell.record.line(&format!("nothing of {id} runs, although the turn of its second step has come"));
+    }
+    if !cell.are_daemons_up() {
+        cell.record.line("a daemon has ended");
+    }
+    Ok(!lost.is_empty())
+}
