--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -17,6 +17,7 @@
 pub const HOST: &str = "nony24.example";
 const SERVICE: &str = "sahay";
 const ZONES: [&str; 3] = ["ahmedabad-a", "surat-a", "rajkot-a"];
+pub const STATUS_S: u64 = 120;
 const ROW_BYTES: usize = 65_536;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const PR_SET_PDEATHSIG: i32 = 1;
@@ -34,11 +35,24 @@
     daemons: Vec<(Child, SocketAddr, SocketAddr)>,
     folder: PathBuf,
     next: usize,
+    /// The key of the client that calls.
+    pub key: String,
 }
 
 impl Cell {
-    /// Starts the store, the minions and the daemons. `advised` queues are not played.
+    /// Starts the store, the minions and the daemons.
     pub fn start(folder: &str, minions: usize, daemons: usize) -> Result<Self, String> {
+        Self::start_for(folder, minions, daemons, "", STATUS_S)
+    }
+
+    /// The same with these tenants in the manifest.
+    pub fn start_for(
+        folder: &str,
+        minions: usize,
+        daemons: usize,
+        tenants: &str,
+        status_s: u64,
+    ) -> Result<Self, String> {
         let record = Arc::new(Record::new(&format!("{folder}/record.txt")));
         let hooks = Arc::new(Hooks::default());
         let (store, store_address) = Store::start(ROW_BYTES);
@@ -50,8 +64,9 @@
                 )
             })
             .collect();
+        let revoke_ms = if tenants.is_empty() { "null" } else { "5000" };
         let manifest = format!(
-            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{SERVICE}","health_path":"/healthz","max_conns":64,"admission_check":false}}],"limits":{{"max_body_bytes":262144}}}}"#,
+            r#"{{"version":7,{tenants}"routes":[{}],"services":[{{"name":"{SERVICE}","health_path":"/healthz","max_conns":64,"admission_check":false}}],"limits":{{"max_body_bytes":262144}}}}"#,
             routes.join(",")
         );
         store.write("op", "config", Some(&manifest));
@@ -75,22 +90,36 @@
         });
         let temporary = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         fs::create_dir_all(&temporary).map_err(|error| error.to_string())?;
-        let mut cell =
-            Self { store, minions, record, hooks, daemons: Vec::new(), folder: temporary, next: 0 };
+        let mut cell = Self {
+            store,
+            minions,
+            record,
+            hooks,
+            daemons: Vec::new(),
+            folder: temporary,
+            next: 0,
+            key: String::new(),
+        };
         for number in 0..daemons {
-            cell.start_daemon(number, store_address)?;
+            cell.start_daemon(number, store_address, revoke_ms, status_s)?;
         }
         Ok(cell)
     }
 
-    fn start_daemon(&mut self, number: usize, store: SocketAddr) -> Result<(), String> {
+    fn start_daemon(
+        &mut self,
+        number: usize,
+        store: SocketAddr,
+        revoke_ms: &str,
+        status_s: u64,
+    ) -> Result<(), String> {
         let zone = ZONES[number % ZONES.len()];
         let name = format!("edge-{zone}-{}", 1 + number / ZONES.len());
         let (callers, ready) = (free_address(), free_address());
         let inner_port = free_pair();
         // The template of the deploy file, filled in for a small deployment.
         let settings = format!(
-            r#"{{"name":"{name}","ip":"127.0.0.1","zone":"{zone}","callers":"{callers}","ready":"{ready}","inner_port":{inner_port},"store":"{store}","advisor":null,"core_share":0.25,"core_speed":1,"link_mbps":1000.0,"memory_mb":260,"lease_max_ms":6000,"remember_s":120,"manifest_apply_ms":2500,"revoke_ms":null,"gang_wait_ms":3000,"stop_max_ms":900,"stop_grace_s":6}}"#
+            r#"{{"name":"{name}","ip":"127.0.0.1","zone":"{zone}","callers":"{callers}","ready":"{ready}","inner_port":{inner_port},"store":"{store}","advisor":null,"core_share":0.25,"core_speed":1,"link_mbps":1000.0,"memory_mb":260,"lease_max_ms":6000,"remember_s":{status_s},"manifest_apply_ms":2500,"revoke_ms":{revoke_ms},"gang_wait_ms":3000,"stop_max_ms":900,"stop_grace_s":6}}"#
         );
         let path = self.folder.join(format!("{name}.json"));
         fs::write(&path, settings).map_err(|error| error.to_string())?;
@@ -111,11 +140,16 @@
         Ok(())
     }
 
+    /// The daemons' addresses for clients.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.daemons.iter().map(|(_, callers, _)| *callers).collect()
+    }
+
     /// Waits until all daemons are ready and one of them leads.
     pub fn wait_until_ready(&self) -> Result<(), String> {
         let end = Instant::now() + Duration::from_secs(15);
         let is_ready = |address: &SocketAddr| {
-            let answer = http::call(address, "GET", "x", "/readyz", "", Duration::from_secs(1));
+            let answer = http::call(address, "GET", "x", "/readyz", "", "", Duration::from_secs(1));
             answer.is_some_and(|(status, _)| status == 200)
         };
         while Instant::now() < end {
@@ -137,7 +171,8 @@
         for _ in 0..5 {
             self.next += 1;
             let address = self.daemons[self.next % self.daemons.len()].1;
-            last = http::call(&address, method, HOST, path, body, Duration::from_secs(3));
+            last =
+                http::call(&address, method, HOST, path, &self.key, body, Duration::from_secs(3));
             let short: String = body.chars().take(300).collect();
             self.record.line(&format!("client: {method} {path} {short} -> {last:?}"));
             if last.as_ref().is_some_and(|(status, _)| *status == 200) {
@@ -151,7 +186,8 @@
     /// Hands a job in; whether it was accepted.
     pub fn submit(&mut self, queue: usize, id: &str, spec: &str, steps: &str) -> bool {
         let body = format!(r#"{{"spec":"{spec}","steps":[{steps}]}}"#);
-        self.call("POST", &format!("/q{queue}/{id}"), &body).is_some_and(|(status, _)| status == 200)
+        self.call("POST", &format!("/q{queue}/{id}"), &body)
+            .is_some_and(|(status, _)| status == 200)
     }
 
     /// A job's state as a client sees it.
@@ -193,7 +229,9 @@
 }
 
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    TcpListener::bind("127.0.0.1:0")
+        .and_then(|listener| listener.local_addr())
+        .expect("a free port")
 }
 
 /// The first of two free ports in a row.
--- a/review/standin-2/http.rs
+++ b/review/standin-2/http.rs
@@ -134,14 +134,17 @@
     method: &str,
     host: &str,
     path: &str,
+    key: &str,
     body: &str,
     limit: Duration,
 ) -> Answer {
     let mut stream = TcpStream::connect_timeout(address, limit).ok()?;
     stream.set_nodelay(true).ok()?;
     stream.set_read_timeout(Some(limit)).ok()?;
+    let key =
+        if key.is_empty() { String::new() } else { format!("Authorization: Bearer {key}\r\n") };
     let head = format!(
-        "{method} {path} HTTP/1.1\r\nHost: {host}\r\nX-Deadline-Ms: {}\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        "{method} {path} HTTP/1.1\r\nHost: {host}\r\n{key}X-Deadline-Ms: {}\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
         limit.as_millis(),
         body.len()
     );
--- a/review/standin-2/json.rs
+++ b/review/standin-2/json.rs
@@ -143,7 +143,8 @@
                             b'b' => '\u{8}',
                             b'f' => '\u{c}',
                             b'u' => {
-                                let digits = std::str::from_utf8(bytes.get(*at + 1..*at + 5)?).ok()?;
+                                let digits =
+                                    std::str::from_utf8(bytes.get(*at + 1..*at + 5)?).ok()?;
                                 *at += 4;
                                 char::from_u32(u32::from_str_radix(digits, 16).ok()?)?
                             }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -34,11 +34,12 @@
     let [_, name, folder] = arguments.as_slice() else { return ExitCode::from(2) };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let verdict = match name.as_str() {
+        "again" => again(folder, trouble),
         "rows" => rows(folder, trouble),
         "gang" => gang(folder, trouble),
         "label" => label(folder, trouble),
         "pace" => pace(folder, trouble),
-        "trickle" => trickle(folder, trouble),
+        "cap" => cap(folder, trouble),
         _ => Err("no such case".to_owned()),
     };
     match verdict {
@@ -102,7 +103,11 @@
     }
     let beside = |cell: &Cell| {
         let on = |prefix: &str| {
-            cell.minions.iter().filter(|minion| minion.running().iter().any(|task| task.starts_with(prefix))).map(|minion| minion.id.clone()).collect::<Vec<_>>()
+            cell.minions
+                .iter()
+                .filter(|minion| minion.running().iter().any(|task| task.starts_with(prefix)))
+                .map(|minion| minion.id.clone())
+                .collect::<Vec<_>>()
         };
         on(SERVING) == on(FILLING)
     };
@@ -132,37 +137,6 @@
     Ok(watch_tails(&cell, Duration::from_secs(20)))
 }
 
-/// Jobs of one short task that fills come one after the other, as in a burst of usual traffic.
-fn trickle(folder: &str, trouble: bool) -> Verdict {
-    const SERVING: &str = "5c0e7a21d94b36f8";
-    let mut cell = Cell::start(folder, 48, 3)?;
-    cell.wait_until_ready()?;
-    cell.hooks.hurt_percent.store(100, Ordering::Relaxed);
-    let serving = r#"{"count":1,"cpu":8000,"mem_mb":16384,"long_running":true,"image":"front","target_ms":50}"#;
-    if !cell.submit(0, SERVING, "cpu=8000,tail=20", serving)
-        || !wait_until(Duration::from_secs(10), || cell.running(SERVING) == 1)
-    {
-        return Err("the serving job did not start".to_owned());
-    }
-    std::thread::sleep(Duration::from_secs(5));
-    let count = if trouble { 1 } else { 60 };
-    let filling = format!(r#"{{"count":{count},"cpu":2000,"mem_mb":512,"estimated_ms":600,"fills":true,"image":"batch"}}"#);
-    let mut is_broken = false;
-    let mut stretch = Stretch::default();
-    for number in 0..if trouble { 60 } else { 1 } {
-        let id = format!("6d1f8b32ea5c{number:04x}");
-        if !cell.submit(2, &id, "work=600,hurts=60", &filling) {
-            return Err("a job was not accepted".to_owned());
-        }
-        let end = Instant::now() + Duration::from_millis(180);
-        while Instant::now() < end {
-            is_broken |= stretch.note(is_over(&cell)) >= HARM;
-            std::thread::sleep(STEP);
-        }
-    }
-    Ok(is_broken | watch_tails(&cell, Duration::from_secs(12)))
-}
-
 /// Whether users of a serving task wait longer than 50 ms because of what fills beside it.
 fn is_over(cell: &Cell) -> bool {
     let tails = cell.minions.iter().flat_map(|minion| minion.tails());
@@ -190,7 +164,8 @@
     let mut cell = Cell::start(folder, 48, 3)?;
     cell.wait_until_ready()?;
     let sound = r#"{"count":4,"cpu":2000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
-    let hopeless = r#"{"count":8,"cpu":1000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
+    let hopeless =
+        r#"{"count":8,"cpu":1000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
     // The first task of the sound job fails once, 12 s after its start.
     if !cell.submit(1, SOUND, "cpu=2000,fails=12000", sound)
         || !wait_until(Duration::from_secs(5), || cell.running(SOUND) == 4)
@@ -240,7 +215,9 @@
     }
     std::thread::sleep(Duration::from_secs(20));
     let members = if trouble { 24 } else { 4 };
-    let steps = format!(r#"{{"count":{members},"cpu":6000,"mem_mb":1024,"estimated_ms":3000,"gang":true}}"#);
+    let steps = format!(
+        r#"{{"count":{members},"cpu":6000,"mem_mb":1024,"estimated_ms":3000,"gang":true}}"#
+    );
     if !cell.submit(2, GANG, &format!("work=3000,cpu=6000,gang={members}"), &steps) {
         return Err("the gang was not accepted".to_owned());
     }
@@ -257,7 +234,8 @@
         std::thread::sleep(STEP);
     }
     if is_broken {
-        cell.record.line("the gang has nothing running for 3 s although there is room for it twice over");
+        cell.record
+            .line("the gang has nothing running for 3 s although there is room for it twice over");
         cell.state(2, GANG);
     }
     Ok(is_broken)
@@ -270,7 +248,9 @@
     let mut cell = Cell::start(folder, 350, 3)?;
     cell.wait_until_ready()?;
     let tasks = if trouble { 1_900 } else { 190 };
-    let large = format!(r#"{{"count":{tasks},"cpu":2600,"mem_mb":256,"estimated_ms":8000,"checkpointing":true}},{{"count":20,"cpu":500,"mem_mb":64,"estimated_ms":500,"after":[0]}}"#);
+    let large = format!(
+        r#"{{"count":{tasks},"cpu":2600,"mem_mb":256,"estimated_ms":8000,"checkpointing":true}},{{"count":20,"cpu":500,"mem_mb":64,"estimated_ms":500,"after":[0]}}"#
+    );
     if !cell.submit(2, LARGE, "work=8000,saves=2000,cpu=2600;work=500,cpu=500", &large) {
         return Err("the large job was not accepted".to_owned());
     }
@@ -304,10 +284,125 @@
     let used: u64 = cell.minions.iter().map(|minion| minion.used()).sum();
     cell.record.line(&format!("{used} of 5600000 thousandths of a core are in use; transactions refused for a row of over 65536 bytes: {}", cell.store.too_long()));
     for id in &lost {
-        cell.record.line(&format!("nothing of {id} runs, although the turn of its second step has come"));
+        cell.record
+            .line(&format!("nothing of {id} runs, although the turn of its second step has come"));
     }
     if !cell.are_daemons_up() {
         cell.record.line("a daemon has ended");
     }
     Ok(!lost.is_empty())
 }
+
+/// A gang that takes all of its tenant's cap waits for the minions of a rack, on which another
+/// tenant's tasks work. Another job of its tenant has one short step after the other.
+fn cap(folder: &str, trouble: bool) -> Verdict {
+    const OTHERS: &str = "5c0e7a21d94b36f8";
+    const EARLIER: &str = "6d1f8b32ea5c4709";
+    const GANG: &str = "7e209c43fb6d581a";
+    const STEPS: &str = "8f31ad540c7e692b";
+    let tenants = r#""tenants":[{"name":"tenant-1","api_keys":["key-1"],"weight":20.0,"cap":{"cpu":64000,"mem_mb":0,"gpu":0}},{"name":"tenant-2","api_keys":["key-2"],"weight":20.0,"cap":{"cpu":0,"mem_mb":0,"gpu":0}}],"#;
+    let mut cell = Cell::start_for(folder, 48, 3, tenants, cell::STATUS_S)?;
+    cell.wait_until_ready()?;
+    cell.key = "key-2".to_owned();
+    let others =
+        r#"{"count":8,"cpu":16000,"mem_mb":1024,"estimated_ms":110000,"requirements":"r1-3"}"#;
+    if !cell.submit(1, OTHERS, "work=110000,cpu=16000", others)
+        || !wait_until(Duration::from_secs(5), || cell.running(OTHERS) == 8)
+    {
+        return Err("the other tenant's job did not start".to_owned());
+    }
+    cell.key = "key-1".to_owned();
+    let earlier = r#"{"count":4,"cpu":2000,"mem_mb":1024,"estimated_ms":3000}"#;
+    if !cell.submit(1, EARLIER, "work=3000,cpu=2000", earlier)
+        || !wait_until(Duration::from_secs(5), || cell.running(EARLIER) == 4)
+    {
+        return Err("the tenant's first job did not start".to_owned());
+    }
+    let gang = r#"{"count":8,"cpu":8000,"mem_mb":1024,"estimated_ms":40000,"gang":true,"requirements":"r1-3"}"#;
+    if trouble && !cell.submit(1, GANG, "work=40000,cpu=8000,gang=8", gang) {
+        return Err("the gang was not accepted".to_owned());
+    }
+    let count = 60;
+    let steps: Vec<String> = (0..count)
+        .map(|step| {
+            let after =
+                if step > 0 { format!(r#","after":[{}]"#, step - 1) } else { String::new() };
+            format!(r#"{{"count":1,"cpu":1000,"mem_mb":256,"estimated_ms":1000{after}}}"#)
+        })
+        .collect();
+    let spec = vec!["work=1000,cpu=1000"; count].join(";");
+    if !cell.submit(1, STEPS, &spec, &steps.join(",")) {
+        return Err("the job of short steps was not accepted".to_owned());
+    }
+    cell.record.line("the traffic ends");
+    std::thread::sleep(FINISH);
+    let mut stretch = Stretch::default();
+    let mut is_broken = false;
+    let end = Instant::now() + Duration::from_secs(70);
+    while Instant::now() < end && !is_broken && cell.record.done(STEPS) < count {
+        let places: u64 = cell.minions.iter().map(|minion| minion.places(1_000)).sum();
+        let capacity: u64 = cell.minions.iter().map(|minion| minion.cpu).sum();
+        let used: u64 = cell.minions.iter().map(|minion| minion.used()).sum();
+        // The tenant's usage: nothing of its first job is left, and the gang does not run.
+        let tenant_runs = cell.running(EARLIER) + cell.running(GANG) + cell.running(STEPS);
+        let is_idle = tenant_runs == 0 && places >= 2 && used * 2 < capacity;
+        is_broken = stretch.note(is_idle) >= NOTHING_RUNS;
+        std::thread::sleep(STEP);
+    }
+    let done = cell.record.done(STEPS);
+    cell.record
+        .line(&format!("{done} of {count} steps are done; nothing ran for 3 s: {is_broken}"));
+    Ok(is_broken)
+}
+
+/// Short jobs at the rate of the sheet, for longer than finished ones are remembered. Then the store
+/// forgets its history once.
+fn again(folder: &str, trouble: bool) -> Verdict {
+    const STATUS_S: u64 = 60;
+    const TRAFFIC: Duration = Duration::from_secs(98);
+    const CLIENTS: u64 = 8;
+    let cell = Cell::start_for(folder, 48, 3, "", STATUS_S)?;
+    cell.wait_until_ready()?;
+    let began = Instant::now();
+    let callers = cell.callers();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (callers, record) = (callers.clone(), std::sync::Arc::clone(&cell.record));
+            std::thread::spawn(move || {
+                let body = r#"{"spec":"work=200,cpu=1400","steps":[{"count":1,"cpu":1400,"mem_mb":2900,"estimated_ms":200}]}"#;
+                for number in 0.. {
+                    let due = Duration::from_millis(number * 1_000 * CLIENTS / 55);
+                    if due > TRAFFIC {
+                        return;
+                    }
+                    std::thread::sleep(due.saturating_sub(began.elapsed()));
+                    let id = (number * CLIENTS + client + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                    let path = format!("/q0/{id:016x}");
+                    let address = callers[(number % callers.len() as u64) as usize];
+                    let limit = Duration::from_secs(3);
+                    let answer = http::call(&address, "POST", cell::HOST, &path, "", body, limit);
+                    let status = answer.map(|(status, _)| status);
+                    record.line(&format!("client: POST {path} -> {status:?}"));
+                }
+            })
+        })
+        .collect();
+    // By then finished jobs are forgotten, as many in a second as come.
+    std::thread::sleep(Duration::from_secs(STATUS_S + 14));
+    if trouble {
+        cell.record.line("the store forgets its history");
+        cell.store.compact(Duration::from_millis(5_500), Duration::from_secs(12));
+        cell.record.line("the store works as before");
+    }
+    for client in clients {
+        if client.join().is_err() {
+            return Err("a client failed".to_owned());
+        }
+    }
+    std::thread::sleep(Duration::from_secs(4));
+    let again = cell.record.again();
+    cell.record.line(&format!(
+        "{again} runs were started after their task had ended done and that was taken note of"
+    ));
+    Ok(again > 0)
+}
--- a/review/standin-2/minion.rs
+++ b/review/standin-2/minion.rs
@@ -131,7 +131,12 @@
         let [kind, rack] = [&self.labels[0], &self.labels[1]].map(|label| quoted(label));
         format!(
             r#"{{"service":{},"address":"{}","zone":"{}","version":"v1","slots":8,"state":"ready","cold_left_ms":0,"capacity":{{"cpu":{},"mem_mb":65536,"gpu":0}},"labels":[{kind},{rack}],"clock_ms":{},"sequence":{sequence},"born":{}}}"#,
-            quoted(service), self.address, self.zone, self.cpu, self.clock_ms(), self.born_ms
+            quoted(service),
+            self.address,
+            self.zone,
+            self.cpu,
+            self.clock_ms(),
+            self.born_ms
         )
     }
 
@@ -155,9 +160,7 @@
     pub fn tails(&self) -> Vec<Tail> {
         let state = self.lock();
         let serving = state.active.iter().filter_map(|run| Some((run, run.does.tail_ms?)));
-        serving
-            .map(|(run, alone_ms)| Tail { now_ms: run.tail, alone_ms })
-            .collect()
+        serving.map(|(run, alone_ms)| Tail { now_ms: run.tail, alone_ms }).collect()
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -208,8 +211,11 @@
         let cursor = body.get("ack_cursor").number().unwrap_or(0);
         let mut state = self.lock();
         state.until_ms = state.until_ms.max(body.get("until_ms").number().unwrap_or(0));
-        for (number, task, run, ..) in state.ended.iter().filter(|(number, ..)| *number <= cursor) {
-            self.record.line(&format!("{} end {number} of {task} run {run} is taken note of", self.id));
+        let is_noted = |(number, ..): &&(u64, _, _, _, _)| *number <= cursor;
+        for (number, task, run, how, _) in state.ended.iter().filter(is_noted) {
+            self.record.note_taken(task, how);
+            self.record
+                .line(&format!("{} end {number} of {task} run {run} is taken note of", self.id));
         }
         state.ended.retain(|(number, ..)| *number > cursor);
         while state.ended.is_empty() && Instant::now() < end {
@@ -236,7 +242,12 @@
             .collect();
         let (clock_ms, born_ms) = (self.clock_ms(), self.born_ms);
         let (active, ended) = (active.join(","), ended.join(","));
-        Some((200, format!(r#"{{"clock_ms":{clock_ms},"born":{born_ms},"active":[{active}],"ended_at":[{ended}]}}"#)))
+        Some((
+            200,
+            format!(
+                r#"{{"clock_ms":{clock_ms},"born":{born_ms},"active":[{active}],"ended_at":[{ended}]}}"#
+            ),
+        ))
     }
 
     fn start_run(&self, body: &Json) -> Answer {
@@ -255,7 +266,7 @@
             return self.refusal("late");
         }
         let saved = body.get("checkpoint").text().to_owned();
-        self.record.line(&format!("{} starts {task} run {number}", self.id));
+        self.record.note_start(&self.id, &task, number);
         let does = Behaviour::of(body.get("spec").text(), &task, number);
         let worked_ms = match saved.strip_prefix("at-") {
             Some(worked_ms) => worked_ms.parse::<f64>().unwrap_or(0.0) - RESTORE_MS,
@@ -320,7 +331,8 @@
         let found = state.active.iter_mut().find(|run| run.task == task && run.number == number);
         let Some(run) = found else { return false };
         run.next_pace = Some((Instant::now() + PACE_DELAY, percent));
-        self.record.line(&format!("{} sets the pace of {task} run {number} to {percent}{how}", self.id));
+        self.record
+            .line(&format!("{} sets the pace of {task} run {number} to {percent}{how}", self.id));
         true
     }
 
--- a/review/standin-2/record.rs
+++ b/review/standin-2/record.rs
@@ -4,6 +4,7 @@
 use std::fs::File;
 use std::io::Write;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
 pub struct Record {
@@ -13,12 +14,23 @@
     ends: Mutex<HashMap<String, Instant>>,
     /// The tasks of which a run has ended `done`.
     done: Mutex<HashSet<String>>,
+    /// Those of which such an end was taken note of.
+    noted: Mutex<HashSet<String>>,
+    /// How many runs were started after that.
+    again: AtomicU64,
 }
 
 impl Record {
     pub fn new(path: &str) -> Self {
         let file = Mutex::new(File::create(path).expect("the record can be written"));
-        Self { file, began: Instant::now(), ends: Mutex::default(), done: Mutex::default() }
+        Self {
+            file,
+            began: Instant::now(),
+            ends: Mutex::default(),
+            done: Mutex::default(),
+            noted: Mutex::default(),
+            again: AtomicU64::new(0),
+        }
     }
 
     pub fn line(&self, text: &str) {
@@ -43,4 +55,24 @@
         let done = self.done.lock().expect("no panic");
         done.iter().filter(|task| task.starts_with(prefix)).count()
     }
+
+    /// The end of a run was taken note of.
+    pub fn note_taken(&self, task: &str, how: &str) {
+        if how == "done" {
+            self.noted.lock().expect("no panic").insert(task.to_owned());
+        }
+    }
+
+    /// A run starts.
+    pub fn note_start(&self, minion: &str, task: &str, run: u64) {
+        let is_again = self.noted.lock().expect("no panic").contains(task);
+        let how = if is_again { " AGAIN" } else { "" };
+        self.line(&format!("{minion} starts {task} run {run}{how}"));
+        self.again.fetch_add(u64::from(is_again), Ordering::Relaxed);
+    }
+
+    /// How many runs were started after an end `done` of their task had been taken note of.
+    pub fn again(&self) -> u64 {
+        self.again.load(Ordering::Relaxed)
+    }
 }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: rows in tables, transactions and a feed of changes.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -9,12 +9,18 @@
 use crate::json::{Json, quoted};
 
 const TRANSACTION_TIME: Duration = Duration::from_millis(3);
+/// Time between two states that stale reads return.
+const STATE_INTERVAL: Duration = Duration::from_millis(500);
+/// "4 ms an answer".
+const READ_TIME: Duration = Duration::from_millis(4);
 const ENTRIES_MAX: usize = 100;
 const CALL_BYTES_MAX: usize = 1 << 20;
 const PAGE_ROWS_MAX: usize = 500;
 const PAGE_BYTES_MAX: usize = 1 << 20;
 
 type Key = (String, String, String);
+/// All rows, and the newest version.
+type State = (BTreeMap<Key, (String, u64)>, u64);
 
 #[derive(Default)]
 struct Tables {
@@ -22,6 +28,12 @@
     version: u64,
     /// All changes; `None` for a row that was dropped.
     history: Vec<(u64, Key, Option<String>)>,
+    /// What reads return if they are stale.
+    stale: Option<Arc<State>>,
+    /// Whether watches hear nothing.
+    is_mute: bool,
+    /// Changes up to this version are no longer in the history.
+    forgotten: u64,
     /// Transactions that were refused because a row was too long.
     too_long: u64,
 }
@@ -52,10 +64,45 @@
     pub fn write(&self, table: &str, key: &str, value: Option<&str>) {
         let mut tables = self.tables.lock().expect("no panic");
         tables.version += 1;
-        tables.change((table.into(), String::new(), key.into()), value.map(|text| encode(text.as_bytes())));
+        tables.change(
+            (table.into(), String::new(), key.into()),
+            value.map(|text| encode(text.as_bytes())),
+        );
         self.changed.notify_all();
     }
 
+    /// Plays a `platform_compact`: watches hear nothing for a second, then the history is dropped
+    /// and they are cut. Reads are `behind` old for this time.
+    pub fn compact(&self, behind: Duration, time: Duration) {
+        let end = Instant::now() + behind + time;
+        let cut = Instant::now() + behind + Duration::from_secs(1);
+        let mut is_cut = false;
+        // The states that stale reads return.
+        let mut states: VecDeque<(Instant, Arc<State>)> = VecDeque::new();
+        while Instant::now() < end {
+            let now = Instant::now();
+            let mut tables = self.tables.lock().expect("no panic");
+            states.push_back((now, Arc::new((tables.rows.clone(), tables.version))));
+            while states.get(1).is_some_and(|(at, _)| *at + behind <= now) {
+                states.pop_front();
+            }
+            if states[0].0 + behind <= now {
+                tables.stale = Some(Arc::clone(&states[0].1));
+                tables.is_mute = now < cut;
+            }
+            if now >= cut && !is_cut {
+                is_cut = true;
+                tables.history.clear();
+                tables.forgotten = tables.version;
+                self.changed.notify_all();
+            }
+            drop(tables);
+            std::thread::sleep(STATE_INTERVAL);
+        }
+        let mut tables = self.tables.lock().expect("no panic");
+        tables.stale = None;
+    }
+
     /// How many transactions were refused because a row was too long.
     pub fn too_long(&self) -> u64 {
         self.tables.lock().expect("no panic").too_long
@@ -104,7 +151,8 @@
                 return Some((400, "{}".into()));
             }
         }
-        let current = |tables: &Tables, key: &Key| tables.rows.get(key).map_or(0, |(_, version)| *version);
+        let current =
+            |tables: &Tables, key: &Key| tables.rows.get(key).map_or(0, |(_, version)| *version);
         let is_stale = |entry: &&Json| {
             current(&tables, &key(entry)) != entry.get("row_version").number().unwrap_or(0)
         };
@@ -134,14 +182,20 @@
     }
 
     fn read(&self, request: &Request) -> Answer {
+        std::thread::sleep(READ_TIME);
         let (table, part) = (request.parameter("table"), request.parameter("part"));
         let limit = request.parameter("limit").parse().unwrap_or(PAGE_ROWS_MAX).min(PAGE_ROWS_MAX);
         let tables = self.tables.lock().expect("no panic");
+        let stale = tables.stale.clone();
+        let (rows_now, version) = match &stale {
+            Some(state) => (&state.0, state.1),
+            None => (&tables.rows, tables.version),
+        };
         let from = (table.to_owned(), part.to_owned(), request.parameter("from").to_owned());
         let mut rows = Vec::new();
         let mut bytes = 0;
         let mut has_more = false;
-        for (key, (value, version)) in tables.rows.range(from..) {
+        for (key, (value, version)) in rows_now.range(from..) {
             if key.0 != table || key.1 != part {
                 break;
             }
@@ -152,7 +206,7 @@
             bytes += value.len();
             rows.push(row_text(key, (Some(value), *version)));
         }
-        Some((200, self.body(&rows, has_more, tables.version)))
+        Some((200, self.body(&rows, has_more, version)))
     }
 
     fn feed(&self, request: &Request) -> Answer {
@@ -162,6 +216,9 @@
         let table = request.parameter("table");
         let mut tables = self.tables.lock().expect("no panic");
         loop {
+            if after < tables.forgotten {
+                return Some((410, "{}".into()));
+            }
             let begin = tables.history.partition_point(|(version, ..)| *version <= after);
             let changes = tables.history[begin..].iter().filter(|(_, key, _)| key.0 == table);
             let rows: Vec<String> = changes
@@ -169,7 +226,8 @@
                 .map(|(version, key, value)| row_text(key, (value.as_ref(), *version)))
                 .collect();
             let now = Instant::now();
-            if !rows.is_empty() || now >= end {
+            if (!rows.is_empty() && !tables.is_mute) || now >= end {
+                let rows = if tables.is_mute { Vec::new() } else { rows };
                 return Some((200, self.body(&rows, false, tables.version)));
             }
             tables = self.changed.wait_timeout(tables, end - now).expect("no panic").0;
@@ -179,7 +237,9 @@
     fn body(&self, rows: &[String], has_more: bool, version: u64) -> String {
         let now_ms = self.began.elapsed().as_millis();
         let rows = rows.join(",");
-        format!(r#"{{"rows":[{rows}],"has_more":{has_more},"row_version":{version},"now_ms":{now_ms}}}"#)
+        format!(
+            r#"{{"rows":[{rows}],"has_more":{has_more},"row_version":{version},"now_ms":{now_ms}}}"#
+        )
     }
 }
 
