--- a/review/standin-2/cell.rs
+++ b/review/standin-2/cell.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use crate::http::{self, spawn};
@@ -228,19 +229,27 @@
     }
 }
 
+/// A port at which nothing listens, below the range from which the system takes the ports of
+/// outgoing connections.
+fn free_port(is_free: impl Fn(u16) -> bool) -> u16 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let first = std::process::id() * 61;
+    loop {
+        let number = first + NEXT.fetch_add(2, Ordering::Relaxed);
+        let port = 10_000 + (number % 20_000) as u16;
+        if is_free(port) {
+            return port;
+        }
+    }
+}
+
 fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0")
-        .and_then(|listener| listener.local_addr())
-        .expect("a free port")
+    let port = free_port(|port| TcpListener::bind(("127.0.0.1", port)).is_ok());
+    SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 /// The first of two free ports in a row.
 fn free_pair() -> u16 {
-    loop {
-        let first = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = first.local_addr().expect("bound").port();
-        if port < u16::MAX && TcpListener::bind(("127.0.0.1", port + 1)).is_ok() {
-            return port;
-        }
-    }
+    let is_free = |port| TcpListener::bind(("127.0.0.1", port)).is_ok();
+    free_port(|port| is_free(port) && is_free(port + 1))
 }
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -1,4 +1,5 @@
-//! The scripts of this review. `cases NAME FOLDER` plays one and writes `FOLDER/record.txt`. The
+//! The scripts of this review, and two plays that its report names beside them (`cap`, `backlog`).
+//! `cases NAME FOLDER` plays one and writes `FOLDER/record.txt`. The
 //! exit status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! `TROUBLE=0` the disruption is left out.
 
@@ -40,6 +41,7 @@
         "label" => label(folder, trouble),
         "pace" => pace(folder, trouble),
         "cap" => cap(folder, trouble),
+        "backlog" => backlog(folder, trouble),
         _ => Err("no such case".to_owned()),
     };
     match verdict {
@@ -163,12 +165,12 @@
     const HOPELESS: &str = "6d1f8b32ea5c4709";
     let mut cell = Cell::start(folder, 48, 3)?;
     cell.wait_until_ready()?;
-    let sound = r#"{"count":4,"cpu":2000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
+    let sound = r#"{"count":8,"cpu":1000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
     let hopeless =
         r#"{"count":8,"cpu":1000,"mem_mb":1024,"long_running":true,"requirements":"r1-3"}"#;
-    // The first task of the sound job fails once, 12 s after its start.
-    if !cell.submit(1, SOUND, "cpu=2000,fails=12000", sound)
-        || !wait_until(Duration::from_secs(5), || cell.running(SOUND) == 4)
+    // Each task of the sound job fails once, the first one 12 s after its start.
+    if !cell.submit(1, SOUND, "cpu=1000,fails=12000", sound)
+        || !wait_until(Duration::from_secs(5), || cell.running(SOUND) == 8)
     {
         return Err("the sound job did not start".to_owned());
     }
@@ -180,10 +182,10 @@
     let mut stretches: HashMap<String, Stretch> = HashMap::new();
     let end = Instant::now() + Duration::from_secs(45);
     while Instant::now() < end {
-        for task in (0..4).map(|index| format!("{SOUND}.0.0.{index}")) {
+        for task in (0..8).map(|index| format!("{SOUND}.0.0.{index}")) {
             let since = cell.record.last_end(&task).map_or(Duration::ZERO, |end| end.elapsed());
             let rack = cell.minions.iter().filter(|minion| minion.labels[1] == "r1-3");
-            let places: u64 = rack.map(|minion| minion.places(2_000)).sum();
+            let places: u64 = rack.map(|minion| minion.places(1_000)).sum();
             let is_lost = !cell.is_running(&task) && since >= AFTER_LAST_RUN && places >= 2;
             let lasted = stretches.entry(task.clone()).or_default().note(is_lost);
             if lasted >= NOTHING_RUNS {
@@ -406,3 +408,50 @@
     ));
     Ok(again > 0)
 }
+
+/// A tenant sends many jobs that its cap lets through slowly. A job of another tenant comes behind them.
+fn backlog(folder: &str, trouble: bool) -> Verdict {
+    const OTHER: &str = "7e209c43fb6d581a";
+    let tenants = r#""tenants":[{"name":"tenant-1","api_keys":["key-1"],"weight":2000.0,"cap":{"cpu":2000,"mem_mb":0,"gpu":0}},{"name":"tenant-2","api_keys":["key-2"],"weight":20.0,"cap":{"cpu":0,"mem_mb":0,"gpu":0}}],"#;
+    let mut cell = Cell::start_for(folder, 48, 3, tenants, cell::STATUS_S)?;
+    cell.wait_until_ready()?;
+    let jobs = if trouble { 1_300 } else { 400 };
+    let callers = cell.callers();
+    let clients: Vec<_> = (0..8_u64)
+        .map(|client| {
+            let callers = callers.clone();
+            std::thread::spawn(move || {
+                let body = r#"{"spec":"work=20000,cpu=1000","steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimated_ms":20000}]}"#;
+                let mut accepted = 0;
+                for number in (0..jobs).filter(|number| number % 8 == client) {
+                    let id = (number + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+                    let address = callers[(number / 8 % callers.len() as u64) as usize];
+                    let answer = http::call(&address, "POST", cell::HOST, &format!("/q0/{id:016x}"), "key-1", body, Duration::from_secs(3));
+                    accepted += u64::from(answer.is_some_and(|(status, _)| status == 200));
+                }
+                accepted
+            })
+        })
+        .collect();
+    let accepted: u64 = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    cell.record.line(&format!("{accepted} jobs of the first tenant were accepted"));
+    cell.key = "key-2".to_owned();
+    let steps = r#"{"count":2,"cpu":1000,"mem_mb":64,"estimated_ms":1000}"#;
+    if !cell.submit(2, OTHER, "work=1000,cpu=1000", steps) {
+        return Err("the other tenant's job was not accepted".to_owned());
+    }
+    std::thread::sleep(FINISH);
+    let mut stretch = Stretch::default();
+    let mut is_broken = false;
+    let end = Instant::now() + Duration::from_secs(25);
+    while Instant::now() < end && !is_broken && cell.record.done(OTHER) < 2 {
+        is_broken = stretch.note(cell.running(OTHER) == 0) >= NOTHING_RUNS;
+        std::thread::sleep(STEP);
+    }
+    let used: u64 = cell.minions.iter().map(|minion| minion.used()).sum();
+    let state = cell.state(2, OTHER);
+    cell.record.line(&format!(
+        "broken: {is_broken}; {used} of 768000 thousandths of a core are in use; state {state}"
+    ));
+    Ok(is_broken)
+}
--- a/review/standin-2/minion.rs
+++ b/review/standin-2/minion.rs
@@ -3,7 +3,8 @@
 //!
 //! - `work=MS`: how long it works at full pace; without it, the task lasts.
 //! - `end=HOW`: how it ends then (`done`).
-//! - `fails=MS`: the first run of the step's first task fails after this time.
+//! - `fails=MS`: the first run of the step's first task fails after this time, that of the next one
+//!   [`FAILS_APART_MS`] later, and so on.
 //! - `saves=MS`: the time between two checkpoints.
 //! - `cpu=N`: what it takes of the minion, for the check.
 //! - `gang=N`: it works only while N members of the same run are there.
@@ -25,6 +26,7 @@
 const LOAD_TICKS: usize = 25;
 const ENDS_MAX: usize = 500;
 const PACE_DELAY: Duration = Duration::from_millis(100);
+const FAILS_APART_MS: f64 = 2_500.0;
 const RESTORE_MS: f64 = 250.0;
 
 pub struct Minion {
@@ -421,7 +423,10 @@
             match name {
                 "work" => does.work_ms = number,
                 "end" => does.end = value.to_owned(),
-                "fails" if run == 1 && words.last() == Some(&"0") => does.fails_ms = number,
+                "fails" if run == 1 => {
+                    let index: f64 = words.last().and_then(|word| word.parse().ok()).unwrap_or(0.0);
+                    does.fails_ms = number.map(|number| number + index * FAILS_APART_MS);
+                }
                 "saves" => does.saves_ms = number,
                 "cpu" => does.cpu = number.unwrap_or(0.0) as u64,
                 "gang" => does.gang = number.unwrap_or(0.0) as usize,
