A removed job is remembered until no older row of it can follow

Cause: what was removed was remembered for 120 s. The rows may be in the store for longer, while the store refuses their removal or does not answer, and a row that was read before may be handled later: a read of the whole table keeps the pages that it has while others fail, and the change feed of a store that is down for minutes goes on where it was.

Now a removed job is remembered until its removal is durable, with the store's version of that write, and until the watch of submissions has passed this version. The 120 s stay as the least time, for the notifications of other daemons, which have no version.

Tests, red before: a_job_is_remembered_until_its_removal_is_durable, a_job_is_remembered_until_no_older_row_can_follow.

--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -57,6 +57,7 @@
     /// The write that was sent at this time succeeded.
     Done {
         sent_ms: u64,
+        version: u64,
     },
     /// A conflict was resolved; the write can be retried at once.
     Retry,
@@ -70,9 +71,9 @@
     pub async fn write(self: Arc<Self>, batch: u64, mut writes: Vec<PartitionWrite>) {
         loop {
             match self.try_write(&mut writes, false).await {
-                WriteOutcome::Done { sent_ms } => {
+                WriteOutcome::Done { sent_ms, version } => {
                     for write in &writes {
-                        self.notify_committed(batch, write.partition, sent_ms);
+                        self.notify_committed(batch, write.partition, sent_ms, version);
                     }
                     return;
                 }
@@ -113,8 +114,8 @@
         loop {
             sleep(RETRY_DELAY).await;
             match self.try_write(&mut writes, in_doubt).await {
-                WriteOutcome::Done { sent_ms } => {
-                    return self.notify_committed(batch, partition, sent_ms);
+                WriteOutcome::Done { sent_ms, version } => {
+                    return self.notify_committed(batch, partition, sent_ms, version);
                 }
                 WriteOutcome::Retry => {}
                 WriteOutcome::LeadershipLost => return self.notify_leadership_lost(),
@@ -154,7 +155,7 @@
                 if rewrite_fences {
                     self.record_fence_versions(writes, version);
                 }
-                WriteOutcome::Done { sent_ms }
+                WriteOutcome::Done { sent_ms, version }
             }
             Err(StoreError::Conflict(rows)) => {
                 let part = writes.first().map(|write| write.partition);
@@ -327,8 +328,8 @@
         self.fence_versions.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn notify_committed(&self, batch: u64, partition: usize, sent_ms: u64) {
-        self.inbox_sender.notify(Event::Committed { batch, partition, sent_ms });
+    fn notify_committed(&self, batch: u64, partition: usize, sent_ms: u64, version: u64) {
+        self.inbox_sender.notify(Event::Committed { batch, partition, sent_ms, version });
     }
 
     fn notify_leadership_lost(&self) {
--- a/crates/node/src/store_watcher.rs
+++ b/crates/node/src/store_watcher.rs
@@ -106,6 +106,9 @@
             for row in &rows.rows {
                 self.forward_row(table, row, source);
             }
+            if table == Table::Jobs {
+                self.inbox_sender.notify(Event::JobsRead { version: after });
+            }
             if !rows.has_more {
                 tokio::time::sleep(JOBS_POLL_INTERVAL).await;
             }
--- a/crates/node/tests/inbox.rs
+++ b/crates/node/tests/inbox.rs
@@ -57,7 +57,7 @@
         senders.notify(ordinary_event());
     }
     senders.notify(Event::Rejected { job: JobId(1), accepted: Accepted::No });
-    senders.notify(Event::Committed { batch: 1, partition: 0, sent_ms: 0 });
+    senders.notify(Event::Committed { batch: 1, partition: 0, sent_ms: 0, version: 1 });
     let mut budget = MessageBudget::for_cycle(Duration::ZERO);
     let first: Vec<Message> = receive_burst(&mut inbox, &mut budget).into_iter().take(2).collect();
     assert!(matches!(first[0], Message::Event(Event::Rejected { .. })), "{first:?}");
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -96,6 +96,7 @@
     multi_partition: bool,
     jobs: Vec<JobId>,
     actions: Vec<AfterCommit>,
+    removes: Vec<Removal>,
 }
 
 /// Writes to one partition that become durable together.
@@ -399,6 +400,7 @@
             multi_partition: false,
             jobs: Vec::new(),
             actions: Vec::new(),
+            removes: Vec::new(),
         };
         let mut deferred = VecDeque::new();
         while let Some(id) = pending.order.pop_front() {
@@ -436,6 +438,7 @@
         if write.puts.is_empty() && write.removes.is_empty() {
             return;
         }
+        in_flight.removes.clone_from(&write.removes);
         batch.entries += 1 + write.removes.len() * ENTRIES_PER_REMOVAL;
         batch.writes.push(write);
         pending.in_flight = Some(in_flight);
@@ -456,7 +459,13 @@
         self.effects.push(Effect::Commit { batch, writes: new_batch.writes });
     }
 
-    pub(crate) fn on_committed(&mut self, batch: u64, partition: usize, sent_ms: u64) {
+    pub(crate) fn on_committed(
+        &mut self,
+        batch: u64,
+        partition: usize,
+        sent_ms: u64,
+        version: u64,
+    ) {
         let Some(partition) = self.commits.partitions.get_mut(partition) else { return };
         let Some(written) = partition.in_flight.take_if(|sent| sent.batch == batch) else {
             tracing::warn!(batch, "the end of an unknown batch is ignored");
@@ -464,6 +473,11 @@
         };
         let took_ms = self.now_ms.saturating_sub(written.since_ms).min(BATCH_SAMPLE_MAX_MS);
         self.commits.mean_batch_ms = (self.commits.mean_batch_ms * 3 + took_ms) / 4;
+        for removal in written.removes {
+            if let Removal::Job(job) = removal {
+                self.removed_jobs.record_durable(job, version);
+            }
+        }
         for action in written.actions {
             match action {
                 AfterCommit::Accept(job) => self.on_accept_durable(job),
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -149,6 +149,12 @@
         /// How many there are.
         count: usize,
     },
+    /// All rows of submissions that follow were read at this version of the store or a later one,
+    /// or are changes after it.
+    JobsRead {
+        /// The version.
+        version: u64,
+    },
     /// The writes of a batch to one partition are durable.
     Committed {
         /// The number of the batch, as in [`Effect::Commit`].
@@ -157,6 +163,8 @@
         partition: usize,
         /// When the write that succeeded was sent, by the monotonic clock.
         sent_ms: u64,
+        /// The store's version with these writes.
+        version: u64,
     },
     /// It will not be known for some time whether the store has a submission.
     InDoubt {
@@ -186,6 +194,7 @@
             Self::Accepted { .. }
             | Self::Cancelled { .. }
             | Self::WorkersRead { .. }
+            | Self::JobsRead { .. }
             | Self::Advised { .. }
             | Self::Customers { .. }
             | Self::Advisors { .. }
--- a/crates/pool/src/jobs/lifecycle.rs
+++ b/crates/pool/src/jobs/lifecycle.rs
@@ -19,10 +19,6 @@
 use crate::jobs::spec::JobSpec;
 use crate::placement::waiting::WaitReason;
 
-/// How long a removed job is remembered: longer than a read of the whole table may take, and than its
-/// result may be behind.
-const REMOVED_RETENTION_MS: u64 = 120_000;
-
 impl Pool {
     pub(crate) fn on_accepted(&mut self, id: JobId, spec: Arc<JobSpec>) {
         if let Some(known) = self.jobs.get(&id) {
@@ -155,7 +151,7 @@
 
     pub(crate) fn remove_expired_jobs(&mut self) {
         let expiry_unix_ms = self.unix_ms.saturating_sub(self.limits.job_retention_ms);
-        self.removed_jobs.forget_before(self.now_ms.saturating_sub(REMOVED_RETENTION_MS));
+        self.removed_jobs.forget_expired(self.now_ms);
         let is_gone = |id: &JobId| self.jobs.get(id).is_none_or(|job| !job.has_placed_tasks());
         let expired: Vec<JobId> =
             self.job_index.finished_before(expiry_unix_ms).filter(is_gone).collect();
--- a/crates/pool/src/jobs/removed.rs
+++ b/crates/pool/src/jobs/removed.rs
@@ -1,16 +1,27 @@
-//! Jobs that were removed lately, of which the store may still return old rows.
+//! Jobs that were removed, of which the store may still return old rows.
+//!
+//! A job is removed from memory before its rows are. The removal of the rows may be refused or stay
+//! without an answer for minutes, and what was read before it may be handled long after it. So a
+//! job is remembered until its removal is durable and all rows that are still to be handled are
+//! newer.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
 use crate::id::JobId;
 
-/// Submissions whose jobs were removed lately.
+/// How long a removed job is remembered at least. Daemons that accept a submission also notify the
+/// leader directly, and a notification has no version.
+const RETENTION_MS: u64 = 120_000;
+
+/// Submissions whose jobs were removed.
 #[derive(Debug, Default)]
 pub(crate) struct RemovedJobs {
     by_id: HashMap<JobId, Removed>,
     /// When each was removed, oldest first.
     order: VecDeque<(u64, JobId)>,
+    /// The rows of submissions that are still to be handled were read at this version or later.
+    read_version: u64,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -19,30 +30,50 @@
     /// job.
     accepted_unix_ms: u64,
     removed_ms: u64,
+    /// The store's version without the rows; `None` while their removal is not durable.
+    version: Option<u64>,
 }
 
 impl RemovedJobs {
-    /// Records that the job of a submission is removed.
+    /// Records that the job of a submission is removed from memory.
     pub fn insert(&mut self, removed_ms: u64, id: JobId, accepted_unix_ms: u64) {
-        self.by_id.insert(id, Removed { accepted_unix_ms, removed_ms });
+        let removed = Removed { accepted_unix_ms, removed_ms, version: None };
+        self.by_id.insert(id, removed);
         self.order.push_back((removed_ms, id));
     }
 
+    /// Records that the rows of a job are removed.
+    pub fn record_durable(&mut self, id: JobId, version: u64) {
+        if let Some(removed) = self.by_id.get_mut(&id) {
+            removed.version = Some(version);
+        }
+    }
+
+    /// Records that the rows of submissions that follow are not older than this version.
+    pub fn record_read(&mut self, version: u64) {
+        self.read_version = self.read_version.max(version);
+    }
+
     /// Whether the job of this submission was removed.
     pub fn contains(&self, id: JobId, accepted_unix_ms: u64) -> bool {
         self.by_id.get(&id).is_some_and(|removed| removed.accepted_unix_ms == accepted_unix_ms)
     }
 
-    /// Forgets those that were removed before this time.
-    pub fn forget_before(&mut self, before_ms: u64) {
+    /// Forgets those of which no old row can follow.
+    pub fn forget_expired(&mut self, now_ms: u64) {
         while let Some((removed_ms, id)) = self.order.front().copied() {
-            if removed_ms >= before_ms {
+            if removed_ms + RETENTION_MS > now_ms {
                 return;
             }
-            self.order.pop_front();
-            if self.by_id.get(&id).is_some_and(|removed| removed.removed_ms == removed_ms) {
+            // The id may have been removed once more since.
+            let removed = self.by_id.get(&id).filter(|removed| removed.removed_ms == removed_ms);
+            if let Some(removed) = removed {
+                if removed.version.is_none_or(|version| version > self.read_version) {
+                    return;
+                }
                 self.by_id.remove(&id);
             }
+            self.order.pop_front();
         }
     }
 }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -434,8 +434,9 @@
             Event::Customers { limits } => self.on_customers(limits),
             Event::Advisors { count } => self.advisor_daemons = count.max(1),
             Event::StuckQueries { count } => self.stuck_long_queries = count,
-            Event::Committed { batch, partition, sent_ms } => {
-                self.on_committed(batch, partition, sent_ms);
+            Event::JobsRead { version } => self.removed_jobs.record_read(version),
+            Event::Committed { batch, partition, sent_ms, version } => {
+                self.on_committed(batch, partition, sent_ms, version);
             }
             Event::InDoubt { job } => {
                 self.effects.push(Effect::Answer { job, accepted: Accepted::Unknown });
--- a/crates/pool/tests/attempts.rs
+++ b/crates/pool/tests/attempts.rs
@@ -111,7 +111,7 @@
                 }
                 Effect::Commit { batch, writes } => {
                     let partition = writes[0].partition;
-                    Event::Committed { batch, partition, sent_ms: now_ms }
+                    Event::Committed { batch, partition, sent_ms: now_ms, version: batch }
                 }
                 Effect::Start(call) if call.task.index == 1 => {
                     silent = Some(call.to.worker.clone());
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -8,10 +8,12 @@
 
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
+use stoatwell_pool::Effect;
 use stoatwell_pool::Election;
 use stoatwell_pool::Event;
 use stoatwell_pool::GangLimits;
 use stoatwell_pool::JobId;
+use stoatwell_pool::JobSpec;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Outcome;
 use stoatwell_pool::Pool;
@@ -146,3 +148,55 @@
     pool.handle(now_ms, now_ms, Event::Accepted { job: JobId(0), spec: Arc::new(again) });
     assert!(pool.state(JobId(0)).is_some());
 }
+
+fn accepted(pool: &mut Pool, now_ms: u64, spec: &Arc<JobSpec>) {
+    pool.handle(now_ms, now_ms, Event::Accepted { job: JobId(0), spec: Arc::clone(spec) });
+}
+
+/// Lets a pool remove its only job; returns the job's submission, and the batch that removes its rows.
+fn remove_job(pool: &mut Pool, now_ms: u64) -> (Arc<JobSpec>, u64) {
+    let effects = pool.poll_effects(now_ms, now_ms);
+    assert_eq!(pool.state(JobId(0)), None);
+    let removal = effects.iter().find_map(|effect| match effect {
+        Effect::Commit { batch, writes } if !writes[0].removes.is_empty() => Some(*batch),
+        _ => None,
+    });
+    (Arc::new(job(queue(0), vec![step(4, 1_000, 500)])), removal.expect("the rows are removed"))
+}
+
+fn removal_is_durable(pool: &mut Pool, now_ms: u64, batch: u64, version: u64) {
+    let partition = JobId(0).partition();
+    let event = Event::Committed { batch, partition, sent_ms: now_ms, version };
+    pool.handle(now_ms, now_ms, event);
+}
+
+/// Guards against a job that runs again because its rows were still in the store long after it was
+/// removed from memory.
+#[test]
+fn a_job_is_remembered_until_its_removal_is_durable() {
+    let mut pool = pool_with_jobs(1, 0);
+    let mut now_ms = NOW_MS + 130_000;
+    let (removed, _) = remove_job(&mut pool, now_ms);
+    now_ms += 300_000;
+    pool.poll_effects(now_ms, now_ms);
+    pool.handle(now_ms, now_ms, Event::JobsRead { version: 1_000 });
+    accepted(&mut pool, now_ms, &removed);
+    assert_eq!(pool.state(JobId(0)), None);
+}
+
+/// Guards against a job that runs again because a read of the whole table, or the changes that
+/// followed, were handled long after its removal.
+#[test]
+fn a_job_is_remembered_until_no_older_row_can_follow() {
+    let mut pool = pool_with_jobs(1, 0);
+    let mut now_ms = NOW_MS + 130_000;
+    let (removed, batch) = remove_job(&mut pool, now_ms);
+    removal_is_durable(&mut pool, now_ms, batch, 50);
+    pool.handle(now_ms, now_ms, Event::JobsRead { version: 49 });
+    for _ in 0..2 {
+        now_ms += 300_000;
+        pool.poll_effects(now_ms, now_ms);
+        accepted(&mut pool, now_ms, &removed);
+        assert_eq!(pool.state(JobId(0)), None);
+    }
+}
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -97,7 +97,7 @@
                 }
                 Effect::Commit { batch, writes } => {
                     let partition = writes[0].partition;
-                    Event::Committed { batch, partition, sent_ms: now_ms }
+                    Event::Committed { batch, partition, sent_ms: now_ms, version: batch }
                 }
                 Effect::Start(_) => {
                     starts += 1;
@@ -161,7 +161,7 @@
             for write in writes {
                 written_rows += write.puts.len();
                 let partition = write.partition;
-                let event = Event::Committed { batch, partition, sent_ms: now_ms };
+                let event = Event::Committed { batch, partition, sent_ms: now_ms, version: batch };
                 pool.handle(now_ms, now_ms, event);
             }
         }
@@ -356,7 +356,7 @@
                 }
                 Effect::Commit { batch, writes } => {
                     let partition = writes[0].partition;
-                    Event::Committed { batch, partition, sent_ms: now_ms }
+                    Event::Committed { batch, partition, sent_ms: now_ms, version: batch }
                 }
                 Effect::Start(_) => {
                     started_ms.get_or_insert(now_ms);
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -748,7 +748,12 @@
             self.jobs.remove(&job);
         }
         write_ms += self.leader_remaining_ms();
-        let event = Event::Committed { batch, partition: write.partition, sent_ms: self.now_ms };
+        let event = Event::Committed {
+            batch,
+            partition: write.partition,
+            sent_ms: self.now_ms,
+            version: self.batches,
+        };
         self.schedule(write_ms, TimedEvent::Event(self.epoch, event));
     }
 
