A submission is not taken while a former job under its id is being removed

What a caller would see: a submission is accepted under an id whose job was just removed from memory, and the job is lost at the next change of the leader. Seen by reading.

Cause: the row of the new submission and the removal of the former one may be in one transaction, or the removal in a later one; either way the new row is removed.

Now such a submission is refused for the tens of milliseconds until the removal is durable.

Test, red before: a_submission_under_the_id_of_a_job_that_is_being_removed_is_not_taken.

--- a/crates/pool/src/jobs/removed.rs
+++ b/crates/pool/src/jobs/removed.rs
@@ -59,6 +59,11 @@
         self.by_id.get(&id).is_some_and(|removed| removed.accepted_unix_ms == accepted_unix_ms)
     }
 
+    /// Whether the store may still have rows of the removed job with this id.
+    pub fn is_removal_pending(&self, id: JobId) -> bool {
+        self.by_id.get(&id).is_some_and(|removed| removed.version.is_none())
+    }
+
     /// Forgets those of which no old row can follow.
     pub fn forget_expired(&mut self, now_ms: u64) {
         while let Some((removed_ms, id)) = self.order.front().copied() {
--- a/crates/pool/src/jobs/submit.rs
+++ b/crates/pool/src/jobs/submit.rs
@@ -63,7 +63,8 @@
             }
             return job.durable.then_some(Accepted::Yes);
         }
-        if self.is_partition_stuck(id) {
+        // The row of the new submission would be removed with that of the former one.
+        if self.is_partition_stuck(id) || self.removed_jobs.is_removal_pending(id) {
             return Some(Accepted::No);
         }
         let mut job = self.new_job(id, spec);
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use stoatwell_pool::Accepted;
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::Cancellation;
 use stoatwell_pool::Effect;
@@ -14,6 +15,7 @@
 use stoatwell_pool::GangLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
+use stoatwell_pool::JobState;
 use stoatwell_pool::Limits;
 use stoatwell_pool::Outcome;
 use stoatwell_pool::Pool;
@@ -200,3 +202,20 @@
         assert_eq!(pool.state(JobId(0)), None);
     }
 }
+
+/// Guards against an accepted job whose row is removed with that of an earlier job under its id.
+#[test]
+fn a_submission_under_the_id_of_a_job_that_is_being_removed_is_not_taken() {
+    let mut pool = pool_with_jobs(1, 0);
+    let now_ms = NOW_MS + 130_000;
+    let (removed, batch) = remove_job(&mut pool, now_ms);
+    let again = Arc::new(JobSpec { accepted_unix_ms: now_ms, ..(*removed).clone() });
+    assert_eq!(
+        pool.submit(now_ms, now_ms, JobId(0), Arc::clone(&again)),
+        Some(Accepted::No),
+        "it would be removed"
+    );
+    removal_is_durable(&mut pool, now_ms, batch, 50);
+    assert_eq!(pool.submit(now_ms, now_ms, JobId(0), again), None);
+    assert_eq!(pool.state(JobId(0)), Some(JobState::Queued));
+}
