An old cancellation of a removed job does not cancel a later job under its id

Seen by reading; what a caller would see: a job is shown as cancelled though nobody has cancelled it.

Cause: a read of the whole table of cancellations that is older than the removal of a job returns the job's cancellation once more. It was kept for a job that is not known yet.

Now the cancellation of a removed job is ignored if it comes from a whole read. One of a later job under the id is found all the same: the job's first start is written on condition that there is none.

Test, red before: an_old_cancellation_of_a_removed_job_does_not_cancel_a_later_one.

--- a/crates/pool/src/jobs/lifecycle.rs
+++ b/crates/pool/src/jobs/lifecycle.rs
@@ -108,6 +108,14 @@
         cancellation: Cancellation,
         source: CancelSource,
     ) {
+        if source == CancelSource::WholeRead
+            && !self.jobs.contains_key(&id)
+            && self.removed_jobs.may_have_old_rows(id)
+        {
+            // That of a later submission conflicts with the write of its first start.
+            tracing::info!(target: BELIEF_TARGET, job = %id, "cancellation ignored: its job was removed");
+            return;
+        }
         if !self.jobs.contains_key(&id) && self.cancellations.get(id).is_none() {
             tracing::info!(target: BELIEF_TARGET, job = %id, %source, "cancellation of a job that is not known yet");
         }
--- a/crates/pool/src/jobs/removed.rs
+++ b/crates/pool/src/jobs/removed.rs
@@ -64,6 +64,11 @@
         self.by_id.get(&id).is_some_and(|removed| removed.version.is_none())
     }
 
+    /// Whether a job with this id was removed, and rows from before may still be handled.
+    pub fn may_have_old_rows(&self, id: JobId) -> bool {
+        self.by_id.contains_key(&id)
+    }
+
     /// Forgets those of which no old row can follow.
     pub fn forget_expired(&mut self, now_ms: u64) {
         while let Some((removed_ms, id)) = self.order.front().copied() {
--- a/crates/pool/tests/many_jobs.rs
+++ b/crates/pool/tests/many_jobs.rs
@@ -219,3 +219,18 @@
     assert_eq!(pool.submit(now_ms, now_ms, JobId(0), again), None);
     assert_eq!(pool.state(JobId(0)), Some(JobState::Queued));
 }
+
+/// Guards against a job that is cancelled by the cancellation of an earlier job under its id.
+#[test]
+fn an_old_cancellation_of_a_removed_job_does_not_cancel_a_later_one() {
+    let mut pool = pool_with_jobs(1, 0);
+    let now_ms = NOW_MS + 130_000;
+    let (removed, batch) = remove_job(&mut pool, now_ms);
+    removal_is_durable(&mut pool, now_ms, batch, 50);
+    let cancellation = Cancellation::ByOwner;
+    let source = CancelSource::WholeRead;
+    pool.handle(now_ms, now_ms, Event::Cancelled { job: JobId(0), cancellation, source });
+    let again = Arc::new(JobSpec { accepted_unix_ms: now_ms, ..(*removed).clone() });
+    accepted(&mut pool, now_ms, &again);
+    assert_eq!(pool.state(JobId(0)), Some(JobState::Queued));
+}
