A row that the store never takes does not stop the other rows of its partition

Cause: 400 was taken for a refusal like 429 and 503, which mean that the same call may succeed later. So the write of the partition was repeated each 50 ms, with all its rows. The same in the writer of gateways: after four tries all submissions of a batch were refused because of one.

Now the two are told apart (StoreError::Invalid). What the store never takes together is written in parts, down to single rows. A submission that is not taken alone is refused at once with number 1007, over HTTP 413. The row of a job's progress that is not taken is left out and tried again after 1 s, then twice as long each time, up to 60 s; until then nothing of the job starts and none of its ends is acknowledged.

Looked at for the same: the leader lease (64 silent workers at most, 14 KiB with names of 200 bytes), fences and entries of daemons (a few hundred bytes) are bounded. They are still repeated if the store calls them invalid, since nothing can be done without them.

What remains: an end that is not acknowledged holds back the later ends of its worker.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -53,6 +53,8 @@
     KeyReused = 1005, 409, "use a new key for new work; repeat the old content to join the old job";
     /// a path or query parameter is malformed
     BadParameter = 1006, 400, "compare the call with docs/api.md";
+    /// the job takes more room than the store has for one job
+    JobTooLong = 1007, 413, "this submission was not taken; submit shorter steps, or several jobs";
     /// the token is missing or unknown
     Unauthenticated = 2001, 401, "send Authorization: Bearer with a token whose hash is in the catalogue or the settings";
     /// this token may not do that
--- a/crates/node/src/accept.rs
+++ b/crates/node/src/accept.rs
@@ -10,6 +10,7 @@
 //! job, and names who asked for it. The conflict that a job causes tells who owns it.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -147,12 +148,20 @@
     mut queue: mpsc::Receiver<PendingRequest>,
 ) {
     let mut batch: Vec<PendingRequest> = Vec::new();
+    // The store does not take these together, or not one of them. They are written one by one.
+    let mut separate: VecDeque<PendingRequest> = VecDeque::new();
     loop {
         if batch.is_empty() {
-            let Some(first) = queue.recv().await else { return };
+            let first = match separate.pop_front() {
+                Some(request) => Some(request),
+                None => queue.recv().await,
+            };
+            let Some(first) = first else { return };
             batch.push(first);
         }
-        fill_batch(&mut batch, &mut queue, &health);
+        if separate.is_empty() {
+            fill_batch(&mut batch, &mut queue, &health);
+        }
         reject_expired(&mut batch);
         if batch.is_empty() {
             continue;
@@ -179,6 +188,14 @@
                     .filter_map(|pending| resolve_conflict(pending, &rows))
                     .collect();
             }
+            Err(StoreError::Invalid) if batch.len() > 1 => separate.extend(batch.drain(..)),
+            Err(StoreError::Invalid) => {
+                for pending in batch.drain(..) {
+                    let (job, content) = (pending.request.job(), pending.request.content());
+                    tracing::error!(%job, content, "the store does not take a row");
+                    complete(pending, Accepted::TooLong);
+                }
+            }
             Err(StoreError::NoAnswer) => {
                 handle_no_answer(&mut batch);
                 tracing::warn!(items = batch.len(), "store did not respond to a write; retrying");
--- a/crates/node/src/commit/writer.rs
+++ b/crates/node/src/commit/writer.rs
@@ -1,5 +1,6 @@
 //! Writes the leader's batches; each partition is protected by its fence.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -9,6 +10,7 @@
 use stoatwell_pool::CancelSource;
 use stoatwell_pool::Event;
 use stoatwell_pool::PartitionWrite;
+use stoatwell_pool::Put;
 use stoatwell_pool::Removal;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -63,9 +65,30 @@
     Retry,
     Refused,
     InDoubt,
+    /// The store never takes these writes together, or one of them.
+    Invalid,
     LeadershipLost,
 }
 
+/// The outcome of the attempts to write a part of a partition's rows.
+enum PartOutcome {
+    Done {
+        sent_ms: u64,
+        version: u64,
+    },
+    /// The store never takes the part as it is.
+    Invalid,
+    LeadershipLost,
+}
+
+/// What became of the attempts to write the rows of a partition so far.
+struct Attempts {
+    /// Whether a write without a response may still be carried out.
+    in_doubt: bool,
+    refusals: u32,
+    unanswered: u32,
+}
+
 impl<P: Platform> Writer<P> {
     /// Writes a batch: first as one transaction and, if that fails, each partition separately.
     pub async fn write(self: Arc<Self>, batch: u64, mut writes: Vec<PartitionWrite>) {
@@ -79,7 +102,8 @@
                 }
                 WriteOutcome::Retry => {}
                 WriteOutcome::LeadershipLost => return self.notify_leadership_lost(),
-                failed @ (WriteOutcome::Refused | WriteOutcome::InDoubt) => {
+                failed
+                @ (WriteOutcome::Refused | WriteOutcome::InDoubt | WriteOutcome::Invalid) => {
                     let in_doubt = matches!(failed, WriteOutcome::InDoubt);
                     let mut partitions = JoinSet::new();
                     for write in writes {
@@ -98,41 +122,103 @@
 
     /// Writes the rows of one partition, with retries until they are durable.
     ///
+    /// What the store never takes together is written in parts, down to single rows. The row of a
+    /// job that it never takes is left out, so that those of other jobs do not wait behind it.
+    async fn write_partition(self: Arc<Self>, batch: u64, write: PartitionWrite, in_doubt: bool) {
+        let partition = write.partition;
+        let mut attempts = Attempts { in_doubt, refusals: 0, unanswered: u32::from(in_doubt) };
+        let mut pending = VecDeque::from([write]);
+        let mut durable: Option<(u64, u64)> = None;
+        sleep(RETRY_DELAY).await;
+        while let Some(write) = pending.pop_front() {
+            let mut part = [write];
+            match self.write_until_taken(&mut part, &mut attempts).await {
+                PartOutcome::Done { sent_ms, version } => {
+                    // Starts are valid from when the first part was sent.
+                    let (first_sent_ms, newest) = durable.unwrap_or((sent_ms, version));
+                    durable = Some((first_sent_ms, newest.max(version)));
+                }
+                PartOutcome::Invalid => {
+                    let [write] = part;
+                    match split(write) {
+                        Ok(parts) => {
+                            for part in parts.into_iter().rev() {
+                                pending.push_front(part);
+                            }
+                        }
+                        Err(single) => {
+                            self.give_up(&single);
+                            // Nothing of a job is written without its submission.
+                            let is_given_up = |put: &Put| {
+                                let mut given_up = single.puts.iter();
+                                given_up.any(|other| other.job == put.job)
+                            };
+                            for write in &mut pending {
+                                write.puts.retain(|put| !is_given_up(put));
+                            }
+                        }
+                    }
+                }
+                PartOutcome::LeadershipLost => return self.notify_leadership_lost(),
+            }
+        }
+        let (sent_ms, version) = durable.unwrap_or_else(|| (steady_ms(), 0));
+        self.notify_committed(batch, partition, sent_ms, version);
+    }
+
+    /// Writes a part of a partition's rows, with retries for as long as the store may take it.
+    ///
     /// After a write without a response, the next attempt also rewrites the fence. The lost
     /// write could otherwise be carried out seconds later and overwrite newer progress; the
     /// fence's new version makes its condition fail.
-    async fn write_partition(
-        self: Arc<Self>,
-        batch: u64,
-        write: PartitionWrite,
-        mut in_doubt: bool,
-    ) {
-        let partition = write.partition;
-        let mut writes = vec![write];
-        let mut refusals = 0;
-        let mut unanswered = u32::from(in_doubt);
+    async fn write_until_taken(
+        &self,
+        part: &mut [PartitionWrite; 1],
+        attempts: &mut Attempts,
+    ) -> PartOutcome {
         loop {
-            sleep(RETRY_DELAY).await;
-            match self.try_write(&mut writes, in_doubt).await {
+            if part[0].puts.is_empty() && part[0].removes.is_empty() && !attempts.in_doubt {
+                return PartOutcome::Done { sent_ms: steady_ms(), version: 0 };
+            }
+            match self.try_write(part, attempts.in_doubt).await {
                 WriteOutcome::Done { sent_ms, version } => {
-                    return self.notify_committed(batch, partition, sent_ms, version);
+                    attempts.in_doubt = false;
+                    return PartOutcome::Done { sent_ms, version };
                 }
                 WriteOutcome::Retry => {}
-                WriteOutcome::LeadershipLost => return self.notify_leadership_lost(),
+                WriteOutcome::LeadershipLost => return PartOutcome::LeadershipLost,
+                WriteOutcome::Invalid => return PartOutcome::Invalid,
                 WriteOutcome::InDoubt => {
-                    in_doubt = true;
-                    unanswered += 1;
-                    if unanswered == UNANSWERED_MAX {
-                        self.notify_in_doubt(&writes);
+                    attempts.in_doubt = true;
+                    attempts.unanswered += 1;
+                    if attempts.unanswered == UNANSWERED_MAX {
+                        self.notify_in_doubt(part);
                     }
                 }
                 WriteOutcome::Refused => {
-                    refusals += 1;
-                    if refusals >= REFUSALS_MAX && !in_doubt {
-                        self.reject_submissions(&mut writes);
+                    attempts.refusals += 1;
+                    if attempts.refusals >= REFUSALS_MAX && !attempts.in_doubt {
+                        self.reject_submissions(part);
                     }
                 }
             }
+            sleep(RETRY_DELAY).await;
+        }
+    }
+
+    /// Notifies the scheduler of a row that the store never takes.
+    fn give_up(&self, write: &PartitionWrite) {
+        for put in &write.puts {
+            if put.submission.is_some() {
+                let accepted = Accepted::TooLong;
+                self.inbox_sender.notify(Event::Rejected { job: put.job, accepted });
+            } else {
+                metrics::counter!("stoatwell_rows_not_taken_total").increment(1);
+                self.inbox_sender.notify(Event::Unwritable { job: put.job });
+            }
+        }
+        for removal in &write.removes {
+            tracing::error!(?removal, "the store does not take the removal of rows; they stay");
         }
     }
 
@@ -176,10 +262,12 @@
                     %error, part, parts = writes.len(),
                     "the leader's write failed; retrying"
                 );
-                if error == StoreError::NoAnswer {
-                    WriteOutcome::InDoubt
-                } else {
-                    WriteOutcome::Refused
+                match error {
+                    StoreError::NoAnswer => WriteOutcome::InDoubt,
+                    StoreError::Invalid => WriteOutcome::Invalid,
+                    StoreError::Refused | StoreError::Conflict(_) | StoreError::HistoryLost => {
+                        WriteOutcome::Refused
+                    }
                 }
             }
         }
@@ -336,3 +424,34 @@
         self.inbox_sender.notify_leadership_lost();
     }
 }
+
+/// Splits the writes to a partition in two; returns them unchanged if they are a single row. The
+/// submission of a job comes before its progress.
+fn split(mut write: PartitionWrite) -> Result<[PartitionWrite; 2], PartitionWrite> {
+    let partition = write.partition;
+    let of = |puts, removes| PartitionWrite { partition, puts, removes };
+    if !write.puts.is_empty() && !write.removes.is_empty() {
+        let removes = std::mem::take(&mut write.removes);
+        return Ok([write, of(Vec::new(), removes)]);
+    }
+    if write.puts.len() > 1 {
+        let rest = write.puts.split_off(write.puts.len() / 2);
+        return Ok([write, of(rest, Vec::new())]);
+    }
+    if write.removes.len() > 1 {
+        let rest = write.removes.split_off(write.removes.len() / 2);
+        return Ok([write, of(Vec::new(), rest)]);
+    }
+    match write.puts.pop() {
+        Some(mut put) if put.submission.is_some() && put.progress.is_some() => {
+            let submission = Put {
+                job: put.job,
+                submission: put.submission.take(),
+                progress: None,
+                cancel_version: None,
+            };
+            Ok([of(vec![submission], Vec::new()), of(vec![put], Vec::new())])
+        }
+        put => Err(of(put.into_iter().collect(), write.removes)),
+    }
+}
--- a/crates/node/src/gateway/submission.rs
+++ b/crates/node/src/gateway/submission.rs
@@ -245,6 +245,7 @@
         Accepted::No => "refused",
         Accepted::Taken => "taken",
         Accepted::Overloaded { .. } => "overloaded",
+        Accepted::TooLong => "too long",
         Accepted::Unknown => "unknown",
     }
 }
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -150,7 +150,8 @@
                     );
                 }
             }
-            Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost) => {
+            Ok(_)
+            | Err(StoreError::Conflict(_) | StoreError::HistoryLost | StoreError::Invalid) => {
                 self.record_response();
             }
         }
--- a/crates/node/src/hedge.rs
+++ b/crates/node/src/hedge.rs
@@ -58,7 +58,9 @@
 
 fn is_answer<T>(result: &Result<T, StoreError>) -> bool {
     match result {
-        Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost) => true,
+        Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost | StoreError::Invalid) => {
+            true
+        }
         Err(StoreError::Refused | StoreError::NoAnswer) => false,
     }
 }
--- a/crates/node/src/inbox.rs
+++ b/crates/node/src/inbox.rs
@@ -130,6 +130,7 @@
                 | Event::Cancelled { .. }
                 | Event::Customers { .. }
                 | Event::Committed { .. }
+                | Event::Unwritable { .. }
                 | Event::InDoubt { .. }
                 | Event::Rejected { .. }
         );
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -112,6 +112,8 @@
     Conflict(Vec<(Table, Row)>),
     /// the history that was asked for is gone
     HistoryLost,
+    /// the store did nothing, and never will carry out this call
+    Invalid,
 }
 
 /// The store's answer to whether a version of the manifest is the newest.
--- a/crates/node/src/relay/call.rs
+++ b/crates/node/src/relay/call.rs
@@ -172,7 +172,9 @@
 /// What a result of a direct call says about its path.
 pub(crate) fn own_outcome<T>(result: &Result<T, StoreError>) -> OwnOutcome {
     match result {
-        Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost) => OwnOutcome::Answered,
+        Ok(_) | Err(StoreError::Conflict(_) | StoreError::HistoryLost | StoreError::Invalid) => {
+            OwnOutcome::Answered
+        }
         Err(StoreError::Refused) => OwnOutcome::Refused,
         Err(StoreError::NoAnswer) => OwnOutcome::NoAnswer,
     }
--- a/crates/node/src/relay/serve.rs
+++ b/crates/node/src/relay/serve.rs
@@ -71,6 +71,7 @@
             Ok(_) => "done",
             Err(StoreError::Conflict(_)) => "conflict",
             Err(StoreError::HistoryLost) => "history lost",
+            Err(StoreError::Invalid) => "invalid",
             Err(StoreError::Refused) => "refused",
             Err(StoreError::NoAnswer) => "no answer",
         });
--- a/crates/node/src/telemetry.rs
+++ b/crates/node/src/telemetry.rs
@@ -245,6 +245,7 @@
     metrics::gauge!("stoatwell_tasks_stalled").set(stalled.len() as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "queued").set(counts.queued_jobs as f64);
     metrics::gauge!("stoatwell_jobs", "state" => "running").set(counts.running_jobs as f64);
+    metrics::gauge!("stoatwell_jobs_unwritable").set(counts.unwritable_jobs as f64);
     metrics::gauge!("stoatwell_inbox_delay_ms").set(inbox_delay_ms as f64);
     metrics::gauge!("stoatwell_queued_messages").set(queued_messages as f64);
     metrics::gauge!("stoatwell_queued_steps").set(counts.queued_steps as f64);
--- a/crates/node/tests/fake/mod.rs
+++ b/crates/node/tests/fake/mod.rs
@@ -127,6 +127,8 @@
     page_faults: Mutex<PageFaults>,
     /// Held while a page crosses a link that carries one after another.
     thin_link: Option<tokio::sync::Mutex<()>>,
+    /// Longer values are invalid; 0 is no limit.
+    value_bytes_max: AtomicUsize,
     /// The calls that are not answered from now on.
     unanswered: Mutex<Vec<UnansweredCall>>,
 }
@@ -292,6 +294,17 @@
         page_faults.insert(key, faults.iter().copied().collect());
     }
 
+    /// Rejects transactions with longer values as invalid from now on; 0 is no limit.
+    pub fn set_value_bytes_max(&self, bytes: usize) {
+        self.value_bytes_max.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Whether a transaction is within the store's limits.
+    fn is_valid(&self, transaction: &Transaction) -> bool {
+        let bytes_max = self.value_bytes_max.load(Ordering::Relaxed);
+        bytes_max == 0 || transaction.put.iter().all(|(.., value)| value.len() <= bytes_max)
+    }
+
     /// Does not answer these calls, each once.
     pub fn leave_unanswered(&self, calls: &[UnansweredCall]) {
         self.unanswered.lock().expect("no panic").extend_from_slice(calls);
@@ -636,6 +649,9 @@
                 return call_without_response(0).await;
             }
         }
+        if !self.is_valid(transaction) {
+            return Err(StoreError::Invalid);
+        }
         match self.behavior() {
             StoreBehavior::Normal
             | StoreBehavior::LosesOnePoll
--- a/crates/node/tests/messages.rs
+++ b/crates/node/tests/messages.rs
@@ -207,6 +207,7 @@
         DaemonReply::Submitted(Accepted::Taken),
         DaemonReply::Submitted(Accepted::Unknown),
         DaemonReply::Submitted(Accepted::Overloaded { retry_after_s: 3 }),
+        DaemonReply::Submitted(Accepted::TooLong),
         DaemonReply::Alive { reaches_store: true, daemons: 8, fit: 2, manifest: proof },
         DaemonReply::Manifest { manifest: vec![1], proof },
         DaemonReply::Noted,
@@ -283,6 +284,7 @@
         Err(StoreError::NoAnswer),
         Err(StoreError::Conflict(conflict)),
         Err(StoreError::HistoryLost),
+        Err(StoreError::Invalid),
     ];
     for result in results {
         assert_eq!(decode("result", &encode(&result)), Some(result));
--- a/crates/pool/src/commit.rs
+++ b/crates/pool/src/commit.rs
@@ -48,6 +48,10 @@
 /// See [`STUCK_MIN_MS`].
 const STUCK_FACTOR: u64 = 3;
 
+/// Range of the delay before a row that the store does not take is written again; it doubles. What
+/// the row holds may have changed by then.
+const UNWRITABLE_RETRY_MS: std::ops::RangeInclusive<u64> = 1_000..=60_000;
+
 /// Approximate size of a progress row in a call to the store, without its tasks.
 const ROW_BYTES: usize = 150;
 /// Approximate size of each task in a progress row.
@@ -77,6 +81,15 @@
     order: VecDeque<JobId>,
     removes: Vec<Removal>,
     in_flight: Option<InFlight>,
+    /// Jobs whose rows the store did not take, and when they are written again.
+    unwritable: BTreeMap<JobId, Deferral>,
+}
+
+/// The delay of the next write of a row that the store does not take.
+#[derive(Clone, Copy, Debug)]
+struct Deferral {
+    until_ms: u64,
+    delay_ms: u64,
 }
 
 /// A job whose row has to be written.
@@ -148,6 +161,8 @@
     },
     /// Let a worker forget an ended run.
     Forget {
+        /// The job of the run.
+        job: JobId,
         /// The worker that listed the run.
         worker: WorkerId,
         /// The incarnation of the worker that listed the run.
@@ -170,6 +185,14 @@
         }
     }
 
+    /// The job whose row the action waits for.
+    fn written_job(&self) -> JobId {
+        match self {
+            Self::Accept(job) | Self::ReportOutcome(job) | Self::Forget { job, .. } => *job,
+            Self::Start { task, .. } => task.step.job,
+        }
+    }
+
     fn is_start(&self) -> bool {
         matches!(self, Self::Start { .. })
     }
@@ -205,6 +228,9 @@
             Dirty { actions: Vec::new(), due_ms }
         });
         dirty.due_ms = dirty.due_ms.min(due_ms);
+        if let Some(deferral) = partition.unwritable.get(&job) {
+            dirty.due_ms = deferral.until_ms;
+        }
         dirty
     }
 
@@ -216,7 +242,9 @@
     /// Requests that rows are removed.
     pub fn remove(&mut self, removal: Removal) {
         let (Removal::Job(job) | Removal::Cancellation(job)) = removal;
-        self.partitions[job.partition()].removes.push(removal);
+        let partition = &mut self.partitions[job.partition()];
+        partition.removes.push(removal);
+        partition.unwritable.remove(&job);
     }
 
     /// Drops a job's row that waits to be written; `false` if it is being written already.
@@ -255,6 +283,30 @@
         }
     }
 
+    /// Drops a job from the batch in flight, with the actions that wait for its row, and schedules
+    /// its write for later. Returns when.
+    pub fn defer(&mut self, job: JobId, now_ms: u64) -> u64 {
+        let partition = &mut self.partitions[job.partition()];
+        let previous = partition.unwritable.get(&job);
+        let delay_ms = previous.map_or(*UNWRITABLE_RETRY_MS.start(), |deferral| {
+            (deferral.delay_ms * 2).min(*UNWRITABLE_RETRY_MS.end())
+        });
+        let until_ms = now_ms + delay_ms;
+        partition.unwritable.insert(job, Deferral { until_ms, delay_ms });
+        let mut dropped = Vec::new();
+        if let Some(batch) = &mut partition.in_flight {
+            batch.jobs.retain(|other| *other != job);
+            dropped = batch.actions.extract_if(.., |action| action.written_job() == job).collect();
+        }
+        self.dirty_entry(job, until_ms).actions.extend(dropped);
+        until_ms
+    }
+
+    /// The number of jobs whose rows the store does not take.
+    pub fn unwritable_jobs(&self) -> usize {
+        self.partitions.iter().map(|partition| partition.unwritable.len()).sum()
+    }
+
     /// Whether a row of this job is being written or waits to be written.
     pub fn is_write_pending(&self, job: JobId) -> bool {
         let partition = &self.partitions[job.partition()];
@@ -473,6 +525,11 @@
         };
         let took_ms = self.now_ms.saturating_sub(written.since_ms).min(BATCH_SAMPLE_MAX_MS);
         self.commits.mean_batch_ms = (self.commits.mean_batch_ms * 3 + took_ms) / 4;
+        for job in &written.jobs {
+            if partition.unwritable.remove(job).is_some() {
+                tracing::info!(%job, "row written that the store did not take before");
+            }
+        }
         for removal in written.removes {
             if let Removal::Job(job) = removal {
                 self.removed_jobs.record_durable(job, version);
@@ -482,7 +539,7 @@
             match action {
                 AfterCommit::Accept(job) => self.on_accept_durable(job),
                 AfterCommit::Start { task, run } => self.send_start(task, run, sent_ms),
-                AfterCommit::Forget { worker, incarnation, number } => {
+                AfterCommit::Forget { worker, incarnation, number, .. } => {
                     let Some(worker) = self.workers.get_mut(&worker) else { continue };
                     if worker.info.incarnation != incarnation {
                         continue;
@@ -496,6 +553,16 @@
         }
     }
 
+    /// Handles a row that the store does not take. What waits for it is not done, and the rows of
+    /// other jobs do not wait.
+    pub(crate) fn on_unwritable(&mut self, id: JobId) {
+        if !self.jobs.contains_key(&id) {
+            return;
+        }
+        let retry_ms = self.commits.defer(id, self.now_ms) - self.now_ms;
+        tracing::error!(job = %id, retry_ms, "the store does not take the row of a job; nothing of the job starts and none of its ends is acknowledged");
+    }
+
     fn on_outcome_durable(&mut self, id: JobId) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.outcome_durable = job.outcome.is_some();
--- a/crates/pool/src/dump.rs
+++ b/crates/pool/src/dump.rs
@@ -57,6 +57,8 @@
     pub queued_jobs: usize,
     /// Jobs of which a task was started and that have not ended.
     pub running_jobs: usize,
+    /// Jobs whose rows the store does not take.
+    pub unwritable_jobs: usize,
     /// Steps in the queue, which have tasks to place.
     pub queued_steps: usize,
     /// The urgent ones of them.
@@ -207,6 +209,7 @@
     /// The current totals, for metrics.
     pub fn counts(&self) -> Counts {
         let mut counts = Counts {
+            unwritable_jobs: self.commits.unwritable_jobs(),
             queued_steps: self.queue.len(),
             workers_age_ms: self.workers_age_ms(),
             steps_waiting_with_room: self.steps_waiting_with_room,
--- a/crates/pool/src/event.rs
+++ b/crates/pool/src/event.rs
@@ -166,6 +166,11 @@
         /// The store's version with these writes.
         version: u64,
     },
+    /// The store never takes the row of a job as it is. The other writes of its batch are made.
+    Unwritable {
+        /// The job.
+        job: JobId,
+    },
     /// It will not be known for some time whether the store has a submission.
     InDoubt {
         /// The submitted job.
@@ -200,6 +205,7 @@
             | Self::Advisors { .. }
             | Self::StuckQueries { .. }
             | Self::Committed { .. }
+            | Self::Unwritable { .. }
             | Self::InDoubt { .. }
             | Self::Rejected { .. } => None,
         }
--- a/crates/pool/src/jobs/removed.rs
+++ b/crates/pool/src/jobs/removed.rs
@@ -29,7 +29,7 @@
     /// When the submission was accepted, in Unix time. A later one under the same id is another
     /// job.
     accepted_unix_ms: u64,
-    removed_ms: u64,
+    since_ms: u64,
     /// The store's version without the rows; `None` while their removal is not durable.
     version: Option<u64>,
 }
@@ -37,7 +37,7 @@
 impl RemovedJobs {
     /// Records that the job of a submission is removed from memory.
     pub fn insert(&mut self, removed_ms: u64, id: JobId, accepted_unix_ms: u64) {
-        let removed = Removed { accepted_unix_ms, removed_ms, version: None };
+        let removed = Removed { accepted_unix_ms, since_ms: removed_ms, version: None };
         self.by_id.insert(id, removed);
         self.order.push_back((removed_ms, id));
     }
@@ -76,7 +76,7 @@
                 return;
             }
             // The id may have been removed once more since.
-            let removed = self.by_id.get(&id).filter(|removed| removed.removed_ms == removed_ms);
+            let removed = self.by_id.get(&id).filter(|removed| removed.since_ms == removed_ms);
             if let Some(removed) = removed {
                 if removed.version.is_none_or(|version| version > self.read_version) {
                     return;
--- a/crates/pool/src/jobs/submit.rs
+++ b/crates/pool/src/jobs/submit.rs
@@ -34,13 +34,15 @@
         /// When the caller may try again.
         retry_after_s: u32,
     },
+    /// It is not durable and never will be, since the store has no place for a job like it.
+    TooLong,
 }
 
 impl Accepted {
     /// Whether the submission was surely not made durable by whoever reports this.
     pub fn is_refusal(self) -> bool {
         match self {
-            Self::No | Self::Overloaded { .. } => true,
+            Self::No | Self::Overloaded { .. } | Self::TooLong => true,
             Self::Yes | Self::Taken | Self::Unknown => false,
         }
     }
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -438,6 +438,7 @@
             Event::Committed { batch, partition, sent_ms, version } => {
                 self.on_committed(batch, partition, sent_ms, version);
             }
+            Event::Unwritable { job } => self.on_unwritable(job),
             Event::InDoubt { job } => {
                 self.effects.push(Effect::Answer { job, accepted: Accepted::Unknown });
             }
--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -335,8 +335,8 @@
             let job = ended.task.step.job;
             if self.jobs.contains_key(&job) {
                 worker.non_durable_ends.insert(ended.number);
-                let after =
-                    AfterCommit::Forget { worker: name.clone(), incarnation, number: ended.number };
+                let (worker, number) = (name.clone(), ended.number);
+                let after = AfterCommit::Forget { job, worker, incarnation, number };
                 self.commits.mark_dirty(job, after);
             }
             self.on_run_ended(ended.task, ended.run, name, ended.end, &ended.checkpoint);
