Values that are longer than a row of the store are split over several

Cause: the record of a job's progress is one row, and a row has a bound. The tasks and the checkpoints were bounded, the workers were not: 42, 16 and 15 KB make more than 64 KiB. A submission has no bound either: 2,000 steps take 180 KB and more.

Now there is one bound on the encoded bytes of a row, and a longer value is split over rows of one transaction. What no transaction can hold is refused at submission (1007).

--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -80,6 +80,8 @@
     health: Arc<StoreHealth>,
     manifest: Arc<CurrentManifest>,
     leader: watch::Sender<LeaderView>,
+    /// Longest encoded submission, in bytes.
+    submission_bytes_max: usize,
     /// Makes calls to workers if another daemon leads and uses this one as an executor.
     executor: Executor<P>,
     /// Number of daemons in the pool, as last counted by the leader.
@@ -107,6 +109,7 @@
         peers: Peers,
         health: Arc<StoreHealth>,
         manifest: Arc<CurrentManifest>,
+        submission_bytes_max: usize,
     ) -> Self {
         let executor = Executor::new(Arc::clone(&platform));
         let leader = watch::Sender::default();
@@ -120,6 +123,7 @@
             health,
             manifest,
             leader,
+            submission_bytes_max,
             executor,
             daemon_count,
             candidate_count,
--- a/crates/node/src/gateway/submission.rs
+++ b/crates/node/src/gateway/submission.rs
@@ -61,7 +61,11 @@
         deadline: Instant,
     ) -> Accepted {
         let row = encode(spec);
-        let answer = self.make_submission_durable(job, row, deadline).await;
+        let answer = if row.len() > self.submission_bytes_max {
+            SubmissionAnswer { accepted: Accepted::TooLong, leader: None, local: None }
+        } else {
+            self.make_submission_durable(job, row, deadline).await
+        };
         let accepted = self.account_for_earlier_tries(job, answer.accepted);
         let customer = spec.customer.as_ref().map(|customer| customer.name.as_str());
         let epoch = self.leader.borrow().epoch();
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -35,6 +35,7 @@
 mod leader_probe;
 mod leader_view;
 mod liveness;
+mod long_rows;
 mod manifest;
 mod message;
 mod overload;
@@ -88,6 +89,8 @@
 pub use crate::liveness::Liveness;
 pub use crate::liveness::LivenessDetector;
 pub use crate::liveness::ProbeResult;
+pub use crate::long_rows::LongRows;
+pub use crate::long_rows::StoreLimits;
 pub use crate::manifest::CurrentManifest;
 pub use crate::manifest::Denied;
 pub use crate::manifest::Manifest;
@@ -128,6 +131,8 @@
     pub link_mbps: f64,
     /// Limits that the installation sets for the pool.
     pub limits: Limits,
+    /// Limits of the store.
+    pub store_limits: StoreLimits,
     /// Secret that the daemons share; connections without it are closed.
     pub peer_key: String,
     /// The time in which a new manifest has to be in force after it was written.
@@ -149,10 +154,13 @@
     }
 }
 
+/// The store as a daemon uses it: through other daemons if its own path fails, with rows of any length.
+pub type StoreOf<P> = LongRows<RelayedStore<P>>;
+
 /// A running daemon.
 #[derive(Debug)]
 pub struct Node<P> {
-    gateway: Arc<Gateway<RelayedStore<P>>>,
+    gateway: Arc<Gateway<StoreOf<P>>>,
     manifest: Arc<CurrentManifest>,
     stop: tokio::sync::watch::Sender<bool>,
     stopped: tokio::sync::watch::Receiver<bool>,
@@ -169,7 +177,9 @@
         let peers = Peers::new(&settings.peer_key, Traffic::default());
         let (local_scheduler_sender, local_scheduler) = tokio::sync::watch::channel(None);
         let relay_state = Arc::new(RelayState::new(settings, local_scheduler.clone()));
-        let platform = Arc::new(RelayedStore::new(platform, peers.clone(), relay_state));
+        let relayed_store = Arc::new(RelayedStore::new(platform, peers.clone(), relay_state));
+        let store_limits = settings.store_limits;
+        let platform = Arc::new(LongRows::new(Arc::clone(&relayed_store), store_limits));
         let acceptor = Acceptor::start(Arc::clone(&platform), Arc::clone(&health));
         let gateway = Arc::new(Gateway::new(
             Arc::clone(&platform),
@@ -177,10 +187,11 @@
             peers.clone(),
             Arc::clone(&health),
             Arc::clone(&manifest),
+            store_limits.value_bytes_max(),
         ));
         let (stop, stop_receiver) = tokio::sync::watch::channel(false);
         let (stopped_sender, stopped) = tokio::sync::watch::channel(false);
-        tokio::spawn(relay::watch_own_path(Arc::clone(&platform), gateway.subscribe_leader()));
+        tokio::spawn(relay::watch_own_path(Arc::clone(&relayed_store), gateway.subscribe_leader()));
         tokio::spawn(manifest::watch(
             Arc::clone(&platform),
             Arc::clone(&health),
@@ -195,7 +206,7 @@
             listener,
             settings.peer_key.clone(),
             Arc::clone(&gateway),
-            Arc::clone(&platform),
+            relayed_store,
         ));
         tokio::spawn(telemetry::watch_pauses());
         tokio::spawn(health::probe(Arc::clone(&platform), Arc::clone(&health)));
@@ -229,7 +240,7 @@
     }
 
     /// The gateway that answers callers.
-    pub fn gateway(&self) -> &Arc<Gateway<RelayedStore<P>>> {
+    pub fn gateway(&self) -> &Arc<Gateway<StoreOf<P>>> {
         &self.gateway
     }
 
@@ -260,7 +271,7 @@
 async fn serve_peers<P: Platform>(
     listener: TcpListener,
     key: String,
-    gateway: Arc<Gateway<RelayedStore<P>>>,
+    gateway: Arc<Gateway<StoreOf<P>>>,
     store: Arc<RelayedStore<P>>,
 ) {
     let handler = move |call| {
--- a/crates/node/src/platform.rs
+++ b/crates/node/src/platform.rs
@@ -21,6 +21,7 @@
 use stoatwell_pool::StopCall;
 use stoatwell_pool::WorkerUpdate;
 
+use crate::long_rows::value_key;
 use crate::manifest::Manifest;
 
 /// A table of the store. Its `Display` text is the name under which it is stored.
@@ -56,7 +57,7 @@
 /// The shard that a row belongs to.
 pub fn shard(table: Table, key: &str) -> Shard {
     match table {
-        Table::Jobs | Table::Cancels | Table::Progress => match key.parse::<JobId>() {
+        Table::Jobs | Table::Cancels | Table::Progress => match value_key(key).parse::<JobId>() {
             Ok(job) => Shard::Jobs(job.partition()),
             Err(_) => Shard::Control,
         },
--- a/crates/node/tests/executors.rs
+++ b/crates/node/tests/executors.rs
@@ -14,6 +14,7 @@
 use stoatwell_node::Message;
 use stoatwell_node::Node;
 use stoatwell_node::NodeSettings;
+use stoatwell_node::StoreLimits;
 use stoatwell_node::executors::Executors;
 use stoatwell_node::executors::call::Batch;
 use stoatwell_node::executors::call::WorkerCall;
@@ -104,6 +105,11 @@
             batch_bytes_max: 600_000,
             gangs: GangLimits::default(),
         },
+        store_limits: StoreLimits {
+            row_bytes_max: 49_152,
+            transaction_bytes_max: 950_000,
+            transaction_entries_max: 100,
+        },
         peer_key: KEY.to_owned(),
         manifest_apply_ms: 2_500,
         revoke_ms: None,
--- a/crates/node/tests/fake/daemon.rs
+++ b/crates/node/tests/fake/daemon.rs
@@ -7,6 +7,7 @@
 use stoatwell_node::Node;
 use stoatwell_node::NodeSettings;
 use stoatwell_node::SchedulerRequest;
+use stoatwell_node::StoreLimits;
 use stoatwell_pool::GangLimits;
 use stoatwell_pool::JobId;
 use stoatwell_pool::JobSpec;
@@ -54,6 +55,11 @@
             batch_bytes_max: 600_000,
             gangs: GangLimits::default(),
         },
+        store_limits: StoreLimits {
+            row_bytes_max: 49_152,
+            transaction_bytes_max: 950_000,
+            transaction_entries_max: 100,
+        },
         peer_key: "test".to_owned(),
         manifest_apply_ms: 2_500,
         revoke_ms,
--- a/crates/pool/src/jobs/record.rs
+++ b/crates/pool/src/jobs/record.rs
@@ -115,9 +115,8 @@
 /// The index of the task's worker in the list, [`NOWHERE`] or [`DONE`].
 type Place = i32;
 
-/// Most bytes of checkpoints in a row. The store refuses rows that are too long, and then the job
-/// and all others of its partition would make no progress. Without its checkpoint a task starts
-/// from the beginning, but only under a later leader.
+/// Most bytes of checkpoints in the record of a job, which is written a few times for each task.
+/// Without its checkpoint a task starts from the beginning, but only under a later leader.
 const CHECKPOINT_BYTES_MAX: usize = 16_384;
 
 const NOWHERE: Place = -1;
--- a/crates/pool/src/jobs/spec.rs
+++ b/crates/pool/src/jobs/spec.rs
@@ -14,7 +14,7 @@
 /// The latest Unix time of a first occurrence.
 const UNIX_MAX_MS: u64 = 1 << 53;
 /// Largest number of tasks in all steps and occurrences of one job. It keeps the record of
-/// a job within one row of the store.
+/// a job within one transaction of the store.
 pub const TASKS_MAX: u64 = 2_000;
 /// Largest payload of a job, in bytes.
 pub const PAYLOAD_BYTES_MAX: usize = 4_000;
