A long value whose writer did not wait for the answer is removed as a whole

Seen while reading the change: a write that takes longer than its limit is dropped with the call, and what it might leave in the store was recorded only after its answer. Rows after the first one of a split value then stayed when the job was removed, without harm but for good.

Now the rows that a write may leave are recorded before it is sent.

Test, red before: a_long_value_whose_writer_did_not_wait_is_removed_as_a_whole.

--- a/crates/node/src/long_rows/mod.rs
+++ b/crates/node/src/long_rows/mod.rs
@@ -162,20 +162,20 @@
     }
 
     /// Records which values have rows after the first one, given the result of their write.
-    fn record(&self, written: PartCounts, result: &Result<u64, StoreError>) {
+    fn record(&self, written: &PartCounts, result: &Result<u64, StoreError>) {
         let mut known = self.part_counts();
         for (id, count) in written {
             match result {
-                Ok(_) if count == 0 => {
-                    known.remove(&id);
+                Ok(_) if *count == 0 => {
+                    known.remove(id);
                 }
                 Ok(_) => {
-                    known.insert(id, count);
+                    known.insert(id.clone(), *count);
                 }
                 // It may be carried out.
                 Err(StoreError::NoAnswer) => {
-                    let highest = known.entry(id).or_default();
-                    *highest = (*highest).max(count);
+                    let highest = known.entry(id.clone()).or_default();
+                    *highest = (*highest).max(*count);
                 }
                 Err(_) => {}
             }
@@ -255,8 +255,10 @@
 
     async fn transact(&self, transaction: &Transaction) -> Result<u64, StoreError> {
         let (split, written) = self.split_values(transaction)?;
+        // A caller that waits no longer drops this call, and its write may be carried out.
+        self.record(&written, &Err(StoreError::NoAnswer));
         let result = self.inner.transact(&split).await;
-        self.record(written, &result);
+        self.record(&written, &result);
         match result {
             Err(StoreError::Conflict(rows)) => {
                 // Nothing was written, whether or not the conflict can be told in full.
--- a/crates/node/tests/long_rows.rs
+++ b/crates/node/tests/long_rows.rs
@@ -26,6 +26,7 @@
 use tokio::time::Instant;
 
 use self::fake::FakePlatform;
+use self::fake::StoreBehavior;
 use self::fake::daemon::job;
 use self::fake::daemon::start;
 use self::fake::daemon::wait_until;
@@ -122,6 +123,24 @@
     assert!(store.rows(Table::Progress).is_empty());
 }
 
+/// Guards against rows that are left because the caller did not wait for the answer to their write.
+#[tokio::test]
+async fn a_long_value_whose_writer_did_not_wait_is_removed_as_a_whole() {
+    let store = limited_store();
+    let rows = LongRows::new(Arc::clone(&store), LIMITS);
+    let key = JobId(7).to_string();
+    store.set_behavior(StoreBehavior::DelaysJobWrites);
+    let jobs = vec![(Table::Jobs, key.clone(), value(400_000))];
+    let write = Transaction { put: jobs, ..Transaction::default() };
+    let waited = tokio::time::timeout(Duration::from_millis(50), rows.transact(&write)).await;
+    assert!(waited.is_err());
+    store.release_job_writes();
+    wait_until("the write", 1_000, || store.rows(Table::Jobs).len() > 1).await;
+    let remove = vec![(Table::Jobs, key)];
+    rows.transact(&Transaction { remove, ..Transaction::default() }).await.expect("removed");
+    assert!(store.rows(Table::Jobs).is_empty());
+}
+
 /// Guards against jobs that are missing from a table, or there twice, because a page ends within a
 /// long value.
 #[tokio::test]
