The leases of several workers with members of one gang may expire together

Cause: the tasks that are lost with a worker were collected for all workers first, and the number of those that wait was computed for the log when their turn came. By then the loss of one member of a gang had released the others that were not sent yet, and their worker had fewer tasks than were collected. Without overflow checks, as in release builds, only the number in the log is wrong.

Now the number is computed when the tasks are collected.

Test, red before: a_gang_whose_workers_expire_together_is_started_again.

Open: after a panic of the scheduler's task the daemon neither leads nor takes part in elections, and goes on to route calls to its scheduler that has ended.

--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -528,17 +528,17 @@
                 let tasks: Vec<TaskId> = tasks
                     .filter(|id| is_unnoticed_expired || self.is_on_known_clock(*id, worker))
                     .collect();
+                let waiting = worker.tasks.len() - tasks.len();
                 if !tasks.is_empty() {
-                    expired.push((name.clone(), tasks));
+                    expired.push((name.clone(), tasks, waiting));
                 }
             }
             if !worker.listed && worker.tasks.is_empty() && worker.unanswered_calls > 0 {
                 removed.push(name.clone());
             }
         }
-        for (name, tasks) in expired {
+        for (name, tasks, waiting) in expired {
             if let Some(worker) = self.workers.get(&name) {
-                let waiting = worker.tasks.len() - tasks.len();
                 tracing::warn!(
                     worker = %name, life = worker.info.incarnation, tasks = tasks.len(), waiting,
                     clock_ms = worker.estimated_clock_ms(now_ms), lease_end_ms = worker.lease_end_max,
--- a/crates/pool/tests/gangs.rs
+++ b/crates/pool/tests/gangs.rs
@@ -249,3 +249,33 @@
     assert_eq!(world.state(GANG), Some(JobState::Completed), "{}", world.explain(JobId(GANG)));
     assert_no_violations(&world);
 }
+
+/// Guards against a scheduler that ends because the leases of several workers with members of one gang
+/// expire at the same time: once one member is lost, those that were not sent yet leave their workers.
+#[test]
+fn a_gang_whose_workers_expire_together_is_started_again() {
+    let mut world = idle_world(8);
+    for number in BATCHES {
+        world.submit(number, job(queue(2), vec![step(8, 1_000, 20_000)]));
+    }
+    world.run(600);
+    // The starts of the gang wait for their row, and its workers run other tasks.
+    world.stuck_partitions.insert(JobId(GANG).partition());
+    world.submit(GANG, gang(queue(1), 8));
+    world.run(200);
+    for worker in world.workers.values_mut() {
+        worker.isolated = true;
+    }
+    // The calls fail, and then all leases expire while the leader stands still.
+    world.run(1_000);
+    world.pause_leader(10_000);
+    world.run(12_000);
+    for worker in world.workers.values_mut() {
+        worker.isolated = false;
+    }
+    world.stuck_partitions.clear();
+    world.fail_over();
+    world.run(120_000);
+    assert_eq!(world.state(GANG), Some(JobState::Completed), "{}", world.explain(JobId(GANG)));
+    assert_no_violations(&world);
+}
