Review case 11: a tenant at its cap keeps another tenant's job from running

Seen: a job of a tenant that uses nothing has nothing running 14 s after the end of the traffic, with 2 of 192 cores in use. Order: a manifest lowers the cap of another tenant, which goes on sending; over 1,000 of its steps wait in front, and cycles look at the first 1,000 steps only.

--- a/review/cell-3.rs
+++ b/review/cell-3.rs
@@ -639,7 +639,6 @@
         work_ms: u64,
         stop_ms: u64,
         deliver: Deliver,
-        born_ahead_ms: u64,
     ) -> Self {
         let placeholder = Server::start(Arc::new(|_| None));
         placeholder.stop();
@@ -656,7 +655,7 @@
             orders: Arc::default(),
             counts: Arc::default(),
         };
-        worker.begin(born_ahead_ms);
+        worker.begin();
         let sweeper = worker.clone();
         thread::spawn(move || {
             loop {
@@ -667,12 +666,11 @@
         worker
     }
 
-    /// Begins a life: nothing is known of an earlier one. The time of day on its machine is ahead by
-    /// this much.
-    pub fn begin(&self, born_ahead_ms: u64) {
+    /// Begins a life: nothing is known of an earlier one.
+    pub fn begin(&self) {
         *self.life.lock().unwrap() = Life {
             began: Some(Instant::now()),
-            born: unix_ms() + born_ahead_ms,
+            born: unix_ms(),
             ..Life::default()
         };
         self.record.note(format!(
@@ -988,6 +986,28 @@
     pub folder: PathBuf,
 }
 
+/// The manifest: one queue of each priority, without an advisor. `tenants` is its list of tenants, or
+/// empty if callers need no key.
+pub fn manifest(version: u64, tenants: &str) -> String {
+    let routes: Vec<String> = (0..3)
+        .map(|priority| {
+            format!(
+                "{{\"name\":\"q{priority}\",\"host\":\"h.example\",\"path_prefix\":\"/q{priority}/\",\
+                 \"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_duration_ms\":1200,\
+                 \"priority\":{priority},\"service\":\"svc\",\"max_attempts\":3,\"slack_factor\":3.0}}"
+            )
+        })
+        .collect();
+    let tenants =
+        if tenants.is_empty() { String::new() } else { format!("\"tenants\":[{tenants}],") };
+    format!(
+        "{{\"version\":{version},{tenants}\"routes\":[{}],\"services\":[{{\"name\":\"svc\",\
+         \"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\
+         \"admission_check\":false,\"standby\":false}}],\"limits\":{{\"max_body_bytes\":262144}}}}",
+        routes.join(",")
+    )
+}
+
 impl Cell {
     /// Starts a cell and waits until its daemons are ready.
     pub fn start(
@@ -996,27 +1016,18 @@
         work_ms: u64,
         stop_ms: u64,
         deliver: Deliver,
-        first_born_ahead_ms: u64,
+        tenants: &str,
     ) -> Option<Self> {
         let record = Record::new();
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let store = Store::start();
-        store.put(
-            "op",
-            "config",
-            "{\"version\":3,\"routes\":[{\"name\":\"q\",\"host\":\"h.example\",\"path_prefix\":\"/q/\",\
-             \"kind\":\"non_idempotent\",\"timeout_ms\":3000,\"target_duration_ms\":1200,\"priority\":1,\
-             \"service\":\"svc\",\"max_attempts\":3,\"slack_factor\":3.0}],\"services\":[{\"name\":\"svc\",\
-             \"health_path\":\"/healthz\",\"max_conns\":64,\"protocol\":\"h1\",\"tls\":false,\
-             \"admission_check\":false,\"standby\":false}],\"limits\":{\"max_body_bytes\":262144}}",
-        );
+        store.put("op", "config", &manifest(3, tenants));
         let spans: Arc<Mutex<Vec<Span>>> = Arc::default();
         let workers: Vec<Worker> = (0..workers)
             .map(|index| {
-                let ahead_ms = if index == 0 { first_born_ahead_ms } else { 0 };
                 let id = format!("i-{:010x}", 0xa0 + index);
-                Worker::start(&id, &record, &spans, work_ms, stop_ms, Arc::clone(&deliver), ahead_ms)
+                Worker::start(&id, &record, &spans, work_ms, stop_ms, Arc::clone(&deliver))
             })
             .collect();
         let (beating, beat_store) = (workers.clone(), store.clone());
@@ -1048,22 +1059,41 @@
     }
 
     /// Submits a job of one step to a daemon.
-    pub fn submit(&self, daemon: usize, job: &str, tasks: u32, cpu: u32, estimate_ms: u64) -> Option<u16> {
+    pub fn submit(
+        &self,
+        daemon: usize,
+        path: &str,
+        key: &str,
+        tasks: u32,
+        cpu: u32,
+        estimate_ms: u64,
+    ) -> Option<u16> {
         let body = format!(
-            "{{\"spec\":\"work\",\"steps\":[{{\"count\":{tasks},\"cpu\":{cpu},\"mem_mb\":64,\"estimated_ms\":{estimate_ms}}}]}}"
+            "{{\"spec\":\"work\",\"steps\":[{{\"count\":{tasks},\"cpu\":{cpu},\"mem_mb\":64,\
+             \"estimated_ms\":{estimate_ms}}}]}}"
         );
-        self.request(daemon, "POST", job, &body).map(|(status, _)| status)
+        self.request(daemon, "POST", path, key, &body).map(|(status, _)| status)
     }
 
     /// Makes a caller's request about a job.
-    pub fn request(&self, daemon: usize, method: &str, job: &str, body: &str) -> Option<(u16, String)> {
-        let headers = [
+    pub fn request(
+        &self,
+        daemon: usize,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> Option<(u16, String)> {
+        let authorization = format!("Bearer {key}");
+        let mut headers = vec![
             ("host", "h.example"),
             ("content-type", "application/json"),
             ("x-deadline-ms", "3000"),
         ];
-        let path = format!("/q/{job}");
-        let answer = call(&self.daemons[daemon].callers, method, &path, &headers, body, 3_000);
+        if !key.is_empty() {
+            headers.push(("authorization", &authorization));
+        }
+        let answer = call(&self.daemons[daemon].callers, method, path, &headers, body, 3_000);
         self.record.note(format!("caller: {method} {path} at edge-{daemon}: {answer:?}"));
         answer
     }
@@ -1085,6 +1115,23 @@
         found
     }
 
+    /// The runs of a job that are at work.
+    pub fn running(&self, job: &str) -> usize {
+        let spans = self.spans.lock().unwrap();
+        spans.iter().filter(|span| span.0.starts_with(job) && span.4.is_none()).count()
+    }
+
+    /// The runs that are at work.
+    pub fn busy(&self) -> usize {
+        self.spans.lock().unwrap().iter().filter(|span| span.4.is_none()).count()
+    }
+
+    /// The runs of a job that have ended `done`.
+    pub fn done(&self, job: &str) -> usize {
+        let spans = self.spans.lock().unwrap();
+        spans.iter().filter(|span| span.0.starts_with(job) && span.5 == "done").count()
+    }
+
     /// Writes the record, and ends the case with this status.
     pub fn finish(self, path: &Path, status: i32) -> ! {
         self.record.note(format!("exit {status}"));
