A run that a late start may begin again is asked about before it is given up

Cause: a start without an answer is sent again, and the first one may be carried out up to 12 s later, by whichever incarnation is up. Pool::begin_incarnation gave a listed run up without asking the new incarnation once 3.3 s had passed since its row was written, and always if an earlier leader had sent its starts. The answer that told of the late start came 4 ms after the decision.

Weighed: a larger constant alone (green in the case, red after a change of leader, since starts are counted in the memory of the leader that sent them); asking about every run of a worker that has restarted (nothing to remember; where the new incarnation is then cut off, all its runs wait for the longest lease and 13 s); a row that tells of repeated starts (a write before each repetition, and nothing on a leader that ends between the two). Chosen: a run is asked about if a start of it may be in flight: it was sent twice within 14.3 s, or its row was taken over within 16.3 s from an earlier leader, whose starts nobody knows. Where a worker restarts this costs those runs one call; where it is then cut off, they wait for what its calls may still grant, and the others are given up at once as before. A start with a ticket is good for one incarnation and for at most its validity; 3.3 s stay there. When the former incarnation was last up is taken from its clock (as_of_ms) in place of the moment at which its answer was read.

--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -22,8 +22,6 @@
 use crate::placement::futile::GrantedCapacity;
 use crate::placement::rooms::WorkerSet;
 use crate::placement::waiting::WaitReason;
-use crate::runs::run::START_VALIDITY_MS;
-use crate::workers::holds::DELIVERY_MAX_MS;
 use crate::workers::worker::Allocation;
 use crate::workers::worker::FULL_PACE;
 use crate::workers::worker::Worker;
@@ -89,6 +87,9 @@
     pub start_written_ms: u64,
     /// How often the start of the newest run was sent.
     pub starts_sent: u32,
+    /// Until when a start of the newest run may be carried out, also by a later incarnation of its
+    /// worker; 0 if none was sent, as far as is known.
+    pub start_expires_ms: u64,
     /// When the start of the newest run was first confirmed; 0 before.
     pub running_since_ms: u64,
     /// Whether a hold has listed the newest run, so that it is known which incarnation of the
@@ -134,14 +135,15 @@
     }
 
     /// Whether it is known which incarnation of the worker has the run: a hold has listed it, and no
-    /// other copy of its start can arrive any more. `answered_ms` is when the worker last answered.
-    pub fn is_settled(&self, answered_ms: u64) -> bool {
-        self.listed_by_worker && !self.has_copy_in_flight(answered_ms)
+    /// other copy of its start can have arrived since. `as_of_ms` is when that incarnation was last
+    /// known to be up.
+    pub fn is_settled(&self, as_of_ms: u64) -> bool {
+        self.listed_by_worker && !self.has_copy_in_flight(as_of_ms)
     }
 
     /// Whether the run, if there is one, is on the clock on which its worker's lease is counted.
     /// Another incarnation may have taken a start, or a copy of it, whose outcome is not known.
-    pub fn is_on_known_clock(&self, answered_ms: u64) -> bool {
+    pub fn is_on_known_clock(&self, as_of_ms: u64) -> bool {
         match self.phase {
             Phase::Waiting | Phase::Reserved | Phase::Recorded => true,
             Phase::Sent
@@ -151,14 +153,15 @@
             | Phase::Adopted
             | Phase::Done => {
                 (self.listed_by_worker || self.start_answered_by_known_clock)
-                    && !self.has_copy_in_flight(answered_ms)
+                    && !self.has_copy_in_flight(as_of_ms)
             }
         }
     }
 
-    fn has_copy_in_flight(&self, answered_ms: u64) -> bool {
-        let delivered_ms = self.start_written_ms + START_VALIDITY_MS + DELIVERY_MAX_MS;
-        self.starts_sent > 1 && answered_ms <= delivered_ms
+    /// Whether a start could still be carried out at `as_of_ms`, beside the one that began the run. A
+    /// run whose only start was carried out has none.
+    fn has_copy_in_flight(&self, as_of_ms: u64) -> bool {
+        self.starts_sent != 1 && as_of_ms < self.start_expires_ms
     }
 
     /// Whether a worker is known to run the task.
@@ -516,6 +519,7 @@
             recorded_ms: 0,
             start_written_ms: 0,
             starts_sent: 0,
+            start_expires_ms: 0,
             running_since_ms: 0,
             listed_by_worker: false,
             start_answered_by_known_clock: false,
--- a/crates/pool/src/lib.rs
+++ b/crates/pool/src/lib.rs
@@ -374,6 +374,7 @@
         // row names.
         worker.info.incarnation = worker.info.incarnation.max(row.incarnation);
         worker.allocate(id, allocation);
+        self.expect_earlier_starts(id);
         if job_ended {
             // The earlier leader may have failed before its stop reached the worker.
             self.stop(id);
--- a/crates/pool/src/runs/run.rs
+++ b/crates/pool/src/runs/run.rs
@@ -33,6 +33,8 @@
 use crate::jobs::record::Outcome;
 use crate::runs::gangs::AttemptBudget;
 use crate::runs::gangs::GangFailure;
+use crate::workers::holds::DELIVERY_MAX_MS;
+use crate::workers::holds::LATE_REQUEST_MS;
 use crate::workers::worker::Worker;
 
 /// How long a start may be sent to its worker after the write of its row was sent. The write
@@ -139,6 +141,7 @@
         task.last_progress_ms = now_ms;
         task.start_written_ms = written_ms;
         task.starts_sent += 1;
+        task.start_expires_ms = now_ms + start_lifetime_ms(needs_ticket);
         let run = task.run;
         let checkpoint = task.checkpoint.clone();
         job.start_sent = true;
@@ -279,6 +282,18 @@
         self.stop(id);
     }
 
+    /// Records that earlier leaders may have sent starts of a run whose row names its worker. Nothing
+    /// says whether they did, nor what became of them.
+    pub(crate) fn expect_earlier_starts(&mut self, id: TaskId) {
+        let last_sent_ms = self.started_ms + START_VALIDITY_MS;
+        let Some(job) = self.jobs.get_mut(&id.step.job) else { return };
+        if job.spec.queue.advice.is_some() {
+            return;
+        }
+        let Some(task) = job.task_mut(id) else { return };
+        task.start_expires_ms = last_sent_ms + start_lifetime_ms(false);
+    }
+
     /// Records that a worker has confirmed the start of a task of the job.
     pub(crate) fn mark_start_confirmed(&mut self, id: TaskId) {
         if let Some(job) = self.jobs.get_mut(&id.step.job) {
@@ -594,6 +609,7 @@
         task.recorded_ms = now_ms;
         task.start_written_ms = 0;
         task.starts_sent = 0;
+        task.start_expires_ms = 0;
         task.running_since_ms = 0;
         task.listed_by_worker = false;
         task.start_answered_by_known_clock = false;
@@ -616,6 +632,13 @@
     }
 }
 
+/// How long after it was sent a start may begin a run, in whichever incarnation of its worker. A
+/// ticket is valid for one incarnation.
+fn start_lifetime_ms(needs_ticket: bool) -> u64 {
+    let late_ms = if needs_ticket { START_VALIDITY_MS } else { LATE_REQUEST_MS };
+    late_ms + DELIVERY_MAX_MS
+}
+
 /// The destination of a call to a worker, with the token of its current incarnation.
 pub(crate) fn callee(
     epoch: u64,
--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -114,7 +114,7 @@
 
     fn is_on_known_clock(&self, id: TaskId, worker: &Worker) -> bool {
         let task = self.jobs.get(&id.step.job).and_then(|job| job.task(id));
-        task.is_none_or(|task| task.is_on_known_clock(worker.answered_ms))
+        task.is_none_or(|task| task.is_on_known_clock(worker.as_of_ms))
     }
 
     /// Handles a renewal of the leader lease at `renewed_ms`, by the monotonic clock. The
@@ -135,7 +135,8 @@
     /// A start that was in flight may have reached the new incarnation. The new incarnation
     /// accepts it, since it has not seen a higher token yet. If the scheduler treated such a
     /// run as lost, it would start the task a second time. So runs that the worker has not
-    /// reported yet are kept; the first hold under the new token tells which of them exist.
+    /// reported yet, and those of which another start may be in flight, are kept; the first hold
+    /// under the new token tells which of them exist.
     pub(crate) fn begin_incarnation(&mut self, name: &WorkerId, life: u64) {
         let Some(worker) = self.workers.get(name) else { return };
         tracing::warn!(
@@ -144,13 +145,13 @@
             former_lease_end_ms = worker.lease_end_max, extended_ms_ago = worker.extension_age_ms(self.now_ms),
             "worker restarted"
         );
-        let answered_ms = worker.answered_ms;
+        let as_of_ms = worker.as_of_ms;
         let mut tasks: Vec<TaskId> = worker.tasks.keys().copied().collect();
         tasks.sort_unstable();
         for id in tasks {
             let task = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id));
             let Some(task) = task else { continue };
-            let is_settled = task.is_settled(answered_ms);
+            let is_settled = task.is_settled(as_of_ms);
             task.listed_by_worker = false;
             match task.phase {
                 Phase::Sent
--- /dev/null
+++ b/crates/pool/tests/late_starts.rs
@@ -0,0 +1,120 @@
+//! Starts that are carried out seconds after they were sent, by a later incarnation of their worker, in
+//! virtual time. No queue has an advisor, whose tickets only one incarnation would take.
+
+mod world;
+
+use stoatwell_model::WorkerId;
+
+use self::world::Faults;
+use self::world::World;
+use self::world::job;
+use self::world::queue;
+use self::world::step;
+
+/// How late a call may be carried out.
+const LATE_MS: [u64; 6] = [2_100, 3_500, 5_300, 8_000, 10_700, 12_000];
+/// How long before the arrival of a late start its worker restarts.
+const RESTART_BEFORE_MS: [u64; 3] = [5, 10, 15];
+
+/// How the scheduler learns of a restart.
+#[derive(Clone, Copy, Debug)]
+enum Notice {
+    /// By an answer of the new incarnation.
+    Answer,
+    /// By the list of workers.
+    List,
+}
+
+/// A world in which the starts of eight long tasks are late. They are sent again, and these are carried
+/// out at once. Returns the worker that the first late one will reach.
+fn world_with_late_starts(seed: u64, late_ms: u64) -> (World, WorkerId) {
+    let mut world = World::new(seed, 4, Faults::default());
+    world.run(1_000);
+    world.late_ms = Some(late_ms);
+    world.no_answer_ms = 30;
+    world.faults.late_starts = 1_000;
+    world.submit(1, job(queue(1), vec![step(8, 4_000, 40_000)]));
+    world.run(30);
+    world.faults.late_starts = 0;
+    let name = world.late_starts().next().expect("a late start").1.to.worker.clone();
+    (world, name)
+}
+
+/// Runs until shortly before the next late start arrives at a worker.
+fn run_until_late_start(world: &mut World, name: &WorkerId, before_ms: u64) {
+    let mut arrivals = world.late_starts().filter(|(_, start)| start.to.worker == *name);
+    let at_ms = arrivals.next().expect("a late start").0;
+    drop(arrivals);
+    world.run(at_ms.saturating_sub(before_ms + world.now_ms));
+}
+
+fn restart(world: &mut World, name: &WorkerId, notice: Notice) {
+    world.restart_unnoticed(name);
+    match notice {
+        Notice::Answer => {}
+        Notice::List => world.list_all(),
+    }
+}
+
+fn assert_no_violations(world: &World, play: &str) {
+    let (count, first) = (world.violations.len(), world.violations.first());
+    assert!(count == 0, "{play}: {count} violations, first: {first:?}");
+}
+
+/// Guards against a task that runs twice: a start is sent twice, the second one is carried out, and
+/// the first one reaches the next incarnation before its first hold does.
+#[test]
+fn a_run_that_a_late_start_begins_again_is_not_given_up() {
+    for late_ms in LATE_MS {
+        for before_ms in RESTART_BEFORE_MS {
+            for notice in [Notice::Answer, Notice::List] {
+                let (mut world, name) = world_with_late_starts(1, late_ms);
+                run_until_late_start(&mut world, &name, before_ms);
+                restart(&mut world, &name, notice);
+                world.run(20_000);
+                let play = format!("{late_ms} ms late, {before_ms} ms after {notice:?}");
+                assert_no_violations(&world, &play);
+            }
+        }
+    }
+}
+
+/// The same with a leader that has not sent these starts.
+#[test]
+fn a_run_that_a_late_start_of_a_former_leader_begins_again_is_not_given_up() {
+    for late_ms in LATE_MS {
+        for led_ms in [100, 500, 1_500, 5_000, 9_000] {
+            for notice in [Notice::Answer, Notice::List] {
+                let (mut world, name) = world_with_late_starts(1, late_ms);
+                world.run(200);
+                run_until_late_start(&mut world, &name, 10 + led_ms);
+                world.fail_over();
+                run_until_late_start(&mut world, &name, 10);
+                restart(&mut world, &name, notice);
+                world.run(20_000);
+                let play = format!("{late_ms} ms late, led for {led_ms} ms, {notice:?}");
+                assert_no_violations(&world, &play);
+            }
+        }
+    }
+}
+
+/// Guards against runs that wait for a worker that is cut off after its restart although their only
+/// starts were carried out before: nothing can begin them again.
+#[test]
+fn runs_whose_only_starts_were_carried_out_are_given_up_at_once() {
+    let mut world = World::new(1, 4, Faults::default());
+    world.run(1_000);
+    world.submit(1, job(queue(1), vec![step(8, 4_000, 40_000)]));
+    world.run(500);
+    let name = world.workers.keys().next().cloned().expect("a worker");
+    let before = world.starts;
+    let on_worker = world.workers[&name].active_tasks_of(1) as u64;
+    assert!(on_worker > 0, "the worker runs nothing");
+    world.restart_unnoticed(&name);
+    world.isolate(&name, 30_000);
+    world.list_all();
+    world.run(200);
+    assert_eq!(world.starts - before, on_worker);
+    assert_no_violations(&world, "cut off after its restart");
+}
--- a/crates/pool/tests/outages.rs
+++ b/crates/pool/tests/outages.rs
@@ -32,6 +32,7 @@
         lost_calls: draw(40),
         lost_answers: draw(40),
         late_calls: draw(40),
+        late_starts: 0,
         failed_runs: draw(200),
         crashes: draw(6),
         isolations: draw(8),
--- a/crates/pool/tests/seeds.rs
+++ b/crates/pool/tests/seeds.rs
@@ -30,6 +30,7 @@
         lost_calls: draw(60),
         lost_answers: draw(60),
         late_calls: draw(60),
+        late_starts: 0,
         failed_runs: draw(300),
         crashes: draw(8),
         permanent_isolations: draw(6),
--- a/crates/pool/tests/world/faults.rs
+++ b/crates/pool/tests/world/faults.rs
@@ -14,6 +14,8 @@
     pub lost_answers: u32,
     /// A call is carried out seconds later and its answer is lost.
     pub late_calls: u32,
+    /// The same for starts alone.
+    pub late_starts: u32,
     /// A run fails.
     pub failed_runs: u32,
     /// Every 100 ms and for each worker: it crashes and restarts as a new incarnation.
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -49,6 +49,7 @@
 use stoatwell_pool::Progress;
 use stoatwell_pool::Removal;
 use stoatwell_pool::SilentLease;
+use stoatwell_pool::StartCall;
 use stoatwell_pool::StartReply;
 use stoatwell_pool::StepId;
 use stoatwell_pool::TaskId;
@@ -460,6 +461,16 @@
         }
     }
 
+    /// The starts on their way that will get no answer, by the time at which they arrive.
+    pub fn late_starts(&self) -> impl Iterator<Item = (u64, &StartCall)> {
+        self.timeline.iter().filter_map(|((at_ms, _), item)| match item {
+            TimedEvent::CallArrives { call: Call::Start(start), answered: false, .. } => {
+                Some((*at_ms, start))
+            }
+            _ => None,
+        })
+    }
+
     /// Makes a worker unreachable for a while: calls to it are lost.
     pub fn isolate(&mut self, name: &WorkerId, for_ms: u64) {
         if let Some(worker) = self.workers.get_mut(name) {
@@ -774,7 +785,8 @@
             self.schedule(1_000, TimedEvent::Event(epoch, event));
             return;
         }
-        let late = self.chance(self.faults.late_calls);
+        let late = self.chance(self.faults.late_calls)
+            || (matches!(call, Call::Start(_)) && self.chance(self.faults.late_starts));
         if late || self.chance(self.faults.lost_answers) {
             let event = call.to_event(Err(CallError::NoAnswer));
             self.schedule(self.no_answer_ms, TimedEvent::Event(epoch, event));
