Tests of late starts: gangs, cancelled jobs, tickets, other addresses, answers that are overtaken

The HTTP client sends a start once also if a kept connection breaks; executors make a batch that arrives twice once (node/tests/executors.rs: a_batch_that_arrives_again_is_not_executed_again, a_batch_whose_acceptance_is_lost_ is_executed_once). So the scheduler alone repeats starts, and knows that it does. A late stop or pace names its run: in a later incarnation there is no such run, or it is the one that is not wanted. A run of a job that was removed is stopped when it is listed (a_report_that_a_later_one_has_overtaken_is_ignored).

The simulation's workers take a ticket only for the incarnation that it was issued to. Whether a start has its row is checked when it is sent, no longer when it arrives: a job may have ended since, whose row names no runs.

--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -4,6 +4,7 @@
 mod world;
 
 use stoatwell_model::WorkerId;
+use stoatwell_pool::AdviceSpec;
 
 use self::world::Faults;
 use self::world::World;
@@ -23,6 +24,8 @@
     Answer,
     /// By the list of workers.
     List,
+    /// By the list of workers, with another address.
+    OtherAddress,
 }
 
 /// A world in which the starts of eight long tasks are late. They are sent again, and these are carried
@@ -53,6 +56,11 @@
     match notice {
         Notice::Answer => {}
         Notice::List => world.list_all(),
+        Notice::OtherAddress => {
+            let worker = world.workers.get_mut(name).expect("known");
+            worker.address = format!("another address of {name}");
+            world.list_all();
+        }
     }
 }
 
@@ -67,7 +75,7 @@
 fn a_run_that_a_late_start_begins_again_is_not_given_up() {
     for late_ms in LATE_MS {
         for before_ms in RESTART_BEFORE_MS {
-            for notice in [Notice::Answer, Notice::List] {
+            for notice in [Notice::Answer, Notice::List, Notice::OtherAddress] {
                 let (mut world, name) = world_with_late_starts(1, late_ms);
                 run_until_late_start(&mut world, &name, before_ms);
                 restart(&mut world, &name, notice);
@@ -118,3 +126,79 @@
     assert_eq!(world.starts - before, on_worker);
     assert_no_violations(&world, "cut off after its restart");
 }
+
+/// Guards against a gang of which a member runs twice, or whose next attempt assembles beside a member
+/// that a late start has begun again.
+#[test]
+fn a_member_that_a_late_start_begins_again_does_not_run_beside_the_next_attempt() {
+    for late_ms in LATE_MS {
+        // All members of the small gang are on one worker.
+        for (members, notice) in [(3, Notice::Answer), (3, Notice::List), (8, Notice::Answer)] {
+            let mut world = World::new(1, 4, Faults::default());
+            world.run(1_000);
+            world.late_ms = Some(late_ms);
+            world.no_answer_ms = 30;
+            let mut gang = step(members, 4_000, 40_000);
+            gang.gang = true;
+            world.faults.late_starts = 600;
+            world.submit(1, job(queue(1), vec![gang]));
+            world.run(30);
+            world.faults.late_starts = 0;
+            let name = world.late_starts().next().expect("a late start").1.to.worker.clone();
+            run_until_late_start(&mut world, &name, 10);
+            restart(&mut world, &name, notice);
+            world.run(20_000);
+            let play = format!("{members} members, {late_ms} ms late, {notice:?}");
+            assert_no_violations(&world, &play);
+        }
+    }
+}
+
+/// Guards against tasks of a cancelled job that run on after a late start has begun them again.
+#[test]
+fn a_late_start_of_a_cancelled_job_is_stopped() {
+    for late_ms in LATE_MS {
+        for notice in [Notice::Answer, Notice::List] {
+            let (mut world, name) = world_with_late_starts(1, late_ms);
+            world.run(200);
+            run_until_late_start(&mut world, &name, 1_500);
+            world.cancel(1);
+            run_until_late_start(&mut world, &name, 10);
+            restart(&mut world, &name, notice);
+            // `contact_ms` and `stop_ms` of the longest that users have.
+            world.run(4_900);
+            let active = world.workers[&name].active_tasks_of(1);
+            assert_eq!(active, 0, "{late_ms} ms late, {notice:?}");
+            assert_no_violations(&world, &format!("{late_ms} ms late, {notice:?}"));
+        }
+    }
+}
+
+/// Guards against runs that a late start begins although the advisor's ticket was issued to a former
+/// incarnation of their worker.
+#[test]
+fn a_late_start_with_a_ticket_begins_nothing_in_a_later_incarnation() {
+    for late_ms in LATE_MS {
+        let mut world = World::new(1, 4, Faults::default());
+        world.tickets_expire = true;
+        world.granted_of_five = 5;
+        world.run(1_000);
+        world.late_ms = Some(late_ms);
+        world.no_answer_ms = 30;
+        let mut queue = queue(1);
+        // Longer than a call can be late, so that only the incarnation makes it invalid.
+        queue.advice = Some(AdviceSpec { decide_ms: 20.0, each_ms: 1.0, valid_ms: 30_000 });
+        world.faults.late_starts = 1_000;
+        world.submit(1, job(queue, vec![step(8, 4_000, 700)]));
+        world.run(120);
+        world.faults.late_starts = 0;
+        let name = world.late_starts().next().expect("a late start").1.to.worker.clone();
+        run_until_late_start(&mut world, &name, 10);
+        let starts = world.starts;
+        world.restart_unnoticed(&name);
+        world.run(1_000);
+        assert!(world.bad_tickets > 0 && world.starts == starts, "{late_ms} ms late");
+        world.run(20_000);
+        assert_no_violations(&world, &format!("{late_ms} ms late"));
+    }
+}
--- a/crates/pool/tests/unanswered.rs
+++ b/crates/pool/tests/unanswered.rs
@@ -409,3 +409,37 @@
     pool.handle(2_500, 2_500, Event::StuckQueries { count: 1 });
     assert_eq!(queries_until(2_500, 3_500, &mut pool), 1, "queries while one is stuck");
 }
+
+/// Guards against a run that is given up because an answer of its worker's former incarnation, which
+/// does not list it, arrives after the restart is known.
+#[test]
+fn an_answer_of_a_former_incarnation_settles_nothing() {
+    let mut pool = Pool::new(Election { epoch: 1, ..Election::default() }, LIMITS, 1_000, 1_000);
+    pool.handle(1_000, 1_000, Event::Listed(worker()));
+    pool.handle(1_000, 1_000, Event::Accepted { job: JobId(1), spec: Arc::new(job()) });
+    let mut runs = Vec::new();
+    for now_ms in (1_000..3_000).step_by(10) {
+        if now_ms == 2_000 {
+            pool.handle(now_ms, now_ms, Event::Listed(WorkerUpdate { incarnation: 2, ..worker() }));
+        }
+        for effect in pool.poll_effects(now_ms, now_ms) {
+            let event = match effect {
+                Effect::Hold(call) => {
+                    let reply = HoldReply { clock_ms: now_ms, life: 1, ..HoldReply::default() };
+                    Event::Held { worker: call.to.worker, turn: call.turn, reply: Ok(reply) }
+                }
+                Effect::Commit { batch, writes } => {
+                    let partition = writes[0].partition;
+                    Event::Committed { batch, partition, sent_ms: now_ms, version: batch }
+                }
+                Effect::Start(call) => {
+                    runs.push(call.run);
+                    continue;
+                }
+                _ => continue,
+            };
+            pool.handle(now_ms, now_ms, event);
+        }
+    }
+    assert_eq!(runs, [1]);
+}
--- a/crates/pool/tests/world/checks.rs
+++ b/crates/pool/tests/world/checks.rs
@@ -40,9 +40,6 @@
                 .push(format!("{}: its start was written after the job was cancelled", start.task));
         }
         let Some(spec) = self.jobs.get(&job).cloned() else { return };
-        if !self.is_recorded(start.task, start.run) {
-            self.violations.push(format!("{}: started before its row was written", start.task));
-        }
         self.check_cap(start.task, start.written_ms);
         let step = &spec.steps[start.task.step.step as usize];
         for dependency in &step.after {
@@ -79,6 +76,17 @@
         }
     }
 
+    /// Checks a start that is sent now. When it arrives, its job may have ended, whose row names no
+    /// runs any more.
+    pub(super) fn check_sent_start(&mut self, start: &StartCall) {
+        if start.is_void(self.now_ms) {
+            self.violations.push(format!("{}: sent although it is void", start.task));
+        }
+        if !self.is_recorded(start.task, start.run) {
+            self.violations.push(format!("{}: sent before its row was written", start.task));
+        }
+    }
+
     /// Records a start of a task of which a worker still lists an end as done.
     fn record_start_after_done(&mut self, start: &StartCall) {
         if self.is_speculative(start.task) {
--- a/crates/pool/tests/world/mod.rs
+++ b/crates/pool/tests/world/mod.rs
@@ -639,13 +639,23 @@
         self.schedule(delay_ms, TimedEvent::Event(epoch, event));
     }
 
-    /// Whether a start carries an expired ticket, or none where one is needed.
+    /// A ticket that names the incarnation of its worker and when it was issued.
+    fn ticket(&self, worker: &WorkerId, issued_ms: u64) -> String {
+        let incarnation = self.workers.get(worker).map_or(0, |worker| worker.incarnation);
+        format!("{incarnation}@{issued_ms}")
+    }
+
+    /// Whether a start carries an expired ticket or that of another incarnation, or none where one
+    /// is needed.
     fn has_expired(&self, call: &Call) -> bool {
         let Call::Start(start) = call else { return false };
         let Some(job) = self.jobs.get(&start.task.step.job) else { return false };
         let Some(rule) = job.queue.advice else { return false };
-        let issued_ms: Option<u64> = start.ticket.as_ref().and_then(|text| text.parse().ok());
-        issued_ms.is_none_or(|issued_ms| issued_ms + rule.valid_ms < self.now_ms)
+        let Some(worker) = self.workers.get(&start.to.worker) else { return false };
+        let ticket = start.ticket.as_ref().and_then(|text| text.split_once('@'));
+        let Some((incarnation, issued_ms)) = ticket else { return true };
+        let issued_ms: u64 = issued_ms.parse().unwrap_or(0);
+        incarnation != worker.incarnation.to_string() || issued_ms + rule.valid_ms < self.now_ms
     }
 
     fn advance_workers(&mut self) {
@@ -691,9 +701,7 @@
             match effect {
                 Effect::Hold(call) => self.send(Call::Hold(call)),
                 Effect::Start(call) => {
-                    if call.is_void(self.now_ms) {
-                        self.violations.push(format!("{}: sent although it is void", call.task));
-                    }
+                    self.check_sent_start(&call);
                     self.send(Call::Start(call));
                 }
                 Effect::Stop(call) => {
@@ -708,7 +716,7 @@
                     let issued_ms = self.now_ms + self.advice_ms;
                     let grant = |worker: &WorkerId| Grant {
                         worker: worker.clone(),
-                        ticket: issued_ms.to_string(),
+                        ticket: self.ticket(worker, issued_ms),
                     };
                     let of_five = self.granted_of_five;
                     let granted = workers.iter().filter(|name| is_granted(step, name, of_five));
--- a/crates/pool/tests/world/worker.rs
+++ b/crates/pool/tests/world/worker.rs
@@ -70,6 +70,7 @@
 /// A worker and the network conditions in front of it.
 pub struct Worker {
     pub name: WorkerId,
+    pub address: String,
     pub up: bool,
     /// Whether it is unreachable for a while: calls to it are lost.
     pub isolated: bool,
@@ -187,6 +188,7 @@
 impl Worker {
     pub fn new(name: WorkerId, clock_slow_permille: u64, lease_max_ms: u64) -> Self {
         Self {
+            address: format!("at {name}"),
             name,
             up: true,
             isolated: false,
@@ -216,7 +218,7 @@
     pub fn update(&self) -> WorkerUpdate {
         WorkerUpdate {
             worker: self.name.clone(),
-            address: format!("at {}", self.name),
+            address: self.address.clone(),
             service: "pool".to_owned(),
             zone: ZoneName::new("a"),
             capacity: self.capacity,
