A run that a second restart may bring back is waited for

What callers would see: a task that must run once runs on two workers at once. Its worker restarts, the new incarnation does not list the run, the task is started elsewhere, and a late start begins the first run after a second restart within 12 s.

Cause: a hold of the new incarnation fences it, and so only it. A start that was not carried out in time may still begin the run in the next one.

A run whose worker has restarted, and of which this leader has sent a start that may still arrive, now stays on its worker, with its capacity and its row, until no start can arrive any more (14.3 s after the last one). Runs whose only start was carried out, starts with a ticket, speculative tasks and those that last are not concerned; the last ones have to be back within seconds. A run that was taken over from an earlier leader is not waited for: that would hold up all that a worker ran which restarts around a change of leader.

Queues with an advisor pay nothing.

--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -164,6 +164,13 @@
         self.starts_sent != 1 && as_of_ms < self.start_expires_ms
     }
 
+    /// Whether a start that this leader has sent may begin the run in an incarnation of its worker
+    /// that comes after the present one.
+    pub fn may_begin_later(&self, now_ms: u64) -> bool {
+        let is_only_start_carried_out = self.starts_sent == 1 && self.running_since_ms > 0;
+        self.starts_sent > 0 && !is_only_start_carried_out && now_ms < self.start_expires_ms
+    }
+
     /// Whether a worker is known to run the task.
     pub fn is_running(&self) -> bool {
         matches!(self.phase, Phase::Running { .. })
@@ -449,6 +456,18 @@
         self.step_states[step_index].tasks.get_mut(id.index as usize)
     }
 
+    /// Whether a task that has to run again waits while a start of its last run may be in flight.
+    /// Starts with a ticket begin nothing in a later incarnation of their worker, speculative tasks may
+    /// run twice, and long-running ones have to be back sooner.
+    pub fn waits_for_late_starts(&self, id: TaskId) -> bool {
+        let Some(step_index) = self.step_index(id.step) else { return false };
+        let step = self.step_spec(step_index);
+        self.outcome.is_none()
+            && self.spec.queue.advice.is_none()
+            && !step.long_running
+            && !step.speculative
+    }
+
     /// Whether all steps of the same occurrence that the step depends on are done.
     pub fn is_ready(&self, step_index: usize) -> bool {
         let first_step_index =
--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -357,10 +357,9 @@
         let mut gone = Vec::new();
         let mut not_started = Vec::new();
         for id in placed {
-            let Some(task) = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id))
-            else {
-                continue;
-            };
+            let Some(job) = self.jobs.get_mut(&id.step.job) else { continue };
+            let waits_for_late_starts = job.waits_for_late_starts(id);
+            let Some(task) = job.task_mut(id) else { continue };
             if let Some(active) = reported.remove(&(id, task.run)) {
                 let was_confirmed = matches!(task.phase, Phase::Running { .. });
                 update_running_task(task, active, now_ms, this_turn);
@@ -371,9 +370,15 @@
                 }
                 continue;
             }
+            // The worker may restart once more before the start arrives.
+            let has_restarted = task.incarnation < reply.life;
+            let is_kept = waits_for_late_starts
+                && has_restarted
+                && !task.is_done()
+                && task.may_begin_later(now_ms);
             match task.phase {
                 Phase::Unconfirmed { since_turn } if since_turn < turn => not_started.push(id),
-                _ if is_surely_gone(task, turn) => gone.push(id),
+                _ if is_surely_gone(task, turn) && !is_kept => gone.push(id),
                 _ => {}
             }
         }
--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -127,6 +127,27 @@
     assert_no_violations(&world, "cut off after its restart");
 }
 
+/// Guards against a task that runs twice: no run of it is found after a restart, it is started
+/// elsewhere, and a late start begins it after a second restart.
+#[test]
+fn a_run_that_a_late_start_may_begin_after_a_second_restart_is_waited_for() {
+    for late_ms in LATE_MS {
+        for between_ms in [200, 800, 1_500] {
+            for notice in [Notice::Answer, Notice::List] {
+                let (mut world, name) = world_with_late_starts(1, late_ms);
+                world.run(200);
+                run_until_late_start(&mut world, &name, 10 + between_ms);
+                restart(&mut world, &name, notice);
+                run_until_late_start(&mut world, &name, 10);
+                restart(&mut world, &name, notice);
+                world.run(20_000);
+                let play = format!("{late_ms} ms late, {between_ms} ms between, {notice:?}");
+                assert_no_violations(&world, &play);
+            }
+        }
+    }
+}
+
 /// Guards against a gang of which a member runs twice, or whose next attempt assembles beside a member
 /// that a late start has begun again.
 #[test]
