--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -232,6 +232,84 @@
     }
 }
 
+/// Guards against a task that runs twice: neither of its starts is carried out in time, the run is
+/// stopped, the task is started elsewhere, and its worker restarts before a late start arrives.
+#[test]
+fn a_stopped_run_that_a_late_start_may_begin_is_waited_for() {
+    for late_ms in LATE_MS {
+        let mut world = World::new(1, 4, Faults::default());
+        world.run(1_000);
+        world.late_ms = Some(late_ms);
+        world.no_answer_ms = 30;
+        world.faults.late_starts = 1_000;
+        world.submit(1, job(queue(1), vec![step(8, 4_000, 40_000)]));
+        world.run(100);
+        world.faults.late_starts = 0;
+        let name = world.late_starts().next().expect("a late start").1.to.worker.clone();
+        run_until_late_start(&mut world, &name, 10);
+        world.restart_unnoticed(&name);
+        world.run(20_000);
+        assert_no_violations(&world, &format!("{late_ms} ms late"));
+    }
+}
+
+/// Guards against a task that runs twice: its first run fails, the task is started elsewhere, and a
+/// late start begins the first run again after a restart.
+#[test]
+fn a_failed_run_that_a_late_start_may_begin_again_is_waited_for() {
+    for late_ms in LATE_MS {
+        let mut world = World::new(1, 4, Faults { failed_runs: 1_000, ..Faults::default() });
+        world.run(1_000);
+        world.late_ms = Some(late_ms);
+        world.no_answer_ms = 30;
+        world.faults.late_starts = 1_000;
+        world.submit(1, job(queue(1), vec![step(8, 4_000, 700)]));
+        world.run(30);
+        world.faults.late_starts = 0;
+        let name = world.late_starts().next().expect("a late start").1.to.worker.clone();
+        run_until_late_start(&mut world, &name, 10);
+        world.restart_unnoticed(&name);
+        world.run(20_000);
+        assert_no_violations(&world, &format!("{late_ms} ms late"));
+    }
+}
+
+/// Guards against a task that runs twice: its worker is cut off with starts that are carried out late,
+/// its lease expires, and it restarts before they are.
+#[test]
+fn a_run_on_a_silent_worker_that_a_late_start_may_begin_is_waited_for() {
+    for late_ms in LATE_MS {
+        let (mut world, name) = world_with_late_starts(1, late_ms);
+        world.run(100);
+        world.isolate(&name, late_ms - 300);
+        run_until_late_start(&mut world, &name, 10);
+        world.restart_unnoticed(&name);
+        world.run(20_000);
+        assert_no_violations(&world, &format!("{late_ms} ms late"));
+    }
+}
+
+/// Guards against a task that runs twice: a new leader does not find a run whose start its predecessor
+/// has sent, the task is started elsewhere, and its worker restarts before that start arrives.
+#[test]
+fn a_run_that_a_start_of_a_former_leader_may_begin_is_waited_for() {
+    for late_ms in LATE_MS {
+        let mut world = World::new(1, 4, Faults::default());
+        world.run(1_000);
+        world.late_ms = Some(late_ms);
+        world.faults.late_starts = 1_000;
+        world.submit(1, job(queue(1), vec![step(8, 4_000, 40_000)]));
+        world.run(50);
+        world.faults.late_starts = 0;
+        let name = world.late_starts().next().expect("a late start").1.to.worker.clone();
+        world.fail_over();
+        run_until_late_start(&mut world, &name, 10);
+        world.restart_unnoticed(&name);
+        world.run(20_000);
+        assert_no_violations(&world, &format!("{late_ms} ms late"));
+    }
+}
+
 /// A job of long tasks, on a queue with or without an advisor.
 fn random_job(rng: &mut Pcg64) -> JobSpec {
     let mut queue = queue(rng.random_range(0..3));
