A line for a run that is kept because a start in flight may begin it again

On call nothing told why a run of a worker that has restarted was neither lost nor started elsewhere.

--- a/crates/pool/src/workers/holds.rs
+++ b/crates/pool/src/workers/holds.rs
@@ -152,6 +152,10 @@
             let task = self.jobs.get_mut(&id.step.job).and_then(|job| job.task_mut(id));
             let Some(task) = task else { continue };
             let is_settled = task.is_settled(as_of_ms);
+            if task.listed_by_worker && !is_settled {
+                let starts_expire_in_ms = task.start_expires_ms.saturating_sub(self.now_ms);
+                tracing::info!(task = %id, run = task.run, worker = %name, life, starts_expire_in_ms, "a start in flight may begin the run again; the worker is asked");
+            }
             task.listed_by_worker = false;
             match task.phase {
                 Phase::Sent
