--- a/crates/pool/src/jobs/job.rs
+++ b/crates/pool/src/jobs/job.rs
@@ -135,8 +135,7 @@
     }
 
     /// Whether it is known which incarnation of the worker has the run: a hold has listed it, and no
-    /// other copy of its start can have arrived since. `as_of_ms` is when that incarnation was last
-    /// known to be up.
+    /// other copy of its start can arrive any more. `as_of_ms` is when the worker last answered.
     pub fn is_settled(&self, as_of_ms: u64) -> bool {
         self.listed_by_worker && !self.has_copy_in_flight(as_of_ms)
     }
--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -1,5 +1,5 @@
 //! Starts that are carried out seconds after they were sent, by a later incarnation of their worker, in
-//! virtual time. No queue has an advisor, whose tickets only one incarnation would take.
+//! virtual time. Most queues have no advisor, whose tickets only one incarnation would take.
 
 mod world;
 
@@ -53,9 +53,8 @@
 
 /// Runs until shortly before the next late start arrives at a worker.
 fn run_until_late_start(world: &mut World, name: &WorkerId, before_ms: u64) {
-    let mut arrivals = world.late_starts().filter(|(_, start)| start.to.worker == *name);
-    let at_ms = arrivals.next().expect("a late start").0;
-    drop(arrivals);
+    let next = world.late_starts().find(|(_, start)| start.to.worker == *name);
+    let at_ms = next.expect("a late start").0;
     world.run(at_ms.saturating_sub(before_ms + world.now_ms));
 }
 
