--- a/crates/pool/tests/late_starts.rs
+++ b/crates/pool/tests/late_starts.rs
@@ -309,27 +309,35 @@
     }
 }
 
+/// Whether some of the drawn steps are gangs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Gangs {
+    Some,
+    None,
+}
+
 /// A job of long tasks, on a queue with or without an advisor.
-fn random_job(rng: &mut Pcg64) -> JobSpec {
+fn random_job(rng: &mut Pcg64, gangs: Gangs) -> JobSpec {
     let mut queue = queue(rng.random_range(0..3));
     if rng.random_range(0..3) == 0 {
         queue.advice = Some(AdviceSpec { decide_ms: 20.0, each_ms: 1.0, valid_ms: 1_500 });
     }
     // They work for longer than a start can be late.
     let estimate_ms = rng.random_range(28_000..40_000);
-    let step = step(rng.random_range(1..7), rng.random_range(500..3_000), estimate_ms);
+    let mut step = step(rng.random_range(1..7), rng.random_range(500..3_000), estimate_ms);
+    step.gang = gangs == Gangs::Some && rng.random_range(0..4) == 0;
     job(queue, vec![step])
 }
 
 /// Submits jobs of which many first starts are late, lets the scheduler send these again, and restarts
 /// workers shortly before late starts arrive, with changes of the leader between.
-fn play_round(world: &mut World, rng: &mut Pcg64, round: u64) {
+fn play_round(world: &mut World, rng: &mut Pcg64, round: u64, gangs: Gangs) {
     // Shorter than it takes until the scheduler sends a start again.
     const SUBMIT_MS: u64 = 130;
     world.no_answer_ms = rng.random_range(150..1_000);
     world.faults.late_starts = rng.random_range(100..800);
     for number in 0..rng.random_range(2..5) {
-        world.submit(round * 10 + number, random_job(rng));
+        world.submit(round * 10 + number, random_job(rng, gangs));
     }
     world.run(SUBMIT_MS);
     world.faults.late_starts = 0;
@@ -362,14 +370,14 @@
     world.run(3_000);
 }
 
-fn simulate(seed: u64) -> Result<u64, String> {
+fn simulate(seed: u64, gangs: Gangs) -> Result<u64, String> {
     let mut rng = Pcg64::seed_from_u64(seed ^ 0x1a7e);
     let lease_max_ms = if rng.random() { 6_000 } else { 10_000 };
     let mut world = World::with_lease_max(seed, 6, Faults::default(), lease_max_ms);
     world.tickets_expire = true;
     world.run(1_000);
     for round in 0..3 {
-        play_round(&mut world, &mut rng, round);
+        play_round(&mut world, &mut rng, round, gangs);
     }
     for _ in 0..400 {
         world.run(500);
@@ -390,6 +398,13 @@
 /// arrive and the leader changes between, on queues with and without an advisor.
 #[test]
 fn no_task_runs_twice_when_late_starts_reach_restarted_workers() {
-    let starts = World::check_seeds(SEEDS, simulate);
+    let starts = World::check_seeds(SEEDS, |seed| simulate(seed, Gangs::None));
+    assert!(starts > 0, "nothing was started");
+}
+
+/// Guards against the same where some steps are gangs, whose members end or are stopped with others.
+#[test]
+fn no_member_runs_twice_when_late_starts_reach_restarted_workers() {
+    let starts = World::check_seeds(SEEDS, |seed| simulate(seed, Gangs::Some));
     assert!(starts > 0, "nothing was started");
 }
